--- /dev/null
+++ b/Makefile
@@ -0,0 +1,89 @@
+# Build of wasabilink. BUILD selects the object folder, so that sanitizer
+# builds live beside the normal one.
+CC ?= gcc
+BUILD ?= build
+BIN ?= wasabilink
+PKGS = libevent evhtp libtirpc glib-2.0 jansson libcrypto
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Isrc/rpc $(shell pkg-config --cflags $(PKGS))
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -Wall -Wextra -Wno-unused-parameter -Werror -MMD -MP \
+	-fno-omit-frame-pointer -D_FORTIFY_SOURCE=2
+LDLIBS += $(shell pkg-config --libs $(PKGS)) -lm
+CLANG_TIDY ?= clang-tidy
+CLANG_FORMAT ?= clang-format
+
+GENERATED := $(wildcard src/rpc/*_xdr.c src/rpc/*_xdr.h)
+SRCS := $(wildcard src/*/*.c)
+OBJS := $(SRCS:%.c=$(BUILD)/%.o)
+COORD_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/coord/*.c))
+MAIN_OBJ := $(BUILD)/src/main.o
+TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+EXAMPLES := $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
+OWN := $(filter-out $(GENERATED),$(wildcard src/*.c src/*.h src/*/*.c \
+	src/*/*.h tests/*.c tests/*.h tests/*/*.c tests/*/*.h examples/*.c))
+
+all: $(BIN)
+
+$(BIN): $(MAIN_OBJ) $(OBJS)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+libwasabilink.a: $(COORD_OBJS)
+	rm -f $@ && ar rcs $@ $^
+
+# rpcgen output has unused variables and its own style.
+$(BUILD)/src/rpc/%_xdr.o: CFLAGS += -Wno-unused-variable -Wno-error
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(OBJS)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+
+$(BUILD)/examples/%: $(BUILD)/examples/%.o libwasabilink.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+# Regenerates the committed XDR code; the build itself does not need rpcgen.
+xdr:
+	for x in src/rpc/*.x; do n=$${x%.x}; rm -f $${n}_xdr.h $${n}_xdr.c; \
+		(cd src/rpc && b=$$(basename $$n) && \
+		rpcgen -h -o $${b}_xdr.h $$b.x && rpcgen -c -o $${b}_xdr.c $$b.x && \
+		sed -i "s|#include \"$$b.h\"|#include \"$${b}_xdr.h\"|; s|#include \"$${b}.h\"|#include \"$${b}_xdr.h\"|" $${b}_xdr.c); done
+
+deps:
+	scripts/install-deps
+
+tests: $(BIN) $(TESTS) $(EXAMPLES)
+
+check: deps
+	$(MAKE) tests
+	scripts/check
+
+demo: deps
+	$(MAKE) all
+	scripts/demo
+
+bench: deps
+	$(MAKE) all
+	scripts/bench $(BENCH_DIR)
+
+format:
+	@$(CLANG_FORMAT) -i $(OWN)
+
+lint:
+	@$(CLANG_FORMAT) --dry-run -Werror $(OWN)
+	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+		--enable=warning,performance,portability \
+		-D'json_object_foreach(o,k,v)=for(;(k)&&(v);)' \
+		-D'json_array_foreach(a,i,v)=for(;(i)&&(v);)' \
+		--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
+		-Isrc $(filter %.c,$(filter src/%,$(OWN)))
+	@printf '%s\n' $(filter %.c,$(filter src/%,$(OWN))) | xargs -P 6 -n 4 \
+		sh -c '$(CLANG_TIDY) --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
+
+clean:
+	rm -rf $(BUILD) $(BIN) libwasabilink.a
+
+.PHONY: all tests check demo bench format lint clean deps xdr
+.SECONDARY:
+-include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d)
--- /dev/null
+++ b/src/backend/runner.h
@@ -0,0 +1,41 @@
+#ifndef WASABILINK_BACKEND_RUNNER_H
+#define WASABILINK_BACKEND_RUNNER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * runner - the backends that this node knows, engines and plain services.
+ *
+ * The set follows the platform's VM list. A runner is kept, with what was
+ * learned about it, as long as requests are in flight on it.
+ */
+typedef enum runner_state {
+	RUNNER_LIVE,
+	RUNNER_LEAVING /* no new work */
+} runner_state_t;
+
+typedef struct runner {
+	char *address; /* IP:port */
+	char *domain;
+	char *partner;
+	char *deployment; /* or the name of a plain service */
+	bool is_service;
+	runner_state_t state;
+	uint32_t in_flight; /* of this node */
+} runner_t;
+
+typedef struct runner_set runner_set_t;
+
+runner_set_t *runner_set_new(void);
+void runner_set_free(runner_set_t *set);
+/* vms is an array of platform_vm_t. */
+void runner_set_update(runner_set_t *set, const GArray *vms);
+/* runner_t of the partner's deployment or service, live ones only. The array
+ * is the set's own and valid until the next call. */
+const GPtrArray *runner_set_find(runner_set_t *set, const char *partner,
+				 const char *deployment, bool is_service);
+uint32_t runner_set_size(const runner_set_t *set);
+
+#endif
--- /dev/null
+++ b/src/entry/api_error.h
@@ -0,0 +1,54 @@
+#ifndef WASABILINK_ENTRY_API_ERROR_H
+#define WASABILINK_ENTRY_API_ERROR_H
+
+#include "http/http_server.h"
+
+/*
+ * api_error - error answers to callers, in the OpenAI form with the member
+ * `work`, which says whether the request ran.
+ */
+typedef enum work_state {
+	WORK_NOT_RUN,
+	WORK_MAY_HAVE_RUN,
+	WORK_RAN
+} work_state_t;
+
+typedef enum api_error_id {
+	API_INVALID_JSON,
+	API_INVALID_REQUEST,
+	API_UNAUTHORIZED,
+	API_NOT_FOUND,
+	API_MODEL_NOT_FOUND,
+	API_METHOD_NOT_ALLOWED,
+	API_IDEMPOTENCY_KEY_REQUIRED,
+	API_IDEMPOTENCY_CONFLICT,
+	API_IN_PROGRESS,
+	API_OUTCOME_UNKNOWN,
+	API_RATE_LIMITED,
+	API_OVERLOADED,
+	API_NOT_READY,
+	API_LEDGER_UNAVAILABLE,
+	API_NO_RUNNER,
+	API_BACKEND_FAILED,
+	API_DEADLINE_EXCEEDED,
+	API_INTERNAL,
+	API_ERROR_COUNT
+} api_error_id_t;
+
+typedef struct api_error {
+	int status;
+	const char *type;
+	const char *code;
+	int retry_after_s; /* 0: none */
+} api_error_t;
+
+const api_error_t *api_error_get(api_error_id_t id);
+
+/* Answers the exchange. A positive retry_after_s overrides the table's. */
+void api_error_reply(http_exchange_t *exchange, api_error_id_t id,
+		     work_state_t work, int retry_after_s, const char *message);
+
+/* The JSON body, newly allocated. */
+char *api_error_body(api_error_id_t id, work_state_t work, const char *message);
+
+#endif
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,222 @@
+#include "entry/entry.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "base/setting.h"
+#include "entry/front.h"
+#include "platform/object_http.h"
+
+#define POLL_MS 1000
+#define DRAIN_CHECK_MS 50
+
+typedef struct entry_timers {
+	entry_t *entry;
+	struct event *poll;
+	struct event *drain;
+	int64_t drain_until_ms;
+} entry_timers_t;
+
+static void on_vms(const GArray *vms, const GError *error, void *user_data)
+{
+	entry_t *entry = user_data;
+
+	if (error)
+		log_warn("vm_list_failed", "error=%s",
+			 error_name((error_code_t)error->code));
+	else
+		runner_set_update(entry->runners, vms);
+}
+
+static void on_document(const object_value_t *value, const GError *error,
+			void *user_data)
+{
+	entry_t *entry = user_data;
+	GError *parse_error = NULL;
+	document_t *document;
+
+	if (error || value->version <= entry->document_version)
+		return;
+	document = document_parse(value->data, value->len, &parse_error);
+	if (!document) {
+		log_error("document_invalid", "version=%" PRIu64 " message=%s",
+			  value->version, log_quote(parse_error->message));
+		g_error_free(parse_error);
+		return;
+	}
+	document_unref(entry->document);
+	entry->document = document;
+	entry->document_version = value->version;
+	log_info("document_adopted", "version=%" PRIu64 " digest=%.12s",
+		 value->version, document->digest);
+}
+
+static void on_poll(evutil_socket_t fd, short events, void *arg)
+{
+	entry_timers_t *timers = arg;
+	entry_t *entry = timers->entry;
+	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
+	char *key = g_strconcat("config/", entry->options.environment, NULL);
+
+	object_vms(entry->store, on_vms, entry);
+	object_get(entry->store, key, on_document, entry);
+	g_free(key);
+	evtimer_add(timers->poll, &period);
+}
+
+static void on_drain_check(evutil_socket_t fd, short events, void *arg)
+{
+	entry_timers_t *timers = arg;
+	entry_t *entry = timers->entry;
+	struct timeval period = { 0, DRAIN_CHECK_MS * 1000 };
+
+	if (http_server_active(entry->callers) == 0 ||
+	    clock_now_ms(entry->clock) >= timers->drain_until_ms)
+		event_base_loopbreak(entry->base);
+	else
+		evtimer_add(timers->drain, &period);
+}
+
+static void on_terminate(evutil_socket_t fd, short events, void *arg)
+{
+	entry_timers_t *timers = arg;
+	entry_t *entry = timers->entry;
+
+	if (entry->draining) {
+		event_base_loopbreak(entry->base);
+		return;
+	}
+	entry->draining = true;
+	timers->drain_until_ms =
+		clock_now_ms(entry->clock) + entry->options.drain_ms;
+	log_info("draining", "active=%u", http_server_active(entry->callers));
+	on_drain_check(-1, 0, timers);
+}
+
+static http_server_t *listen_http(entry_t *entry, uint16_t port,
+				  http_handler_t handler, GError **error)
+{
+	http_server_options_t options = {
+		.base = entry->base,
+		.address = entry->options.address,
+		.port = port,
+		.max_body_bytes = (uint64_t)entry->options.max_body_bytes,
+		.read_timeout_ms = (int32_t)entry->options.read_timeout_ms,
+		.handler = handler,
+		.user_data = entry,
+	};
+
+	return http_server_new(&options, error);
+}
+
+static gboolean entry_start(entry_t *entry, GError **error)
+{
+	object_http_options_t store_options = {
+		.address = entry->options.platform,
+		.timeout_ms = (int32_t)entry->options.platform_timeout_ms,
+	};
+
+	entry->base = event_base_new();
+	entry->clock = clock_system();
+	entry->random = g_rand_new();
+	entry->counters = counter_set_new();
+	entry->http = http_client_new(entry->base);
+	entry->rpc_client = rpc_client_new(entry->base);
+	entry->runners = runner_set_new();
+	store_options.client = entry->http;
+	entry->store = object_http_new(&store_options);
+	entry->rpc_server = rpc_server_new(entry->base, entry->options.address,
+					   entry->options.peer_port, error);
+	if (!entry->rpc_server)
+		return FALSE;
+	entry->callers = listen_http(entry, entry->options.port,
+				     front_handle_caller, error);
+	if (!entry->callers)
+		return FALSE;
+	entry->operators = listen_http(entry, entry->options.operator_port,
+				       front_handle_operator, error);
+	return entry->operators != NULL;
+}
+
+static void entry_run(entry_t *entry)
+{
+	entry_timers_t timers = { .entry = entry };
+
+	timers.poll = evtimer_new(entry->base, on_poll, &timers);
+	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
+	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
+		  NULL);
+	event_add(evsignal_new(entry->base, SIGINT, on_terminate, &timers),
+		  NULL);
+	on_poll(-1, 0, &timers);
+	log_info("started", "domain=%s port=%u operator_port=%u peer_port=%u",
+		 entry->options.domain, http_server_port(entry->callers),
+		 http_server_port(entry->operators),
+		 rpc_server_port(entry->rpc_server));
+	event_base_dispatch(entry->base);
+	log_info("stopped", "active=%u", http_server_active(entry->callers));
+}
+
+int entry_main(int argc, char **argv)
+{
+	entry_t entry = { 0 };
+	entry_options_t *o = &entry.options;
+	char *level_name = NULL;
+	const setting_t settings[] = {
+		{ "node-id", SETTING_STRING, &o->node_id, NULL, "ID",
+		  "unique name of this node", 0, 0, 0 },
+		{ "domain", SETTING_STRING, &o->domain, NULL, "NAME",
+		  "failure domain of this node", 0, 0, 0 },
+		{ "address", SETTING_STRING, &o->address, "127.0.0.1", "IP",
+		  "listen address", 0, 0, 0 },
+		{ "port", SETTING_PORT, &o->port, "8080", "PORT",
+		  "port for callers", 0, 0, 0 },
+		{ "operator-port", SETTING_PORT, &o->operator_port, "8081",
+		  "PORT", "port for health, counters and operators", 0, 0, 0 },
+		{ "peer-port", SETTING_PORT, &o->peer_port, "8082", "PORT",
+		  "port for other nodes", 0, 0, 0 },
+		{ "platform", SETTING_STRING, &o->platform, "127.0.0.1:7000",
+		  "IP:PORT", "object API of the platform", 0, 0, 0 },
+		{ "environment", SETTING_STRING, &o->environment, "production",
+		  "NAME", "name of the configuration document", 0, 0, 0 },
+		{ "platform-timeout-ms", SETTING_INT, &o->platform_timeout_ms,
+		  "2000", "MS", "longest wait for the platform", 10, 60000, 0 },
+		{ "max-body-bytes", SETTING_INT, &o->max_body_bytes,
+		  "536870912", "N", "largest request body", 1024, INT64_MAX,
+		  0 },
+		{ "read-timeout-ms", SETTING_INT, &o->read_timeout_ms, "30000",
+		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
+		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
+		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "log-level", SETTING_STRING, &level_name, "info", "LEVEL",
+		  "debug, info, warn or error", 0, 0, 0 },
+		{ 0 },
+	};
+	const setting_program_t program = {
+		.usage = "wasabilink entry",
+		.doc = "Serves callers and coordinates the fleet.",
+	};
+	GError *error = NULL;
+	log_level_t level;
+
+	if (!setting_parse(&program, settings, argc, argv, NULL, &error)) {
+		fprintf(stderr, "wasabilink entry: %s\n", error->message);
+		return 64;
+	}
+	if (!log_parse_level(level_name, &level)) {
+		fprintf(stderr, "wasabilink entry: --log-level: bad value\n");
+		return 64;
+	}
+	log_init(o->node_id, level);
+	if (!entry_start(&entry, &error)) {
+		log_error("start_failed", "message=%s",
+			  log_quote(error->message));
+		return 1;
+	}
+	entry_run(&entry);
+	return 0;
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,62 @@
+#ifndef WASABILINK_ENTRY_ENTRY_H
+#define WASABILINK_ENTRY_ENTRY_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "backend/runner.h"
+#include "base/clock.h"
+#include "base/counter.h"
+#include "config/document.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "platform/object_store.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
+
+/*
+ * entry - the daemon: one process's modules, wired together.
+ *
+ * The struct is passed to the handlers of callers' requests; modules below
+ * this folder do not see it.
+ */
+typedef struct entry_options {
+	char *node_id; /* unique among running nodes */
+	char *domain;
+	char *address; /* IP number for all listeners */
+	uint16_t port; /* callers */
+	uint16_t operator_port; /* health, counters, operators */
+	uint16_t peer_port; /* internal RPC */
+	char *platform; /* IP:port of the object API */
+	char *environment; /* trial or production */
+	int64_t platform_timeout_ms;
+	int64_t max_body_bytes;
+	int64_t read_timeout_ms;
+	int64_t drain_ms; /* longest graceful shutdown */
+} entry_options_t;
+
+typedef struct entry {
+	entry_options_t options;
+	struct event_base *base;
+	const clock_source_t *clock;
+	GRand *random;
+	counter_set_t *counters;
+	http_client_t *http;
+	http_server_t *callers;
+	http_server_t *operators;
+	rpc_client_t *rpc_client;
+	rpc_server_t *rpc_server;
+	object_store_t *store;
+	runner_set_t *runners;
+	document_t *document; /* NULL until the first one is adopted */
+	uint64_t document_version;
+	uint64_t next_request;
+	bool draining;
+} entry_t;
+
+/* `wasabilink entry`. Returns the process's exit status. */
+int entry_main(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/entry/front.c
@@ -0,0 +1,112 @@
+#include "entry/front.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "entry/api_error.h"
+#include "entry/chat.h"
+
+static const char bearer[] = "Bearer ";
+
+static void handle_models(entry_t *entry, http_exchange_t *exchange,
+			  const document_caller_t *caller)
+{
+	const GPtrArray *deployments = caller->partner->deployments;
+	json_t *data = json_array();
+	json_t *root = json_pack("{s:s, s:o}", "object", "list", "data", data);
+	char *text;
+
+	for (guint i = 0; i < deployments->len; i++) {
+		const document_deployment_t *deployment = deployments->pdata[i];
+
+		json_array_append_new(data, json_pack("{s:s, s:s, s:i, s:s}",
+						      "id", deployment->name,
+						      "object", "model",
+						      "created", 0, "owned_by",
+						      caller->partner->name));
+	}
+	text = json_dumps(root, JSON_COMPACT);
+	http_reply(exchange, 200, "application/json", text, strlen(text));
+	free(text);
+	json_decref(root);
+}
+
+typedef void (*caller_handler_t)(entry_t *entry, http_exchange_t *exchange,
+				 const document_caller_t *caller);
+
+static const struct {
+	const char *method;
+	const char *path;
+	caller_handler_t handler;
+} caller_routes[] = {
+	{ "GET", "/v1/models", handle_models },
+	{ "POST", "/v1/chat/completions", chat_handle },
+};
+
+static const document_caller_t *authenticate(const entry_t *entry,
+					     const http_exchange_t *exchange)
+{
+	const char *value = http_header(exchange, "Authorization");
+
+	if (!value || !g_str_has_prefix(value, bearer))
+		return NULL;
+	return document_authenticate(entry->document, value + strlen(bearer));
+}
+
+void front_handle_caller(http_exchange_t *exchange, void *user_data)
+{
+	entry_t *entry = user_data;
+	const char *path = http_path(exchange);
+	const document_caller_t *caller;
+	bool path_known = false;
+
+	if (!entry->document) {
+		api_error_reply(exchange, API_NOT_READY, WORK_NOT_RUN, 0,
+				"no configuration has been adopted yet");
+		return;
+	}
+	caller = authenticate(entry, exchange);
+	if (!caller || caller->is_operator) {
+		api_error_reply(exchange, API_UNAUTHORIZED, WORK_NOT_RUN, 0,
+				"the bearer key is missing or wrong");
+		return;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(caller_routes); i++) {
+		if (strcmp(caller_routes[i].path, path) != 0)
+			continue;
+		path_known = true;
+		if (strcmp(caller_routes[i].method, http_method(exchange)) ==
+		    0) {
+			caller_routes[i].handler(entry, exchange, caller);
+			return;
+		}
+	}
+	api_error_reply(exchange,
+			path_known ? API_METHOD_NOT_ALLOWED : API_NOT_FOUND,
+			WORK_NOT_RUN, 0,
+			path_known ? "method not allowed" : "no such path");
+}
+
+void front_handle_operator(http_exchange_t *exchange, void *user_data)
+{
+	entry_t *entry = user_data;
+	const char *path = http_path(exchange);
+	bool ready = entry->document && !entry->draining;
+	GString *text;
+
+	if (strcmp(path, "/healthz") == 0) {
+		http_reply(exchange, 200, "text/plain", "ok\n", 3);
+	} else if (strcmp(path, "/readyz") == 0) {
+		http_reply(exchange, ready ? 200 : 503, "text/plain",
+			   ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
+	} else if (strcmp(path, "/metrics") == 0) {
+		text = g_string_new(NULL);
+		counter_set_write(entry->counters, text);
+		http_reply(exchange, 200, "text/plain; version=0.0.4",
+			   text->str, text->len);
+		g_string_free(text, TRUE);
+	} else {
+		api_error_reply(exchange, API_NOT_FOUND, WORK_NOT_RUN, 0,
+				"no such path");
+	}
+}
--- /dev/null
+++ b/src/entry/front.h
@@ -0,0 +1,10 @@
+#ifndef WASABILINK_ENTRY_FRONT_H
+#define WASABILINK_ENTRY_FRONT_H
+
+#include "entry/entry.h"
+
+/* front - dispatches callers' and operators' HTTP requests. */
+void front_handle_caller(http_exchange_t *exchange, void *entry);
+void front_handle_operator(http_exchange_t *exchange, void *entry);
+
+#endif
--- /dev/null
+++ b/src/http/http_client.c
@@ -0,0 +1,353 @@
+#include "http/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+
+#define MAX_IDLE_PER_ADDRESS 256
+#define MAX_ANSWER_BYTES (64 * 1024 * 1024)
+
+typedef struct pooled_connection {
+	struct evhttp_connection *evcon;
+	char *address;
+} pooled_connection_t;
+
+struct http_client {
+	struct event_base *base;
+	GHashTable *idle; /* address -> GQueue of pooled_connection_t */
+	GHashTable *calls; /* set of live calls */
+	GQueue garbage; /* connections to free outside evhttp's callbacks */
+	struct event *garbage_event;
+};
+
+struct http_call {
+	http_client_t *client;
+	pooled_connection_t *connection;
+	struct evhttp_request *request;
+	struct event *timer; /* deadline, deferred failure or deferred cancel */
+	http_headers_t on_headers;
+	http_data_t on_data;
+	http_done_t on_done;
+	void *user_data;
+	GString *body;
+	int status;
+	bool transport_error; /* evhttp reported a failure after connecting */
+	bool cancelled;
+	bool failed_to_start;
+};
+
+static void connection_free(pooled_connection_t *connection)
+{
+	evhttp_connection_free(connection->evcon);
+	g_free(connection->address);
+	g_free(connection);
+}
+
+static void on_garbage(evutil_socket_t fd, short events, void *arg)
+{
+	http_client_t *client = arg;
+	pooled_connection_t *connection;
+
+	while ((connection = g_queue_pop_head(&client->garbage)))
+		connection_free(connection);
+}
+
+static void discard_connection(http_client_t *client,
+			       pooled_connection_t *connection)
+{
+	g_queue_push_tail(&client->garbage, connection);
+	event_active(client->garbage_event, EV_TIMEOUT, 0);
+}
+
+static void idle_queue_free(void *data)
+{
+	GQueue *queue = data;
+
+	g_queue_free_full(queue, (GDestroyNotify)connection_free);
+}
+
+http_client_t *http_client_new(struct event_base *base)
+{
+	http_client_t *client = g_new0(http_client_t, 1);
+
+	client->base = base;
+	client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     idle_queue_free);
+	client->calls = g_hash_table_new(NULL, NULL);
+	g_queue_init(&client->garbage);
+	client->garbage_event = event_new(base, -1, 0, on_garbage, client);
+	return client;
+}
+
+static pooled_connection_t *connection_open(http_client_t *client,
+					    const char *address)
+{
+	pooled_connection_t *connection = g_new0(pooled_connection_t, 1);
+	const char *colon = strrchr(address, ':');
+	char *host =
+		colon ? g_strndup(address, colon - address) : g_strdup(address);
+	uint16_t port =
+		colon ? (uint16_t)g_ascii_strtoull(colon + 1, NULL, 10) : 80;
+
+	connection->address = g_strdup(address);
+	connection->evcon = evhttp_connection_base_bufferevent_new(
+		client->base, NULL, NULL, host, port);
+	evhttp_connection_set_max_body_size(connection->evcon,
+					    MAX_ANSWER_BYTES);
+	g_free(host);
+	return connection;
+}
+
+static pooled_connection_t *
+connection_take(http_client_t *client, const http_request_options_t *options)
+{
+	GQueue *queue = g_hash_table_lookup(client->idle, options->address);
+
+	if (!options->fresh_connection && queue && !g_queue_is_empty(queue))
+		return g_queue_pop_tail(queue);
+	return connection_open(client, options->address);
+}
+
+static void connection_return(http_client_t *client,
+			      pooled_connection_t *connection)
+{
+	GQueue *queue = g_hash_table_lookup(client->idle, connection->address);
+
+	if (!queue) {
+		queue = g_queue_new();
+		g_hash_table_insert(client->idle, g_strdup(connection->address),
+				    queue);
+	}
+	if (g_queue_get_length(queue) >= MAX_IDLE_PER_ADDRESS) {
+		discard_connection(client, connection);
+		return;
+	}
+	g_queue_push_tail(queue, connection);
+}
+
+static void call_free(http_call_t *call)
+{
+	if (call->timer)
+		event_free(call->timer);
+	if (call->body)
+		g_string_free(call->body, TRUE);
+	g_free(call);
+}
+
+static void call_finish(http_call_t *call, http_outcome_t outcome)
+{
+	http_answer_t answer = {
+		.outcome = outcome,
+		.status = call->status,
+		.body = call->body ? call->body->str : "",
+		.body_len = call->body ? call->body->len : 0,
+		.call = call,
+	};
+
+	g_hash_table_remove(call->client->calls, call);
+	if (!call->cancelled && call->on_done)
+		call->on_done(&answer, call->user_data);
+	call->request = NULL;
+	call_free(call);
+}
+
+static void on_evhttp_error(enum evhttp_request_error error, void *arg)
+{
+	http_call_t *call = arg;
+
+	call->transport_error = true;
+}
+
+static void on_evhttp_done(struct evhttp_request *request, void *arg)
+{
+	http_call_t *call = arg;
+	http_client_t *client = call->client;
+	pooled_connection_t *connection = call->connection;
+	int status = request ? evhttp_request_get_response_code(request) : 0;
+
+	if (call->cancelled) {
+		call->request = NULL; /* evhttp frees it after this callback */
+		return;
+	}
+	call->connection = NULL;
+	if (request && status != 0 && !call->transport_error) {
+		call->status = status;
+		connection_return(client, connection);
+		call_finish(call, HTTP_COMPLETE);
+		return;
+	}
+	discard_connection(client, connection);
+	/* A failed connect gives an answer without a status and no error. */
+	call_finish(call, request && !call->transport_error ? HTTP_NOT_SENT :
+							      HTTP_CUT);
+}
+
+static int on_evhttp_headers(struct evhttp_request *request, void *arg)
+{
+	http_call_t *call = arg;
+
+	if (call->cancelled)
+		return 0;
+	call->status = evhttp_request_get_response_code(request);
+	if (call->on_headers)
+		call->on_headers(call, call->status, call->user_data);
+	return 0;
+}
+
+static void on_evhttp_chunk(struct evhttp_request *request, void *arg)
+{
+	http_call_t *call = arg;
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	size_t len = evbuffer_get_length(input);
+	const char *data;
+
+	if (call->cancelled || len == 0)
+		return;
+	data = (const char *)evbuffer_pullup(input, -1);
+	if (call->on_data)
+		call->on_data(call, data, len, call->user_data);
+	else
+		g_string_append_len(call->body, data, len);
+}
+
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	http_call_t *call = arg;
+	http_client_t *client = call->client;
+	bool cancelled = call->cancelled;
+
+	if (call->failed_to_start) {
+		discard_connection(client, call->connection);
+		call_finish(call, HTTP_NOT_SENT);
+		return;
+	}
+	call->cancelled = true;
+	if (call->request)
+		evhttp_cancel_request(call->request);
+	discard_connection(client, call->connection);
+	call->cancelled = cancelled;
+	call_finish(call, HTTP_TIMED_OUT);
+}
+
+static void add_headers(struct evhttp_request *request,
+			const http_request_options_t *options)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+
+	evhttp_add_header(out, "Host", options->address);
+	for (const char *const *h = options->headers; h && *h; h += 2)
+		evhttp_add_header(out, h[0], h[1]);
+	if (options->body_len)
+		evbuffer_add(evhttp_request_get_output_buffer(request),
+			     options->body, options->body_len);
+}
+
+static enum evhttp_cmd_type command_of(const char *method)
+{
+	static const struct {
+		const char *name;
+		enum evhttp_cmd_type command;
+	} commands[] = {
+		{ "GET", EVHTTP_REQ_GET },
+		{ "POST", EVHTTP_REQ_POST },
+		{ "PUT", EVHTTP_REQ_PUT },
+		{ "DELETE", EVHTTP_REQ_DELETE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (strcmp(commands[i].name, method) == 0)
+			return commands[i].command;
+	return EVHTTP_REQ_GET;
+}
+
+http_call_t *http_call_start(http_client_t *client,
+			     const http_request_options_t *options)
+{
+	http_call_t *call = g_new0(http_call_t, 1);
+	struct timeval timeout = { options->timeout_ms / 1000,
+				   options->timeout_ms % 1000 * 1000 };
+
+	call->client = client;
+	call->on_headers = options->on_headers;
+	call->on_data = options->on_data;
+	call->on_done = options->on_done;
+	call->user_data = options->user_data;
+	if (!options->on_data)
+		call->body = g_string_new(NULL);
+	g_hash_table_add(client->calls, call);
+	call->connection = connection_take(client, options);
+	call->request = evhttp_request_new(on_evhttp_done, call);
+	evhttp_request_set_error_cb(call->request, on_evhttp_error);
+	evhttp_request_set_header_cb(call->request, on_evhttp_headers);
+	evhttp_request_set_chunked_cb(call->request, on_evhttp_chunk);
+	add_headers(call->request, options);
+	call->timer = evtimer_new(client->base, on_timer, call);
+	if (evhttp_make_request(call->connection->evcon, call->request,
+				command_of(options->method),
+				options->target) != 0) {
+		call->failed_to_start = true;
+		timeout = (struct timeval){ 0, 0 };
+	}
+	if (options->timeout_ms || call->failed_to_start)
+		evtimer_add(call->timer, &timeout);
+	return call;
+}
+
+void http_call_cancel(http_call_t *call)
+{
+	struct timeval now = { 0, 0 };
+
+	if (!call || call->cancelled)
+		return;
+	/* Deferred: evhttp may be inside one of this call's callbacks. */
+	call->cancelled = true;
+	evtimer_add(call->timer, &now);
+}
+
+void http_call_pause(http_call_t *call, bool pause)
+{
+	struct bufferevent *bev;
+
+	if (!call->connection)
+		return;
+	bev = evhttp_connection_get_bufferevent(call->connection->evcon);
+	if (pause)
+		bufferevent_disable(bev, EV_READ);
+	else
+		bufferevent_enable(bev, EV_READ);
+}
+
+const char *http_answer_header(const http_call_t *call, const char *name)
+{
+	if (!call->request)
+		return NULL;
+	return evhttp_find_header(
+		evhttp_request_get_input_headers(call->request), name);
+}
+
+void http_client_free(http_client_t *client)
+{
+	GHashTableIter iter;
+	void *key;
+
+	if (!client)
+		return;
+	g_hash_table_iter_init(&iter, client->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		http_call_t *call = key;
+
+		call->cancelled = true;
+		if (!call->failed_to_start && call->request)
+			evhttp_cancel_request(call->request);
+		connection_free(call->connection);
+		call_free(call);
+	}
+	g_hash_table_destroy(client->calls);
+	on_garbage(-1, 0, client);
+	g_hash_table_destroy(client->idle);
+	event_free(client->garbage_event);
+	g_free(client);
+}
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,70 @@
+#ifndef WASABILINK_HTTP_HTTP_CLIENT_H
+#define WASABILINK_HTTP_HTTP_CLIENT_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * http_client - asynchronous HTTP/1.1 client over evhttp with a pool of kept
+ * connections per address.
+ *
+ * Callbacks: headers (once, optional), data (for each piece, optional), then
+ * done exactly once unless the call is cancelled. The outcome tells whether
+ * anything can have reached the server.
+ */
+typedef struct http_client http_client_t;
+typedef struct http_call http_call_t;
+
+typedef enum http_outcome {
+	HTTP_COMPLETE, /* the whole answer arrived, whatever its status */
+	HTTP_NOT_SENT, /* no connection; the server saw nothing */
+	HTTP_TIMED_OUT, /* the effect is unknown */
+	HTTP_CUT /* the connection broke; the effect is unknown */
+} http_outcome_t;
+
+typedef struct http_answer {
+	http_outcome_t outcome;
+	int status; /* 0 before headers arrived */
+	const char *body; /* collected only without a data callback */
+	size_t body_len;
+	http_call_t *call; /* for http_answer_header() */
+} http_answer_t;
+
+typedef void (*http_headers_t)(http_call_t *call, int status, void *user_data);
+typedef void (*http_data_t)(http_call_t *call, const char *data, size_t len,
+			    void *user_data);
+typedef void (*http_done_t)(const http_answer_t *answer, void *user_data);
+
+typedef struct http_request_options {
+	const char *method; /* GET, POST, PUT or DELETE */
+	const char *address; /* IP:port */
+	const char *target; /* path with query */
+	const char *const *headers; /* name, value, ..., NULL; may be NULL */
+	const void *body;
+	size_t body_len;
+	int32_t timeout_ms; /* whole call; 0: none */
+	bool fresh_connection; /* do not reuse a kept connection */
+	http_headers_t on_headers;
+	http_data_t on_data;
+	http_done_t on_done;
+	void *user_data;
+} http_request_options_t;
+
+http_client_t *http_client_new(struct event_base *base);
+/* Cancels all calls without callbacks. */
+void http_client_free(http_client_t *client);
+
+/* Never NULL; failures arrive by on_done, never before this returns. */
+http_call_t *http_call_start(http_client_t *client,
+			     const http_request_options_t *options);
+/* Closes the connection; no callback follows. */
+void http_call_cancel(http_call_t *call);
+/* Stops or continues reading the answer, for backpressure. */
+void http_call_pause(http_call_t *call, bool pause);
+/* Answer header, valid during callbacks after the headers arrived. */
+const char *http_answer_header(const http_call_t *call, const char *name);
+
+#endif
--- /dev/null
+++ b/src/http/http_server.c
@@ -0,0 +1,441 @@
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <errno.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <evhtp.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/error.h"
+
+#define LISTEN_BACKLOG 1024
+
+struct http_server {
+	evhtp_t *htp;
+	struct event_base *base;
+	http_handler_t handler;
+	void *user_data;
+	uint16_t port;
+	uint32_t active;
+};
+
+typedef enum exchange_state {
+	EXCHANGE_PENDING, /* not answered */
+	EXCHANGE_STREAMING, /* headers sent */
+	EXCHANGE_FINISHED, /* answer complete, may still be in the buffer */
+	EXCHANGE_ABORTING /* to be closed when the buffer is empty */
+} exchange_state_t;
+
+/* Lives as long as the evhtp request that it is attached to. */
+struct http_exchange {
+	http_server_t *server;
+	evhtp_request_t *request;
+	struct bufferevent *bev; /* of the connection */
+	struct event *peer_closed_event;
+	struct event *drained_event; /* the output buffer became empty */
+	http_closed_t closed;
+	void *closed_data;
+	http_drained_t drained;
+	void *drained_data;
+	struct evkeyvalq query;
+	char *body;
+	char peer[INET6_ADDRSTRLEN];
+	exchange_state_t state;
+	bool query_parsed;
+	bool counted;
+	bool paused;
+};
+
+static void mark_answered(http_exchange_t *exchange)
+{
+	if (!exchange->counted)
+		return;
+	exchange->counted = false;
+	exchange->server->active--;
+}
+
+static void notify_closed(http_exchange_t *exchange)
+{
+	http_closed_t closed = exchange->closed;
+
+	exchange->closed = NULL;
+	if (closed && (exchange->state == EXCHANGE_PENDING ||
+		       exchange->state == EXCHANGE_STREAMING))
+		closed(exchange, exchange->closed_data);
+	exchange->state = EXCHANGE_FINISHED;
+	mark_answered(exchange);
+}
+
+/*
+ * Clears evhtp's pause mark directly: evhtp_request_resume() also enables
+ * writing, and evhtp shuts down an idle kept connection that becomes writable.
+ */
+static void exchange_resume(http_exchange_t *exchange)
+{
+	if (!exchange->paused)
+		return;
+	exchange->paused = false;
+	exchange->request->conn->flags &= ~EVHTP_CONN_FLAG_PAUSED;
+	bufferevent_enable(exchange->bev, EV_READ);
+}
+
+static void close_connection(http_exchange_t *exchange)
+{
+	/* Reading sees the end of the stream, and evhtp frees the rest. */
+	shutdown(bufferevent_getfd(exchange->bev), SHUT_RDWR);
+	exchange_resume(exchange);
+}
+
+static void on_peer_closed(evutil_socket_t fd, short events, void *arg)
+{
+	http_exchange_t *exchange = arg;
+
+	event_del(exchange->peer_closed_event);
+	if (exchange->state == EXCHANGE_FINISHED)
+		return;
+	notify_closed(exchange);
+	close_connection(exchange);
+}
+
+static void on_output_change(struct evbuffer *output,
+			     const struct evbuffer_cb_info *info, void *arg);
+
+static evhtp_res on_request_fini(evhtp_request_t *request, void *arg)
+{
+	http_exchange_t *exchange = arg;
+
+	notify_closed(exchange);
+	if (exchange->peer_closed_event)
+		event_free(exchange->peer_closed_event);
+	if (exchange->drained_event) {
+		evbuffer_remove_cb(bufferevent_get_output(exchange->bev),
+				   on_output_change, exchange);
+		event_free(exchange->drained_event);
+	}
+	if (exchange->query_parsed)
+		evhttp_clear_headers(&exchange->query);
+	g_free(exchange->body);
+	g_free(exchange);
+	return EVHTP_RES_OK;
+}
+
+/* Lets evhtp end the request; it keeps or closes the connection. */
+static void complete(http_exchange_t *exchange)
+{
+	struct bufferevent *bev = exchange->bev;
+
+	if (!exchange->paused)
+		return;
+	bufferevent_incref(bev);
+	exchange_resume(exchange);
+	/*
+	 * evhtp ends a finished request in its write callback only, which it
+	 * skips while the connection is paused. This frees the exchange.
+	 */
+	bufferevent_trigger(bev, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
+	/* A pipelined request may wait in the input buffer. */
+	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		bufferevent_trigger(bev, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+	bufferevent_decref(bev);
+}
+
+static void on_drained(evutil_socket_t fd, short events, void *arg)
+{
+	http_exchange_t *exchange = arg;
+	http_drained_t drained = exchange->drained;
+
+	if (http_stream_pending(exchange) > 0)
+		return;
+	if (exchange->state == EXCHANGE_FINISHED) {
+		complete(exchange);
+		return;
+	}
+	if (exchange->state == EXCHANGE_ABORTING) {
+		exchange->state = EXCHANGE_FINISHED;
+		close_connection(exchange);
+		return;
+	}
+	exchange->drained = NULL;
+	if (drained)
+		drained(exchange, exchange->drained_data);
+}
+
+static void on_output_change(struct evbuffer *output,
+			     const struct evbuffer_cb_info *info, void *arg)
+{
+	http_exchange_t *exchange = arg;
+
+	if (info->n_deleted > 0 && evbuffer_get_length(output) == 0)
+		event_active(exchange->drained_event, EV_TIMEOUT, 0);
+}
+
+static void on_request(evhtp_request_t *request, void *arg)
+{
+	http_server_t *server = arg;
+	http_exchange_t *exchange = g_new0(http_exchange_t, 1);
+
+	exchange->server = server;
+	exchange->request = request;
+	exchange->bev = evhtp_request_get_bev(request);
+	exchange->counted = true;
+	server->active++;
+	evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
+			       (evhtp_hook)on_request_fini, exchange);
+	/*
+	 * One request at a time: a pipelined one waits in the input buffer.
+	 * evhtp does not resume pipelined input when it was not paused.
+	 */
+	exchange->paused = true;
+	exchange->drained_event =
+		event_new(server->base, -1, 0, on_drained, exchange);
+	evbuffer_add_cb(bufferevent_get_output(exchange->bev), on_output_change,
+			exchange);
+	evhtp_request_pause(request);
+	server->handler(exchange, server->user_data);
+	/*
+	 * An answer given inside the handler has overwritten the status, and
+	 * evhtp would close the connection without this mark.
+	 */
+	request->status = EVHTP_RES_PAUSE;
+}
+
+static evhtp_res on_accept(evhtp_connection_t *connection, void *arg)
+{
+	int one = 1;
+
+	setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &one,
+		   sizeof(one));
+	return EVHTP_RES_OK;
+}
+
+/* On Linux the port has the same place in both address families. */
+static uint16_t bound_port(evhtp_t *htp)
+{
+	struct sockaddr_in6 address = { 0 };
+	socklen_t len = sizeof(address);
+
+	if (getsockname(evconnlistener_get_fd(htp->server),
+			(struct sockaddr *)&address, &len) != 0)
+		return 0;
+	return ntohs(address.sin6_port);
+}
+
+http_server_t *http_server_new(const http_server_options_t *options,
+			       GError **error)
+{
+	http_server_t *server = g_new0(http_server_t, 1);
+	struct timeval timeout = { options->read_timeout_ms / 1000,
+				   options->read_timeout_ms % 1000 * 1000 };
+
+	server->base = options->base;
+	server->handler = options->handler;
+	server->user_data = options->user_data;
+	server->htp = evhtp_new(options->base, NULL);
+	evhtp_set_gencb(server->htp, on_request, server);
+	evhtp_set_post_accept_cb(server->htp, on_accept, server);
+	if (options->max_body_bytes)
+		evhtp_set_max_body_size(server->htp, options->max_body_bytes);
+	if (options->read_timeout_ms)
+		evhtp_set_timeouts(server->htp, &timeout, NULL);
+	if (evhtp_bind_socket(server->htp, options->address, options->port,
+			      LISTEN_BACKLOG) != 0) {
+		g_set_error(error, WL_ERROR, WL_ERROR_UNAVAILABLE,
+			    "cannot listen on %s:%u: %s", options->address,
+			    options->port, g_strerror(errno));
+		evhtp_free(server->htp);
+		g_free(server);
+		return NULL;
+	}
+	server->port = bound_port(server->htp);
+	return server;
+}
+
+void http_server_free(http_server_t *server)
+{
+	if (!server)
+		return;
+	evhtp_unbind_socket(server->htp);
+	evhtp_free(server->htp);
+	g_free(server);
+}
+
+uint16_t http_server_port(const http_server_t *server)
+{
+	return server->port;
+}
+
+uint32_t http_server_active(const http_server_t *server)
+{
+	return server->active;
+}
+
+const char *http_method(const http_exchange_t *exchange)
+{
+	static const struct {
+		htp_method method;
+		const char *name;
+	} names[] = {
+		{ htp_method_GET, "GET" },   { htp_method_POST, "POST" },
+		{ htp_method_PUT, "PUT" },   { htp_method_DELETE, "DELETE" },
+		{ htp_method_HEAD, "HEAD" },
+	};
+	htp_method method = evhtp_request_get_method(exchange->request);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (names[i].method == method)
+			return names[i].name;
+	return "OTHER";
+}
+
+const char *http_path(const http_exchange_t *exchange)
+{
+	const evhtp_uri_t *uri = exchange->request->uri;
+
+	return uri && uri->path && uri->path->full ? uri->path->full : "/";
+}
+
+const char *http_query(http_exchange_t *exchange, const char *name)
+{
+	const unsigned char *raw = exchange->request->uri->query_raw;
+
+	if (!raw)
+		return NULL;
+	if (!exchange->query_parsed) {
+		if (evhttp_parse_query_str((const char *)raw,
+					   &exchange->query) != 0)
+			return NULL;
+		exchange->query_parsed = true;
+	}
+	return evhttp_find_header(&exchange->query, name);
+}
+
+const char *http_header(const http_exchange_t *exchange, const char *name)
+{
+	return evhtp_header_find(exchange->request->headers_in, name);
+}
+
+const char *http_body(http_exchange_t *exchange, size_t *len)
+{
+	struct evbuffer *input = exchange->request->buffer_in;
+
+	*len = evbuffer_get_length(input);
+	if (!exchange->body) {
+		exchange->body = g_malloc(*len + 1);
+		evbuffer_copyout(input, exchange->body, *len);
+		exchange->body[*len] = '\0';
+	}
+	return exchange->body;
+}
+
+const char *http_peer(const http_exchange_t *exchange)
+{
+	const struct sockaddr *addr = exchange->request->conn->saddr;
+	char *peer = ((http_exchange_t *)exchange)->peer;
+	const void *raw;
+
+	if (addr->sa_family == AF_INET6)
+		raw = &((const struct sockaddr_in6 *)addr)->sin6_addr;
+	else
+		raw = &((const struct sockaddr_in *)addr)->sin_addr;
+	if (!inet_ntop(addr->sa_family, raw, peer, INET6_ADDRSTRLEN))
+		return "-";
+	return peer;
+}
+
+void http_on_closed(http_exchange_t *exchange, http_closed_t closed,
+		    void *user_data)
+{
+	struct bufferevent *bev = exchange->bev;
+
+	exchange->closed = closed;
+	exchange->closed_data = user_data;
+	if (exchange->peer_closed_event)
+		return;
+	/* A paused connection does not read, so a close needs its own event. */
+	exchange->peer_closed_event =
+		event_new(exchange->server->base, bufferevent_getfd(bev),
+			  EV_CLOSED | EV_PERSIST, on_peer_closed, exchange);
+	event_add(exchange->peer_closed_event, NULL);
+}
+
+void http_reply_header(http_exchange_t *exchange, const char *name,
+		       const char *value)
+{
+	evhtp_headers_add_header(exchange->request->headers_out,
+				 evhtp_header_new(name, value, 1, 1));
+}
+
+void http_reply(http_exchange_t *exchange, int status, const char *content_type,
+		const void *body, size_t len)
+{
+	if (exchange->state != EXCHANGE_PENDING)
+		return;
+	if (content_type)
+		http_reply_header(exchange, "Content-Type", content_type);
+	evbuffer_add(exchange->request->buffer_out, body, len);
+	exchange->state = EXCHANGE_FINISHED;
+	mark_answered(exchange);
+	evhtp_send_reply(exchange->request, (evhtp_res)status);
+}
+
+void http_stream_start(http_exchange_t *exchange, int status,
+		       const char *content_type)
+{
+	if (exchange->state != EXCHANGE_PENDING)
+		return;
+	if (content_type)
+		http_reply_header(exchange, "Content-Type", content_type);
+	exchange->state = EXCHANGE_STREAMING;
+	evhtp_send_reply_chunk_start(exchange->request, (evhtp_res)status);
+}
+
+void http_stream_write(http_exchange_t *exchange, const void *data, size_t len)
+{
+	struct evbuffer *chunk;
+
+	if (exchange->state != EXCHANGE_STREAMING || len == 0)
+		return;
+	chunk = evbuffer_new();
+	evbuffer_add(chunk, data, len);
+	evhtp_send_reply_chunk(exchange->request, chunk);
+	evbuffer_free(chunk);
+}
+
+size_t http_stream_pending(const http_exchange_t *exchange)
+{
+	return evbuffer_get_length(bufferevent_get_output(exchange->bev));
+}
+
+void http_stream_on_drained(http_exchange_t *exchange, http_drained_t drained,
+			    void *user_data)
+{
+	exchange->drained = drained;
+	exchange->drained_data = user_data;
+}
+
+void http_stream_end(http_exchange_t *exchange)
+{
+	if (exchange->state != EXCHANGE_STREAMING)
+		return;
+	exchange->state = EXCHANGE_FINISHED;
+	mark_answered(exchange);
+	evhtp_send_reply_chunk_end(exchange->request);
+}
+
+void http_stream_abort(http_exchange_t *exchange)
+{
+	if (exchange->state == EXCHANGE_FINISHED)
+		return;
+	mark_answered(exchange);
+	if (http_stream_pending(exchange) > 0) {
+		exchange->state = EXCHANGE_ABORTING;
+		return;
+	}
+	exchange->state = EXCHANGE_FINISHED;
+	close_connection(exchange);
+}
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,75 @@
+#ifndef WASABILINK_HTTP_HTTP_SERVER_H
+#define WASABILINK_HTTP_HTTP_SERVER_H
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * http_server - asynchronous HTTP/1.1 server over libevhtp.
+ *
+ * The handler gets each whole request and answers now or later by exactly one
+ * of http_reply(), http_reply_json() or http_stream_start() followed by
+ * http_stream_end() or http_stream_abort(). An exchange is valid until that
+ * answer is complete or its closed callback has run, whichever is first;
+ * after the closed callback the owner must not touch it again.
+ */
+typedef struct http_server http_server_t;
+typedef struct http_exchange http_exchange_t;
+
+typedef void (*http_handler_t)(http_exchange_t *exchange, void *user_data);
+typedef void (*http_closed_t)(http_exchange_t *exchange, void *user_data);
+typedef void (*http_drained_t)(http_exchange_t *exchange, void *user_data);
+
+typedef struct http_server_options {
+	struct event_base *base;
+	const char *address; /* IP number */
+	uint16_t port; /* 0 picks a free port */
+	uint64_t max_body_bytes; /* above: 413 */
+	int32_t read_timeout_ms; /* bound for header and body reads, 0: none */
+	http_handler_t handler;
+	void *user_data;
+} http_server_options_t;
+
+http_server_t *http_server_new(const http_server_options_t *options,
+			       GError **error);
+void http_server_free(http_server_t *server);
+uint16_t http_server_port(const http_server_t *server);
+/* Exchanges that have not been answered completely. */
+uint32_t http_server_active(const http_server_t *server);
+
+const char *http_method(const http_exchange_t *exchange);
+const char *http_path(const http_exchange_t *exchange);
+/* Value of a query parameter, percent-decoded; NULL when absent. */
+const char *http_query(http_exchange_t *exchange, const char *name);
+const char *http_header(const http_exchange_t *exchange, const char *name);
+/* The body as one block, NUL-terminated beyond *len. Never NULL. */
+const char *http_body(http_exchange_t *exchange, size_t *len);
+/* Address of the peer, such as "127.0.0.1". */
+const char *http_peer(const http_exchange_t *exchange);
+
+/* Called once when the peer closes before the answer is complete. */
+void http_on_closed(http_exchange_t *exchange, http_closed_t closed,
+		    void *user_data);
+
+/* Adds a header to the answer; before http_reply() or http_stream_start(). */
+void http_reply_header(http_exchange_t *exchange, const char *name,
+		       const char *value);
+void http_reply(http_exchange_t *exchange, int status, const char *content_type,
+		const void *body, size_t len);
+void http_stream_start(http_exchange_t *exchange, int status,
+		       const char *content_type);
+void http_stream_write(http_exchange_t *exchange, const void *data, size_t len);
+/* Bytes that the peer has not taken yet. */
+size_t http_stream_pending(const http_exchange_t *exchange);
+/* Called once when all pending bytes have been sent. */
+void http_stream_on_drained(http_exchange_t *exchange, http_drained_t drained,
+			    void *user_data);
+void http_stream_end(http_exchange_t *exchange);
+/* Closes the connection without the final chunk: the peer sees a cut. */
+void http_stream_abort(http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,54 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "emulator/engine.h"
+#include "emulator/platform_standin.h"
+#include "emulator/service.h"
+#include "entry/entry.h"
+
+#define VERSION "0.1.0"
+
+typedef struct subcommand {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *help;
+} subcommand_t;
+
+static const subcommand_t subcommands[] = {
+	{ "entry", entry_main, "serve callers and coordinate the fleet" },
+	{ "platform", platform_standin_main, "stand-in for the object API" },
+	{ "engine", engine_main, "model engine emulator" },
+	{ "service", service_main, "plain service emulator" },
+	{ NULL, NULL, NULL },
+};
+
+/* argp prints this for --version. */
+const char *argp_program_version = "wasabilink " VERSION;
+
+static int usage(FILE *out, int status)
+{
+	fprintf(out, "Usage: wasabilink COMMAND [OPTION...]\n\nCommands:\n");
+	for (const subcommand_t *c = subcommands; c->name; c++)
+		fprintf(out, "  %-10s %s\n", c->name, c->help);
+	fprintf(out, "\n'wasabilink COMMAND --help' lists the options.\n");
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	signal(SIGPIPE, SIG_IGN);
+	if (argc < 2)
+		return usage(stderr, 64);
+	if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "help") == 0)
+		return usage(stdout, 0);
+	if (strcmp(argv[1], "--version") == 0) {
+		puts(argp_program_version);
+		return 0;
+	}
+	for (const subcommand_t *c = subcommands; c->name; c++)
+		if (strcmp(argv[1], c->name) == 0)
+			return c->run(argc - 1, argv + 1);
+	fprintf(stderr, "wasabilink: unknown command '%s'\n", argv[1]);
+	return usage(stderr, 64);
+}
--- /dev/null
+++ b/src/platform/object_http.c
@@ -0,0 +1,377 @@
+#include "platform/object_http.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+
+/* Slack on top of a watch's own time for the answer to arrive. */
+#define WATCH_GRACE_MS 2000
+
+typedef struct object_http {
+	object_store_t base; /* first member */
+	http_client_t *client;
+	char *address;
+	int32_t timeout_ms;
+} object_http_t;
+
+typedef struct pending {
+	char *key;
+	object_done_t done;
+	object_list_done_t list_done;
+	object_vms_done_t vms_done;
+	void *user_data;
+} pending_t;
+
+static void pending_free(pending_t *pending)
+{
+	g_free(pending->key);
+	g_free(pending);
+}
+
+static GError *outcome_error(const http_answer_t *answer)
+{
+	static const struct {
+		int status;
+		error_code_t code;
+	} by_status[] = {
+		{ 404, WL_ERROR_NOT_FOUND },	{ 410, WL_ERROR_NOT_FOUND },
+		{ 412, WL_ERROR_CONFLICT },	{ 413, WL_ERROR_TOO_LARGE },
+		{ 429, WL_ERROR_RATE_LIMITED }, { 503, WL_ERROR_UNAVAILABLE },
+	};
+
+	switch (answer->outcome) {
+	case HTTP_NOT_SENT:
+		return g_error_new(WL_ERROR, WL_ERROR_REFUSED,
+				   "the platform is not reachable");
+	case HTTP_TIMED_OUT:
+		return g_error_new(WL_ERROR, WL_ERROR_TIMEOUT,
+				   "the platform did not answer in time");
+	case HTTP_CUT:
+		return g_error_new(WL_ERROR, WL_ERROR_TRUNCATED,
+				   "the platform's answer was cut off");
+	case HTTP_COMPLETE:
+		break;
+	}
+	if (answer->status == 200)
+		return NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(by_status); i++)
+		if (by_status[i].status == answer->status)
+			return g_error_new(WL_ERROR, by_status[i].code,
+					   "the platform answered %d",
+					   answer->status);
+	return g_error_new(WL_ERROR, WL_ERROR_PROTOCOL,
+			   "unexpected status %d from the platform",
+			   answer->status);
+}
+
+static uint64_t version_header(const http_answer_t *answer)
+{
+	const char *text = http_answer_header(answer->call, "X-Object-Version");
+
+	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
+}
+
+static void on_object_done(const http_answer_t *answer, void *user_data)
+{
+	pending_t *pending = user_data;
+	GError *error = outcome_error(answer);
+	object_value_t value = { .key = pending->key };
+	gboolean has_value =
+		!error || g_error_matches(error, WL_ERROR, WL_ERROR_CONFLICT);
+
+	if (has_value) {
+		value.version = version_header(answer);
+		value.writer =
+			http_answer_header(answer->call, "X-Object-Writer");
+		value.data = answer->body;
+		value.len = answer->body_len;
+	}
+	pending->done(has_value ? &value : NULL, error, pending->user_data);
+	g_clear_error(&error);
+	pending_free(pending);
+}
+
+static GArray *entries_from_json(json_t *array)
+{
+	GArray *entries = g_array_new(FALSE, TRUE, sizeof(object_entry_t));
+	size_t index;
+	json_t *item;
+
+	json_array_foreach(array, index, item) {
+		const char *key =
+			json_string_value(json_object_get(item, "key"));
+		object_entry_t entry = {
+			.key = g_strdup(key ? key : ""),
+			.version = (uint64_t)json_integer_value(
+				json_object_get(item, "version")),
+			.deleted =
+				json_is_true(json_object_get(item, "deleted")),
+		};
+
+		g_array_append_val(entries, entry);
+	}
+	return entries;
+}
+
+static void entries_free(GArray *entries)
+{
+	for (guint i = 0; i < entries->len; i++)
+		g_free(g_array_index(entries, object_entry_t, i).key);
+	g_array_free(entries, TRUE);
+}
+
+static json_t *parse_body(const http_answer_t *answer, GError **error)
+{
+	json_t *root;
+
+	*error = outcome_error(answer);
+	if (*error)
+		return NULL;
+	root = json_loadb(answer->body, answer->body_len, 0, NULL);
+	if (!json_is_object(root)) {
+		json_decref(root);
+		*error = g_error_new(WL_ERROR, WL_ERROR_PROTOCOL,
+				     "the platform's answer is not JSON");
+		return NULL;
+	}
+	return root;
+}
+
+static void on_list_done(const http_answer_t *answer, void *user_data)
+{
+	pending_t *pending = user_data;
+	GError *error = NULL;
+	json_t *root = parse_body(answer, &error);
+	object_listing_t listing = { 0 };
+	json_t *array;
+
+	if (!root) {
+		pending->list_done(NULL, error, pending->user_data);
+		g_clear_error(&error);
+		pending_free(pending);
+		return;
+	}
+	array = json_object_get(root, "objects");
+	if (!array)
+		array = json_object_get(root, "events");
+	listing.revision =
+		(uint64_t)json_integer_value(json_object_get(root, "revision"));
+	listing.entries = entries_from_json(array);
+	pending->list_done(&listing, NULL, pending->user_data);
+	entries_free(listing.entries);
+	json_decref(root);
+	pending_free(pending);
+}
+
+static char *string_member(json_t *object, const char *name)
+{
+	const char *value = json_string_value(json_object_get(object, name));
+
+	return g_strdup(value ? value : "");
+}
+
+static void on_vms_done(const http_answer_t *answer, void *user_data)
+{
+	pending_t *pending = user_data;
+	GError *error = NULL;
+	json_t *root = parse_body(answer, &error);
+	GArray *vms = g_array_new(FALSE, TRUE, sizeof(platform_vm_t));
+	size_t index;
+	json_t *item;
+
+	json_array_foreach(json_object_get(root, "vms"), index, item) {
+		platform_vm_t vm = {
+			.address = string_member(item, "address"),
+			.role = string_member(item, "role"),
+			.domain = string_member(item, "domain"),
+			.partner = string_member(item, "partner"),
+			.deployment = string_member(item, "deployment"),
+			.state = string_member(item, "state"),
+		};
+
+		g_array_append_val(vms, vm);
+	}
+	pending->vms_done(error ? NULL : vms, error, pending->user_data);
+	for (guint i = 0; i < vms->len; i++) {
+		platform_vm_t *vm = &g_array_index(vms, platform_vm_t, i);
+
+		g_free(vm->address);
+		g_free(vm->role);
+		g_free(vm->domain);
+		g_free(vm->partner);
+		g_free(vm->deployment);
+		g_free(vm->state);
+	}
+	g_array_free(vms, TRUE);
+	g_clear_error(&error);
+	json_decref(root);
+	pending_free(pending);
+}
+
+static void start(object_http_t *store, http_request_options_t *options)
+{
+	options->address = store->address;
+	if (!options->timeout_ms)
+		options->timeout_ms = store->timeout_ms;
+	http_call_start(store->client, options);
+}
+
+static pending_t *pending_new(const char *key, void *user_data)
+{
+	pending_t *pending = g_new0(pending_t, 1);
+
+	pending->key = g_strdup(key);
+	pending->user_data = user_data;
+	return pending;
+}
+
+static void object_request(object_store_t *base, const char *method,
+			   const char *key, const char *const *headers,
+			   const void *data, size_t len, object_done_t done,
+			   void *user_data)
+{
+	pending_t *pending = pending_new(key, user_data);
+	char *escaped = g_uri_escape_string(key, "/", FALSE);
+	char *target = g_strconcat("/v1/objects/", escaped, NULL);
+	http_request_options_t options = {
+		.method = method,
+		.target = target,
+		.headers = headers,
+		.body = data,
+		.body_len = len,
+		.on_done = on_object_done,
+		.user_data = pending,
+	};
+
+	pending->done = done;
+	start((object_http_t *)base, &options);
+	g_free(target);
+	g_free(escaped);
+}
+
+static void http_get(object_store_t *base, const char *key, object_done_t done,
+		     void *user_data)
+{
+	object_request(base, "GET", key, NULL, NULL, 0, done, user_data);
+}
+
+static void http_put(object_store_t *base, const char *key, const void *data,
+		     size_t len, uint64_t if_version, const char *writer,
+		     object_done_t done, void *user_data)
+{
+	char version[24];
+	const char *headers[] = { "If-Match",
+				  version,
+				  "X-Object-Writer",
+				  writer ? writer : "-",
+				  "Content-Type",
+				  "application/octet-stream",
+				  NULL };
+
+	snprintf(version, sizeof(version), "%" PRIu64, if_version);
+	object_request(base, "PUT", key, headers, data, len, done, user_data);
+}
+
+static void http_remove(object_store_t *base, const char *key,
+			uint64_t if_version, object_done_t done,
+			void *user_data)
+{
+	char version[24];
+	const char *headers[] = { "If-Match", version, NULL };
+
+	snprintf(version, sizeof(version), "%" PRIu64, if_version);
+	object_request(base, "DELETE", key, headers, NULL, 0, done, user_data);
+}
+
+static void list_request(object_store_t *base, char *target, int32_t timeout_ms,
+			 object_list_done_t done, void *user_data)
+{
+	pending_t *pending = pending_new("", user_data);
+	http_request_options_t options = {
+		.method = "GET",
+		.target = target,
+		.timeout_ms = timeout_ms,
+		.on_done = on_list_done,
+		.user_data = pending,
+	};
+
+	pending->list_done = done;
+	start((object_http_t *)base, &options);
+	g_free(target);
+}
+
+static void http_list(object_store_t *base, const char *prefix,
+		      const char *after, uint32_t limit,
+		      object_list_done_t done, void *user_data)
+{
+	char *p = g_uri_escape_string(prefix, NULL, FALSE);
+	char *a = g_uri_escape_string(after ? after : "", NULL, FALSE);
+
+	list_request(base,
+		     g_strdup_printf("/v1/objects?prefix=%s&after=%s&limit=%u",
+				     p, a, limit),
+		     0, done, user_data);
+	g_free(p);
+	g_free(a);
+}
+
+static void http_watch(object_store_t *base, const char *prefix, uint64_t since,
+		       int32_t timeout_ms, object_list_done_t done,
+		       void *user_data)
+{
+	char *p = g_uri_escape_string(prefix, NULL, FALSE);
+
+	list_request(base,
+		     g_strdup_printf("/v1/watch?prefix=%s&since=%" PRIu64
+				     "&timeout_ms=%d",
+				     p, since, timeout_ms),
+		     timeout_ms + WATCH_GRACE_MS, done, user_data);
+	g_free(p);
+}
+
+static void http_vms(object_store_t *base, object_vms_done_t done,
+		     void *user_data)
+{
+	pending_t *pending = pending_new("", user_data);
+	http_request_options_t options = {
+		.method = "GET",
+		.target = "/v1/vms",
+		.on_done = on_vms_done,
+		.user_data = pending,
+	};
+
+	pending->vms_done = done;
+	start((object_http_t *)base, &options);
+}
+
+static void http_destroy(object_store_t *base)
+{
+	object_http_t *store = (object_http_t *)base;
+
+	g_free(store->address);
+	g_free(store);
+}
+
+static const object_store_ops_t http_ops = {
+	.get = http_get,
+	.put = http_put,
+	.remove = http_remove,
+	.list = http_list,
+	.watch = http_watch,
+	.vms = http_vms,
+	.destroy = http_destroy,
+};
+
+object_store_t *object_http_new(const object_http_options_t *options)
+{
+	object_http_t *store = g_new0(object_http_t, 1);
+
+	store->base.ops = &http_ops;
+	store->client = options->client;
+	store->address = g_strdup(options->address);
+	store->timeout_ms = options->timeout_ms;
+	return &store->base;
+}
--- /dev/null
+++ b/src/rpc/rpc_server.c
@@ -0,0 +1,237 @@
+#include "rpc/rpc_server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "rpc/rpc_message.h"
+
+typedef struct peer {
+	rpc_server_t *server;
+	struct bufferevent *bev;
+	GHashTable *calls; /* set of unanswered rpc_call_t */
+} peer_t;
+
+struct rpc_server {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	GArray *procedures; /* rpc_procedure_t */
+	GHashTable *peers; /* set of peer_t */
+	uint16_t port;
+};
+
+struct rpc_call {
+	peer_t *peer; /* NULL when the connection is gone */
+	uint32_t xid;
+	xdrproc_t encode;
+};
+
+static void peer_free(void *data)
+{
+	peer_t *peer = data;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, peer->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		((rpc_call_t *)key)->peer = NULL;
+	g_hash_table_destroy(peer->calls);
+	bufferevent_free(peer->bev);
+	g_free(peer);
+}
+
+static const rpc_procedure_t *find_procedure(const rpc_server_t *server,
+					     const rpc_call_header_t *header)
+{
+	for (guint i = 0; i < server->procedures->len; i++) {
+		const rpc_procedure_t *p =
+			&g_array_index(server->procedures, rpc_procedure_t, i);
+
+		if (p->program == header->program &&
+		    p->procedure == header->procedure &&
+		    header->version == RPC_VERSION_1)
+			return p;
+	}
+	return NULL;
+}
+
+static bool_t xdr_nothing(XDR *xdrs, ...)
+{
+	return TRUE;
+}
+
+static void reply_status(peer_t *peer, uint32_t xid, uint32_t status)
+{
+	rpc_reply_header_t header = { xid, status };
+
+	rpc_reply_append(bufferevent_get_output(peer->bev), &header,
+			 (xdrproc_t)xdr_nothing, NULL);
+}
+
+static void execute(peer_t *peer, const rpc_call_header_t *header, XDR *xdrs)
+{
+	const rpc_procedure_t *found = find_procedure(peer->server, header);
+	rpc_procedure_t procedure;
+	rpc_call_t *call;
+	void *args;
+
+	if (!found) {
+		reply_status(peer, header->xid, PROC_UNAVAIL);
+		return;
+	}
+	procedure = *found;
+	args = g_malloc0(procedure.args_size);
+	if (!procedure.decode(xdrs, args)) {
+		reply_status(peer, header->xid, GARBAGE_ARGS);
+	} else {
+		call = g_new0(rpc_call_t, 1);
+		call->peer = peer;
+		call->xid = header->xid;
+		call->encode = procedure.encode;
+		g_hash_table_add(peer->calls, call);
+		procedure.handler(call, args, procedure.user_data);
+	}
+	xdr_free(procedure.decode, args);
+	g_free(args);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	peer_t *peer = arg;
+	struct evbuffer *input = bufferevent_get_input(bev);
+	char *record;
+	size_t len;
+	int taken;
+
+	while ((taken = rpc_record_take(input, &record, &len)) == 1) {
+		rpc_call_header_t header;
+		gboolean ok;
+		XDR xdrs;
+
+		xdrmem_create(&xdrs, record, len, XDR_DECODE);
+		ok = rpc_call_decode(&xdrs, &header);
+		if (ok)
+			execute(peer, &header, &xdrs);
+		xdr_destroy(&xdrs);
+		g_free(record);
+		if (!ok) {
+			taken = -1;
+			break;
+		}
+	}
+	if (taken < 0)
+		g_hash_table_remove(peer->server->peers, peer);
+}
+
+static void on_event(struct bufferevent *bev, short events, void *arg)
+{
+	peer_t *peer = arg;
+
+	g_hash_table_remove(peer->server->peers, peer);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int len, void *arg)
+{
+	rpc_server_t *server = arg;
+	peer_t *peer = g_new0(peer_t, 1);
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	peer->server = server;
+	peer->calls = g_hash_table_new(NULL, NULL);
+	peer->bev = bufferevent_socket_new(server->base, fd,
+					   BEV_OPT_CLOSE_ON_FREE |
+						   BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(peer->bev, on_read, NULL, on_event, peer);
+	bufferevent_enable(peer->bev, EV_READ | EV_WRITE);
+	g_hash_table_add(server->peers, peer);
+}
+
+rpc_server_t *rpc_server_new(struct event_base *base, const char *address,
+			     uint16_t port, GError **error)
+{
+	rpc_server_t *server = g_new0(rpc_server_t, 1);
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+
+	sin.sin_port = htons(port);
+	if (inet_pton(AF_INET, address, &sin.sin_addr) != 1) {
+		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
+			    "'%s' is not an IP number", address);
+		g_free(server);
+		return NULL;
+	}
+	server->base = base;
+	server->listener = evconnlistener_new_bind(
+		base, on_accept, server,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		-1, (struct sockaddr *)&sin, sizeof(sin));
+	if (!server->listener) {
+		g_set_error(error, WL_ERROR, WL_ERROR_UNAVAILABLE,
+			    "cannot listen on %s:%u: %s", address, port,
+			    g_strerror(errno));
+		g_free(server);
+		return NULL;
+	}
+	getsockname(evconnlistener_get_fd(server->listener),
+		    (struct sockaddr *)&sin, &len);
+	server->port = ntohs(sin.sin_port);
+	server->procedures = g_array_new(FALSE, FALSE, sizeof(rpc_procedure_t));
+	server->peers = g_hash_table_new_full(NULL, NULL, peer_free, NULL);
+	return server;
+}
+
+void rpc_server_free(rpc_server_t *server)
+{
+	if (!server)
+		return;
+	evconnlistener_free(server->listener);
+	g_hash_table_destroy(server->peers);
+	g_array_free(server->procedures, TRUE);
+	g_free(server);
+}
+
+uint16_t rpc_server_port(const rpc_server_t *server)
+{
+	return server->port;
+}
+
+void rpc_server_register(rpc_server_t *server, const rpc_procedure_t *procedure)
+{
+	g_array_append_val(server->procedures, *procedure);
+}
+
+static peer_t *call_detach(rpc_call_t *call)
+{
+	peer_t *peer = call->peer;
+
+	if (peer)
+		g_hash_table_remove(peer->calls, call);
+	return peer;
+}
+
+void rpc_reply(rpc_call_t *call, const void *result)
+{
+	peer_t *peer = call_detach(call);
+	rpc_reply_header_t header = { call->xid, SUCCESS };
+
+	if (peer && !rpc_reply_append(bufferevent_get_output(peer->bev),
+				      &header, call->encode, (void *)result))
+		reply_status(peer, call->xid, SYSTEM_ERR);
+	g_free(call);
+}
+
+void rpc_reply_unavailable(rpc_call_t *call)
+{
+	peer_t *peer = call_detach(call);
+
+	if (peer)
+		reply_status(peer, call->xid, PROC_UNAVAIL);
+	g_free(call);
+}
--- /dev/null
+++ b/src/rpc/rpc_server.h
@@ -0,0 +1,43 @@
+#ifndef WASABILINK_RPC_RPC_SERVER_H
+#define WASABILINK_RPC_RPC_SERVER_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <rpc/rpc.h>
+#include <stdint.h>
+
+/*
+ * rpc_server - asynchronous ONC RPC server.
+ *
+ * A handler answers each call exactly once, now or later, by rpc_reply() or
+ * rpc_reply_unavailable(). Arguments are valid until the handler returns.
+ * Answering a call whose connection is gone is allowed and does nothing.
+ */
+typedef struct rpc_server rpc_server_t;
+typedef struct rpc_call rpc_call_t;
+
+typedef void (*rpc_handler_t)(rpc_call_t *call, const void *args,
+			      void *user_data);
+
+typedef struct rpc_procedure {
+	uint32_t program;
+	uint32_t procedure;
+	xdrproc_t decode;
+	size_t args_size;
+	xdrproc_t encode;
+	rpc_handler_t handler;
+	void *user_data;
+} rpc_procedure_t;
+
+rpc_server_t *rpc_server_new(struct event_base *base, const char *address,
+			     uint16_t port, GError **error);
+void rpc_server_free(rpc_server_t *server);
+uint16_t rpc_server_port(const rpc_server_t *server);
+void rpc_server_register(rpc_server_t *server,
+			 const rpc_procedure_t *procedure);
+
+void rpc_reply(rpc_call_t *call, const void *result);
+/* Tells the caller that the call was not executed. */
+void rpc_reply_unavailable(rpc_call_t *call);
+
+#endif
