Add member table, rendezvous hashing and the records interface

Cause: the ledger, membership, batch and online parts are written side by side and need the same interfaces.

Change: coord/ring and coord/member (table only, filled from the VM list until the failure detector writes it), entry/records.h as the contract for durable compare-and-set records.

--- /dev/null
+++ b/src/coord/ring.h
@@ -0,0 +1,17 @@
+#ifndef WASABILINK_COORD_RING_H
+#define WASABILINK_COORD_RING_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * ring - rendezvous (highest random weight) hashing: every node that knows the
+ * same candidates picks the same one for a key, and the loss of a candidate
+ * moves only the keys that it had.
+ */
+uint64_t ring_hash(const void *data, size_t len, uint64_t seed);
+
+/* Weight of a candidate for a key; the highest weight wins. */
+uint64_t ring_weight(const char *candidate, const char *key);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -21,6 +21,17 @@
 	int64_t drain_until_ms;
 } entry_timers_t;
 
+static void update_fleet(entry_t *entry, const GArray *vms)
+{
+	runner_set_update(entry->runners, vms);
+	for (guint i = 0; i < vms->len; i++) {
+		const platform_vm_t *vm = &g_array_index(vms, platform_vm_t, i);
+
+		if (strcmp(vm->role, "entry") == 0)
+			member_add(entry->members, vm->address, vm->domain);
+	}
+}
+
 static void on_vms(const GArray *vms, const GError *error, void *user_data)
 {
 	entry_t *entry = user_data;
@@ -29,7 +40,7 @@
 		log_warn("vm_list_failed", "error=%s",
 			 error_name((error_code_t)error->code));
 	else
-		runner_set_update(entry->runners, vms);
+		update_fleet(entry, vms);
 }
 
 static void on_document(const object_value_t *value, const GError *error,
@@ -119,6 +130,7 @@
 		.address = entry->options.platform,
 		.timeout_ms = (int32_t)entry->options.platform_timeout_ms,
 	};
+	char *own_address;
 
 	entry->base = event_base_new();
 	entry->clock = clock_system();
@@ -133,6 +145,10 @@
 					   entry->options.peer_port, error);
 	if (!entry->rpc_server)
 		return FALSE;
+	own_address = g_strdup_printf("%s:%u", entry->options.address,
+				      rpc_server_port(entry->rpc_server));
+	entry->members = member_table_new(own_address, entry->options.domain);
+	g_free(own_address);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "config/document.h"
+#include "coord/member.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -49,6 +50,7 @@
 	rpc_client_t *rpc_client;
 	rpc_server_t *rpc_server;
 	object_store_t *store;
+	member_table_t *members;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
--- /dev/null
+++ b/src/entry/records.h
@@ -0,0 +1,80 @@
+#ifndef WASABILINK_ENTRY_RECORDS_H
+#define WASABILINK_ENTRY_RECORDS_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * records - durable keyed records, whichever node owns their shard.
+ *
+ * A record changes only by compare-and-set on its version, and a completion
+ * without error means that the change is durable in the object store. Claims
+ * of online requests and batch jobs are records; their meaning is their
+ * users' own. Calls go to the shard's owner: in process, or by RPC.
+ *
+ * Errors: WL_ERROR_CONFLICT (record tells the current one),
+ * WL_ERROR_NOT_FOUND, WL_ERROR_TOO_LARGE, WL_ERROR_UNAVAILABLE (certainly
+ * without effect), WL_ERROR_TIMEOUT (the effect is unknown; the same update
+ * with the same token may be repeated and is applied at most once).
+ */
+#define RECORD_KEY_BYTES 16
+#define RECORD_MAX_DATA_BYTES (128 * 1024)
+#define RECORD_ABSENT 0
+
+typedef enum record_kind { RECORD_CLAIM = 1, RECORD_JOB = 2 } record_kind_t;
+
+typedef struct record_key {
+	uint8_t bytes[RECORD_KEY_BYTES];
+} record_key_t;
+
+typedef struct record {
+	record_key_t key;
+	record_kind_t kind;
+	uint64_t version; /* 1 for the first write */
+	const char *owner_tag; /* "partner/workspace", for records_list() */
+	const void *data;
+	size_t len;
+} record_t;
+
+typedef struct records records_t;
+
+/* record is NULL on errors other than WL_ERROR_CONFLICT. */
+typedef void (*record_done_t)(const record_t *record, const GError *error,
+			      void *user_data);
+/* records is an array of record_t, possibly partial: complete tells. */
+typedef void (*record_list_done_t)(const GArray *records, gboolean complete,
+				   void *user_data);
+
+/* First 128 bits of SHA-256 over the parts, each with its length. The list of
+ * parts ends with NULL. */
+record_key_t record_key_make(const char *part, ...) __attribute__((sentinel));
+
+void records_get(records_t *records, const record_key_t *key,
+		 record_done_t done, void *user_data);
+
+/* update->version is the expected version, RECORD_ABSENT for a new record. */
+void records_update(records_t *records, const record_t *update,
+		    record_done_t done, void *user_data);
+
+/* Records of a kind and owner tag over all shards. */
+void records_list(records_t *records, record_kind_t kind, const char *owner_tag,
+		  record_list_done_t done, void *user_data);
+
+/*
+ * Records of the shards that this node owns, for work that follows ownership.
+ * each runs for every record of the kind now and after each durable change;
+ * with record NULL when ownership of some shard was lost, so that the caller
+ * must drop what records_is_owner() denies.
+ */
+typedef void (*record_each_t)(const record_t *record, void *user_data);
+void records_follow(records_t *records, record_kind_t kind, record_each_t each,
+		    void *user_data);
+gboolean records_is_owner(const records_t *records, const record_key_t *key);
+/* Peer address of the node that most likely owns the key; NULL if unknown. */
+const char *records_owner_address(const records_t *records,
+				  const record_key_t *key);
+/* Epoch of the shard, a fencing token that grows with each new owner. */
+uint64_t records_epoch(const records_t *records, const record_key_t *key);
+
+#endif
