Detect failures among entry nodes with a SWIM-style protocol

Cause: the member table was filled from the platform's VM list, which lags and keeps showing dead and draining nodes.

Listed addresses are only contacted, so a stale list revives nobody. A draining node says so, and a stopping node says that it is gone. A process that was paused does not blame others for its own silence.

Before: a killed node stayed alive in the table.

--- a/src/coord/member.h
+++ b/src/coord/member.h
@@ -10,8 +10,11 @@
  *
  * A member is identified by its peer address (IP:port of its RPC listener and
  * of its membership datagrams). The failure detector writes the table; other
- * modules only read it and ask for owners by rendezvous hashing.
+ * modules only read it and ask for owners by rendezvous hashing. A pointer to
+ * a member is valid until the caller returns to the event loop.
  */
+#define MEMBER_CONFIG_DIGEST_BYTES 32
+
 typedef enum member_state {
 	MEMBER_ALIVE,
 	MEMBER_SUSPECT, /* still counts as a holder, but takes nothing new */
@@ -24,7 +27,8 @@
 	char *domain;
 	member_state_t state;
 	uint64_t incarnation;
-	uint64_t config_version; /* highest version that it has announced */
+	uint64_t config_version; /* that it announced last, 0: none */
+	uint8_t config_digest[MEMBER_CONFIG_DIGEST_BYTES];
 } member_t;
 
 typedef struct member_table member_table_t;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -24,12 +24,7 @@
 static void update_fleet(entry_t *entry, const GArray *vms)
 {
 	runner_set_update(entry->runners, vms);
-	for (guint i = 0; i < vms->len; i++) {
-		const platform_vm_t *vm = &g_array_index(vms, platform_vm_t, i);
-
-		if (strcmp(vm->role, "entry") == 0)
-			member_add(entry->members, vm->address, vm->domain);
-	}
+	membership_set_listed(entry->membership, vms);
 }
 
 static void on_vms(const GArray *vms, const GError *error, void *user_data)
@@ -104,6 +99,7 @@
 	entry->draining = true;
 	timers->drain_until_ms =
 		clock_now_ms(entry->clock) + entry->options.drain_ms;
+	membership_drain(entry->membership);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
 	on_drain_check(-1, 0, timers);
 }
@@ -124,6 +120,22 @@
 	return http_server_new(&options, error);
 }
 
+static gboolean start_membership(entry_t *entry, GError **error)
+{
+	membership_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.counters = entry->counters,
+		.members = entry->members,
+		.environment = entry->options.environment,
+		.seeds = entry->options.seeds,
+	};
+
+	entry->membership = membership_new(&options, error);
+	return entry->membership != NULL;
+}
+
 static gboolean entry_start(entry_t *entry, GError **error)
 {
 	object_http_options_t store_options = {
@@ -149,6 +161,8 @@
 				      rpc_server_port(entry->rpc_server));
 	entry->members = member_table_new(own_address, entry->options.domain);
 	g_free(own_address);
+	if (!start_membership(entry, error))
+		return FALSE;
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -174,6 +188,7 @@
 		 http_server_port(entry->operators),
 		 rpc_server_port(entry->rpc_server));
 	event_base_dispatch(entry->base);
+	membership_leave(entry->membership);
 	log_info("stopped", "active=%u", http_server_active(entry->callers));
 }
 
@@ -197,6 +212,8 @@
 		  "port for other nodes", 0, 0, 0 },
 		{ "platform", SETTING_STRING, &o->platform, "127.0.0.1:7000",
 		  "IP:PORT", "object API of the platform", 0, 0, 0 },
+		{ "seeds", SETTING_STRING, &o->seeds, "", "IP:PORT,...",
+		  "peer addresses of nodes to join through", 0, 0, 0 },
 		{ "environment", SETTING_STRING, &o->environment, "production",
 		  "NAME", "name of the configuration document", 0, 0, 0 },
 		{ "platform-timeout-ms", SETTING_INT, &o->platform_timeout_ms,
@@ -231,7 +248,8 @@
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
 			  log_quote(error->message));
-		return 1;
+		return g_error_matches(error, WL_ERROR, WL_ERROR_INVALID) ? 64 :
+									    1;
 	}
 	entry_run(&entry);
 	return 0;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,6 +11,7 @@
 #include "base/counter.h"
 #include "config/document.h"
 #include "coord/member.h"
+#include "entry/membership.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -31,6 +32,7 @@
 	uint16_t operator_port; /* health, counters, operators */
 	uint16_t peer_port; /* internal RPC */
 	char *platform; /* IP:port of the object API */
+	char *seeds; /* IP:port,...; may be empty */
 	char *environment; /* trial or production */
 	int64_t platform_timeout_ms;
 	int64_t max_body_bytes;
@@ -51,6 +53,7 @@
 	rpc_server_t *rpc_server;
 	object_store_t *store;
 	member_table_t *members;
+	membership_t *membership;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
