Follow the configuration through one watcher per domain and peers

Cause: every node read the document from the store each second; that does not fit the store's rate at 380 nodes, and a node that started in an outage could not become ready.

Change: coord/follower decides, without I/O, when to list, watch, read or ask a peer, and adopts only higher versions; entry/config_follow carries it out. Version and digest travel on the membership datagrams and are announced at once. CONFIG_FETCH answers with a byte-exact difference against the caller's version (config/document_diff), because the digest is of bytes. In the environment trial one node records trial/<digest>.

Before: one read a second and node.

--- a/src/coord/swim.c
+++ b/src/coord/swim.c
@@ -667,18 +667,14 @@
 static void note_config(swim_t *swim, const member_message *message)
 {
 	member_t *member = member_find(swim->members, message->sender.address);
-	gboolean higher;
 
 	if (!member || member->incarnation != message->sender.incarnation ||
 	    member->config_version == message->config_version)
 		return;
 	/* A restarted member may hold an older configuration than before. */
-	higher = message->config_version > member->config_version;
 	member->config_version = message->config_version;
 	memcpy(member->config_digest, message->config_digest,
 	       MEMBER_CONFIG_DIGEST_BYTES);
-	if (higher && swim->options.announced)
-		swim->options.announced(member, swim->options.user_data);
 }
 
 void swim_receive(swim_t *swim, const member_message *message)
--- a/src/coord/swim.h
+++ b/src/coord/swim.h
@@ -42,8 +42,6 @@
 		     void *user_data);
 	/* A state changed or a member was added; may be NULL. */
 	void (*changed)(const member_t *member, void *user_data);
-	/* A member announced a configuration version; may be NULL. */
-	void (*announced)(const member_t *member, void *user_data);
 	void *user_data;
 } swim_options_t;
 
--- /dev/null
+++ b/src/entry/config_follow.c
@@ -0,0 +1,481 @@
+#include "entry/config_follow.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "config/document_diff.h"
+#include "coord/follower.h"
+#include "rpc/config_xdr.h"
+
+#define WATCH_MS 30000
+#define FETCH_TIMEOUT_MS 3000
+/* Versions that a difference can start from; at most 1 MB each. */
+#define MAX_HISTORY 8
+#define TRIAL_SERVED_MS 1000
+#define TRIAL_RETRY_MS 2000
+
+typedef struct version {
+	uint64_t version;
+	uint8_t digest[CONFIG_DIGEST_BYTES];
+	GBytes *data;
+	GArray *edits; /* to the newest version; NULL: not computed */
+} version_t;
+
+struct config_follow {
+	config_follow_options_t options;
+	follower_t *follower;
+	struct event *tick_event;
+	char *key;
+	GQueue history; /* version_t, the newest first */
+	char trial_key[80]; /* empty: recorded, or not a trial */
+	int64_t trial_due_ms;
+	gboolean trial_writing;
+	int64_t *version;
+	int64_t *fetched_bytes;
+	int64_t *served_bytes;
+	int64_t *store_reads;
+	int64_t *refused;
+};
+
+static void version_free(void *data)
+{
+	version_t *version = data;
+
+	g_bytes_unref(version->data);
+	if (version->edits)
+		g_array_free(version->edits, TRUE);
+	g_free(version);
+}
+
+static const version_t *newest(const config_follow_t *follow)
+{
+	return follow->history.head ? follow->history.head->data : NULL;
+}
+
+static version_t *find_version(config_follow_t *follow, uint64_t number,
+			       const void *digest)
+{
+	for (GList *link = follow->history.head; link; link = link->next) {
+		version_t *version = link->data;
+
+		if (version->version == number &&
+		    memcmp(version->digest, digest, CONFIG_DIGEST_BYTES) == 0)
+			return version;
+	}
+	return NULL;
+}
+
+static void remember(config_follow_t *follow, uint64_t number,
+		     const uint8_t *digest, GBytes *data)
+{
+	version_t *version = g_new0(version_t, 1);
+
+	for (GList *link = follow->history.head; link; link = link->next) {
+		version_t *old = link->data;
+
+		if (old->edits)
+			g_array_free(old->edits, TRUE);
+		old->edits = NULL;
+	}
+	version->version = number;
+	version->data = g_bytes_ref(data);
+	memcpy(version->digest, digest, CONFIG_DIGEST_BYTES);
+	g_queue_push_head(&follow->history, version);
+	if (g_queue_get_length(&follow->history) > MAX_HISTORY)
+		version_free(g_queue_pop_tail(&follow->history));
+}
+
+static follower_outcome_t outcome_of(const GError *error)
+{
+	if (!error)
+		return FOLLOWER_OK;
+	return error->code == WL_ERROR_NOT_FOUND ? FOLLOWER_ABSENT :
+						   FOLLOWER_FAILED;
+}
+
+static uint64_t listed_version(const config_follow_t *follow,
+			       const object_listing_t *listing)
+{
+	uint64_t version = 0;
+
+	for (guint i = 0; i < listing->entries->len; i++) {
+		const object_entry_t *entry =
+			&g_array_index(listing->entries, object_entry_t, i);
+
+		/* The prefix also matches longer names. */
+		if (strcmp(entry->key, follow->key) == 0 && !entry->deleted)
+			version = MAX(version, entry->version);
+	}
+	return version;
+}
+
+static void on_listed(const object_listing_t *listing, const GError *error,
+		      void *user_data)
+{
+	config_follow_t *follow = user_data;
+
+	follower_listed(follow->follower, outcome_of(error),
+			listing ? listing->revision : 0,
+			listing ? listed_version(follow, listing) : 0);
+}
+
+static void on_watched(const object_listing_t *listing, const GError *error,
+		       void *user_data)
+{
+	config_follow_t *follow = user_data;
+	follower_outcome_t outcome = outcome_of(error);
+
+	/* The store answers 410 as not found. */
+	if (outcome == FOLLOWER_ABSENT)
+		outcome = FOLLOWER_GONE;
+	follower_watched(follow->follower, outcome,
+			 listing ? listing->revision : 0,
+			 listing ? listed_version(follow, listing) : 0);
+}
+
+static void on_got(const object_value_t *value, const GError *error,
+		   void *user_data)
+{
+	config_follow_t *follow = user_data;
+	GBytes *data = value ? g_bytes_new(value->data, value->len) : NULL;
+
+	follower_got(follow->follower, outcome_of(error),
+		     value ? value->version : 0, data);
+	if (data)
+		g_bytes_unref(data);
+}
+
+static void do_list(void *user_data)
+{
+	config_follow_t *follow = user_data;
+
+	++*follow->store_reads;
+	object_list(follow->options.store, follow->key, NULL, 16, on_listed,
+		    follow);
+}
+
+static void do_get(void *user_data)
+{
+	config_follow_t *follow = user_data;
+
+	++*follow->store_reads;
+	object_get(follow->options.store, follow->key, on_got, follow);
+}
+
+static void do_watch(uint64_t since, void *user_data)
+{
+	config_follow_t *follow = user_data;
+
+	++*follow->store_reads;
+	object_watch(follow->options.store, follow->key, since, WATCH_MS,
+		     on_watched, follow);
+}
+
+static GBytes *apply_result(config_follow_t *follow,
+			    const config_fetch_result *result)
+{
+	const version_t *base = newest(follow);
+	u_int count = result->edits.edits_len;
+	document_edit_t *edits = g_new0(document_edit_t, count);
+	GBytes *data = NULL;
+	gsize len = 0;
+	const char *text = "";
+
+	for (u_int i = 0; i < count; i++) {
+		const config_edit *edit = &result->edits.edits_val[i];
+
+		edits[i].offset = edit->offset;
+		edits[i].length = edit->length;
+		edits[i].insert = edit->insert.insert_val;
+		edits[i].insert_len = edit->insert.insert_len;
+		*follow->fetched_bytes += 12 + edits[i].insert_len;
+	}
+	if (!result->whole && base)
+		text = g_bytes_get_data(base->data, &len);
+	data = document_diff_apply(text, len, edits, count, OBJECT_MAX_BYTES,
+				   NULL);
+	g_free(edits);
+	return data;
+}
+
+static void on_fetched(const void *reply, const GError *error, void *user_data)
+{
+	config_follow_t *follow = user_data;
+	const config_fetch_result *result = reply;
+	GBytes *data = NULL;
+
+	if (error || result->document_version == 0) {
+		follower_fetched(follow->follower,
+				 error ? FOLLOWER_FAILED : FOLLOWER_ABSENT, 0,
+				 NULL, NULL);
+		return;
+	}
+	/* A difference that does not fit shows as a wrong digest. */
+	data = apply_result(follow, result);
+	if (!data)
+		data = g_bytes_new(NULL, 0);
+	follower_fetched(follow->follower, FOLLOWER_OK,
+			 result->document_version,
+			 (const uint8_t *)result->digest, data);
+	g_bytes_unref(data);
+}
+
+static void do_fetch(const char *address, uint64_t have_version,
+		     void *user_data)
+{
+	config_follow_t *follow = user_data;
+	const version_t *base = newest(follow);
+	config_fetch_args args = { .have_version = have_version };
+	rpc_call_options_t options = {
+		.address = address,
+		.program = CONFIG_PROGRAM,
+		.procedure = CONFIG_FETCH,
+		.encode = (xdrproc_t)xdr_config_fetch_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_config_fetch_result,
+		.result_size = sizeof(config_fetch_result),
+		.timeout_ms = FETCH_TIMEOUT_MS,
+		.done = on_fetched,
+		.user_data = follow,
+	};
+
+	if (base)
+		memcpy(args.have_digest, base->digest, CONFIG_DIGEST_BYTES);
+	rpc_client_call(follow->options.rpc_client, &options);
+}
+
+static GArray *edits_from(config_follow_t *follow, version_t *base)
+{
+	gsize old_len, new_len;
+	const char *old_text = g_bytes_get_data(base->data, &old_len);
+	const char *new_text = g_bytes_get_data(newest(follow)->data, &new_len);
+
+	if (!base->edits)
+		base->edits = document_diff_edits(old_text, old_len, new_text,
+						  new_len);
+	return base->edits;
+}
+
+static void reply_edits(config_follow_t *follow, rpc_call_t *call,
+			config_fetch_result *result, const GArray *edits)
+{
+	config_edit *out = g_new0(config_edit, edits->len);
+
+	for (guint i = 0; i < edits->len; i++) {
+		const document_edit_t *edit =
+			&g_array_index(edits, document_edit_t, i);
+
+		out[i].offset = edit->offset;
+		out[i].length = edit->length;
+		out[i].insert.insert_val = (char *)edit->insert;
+		out[i].insert.insert_len = edit->insert_len;
+		*follow->served_bytes += 12 + edit->insert_len;
+	}
+	result->edits.edits_val = out;
+	result->edits.edits_len = edits->len;
+	rpc_reply(call, result);
+	g_free(out);
+}
+
+static void on_fetch(rpc_call_t *call, const void *arguments, void *user_data)
+{
+	config_follow_t *follow = user_data;
+	const config_fetch_args *args = arguments;
+	const version_t *current = newest(follow);
+	config_fetch_result result = { 0 };
+	version_t *base;
+	GArray *whole;
+
+	if (!current) {
+		rpc_reply(call, &result);
+		return;
+	}
+	result.document_version = current->version;
+	memcpy(result.digest, current->digest, CONFIG_DIGEST_BYTES);
+	base = find_version(follow, args->have_version, args->have_digest);
+	if (base) {
+		reply_edits(follow, call, &result, edits_from(follow, base));
+		return;
+	}
+	whole = g_array_new(FALSE, TRUE, sizeof(document_edit_t));
+	g_array_set_size(whole, 1);
+	g_array_index(whole, document_edit_t, 0).insert =
+		g_bytes_get_data(current->data, NULL);
+	g_array_index(whole, document_edit_t, 0).insert_len =
+		(uint32_t)g_bytes_get_size(current->data);
+	result.whole = TRUE;
+	reply_edits(follow, call, &result, whole);
+	g_array_free(whole, TRUE);
+}
+
+static void prepare_trial(config_follow_t *follow, const document_t *document)
+{
+	follow->trial_key[0] = '\0';
+	if (strcmp(follow->options.environment, "trial") != 0)
+		return;
+	snprintf(follow->trial_key, sizeof(follow->trial_key), "trial/%s",
+		 document->digest);
+	follow->trial_due_ms =
+		clock_now_ms(follow->options.clock) + TRIAL_SERVED_MS;
+}
+
+static gboolean do_adopt(uint64_t version, const uint8_t *digest, GBytes *data,
+			 void *user_data)
+{
+	config_follow_t *follow = user_data;
+	GError *error = NULL;
+	document_t *document = document_parse(g_bytes_get_data(data, NULL),
+					      g_bytes_get_size(data), &error);
+
+	if (!document) {
+		++*follow->refused;
+		log_error("document_invalid", "version=%" PRIu64 " message=%s",
+			  version, log_quote(error->message));
+		g_error_free(error);
+		return FALSE;
+	}
+	remember(follow, version, digest, data);
+	*follow->version = (int64_t)version;
+	log_info("document_adopted",
+		 "version=%" PRIu64 " digest=%.12s bytes=%zu", version,
+		 document->digest, g_bytes_get_size(data));
+	follow->options.adopted(document, version, follow->options.user_data);
+	prepare_trial(follow, document);
+	document_unref(document);
+	membership_announce_config(follow->options.membership, version, digest);
+	return TRUE;
+}
+
+static void on_trial_written(const object_value_t *value, const GError *error,
+			     void *user_data)
+{
+	config_follow_t *follow = user_data;
+
+	follow->trial_writing = FALSE;
+	if (error && error->code != WL_ERROR_CONFLICT) {
+		follow->trial_due_ms =
+			clock_now_ms(follow->options.clock) + TRIAL_RETRY_MS;
+		return;
+	}
+	log_info("trial_recorded", "key=%s", follow->trial_key);
+	follow->trial_key[0] = '\0';
+}
+
+static gboolean is_owner(const config_follow_t *follow, const char *domain,
+			 const char *key)
+{
+	return member_owner(follow->options.members, domain, key) ==
+	       member_self(follow->options.members);
+}
+
+/* One node records; another takes over when that one is gone. */
+static void tick_trial(config_follow_t *follow)
+{
+	char *value;
+
+	if (!follow->trial_key[0] || follow->trial_writing ||
+	    clock_now_ms(follow->options.clock) < follow->trial_due_ms ||
+	    !is_owner(follow, NULL, follow->trial_key))
+		return;
+	follow->trial_writing = TRUE;
+	value = g_strdup_printf("{\"version\":%" PRIu64 ",\"node\":\"%s\"}",
+				newest(follow)->version,
+				follow->options.node_id);
+	object_put(follow->options.store, follow->trial_key, value,
+		   strlen(value), OBJECT_ABSENT, follow->options.node_id,
+		   on_trial_written, follow);
+	g_free(value);
+}
+
+static void hear_members(config_follow_t *follow)
+{
+	const GPtrArray *all = member_all(follow->options.members);
+	uint64_t own = follower_version(follow->follower);
+
+	for (guint i = 1; i < all->len; i++) {
+		const member_t *member = all->pdata[i];
+
+		if (member->config_version > own &&
+		    member->state != MEMBER_DEAD)
+			follower_heard(follow->follower, member->address,
+				       member->config_version,
+				       member->config_digest);
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short events, void *arg)
+{
+	config_follow_t *follow = arg;
+	const member_table_t *members = follow->options.members;
+	const char *domain = member_self(members)->domain;
+
+	hear_members(follow);
+	follower_tick(follow->follower,
+		      is_owner(follow, domain, "watch/config"),
+		      member_all(members)->len);
+	tick_trial(follow);
+}
+
+static void find_counters(config_follow_t *follow, counter_set_t *counters)
+{
+	follow->version =
+		counter_get(counters, COUNTER_GAUGE, "config_version", NULL);
+	follow->fetched_bytes = counter_get(counters, COUNTER_MONOTONIC,
+					    "config_fetched_bytes_total", NULL);
+	follow->served_bytes = counter_get(counters, COUNTER_MONOTONIC,
+					   "config_served_bytes_total", NULL);
+	follow->store_reads = counter_get(counters, COUNTER_MONOTONIC,
+					  "config_store_reads_total", NULL);
+	follow->refused = counter_get(counters, COUNTER_MONOTONIC,
+				      "config_refused_total", NULL);
+}
+
+config_follow_t *config_follow_new(const config_follow_options_t *options)
+{
+	config_follow_t *follow = g_new0(config_follow_t, 1);
+	struct timeval tick = { 0, FOLLOWER_TICK_MS * 1000 };
+	follower_options_t follower_options = {
+		.clock = options->clock,
+		.random = options->random,
+		.list = do_list,
+		.get = do_get,
+		.watch = do_watch,
+		.fetch = do_fetch,
+		.adopt = do_adopt,
+		.user_data = follow,
+	};
+	rpc_procedure_t procedure = {
+		.program = CONFIG_PROGRAM,
+		.procedure = CONFIG_FETCH,
+		.decode = (xdrproc_t)xdr_config_fetch_args,
+		.args_size = sizeof(config_fetch_args),
+		.encode = (xdrproc_t)xdr_config_fetch_result,
+		.handler = on_fetch,
+		.user_data = follow,
+	};
+
+	follow->options = *options;
+	follow->key = g_strconcat("config/", options->environment, NULL);
+	g_queue_init(&follow->history);
+	find_counters(follow, options->counters);
+	follow->follower = follower_new(&follower_options);
+	rpc_server_register(options->rpc_server, &procedure);
+	follow->tick_event =
+		event_new(options->base, -1, EV_PERSIST, on_tick, follow);
+	event_add(follow->tick_event, &tick);
+	return follow;
+}
+
+void config_follow_free(config_follow_t *follow)
+{
+	if (!follow)
+		return;
+	event_free(follow->tick_event);
+	follower_free(follow->follower);
+	g_queue_clear_full(&follow->history, version_free);
+	g_free(follow->key);
+	g_free(follow);
+}
--- /dev/null
+++ b/src/entry/config_follow.h
@@ -0,0 +1,48 @@
+#ifndef WASABILINK_ENTRY_CONFIG_FOLLOW_H
+#define WASABILINK_ENTRY_CONFIG_FOLLOW_H
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "config/document.h"
+#include "coord/member.h"
+#include "entry/membership.h"
+#include "platform/object_store.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
+
+/*
+ * config_follow - keeps the node's configuration document up to date.
+ *
+ * Carries out the operations of coord/follower on the object store and on
+ * peers (CONFIG_FETCH), answers peers' fetches with a difference when it still
+ * has their version, and announces what it has adopted. In the environment
+ * "trial" the node that rendezvous hashing picks records trial/<digest> once
+ * it has served with the document for a moment; config promote asks for it.
+ */
+typedef struct config_follow config_follow_t;
+
+typedef struct config_follow_options {
+	struct event_base *base;
+	const clock_source_t *clock;
+	GRand *random; /* borrowed, as are all modules below */
+	counter_set_t *counters;
+	object_store_t *store;
+	member_table_t *members;
+	membership_t *membership;
+	rpc_client_t *rpc_client;
+	rpc_server_t *rpc_server;
+	const char *environment;
+	const char *node_id; /* for the record of a trial */
+	/* The document is in force from now on; take a reference to keep it. */
+	void (*adopted)(document_t *document, uint64_t version,
+			void *user_data);
+	void *user_data;
+} config_follow_options_t;
+
+config_follow_t *config_follow_new(const config_follow_options_t *options);
+void config_follow_free(config_follow_t *follow);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,5 @@
 #include "entry/entry.h"
 
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -38,27 +37,13 @@
 		update_fleet(entry, vms);
 }
 
-static void on_document(const object_value_t *value, const GError *error,
-			void *user_data)
+static void on_adopted(document_t *document, uint64_t version, void *user_data)
 {
 	entry_t *entry = user_data;
-	GError *parse_error = NULL;
-	document_t *document;
 
-	if (error || value->version <= entry->document_version)
-		return;
-	document = document_parse(value->data, value->len, &parse_error);
-	if (!document) {
-		log_error("document_invalid", "version=%" PRIu64 " message=%s",
-			  value->version, log_quote(parse_error->message));
-		g_error_free(parse_error);
-		return;
-	}
 	document_unref(entry->document);
-	entry->document = document;
-	entry->document_version = value->version;
-	log_info("document_adopted", "version=%" PRIu64 " digest=%.12s",
-		 value->version, document->digest);
+	entry->document = document_ref(document);
+	entry->document_version = version;
 }
 
 static void on_poll(evutil_socket_t fd, short events, void *arg)
@@ -66,11 +51,8 @@
 	entry_timers_t *timers = arg;
 	entry_t *entry = timers->entry;
 	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
-	char *key = g_strconcat("config/", entry->options.environment, NULL);
 
 	object_vms(entry->store, on_vms, entry);
-	object_get(entry->store, key, on_document, entry);
-	g_free(key);
 	evtimer_add(timers->poll, &period);
 }
 
@@ -136,6 +118,27 @@
 	return entry->membership != NULL;
 }
 
+static void start_config(entry_t *entry)
+{
+	config_follow_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.counters = entry->counters,
+		.store = entry->store,
+		.members = entry->members,
+		.membership = entry->membership,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.environment = entry->options.environment,
+		.node_id = entry->options.node_id,
+		.adopted = on_adopted,
+		.user_data = entry,
+	};
+
+	entry->config = config_follow_new(&options);
+}
+
 static gboolean entry_start(entry_t *entry, GError **error)
 {
 	object_http_options_t store_options = {
@@ -163,6 +166,7 @@
 	g_free(own_address);
 	if (!start_membership(entry, error))
 		return FALSE;
+	start_config(entry);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,6 +11,7 @@
 #include "base/counter.h"
 #include "config/document.h"
 #include "coord/member.h"
+#include "entry/config_follow.h"
 #include "entry/membership.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -54,6 +55,7 @@
 	object_store_t *store;
 	member_table_t *members;
 	membership_t *membership;
+	config_follow_t *config;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
--- a/src/entry/membership.c
+++ b/src/entry/membership.c
@@ -25,8 +25,6 @@
 	struct event *tick_event;
 	evutil_socket_t fd;
 	GPtrArray *seeds; /* of the settings */
-	void (*announced)(const member_t *member, void *user_data);
-	void *user_data;
 	int64_t *datagrams_sent;
 	int64_t *datagrams_received;
 	int64_t *bytes_sent;
@@ -74,14 +72,6 @@
 		 member_state_name(member->state), member->incarnation);
 }
 
-static void on_announced(const member_t *member, void *user_data)
-{
-	membership_t *membership = user_data;
-
-	if (membership->announced)
-		membership->announced(member, membership->user_data);
-}
-
 static void receive(membership_t *membership, char *data, size_t len)
 {
 	member_message message = { 0 };
@@ -204,7 +194,6 @@
 		.incarnation = (uint64_t)clock_wall_ms(options->clock),
 		.send = on_send,
 		.changed = on_changed,
-		.announced = on_announced,
 		.user_data = membership,
 	};
 
@@ -218,8 +207,6 @@
 	struct timeval tick = { 0, SWIM_TICK_MS * 1000 };
 
 	membership->members = options->members;
-	membership->announced = options->announced;
-	membership->user_data = options->user_data;
 	membership->seeds = g_ptr_array_new_with_free_func(g_free);
 	membership->fd = -1;
 	if (parse_seeds(membership->seeds, options->seeds, error))
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -26,9 +26,6 @@
 	member_table_t *members;
 	const char *environment;
 	const char *seeds; /* IP:port,...; may be NULL or empty */
-	/* A member announced a higher configuration version; may be NULL. */
-	void (*announced)(const member_t *member, void *user_data);
-	void *user_data;
 } membership_options_t;
 
 /*
