Validate the configuration document strictly

Cause: the parser read only the members that it knew and did not look at types or ranges, so a typing error in a limit meant no limit; its errors named no line except for broken JSON.

Change: config/document_check checks the form by one table per object: unknown and missing members, types, ranges, names, duplicates, keys used twice and references to workspaces. config/field_line finds the line of a field, which jansson tells for syntax errors only. Names of partners and workspaces have no slash, because keys such as partner/workspace must be unambiguous. Workspaces are found by hash table.

--- a/src/config/document.c
+++ b/src/config/document.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "config/document_check.h"
+#include "config/field_line.h"
 
 static void workspace_free(void *data)
 {
@@ -55,6 +57,7 @@
 	document_partner_t *partner = data;
 
 	g_free(partner->name);
+	g_hash_table_destroy(partner->workspaces_by_name);
 	g_ptr_array_free(partner->workspaces, TRUE);
 	g_ptr_array_free(partner->callers, TRUE);
 	g_ptr_array_free(partner->deployments, TRUE);
@@ -79,24 +82,10 @@
 		json_integer_value(json_object_get(json, "tokens_per_minute"));
 }
 
-static document_workspace_t *find_workspace(const document_partner_t *partner,
-					    const char *name)
-{
-	for (guint i = 0; name && i < partner->workspaces->len; i++) {
-		document_workspace_t *workspace = partner->workspaces->pdata[i];
-
-		if (strcmp(workspace->name, name) == 0)
-			return workspace;
-	}
-	return NULL;
-}
-
-static gboolean parse_caller(document_t *document, document_partner_t *partner,
-			     json_t *json, bool is_operator, GError **error)
+static void parse_caller(document_t *document, document_partner_t *partner,
+			 json_t *json, bool is_operator)
 {
 	document_caller_t *caller = g_new0(document_caller_t, 1);
-	const char *digest =
-		json_string_value(json_object_get(json, "key_sha256"));
 	const char *workspace =
 		json_string_value(json_object_get(json, "workspace"));
 
@@ -104,29 +93,28 @@
 	caller->partner = partner;
 	caller->is_operator = is_operator;
 	parse_limits(json, &caller->limits);
+	memcpy(caller->key_sha256,
+	       json_string_value(json_object_get(json, "key_sha256")),
+	       DOCUMENT_DIGEST_HEX + 1);
+	if (workspace)
+		caller->workspace = g_hash_table_lookup(
+			partner->workspaces_by_name, workspace);
 	g_ptr_array_add(partner->callers, caller);
-	if (!digest || strlen(digest) != DOCUMENT_DIGEST_HEX) {
-		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
-			    "partners.%s: key_sha256 of '%s' is not a SHA-256",
-			    partner->name, caller->name);
-		return FALSE;
-	}
-	memcpy(caller->key_sha256, digest, DOCUMENT_DIGEST_HEX + 1);
-	caller->workspace = find_workspace(partner, workspace);
-	if (!is_operator && !caller->workspace) {
-		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
-			    "partners.%s: caller '%s' has no known workspace",
-			    partner->name, caller->name);
-		return FALSE;
-	}
-	if (!g_hash_table_insert(document->callers_by_key, caller->key_sha256,
-				 caller)) {
-		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
-			    "partners.%s: two callers share the key of '%s'",
-			    partner->name, caller->name);
-		return FALSE;
-	}
-	return TRUE;
+	g_hash_table_insert(document->callers_by_key, caller->key_sha256,
+			    caller);
+}
+
+static void parse_workspace(document_partner_t *partner, const char *name,
+			    json_t *json)
+{
+	document_workspace_t *workspace = g_new0(document_workspace_t, 1);
+	json_t *weight = json_object_get(json, "weight");
+
+	workspace->name = g_strdup(name);
+	workspace->weight = weight ? json_number_value(weight) : 1;
+	g_ptr_array_add(partner->workspaces, workspace);
+	g_hash_table_insert(partner->workspaces_by_name, workspace->name,
+			    workspace);
 }
 
 static void parse_deployment(document_partner_t *partner, const char *name,
@@ -165,8 +153,7 @@
 	g_ptr_array_add(partner->services, service);
 }
 
-static gboolean parse_partner(document_t *document, const char *name,
-			      json_t *json, GError **error)
+static void parse_partner(document_t *document, const char *name, json_t *json)
 {
 	document_partner_t *partner = g_new0(document_partner_t, 1);
 	const char *key;
@@ -175,31 +162,64 @@
 
 	partner->name = g_strdup(name);
 	partner->workspaces = g_ptr_array_new_with_free_func(workspace_free);
+	partner->workspaces_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	partner->callers = g_ptr_array_new_with_free_func(caller_free);
 	partner->deployments = g_ptr_array_new_with_free_func(deployment_free);
 	partner->services = g_ptr_array_new_with_free_func(service_free);
 	g_ptr_array_add(document->partners, partner);
 	parse_limits(json, &partner->limits);
-	json_object_foreach(json_object_get(json, "workspaces"), key, value) {
-		document_workspace_t *workspace =
-			g_new0(document_workspace_t, 1);
-		json_t *weight = json_object_get(value, "weight");
-
-		workspace->name = g_strdup(key);
-		workspace->weight = weight ? json_number_value(weight) : 1;
-		g_ptr_array_add(partner->workspaces, workspace);
-	}
+	json_object_foreach(json_object_get(json, "workspaces"), key, value)
+		parse_workspace(partner, key, value);
 	json_object_foreach(json_object_get(json, "deployments"), key, value)
 		parse_deployment(partner, key, value);
 	json_object_foreach(json_object_get(json, "services"), key, value)
 		parse_service(partner, key, value);
 	json_array_foreach(json_object_get(json, "operators"), index, value)
-		if (!parse_caller(document, partner, value, true, error))
-			return FALSE;
+		parse_caller(document, partner, value, true);
 	json_array_foreach(json_object_get(json, "callers"), index, value)
-		if (!parse_caller(document, partner, value, false, error))
-			return FALSE;
-	return TRUE;
+		parse_caller(document, partner, value, false);
+}
+
+/* "partners.guild.callers[3].name"; an array's step is an index. */
+static char *format_path(json_t *root, const GPtrArray *path)
+{
+	GString *text = g_string_new(path->len ? NULL : "document");
+	json_t *container = root;
+
+	for (guint i = 0; i < path->len; i++) {
+		const char *step = path->pdata[i];
+
+		if (json_is_array(container)) {
+			g_string_append_printf(text, "[%s]", step);
+			container = json_array_get(
+				container, g_ascii_strtoull(step, NULL, 10));
+		} else {
+			g_string_append_printf(text, "%s%s", i ? "." : "",
+					       step);
+			container = json_object_get(container, step);
+		}
+	}
+	return g_string_free(text, FALSE);
+}
+
+static gboolean check(json_t *root, const char *text, size_t len,
+		      GError **error)
+{
+	GPtrArray *path = g_ptr_array_new_with_free_func(g_free);
+	char *message = NULL;
+	gboolean ok = document_check(root, path, &message);
+
+	if (!ok) {
+		char *field = format_path(root, path);
+
+		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
+			    "%s, line %d: %s", field,
+			    field_line_find(text, len, path), message);
+		g_free(field);
+	}
+	g_free(message);
+	g_ptr_array_free(path, TRUE);
+	return ok;
 }
 
 document_t *document_parse(const char *text, size_t len, GError **error)
@@ -208,17 +228,19 @@
 	json_t *root =
 		json_loadb(text, len, JSON_REJECT_DUPLICATES, &json_error);
 	document_t *document;
-	gboolean ok = TRUE;
 	const char *name;
 	json_t *partner;
 	char *digest;
 
-	if (!json_is_object(root)) {
-		json_decref(root);
+	if (!root) {
 		g_set_error(error, WL_ERROR, WL_ERROR_INVALID, "line %d: %s",
 			    json_error.line, json_error.text);
 		return NULL;
 	}
+	if (!check(root, text, len, error)) {
+		json_decref(root);
+		return NULL;
+	}
 	document = g_new0(document_t, 1);
 	document->references = 1;
 	document->partners = g_ptr_array_new_with_free_func(partner_free);
@@ -227,16 +249,10 @@
 					     (const guchar *)text, len);
 	memcpy(document->digest, digest, DOCUMENT_DIGEST_HEX + 1);
 	g_free(digest);
-	json_object_foreach(json_object_get(root, "partners"), name, partner) {
-		ok = parse_partner(document, name, partner, error);
-		if (!ok)
-			break;
-	}
+	json_object_foreach(json_object_get(root, "partners"), name, partner)
+		parse_partner(document, name, partner);
 	json_decref(root);
-	if (ok)
-		return document;
-	document_unref(document);
-	return NULL;
+	return document;
 }
 
 document_t *document_ref(document_t *document)
@@ -267,6 +283,12 @@
 	return NULL;
 }
 
+const document_workspace_t *
+document_find_workspace(const document_partner_t *partner, const char *name)
+{
+	return g_hash_table_lookup(partner->workspaces_by_name, name);
+}
+
 const document_deployment_t *
 document_find_deployment(const document_partner_t *partner, const char *name)
 {
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -58,6 +58,7 @@
 	char *name;
 	document_limits_t limits;
 	GPtrArray *workspaces; /* document_workspace_t */
+	GHashTable *workspaces_by_name;
 	GPtrArray *callers; /* document_caller_t, operators included */
 	GPtrArray *deployments; /* document_deployment_t */
 	GPtrArray *services; /* document_service_t */
@@ -70,13 +71,18 @@
 	GHashTable *callers_by_key; /* key_sha256 -> document_caller_t */
 } document_t;
 
-/* Errors: WL_ERROR_INVALID; the message names the field and the line. */
+/*
+ * Errors: WL_ERROR_INVALID, with a message such as
+ * "partners.guild.callers[3].workspace, line 41: there is no workspace 'w'".
+ */
 document_t *document_parse(const char *text, size_t len, GError **error);
 document_t *document_ref(document_t *document);
 void document_unref(document_t *document);
 
 const document_partner_t *document_find_partner(const document_t *document,
 						const char *name);
+const document_workspace_t *
+document_find_workspace(const document_partner_t *partner, const char *name);
 const document_deployment_t *
 document_find_deployment(const document_partner_t *partner, const char *name);
 const document_service_t *
