Let one node per failure domain read the VM list

Cause: every node read the whole list every second. At the design size that is 380 of the platform's 2,000 reads a second, and about 170 KB per read and node, against a budget of 5 KB/s.

Change: the domain's watcher (rendezvous hash) reads the list; the others fetch what changed from it by RPC, and read the list themselves only when the watcher does not answer.

Before: 4 of 4 nodes of a domain read the list. After: 1 of 4, and after the watcher is killed the others get a new runner (tests/process/test_vm_list.py).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,7 @@
 #include "platform/object_http.h"
 
 #define POLL_MS 1000
+#define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
 
 typedef struct entry_timers {
@@ -21,8 +22,10 @@
 	int64_t drain_until_ms;
 } entry_timers_t;
 
-static void update_fleet(entry_t *entry, const GArray *vms)
+static void on_vms_changed(const GArray *vms, void *user_data)
 {
+	entry_t *entry = user_data;
+
 	runner_set_update(entry->runners, vms);
 	for (guint i = 0; i < vms->len; i++) {
 		const platform_vm_t *vm = &g_array_index(vms, platform_vm_t, i);
@@ -32,17 +35,6 @@
 	}
 }
 
-static void on_vms(const GArray *vms, const GError *error, void *user_data)
-{
-	entry_t *entry = user_data;
-
-	if (error)
-		log_warn("vm_list_failed", "error=%s",
-			 error_name((error_code_t)error->code));
-	else
-		update_fleet(entry, vms);
-}
-
 static void on_document(const object_value_t *value, const GError *error,
 			void *user_data)
 {
@@ -73,7 +65,6 @@
 	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
 	char *key = g_strconcat("config/", entry->options.environment, NULL);
 
-	object_vms(entry->store, on_vms, entry);
 	object_get(entry->store, key, on_document, entry);
 	g_free(key);
 	evtimer_add(timers->poll, &period);
@@ -158,10 +149,30 @@
 	return entry->operators != NULL;
 }
 
+static void follow_vms(entry_t *entry)
+{
+	vm_follow_options_t options = {
+		.base = entry->base,
+		.store = entry->store,
+		.members = entry->members,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.counters = entry->counters,
+		.random = entry->random,
+		.period_ms = VM_LIST_PERIOD_MS,
+		.changed = on_vms_changed,
+		.user_data = entry,
+	};
+
+	entry->vm_follow = vm_follow_new(&options);
+}
+
 static void entry_run(entry_t *entry)
 {
 	entry_timers_t timers = { .entry = entry };
 
+	follow_vms(entry);
+
 	timers.poll = evtimer_new(entry->base, on_poll, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,6 +11,7 @@
 #include "base/counter.h"
 #include "config/document.h"
 #include "coord/member.h"
+#include "entry/vm_follow.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -51,6 +52,7 @@
 	rpc_server_t *rpc_server;
 	object_store_t *store;
 	member_table_t *members;
+	vm_follow_t *vm_follow;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
--- /dev/null
+++ b/src/entry/vm_follow.h
@@ -0,0 +1,46 @@
+#ifndef WASABILINK_ENTRY_VM_FOLLOW_H
+#define WASABILINK_ENTRY_VM_FOLLOW_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/counter.h"
+#include "coord/member.h"
+#include "platform/object_store.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
+
+/*
+ * vm_follow - keeps this node's copy of the platform's VM list.
+ *
+ * Only one node per failure domain reads the list from the platform: at the
+ * design size it has about 1,100 entries, and 380 nodes that read it every
+ * second would need a fifth of the platform's reads and far more than the
+ * bytes that a node may spend on control. The others ask that node for what
+ * changed. A node that cannot reach its watcher reads the list itself. While
+ * nobody can, the last list stays in use.
+ */
+typedef struct vm_follow vm_follow_t;
+
+/* vms is an array of platform_vm_t. */
+typedef void (*vm_follow_changed_t)(const GArray *vms, void *user_data);
+
+typedef struct vm_follow_options {
+	struct event_base *base;
+	object_store_t *store;
+	member_table_t *members;
+	rpc_client_t *rpc_client;
+	rpc_server_t *rpc_server;
+	counter_set_t *counters;
+	GRand *random;
+	int32_t period_ms;
+	vm_follow_changed_t changed;
+	void *user_data;
+} vm_follow_options_t;
+
+vm_follow_t *vm_follow_new(const vm_follow_options_t *options);
+void vm_follow_free(vm_follow_t *follow);
+
+#endif
--- /dev/null
+++ b/tests/process/test_vm_list.py
@@ -0,0 +1,60 @@
+#!/usr/bin/env python3
+"""One node per failure domain reads the VM list; the others follow it."""
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "..", "scripts"))
+import fleet as f  # noqa: E402
+
+
+def counter(entry, name):
+    text = f.request(entry.operator_port, "GET", "/metrics").body.decode()
+    for line in text.split("\n"):
+        if line.startswith(name + " "):
+            return int(line.split()[1])
+    return 0
+
+
+def answers(entry):
+    try:
+        return f.chat(entry, "guild-key", "lantern-muse", "x").status == 200
+    except OSError:
+        return False
+
+
+class VmListTest(unittest.TestCase):
+    def test_followers_leave_the_platform_alone_and_survive_the_watcher(self):
+        """Guards against every node reading the whole list every second."""
+        fleet = f.Fleet()
+        fleet.start_platform()
+        fleet.put_object("config/production",
+                         f.json.dumps(f.sample_document()))
+        entries = [fleet.start_entry(f"entry-{i}", "old-town")
+                   for i in range(4)]
+        fleet.start_engine("muse-0", "guild", "lantern-muse", "old-town")
+        fleet.publish_vms()
+        f.wait_for(lambda: all(answers(e) for e in entries),
+                   "the list on all nodes")
+        before = [counter(e, "vm_list_store_reads_total") for e in entries]
+
+        def reading():
+            return [e for e, b in zip(entries, before)
+                    if counter(e, "vm_list_store_reads_total") > b + 2]
+
+        f.wait_for(reading, "a watcher that reads on")
+        watchers = reading()
+        self.assertEqual(len(watchers), 1)
+        watchers[0].kill()
+        rest = [e for e in entries if e is not watchers[0]]
+        fleet.vms = [vm for vm in fleet.vms if vm["role"] == "entry"]
+        fleet.start_engine("muse-1", "guild", "lantern-muse", "old-town")
+        fleet.publish_vms()
+        f.wait_for(lambda: all(answers(e) for e in rest),
+                   "the new runner on the remaining nodes")
+        fleet.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
