--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -32,6 +32,8 @@
 	record_key_t key;
 	record_kind_t kind;
 	uint64_t version; /* 1 for the first write */
+	uint64_t expire_ms; /* wall clock; the record may be forgotten
+			     * afterwards; 0 means never */
 	const char *owner_tag; /* "partner/workspace", for records_list() */
 	const void *data;
 	size_t len;
