--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -12,6 +12,7 @@
 #include "config/document.h"
 #include "coord/member.h"
 #include "entry/vm_follow.h"
+#include "entry/membership.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -32,6 +33,7 @@
 	uint16_t operator_port; /* health, counters, operators */
 	uint16_t peer_port; /* internal RPC */
 	char *platform; /* IP:port of the object API */
+	char *seeds; /* IP:port,...; may be empty */
 	char *environment; /* trial or production */
 	int64_t platform_timeout_ms;
 	int64_t max_body_bytes;
@@ -53,6 +55,7 @@
 	object_store_t *store;
 	member_table_t *members;
 	vm_follow_t *vm_follow;
+	membership_t *membership;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
