Add engine client with typed outcomes

One streaming call to an engine was part of the chat handler, which judged an answer complete by the last 32 bytes only. Batch needs the same call. The new client checks the echoed id, a finish_reason and the end marker, tells stalled engines from slow callers, and separates calls that certainly did not run. The end marker is not handed on, so a cut stream can never look complete. Non-stream calls need a non-empty body.

--- /dev/null
+++ b/src/backend/engine_client.c
@@ -0,0 +1,365 @@
+#include "backend/engine_client.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "backend/sse.h"
+
+struct engine_client {
+	struct event_base *base;
+	http_client_t *http;
+	const clock_source_t *clock;
+};
+
+struct engine_call {
+	engine_client_t *client;
+	http_call_t *http_call;
+	struct event *stall_timer;
+	int64_t last_progress_ms;
+	int32_t stall_ms;
+	char *request_id;
+	sse_t sse;
+	GString *body; /* error answer to a stream call */
+	engine_first_token_t first_token;
+	engine_events_t events;
+	engine_done_t done;
+	void *user_data;
+	uint64_t events_seen;
+	int status;
+	bool stream;
+	bool paused;
+	bool first_token_seen;
+	bool mismatch;
+	bool cancelled;
+	bool in_callback;
+};
+
+static const char *const outcome_names[ENGINE_OUTCOME_COUNT] = {
+	[ENGINE_NOT_SENT] = "not_sent",
+	[ENGINE_REFUSED] = "refused",
+	[ENGINE_MAY_HAVE_RUN] = "may_have_run",
+	[ENGINE_WHOLE] = "whole",
+};
+
+static const char *const fault_names[ENGINE_FAULT_COUNT] = {
+	[ENGINE_FAULT_NONE] = "none",
+	[ENGINE_FAULT_CONNECT] = "connect",
+	[ENGINE_FAULT_VERSION] = "version",
+	[ENGINE_FAULT_BUSY] = "busy",
+	[ENGINE_FAULT_REJECTED] = "rejected",
+	[ENGINE_FAULT_ERROR] = "error",
+	[ENGINE_FAULT_TRUNCATED] = "truncated",
+	[ENGINE_FAULT_MISMATCH] = "mismatch",
+	[ENGINE_FAULT_TIMEOUT] = "timeout",
+	[ENGINE_FAULT_STALLED] = "stalled",
+};
+
+const char *engine_outcome_name(engine_outcome_t outcome)
+{
+	return outcome_names[outcome];
+}
+
+const char *engine_fault_name(engine_fault_t fault)
+{
+	return fault_names[fault];
+}
+
+engine_client_t *engine_client_new(struct event_base *base, http_client_t *http,
+				   const clock_source_t *clock)
+{
+	engine_client_t *client = g_new0(engine_client_t, 1);
+
+	client->base = base;
+	client->http = http;
+	client->clock = clock;
+	return client;
+}
+
+void engine_client_free(engine_client_t *client)
+{
+	g_free(client);
+}
+
+static void call_free(engine_call_t *call)
+{
+	if (call->stall_timer)
+		event_free(call->stall_timer);
+	if (call->body)
+		g_string_free(call->body, TRUE);
+	sse_clear(&call->sse);
+	g_free(call->request_id);
+	g_free(call);
+}
+
+static void finish(engine_call_t *call, engine_result_t *result)
+{
+	result->status = call->status;
+	result->events = call->events_seen;
+	if (call->body) {
+		result->body = call->body->str;
+		result->body_len = call->body->len;
+	}
+	call->done(result, call->user_data);
+	call_free(call);
+}
+
+/* Ends a call that is still open, with a fault that this side has found. */
+static void abandon(engine_call_t *call, engine_fault_t fault)
+{
+	engine_result_t result = { .outcome = ENGINE_MAY_HAVE_RUN,
+				   .fault = fault };
+
+	http_call_cancel(call->http_call);
+	finish(call, &result);
+}
+
+static bool echo_matches(const engine_call_t *call, const http_call_t *http)
+{
+	const char *echo = http_answer_header(http, "X-Request-Id");
+
+	/* A refusal may lack the header, but must not carry another id. */
+	if (!echo)
+		return call->status != 200;
+	return strcmp(echo, call->request_id) == 0;
+}
+
+static void on_headers(http_call_t *http, int status, void *user_data)
+{
+	engine_call_t *call = user_data;
+
+	call->status = status;
+	call->last_progress_ms = clock_now_ms(call->client->clock);
+	call->mismatch = !echo_matches(call, http);
+}
+
+static void on_events(const char *events, size_t len, void *user_data)
+{
+	engine_call_t *call = user_data;
+
+	if (call->cancelled)
+		return;
+	if (!call->first_token_seen) {
+		call->first_token_seen = true;
+		if (call->first_token)
+			call->first_token(call, call->user_data);
+	}
+	if (!call->cancelled && call->events)
+		call->events(call, events, len, call->user_data);
+}
+
+static void on_data(http_call_t *http, const char *data, size_t len,
+		    void *user_data)
+{
+	engine_call_t *call = user_data;
+
+	call->last_progress_ms = clock_now_ms(call->client->clock);
+	if (call->mismatch) {
+		abandon(call, ENGINE_FAULT_MISMATCH);
+		return;
+	}
+	if (call->status != 200) {
+		if (!call->body)
+			call->body = g_string_new(NULL);
+		g_string_append_len(call->body, data, (gssize)len);
+		return;
+	}
+	call->in_callback = true;
+	sse_feed(&call->sse, data, len, on_events, call);
+	call->in_callback = false;
+	if (call->cancelled) {
+		call_free(call);
+		return;
+	}
+	call->events_seen = call->sse.events;
+	if (call->sse.too_long)
+		abandon(call, ENGINE_FAULT_TRUNCATED);
+}
+
+/* Answers by which an engine says that it did not run the call. */
+static engine_fault_t refusal_of(int status)
+{
+	if (status == 409)
+		return ENGINE_FAULT_VERSION;
+	if (status == 429 || status == 503)
+		return ENGINE_FAULT_BUSY;
+	if (status >= 400 && status < 500 && status != 408)
+		return ENGINE_FAULT_REJECTED;
+	return ENGINE_FAULT_NONE;
+}
+
+static void judge_complete(engine_call_t *call, const http_answer_t *answer,
+			   engine_result_t *result)
+{
+	engine_fault_t refusal = refusal_of(answer->status);
+	bool whole =
+		call->stream ? sse_is_whole(&call->sse) : answer->body_len > 0;
+
+	result->outcome = ENGINE_MAY_HAVE_RUN;
+	if (call->mismatch) {
+		result->fault = ENGINE_FAULT_MISMATCH;
+	} else if (refusal != ENGINE_FAULT_NONE) {
+		result->outcome = ENGINE_REFUSED;
+		result->fault = refusal;
+	} else if (answer->status != 200 || call->sse.error_seen) {
+		result->fault = ENGINE_FAULT_ERROR;
+	} else if (!whole) {
+		result->fault = ENGINE_FAULT_TRUNCATED;
+	} else {
+		result->outcome = ENGINE_WHOLE;
+		result->fault = ENGINE_FAULT_NONE;
+	}
+}
+
+static void on_done(const http_answer_t *answer, void *user_data)
+{
+	engine_call_t *call = user_data;
+	engine_result_t result = { .outcome = ENGINE_MAY_HAVE_RUN,
+				   .body = answer->body,
+				   .body_len = answer->body_len };
+	const char *retry_after;
+
+	call->http_call = NULL;
+	switch (answer->outcome) {
+	case HTTP_COMPLETE:
+		call->status = answer->status;
+		retry_after = http_answer_header(answer->call, "Retry-After");
+		if (retry_after)
+			result.retry_after_s =
+				(int)g_ascii_strtoll(retry_after, NULL, 10);
+		judge_complete(call, answer, &result);
+		break;
+	case HTTP_NOT_SENT:
+		result.outcome = ENGINE_NOT_SENT;
+		result.fault = ENGINE_FAULT_CONNECT;
+		break;
+	case HTTP_TIMED_OUT:
+		result.fault = ENGINE_FAULT_TIMEOUT;
+		break;
+	case HTTP_CUT:
+		result.fault = ENGINE_FAULT_TRUNCATED;
+		break;
+	}
+	finish(call, &result);
+}
+
+static void arm_stall_timer(engine_call_t *call, int64_t wait_ms)
+{
+	struct timeval wait = { wait_ms / 1000, wait_ms % 1000 * 1000 };
+
+	evtimer_add(call->stall_timer, &wait);
+}
+
+/* Re-arms instead of moving the timer at every byte, which costs more. */
+static void on_stall_check(evutil_socket_t fd, short events, void *arg)
+{
+	engine_call_t *call = arg;
+	int64_t now_ms = clock_now_ms(call->client->clock);
+	int64_t idle_ms;
+
+	if (call->paused)
+		call->last_progress_ms = now_ms;
+	idle_ms = now_ms - call->last_progress_ms;
+	if (idle_ms >= call->stall_ms)
+		abandon(call, ENGINE_FAULT_STALLED);
+	else
+		arm_stall_timer(call, call->stall_ms - idle_ms);
+}
+
+/* Puts the member behind the opening brace of the JSON object. */
+static char *body_with_resume(const engine_call_options_t *options, size_t *len)
+{
+	const char *brace = memchr(options->body, '{', options->body_len);
+	size_t head = brace ? brace + 1 - options->body : 0;
+	char *body = g_strdup_printf(
+		"{\"resume_from\":%" PRId64 ",%.*s", options->resume_from,
+		(int)(options->body_len - head), options->body + head);
+
+	*len = strlen(body);
+	return body;
+}
+
+static void start_http(engine_call_t *call,
+		       const engine_call_options_t *options)
+{
+	const char *headers[9] = { "Content-Type", "application/json",
+				   "X-Request-Id", call->request_id };
+	char deadline[16];
+	int count = 4;
+	char *resumed = NULL;
+	http_request_options_t http = {
+		.method = "POST",
+		.address = options->address,
+		.target = "/v1/chat/completions",
+		.headers = headers,
+		.body = options->body,
+		.body_len = options->body_len,
+		.timeout_ms = options->timeout_ms,
+		.fresh_connection = options->once,
+		.on_headers = on_headers,
+		.on_done = on_done,
+		.user_data = call,
+	};
+
+	if (options->version && options->version[0]) {
+		headers[count++] = "X-Model-Version";
+		headers[count++] = options->version;
+	}
+	if (options->timeout_ms > 0) {
+		snprintf(deadline, sizeof(deadline), "%" PRId32,
+			 options->timeout_ms);
+		headers[count++] = "X-Request-Deadline-Ms";
+		headers[count++] = deadline;
+	}
+	if (options->resume_from > 0) {
+		resumed = body_with_resume(options, &http.body_len);
+		http.body = resumed;
+	}
+	if (options->stream)
+		http.on_data = on_data;
+	call->http_call = http_call_start(call->client->http, &http);
+	g_free(resumed);
+}
+
+engine_call_t *engine_call_start(engine_client_t *client,
+				 const engine_call_options_t *options)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+
+	call->client = client;
+	call->request_id = g_strdup(options->request_id);
+	call->stream = options->stream;
+	call->first_token = options->first_token;
+	call->events = options->events;
+	call->done = options->done;
+	call->user_data = options->user_data;
+	call->last_progress_ms = clock_now_ms(client->clock);
+	sse_init(&call->sse);
+	start_http(call, options);
+	if (options->stream && options->stall_ms > 0) {
+		call->stall_ms = options->stall_ms;
+		call->stall_timer =
+			evtimer_new(client->base, on_stall_check, call);
+		arm_stall_timer(call, options->stall_ms);
+	}
+	return call;
+}
+
+void engine_call_cancel(engine_call_t *call)
+{
+	if (!call || call->cancelled)
+		return;
+	call->cancelled = true;
+	http_call_cancel(call->http_call);
+	if (!call->in_callback)
+		call_free(call);
+}
+
+void engine_call_pause(engine_call_t *call, bool pause)
+{
+	if (!call || call->cancelled || call->paused == pause)
+		return;
+	call->paused = pause;
+	call->last_progress_ms = clock_now_ms(call->client->clock);
+	http_call_pause(call->http_call, pause);
+}
--- /dev/null
+++ b/tests/test_engine_client.c
@@ -0,0 +1,251 @@
+#include "backend/engine_client.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "http/http_server.h"
+#include "unit.h"
+
+/* What the engine in this process does with a call. */
+typedef struct script {
+	int status;
+	const char *echo; /* NULL: the call's own id; "": none */
+	const char *events;
+	bool cut; /* close without the final chunk */
+	bool hold; /* send the events, then nothing */
+} script_t;
+
+typedef struct fixture {
+	struct event_base *base;
+	http_client_t *http;
+	http_server_t *server;
+	engine_client_t *client;
+	const script_t *script;
+	char address[32];
+	GString *received;
+	engine_result_t result;
+	int first_tokens;
+	int done;
+	int closed;
+} fixture_t;
+
+static const char finished[] =
+	"data: {\"choices\":[{\"delta\":{\"content\":\"a\"},"
+	"\"finish_reason\":null}]}\n\n"
+	"data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n";
+static const char whole[] =
+	"data: {\"choices\":[{\"delta\":{\"content\":\"a\"},"
+	"\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+
+static void on_peer_closed(http_exchange_t *exchange, void *user_data)
+{
+	((fixture_t *)user_data)->closed++;
+}
+
+static void on_engine_request(http_exchange_t *exchange, void *user_data)
+{
+	fixture_t *f = user_data;
+	const script_t *script = f->script;
+	const char *id = script->echo ? script->echo :
+					http_header(exchange, "X-Request-Id");
+
+	if (id[0])
+		http_reply_header(exchange, "X-Request-Id", id);
+	if (script->status != 200) {
+		http_reply(exchange, script->status, "application/json", "{}",
+			   2);
+		return;
+	}
+	http_on_closed(exchange, on_peer_closed, f);
+	http_stream_start(exchange, 200, "text/event-stream");
+	if (script->events)
+		http_stream_write(exchange, script->events,
+				  strlen(script->events));
+	if (script->cut)
+		http_stream_abort(exchange);
+	else if (!script->hold)
+		http_stream_end(exchange);
+}
+
+static void on_first_token(engine_call_t *call, void *user_data)
+{
+	((fixture_t *)user_data)->first_tokens++;
+}
+
+static void on_events(engine_call_t *call, const char *events, size_t len,
+		      void *user_data)
+{
+	g_string_append_len(((fixture_t *)user_data)->received, events,
+			    (gssize)len);
+}
+
+static void on_done(const engine_result_t *result, void *user_data)
+{
+	fixture_t *f = user_data;
+
+	f->result = *result;
+	f->done++;
+	event_base_loopbreak(f->base);
+}
+
+static void fixture_open(fixture_t *f)
+{
+	http_server_options_t options = { 0 };
+
+	memset(f, 0, sizeof(*f));
+	f->base = event_base_new();
+	f->http = http_client_new(f->base);
+	f->client = engine_client_new(f->base, f->http, clock_system());
+	f->received = g_string_new(NULL);
+	options.base = f->base;
+	options.address = "127.0.0.1";
+	options.handler = on_engine_request;
+	options.user_data = f;
+	f->server = http_server_new(&options, NULL);
+	snprintf(f->address, sizeof(f->address), "127.0.0.1:%u",
+		 http_server_port(f->server));
+}
+
+static void fixture_close(fixture_t *f)
+{
+	engine_client_free(f->client);
+	http_client_free(f->http);
+	http_server_free(f->server);
+	event_base_free(f->base);
+	g_string_free(f->received, TRUE);
+}
+
+static engine_call_t *start(fixture_t *f, const script_t *script)
+{
+	engine_call_options_t options = {
+		.address = f->address,
+		.request_id = "r-1",
+		.body = "{}",
+		.body_len = 2,
+		.stream = true,
+		.stall_ms = 50,
+		.first_token = on_first_token,
+		.events = on_events,
+		.done = on_done,
+		.user_data = f,
+	};
+
+	f->script = script;
+	return engine_call_start(f->client, &options);
+}
+
+/* Each way in which an engine fails must be told apart by what can have run. */
+static void test_outcomes(void)
+{
+	static const struct {
+		script_t script;
+		engine_outcome_t outcome;
+		engine_fault_t fault;
+	} cases[] = {
+		{ { .status = 200, .events = whole },
+		  ENGINE_WHOLE,
+		  ENGINE_FAULT_NONE },
+		{ { .status = 200, .events = finished },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_TRUNCATED },
+		{ { .status = 200, .events = finished, .cut = true },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_TRUNCATED },
+		{ { .status = 200, .cut = true },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_TRUNCATED },
+		{ { .status = 200, .events = finished, .hold = true },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_STALLED },
+		{ { .status = 200, .hold = true },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_STALLED },
+		{ { .status = 200, .echo = "r-2", .events = whole },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_MISMATCH },
+		{ { .status = 200, .echo = "", .events = whole },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_MISMATCH },
+		{ { .status = 503, .echo = "r-2" },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_MISMATCH },
+		{ { .status = 503 }, ENGINE_REFUSED, ENGINE_FAULT_BUSY },
+		{ { .status = 409 }, ENGINE_REFUSED, ENGINE_FAULT_VERSION },
+		{ { .status = 400 }, ENGINE_REFUSED, ENGINE_FAULT_REJECTED },
+		{ { .status = 500 }, ENGINE_MAY_HAVE_RUN, ENGINE_FAULT_ERROR },
+		{ { .status = 504 }, ENGINE_MAY_HAVE_RUN, ENGINE_FAULT_ERROR },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t f;
+
+		fixture_open(&f);
+		start(&f, &cases[i].script);
+		event_base_dispatch(f.base);
+		CU_ASSERT_EQUAL(f.done, 1);
+		CU_ASSERT_EQUAL(f.result.outcome, cases[i].outcome);
+		CU_ASSERT_EQUAL(f.result.fault, cases[i].fault);
+		CU_ASSERT_PTR_NULL(strstr(f.received->str, "[DONE]"));
+		if (f.result.fault == ENGINE_FAULT_MISMATCH)
+			CU_ASSERT_EQUAL(f.received->len, 0);
+		fixture_close(&f);
+	}
+}
+
+/* Nothing listens: the only failure without any doubt about the work. */
+static void test_connection_refused(void)
+{
+	fixture_t f;
+	script_t script = { .status = 200, .events = whole };
+
+	fixture_open(&f);
+	snprintf(f.address, sizeof(f.address), "127.0.0.1:1");
+	start(&f, &script);
+	event_base_dispatch(f.base);
+	CU_ASSERT_EQUAL(f.result.outcome, ENGINE_NOT_SENT);
+	CU_ASSERT_EQUAL(f.result.fault, ENGINE_FAULT_CONNECT);
+	fixture_close(&f);
+}
+
+static void cancel_first(engine_call_t *call, void *user_data)
+{
+	engine_call_cancel(call);
+}
+
+/* The loser of a hedge is cancelled, also inside its own callback. */
+static void test_cancel(void)
+{
+	fixture_t f;
+	script_t script = { .status = 200, .events = finished, .hold = true };
+	engine_call_options_t options = { .request_id = "r-1",
+					  .body = "{}",
+					  .body_len = 2,
+					  .stream = true,
+					  .first_token = cancel_first,
+					  .events = on_events,
+					  .done = on_done,
+					  .user_data = &f };
+
+	fixture_open(&f);
+	options.address = f.address;
+	f.script = &script;
+	engine_call_start(f.client, &options);
+	for (int i = 0; i < 1000 && !f.closed; i++)
+		event_base_loop(f.base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(f.closed, 1);
+	CU_ASSERT_EQUAL(f.done, 0);
+	CU_ASSERT_EQUAL(f.received->len, 0);
+	fixture_close(&f);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "outcomes", test_outcomes },
+		{ "connection refused", test_connection_refused },
+		{ "cancel", test_cancel },
+		{ NULL, NULL },
+	};
+
+	return unit_run("engine_client", tests);
+}
