--- /dev/null
+++ b/src/coord/admission.h
@@ -0,0 +1,86 @@
+#ifndef WASABILINK_COORD_ADMISSION_H
+#define WASABILINK_COORD_ADMISSION_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+
+/*
+ * admission - bounded queue in front of a deployment's runners.
+ *
+ * Order: online before batch; between workspaces start-time fair queueing
+ * (Goyal, Vin and Cheng, 1996) by weight and estimated work; within a
+ * workspace the same between lanes of similar work, so that short requests do
+ * not wait behind long ones and long ones still get their share. Long requests
+ * leave some places free as long as short ones come in.
+ *
+ * A request that would wait too long by the estimate is refused on arrival.
+ * One that has waited too long is given up: admission_expired() returns it, and
+ * the owner answers it at once.
+ */
+typedef struct admission admission_t;
+typedef struct admission_flow admission_flow_t;
+
+typedef enum admission_priority {
+	ADMISSION_ONLINE,
+	ADMISSION_BATCH,
+	ADMISSION_PRIORITIES
+} admission_priority_t;
+
+typedef enum admission_state {
+	ADMISSION_IDLE, /* neither queued nor running */
+	ADMISSION_QUEUED,
+	ADMISSION_RUNNING,
+	ADMISSION_REFUSED
+} admission_state_t;
+
+/* Part of the owner's request; the owner sets the first members. */
+typedef struct admission_ticket {
+	void *owner;
+	admission_priority_t priority;
+	uint32_t work; /* estimated, in tokens, at least 1 */
+	int64_t deadline_us; /* on the monotonic clock; 0: none */
+	/* Private. */
+	admission_state_t state;
+	admission_flow_t *flow;
+	uint32_t lane;
+	bool is_long;
+	int64_t arrived_us;
+	int64_t started_us;
+	int64_t give_up_us;
+	GList link;
+} admission_ticket_t;
+
+typedef struct admission_options {
+	const clock_source_t *clock;
+	uint32_t max_queue;
+	int64_t max_wait_us;
+} admission_options_t;
+
+admission_t *admission_new(const admission_options_t *options);
+/* No ticket may be queued or running. */
+void admission_free(admission_t *admission);
+
+/* Number of requests that run at the same time. */
+void admission_set_capacity(admission_t *admission, uint32_t capacity);
+uint32_t admission_running(const admission_t *admission);
+uint32_t admission_queued(const admission_t *admission);
+
+/*
+ * Takes a request: RUNNING, QUEUED or REFUSED. After REFUSED *retry_after_ms
+ * is the estimated wait.
+ */
+admission_state_t admission_offer(admission_t *admission,
+				  admission_ticket_t *ticket,
+				  const char *workspace, double weight,
+				  int64_t *retry_after_ms);
+/* Ends a running ticket or takes a queued one out of the queue. */
+void admission_release(admission_t *admission, admission_ticket_t *ticket);
+/* The next ticket that may run now, already counted as running, or NULL. */
+admission_ticket_t *admission_next(admission_t *admission);
+/* A ticket that is given up, already taken out of the queue, or NULL. */
+admission_ticket_t *admission_expired(admission_t *admission);
+
+#endif
--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,267 @@
+#include "coord/admission.h"
+
+#include <string.h>
+
+#include "unit.h"
+
+static clock_manual_t clock_manual;
+
+static admission_t *open_admission(uint32_t capacity, uint32_t max_queue)
+{
+	admission_options_t options = { .clock = &clock_manual.base,
+					.max_queue = max_queue,
+					.max_wait_us = 1000000 };
+	admission_t *admission;
+
+	clock_manual_init(&clock_manual, 0);
+	admission = admission_new(&options);
+	admission_set_capacity(admission, capacity);
+	return admission;
+}
+
+static admission_state_t offer(admission_t *admission,
+			       admission_ticket_t *ticket,
+			       admission_priority_t priority,
+			       const char *workspace, uint32_t work)
+{
+	int64_t retry_ms;
+
+	memset(ticket, 0, sizeof(*ticket));
+	ticket->priority = priority;
+	ticket->work = work;
+	return admission_offer(admission, ticket, workspace,
+			       strcmp(workspace, "heavy") == 0 ? 3 : 1,
+			       &retry_ms);
+}
+
+static void test_online_before_batch(void)
+{
+	admission_t *admission = open_admission(1, 10);
+	admission_ticket_t first;
+	admission_ticket_t batch;
+	admission_ticket_t online;
+
+	CU_ASSERT_EQUAL(offer(admission, &first, ADMISSION_ONLINE, "a", 16),
+			ADMISSION_RUNNING);
+	CU_ASSERT_EQUAL(offer(admission, &batch, ADMISSION_BATCH, "a", 16),
+			ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(offer(admission, &online, ADMISSION_ONLINE, "a", 16),
+			ADMISSION_QUEUED);
+	CU_ASSERT_PTR_NULL(admission_next(admission));
+	admission_release(admission, &first);
+	CU_ASSERT_PTR_EQUAL(admission_next(admission), &online);
+	admission_release(admission, &online);
+	CU_ASSERT_PTR_EQUAL(admission_next(admission), &batch);
+	admission_release(admission, &batch);
+	admission_free(admission);
+}
+
+/* Runs the queue one after the other; counts how many of a range ran first. */
+static int count_first(admission_t *admission, admission_ticket_t *running,
+		       const admission_ticket_t *range, size_t len, int steps)
+{
+	int count = 0;
+
+	admission_release(admission, running);
+	for (int i = 0; i < steps; i++) {
+		admission_ticket_t *next = admission_next(admission);
+
+		count += next >= range && next < range + len;
+		admission_release(admission, next);
+	}
+	return count;
+}
+
+/* A workspace that floods the queue must not crowd out the others. */
+static void test_weighted_fairness(void)
+{
+	admission_t *admission = open_admission(1, 1000);
+	admission_ticket_t first;
+	admission_ticket_t flood[100];
+	admission_ticket_t heavy[100];
+	int count;
+
+	offer(admission, &first, ADMISSION_ONLINE, "a", 16);
+	for (int i = 0; i < 100; i++)
+		offer(admission, &flood[i], ADMISSION_ONLINE, "a", 16);
+	for (int i = 0; i < 100; i++)
+		offer(admission, &heavy[i], ADMISSION_ONLINE, "heavy", 16);
+	count = count_first(admission, &first, heavy, 100, 80);
+	CU_ASSERT(count >= 58);
+	CU_ASSERT(count <= 62);
+	for (int i = 0; i < 100; i++) {
+		admission_release(admission, &flood[i]);
+		admission_release(admission, &heavy[i]);
+	}
+	admission_free(admission);
+}
+
+/* Short work must pass waiting long work, which must still get its turn. */
+static void test_short_beside_long(void)
+{
+	admission_t *admission = open_admission(1, 1000);
+	admission_ticket_t first;
+	admission_ticket_t longs[10];
+	admission_ticket_t shorts[200];
+	int count;
+
+	offer(admission, &first, ADMISSION_ONLINE, "a", 16);
+	for (int i = 0; i < 10; i++)
+		offer(admission, &longs[i], ADMISSION_ONLINE, "a", 800);
+	for (int i = 0; i < 200; i++)
+		offer(admission, &shorts[i], ADMISSION_ONLINE, "a", 16);
+	count = count_first(admission, &first, longs, 10, 105);
+	CU_ASSERT(count >= 2);
+	CU_ASSERT(count <= 3);
+	for (int i = 0; i < 10; i++)
+		admission_release(admission, &longs[i]);
+	for (int i = 0; i < 200; i++)
+		admission_release(admission, &shorts[i]);
+	admission_free(admission);
+}
+
+/* Long requests must not take every place while short ones come in. */
+static void test_places_for_short(void)
+{
+	admission_t *admission = open_admission(8, 1000);
+	admission_ticket_t usual;
+	admission_ticket_t longs[8];
+	admission_ticket_t short_one;
+
+	offer(admission, &usual, ADMISSION_ONLINE, "a", 16);
+	admission_release(admission, &usual);
+	for (int i = 0; i < 8; i++)
+		CU_ASSERT_EQUAL(
+			offer(admission, &longs[i], ADMISSION_ONLINE, "a", 800),
+			i < 6 ? ADMISSION_RUNNING : ADMISSION_QUEUED);
+	CU_ASSERT_PTR_NULL(admission_next(admission));
+	offer(admission, &short_one, ADMISSION_ONLINE, "a", 16);
+	if (short_one.state == ADMISSION_QUEUED)
+		CU_ASSERT_PTR_EQUAL(admission_next(admission), &short_one);
+	CU_ASSERT_EQUAL(short_one.state, ADMISSION_RUNNING);
+	/* Without short ones the places must not stay empty. */
+	clock_manual_advance_ms(&clock_manual, 2000);
+	CU_ASSERT_PTR_NOT_NULL(admission_next(admission));
+	admission_release(admission, &short_one);
+	for (int i = 0; i < 8; i++)
+		admission_release(admission, &longs[i]);
+	admission_free(admission);
+}
+
+/* Waiting requests must be given up on time, and not before. */
+static void test_expiry(void)
+{
+	admission_t *admission = open_admission(1, 10);
+	admission_ticket_t first;
+	admission_ticket_t waiting;
+
+	offer(admission, &first, ADMISSION_ONLINE, "a", 16);
+	offer(admission, &waiting, ADMISSION_ONLINE, "a", 16);
+	clock_manual_advance_ms(&clock_manual, 999);
+	CU_ASSERT_PTR_NULL(admission_expired(admission));
+	clock_manual_advance_ms(&clock_manual, 1);
+	CU_ASSERT_PTR_EQUAL(admission_expired(admission), &waiting);
+	CU_ASSERT_PTR_NULL(admission_expired(admission));
+	CU_ASSERT_EQUAL(admission_queued(admission), 0);
+	admission_release(admission, &first);
+	admission_free(admission);
+}
+
+/* Under overload the refusal must come on arrival, not after the wait. */
+static void test_early_refusal(void)
+{
+	admission_t *admission = open_admission(1, 1000);
+	admission_ticket_t tickets[100];
+	int refused = 0;
+
+	offer(admission, &tickets[0], ADMISSION_ONLINE, "a", 16);
+	clock_manual_advance_ms(&clock_manual, 100);
+	admission_release(admission, &tickets[0]);
+	for (int i = 0; i < 100; i++)
+		refused += offer(admission, &tickets[i], ADMISSION_ONLINE, "a",
+				 16) == ADMISSION_REFUSED;
+	/* At 100 ms each, about ten fit into the second. */
+	CU_ASSERT(refused >= 87);
+	CU_ASSERT(refused <= 91);
+	for (int i = 0; i < 100; i++)
+		admission_release(admission, &tickets[i]);
+	admission_free(admission);
+}
+
+/* A full queue must not refuse the workspace that has nothing in it. */
+static void test_full_queue_is_shared(void)
+{
+	admission_t *admission = open_admission(1, 10);
+	admission_ticket_t first;
+	admission_ticket_t flood[11];
+	admission_ticket_t other;
+
+	offer(admission, &first, ADMISSION_ONLINE, "a", 16);
+	for (int i = 0; i < 11; i++)
+		CU_ASSERT_EQUAL(
+			offer(admission, &flood[i], ADMISSION_ONLINE, "a", 16),
+			i < 10 ? ADMISSION_QUEUED : ADMISSION_REFUSED);
+	CU_ASSERT_EQUAL(offer(admission, &other, ADMISSION_ONLINE, "b", 16),
+			ADMISSION_QUEUED);
+	CU_ASSERT_EQUAL(admission_expired(admission)->flow, flood[0].flow);
+	CU_ASSERT_EQUAL(admission_queued(admission), 10);
+	admission_release(admission, &first);
+	for (int i = 0; i < 11; i++)
+		admission_release(admission, &flood[i]);
+	admission_release(admission, &other);
+	admission_free(admission);
+}
+
+/* Every ticket must end once: the counts must return to zero. */
+static void test_random_sequence(void)
+{
+	admission_t *admission = open_admission(4, 50);
+	admission_ticket_t *tickets = g_new0(admission_ticket_t, 200);
+	GRand *random = g_rand_new_with_seed(42);
+	static const char *const names[] = { "a", "b", "heavy" };
+
+	for (int step = 0; step < 20000; step++) {
+		admission_ticket_t *ticket =
+			&tickets[g_rand_int_range(random, 0, 200)];
+
+		if (ticket->state == ADMISSION_IDLE ||
+		    ticket->state == ADMISSION_REFUSED)
+			offer(admission, ticket, g_rand_int_range(random, 0, 2),
+			      names[g_rand_int_range(random, 0, 3)],
+			      1U << g_rand_int_range(random, 0, 16));
+		else
+			admission_release(admission, ticket);
+		clock_manual_advance_ms(&clock_manual,
+					g_rand_int_range(random, 0, 3));
+		while (admission_next(admission))
+			;
+		while (admission_expired(admission))
+			;
+		CU_ASSERT_FATAL(admission_running(admission) <= 4);
+		CU_ASSERT_FATAL(admission_queued(admission) <= 51);
+	}
+	for (int i = 0; i < 200; i++)
+		admission_release(admission, &tickets[i]);
+	CU_ASSERT_EQUAL(admission_running(admission), 0);
+	CU_ASSERT_EQUAL(admission_queued(admission), 0);
+	g_rand_free(random);
+	g_free(tickets);
+	admission_free(admission);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "online before batch", test_online_before_batch },
+		{ "weighted fairness", test_weighted_fairness },
+		{ "short beside long", test_short_beside_long },
+		{ "places for short", test_places_for_short },
+		{ "expiry", test_expiry },
+		{ "early refusal", test_early_refusal },
+		{ "full queue is shared", test_full_queue_is_shared },
+		{ "random sequence", test_random_sequence },
+		{ NULL, NULL },
+	};
+
+	return unit_run("admission", tests);
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,343 @@
+#include "coord/route.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "unit.h"
+
+#define RUNNERS 10
+
+static clock_manual_t clock_manual;
+static GRand *rng;
+static route_candidate_t candidates[RUNNERS];
+static char addresses[RUNNERS][24];
+
+static route_t *open_route(const char *policy, uint32_t local)
+{
+	route_options_t options = { .clock = &clock_manual.base,
+				    .node = "entry-1",
+				    .domain = "here",
+				    .policy = policy,
+				    .subset = 16,
+				    .min_local = 3 };
+	route_t *route;
+
+	clock_manual_init(&clock_manual, 0);
+	clock_manual_advance_ms(&clock_manual, 1000);
+	if (rng)
+		g_rand_free(rng);
+	rng = g_rand_new_with_seed(7);
+	options.random = rng;
+	route = route_new(&options);
+	for (uint32_t i = 0; i < RUNNERS; i++) {
+		snprintf(addresses[i], sizeof(addresses[i]), "10.0.0.%u:1", i);
+		candidates[i].address = addresses[i];
+		candidates[i].domain = i < local ? "here" : "there";
+	}
+	route_update(route, candidates, RUNNERS);
+	return route;
+}
+
+static route_runner_t *choose(route_t *route)
+{
+	route_request_t request = { 0 };
+
+	return route_choose(route, &request);
+}
+
+/* One request that takes the given time. */
+static void run_one(route_t *route, route_runner_t *runner, int64_t ms)
+{
+	route_call_t call;
+
+	route_begin(route, &call, runner, 0);
+	clock_manual_advance_ms(&clock_manual, ms);
+	route_answered(route, &call);
+	route_finish(route, &call, ROUTE_END_ANSWERED, 0);
+}
+
+static void warm_up(route_t *route)
+{
+	for (int round = 0; round < 20; round++)
+		for (guint i = 0; i < route_runners(route)->len; i++)
+			run_one(route, route_runners(route)->pdata[i], 20);
+}
+
+static void test_subset(void)
+{
+	route_t *route = open_route(NULL, 4);
+
+	CU_ASSERT_EQUAL(route_subset(route)->len, 4);
+	for (guint i = 0; i < 4; i++) {
+		const route_runner_t *runner = route_subset(route)->pdata[i];
+
+		CU_ASSERT_STRING_EQUAL(runner->domain, "here");
+	}
+	route_free(route);
+	/* Too few in the domain: others join. */
+	route = open_route(NULL, 1);
+	CU_ASSERT_EQUAL(route_subset(route)->len, 3);
+	route_free(route);
+}
+
+static void test_spill_when_full(void)
+{
+	route_t *route = open_route(NULL, 3);
+	route_call_t calls[6];
+
+	for (guint i = 0; i < RUNNERS; i++)
+		route_report(route, route_runners(route)->pdata[i], 0, 0, 2);
+	CU_ASSERT_EQUAL(route_capacity(route, 8, 1), 20);
+	for (int i = 0; i < 6; i++) {
+		route_runner_t *runner = choose(route);
+
+		CU_ASSERT_STRING_EQUAL(runner->domain, "here");
+		CU_ASSERT(runner->in_flight < 2);
+		route_begin(route, &calls[i], runner, 0);
+	}
+	CU_ASSERT_STRING_EQUAL(choose(route)->domain, "there");
+	for (int i = 0; i < 6; i++)
+		route_finish(route, &calls[i], ROUTE_END_NEUTRAL, 0);
+	route_free(route);
+}
+
+/* The load report of a straggler is late; its unanswered requests are not. */
+static void test_straggler_is_avoided_before_it_answers(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_runner_t *slow = route_runners(route)->pdata[0];
+	route_call_t stuck;
+
+	warm_up(route);
+	route_begin(route, &stuck, slow, 0);
+	clock_manual_advance_ms(&clock_manual, 100);
+	for (int i = 0; i < 50; i++) {
+		route_runner_t *runner = choose(route);
+
+		CU_ASSERT_PTR_NOT_EQUAL(runner, slow);
+		run_one(route, runner, 0);
+	}
+	route_finish(route, &stuck, ROUTE_END_NEUTRAL, 0);
+	route_free(route);
+}
+
+/* Ejected for a growing time, then probed by one request at a time. */
+static void test_ejection_and_probe(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_runner_t *slow = route_runners(route)->pdata[0];
+	int64_t first_wait;
+	route_call_t probe;
+
+	warm_up(route);
+	run_one(route, slow, 200);
+	first_wait = slow->blocked_until_us - clock_now_us(&clock_manual.base);
+	CU_ASSERT(first_wait > 0);
+	clock_manual_advance_ms(&clock_manual, first_wait / 1000 + 1);
+	route_begin(route, &probe, slow, 0);
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_PTR_NOT_EQUAL(choose(route), slow);
+	clock_manual_advance_ms(&clock_manual, 200);
+	route_answered(route, &probe);
+	route_finish(route, &probe, ROUTE_END_ANSWERED, 0);
+	CU_ASSERT(slow->blocked_until_us - clock_now_us(&clock_manual.base) >
+		  first_wait);
+	clock_manual_advance_ms(&clock_manual, 5000);
+	run_one(route, slow, 20);
+	CU_ASSERT_FALSE(slow->on_probation);
+	CU_ASSERT(slow->blocked_until_us <= clock_now_us(&clock_manual.base));
+	route_free(route);
+}
+
+/* When all become slow together, none is an outlier. */
+static void test_no_ejection_when_all_are_slow(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	int64_t at_us;
+	uint32_t blocked = 0;
+
+	warm_up(route);
+	for (int round = 0; round < 20; round++)
+		for (guint i = 0; i < RUNNERS; i++)
+			run_one(route, route_runners(route)->pdata[i], 200);
+	at_us = clock_now_us(&clock_manual.base);
+	for (guint i = 0; i < RUNNERS; i++) {
+		const route_runner_t *runner = route_runners(route)->pdata[i];
+
+		blocked += runner->blocked_until_us > at_us;
+	}
+	CU_ASSERT(blocked <= 4);
+	CU_ASSERT_PTR_NOT_NULL(choose(route));
+	route_free(route);
+}
+
+/* A runner that fails fast has little in flight and must not attract work;
+ * when all fail alike, none may be taken out. */
+static void test_failing_runner(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_runner_t *bad = route_runners(route)->pdata[0];
+	route_call_t call;
+	int to_bad = 0;
+
+	warm_up(route);
+	for (int i = 0; i < 200; i++) {
+		route_runner_t *runner = choose(route);
+
+		to_bad += runner == bad;
+		route_begin(route, &call, runner, 0);
+		clock_manual_advance_ms(&clock_manual, 1);
+		if (runner != bad)
+			route_answered(route, &call);
+		route_finish(route, &call,
+			     runner == bad ? ROUTE_END_FAILED :
+					     ROUTE_END_ANSWERED,
+			     0);
+	}
+	CU_ASSERT(to_bad <= 12);
+	clock_manual_advance_ms(&clock_manual, 60000);
+	for (int round = 0; round < 10; round++) {
+		for (guint i = 0; i < RUNNERS; i++) {
+			route_begin(route, &call,
+				    route_runners(route)->pdata[i], 0);
+			route_finish(route, &call, ROUTE_END_FAILED, 0);
+		}
+	}
+	CU_ASSERT_PTR_NOT_NULL(choose(route));
+	route_free(route);
+}
+
+/* The VM list lags: a runner that refused must get nothing new at once. */
+static void test_refusal(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_runner_t *runner = choose(route);
+	route_call_t call;
+
+	route_begin(route, &call, runner, 0);
+	route_finish(route, &call, ROUTE_END_REFUSED, 2000);
+	route_update(route, candidates, RUNNERS);
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_PTR_NOT_EQUAL(choose(route), runner);
+	clock_manual_advance_ms(&clock_manual, 1999);
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_PTR_NOT_EQUAL(choose(route), runner);
+	route_free(route);
+}
+
+static void test_all_refused(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_runner_t *runner;
+	route_call_t call;
+
+	while ((runner = choose(route))) {
+		route_begin(route, &call, runner, 0);
+		route_finish(route, &call, ROUTE_END_REFUSED, 0);
+	}
+	clock_manual_advance_ms(&clock_manual, 600);
+	CU_ASSERT_PTR_NOT_NULL(choose(route));
+	route_free(route);
+}
+
+/* Requests in flight on a runner that left the list must end safely. */
+static void test_leaving(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_runner_t *runner = choose(route);
+	route_call_t call;
+	char *address = g_strdup(runner->address);
+
+	route_begin(route, &call, runner, 0);
+	route_update(route, NULL, 0);
+	CU_ASSERT_PTR_NULL(choose(route));
+	CU_ASSERT_EQUAL(route_runners(route)->len, 1);
+	CU_ASSERT_STRING_EQUAL(call.runner->address, address);
+	route_finish(route, &call, ROUTE_END_ANSWERED, 0);
+	route_update(route, NULL, 0);
+	CU_ASSERT_EQUAL(route_runners(route)->len, 0);
+	g_free(address);
+	route_free(route);
+}
+
+static void test_prefix_affinity_yields_to_load(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	route_request_t request = { .prefix_hash = 12345 };
+	route_runner_t *preferred = route_choose(route, &request);
+	route_call_t calls[8];
+
+	for (int i = 0; i < 20; i++)
+		CU_ASSERT_PTR_EQUAL(route_choose(route, &request), preferred);
+	for (int i = 0; i < 8; i++)
+		route_begin(route, &calls[i], preferred, 0);
+	CU_ASSERT_PTR_NOT_EQUAL(route_choose(route, &request), preferred);
+	for (int i = 0; i < 8; i++)
+		route_finish(route, &calls[i], ROUTE_END_NEUTRAL, 0);
+	route_free(route);
+}
+
+/* A retry must go elsewhere. */
+static void test_exclusion(void)
+{
+	route_t *route = open_route(NULL, RUNNERS);
+	const route_runner_t *tried[RUNNERS];
+	route_request_t request = { .exclude = tried };
+
+	while (request.exclude_count < RUNNERS) {
+		const route_runner_t *runner = route_choose(route, &request);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(runner);
+		for (uint32_t i = 0; i < request.exclude_count; i++)
+			CU_ASSERT_PTR_NOT_EQUAL(tried[i], runner);
+		tried[request.exclude_count++] = runner;
+	}
+	CU_ASSERT_PTR_NULL(route_choose(route, &request));
+	route_free(route);
+}
+
+static void test_policies(void)
+{
+	static const char *const names[] = { "observed", "random",
+					     "round-robin", "least-reported" };
+
+	CU_ASSERT_FALSE(route_policy_exists("best"));
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		route_t *route = open_route(names[i], RUNNERS);
+		int used[RUNNERS] = { 0 };
+
+		CU_ASSERT_TRUE(route_policy_exists(names[i]));
+		for (int j = 0; j < 500; j++) {
+			const route_runner_t *runner = choose(route);
+
+			used[runner->address[7] - '0']++;
+		}
+		for (int j = 0; j < RUNNERS; j++)
+			CU_ASSERT(used[j] > 20);
+		route_free(route);
+	}
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "subset", test_subset },
+		{ "spill when full", test_spill_when_full },
+		{ "straggler is avoided before it answers",
+		  test_straggler_is_avoided_before_it_answers },
+		{ "ejection and probe", test_ejection_and_probe },
+		{ "no ejection when all are slow",
+		  test_no_ejection_when_all_are_slow },
+		{ "failing runner", test_failing_runner },
+		{ "refusal", test_refusal },
+		{ "all refused", test_all_refused },
+		{ "leaving", test_leaving },
+		{ "prefix affinity yields to load",
+		  test_prefix_affinity_yields_to_load },
+		{ "exclusion", test_exclusion },
+		{ "policies", test_policies },
+		{ NULL, NULL },
+	};
+
+	return unit_run("route", tests);
+}
