--- /dev/null
+++ b/src/http/multipart.h
@@ -0,0 +1,29 @@
+#ifndef WASABILINK_HTTP_MULTIPART_H
+#define WASABILINK_HTTP_MULTIPART_H
+
+#include <glib.h>
+#include <stddef.h>
+
+/*
+ * multipart - fields of a multipart/form-data body (RFC 7578) held in memory.
+ *
+ * Strict: CRLF line ends, no preamble, a closing delimiter, one
+ * Content-Disposition per field. Data points into the body.
+ */
+#define MULTIPART_MAX_FIELDS 16
+
+typedef struct multipart_field {
+	char *name;
+	char *file_name; /* NULL for a plain field */
+	const char *data;
+	size_t len;
+} multipart_field_t;
+
+/* Returns an array of multipart_field_t to be freed by multipart_free().
+ * Errors: WL_ERROR_INVALID. */
+GArray *multipart_parse(const char *content_type, const char *body, size_t len,
+			GError **error);
+void multipart_free(GArray *fields);
+const multipart_field_t *multipart_find(const GArray *fields, const char *name);
+
+#endif
