Complete the platform stand-in: stale watches, slow answers, partitions

Cause: tests of failures need a store that answers stale or slowly, cuts off one domain, and tells how many calls of each kind it took.

Change: platform_standin is split into standin_fault, standin_stats, standin_answer and standin_watch. GET /stats counts each kind with its highest second. Bad faults and versions are refused.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -128,10 +128,14 @@
         self.processes.append(process)
         return process
 
-    def start_platform(self, *args):
-        port = free_ports(1)[0]
+    def start_platform(self, *args, domains=()):
+        """Gives each of the domains a port, for fault(block=[port])."""
+        port, *more = free_ports(1 + len(domains))
+        if more:
+            args = (*args, "--more-ports", ",".join(map(str, more)))
         self.platform = self.spawn(
-            "platform", ["platform", "--port", str(port), *args], port)
+            "platform", ["platform", "--port", str(port), *args], port,
+            info=dict(zip(domains, more)))
         wait_for(lambda: reachable(port, "/stats"), "the platform stand-in")
         return self.platform
 
@@ -161,7 +165,7 @@
             ["entry", "--node-id", name, "--domain", domain,
              "--port", str(port), "--operator-port", str(operator_port),
              "--peer-port", str(peer_port),
-             "--platform", f"127.0.0.1:{self.platform.port}", *args],
+             "--platform", f"127.0.0.1:{self.platform_port(domain)}", *args],
             port, operator_port=operator_port, peer_port=peer_port)
         entry.info["domain"] = domain
         self.vms.append({"address": f"127.0.0.1:{peer_port}", "role": "entry",
@@ -171,6 +175,9 @@
             self.wait_ready(entry)
         return entry
 
+    def platform_port(self, domain):
+        return self.platform.info.get(domain, self.platform.port)
+
     def wait_ready(self, entry):
         wait_for(lambda: reachable(entry.operator_port, "/readyz"),
                  entry.name + " to be ready")
--- a/src/emulator/platform_standin.c
+++ b/src/emulator/platform_standin.c
@@ -7,273 +7,65 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "base/setting.h"
+#include "emulator/standin_answer.h"
+#include "emulator/standin_fault.h"
+#include "emulator/standin_stats.h"
+#include "emulator/standin_watch.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
 #include "platform/object_table.h"
 
 #define DEFAULT_LIST_LIMIT 1000
-#define MAX_WATCH_MS 60000
-
-/* Token bucket over one second of the rate. */
-typedef struct rate {
-	double per_s; /* 0: unlimited */
-	double tokens;
-	int64_t updated_us;
-} rate_t;
 
 typedef struct standin {
 	struct event_base *base;
 	object_table_t *table;
-	GQueue watches; /* watch_t */
+	standin_watches_t *watches;
+	standin_held_t *held;
+	standin_fault_t fault;
+	standin_stats_t stats;
 	json_t *vms; /* array as set */
 	json_t *shown_vms; /* array as listed, after the lag */
 	struct event *vms_event;
-	GRand *random;
-	rate_t writes;
-	rate_t reads;
-	int64_t outage_until_ms;
-	int64_t delay_ms;
-	double lose_answers;
-	int64_t list_lag_ms;
-	int64_t write_count;
-	int64_t read_count;
-	int64_t watch_count;
-	int64_t rejected_count;
-	int64_t peak_writes_per_s;
-	int64_t second_start_ms;
-	int64_t second_writes;
 } standin_t;
 
-typedef struct watch {
-	standin_t *standin;
-	http_exchange_t *exchange;
-	struct event *timer;
-	char *prefix;
-	uint64_t since;
-} watch_t;
-
-/* An answer that is delayed, or lost by closing the connection. */
-typedef struct delayed_answer {
+/* One listen port. */
+typedef struct standin_port {
 	standin_t *standin;
-	http_exchange_t *exchange;
-	struct event *timer;
-	int status;
-	uint64_t version;
-	char *writer;
-	GBytes *body;
-	const char *content_type;
-	gboolean lost;
-} delayed_answer_t;
-
-static int64_t now_ms(void)
-{
-	return clock_now_ms(clock_system());
-}
-
-static gboolean rate_take(rate_t *rate)
-{
-	int64_t now = clock_now_us(clock_system());
-
-	if (rate->per_s <= 0)
-		return TRUE;
-	rate->tokens += (double)(now - rate->updated_us) / 1e6 * rate->per_s;
-	rate->updated_us = now;
-	if (rate->tokens > rate->per_s)
-		rate->tokens = rate->per_s;
-	if (rate->tokens < 1)
-		return FALSE;
-	rate->tokens -= 1;
-	return TRUE;
-}
-
-static void answer_send(delayed_answer_t *answer)
-{
-	char version[24];
-	gsize len;
-	const void *data = g_bytes_get_data(answer->body, &len);
-
-	if (answer->lost) {
-		http_stream_abort(answer->exchange);
-		return;
-	}
-	if (answer->version) {
-		snprintf(version, sizeof(version), "%" PRIu64, answer->version);
-		http_reply_header(answer->exchange, "X-Object-Version",
-				  version);
-	}
-	if (answer->writer)
-		http_reply_header(answer->exchange, "X-Object-Writer",
-				  answer->writer);
-	if (answer->status == 429 || answer->status == 503)
-		http_reply_header(answer->exchange, "Retry-After", "1");
-	http_reply(answer->exchange, answer->status, answer->content_type, data,
-		   len);
-}
-
-static void answer_free(delayed_answer_t *answer)
-{
-	if (answer->timer)
-		event_free(answer->timer);
-	g_free(answer->writer);
-	g_bytes_unref(answer->body);
-	g_free(answer);
-}
-
-static void on_answer_due(evutil_socket_t fd, short events, void *arg)
-{
-	delayed_answer_t *answer = arg;
-
-	if (answer->exchange)
-		answer_send(answer);
-	answer_free(answer);
-}
-
-static void on_answer_closed(http_exchange_t *exchange, void *user_data)
-{
-	((delayed_answer_t *)user_data)->exchange = NULL;
-}
+	http_server_t *server;
+} standin_port_t;
 
 static void reply(standin_t *standin, http_exchange_t *exchange, int status,
 		  const table_object_t *object, const char *body)
 {
-	delayed_answer_t *answer = g_new0(delayed_answer_t, 1);
-	struct timeval delay = { standin->delay_ms / 1000,
-				 standin->delay_ms % 1000 * 1000 };
-
-	answer->standin = standin;
-	answer->exchange = exchange;
-	answer->status = status;
-	answer->content_type = "application/octet-stream";
-	if (object) {
-		answer->version = object->version;
-		answer->writer = g_strdup(object->writer);
-	}
-	if (object && !body) {
-		answer->body = g_bytes_ref(object->data);
-	} else {
-		answer->content_type = "application/json";
-		answer->body = g_bytes_new(body ? body : "{}",
-					   strlen(body ? body : "{}"));
-	}
-	answer->lost = standin->lose_answers > 0 &&
-		       g_rand_double(standin->random) < standin->lose_answers;
-	if (standin->delay_ms == 0) {
-		answer_send(answer);
-		answer_free(answer);
-		return;
-	}
-	http_on_closed(exchange, on_answer_closed, answer);
-	answer->timer = evtimer_new(standin->base, on_answer_due, answer);
-	evtimer_add(answer->timer, &delay);
-}
-
-static void append_change(const table_change_t *change, void *user_data)
-{
-	json_array_append_new(user_data,
-			      json_pack("{s:s, s:I, s:b}", "key", change->key,
-					"version", (json_int_t)change->revision,
-					"deleted", change->deleted));
-}
-
-static char *dump_and_free(json_t *root)
-{
-	char *text = json_dumps(root, JSON_COMPACT);
+	const standin_answer_t answer = {
+		.status = status,
+		.object = object,
+		.body = body,
+		.body_len = body ? strlen(body) : 0,
+	};
 
-	json_decref(root);
-	return text;
+	standin_answer_send(standin->base, &standin->fault, exchange, &answer);
 }
 
-static void watch_free(watch_t *watch)
+static void reply_json(standin_t *standin, http_exchange_t *exchange,
+		       json_t *root)
 {
-	g_queue_remove(&watch->standin->watches, watch);
-	event_free(watch->timer);
-	g_free(watch->prefix);
-	g_free(watch);
+	standin_answer_json(standin->base, &standin->fault, exchange, 200,
+			    root);
 }
 
-/* Answers when there are changes or at the end of its time. */
-static gboolean watch_answer(watch_t *watch, gboolean timed_out)
+/* Answers an operation of the stand-in itself, which no fault concerns. */
+static void control_reply(http_exchange_t *exchange, int status, json_t *root)
 {
-	standin_t *standin = watch->standin;
-	json_t *events = json_array();
-	char *text;
+	char *text = json_dumps(root, JSON_COMPACT);
 
-	if (!object_table_changes(standin->table, watch->prefix, watch->since,
-				  append_change, events)) {
-		json_decref(events);
-		reply(standin, watch->exchange, 410, NULL, NULL);
-		return TRUE;
-	}
-	if (json_array_size(events) == 0 && !timed_out) {
-		json_decref(events);
-		return FALSE;
-	}
-	text = dump_and_free(
-		json_pack("{s:I, s:o}", "revision",
-			  (json_int_t)object_table_revision(standin->table),
-			  "events", events));
-	reply(standin, watch->exchange, 200, NULL, text);
+	http_reply(exchange, status, "application/json", text, strlen(text));
 	free(text);
-	return TRUE;
-}
-
-static void on_watch_timeout(evutil_socket_t fd, short events, void *arg)
-{
-	watch_t *watch = arg;
-
-	watch_answer(watch, TRUE);
-	watch_free(watch);
-}
-
-static void on_watch_closed(http_exchange_t *exchange, void *user_data)
-{
-	watch_free(user_data);
-}
-
-static void notify_watches(standin_t *standin, const char *key)
-{
-	GList *link = standin->watches.head;
-
-	while (link) {
-		watch_t *watch = link->data;
-
-		link = link->next;
-		if (g_str_has_prefix(key, watch->prefix)) {
-			http_on_closed(watch->exchange, NULL, NULL);
-			watch_answer(watch, TRUE);
-			watch_free(watch);
-		}
-	}
-}
-
-static void handle_watch(standin_t *standin, http_exchange_t *exchange)
-{
-	const char *prefix = http_query(exchange, "prefix");
-	const char *since = http_query(exchange, "since");
-	const char *timeout = http_query(exchange, "timeout_ms");
-	int64_t timeout_ms = timeout ? g_ascii_strtoll(timeout, NULL, 10) : 0;
-	watch_t *watch = g_new0(watch_t, 1);
-	struct timeval tv;
-
-	timeout_ms = CLAMP(timeout_ms, 0, MAX_WATCH_MS);
-	tv = (struct timeval){ timeout_ms / 1000, timeout_ms % 1000 * 1000 };
-	standin->watch_count++;
-	watch->standin = standin;
-	watch->exchange = exchange;
-	watch->prefix = g_strdup(prefix ? prefix : "");
-	watch->since = since ? g_ascii_strtoull(since, NULL, 10) : 0;
-	watch->timer = evtimer_new(standin->base, on_watch_timeout, watch);
-	if (watch_answer(watch, timeout_ms == 0)) {
-		watch_free(watch);
-		return;
-	}
-	g_queue_push_tail(&standin->watches, watch);
-	http_on_closed(exchange, on_watch_closed, watch);
-	evtimer_add(watch->timer, &tv);
+	json_decref(root);
 }
 
 static void append_object(const char *key, const table_object_t *object,
@@ -290,18 +82,15 @@
 	const char *after = http_query(exchange, "after");
 	const char *limit = http_query(exchange, "limit");
 	json_t *objects = json_array();
-	char *text;
 
 	object_table_list(standin->table, prefix ? prefix : "", after,
 			  limit ? (uint32_t)g_ascii_strtoull(limit, NULL, 10) :
 				  DEFAULT_LIST_LIMIT,
 			  append_object, objects);
-	text = dump_and_free(
-		json_pack("{s:I, s:o}", "revision",
-			  (json_int_t)object_table_revision(standin->table),
-			  "objects", objects));
-	reply(standin, exchange, 200, NULL, text);
-	free(text);
+	reply_json(standin, exchange,
+		   json_pack("{s:I, s:o}", "revision",
+			     (json_int_t)object_table_revision(standin->table),
+			     "objects", objects));
 }
 
 static void handle_put(standin_t *standin, http_exchange_t *exchange,
@@ -323,7 +112,7 @@
 	}
 	reply(standin, exchange, 200, object_table_get(standin->table, key),
 	      "{}");
-	notify_watches(standin, key);
+	standin_watches_notify(standin->watches, key);
 }
 
 static void handle_delete(standin_t *standin, http_exchange_t *exchange,
@@ -340,34 +129,30 @@
 		return;
 	}
 	reply(standin, exchange, 200, NULL, NULL);
-	notify_watches(standin, key);
+	standin_watches_notify(standin->watches, key);
 }
 
 static void handle_object(standin_t *standin, http_exchange_t *exchange,
-			  const char *method, const char *key)
+			  standin_kind_t kind, const char *key)
 {
 	const char *match = http_header(exchange, "If-Match");
 	const table_object_t *object;
+	uint64_t if_version;
+	char *end;
 
-	if (strcmp(method, "GET") == 0) {
+	if (kind == STANDIN_GET) {
 		object = object_table_get(standin->table, key);
-		reply(standin, exchange, object ? 200 : 404, object,
-		      object ? NULL : "{}");
+		reply(standin, exchange, object ? 200 : 404, object, NULL);
 		return;
 	}
-	if (!match) {
+	if_version = match ? g_ascii_strtoull(match, &end, 10) : 0;
+	if (!match || end == match || *end != '\0')
 		reply(standin, exchange, 400, NULL,
-		      "{\"error\":\"If-Match is required\"}");
-		return;
-	}
-	if (strcmp(method, "PUT") == 0)
-		handle_put(standin, exchange, key,
-			   g_ascii_strtoull(match, NULL, 10));
-	else if (strcmp(method, "DELETE") == 0)
-		handle_delete(standin, exchange, key,
-			      g_ascii_strtoull(match, NULL, 10));
+		      "{\"error\":\"If-Match needs a version\"}");
+	else if (kind == STANDIN_PUT)
+		handle_put(standin, exchange, key, if_version);
 	else
-		reply(standin, exchange, 405, NULL, NULL);
+		handle_delete(standin, exchange, key, if_version);
 }
 
 static void on_vms_lag_over(evutil_socket_t fd, short events, void *arg)
@@ -378,162 +163,239 @@
 	standin->shown_vms = json_deep_copy(standin->vms);
 }
 
-static void handle_put_vms(standin_t *standin, http_exchange_t *exchange)
+static json_t *read_json(http_exchange_t *exchange)
 {
-	struct timeval lag = { standin->list_lag_ms / 1000,
-			       standin->list_lag_ms % 1000 * 1000 };
 	size_t len;
 	const char *body = http_body(exchange, &len);
-	json_t *root = json_loadb(body, len, 0, NULL);
+
+	return json_loadb(body, len, 0, NULL);
+}
+
+static void handle_put_vms(standin_t *standin, http_exchange_t *exchange)
+{
+	struct timeval lag = { standin->fault.list_lag_ms / 1000,
+			       standin->fault.list_lag_ms % 1000 * 1000 };
+	json_t *root = read_json(exchange);
 	json_t *vms = json_object_get(root, "vms");
 
 	if (!json_is_array(vms)) {
 		json_decref(root);
-		http_reply(exchange, 400, "application/json", "{}", 2);
+		control_reply(exchange, 400, json_object());
 		return;
 	}
 	json_decref(standin->vms);
-	standin->vms = json_deep_copy(vms);
+	standin->vms = json_incref(vms);
 	json_decref(root);
 	evtimer_add(standin->vms_event, &lag);
-	http_reply(exchange, 200, "application/json", "{}", 2);
+	control_reply(exchange, 200, json_object());
 }
 
 static void handle_fault(standin_t *standin, http_exchange_t *exchange)
 {
-	size_t len;
-	const char *body = http_body(exchange, &len);
-	json_t *root = json_loadb(body, len, 0, NULL);
-	json_t *v;
+	json_t *root = read_json(exchange);
+	GError *error = NULL;
+	char *text;
 
-	if (!json_is_object(root)) {
+	if (!standin_fault_set(&standin->fault, root, &error)) {
 		json_decref(root);
-		http_reply(exchange, 400, "application/json", "{}", 2);
+		control_reply(exchange, 400,
+			      json_pack("{s:s}", "error", error->message));
+		g_error_free(error);
 		return;
 	}
-	if ((v = json_object_get(root, "outage_ms")))
-		standin->outage_until_ms = now_ms() + json_integer_value(v);
-	if ((v = json_object_get(root, "delay_ms")))
-		standin->delay_ms = json_integer_value(v);
-	if ((v = json_object_get(root, "lose_answers")))
-		standin->lose_answers = json_number_value(v);
-	if ((v = json_object_get(root, "writes_per_s")))
-		standin->writes.per_s = json_number_value(v);
-	if ((v = json_object_get(root, "reads_per_s")))
-		standin->reads.per_s = json_number_value(v);
-	if ((v = json_object_get(root, "list_lag_ms")))
-		standin->list_lag_ms = json_integer_value(v);
+	text = json_dumps(root, JSON_COMPACT);
+	log_info("fault_set", "fault=%s", log_quote(text));
+	free(text);
 	json_decref(root);
-	log_info("fault_set",
-		 "outage_until_ms=%" PRId64 " delay_ms=%" PRId64
-		 " lose_answers=%.3f",
-		 standin->outage_until_ms, standin->delay_ms,
-		 standin->lose_answers);
-	http_reply(exchange, 200, "application/json", "{}", 2);
+	standin_held_release(standin->held);
+	standin_watches_check(standin->watches);
+	control_reply(exchange, 200, json_object());
 }
 
 static void handle_stats(standin_t *standin, http_exchange_t *exchange)
 {
-	char *text = dump_and_free(json_pack(
-		"{s:I, s:I, s:I, s:I, s:I, s:I}", "writes",
-		(json_int_t)standin->write_count, "reads",
-		(json_int_t)standin->read_count, "watches",
-		(json_int_t)standin->watch_count, "rejected",
-		(json_int_t)standin->rejected_count, "peak_writes_per_s",
-		(json_int_t)standin->peak_writes_per_s, "revision",
-		(json_int_t)object_table_revision(standin->table)));
-
-	http_reply(exchange, 200, "application/json", text, strlen(text));
-	free(text);
-}
-
-static void count_write(standin_t *standin)
-{
-	int64_t now = now_ms();
-
-	standin->write_count++;
-	if (now - standin->second_start_ms >= 1000) {
-		standin->second_start_ms = now;
-		standin->second_writes = 0;
-	}
-	standin->second_writes++;
-	if (standin->second_writes > standin->peak_writes_per_s)
-		standin->peak_writes_per_s = standin->second_writes;
+	control_reply(
+		exchange, 200,
+		standin_stats_json(&standin->stats,
+				   object_table_revision(standin->table),
+				   standin_watches_count(standin->watches)));
 }
 
-/* Returns FALSE after it has refused the call. */
+/* Returns FALSE after it has refused or held the call. */
 static gboolean admit(standin_t *standin, http_exchange_t *exchange,
-		      gboolean is_write)
+		      standin_kind_t kind, uint16_t port)
 {
+	const char *writer = http_header(exchange, "X-Object-Writer");
+	gboolean is_write = standin_kind_is_write(kind);
+	standin_fault_t *fault = &standin->fault;
 	int status = 0;
 
-	if (now_ms() < standin->outage_until_ms)
+	if (standin_fault_blocked(fault, port, writer)) {
+		standin->stats.blocked++;
+		standin_held_add(standin->held, exchange);
+		return FALSE;
+	}
+	if (standin_fault_outage(fault)) {
+		standin->stats.in_outage++;
 		status = 503;
-	else if (!rate_take(is_write ? &standin->writes : &standin->reads))
+	} else if (!standin_rate_take(is_write ? &fault->writes :
+						 &fault->reads)) {
+		standin->stats.over_rate++;
 		status = 429;
+	}
 	if (status == 0) {
-		if (is_write)
-			count_write(standin);
-		else
-			standin->read_count++;
+		standin_stats_add(&standin->stats, kind);
 		return TRUE;
 	}
-	standin->rejected_count++;
 	http_reply_header(exchange, "Retry-After", "1");
-	http_reply(exchange, status, "application/json", "{}", 2);
+	control_reply(exchange, status, json_object());
 	return FALSE;
 }
 
-static void on_request(http_exchange_t *exchange, void *user_data)
+static const char object_path[] = "/v1/objects/";
+
+/* The kind of a platform call; STANDIN_KINDS when there is none. */
+static standin_kind_t kind_of(const char *method, const char *path)
+{
+	static const struct {
+		const char *method;
+		const char *path;
+		gboolean is_prefix;
+		standin_kind_t kind;
+	} kinds[] = {
+		{ "GET", object_path, TRUE, STANDIN_GET },
+		{ "PUT", object_path, TRUE, STANDIN_PUT },
+		{ "DELETE", object_path, TRUE, STANDIN_DELETE },
+		{ "GET", "/v1/objects", FALSE, STANDIN_LIST },
+		{ "GET", "/v1/watch", FALSE, STANDIN_WATCH },
+		{ "GET", "/v1/vms", FALSE, STANDIN_VMS },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		if (strcmp(kinds[i].method, method) == 0 &&
+		    (kinds[i].is_prefix ?
+			     g_str_has_prefix(path, kinds[i].path) :
+			     strcmp(path, kinds[i].path) == 0))
+			return kinds[i].kind;
+	return STANDIN_KINDS;
+}
+
+static void handle_call(standin_t *standin, http_exchange_t *exchange,
+			uint16_t port)
 {
-	static const char objects[] = "/v1/objects/";
-	standin_t *standin = user_data;
 	const char *path = http_path(exchange);
-	const char *method = http_method(exchange);
-	gboolean is_read = strcmp(method, "GET") == 0;
-	char *text;
+	standin_kind_t kind = kind_of(http_method(exchange), path);
+	char *key;
 
-	if (strcmp(path, "/fault") == 0) {
-		handle_fault(standin, exchange);
-		return;
-	}
-	if (strcmp(path, "/stats") == 0) {
-		handle_stats(standin, exchange);
+	if (kind == STANDIN_KINDS) {
+		control_reply(exchange, 404, json_object());
 		return;
 	}
-	if (strcmp(path, "/vms") == 0) {
-		handle_put_vms(standin, exchange);
+	if (!admit(standin, exchange, kind, port))
 		return;
-	}
-	if (!admit(standin, exchange, !is_read))
-		return;
-	if (g_str_has_prefix(path, objects)) {
-		char *key = g_uri_unescape_string(path + strlen(objects), NULL);
-
-		handle_object(standin, exchange, method, key ? key : "");
-		g_free(key);
-	} else if (strcmp(path, "/v1/objects") == 0) {
+	if (kind == STANDIN_LIST) {
 		handle_list(standin, exchange);
-	} else if (strcmp(path, "/v1/watch") == 0) {
-		handle_watch(standin, exchange);
-	} else if (strcmp(path, "/v1/vms") == 0) {
-		text = dump_and_free(
-			json_pack("{s:O}", "vms", standin->shown_vms));
-		reply(standin, exchange, 200, NULL, text);
-		free(text);
+	} else if (kind == STANDIN_WATCH) {
+		standin_watch_start(standin->watches, exchange, port);
+	} else if (kind == STANDIN_VMS) {
+		reply_json(standin, exchange,
+			   json_pack("{s:O}", "vms", standin->shown_vms));
 	} else {
-		reply(standin, exchange, 404, NULL, NULL);
+		key = g_uri_unescape_string(path + strlen(object_path), NULL);
+		handle_object(standin, exchange, kind, key ? key : "");
+		g_free(key);
 	}
 }
 
+static void on_request(http_exchange_t *exchange, void *user_data)
+{
+	const standin_port_t *port = user_data;
+	const char *path = http_path(exchange);
+
+	if (strcmp(path, "/fault") == 0)
+		handle_fault(port->standin, exchange);
+	else if (strcmp(path, "/stats") == 0)
+		handle_stats(port->standin, exchange);
+	else if (strcmp(path, "/vms") == 0)
+		handle_put_vms(port->standin, exchange);
+	else
+		handle_call(port->standin, exchange,
+			    http_server_port(port->server));
+}
+
 static void on_signal(evutil_socket_t fd, short events, void *arg)
 {
 	event_base_loopbreak(arg);
 }
 
+static gboolean listen_on(standin_t *standin, const char *address,
+			  uint16_t number)
+{
+	standin_port_t *port = g_new0(standin_port_t, 1);
+	const http_server_options_t options = {
+		.base = standin->base,
+		.address = address,
+		.port = number,
+		.max_body_bytes = 4 * OBJECT_MAX_BYTES,
+		.handler = on_request,
+		.user_data = port,
+	};
+	GError *error = NULL;
+
+	port->standin = standin;
+	port->server = http_server_new(&options, &error);
+	if (!port->server) {
+		log_error("listen_failed", "message=%s",
+			  log_quote(error->message));
+		g_error_free(error);
+		g_free(port);
+		return FALSE;
+	}
+	log_info("started", "address=%s port=%u", address,
+		 http_server_port(port->server));
+	return TRUE;
+}
+
+static gboolean listen_on_all(standin_t *standin, const char *address,
+			      uint16_t port, const char *more_ports)
+{
+	char **numbers = g_strsplit(more_ports, ",", -1);
+	gboolean ok = listen_on(standin, address, port);
+
+	for (char **n = numbers; ok && *n; n++)
+		if (**n)
+			ok = listen_on(
+				standin, address,
+				(uint16_t)g_ascii_strtoull(*n, NULL, 10));
+	g_strfreev(numbers);
+	return ok;
+}
+
+static void standin_setup(standin_t *standin)
+{
+	standin_watches_options_t options;
+
+	standin->base = event_base_new();
+	standin->table = object_table_new();
+	standin->held = standin_held_new();
+	standin->vms = json_array();
+	standin->shown_vms = json_array();
+	standin->vms_event =
+		evtimer_new(standin->base, on_vms_lag_over, standin);
+	options = (standin_watches_options_t){ standin->base, standin->table,
+					       &standin->fault, standin->held };
+	standin->watches = standin_watches_new(&options);
+	event_add(
+		evsignal_new(standin->base, SIGTERM, on_signal, standin->base),
+		NULL);
+	event_add(evsignal_new(standin->base, SIGINT, on_signal, standin->base),
+		  NULL);
+}
+
 int platform_standin_main(int argc, char **argv)
 {
 	char *address = NULL;
+	char *more_ports = NULL;
 	uint16_t port = 0;
 	int64_t writes_per_s, reads_per_s, seed;
 	const setting_t settings[] = {
@@ -541,13 +403,15 @@
 		  "listen address", 0, 0, 0 },
 		{ "port", SETTING_PORT, &port, "7000", "PORT",
 		  "listen port, 0 for any", 0, 0, 0 },
+		{ "more-ports", SETTING_STRING, &more_ports, "", "PORT,...",
+		  "further listen ports, such as one for each failure domain",
+		  0, 0, 0 },
 		{ "writes-per-s", SETTING_INT, &writes_per_s, "400", "N",
 		  "writes a second, 0 for no limit", 0, 1000000, 0 },
 		{ "reads-per-s", SETTING_INT, &reads_per_s, "2000", "N",
 		  "reads a second, 0 for no limit", 0, 1000000, 0 },
 		{ "seed", SETTING_INT, &seed, "1", "N",
-		  "seed of the random source for lost answers", 0, INT32_MAX,
-		  0 },
+		  "seed of the random source for faults", 0, INT32_MAX, 0 },
 		{ 0 },
 	};
 	const setting_program_t program = {
@@ -555,8 +419,6 @@
 		.doc = "Stand-in for the platform's object API.",
 	};
 	standin_t standin = { 0 };
-	http_server_options_t options = { 0 };
-	http_server_t *server;
 	GError *error = NULL;
 
 	if (!setting_parse(&program, settings, argc, argv, NULL, &error)) {
@@ -565,33 +427,11 @@
 		return 64;
 	}
 	log_init("platform", LOG_LEVEL_INFO);
-	standin.base = event_base_new();
-	standin.table = object_table_new();
-	standin.vms = json_array();
-	standin.shown_vms = json_array();
-	standin.random = g_rand_new_with_seed((guint32)seed);
-	standin.writes.per_s = standin.writes.tokens = (double)writes_per_s;
-	standin.reads.per_s = standin.reads.tokens = (double)reads_per_s;
-	standin.vms_event =
-		evtimer_new(standin.base, on_vms_lag_over, &standin);
-	options.base = standin.base;
-	options.address = address;
-	options.port = port;
-	options.max_body_bytes = 4 * OBJECT_MAX_BYTES;
-	options.handler = on_request;
-	options.user_data = &standin;
-	server = http_server_new(&options, &error);
-	if (!server) {
-		log_error("listen_failed", "message=%s",
-			  log_quote(error->message));
+	standin_fault_init(&standin.fault, (uint32_t)seed, (double)writes_per_s,
+			   (double)reads_per_s);
+	standin_setup(&standin);
+	if (!listen_on_all(&standin, address, port, more_ports))
 		return 1;
-	}
-	event_add(evsignal_new(standin.base, SIGTERM, on_signal, standin.base),
-		  NULL);
-	event_add(evsignal_new(standin.base, SIGINT, on_signal, standin.base),
-		  NULL);
-	log_info("started", "address=%s port=%u", address,
-		 http_server_port(server));
 	event_base_dispatch(standin.base);
 	return 0;
 }
