--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -10,31 +10,21 @@
 #include "entry/front.h"
 #include "platform/object_http.h"
 
-#define POLL_MS 1000
+#define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
 
 typedef struct entry_timers {
 	entry_t *entry;
-	struct event *poll;
 	struct event *drain;
 	int64_t drain_until_ms;
 } entry_timers_t;
 
-static void update_fleet(entry_t *entry, const GArray *vms)
-{
-	runner_set_update(entry->runners, vms);
-	membership_set_listed(entry->membership, vms);
-}
-
-static void on_vms(const GArray *vms, const GError *error, void *user_data)
+static void on_vms_changed(const GArray *vms, void *user_data)
 {
 	entry_t *entry = user_data;
 
-	if (error)
-		log_warn("vm_list_failed", "error=%s",
-			 error_name((error_code_t)error->code));
-	else
-		update_fleet(entry, vms);
+	runner_set_update(entry->runners, vms);
+	membership_set_listed(entry->membership, vms);
 }
 
 static void on_adopted(document_t *document, uint64_t version, void *user_data)
@@ -46,16 +36,6 @@
 	entry->document_version = version;
 }
 
-static void on_poll(evutil_socket_t fd, short events, void *arg)
-{
-	entry_timers_t *timers = arg;
-	entry_t *entry = timers->entry;
-	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
-
-	object_vms(entry->store, on_vms, entry);
-	evtimer_add(timers->poll, &period);
-}
-
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
@@ -176,17 +156,35 @@
 	return entry->operators != NULL;
 }
 
+static void follow_vms(entry_t *entry)
+{
+	vm_follow_options_t options = {
+		.base = entry->base,
+		.store = entry->store,
+		.members = entry->members,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.counters = entry->counters,
+		.random = entry->random,
+		.period_ms = VM_LIST_PERIOD_MS,
+		.changed = on_vms_changed,
+		.user_data = entry,
+	};
+
+	entry->vm_follow = vm_follow_new(&options);
+}
+
 static void entry_run(entry_t *entry)
 {
 	entry_timers_t timers = { .entry = entry };
 
-	timers.poll = evtimer_new(entry->base, on_poll, &timers);
+	follow_vms(entry);
+
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
 	event_add(evsignal_new(entry->base, SIGINT, on_terminate, &timers),
 		  NULL);
-	on_poll(-1, 0, &timers);
 	log_info("started", "domain=%s port=%u operator_port=%u peer_port=%u",
 		 entry->options.domain, http_server_port(entry->callers),
 		 http_server_port(entry->operators),
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
 #include "coord/member.h"
 #include "entry/config_follow.h"
 #include "entry/membership.h"
+#include "entry/vm_follow.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -54,6 +55,7 @@
 	rpc_server_t *rpc_server;
 	object_store_t *store;
 	member_table_t *members;
+	vm_follow_t *vm_follow;
 	membership_t *membership;
 	config_follow_t *config;
 	runner_set_t *runners;
