Add operators' commands config, status and timeline

Cause: operators had no way to change or look at the system but raw requests.

Change: wasabilink config check|show|diff|apply|promote, status and timeline (src/tool). apply and promote are compare-and-set on --if-version; a lost answer is resolved by repeating the conditional write with the same writer token; a conflict names the version and writer in force. Exit codes: 0, 64, 65, 75, and 1 otherwise, conflicts included. Entry nodes answer /status and /timeline on the operator port (entry/operator); the latter comes from a ring of recent log lines (base/timeline). A partner's runners need its operator key, and lines that name another partner's things are left out.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,8 @@
 
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
+#define TIMELINE_LINES 8192
+#define TIMELINE_BYTES (1024 * 1024)
 
 typedef struct entry_timers {
 	entry_t *entry;
@@ -247,6 +249,8 @@
 		return 64;
 	}
 	log_init(o->node_id, level);
+	entry.timeline = timeline_new(TIMELINE_LINES, TIMELINE_BYTES);
+	log_set_sink(timeline_sink, entry.timeline);
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
 			  log_quote(error->message));
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -9,6 +9,7 @@
 #include "backend/runner.h"
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/timeline.h"
 #include "config/document.h"
 #include "coord/member.h"
 #include "entry/config_follow.h"
@@ -48,6 +49,7 @@
 	const clock_source_t *clock;
 	GRand *random;
 	counter_set_t *counters;
+	timeline_t *timeline; /* recent log lines, for operators */
 	http_client_t *http;
 	http_server_t *callers;
 	http_server_t *operators;
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -5,6 +5,7 @@
 
 #include "entry/api_error.h"
 #include "entry/chat.h"
+#include "entry/operator.h"
 
 static const char bearer[] = "Bearer ";
 
@@ -105,7 +106,7 @@
 		http_reply(exchange, 200, "text/plain; version=0.0.4",
 			   text->str, text->len);
 		g_string_free(text, TRUE);
-	} else {
+	} else if (!operator_handle(entry, exchange)) {
 		api_error_reply(exchange, API_NOT_FOUND, WORK_NOT_RUN, 0,
 				"no such path");
 	}
--- a/src/main.c
+++ b/src/main.c
@@ -6,6 +6,9 @@
 #include "emulator/platform_standin.h"
 #include "emulator/service.h"
 #include "entry/entry.h"
+#include "tool/config_tool.h"
+#include "tool/status_tool.h"
+#include "tool/timeline_tool.h"
 
 #define VERSION "0.1.0"
 
@@ -20,6 +23,9 @@
 	{ "platform", platform_standin_main, "stand-in for the object API" },
 	{ "engine", engine_main, "model engine emulator" },
 	{ "service", service_main, "plain service emulator" },
+	{ "config", config_tool_main, "check, show, diff, apply or promote" },
+	{ "status", status_tool_main, "show what an entry node knows" },
+	{ "timeline", timeline_tool_main, "merge log lines by time" },
 	{ NULL, NULL, NULL },
 };
 
