--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -84,8 +84,11 @@
 	entry_timers_t *timers = arg;
 	entry_t *entry = timers->entry;
 	struct timeval period = { 0, DRAIN_CHECK_MS * 1000 };
+	bool idle = http_server_active(entry->callers) == 0;
 
-	if (http_server_active(entry->callers) == 0 ||
+	if (idle)
+		records_release(entry->records);
+	if ((idle && records_is_released(entry->records)) ||
 	    clock_now_ms(entry->clock) >= timers->drain_until_ms)
 		event_base_loopbreak(entry->base);
 	else
@@ -124,6 +127,30 @@
 	return http_server_new(&options, error);
 }
 
+static uint64_t random_u64(entry_t *entry)
+{
+	return (uint64_t)g_rand_int(entry->random) << 32 |
+	       g_rand_int(entry->random);
+}
+
+static void start_ledger(entry_t *entry)
+{
+	records_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.store = entry->store,
+		.members = entry->members,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.counters = entry->counters,
+		.incarnation = random_u64(entry),
+		.shards = (uint32_t)entry->options.shards,
+		.writes_per_s = (double)entry->options.ledger_writes_per_s,
+	};
+
+	entry->records = records_new(&options);
+}
+
 static gboolean entry_start(entry_t *entry, GError **error)
 {
 	object_http_options_t store_options = {
@@ -149,6 +176,7 @@
 				      rpc_server_port(entry->rpc_server));
 	entry->members = member_table_new(own_address, entry->options.domain);
 	g_free(own_address);
+	start_ledger(entry);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -208,6 +236,11 @@
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
 		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "shards", SETTING_INT, &o->shards, "8", "N",
+		  "shards of the ledger, the same on all nodes", 1, 1024, 0 },
+		{ "ledger-writes-per-s", SETTING_INT, &o->ledger_writes_per_s,
+		  "100", "N", "the node's share of the platform's writes", 1,
+		  100000, 0 },
 		{ "log-level", SETTING_STRING, &level_name, "info", "LEVEL",
 		  "debug, info, warn or error", 0, 0, 0 },
 		{ 0 },
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,6 +11,7 @@
 #include "base/counter.h"
 #include "config/document.h"
 #include "coord/member.h"
+#include "entry/records.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -36,6 +37,8 @@
 	int64_t max_body_bytes;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
+	int64_t shards; /* of the ledger, the same on all nodes */
+	int64_t ledger_writes_per_s; /* of this node */
 } entry_options_t;
 
 typedef struct entry {
@@ -51,6 +54,7 @@
 	rpc_server_t *rpc_server;
 	object_store_t *store;
 	member_table_t *members;
+	records_t *records;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -1,10 +1,19 @@
 #ifndef WASABILINK_ENTRY_RECORDS_H
 #define WASABILINK_ENTRY_RECORDS_H
 
+#include <event2/event.h>
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/clock.h"
+#include "base/counter.h"
+#include "coord/member.h"
+#include "platform/object_store.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
+
 /*
  * records - durable keyed records, whichever node owns their shard.
  *
@@ -41,6 +50,28 @@
 
 typedef struct records records_t;
 
+/* The pointers are borrowed. */
+typedef struct records_options {
+	struct event_base *base;
+	const clock_source_t *clock;
+	object_store_t *store;
+	const member_table_t *members;
+	rpc_client_t *rpc_client;
+	rpc_server_t *rpc_server; /* NULL in tests without peers */
+	counter_set_t *counters;
+	uint64_t incarnation; /* random, of this process */
+	uint32_t shards; /* the same on all nodes */
+	double writes_per_s; /* of this node; 0: no limit */
+	int32_t timeout_ms; /* of an operation; 0 means 3000 */
+} records_options_t;
+
+records_t *records_new(const records_options_t *options);
+/* Pending calls end without their completions. */
+void records_free(records_t *records);
+/* Hands the owned shards over; none is acquired any more. */
+void records_release(records_t *records);
+bool records_is_released(const records_t *records);
+
 /* record is NULL on errors other than WL_ERROR_CONFLICT. */
 typedef void (*record_done_t)(const record_t *record, const GError *error,
 			      void *user_data);
@@ -59,6 +90,14 @@
 void records_update(records_t *records, const record_t *update,
 		    record_done_t done, void *user_data);
 
+/* The same with a time of its own instead of the options' timeout_ms. */
+void records_update_within(records_t *records, const record_t *update,
+			   int32_t timeout_ms, record_done_t done,
+			   void *user_data);
+void records_get_within(records_t *records, const record_key_t *key,
+			int32_t timeout_ms, record_done_t done,
+			void *user_data);
+
 /* Records of a kind and owner tag over all shards. */
 void records_list(records_t *records, record_kind_t kind, const char *owner_tag,
 		  record_list_done_t done, void *user_data);
