--- a/src/coord/shard.c
+++ b/src/coord/shard.c
@@ -407,11 +407,19 @@
 {
 	head_write_t *write = &shard->write;
 
-	g_clear_pointer(&write->bytes, g_bytes_unref);
-	g_clear_pointer(&write->writer, g_free);
+	g_bytes_unref(write->bytes);
+	g_free(write->writer);
 	*write = (head_write_t){ 0 };
 }
 
+static void drop_ledger(shard_t *shard)
+{
+	ledger_free(shard->ledger);
+	shard->ledger = NULL;
+	ledger_write_free(shard->other_write);
+	shard->other_write = NULL;
+}
+
 static GPtrArray *take_batch(shard_t *shard)
 {
 	GPtrArray *batch = shard->batch;
@@ -425,8 +433,7 @@
 	shard->owner = false;
 	shard->epoch = 0;
 	shard->wanted_segment = 0;
-	g_clear_pointer(&shard->ledger, ledger_free);
-	g_clear_pointer(&shard->other_write, ledger_write_free);
+	drop_ledger(shard);
 	g_array_set_size(shard->dropped, 0);
 	g_array_set_size(shard->garbage, 0);
 	shard->seen_version = 0;
@@ -664,7 +671,7 @@
 
 static void abort_takeover(shard_t *shard)
 {
-	g_clear_pointer(&shard->ledger, ledger_free);
+	drop_ledger(shard);
 	shard->poll_ms = now_ms(shard) + POLL_MS;
 }
 
@@ -1146,8 +1153,7 @@
 	if (shard->pending)
 		return;
 	write_clear(shard);
-	g_clear_pointer(&shard->ledger, ledger_free);
-	g_clear_pointer(&shard->other_write, ledger_write_free);
+	drop_ledger(shard);
 	g_ptr_array_free(shard->batch, TRUE);
 	g_array_free(shard->garbage, TRUE);
 	g_array_free(shard->dropped, TRUE);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,7 @@
 #include "platform/object_http.h"
 
 #define POLL_MS 1000
+#define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
 
 typedef struct entry_timers {
@@ -21,26 +22,12 @@
 	int64_t drain_until_ms;
 } entry_timers_t;
 
-static void update_fleet(entry_t *entry, const GArray *vms)
-{
-	runner_set_update(entry->runners, vms);
-	for (guint i = 0; i < vms->len; i++) {
-		const platform_vm_t *vm = &g_array_index(vms, platform_vm_t, i);
-
-		if (strcmp(vm->role, "entry") == 0)
-			member_add(entry->members, vm->address, vm->domain);
-	}
-}
-
-static void on_vms(const GArray *vms, const GError *error, void *user_data)
+static void on_vms_changed(const GArray *vms, void *user_data)
 {
 	entry_t *entry = user_data;
 
-	if (error)
-		log_warn("vm_list_failed", "error=%s",
-			 error_name((error_code_t)error->code));
-	else
-		update_fleet(entry, vms);
+	runner_set_update(entry->runners, vms);
+	membership_set_listed(entry->membership, vms);
 }
 
 static void on_document(const object_value_t *value, const GError *error,
@@ -73,7 +60,6 @@
 	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
 	char *key = g_strconcat("config/", entry->options.environment, NULL);
 
-	object_vms(entry->store, on_vms, entry);
 	object_get(entry->store, key, on_document, entry);
 	g_free(key);
 	evtimer_add(timers->poll, &period);
@@ -107,6 +93,7 @@
 	entry->draining = true;
 	timers->drain_until_ms =
 		clock_now_ms(entry->clock) + entry->options.drain_ms;
+	membership_drain(entry->membership);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
 	on_drain_check(-1, 0, timers);
 }
@@ -151,6 +138,22 @@
 	entry->records = records_new(&options);
 }
 
+static gboolean start_membership(entry_t *entry, GError **error)
+{
+	membership_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.counters = entry->counters,
+		.members = entry->members,
+		.environment = entry->options.environment,
+		.seeds = entry->options.seeds,
+	};
+
+	entry->membership = membership_new(&options, error);
+	return entry->membership != NULL;
+}
+
 static gboolean entry_start(entry_t *entry, GError **error)
 {
 	object_http_options_t store_options = {
@@ -176,6 +179,8 @@
 				      rpc_server_port(entry->rpc_server));
 	entry->members = member_table_new(own_address, entry->options.domain);
 	g_free(own_address);
+	if (!start_membership(entry, error))
+		return FALSE;
 	start_ledger(entry);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
@@ -186,10 +191,30 @@
 	return entry->operators != NULL;
 }
 
+static void follow_vms(entry_t *entry)
+{
+	vm_follow_options_t options = {
+		.base = entry->base,
+		.store = entry->store,
+		.members = entry->members,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.counters = entry->counters,
+		.random = entry->random,
+		.period_ms = VM_LIST_PERIOD_MS,
+		.changed = on_vms_changed,
+		.user_data = entry,
+	};
+
+	entry->vm_follow = vm_follow_new(&options);
+}
+
 static void entry_run(entry_t *entry)
 {
 	entry_timers_t timers = { .entry = entry };
 
+	follow_vms(entry);
+
 	timers.poll = evtimer_new(entry->base, on_poll, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
@@ -202,6 +227,7 @@
 		 http_server_port(entry->operators),
 		 rpc_server_port(entry->rpc_server));
 	event_base_dispatch(entry->base);
+	membership_leave(entry->membership);
 	log_info("stopped", "active=%u", http_server_active(entry->callers));
 }
 
@@ -225,6 +251,8 @@
 		  "port for other nodes", 0, 0, 0 },
 		{ "platform", SETTING_STRING, &o->platform, "127.0.0.1:7000",
 		  "IP:PORT", "object API of the platform", 0, 0, 0 },
+		{ "seeds", SETTING_STRING, &o->seeds, "", "IP:PORT,...",
+		  "peer addresses of nodes to join through", 0, 0, 0 },
 		{ "environment", SETTING_STRING, &o->environment, "production",
 		  "NAME", "name of the configuration document", 0, 0, 0 },
 		{ "platform-timeout-ms", SETTING_INT, &o->platform_timeout_ms,
@@ -264,7 +292,8 @@
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
 			  log_quote(error->message));
-		return 1;
+		return g_error_matches(error, WL_ERROR, WL_ERROR_INVALID) ? 64 :
+									    1;
 	}
 	entry_run(&entry);
 	return 0;
