--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
 #include "coord/member.h"
 #include "entry/records.h"
 #include "entry/vm_follow.h"
+#include "entry/config_follow.h"
 #include "entry/membership.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -60,6 +61,7 @@
 	records_t *records;
 	vm_follow_t *vm_follow;
 	membership_t *membership;
+	config_follow_t *config;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
