Rebuild the online path on routing, admission, hedging and claims

The chat handler chose a runner and relayed its answer, without queue, limits, retries, deadlines or claims. It now goes through limits, claim, admission queue and route, and each request has a state from a table that decides what an error may say about the work. A keyed request is claimed before it is queued, because a slow store must not hold places on the runners. Keyed work goes on when its caller closes. A stream ends only after its result is recorded. The claim module is a stand-in that answers unavailable until the ledger is connected.

Plain services are called under /services. Load reports of runners in use are polled, at most ten per second while places are unknown, then 2.5 per second.

--- a/src/backend/engine_client.c
+++ b/src/backend/engine_client.c
@@ -183,8 +183,6 @@
 		return ENGINE_FAULT_VERSION;
 	if (status == 429 || status == 503)
 		return ENGINE_FAULT_BUSY;
-	if (status >= 400 && status < 500 && status != 408)
-		return ENGINE_FAULT_REJECTED;
 	return ENGINE_FAULT_NONE;
 }
 
@@ -201,6 +199,8 @@
 	} else if (refusal != ENGINE_FAULT_NONE) {
 		result->outcome = ENGINE_REFUSED;
 		result->fault = refusal;
+	} else if (answer->status >= 400 && answer->status < 500) {
+		result->fault = ENGINE_FAULT_REJECTED;
 	} else if (answer->status != 200 || call->sse.error_seen) {
 		result->fault = ENGINE_FAULT_ERROR;
 	} else if (!whole) {
@@ -282,8 +282,8 @@
 static void start_http(engine_call_t *call,
 		       const engine_call_options_t *options)
 {
-	const char *headers[9] = { "Content-Type", "application/json",
-				   "X-Request-Id", call->request_id };
+	const char *headers[11] = { "Content-Type", "application/json",
+				    "X-Request-Id", call->request_id };
 	char deadline[16];
 	int count = 4;
 	char *resumed = NULL;
@@ -305,6 +305,10 @@
 		headers[count++] = "X-Model-Version";
 		headers[count++] = options->version;
 	}
+	if (options->work_key) {
+		headers[count++] = "Idempotency-Key";
+		headers[count++] = options->work_key;
+	}
 	if (options->timeout_ms > 0) {
 		snprintf(deadline, sizeof(deadline), "%" PRId32,
 			 options->timeout_ms);
--- a/src/backend/engine_client.h
+++ b/src/backend/engine_client.h
@@ -34,7 +34,8 @@
 	ENGINE_FAULT_CONNECT, /* connection refused or not established */
 	ENGINE_FAULT_VERSION, /* 409: the version is not served */
 	ENGINE_FAULT_BUSY, /* 429 or 503: drains or takes no more work */
-	ENGINE_FAULT_REJECTED, /* other 4xx: the request itself is at fault */
+	ENGINE_FAULT_REJECTED, /* other 4xx: the request itself is at fault,
+				* perhaps found out while it ran */
 	ENGINE_FAULT_ERROR, /* 5xx, or an error event in the stream */
 	ENGINE_FAULT_TRUNCATED, /* ended before the answer was whole */
 	ENGINE_FAULT_MISMATCH, /* the answer belongs to another call */
@@ -62,6 +63,7 @@
 	const char *address; /* IP:port */
 	const char *request_id; /* unique per call; the engine echoes it */
 	const char *version; /* version needed; NULL: any */
+	const char *work_key; /* names the work over all tries; may be NULL */
 	const char *body; /* JSON object */
 	size_t body_len;
 	bool stream; /* as the body says */
--- /dev/null
+++ b/src/entry/chat_request.h
@@ -0,0 +1,40 @@
+#ifndef WASABILINK_ENTRY_CHAT_REQUEST_H
+#define WASABILINK_ENTRY_CHAT_REQUEST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "entry/api_error.h"
+#include "http/http_server.h"
+
+/*
+ * chat_request - what a caller asks for, read from a chat completion's body
+ * and headers and validated.
+ */
+#define CHAT_REQUEST_KEY_MAX 255
+#define CHAT_REQUEST_DIGEST_HEX 64
+
+typedef struct chat_request {
+	char *model;
+	char *key; /* Idempotency-Key; NULL: none */
+	char digest[CHAT_REQUEST_DIGEST_HEX + 1]; /* only with a key */
+	bool stream;
+	bool once; /* must not run twice */
+	uint32_t work; /* estimated, in tokens */
+	uint32_t class_index; /* of hedging */
+	uint64_t prefix_hash; /* of the prompt's start; 0: too short */
+	int64_t deadline_ms; /* time left; 0: none given */
+} chat_request_t;
+
+/* The headers that plain services share: key, once and deadline. Returns
+ * false with the error to answer; *message is static. */
+bool chat_request_read_headers(const http_exchange_t *exchange, char **key,
+			       bool *once, int64_t *deadline_ms,
+			       api_error_id_t *error, const char **message);
+
+bool chat_request_read(http_exchange_t *exchange, chat_request_t *request,
+		       api_error_id_t *error, const char **message);
+void chat_request_clear(chat_request_t *request);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -26,7 +26,11 @@
 {
 	entry_t *entry = user_data;
 
+	uint32_t nodes = member_count(entry->members, MEMBER_ALIVE);
+
 	runner_set_update(entry->runners, vms);
+	pool_table_update(entry->pools, nodes);
+	limiter_set_nodes(entry->limiter, nodes);
 	membership_set_listed(entry->membership, vms);
 }
 
@@ -71,7 +75,7 @@
 	entry_t *entry = timers->entry;
 	struct timeval period = { 0, DRAIN_CHECK_MS * 1000 };
 
-	if (http_server_active(entry->callers) == 0 ||
+	if ((http_server_active(entry->callers) == 0 && entry->detached == 0) ||
 	    clock_now_ms(entry->clock) >= timers->drain_until_ms)
 		event_base_loopbreak(entry->base);
 	else
@@ -127,6 +131,37 @@
 	return entry->membership != NULL;
 }
 
+static void start_online(entry_t *entry)
+{
+	const entry_options_t *o = &entry->options;
+	/* New buckets hold three tries, so that a first failure is retried. */
+	const retry_budget_options_t budget = {
+		.share = 0.1, .initial = 3, .max = 20, .max_keys = 100000
+	};
+	const pool_options_t pools = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.http = entry->http,
+		.runners = entry->runners,
+		.counters = entry->counters,
+		.node_id = o->node_id,
+		.domain = o->domain,
+		.policy = o->route_policy,
+		.hedge_share = o->hedge_share,
+		.max_queue = (uint32_t)o->max_queue,
+		.max_wait_ms = o->queue_ms,
+	};
+
+	entry->instance = g_strdup_printf("%s-%08x", o->node_id,
+					  g_rand_int(entry->random));
+	entry->engines =
+		engine_client_new(entry->base, entry->http, entry->clock);
+	entry->retry_budget = retry_budget_new(&budget);
+	entry->limiter = limiter_new(entry->clock);
+	entry->pools = pool_table_new(&pools);
+}
+
 static gboolean entry_start(entry_t *entry, GError **error)
 {
 	object_http_options_t store_options = {
@@ -142,6 +177,7 @@
 	entry->http = http_client_new(entry->base);
 	entry->rpc_client = rpc_client_new(entry->base);
 	entry->runners = runner_set_new();
+	start_online(entry);
 	store_options.client = entry->http;
 	entry->store = object_http_new(&store_options);
 	entry->rpc_server = rpc_server_new(entry->base, entry->options.address,
@@ -236,6 +272,25 @@
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
 		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "request-timeout-ms", SETTING_INT, &o->request_timeout_ms,
+		  "600000", "MS", "deadline of requests that give none", 1,
+		  86400000, 0 },
+		{ "stall-ms", SETTING_INT, &o->stall_ms, "30000", "MS",
+		  "longest pause of a runner's stream", 10, 3600000, 0 },
+		{ "slow-caller-ms", SETTING_INT, &o->slow_caller_ms, "30000",
+		  "MS", "longest time without progress of a caller's reading",
+		  10, 3600000, 0 },
+		{ "max-queue", SETTING_INT, &o->max_queue, "2000", "N",
+		  "waiting requests per deployment", 0, 1000000, 0 },
+		{ "queue-ms", SETTING_INT, &o->queue_ms, "2000", "MS",
+		  "longest wait for a runner", 0, 3600000, 0 },
+		{ "route-policy", SETTING_STRING, &o->route_policy, "observed",
+		  "NAME",
+		  "observed, or for measurements random, round-robin or "
+		  "least-reported",
+		  0, 0, 0 },
+		{ "hedge-share", SETTING_DOUBLE, &o->hedge_share, "0.05", "P",
+		  "hedged requests as a share of all, 0: none", 0, 1, 0 },
 		{ "log-level", SETTING_STRING, &level_name, "info", "LEVEL",
 		  "debug, info, warn or error", 0, 0, 0 },
 		{ 0 },
@@ -255,6 +310,10 @@
 		fprintf(stderr, "wasabilink entry: --log-level: bad value\n");
 		return 64;
 	}
+	if (!route_policy_exists(o->route_policy)) {
+		fprintf(stderr, "wasabilink entry: --route-policy: unknown\n");
+		return 64;
+	}
 	log_init(o->node_id, level);
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -6,13 +6,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backend/engine_client.h"
 #include "backend/runner.h"
 #include "base/clock.h"
 #include "base/counter.h"
 #include "config/document.h"
+#include "coord/limiter.h"
 #include "coord/member.h"
+#include "coord/retry_budget.h"
+#include "entry/claim.h"
 #include "entry/vm_follow.h"
 #include "entry/membership.h"
+#include "entry/pool.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -39,6 +44,13 @@
 	int64_t max_body_bytes;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
+	int64_t request_timeout_ms; /* without a caller's deadline */
+	int64_t stall_ms; /* longest pause of a runner's stream */
+	int64_t slow_caller_ms; /* longest pause of a caller's reading */
+	int64_t max_queue; /* waiting requests per deployment */
+	int64_t queue_ms; /* longest wait in the queue */
+	char *route_policy;
+	double hedge_share;
 } entry_options_t;
 
 typedef struct entry {
@@ -59,7 +71,14 @@
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
+	engine_client_t *engines;
+	pool_table_t *pools;
+	limiter_t *limiter;
+	retry_budget_t *retry_budget;
+	claims_t *claims;
+	char *instance; /* unique per start, prefix of upstream request ids */
 	uint64_t next_request;
+	uint32_t detached; /* requests that go on without a caller */
 	bool draining;
 } entry_t;
 
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -1,10 +1,13 @@
 #include "entry/front.h"
 
+#include <inttypes.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "entry/api_error.h"
 #include "entry/chat.h"
+#include "entry/service_call.h"
 
 static const char bearer[] = "Bearer ";
 
@@ -43,6 +46,42 @@
 	{ "POST", "/v1/chat/completions", chat_handle },
 };
 
+#define REQUEST_ID_BYTES 96
+
+/* A caller's id is kept when it is safe in headers and log lines. */
+static bool is_valid_id(const char *id)
+{
+	size_t len = strlen(id);
+
+	if (len == 0 || len > HTTP_ID_MAX)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (!g_ascii_isalnum(id[i]) && !strchr("-_.:", id[i]))
+			return false;
+	return true;
+}
+
+static void assign_id(entry_t *entry, http_exchange_t *exchange)
+{
+	const char *given = http_header(exchange, "x-request-id");
+	char id[REQUEST_ID_BYTES];
+
+	if (given && is_valid_id(given)) {
+		http_set_id(exchange, given);
+		return;
+	}
+	snprintf(id, sizeof(id), "%s-%" PRIu64, entry->instance,
+		 ++entry->next_request);
+	http_set_id(exchange, id);
+}
+
+/* HEAD is GET whose answer has no body. */
+static bool method_matches(const char *expected, const char *method)
+{
+	return strcmp(expected, method) == 0 ||
+	       (strcmp(expected, "GET") == 0 && strcmp(method, "HEAD") == 0);
+}
+
 static const document_caller_t *authenticate(const entry_t *entry,
 					     const http_exchange_t *exchange)
 {
@@ -60,6 +99,7 @@
 	const document_caller_t *caller;
 	bool path_known = false;
 
+	assign_id(entry, exchange);
 	if (!entry->document) {
 		api_error_reply(exchange, API_NOT_READY, WORK_NOT_RUN, 0,
 				"no configuration has been adopted yet");
@@ -71,12 +111,16 @@
 				"the bearer key is missing or wrong");
 		return;
 	}
+	if (g_str_has_prefix(path, SERVICE_CALL_PREFIX)) {
+		service_call_handle(entry, exchange, caller);
+		return;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(caller_routes); i++) {
 		if (strcmp(caller_routes[i].path, path) != 0)
 			continue;
 		path_known = true;
-		if (strcmp(caller_routes[i].method, http_method(exchange)) ==
-		    0) {
+		if (method_matches(caller_routes[i].method,
+				   http_method(exchange))) {
 			caller_routes[i].handler(entry, exchange, caller);
 			return;
 		}
@@ -101,6 +145,7 @@
 			   ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
 	} else if (strcmp(path, "/metrics") == 0) {
 		text = g_string_new(NULL);
+		pool_table_measure(entry->pools);
 		counter_set_write(entry->counters, text);
 		http_reply(exchange, 200, "text/plain; version=0.0.4",
 			   text->str, text->len);
--- /dev/null
+++ b/src/entry/pool.c
@@ -0,0 +1,484 @@
+#include "entry/pool.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TICK_MS 100
+#define QUEUE_TICK_MS 10
+/* Load reports: a few per second over all pools bound the bytes per node. */
+#define POLL_PERIOD_MS 400
+#define POLL_TIMEOUT_MS 1000
+/* A runner without own requests for this time is not asked. */
+#define POLL_RECENT_US 10000000
+#define DEFAULT_SLOTS 64
+#define SUBSET 16
+#define MIN_LOCAL 3
+#define HEDGE_BURST 20
+#define HEDGE_MIN_DELAY_US 2000
+/* Histograms are halved at this number of values. */
+#define RECENT_VALUES 4096
+
+struct pool_table {
+	pool_options_t options;
+	GHashTable *pools; /* key -> pool_t */
+	GHashTable *polled_us; /* address -> time of the last poll, int64_t */
+	struct event *tick;
+	int64_t last_poll_us;
+	uint32_t polls_pending;
+	uint32_t nodes;
+	pool_pressure_t pressure;
+	void *pressure_data;
+};
+
+typedef struct pool_poll {
+	pool_table_t *table;
+	pool_t *pool;
+	char *address;
+} pool_poll_t;
+
+static void pool_free(void *data)
+{
+	pool_t *pool = data;
+
+	event_free(pool->queue_timer);
+	admission_free(pool->admission);
+	hedge_free(pool->hedge);
+	route_free(pool->route);
+	g_free(pool->partner);
+	g_free(pool->name);
+	g_free(pool);
+}
+
+static void give_up_waiting(pool_t *pool)
+{
+	admission_ticket_t *ticket;
+
+	while ((ticket = admission_expired(pool->admission))) {
+		const pool_waiter_t *waiter = ticket->owner;
+
+		waiter->given_up(waiter->owner);
+	}
+}
+
+/* An admitted request that fails at once comes back here by pool_release(). */
+static void run_queue(pool_t *pool)
+{
+	admission_ticket_t *ticket;
+
+	if (pool->running_queue)
+		return;
+	pool->running_queue = true;
+	while ((ticket = admission_next(pool->admission))) {
+		const pool_waiter_t *waiter = ticket->owner;
+
+		waiter->admitted(waiter->owner);
+	}
+	pool->running_queue = false;
+}
+
+static void arm_queue_timer(pool_t *pool)
+{
+	struct timeval wait = { 0, QUEUE_TICK_MS * 1000 };
+
+	if (admission_queued(pool->admission) > 0 &&
+	    !evtimer_pending(pool->queue_timer, NULL))
+		evtimer_add(pool->queue_timer, &wait);
+}
+
+static void on_queue_timer(evutil_socket_t fd, short events, void *arg)
+{
+	pool_t *pool = arg;
+
+	give_up_waiting(pool);
+	run_queue(pool);
+	arm_queue_timer(pool);
+}
+
+static void add_counters(pool_t *pool)
+{
+	counter_set_t *set = pool->table->options.counters;
+	char *labels = g_strdup_printf(
+		"partner=\"%s\",%s=\"%s\"", pool->partner,
+		pool->is_service ? "service" : "deployment", pool->name);
+	const struct {
+		int64_t **target;
+		const char *name;
+	} counters[] = {
+		{ &pool->requests, "wasabilink_online_requests_total" },
+		{ &pool->hedges, "wasabilink_online_hedges_total" },
+		{ &pool->hedges_won, "wasabilink_online_hedges_won_total" },
+		{ &pool->retries, "wasabilink_online_retries_total" },
+		{ &pool->refused, "wasabilink_online_refused_total" },
+		{ &pool->failed, "wasabilink_online_failed_total" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
+		*counters[i].target = counter_get(set, COUNTER_MONOTONIC,
+						  counters[i].name, labels);
+	g_free(labels);
+}
+
+static pool_t *pool_new(pool_table_t *table, const char *partner,
+			const char *name, bool is_service)
+{
+	const pool_options_t *options = &table->options;
+	const route_options_t route = { .clock = options->clock,
+					.random = options->random,
+					.node = options->node_id,
+					.domain = options->domain,
+					.policy = options->policy,
+					.subset = SUBSET,
+					.min_local = MIN_LOCAL };
+	const hedge_options_t hedge = { .share = options->hedge_share,
+					.burst = HEDGE_BURST,
+					.min_delay_us = HEDGE_MIN_DELAY_US };
+	const admission_options_t admission = {
+		.clock = options->clock,
+		.max_queue = options->max_queue,
+		.max_wait_us = options->max_wait_ms * 1000,
+	};
+	pool_t *pool = g_new0(pool_t, 1);
+
+	pool->table = table;
+	pool->partner = g_strdup(partner);
+	pool->name = g_strdup(name);
+	pool->is_service = is_service;
+	pool->route = route_new(&route);
+	pool->hedge = hedge_new(&hedge);
+	pool->admission = admission_new(&admission);
+	pool->queue_timer = evtimer_new(options->base, on_queue_timer, pool);
+	add_counters(pool);
+	return pool;
+}
+
+static void refresh_capacity(pool_t *pool)
+{
+	admission_set_capacity(
+		pool->admission,
+		route_capacity(pool->route, DEFAULT_SLOTS, pool->table->nodes));
+}
+
+static void take_runners(pool_t *pool)
+{
+	const GPtrArray *found =
+		runner_set_find(pool->table->options.runners, pool->partner,
+				pool->name, pool->is_service);
+	route_candidate_t *candidates =
+		g_new(route_candidate_t, found->len + 1);
+
+	for (guint i = 0; i < found->len; i++) {
+		const runner_t *runner = found->pdata[i];
+
+		candidates[i].address = runner->address;
+		candidates[i].domain = runner->domain;
+	}
+	route_update(pool->route, candidates, found->len);
+	refresh_capacity(pool);
+	g_free(candidates);
+}
+
+static char *pool_key(const char *partner, const char *name, bool is_service)
+{
+	return g_strconcat(is_service ? "s/" : "d/", partner, "/", name, NULL);
+}
+
+pool_t *pool_find(pool_table_t *table, const char *partner, const char *name,
+		  bool is_service)
+{
+	char *key = pool_key(partner, name, is_service);
+	pool_t *pool = g_hash_table_lookup(table->pools, key);
+
+	if (pool) {
+		g_free(key);
+		return pool;
+	}
+	pool = pool_new(table, partner, name, is_service);
+	g_hash_table_insert(table->pools, key, pool);
+	take_runners(pool);
+	return pool;
+}
+
+static void on_load_report(const http_answer_t *answer, void *user_data)
+{
+	pool_poll_t *poll = user_data;
+	const GPtrArray *runners = route_runners(poll->pool->route);
+	json_t *root = NULL;
+
+	poll->table->polls_pending--;
+	if (answer->outcome == HTTP_COMPLETE && answer->status == 200)
+		root = json_loadb(answer->body, answer->body_len, 0, NULL);
+	for (guint i = 0; root && i < runners->len; i++) {
+		if (strcmp(((route_runner_t *)runners->pdata[i])->address,
+			   poll->address) != 0)
+			continue;
+		route_report(poll->pool->route, runners->pdata[i],
+			     (uint32_t)json_integer_value(
+				     json_object_get(root, "running")),
+			     (uint32_t)json_integer_value(
+				     json_object_get(root, "queued")),
+			     (uint32_t)json_integer_value(
+				     json_object_get(root, "slots")));
+	}
+	json_decref(root);
+	refresh_capacity(poll->pool);
+	run_queue(poll->pool);
+	g_free(poll->address);
+	g_free(poll);
+}
+
+static int64_t last_polled_us(const pool_table_t *table,
+			      const route_runner_t *runner)
+{
+	const int64_t *at_us =
+		g_hash_table_lookup(table->polled_us, runner->address);
+
+	return at_us ? *at_us : 0;
+}
+
+static void poll_load(pool_table_t *table, pool_t *pool,
+		      const route_runner_t *runner, int64_t now_us)
+{
+	pool_poll_t *poll = g_new0(pool_poll_t, 1);
+	int64_t *at_us = g_new(int64_t, 1);
+	const http_request_options_t options = { .method = "GET",
+						 .address = runner->address,
+						 .target = "/engine/load",
+						 .timeout_ms = POLL_TIMEOUT_MS,
+						 .on_done = on_load_report,
+						 .user_data = poll };
+
+	*at_us = now_us;
+	g_hash_table_insert(table->polled_us, g_strdup(runner->address), at_us);
+	poll->table = table;
+	poll->pool = pool;
+	poll->address = g_strdup(runner->address);
+	table->last_poll_us = now_us;
+	table->polls_pending++;
+	http_call_start(table->options.http, &options);
+}
+
+/* The runner in use whose report is oldest. One whose number of places is
+ * unknown goes first, as admission depends on it. */
+static const route_runner_t *find_to_poll(const pool_table_t *table,
+					  pool_t **found_pool, int64_t now_us)
+{
+	const route_runner_t *found = NULL;
+	int64_t found_key = INT64_MAX;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pool_t *pool = value;
+		const GPtrArray *used = route_subset(pool->route);
+
+		if (pool->is_service)
+			continue;
+		for (guint i = 0; i < used->len; i++) {
+			const route_runner_t *runner = used->pdata[i];
+			int64_t key = last_polled_us(table, runner);
+
+			if (runner->slots == 0 &&
+			    now_us - key > POLL_TIMEOUT_MS * 2000LL)
+				key = 0;
+			else if (now_us - runner->in_flight_us > POLL_RECENT_US)
+				continue;
+			if (key < found_key) {
+				found = runner;
+				found_key = key;
+				*found_pool = pool;
+			}
+		}
+	}
+	return found;
+}
+
+static void on_tick(evutil_socket_t fd, short events, void *arg)
+{
+	pool_table_t *table = arg;
+	int64_t now_us = clock_now_us(table->options.clock);
+	struct timeval period = { 0, TICK_MS * 1000 };
+	const route_runner_t *runner;
+	GHashTableIter iter;
+	pool_t *pool = NULL;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		refresh_capacity(value);
+		run_queue(value);
+	}
+	/* New runners are asked faster, one per tick. */
+	runner = find_to_poll(table, &pool, now_us);
+	if (runner && (runner->slots == 0 ||
+		       now_us - table->last_poll_us >= POLL_PERIOD_MS * 1000))
+		poll_load(table, pool, runner, now_us);
+	evtimer_add(table->tick, &period);
+}
+
+pool_table_t *pool_table_new(const pool_options_t *options)
+{
+	pool_table_t *table = g_new0(pool_table_t, 1);
+	struct timeval period = { 0, TICK_MS * 1000 };
+
+	table->options = *options;
+	table->nodes = 1;
+	table->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     pool_free);
+	table->polled_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->tick = evtimer_new(options->base, on_tick, table);
+	evtimer_add(table->tick, &period);
+	return table;
+}
+
+void pool_table_free(pool_table_t *table)
+{
+	if (!table)
+		return;
+	event_free(table->tick);
+	g_hash_table_destroy(table->pools);
+	g_hash_table_destroy(table->polled_us);
+	g_free(table);
+}
+
+void pool_table_update(pool_table_t *table, uint32_t nodes)
+{
+	GHashTableIter iter;
+	void *value;
+
+	table->nodes = MAX(nodes, 1);
+	g_hash_table_iter_init(&iter, table->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		take_runners(value);
+}
+
+void pool_table_on_pressure(pool_table_t *table, pool_pressure_t pressure,
+			    void *user_data)
+{
+	table->pressure = pressure;
+	table->pressure_data = user_data;
+}
+
+uint32_t pool_table_in_flight(const pool_table_t *table, const char *runner)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GPtrArray *all = route_runners(((pool_t *)value)->route);
+
+		for (guint i = 0; i < all->len; i++) {
+			const route_runner_t *known = all->pdata[i];
+
+			if (strcmp(known->address, runner) == 0)
+				return known->in_flight;
+		}
+	}
+	return 0;
+}
+
+static void measure(pool_t *pool, const histogram_t *histogram,
+		    const char *what)
+{
+	static const struct {
+		const char *label;
+		double quantile;
+	} quantiles[] = { { "0.5", 0.5 }, { "0.99", 0.99 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++) {
+		char *labels = g_strdup_printf(
+			"partner=\"%s\",deployment=\"%s\",of=\"%s\","
+			"quantile=\"%s\"",
+			pool->partner, pool->name, what, quantiles[i].label);
+
+		*counter_get(pool->table->options.counters, COUNTER_GAUGE,
+			     "wasabilink_online_latency_us", labels) =
+			histogram_quantile(histogram, quantiles[i].quantile);
+		g_free(labels);
+	}
+}
+
+void pool_table_measure(pool_table_t *table)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pool_t *pool = value;
+
+		measure(pool, &pool->first_us, "first_token");
+		measure(pool, &pool->whole_us, "whole_answer");
+	}
+}
+
+admission_state_t pool_offer(pool_t *pool, pool_waiter_t *waiter,
+			     const char *workspace, double weight,
+			     int64_t *retry_after_ms)
+{
+	admission_state_t state;
+
+	waiter->ticket.owner = waiter;
+	state = admission_offer(pool->admission, &waiter->ticket, workspace,
+				weight, retry_after_ms);
+	arm_queue_timer(pool);
+	return state;
+}
+
+void pool_release(pool_t *pool, pool_waiter_t *waiter)
+{
+	admission_release(pool->admission, &waiter->ticket);
+	if (admission_queued(pool->admission) > 0)
+		run_queue(pool);
+}
+
+static void tell_pressure(const pool_t *pool, const route_runner_t *runner)
+{
+	const pool_table_t *table = pool->table;
+
+	if (table->pressure && !pool->is_service)
+		table->pressure(runner->address, runner->in_flight,
+				table->pressure_data);
+}
+
+void pool_begin(pool_t *pool, route_call_t *call, route_runner_t *runner,
+		uint32_t class_index)
+{
+	route_begin(pool->route, call, runner, class_index);
+	tell_pressure(pool, runner);
+}
+
+static void add_value(histogram_t *histogram, int64_t value_us)
+{
+	histogram_add(histogram, value_us);
+	if (histogram->total >= RECENT_VALUES)
+		histogram_age(histogram);
+}
+
+void pool_answered(pool_t *pool, route_call_t *call)
+{
+	int64_t took_us;
+
+	if (call->answered)
+		return;
+	took_us = route_answered(pool->route, call);
+	hedge_sample(pool->hedge, call->class_index, took_us);
+	if (call->class_index == 0)
+		add_value(&pool->first_us, took_us);
+}
+
+void pool_finish(pool_t *pool, route_call_t *call, route_end_t end,
+		 int64_t retry_after_ms)
+{
+	const route_runner_t *runner = call->runner;
+
+	if (end == ROUTE_END_ANSWERED)
+		add_value(&pool->whole_us,
+			  clock_now_us(pool->table->options.clock) -
+				  call->started_us);
+	route_finish(pool->route, call, end, retry_after_ms);
+	tell_pressure(pool, runner);
+}
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -44,6 +44,7 @@
 	void *drained_data;
 	struct evkeyvalq query;
 	char *body;
+	char *id;
 	char peer[INET6_ADDRSTRLEN];
 	exchange_state_t state;
 	bool query_parsed;
@@ -120,6 +121,7 @@
 	if (exchange->query_parsed)
 		evhttp_clear_headers(&exchange->query);
 	g_free(exchange->body);
+	g_free(exchange->id);
 	g_free(exchange);
 	return EVHTP_RES_OK;
 }
@@ -314,6 +316,11 @@
 	return evhttp_find_header(&exchange->query, name);
 }
 
+const char *http_raw_query(const http_exchange_t *exchange)
+{
+	return (const char *)exchange->request->uri->query_raw;
+}
+
 const char *http_header(const http_exchange_t *exchange, const char *name)
 {
 	return evhtp_header_find(exchange->request->headers_in, name);
@@ -332,6 +339,18 @@
 	return exchange->body;
 }
 
+void http_set_id(http_exchange_t *exchange, const char *id)
+{
+	g_free(exchange->id);
+	exchange->id = g_strndup(id, HTTP_ID_MAX);
+	http_reply_header(exchange, "x-request-id", exchange->id);
+}
+
+const char *http_id(const http_exchange_t *exchange)
+{
+	return exchange->id ? exchange->id : "-";
+}
+
 const char *http_peer(const http_exchange_t *exchange)
 {
 	const struct sockaddr *addr = exchange->request->conn->saddr;
@@ -354,7 +373,7 @@
 
 	exchange->closed = closed;
 	exchange->closed_data = user_data;
-	if (exchange->peer_closed_event)
+	if (exchange->peer_closed_event || !closed)
 		return;
 	/* A paused connection does not read, so a close needs its own event. */
 	exchange->peer_closed_event =
@@ -439,3 +458,12 @@
 	exchange->state = EXCHANGE_FINISHED;
 	close_connection(exchange);
 }
+
+void http_stream_cut(http_exchange_t *exchange)
+{
+	if (exchange->state == EXCHANGE_FINISHED)
+		return;
+	mark_answered(exchange);
+	exchange->state = EXCHANGE_FINISHED;
+	close_connection(exchange);
+}
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -45,9 +45,16 @@
 const char *http_path(const http_exchange_t *exchange);
 /* Value of a query parameter, percent-decoded; NULL when absent. */
 const char *http_query(http_exchange_t *exchange, const char *name);
+/* The query as sent, without the question mark; NULL when there is none. */
+const char *http_raw_query(const http_exchange_t *exchange);
 const char *http_header(const http_exchange_t *exchange, const char *name);
 /* The body as one block, NUL-terminated beyond *len. Never NULL. */
 const char *http_body(http_exchange_t *exchange, size_t *len);
+/* Names the exchange for logs and adds the name to the answer's headers as
+ * x-request-id. At most HTTP_ID_MAX characters are kept. */
+#define HTTP_ID_MAX 128
+void http_set_id(http_exchange_t *exchange, const char *id);
+const char *http_id(const http_exchange_t *exchange);
 /* Address of the peer, such as "127.0.0.1". */
 const char *http_peer(const http_exchange_t *exchange);
 
@@ -71,5 +78,7 @@
 void http_stream_end(http_exchange_t *exchange);
 /* Closes the connection without the final chunk: the peer sees a cut. */
 void http_stream_abort(http_exchange_t *exchange);
+/* The same without sending what is pending, for a peer that takes nothing. */
+void http_stream_cut(http_exchange_t *exchange);
 
 #endif
