Add batch jobs' decision logic: job, coordinator, dispatcher, slots

Cause: batch needs exactly one result per item although nodes, messages and leases are lost, and must give way to online load at once.

Change: job is the record's state machine and form; coordinator hands out chunks under 3 s leases, learns finished ones from result objects and ends a cancelled job only after the last lease; dispatcher runs items on the runners of this node, stops them when online load comes and resumes them by tokens; slot learns a runner's batch capacity; result is the form of a chunk's object; object_writer creates objects once with a read-back by writer token. None of them does I/O but object_writer.

--- /dev/null
+++ b/src/batch/coordinator.c
@@ -0,0 +1,756 @@
+#include "batch/coordinator.h"
+
+#include <string.h>
+
+/* A holder counts its lease from before its call, so this is on top. */
+#define LEASE_MARGIN_MS 200
+/* Progress is written to the record this often at most. */
+#define PROGRESS_MS 2000
+#define RETRY_MS 500
+#define RATE_MS 1000
+#define RATE_WEIGHT 0.1
+/* A job is judged by its rate after this share of its window. */
+#define RISK_SHARE 0.05
+
+typedef enum chunk_state {
+	CHUNK_WAITING,
+	CHUNK_LEASED,
+	CHUNK_CHECKING, /* lease ran out; its object may exist */
+	CHUNK_DONE
+} chunk_state_t;
+
+typedef struct chunk {
+	uint32_t first;
+	uint32_t count;
+	uint32_t part;
+	uint32_t line;
+	int32_t plan; /* index in the plan, -1 for the rest of a split chunk */
+	chunk_state_t state;
+	const char *holder; /* interned */
+	int64_t lease_until_ms;
+	GArray *suspects;
+} chunk_t;
+
+typedef struct entry {
+	job_t *job;
+	uint64_t version;
+	GPtrArray *chunks; /* chunk_t, in order of creation */
+	GHashTable *by_first;
+	guint next_waiting; /* no waiting chunk has a lower index */
+	uint32_t waiting;
+	uint32_t unfinished; /* chunks */
+	int64_t adopted_ms;
+	int64_t last_write_ms;
+	int64_t retry_ms;
+	int64_t rate_ms;
+	uint32_t rate_items; /* finished at rate_ms */
+	double rate; /* items per ms */
+	gboolean ready;
+	gboolean learning;
+	gboolean updating;
+	gboolean dirty; /* progress that the record does not have */
+} entry_t;
+
+struct coordinator {
+	coordinator_ops_t ops;
+	const clock_source_t *clock;
+	GHashTable *jobs; /* id -> entry_t */
+	GHashTable *service; /* "partner/workspace" -> double, finish tags */
+	double virtual_time;
+	gboolean urgent_last;
+};
+
+static void chunk_free(void *data)
+{
+	chunk_t *chunk = data;
+
+	if (chunk->suspects)
+		g_array_free(chunk->suspects, TRUE);
+	g_free(chunk);
+}
+
+static void entry_free(void *data)
+{
+	entry_t *entry = data;
+
+	g_hash_table_destroy(entry->by_first);
+	g_ptr_array_free(entry->chunks, TRUE);
+	job_free(entry->job);
+	g_free(entry);
+}
+
+coordinator_t *coordinator_new(const coordinator_ops_t *ops,
+			       const clock_source_t *clock)
+{
+	coordinator_t *coordinator = g_new0(coordinator_t, 1);
+
+	coordinator->ops = *ops;
+	coordinator->clock = clock;
+	coordinator->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  entry_free);
+	coordinator->service =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return coordinator;
+}
+
+void coordinator_free(coordinator_t *coordinator)
+{
+	if (!coordinator)
+		return;
+	g_hash_table_destroy(coordinator->jobs);
+	g_hash_table_destroy(coordinator->service);
+	g_free(coordinator);
+}
+
+static entry_t *find(const coordinator_t *coordinator, const char *job)
+{
+	return g_hash_table_lookup(coordinator->jobs, job);
+}
+
+static chunk_t *find_chunk(const entry_t *entry, uint32_t first)
+{
+	return entry ? g_hash_table_lookup(entry->by_first,
+					   GUINT_TO_POINTER(first)) :
+		       NULL;
+}
+
+static void add_chunk(entry_t *entry, uint32_t first, uint32_t count,
+		      uint32_t part, uint32_t line, int32_t plan)
+{
+	chunk_t *chunk = g_new0(chunk_t, 1);
+
+	chunk->first = first;
+	chunk->count = count;
+	chunk->part = part;
+	chunk->line = line;
+	chunk->plan = plan;
+	g_ptr_array_add(entry->chunks, chunk);
+	g_hash_table_insert(entry->by_first, GUINT_TO_POINTER(first), chunk);
+	entry->waiting++;
+	entry->unfinished++;
+}
+
+/* The plan depends on the record alone, so every coordinator has the same. */
+static void make_plan(entry_t *entry)
+{
+	const job_t *job = entry->job;
+	uint32_t first = 0;
+
+	for (guint part = 0; part < job->part_items->len; part++) {
+		uint32_t items = g_array_index(job->part_items, uint32_t, part);
+
+		for (uint32_t line = 0; line < items;) {
+			uint32_t count = MIN(job->chunk_items, items - line);
+
+			add_chunk(entry, first, count, part, line,
+				  (int32_t)entry->chunks->len);
+			line += count;
+			first += count;
+		}
+	}
+}
+
+static void set_state(entry_t *entry, chunk_t *chunk, chunk_state_t state)
+{
+	guint index = entry->next_waiting;
+
+	entry->waiting -= chunk->state == CHUNK_WAITING;
+	entry->waiting += state == CHUNK_WAITING;
+	entry->unfinished -= state == CHUNK_DONE && chunk->state != CHUNK_DONE;
+	chunk->state = state;
+	if (state == CHUNK_WAITING) {
+		chunk->holder = NULL;
+		while (index > 0 && entry->chunks->pdata[index - 1] != chunk)
+			index--;
+		if (index > 0)
+			entry->next_waiting = index - 1;
+	}
+	if (state == CHUNK_DONE && chunk->suspects) {
+		g_array_free(chunk->suspects, TRUE);
+		chunk->suspects = NULL;
+	}
+}
+
+static void remember_finished(job_t *job, const chunk_t *chunk, uint32_t count)
+{
+	static const uint8_t zero;
+	job_split_t split = { chunk->first, count };
+	guint byte = (guint)chunk->plan / 8;
+
+	if (chunk->plan < 0 || count != chunk->count) {
+		g_array_append_val(job->splits, split);
+		return;
+	}
+	while (job->finished->len <= byte)
+		g_byte_array_append(job->finished, &zero, 1);
+	job->finished->data[byte] |= (uint8_t)(1U << (chunk->plan % 8));
+}
+
+/* Marks a chunk done and adds the rest of one that ended early. */
+static void close_chunk(entry_t *entry, chunk_t *chunk, uint32_t count)
+{
+	uint32_t rest = chunk->count - count;
+
+	set_state(entry, chunk, CHUNK_DONE);
+	chunk->count = count;
+	if (rest > 0)
+		add_chunk(entry, chunk->first + count, rest, chunk->part,
+			  chunk->line + count, -1);
+}
+
+static gboolean is_recorded(const job_t *job, int32_t plan)
+{
+	guint byte = (guint)plan / 8;
+
+	return byte < job->finished->len &&
+	       job->finished->data[byte] & (1U << (plan % 8));
+}
+
+static int compare_splits(const void *a, const void *b)
+{
+	const job_split_t *left = a;
+	const job_split_t *right = b;
+
+	return left->first < right->first ? -1 : left->first > right->first;
+}
+
+static void apply_record(entry_t *entry)
+{
+	job_t *job = entry->job;
+
+	for (guint i = 0; i < entry->chunks->len; i++) {
+		chunk_t *chunk = entry->chunks->pdata[i];
+
+		if (is_recorded(job, chunk->plan))
+			close_chunk(entry, chunk, chunk->count);
+	}
+	g_array_sort(job->splits, compare_splits);
+	for (guint i = 0; i < job->splits->len; i++) {
+		job_split_t split = g_array_index(job->splits, job_split_t, i);
+		chunk_t *chunk = find_chunk(entry, split.first);
+
+		if (chunk && split.count <= chunk->count)
+			close_chunk(entry, chunk, split.count);
+	}
+}
+
+static uint32_t items_done(const job_t *job)
+{
+	return job->completed + job->failed;
+}
+
+static entry_t *adopt(coordinator_t *coordinator, job_t *job, uint64_t version)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+	int64_t now_ms = clock_now_ms(coordinator->clock);
+
+	entry->job = job;
+	entry->version = version;
+	entry->chunks = g_ptr_array_new_with_free_func(chunk_free);
+	entry->by_first = g_hash_table_new(NULL, NULL);
+	entry->adopted_ms = now_ms;
+	entry->rate_ms = now_ms;
+	entry->rate_items = items_done(job);
+	make_plan(entry);
+	apply_record(entry);
+	g_hash_table_insert(coordinator->jobs, job->id, entry);
+	return entry;
+}
+
+void coordinator_follow(coordinator_t *coordinator, job_t *job,
+			uint64_t version)
+{
+	entry_t *entry = find(coordinator, job->id);
+
+	if (entry && version <= entry->version) {
+		job_free(job);
+		return;
+	}
+	if (job_state_is_final(job->state)) {
+		g_hash_table_remove(coordinator->jobs, job->id);
+		job_free(job);
+		return;
+	}
+	if (!entry) {
+		adopt(coordinator, job, version);
+		return;
+	}
+	entry->version = version;
+	entry->job->state = job->state;
+	memcpy(entry->job->at_ms, job->at_ms, sizeof(job->at_ms));
+	job_free(job);
+}
+
+void coordinator_drop(coordinator_t *coordinator, const char *job)
+{
+	g_hash_table_remove(coordinator->jobs, job);
+}
+
+void coordinator_drop_unless(coordinator_t *coordinator,
+			     coordinator_keep_t keep, void *user_data)
+{
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, coordinator->jobs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (!keep(key, user_data))
+			g_hash_table_iter_remove(&iter);
+}
+
+void coordinator_updated(coordinator_t *coordinator, const char *job,
+			 gboolean ok, uint64_t version)
+{
+	entry_t *entry = find(coordinator, job);
+
+	if (!entry || !entry->updating)
+		return;
+	entry->updating = FALSE;
+	if (!ok) {
+		entry->dirty = TRUE;
+		entry->retry_ms = clock_now_ms(coordinator->clock) + RETRY_MS;
+		return;
+	}
+	entry->version = MAX(entry->version, version);
+	if (job_state_is_final(entry->job->state))
+		g_hash_table_remove(coordinator->jobs, job);
+}
+
+gboolean coordinator_needs(const coordinator_t *coordinator, const char *job,
+			   uint32_t first)
+{
+	const entry_t *entry = find(coordinator, job);
+	const chunk_t *chunk = find_chunk(entry, first);
+
+	return entry && (!chunk || chunk->state != CHUNK_DONE);
+}
+
+void coordinator_learned(coordinator_t *coordinator, const char *job,
+			 const coordinator_result_t *result)
+{
+	entry_t *entry = find(coordinator, job);
+	chunk_t *chunk = find_chunk(entry, result->first);
+
+	if (!chunk || chunk->state == CHUNK_DONE || result->count == 0 ||
+	    result->count > chunk->count)
+		return;
+	remember_finished(entry->job, chunk, result->count);
+	close_chunk(entry, chunk, result->count);
+	entry->job->completed += result->completed;
+	entry->job->failed += result->failed;
+	entry->dirty = TRUE;
+}
+
+void coordinator_absent(coordinator_t *coordinator, const char *job,
+			uint32_t first)
+{
+	entry_t *entry = find(coordinator, job);
+	chunk_t *chunk = find_chunk(entry, first);
+
+	if (chunk && chunk->state == CHUNK_CHECKING)
+		set_state(entry, chunk, CHUNK_WAITING);
+}
+
+void coordinator_ready(coordinator_t *coordinator, const char *job,
+		       gboolean all)
+{
+	entry_t *entry = find(coordinator, job);
+
+	if (!entry)
+		return;
+	entry->learning = FALSE;
+	entry->ready = all;
+	entry->retry_ms = clock_now_ms(coordinator->clock) + RETRY_MS;
+}
+
+static int64_t remaining_ms(const coordinator_t *coordinator,
+			    const entry_t *entry)
+{
+	return entry->job->expires_ms - clock_wall_ms(coordinator->clock);
+}
+
+static int64_t slack_ms(const coordinator_t *coordinator, const entry_t *entry)
+{
+	uint32_t left = entry->job->total - items_done(entry->job);
+	int64_t remaining = remaining_ms(coordinator, entry);
+
+	if (entry->rate <= 0)
+		return remaining;
+	return remaining - (int64_t)MIN((double)left / entry->rate, 1e15);
+}
+
+static gboolean runs(const coordinator_t *coordinator, const entry_t *entry)
+{
+	return entry->job->state == JOB_IN_PROGRESS && entry->ready &&
+	       remaining_ms(coordinator, entry) > 0;
+}
+
+static char *service_key(const job_t *job)
+{
+	return g_strconcat(job->partner, "/", job->workspace, NULL);
+}
+
+static double start_tag(const coordinator_t *coordinator, const job_t *job)
+{
+	char *key = service_key(job);
+	const double *finish = g_hash_table_lookup(coordinator->service, key);
+
+	g_free(key);
+	return finish ? MAX(*finish, coordinator->virtual_time) :
+			coordinator->virtual_time;
+}
+
+static void charge(coordinator_t *coordinator, const job_t *job, uint32_t items)
+{
+	double start = start_tag(coordinator, job);
+	double weight = 1;
+	double *finish = g_new(double, 1);
+
+	if (coordinator->ops.weight)
+		weight = coordinator->ops.weight(job->partner, job->workspace,
+						 coordinator->ops.user_data);
+	*finish = start + items / (weight > 0 ? weight : 1);
+	coordinator->virtual_time = start;
+	g_hash_table_insert(coordinator->service, service_key(job), finish);
+}
+
+static gboolean serves(const entry_t *entry, const char *partner,
+		       const char *deployment)
+{
+	return strcmp(entry->job->partner, partner) == 0 &&
+	       strcmp(entry->job->deployment, deployment) == 0;
+}
+
+/*
+ * Weighted fair queueing between workspaces, least slack within one. Every
+ * second grant at most goes to a job at risk regardless of its workspace, so
+ * short deadlines cannot starve the others.
+ */
+static entry_t *choose_job(coordinator_t *coordinator, const char *partner,
+			   const char *deployment)
+{
+	entry_t *fair = NULL, *urgent = NULL;
+	double fair_tag = 0;
+	int64_t fair_slack = 0, urgent_slack = 0;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, coordinator->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_t *entry = value;
+		int64_t slack;
+		double tag;
+
+		if (entry->waiting == 0 || !runs(coordinator, entry) ||
+		    !serves(entry, partner, deployment))
+			continue;
+		slack = slack_ms(coordinator, entry);
+		tag = start_tag(coordinator, entry->job);
+		if (!fair || tag < fair_tag ||
+		    (tag <= fair_tag && slack < fair_slack)) {
+			fair = entry;
+			fair_tag = tag;
+			fair_slack = slack;
+		}
+		if (entry->job->at_risk && (!urgent || slack < urgent_slack)) {
+			urgent = entry;
+			urgent_slack = slack;
+		}
+	}
+	coordinator->urgent_last = urgent && !coordinator->urgent_last;
+	return coordinator->urgent_last ? urgent : fair;
+}
+
+static chunk_t *next_chunk(entry_t *entry)
+{
+	for (; entry->next_waiting < entry->chunks->len;
+	     entry->next_waiting++) {
+		chunk_t *chunk = entry->chunks->pdata[entry->next_waiting];
+
+		if (chunk->state == CHUNK_WAITING)
+			return chunk;
+	}
+	return NULL;
+}
+
+static void lease(const coordinator_t *coordinator, entry_t *entry,
+		  chunk_t *chunk, const char *holder)
+{
+	set_state(entry, chunk, CHUNK_LEASED);
+	chunk->holder = g_intern_string(holder);
+	chunk->lease_until_ms = clock_now_ms(coordinator->clock) +
+				COORDINATOR_LEASE_MS + LEASE_MARGIN_MS;
+}
+
+gboolean coordinator_pull(coordinator_t *coordinator, const char *holder,
+			  const char *partner, const char *deployment,
+			  coordinator_grant_t *grant)
+{
+	entry_t *entry = choose_job(coordinator, partner, deployment);
+	chunk_t *chunk = entry ? next_chunk(entry) : NULL;
+
+	if (!chunk)
+		return FALSE;
+	lease(coordinator, entry, chunk, holder);
+	charge(coordinator, entry->job, chunk->count);
+	grant->job = entry->job->id;
+	grant->input_file_id = entry->job->input_file_id;
+	grant->part = chunk->part;
+	grant->line = chunk->line;
+	grant->first = chunk->first;
+	grant->count = chunk->count;
+	grant->slack_ms = slack_ms(coordinator, entry);
+	grant->suspects = chunk->suspects;
+	return TRUE;
+}
+
+static void merge_suspects(chunk_t *chunk, const GArray *suspects)
+{
+	if (!suspects || suspects->len == 0)
+		return;
+	if (!chunk->suspects)
+		chunk->suspects = g_array_new(FALSE, FALSE, sizeof(suspect_t));
+	for (guint i = 0; i < suspects->len; i++) {
+		const suspect_t *new = &g_array_index(suspects, suspect_t, i);
+		suspect_t *known = NULL;
+
+		if (new->item < chunk->first ||
+		    new->item - chunk->first >= chunk->count)
+			continue;
+		for (guint k = 0; k < chunk->suspects->len && !known; k++) {
+			known = &g_array_index(chunk->suspects, suspect_t, k);
+			if (known->item != new->item)
+				known = NULL;
+		}
+		if (!known) {
+			g_array_append_val(chunk->suspects, *new);
+			continue;
+		}
+		known->tries = MAX(known->tries, new->tries);
+		known->deaths = MAX(known->deaths, new->deaths);
+	}
+}
+
+lease_status_t coordinator_renew(coordinator_t *coordinator, const char *holder,
+				 const char *job, uint32_t first,
+				 const GArray *suspects)
+{
+	entry_t *entry = find(coordinator, job);
+	chunk_t *chunk = find_chunk(entry, first);
+
+	if (!entry)
+		return LEASE_LOST;
+	if (chunk && chunk->state != CHUNK_DONE)
+		merge_suspects(chunk, suspects);
+	if (entry->job->state == JOB_VALIDATING ||
+	    (entry->job->state == JOB_IN_PROGRESS && !entry->ready))
+		return LEASE_LOST;
+	if (!runs(coordinator, entry) || !chunk || chunk->state == CHUNK_DONE)
+		return LEASE_ENDED;
+	if (chunk->holder && strcmp(chunk->holder, holder) != 0)
+		return LEASE_LOST;
+	lease(coordinator, entry, chunk, holder);
+	return LEASE_VALID;
+}
+
+void coordinator_done(coordinator_t *coordinator, const char *holder,
+		      const char *job, const coordinator_result_t *result)
+{
+	coordinator_learned(coordinator, job, result);
+}
+
+void coordinator_hand_back(coordinator_t *coordinator, const char *holder,
+			   const char *job, uint32_t first,
+			   const GArray *suspects)
+{
+	entry_t *entry = find(coordinator, job);
+	chunk_t *chunk = find_chunk(entry, first);
+
+	if (!chunk || chunk->state == CHUNK_DONE || !chunk->holder ||
+	    strcmp(chunk->holder, holder) != 0)
+		return;
+	merge_suspects(chunk, suspects);
+	set_state(entry, chunk, CHUNK_WAITING);
+}
+
+static void write_record(coordinator_t *coordinator, entry_t *entry)
+{
+	entry->updating = TRUE;
+	entry->dirty = FALSE;
+	entry->last_write_ms = clock_now_ms(coordinator->clock);
+	coordinator->ops.update(entry->job, entry->version,
+				coordinator->ops.user_data);
+}
+
+/* Live leases, counting those that a predecessor may have given. */
+static gboolean has_lease(const coordinator_t *coordinator,
+			  const entry_t *entry)
+{
+	int64_t now_ms = clock_now_ms(coordinator->clock);
+
+	if (now_ms < entry->adopted_ms + COORDINATOR_LEASE_MS + LEASE_MARGIN_MS)
+		return TRUE;
+	for (guint i = 0; i < entry->chunks->len; i++) {
+		const chunk_t *chunk = entry->chunks->pdata[i];
+
+		if (chunk->state == CHUNK_LEASED &&
+		    chunk->lease_until_ms > now_ms)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static void expire_leases(coordinator_t *coordinator, entry_t *entry)
+{
+	int64_t now_ms = clock_now_ms(coordinator->clock);
+
+	for (guint i = 0; i < entry->chunks->len; i++) {
+		chunk_t *chunk = entry->chunks->pdata[i];
+
+		if (chunk->state != CHUNK_LEASED ||
+		    chunk->lease_until_ms > now_ms)
+			continue;
+		set_state(entry, chunk, CHUNK_CHECKING);
+		chunk->holder = NULL;
+		coordinator->ops.check(entry->job->id, chunk->first,
+				       coordinator->ops.user_data);
+	}
+}
+
+static void estimate(const coordinator_t *coordinator, entry_t *entry)
+{
+	int64_t now_ms = clock_now_ms(coordinator->clock);
+	int64_t passed_ms = now_ms - entry->rate_ms;
+	job_t *job = entry->job;
+	uint32_t done = items_done(job);
+	int64_t window_ms = job->expires_ms - job->at_ms[JOB_VALIDATING];
+	int64_t remaining = remaining_ms(coordinator, entry);
+	double rate;
+	bool at_risk;
+
+	if (passed_ms < RATE_MS)
+		return;
+	rate = (double)(done - entry->rate_items) / (double)passed_ms;
+	entry->rate = entry->rate > 0 ? entry->rate * (1 - RATE_WEIGHT) +
+						rate * RATE_WEIGHT :
+					rate;
+	entry->rate_ms = now_ms;
+	entry->rate_items = done;
+	if (entry->rate > 0)
+		at_risk = slack_ms(coordinator, entry) < 0;
+	else
+		at_risk = remaining < window_ms / 2;
+	if ((double)remaining > (double)window_ms * (1 - RISK_SHARE))
+		at_risk = false;
+	if (at_risk != job->at_risk) {
+		job->at_risk = at_risk;
+		entry->dirty = TRUE;
+	}
+}
+
+/* The state that the job is to have now; TRUE when that is a change. */
+static gboolean advance(const coordinator_t *coordinator, entry_t *entry)
+{
+	int64_t wall_ms = clock_wall_ms(coordinator->clock);
+	job_t *job = entry->job;
+
+	if (job->state == JOB_VALIDATING)
+		return job_move(job, JOB_IN_PROGRESS, wall_ms);
+	if (job->state == JOB_CANCELLING)
+		return !has_lease(coordinator, entry) &&
+		       job_move(job, JOB_CANCELLED, wall_ms);
+	if (job->state != JOB_IN_PROGRESS && job->state != JOB_FINALIZING)
+		return FALSE;
+	if (entry->ready && entry->unfinished == 0) {
+		job->at_risk = false;
+		job_move(job, JOB_FINALIZING, wall_ms);
+		return job_move(job, JOB_COMPLETED, wall_ms);
+	}
+	if (remaining_ms(coordinator, entry) <= 0)
+		return !has_lease(coordinator, entry) &&
+		       job_move(job, JOB_EXPIRED, wall_ms);
+	return FALSE;
+}
+
+static void tick_job(coordinator_t *coordinator, entry_t *entry)
+{
+	int64_t now_ms = clock_now_ms(coordinator->clock);
+
+	if (!entry->ready) {
+		if (!entry->learning && now_ms >= entry->retry_ms) {
+			entry->learning = TRUE;
+			coordinator->ops.learn(entry->job->id,
+					       coordinator->ops.user_data);
+		}
+	} else if (entry->job->state == JOB_IN_PROGRESS) {
+		expire_leases(coordinator, entry);
+		estimate(coordinator, entry);
+	}
+	if (entry->updating || now_ms < entry->retry_ms)
+		return;
+	if (advance(coordinator, entry) ||
+	    job_state_is_final(entry->job->state) ||
+	    (entry->dirty && now_ms >= entry->last_write_ms + PROGRESS_MS))
+		write_record(coordinator, entry);
+}
+
+void coordinator_tick(coordinator_t *coordinator)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, coordinator->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tick_job(coordinator, value);
+}
+
+static coordinator_demand_t *find_demand(GArray *demands, const job_t *job)
+{
+	coordinator_demand_t new = { job->partner, job->deployment, 0,
+				     INT64_MAX };
+
+	for (guint i = 0; i < demands->len; i++) {
+		coordinator_demand_t *demand =
+			&g_array_index(demands, coordinator_demand_t, i);
+
+		if (strcmp(demand->partner, job->partner) == 0 &&
+		    strcmp(demand->deployment, job->deployment) == 0)
+			return demand;
+	}
+	g_array_append_val(demands, new);
+	return &g_array_index(demands, coordinator_demand_t, demands->len - 1);
+}
+
+GArray *coordinator_demands(const coordinator_t *coordinator)
+{
+	GArray *demands =
+		g_array_new(FALSE, FALSE, sizeof(coordinator_demand_t));
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, coordinator->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_t *entry = value;
+		coordinator_demand_t *demand;
+
+		if (entry->waiting == 0 || !runs(coordinator, entry))
+			continue;
+		demand = find_demand(demands, entry->job);
+		demand->waiting += entry->waiting;
+		demand->slack_ms =
+			MIN(demand->slack_ms, slack_ms(coordinator, entry));
+	}
+	return demands;
+}
+
+uint32_t coordinator_jobs(const coordinator_t *coordinator)
+{
+	return g_hash_table_size(coordinator->jobs);
+}
+
+const job_t *coordinator_find(const coordinator_t *coordinator, const char *job)
+{
+	const entry_t *entry = find(coordinator, job);
+
+	return entry ? entry->job : NULL;
+}
--- /dev/null
+++ b/src/batch/job.h
@@ -0,0 +1,87 @@
+#ifndef WASABILINK_BATCH_JOB_H
+#define WASABILINK_BATCH_JOB_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * job - a batch job as its ledger record holds it: a state machine without
+ * I/O. Times are wall clock, ms since the epoch.
+ */
+#define JOB_MIN_CHUNK_ITEMS 8
+#define JOB_MAX_CHUNK_ITEMS 256
+#define JOB_MAX_METADATA_BYTES 16384
+
+typedef enum job_state {
+	JOB_VALIDATING, /* recorded; its coordinator has not taken it up yet */
+	JOB_IN_PROGRESS,
+	JOB_FINALIZING,
+	JOB_COMPLETED,
+	JOB_FAILED,
+	JOB_EXPIRED,
+	JOB_CANCELLING,
+	JOB_CANCELLED,
+	JOB_STATE_COUNT
+} job_state_t;
+
+/* A finished chunk that covers fewer items than planned. */
+typedef struct job_split {
+	uint32_t first;
+	uint32_t count;
+} job_split_t;
+
+typedef struct job {
+	char *id; /* as in the object store: scope and record key, hex */
+	char *partner;
+	char *workspace;
+	char *deployment;
+	char *input_file_id;
+	char *endpoint;
+	char *window;
+	char *metadata; /* JSON object */
+	char *digest; /* of what was asked for, SHA-256 */
+	char *failure; /* of JOB_FAILED */
+	job_state_t state;
+	int64_t at_ms[JOB_STATE_COUNT]; /* when each state began; 0: never */
+	int64_t expires_ms;
+	uint32_t total; /* items */
+	uint32_t completed;
+	uint32_t failed;
+	uint32_t chunk_items;
+	bool at_risk;
+	GArray *part_items; /* uint32_t: items of each part of the input */
+	/*
+	 * Finished chunks: bit n is the nth chunk of the plan; splits name the
+	 * finished ones that are no whole chunk of the plan. What was finished
+	 * since the last write is learned from the result objects.
+	 */
+	GByteArray *finished;
+	GArray *splits; /* job_split_t */
+} job_t;
+
+job_t *job_new(void);
+void job_free(job_t *job);
+
+const char *job_state_name(job_state_t state);
+gboolean job_state_is_final(job_state_t state);
+/* Moves the job when the change is allowed, else returns FALSE. */
+gboolean job_move(job_t *job, job_state_t state, int64_t now_ms);
+
+/* Chunk size for a job: small jobs spread over the runners as well. */
+uint32_t job_chunk_items(uint32_t total);
+
+/* Parses 90s, 30m, 24h or 7d. Errors: WL_ERROR_INVALID. */
+gboolean job_parse_window(const char *text, int64_t *window_ms, GError **error);
+
+/* The record's form. */
+char *job_encode(const job_t *job, size_t *len);
+/* Errors: WL_ERROR_PROTOCOL. */
+job_t *job_decode(const char *data, size_t len, GError **error);
+
+/* The object that callers see. */
+json_t *job_to_json(const job_t *job, const char *output_file_id,
+		    const char *error_file_id);
+
+#endif
