--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
 #include "coord/member.h"
 #include "entry/vm_follow.h"
 #include "entry/membership.h"
+#include "entry/records.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -39,6 +40,8 @@
 	int64_t max_body_bytes;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
+	int64_t shards; /* of the ledger, the same on all nodes */
+	int64_t ledger_writes_per_s; /* of this node */
 } entry_options_t;
 
 typedef struct entry {
@@ -56,6 +59,7 @@
 	member_table_t *members;
 	vm_follow_t *vm_follow;
 	membership_t *membership;
+	records_t *records;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
