--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -90,6 +90,22 @@
 	return http_server_new(&options, error);
 }
 
+static gboolean start_membership(entry_t *entry, GError **error)
+{
+	membership_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.counters = entry->counters,
+		.members = entry->members,
+		.environment = entry->options.environment,
+		.seeds = entry->options.seeds,
+	};
+
+	entry->membership = membership_new(&options, error);
+	return entry->membership != NULL;
+}
+
 static uint64_t random_u64(entry_t *entry)
 {
 	return (uint64_t)g_rand_int(entry->random) << 32 |
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -20,6 +20,9 @@
 #include "entry/config_follow.h"
 #include "entry/membership.h"
 #include "entry/pool.h"
+#include "entry/vm_follow.h"
+#include "entry/membership.h"
+#include "entry/records.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -74,6 +77,9 @@
 	vm_follow_t *vm_follow;
 	membership_t *membership;
 	config_follow_t *config;
+	vm_follow_t *vm_follow;
+	membership_t *membership;
+	records_t *records;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
