Add the load tool; fix a use after free when connecting fails at once

Cause: experiments need open-loop load that a slow target cannot slow down, and a check that each answer is whole and its own request's. At 20,000 requests/s the first version crashed: evhttp reports a connect that fails at once (no free ports) from inside evhttp_make_request(), and http_call_start() used the call that this had freed.

The HTTP client defers such a failure to the loop, as its header promises. The engine emulator uses precise timers.

--- a/src/emulator/engine.c
+++ b/src/emulator/engine.c
@@ -319,7 +319,12 @@
 
 static void engine_setup(engine_t *engine, engine_settings_t *settings)
 {
-	engine->base = event_base_new();
+	/* Without it, the time between tokens is rounded to milliseconds. */
+	struct event_config *config = event_config_new();
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	engine->base = event_base_new_with_config(config);
+	event_config_free(config);
 	engine->count_runs = settings->count_runs;
 	run_count_init(&engine->runs);
 	engine_fault_init(&engine->fault, (uint32_t)settings->seed);
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -36,6 +36,7 @@
 	int status;
 	bool transport_error; /* evhttp reported a failure after connecting */
 	bool cancelled;
+	bool starting; /* inside evhttp_make_request() */
 	bool failed_to_start;
 };
 
@@ -168,6 +169,15 @@
 	pooled_connection_t *connection = call->connection;
 	int status = request ? evhttp_request_get_response_code(request) : 0;
 
+	if (call->starting) {
+		/*
+		 * A connect that fails at once, as without free ports, is
+		 * reported from inside evhttp_make_request().
+		 */
+		call->failed_to_start = true;
+		call->request = NULL;
+		return;
+	}
 	if (call->cancelled) {
 		call->request = NULL; /* evhttp frees it after this callback */
 		return;
@@ -285,12 +295,14 @@
 	evhttp_request_set_chunked_cb(call->request, on_evhttp_chunk);
 	add_headers(call->request, options);
 	call->timer = evtimer_new(client->base, on_timer, call);
+	call->starting = true;
 	if (evhttp_make_request(call->connection->evcon, call->request,
 				command_of(options->method),
-				options->target) != 0) {
+				options->target) != 0)
 		call->failed_to_start = true;
+	call->starting = false;
+	if (call->failed_to_start)
 		timeout = (struct timeval){ 0, 0 };
-	}
 	if (options->timeout_ms || call->failed_to_start)
 		evtimer_add(call->timer, &timeout);
 	return call;
--- a/src/main.c
+++ b/src/main.c
@@ -6,6 +6,7 @@
 #include "emulator/platform_standin.h"
 #include "emulator/service.h"
 #include "entry/entry.h"
+#include "tool/load.h"
 
 #define VERSION "0.1.0"
 
@@ -20,6 +21,7 @@
 	{ "platform", platform_standin_main, "stand-in for the object API" },
 	{ "engine", engine_main, "model engine emulator" },
 	{ "service", service_main, "plain service emulator" },
+	{ "load", load_main, "send load and measure" },
 	{ NULL, NULL, NULL },
 };
 
