Wire ledger, configuration, membership and online path into one start order

Change: one start order; the process stops when no request is active, none goes on without its caller, and the ledger's shards are released.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -45,12 +45,12 @@
 	entry_timers_t *timers = arg;
 	entry_t *entry = timers->entry;
 	struct timeval period = { 0, DRAIN_CHECK_MS * 1000 };
-	bool idle = http_server_active(entry->callers) == 0;
+	bool idle =
+		http_server_active(entry->callers) == 0 && entry->detached == 0;
 
 	if (idle)
 		records_release(entry->records);
 	if ((idle && records_is_released(entry->records)) ||
-	if ((http_server_active(entry->callers) == 0 && entry->detached == 0) ||
 	    clock_now_ms(entry->clock) >= timers->drain_until_ms)
 		event_base_loopbreak(entry->base);
 	else
@@ -130,22 +130,6 @@
 	entry->records = records_new(&options);
 }
 
-static gboolean start_membership(entry_t *entry, GError **error)
-{
-	membership_options_t options = {
-		.base = entry->base,
-		.clock = entry->clock,
-		.random = entry->random,
-		.counters = entry->counters,
-		.members = entry->members,
-		.environment = entry->options.environment,
-		.seeds = entry->options.seeds,
-	};
-
-	entry->membership = membership_new(&options, error);
-	return entry->membership != NULL;
-}
-
 static void start_config(entry_t *entry)
 {
 	config_follow_options_t options = {
@@ -165,6 +149,8 @@
 	};
 
 	entry->config = config_follow_new(&options);
+}
+
 static void start_online(entry_t *entry)
 {
 	const entry_options_t *o = &entry->options;
@@ -258,7 +244,6 @@
 	entry_timers_t timers = { .entry = entry };
 
 	follow_vms(entry);
-
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -77,9 +77,6 @@
 	vm_follow_t *vm_follow;
 	membership_t *membership;
 	config_follow_t *config;
-	vm_follow_t *vm_follow;
-	membership_t *membership;
-	records_t *records;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
