--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,7 @@
 #include "emulator/service.h"
 #include "entry/entry.h"
 #include "tool/config_tool.h"
+#include "tool/load.h"
 #include "tool/status_tool.h"
 #include "tool/timeline_tool.h"
 
@@ -26,6 +27,7 @@
 	{ "config", config_tool_main, "check, show, diff, apply or promote" },
 	{ "status", status_tool_main, "show what an entry node knows" },
 	{ "timeline", timeline_tool_main, "merge log lines by time" },
+	{ "load", load_main, "send load and measure" },
 	{ NULL, NULL, NULL },
 };
 
