Send orders to engines and keep serving while a version changes

Cause: nothing brought engines to the version of the document, and a request that asked for a new version before any runner had loaded it was refused.

Change: entry/reconciler carries out the order plans of the deployments whose shard this node owns, with the shard's epoch as fencing token. coord/rollout chooses the version that a request asks for: the previous one until two runners have refused it, then the new one; a refusal for the version leaves the runner out for a second instead of blocking it.

Before: with the choice switched off, requests during a version change of three engines got 503 in tests/process/test_orders.py. After: all requests in the same test are answered 200, the engines converge, and a paused owner that continues does not undo its successor's order, with engines that check the token and with engines that ignore it.

Conclusion: holds in these tests. The two-runner rule needs min_serving to be at least one less than the number of runners.

--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -18,6 +18,7 @@
 
 #define STREAM_BUFFER_BYTES (256 * 1024)
 #define MAX_TRIES 3
+#define MAX_EXCLUDED 64
 /* The first try and its hedge. */
 #define PARALLEL_TRIES 2
 #define UPSTREAM_ID_BYTES 96
@@ -31,6 +32,7 @@
 	chat_t *chat;
 	engine_call_t *call; /* NULL: not in use */
 	route_call_t route;
+	const char *version; /* that the runner was asked for */
 	bool hedge;
 } chat_try_t;
 
@@ -451,7 +453,7 @@
 	static const route_end_t ends[ENGINE_FAULT_COUNT] = {
 		[ENGINE_FAULT_NONE] = ROUTE_END_ANSWERED,
 		[ENGINE_FAULT_CONNECT] = ROUTE_END_REFUSED,
-		[ENGINE_FAULT_VERSION] = ROUTE_END_REFUSED,
+		[ENGINE_FAULT_VERSION] = ROUTE_END_NEUTRAL,
 		[ENGINE_FAULT_BUSY] = ROUTE_END_REFUSED,
 		[ENGINE_FAULT_REJECTED] = ROUTE_END_NEUTRAL,
 		[ENGINE_FAULT_ERROR] = ROUTE_END_FAILED,
@@ -552,8 +554,14 @@
 		  try->route.runner->address,
 		  engine_outcome_name(result->outcome),
 		  engine_fault_name(result->fault));
-	if (result->outcome == ENGINE_WHOLE)
+	if (result->fault == ENGINE_FAULT_VERSION)
+		rollout_refused(chat->pool->rollout, try->route.runner->address,
+				try->version);
+	if (result->outcome == ENGINE_WHOLE) {
+		rollout_served(chat->pool->rollout, try->route.runner->address,
+			       try->version);
 		win(try);
+	}
 	finish_try(try, route_end_of(result->fault),
 		   result->retry_after_s * 1000LL);
 	if (result->outcome == ENGINE_WHOLE)
@@ -562,13 +570,35 @@
 		on_try_failed(try, result);
 }
 
-static route_runner_t *choose_runner(chat_t *chat, bool hedge)
+/* Runners that were tried or are known not to serve the version. */
+static uint32_t collect_excluded(const chat_t *chat, const char *version,
+				 const route_runner_t **excluded, uint32_t max)
+{
+	const GPtrArray *runners = route_subset(chat->pool->route);
+	uint32_t count = 0;
+
+	for (; count < chat->tried_count; count++)
+		excluded[count] = chat->tried[count];
+	for (guint i = 0; i < runners->len && count < max; i++) {
+		const route_runner_t *runner = runners->pdata[i];
+
+		if (rollout_lacks(chat->pool->rollout, runner->address,
+				  version))
+			excluded[count++] = runner;
+	}
+	return count;
+}
+
+static route_runner_t *choose_runner(chat_t *chat, const char *version,
+				     bool hedge)
 {
+	const route_runner_t *excluded[MAX_EXCLUDED];
 	route_request_t request = {
 		.class_index = chat->request.class_index,
 		.prefix_hash = chat->request.prefix_hash,
-		.exclude = chat->tried,
-		.exclude_count = chat->tried_count,
+		.exclude = excluded,
+		.exclude_count =
+			collect_excluded(chat, version, excluded, MAX_EXCLUDED),
 	};
 	route_runner_t *runner = route_choose(chat->pool->route, &request);
 
@@ -603,12 +633,15 @@
 
 static void start_try(chat_t *chat, chat_try_t *try)
 {
-	route_runner_t *runner = choose_runner(chat, try->hedge);
+	const char *version =
+		rollout_version(chat->pool->rollout, chat->deployment->version,
+				route_subset(chat->pool->route)->len);
+	route_runner_t *runner = choose_runner(chat, version, try->hedge);
 	int64_t left_us = chat->deadline_us - clock_now_us(chat->entry->clock);
 	char id[UPSTREAM_ID_BYTES];
 	engine_call_options_t options = {
 		.request_id = id,
-		.version = chat->deployment->version,
+		.version = version,
 		.work_key = chat->request.key,
 		.body = chat->body,
 		.body_len = chat->body_len,
@@ -635,6 +668,7 @@
 	options.address = runner->address;
 	chat->tried[chat->tried_count++] = runner;
 	try->chat = chat;
+	try->version = version;
 	set_state(chat, REQUEST_DISPATCHED);
 	pool_begin(chat->pool, &try->route, runner, chat->request.class_index);
 	try->call = engine_call_start(chat->entry->engines, &options);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/setting.h"
 #include "entry/front.h"
+#include "entry/reconciler.h"
 #include "platform/object_http.h"
 
 #define VM_LIST_PERIOD_MS 1000
@@ -212,6 +213,8 @@
 		return FALSE;
 	start_ledger(entry);
 	start_config(entry);
+	entry->reconciler =
+		reconciler_new(entry, entry->options.weight_loads_per_minute);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -291,6 +294,10 @@
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
 		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "weight-loads-per-minute", SETTING_DOUBLE,
+		  &o->weight_loads_per_minute, "60", "N",
+		  "model loads that the weight store serves for the fleet", 0,
+		  100000, 0 },
 		{ "shards", SETTING_INT, &o->shards, "8", "N",
 		  "shards of the ledger, the same on all nodes", 1, 1024, 0 },
 		{ "ledger-writes-per-s", SETTING_INT, &o->ledger_writes_per_s,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -49,6 +49,7 @@
 	int64_t max_body_bytes;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
+	double weight_loads_per_minute; /* of the weight store, fleet-wide */
 	int64_t shards; /* of the ledger, the same on all nodes */
 	int64_t ledger_writes_per_s; /* of this node */
 	int64_t request_timeout_ms; /* without a caller's deadline */
@@ -77,6 +78,7 @@
 	vm_follow_t *vm_follow;
 	membership_t *membership;
 	config_follow_t *config;
+	struct reconciler *reconciler;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -45,6 +45,7 @@
 	admission_free(pool->admission);
 	hedge_free(pool->hedge);
 	route_free(pool->route);
+	rollout_free(pool->rollout);
 	g_free(pool->partner);
 	g_free(pool->name);
 	g_free(pool);
@@ -145,6 +146,7 @@
 	pool->name = g_strdup(name);
 	pool->is_service = is_service;
 	pool->route = route_new(&route);
+	pool->rollout = rollout_new(options->clock);
 	pool->hedge = hedge_new(&hedge);
 	pool->admission = admission_new(&admission);
 	pool->queue_timer = evtimer_new(options->base, on_queue_timer, pool);
--- a/src/entry/pool.h
+++ b/src/entry/pool.h
@@ -12,6 +12,7 @@
 #include "base/histogram.h"
 #include "coord/admission.h"
 #include "coord/hedge.h"
+#include "coord/rollout.h"
 #include "coord/route.h"
 #include "http/http_client.h"
 
@@ -33,6 +34,7 @@
 	route_t *route;
 	hedge_t *hedge;
 	admission_t *admission;
+	rollout_t *rollout;
 	struct event *queue_timer; /* gives up waiting requests */
 	histogram_t first_us; /* recent first tokens of online requests */
 	histogram_t whole_us; /* recent whole answers */
