Add claims of online requests on durable records

A claim is granted only after its record is durable; the first recorded result wins; a lost claimer makes non-idempotent work unknown and lets idempotent work be granted again. Results that cannot be recorded are buffered up to a bound and sent in groups later.

--- a/src/entry/claim.h
+++ b/src/entry/claim.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "coord/member.h"
 #include "entry/records.h"
 
@@ -79,6 +80,8 @@
 	records_t *records;
 	const member_table_t *members;
 	const clock_source_t *clock;
+	counter_set_t *counters;
+	uint64_t process; /* random, of this process */
 	int64_t retention_ms; /* of claims; 0 means 24 h */
 	uint32_t max_buffered; /* results kept while the ledger is
 				* unavailable; 0 means 1000 */
@@ -102,7 +105,8 @@
  * resends get CLAIM_UNKNOWN. Idempotent work may be granted again. */
 void claim_lose(claim_t *claim);
 
-/* Sends buffered results again; to be called about once a second. */
+/* Sends buffered results again; to be called about once a second. The results
+ * of a long outage go out in groups, so that the ledger is not flooded. */
 void claims_step(claims_t *claims);
 
 const char *claim_answer_name(claim_answer_t answer);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -62,6 +62,7 @@
 
 	object_get(entry->store, key, on_document, entry);
 	g_free(key);
+	claims_step(entry->claims);
 	evtimer_add(timers->poll, &period);
 }
 
@@ -122,6 +123,7 @@
 
 static void start_ledger(entry_t *entry)
 {
+	uint64_t process = random_u64(entry);
 	records_options_t options = {
 		.base = entry->base,
 		.clock = entry->clock,
@@ -130,12 +132,21 @@
 		.rpc_client = entry->rpc_client,
 		.rpc_server = entry->rpc_server,
 		.counters = entry->counters,
-		.incarnation = random_u64(entry),
+		.incarnation = process,
 		.shards = (uint32_t)entry->options.shards,
 		.writes_per_s = (double)entry->options.ledger_writes_per_s,
 	};
 
+	claims_options_t claims = {
+		.members = entry->members,
+		.clock = entry->clock,
+		.counters = entry->counters,
+		.process = process,
+	};
+
 	entry->records = records_new(&options);
+	claims.records = entry->records;
+	entry->claims = claims_new(&claims);
 }
 
 static gboolean start_membership(entry_t *entry, GError **error)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,6 +11,7 @@
 #include "base/counter.h"
 #include "config/document.h"
 #include "coord/member.h"
+#include "entry/claim.h"
 #include "entry/records.h"
 #include "entry/vm_follow.h"
 #include "entry/membership.h"
@@ -58,6 +59,7 @@
 	object_store_t *store;
 	member_table_t *members;
 	records_t *records;
+	claims_t *claims;
 	vm_follow_t *vm_follow;
 	membership_t *membership;
 	runner_set_t *runners;
