--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,9 +13,11 @@
 
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
+#define TICK_MS 1000
 
 typedef struct entry_timers {
 	entry_t *entry;
+	struct event *tick;
 	struct event *drain;
 	int64_t drain_until_ms;
 } entry_timers_t;
@@ -41,6 +43,15 @@
 	entry->document_version = version;
 }
 
+static void on_tick(evutil_socket_t fd, short events, void *arg)
+{
+	entry_timers_t *timers = arg;
+	struct timeval period = { TICK_MS / 1000, TICK_MS % 1000 * 1000 };
+
+	claims_step(timers->entry->claims);
+	evtimer_add(timers->tick, &period);
+}
+
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
@@ -115,6 +126,7 @@
 
 static void start_ledger(entry_t *entry)
 {
+	uint64_t process = random_u64(entry);
 	records_options_t options = {
 		.base = entry->base,
 		.clock = entry->clock,
@@ -123,12 +135,20 @@
 		.rpc_client = entry->rpc_client,
 		.rpc_server = entry->rpc_server,
 		.counters = entry->counters,
-		.incarnation = random_u64(entry),
+		.incarnation = process,
 		.shards = (uint32_t)entry->options.shards,
 		.writes_per_s = (double)entry->options.ledger_writes_per_s,
 	};
+	claims_options_t claims = {
+		.members = entry->members,
+		.clock = entry->clock,
+		.counters = entry->counters,
+		.process = process,
+	};
 
 	entry->records = records_new(&options);
+	claims.records = entry->records;
+	entry->claims = claims_new(&claims);
 }
 
 static void start_config(entry_t *entry)
@@ -247,6 +267,8 @@
 	entry_timers_t timers = { .entry = entry };
 
 	follow_vms(entry);
+	timers.tick = evtimer_new(entry->base, on_tick, &timers);
+	on_tick(-1, 0, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
 #include "config/document.h"
 #include "coord/limiter.h"
 #include "coord/member.h"
+#include "entry/claim.h"
 #include "entry/records.h"
 #include "coord/retry_budget.h"
 #include "entry/claim.h"
@@ -75,6 +76,7 @@
 	object_store_t *store;
 	member_table_t *members;
 	records_t *records;
+	claims_t *claims;
 	vm_follow_t *vm_follow;
 	membership_t *membership;
 	config_follow_t *config;
@@ -86,7 +88,6 @@
 	pool_table_t *pools;
 	limiter_t *limiter;
 	retry_budget_t *retry_budget;
-	claims_t *claims;
 	char *instance; /* unique per start, prefix of upstream request ids */
 	uint64_t next_request;
 	uint32_t detached; /* requests that go on without a caller */
