--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
 #include "backend/runner.h"
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/timeline.h"
 #include "config/document.h"
 #include "coord/limiter.h"
 #include "coord/member.h"
@@ -68,6 +69,7 @@
 	const clock_source_t *clock;
 	GRand *random;
 	counter_set_t *counters;
+	timeline_t *timeline; /* recent log lines, for operators */
 	http_client_t *http;
 	http_server_t *callers;
 	http_server_t *operators;
