Answer malformed, oversized and slow requests instead of closing

libevhtp closes a connection without an answer when it cannot parse a request, and it had no bounds on header size, slow headers and bodies or the number of connections. The server now answers 400, 408, 413, 431 and 503 with the error body and a request id, on a duplicate of the socket that lingers so that unread input does not reset the connection. Two lengths in one request are refused. A HEAD answer has no body. The limit on open files is raised at the start.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/os.h"
 #include "base/setting.h"
 #include "entry/front.h"
 #include "platform/object_http.h"
@@ -108,7 +109,10 @@
 		.port = port,
 		.max_body_bytes = (uint64_t)entry->options.max_body_bytes,
 		.read_timeout_ms = (int32_t)entry->options.read_timeout_ms,
+		.max_header_bytes = (uint32_t)entry->options.max_header_bytes,
+		.max_connections = (uint32_t)entry->options.max_connections,
 		.handler = handler,
+		.reject = front_reject,
 		.user_data = entry,
 	};
 
@@ -268,6 +272,10 @@
 		{ "max-body-bytes", SETTING_INT, &o->max_body_bytes,
 		  "536870912", "N", "largest request body", 1024, INT64_MAX,
 		  0 },
+		{ "max-header-bytes", SETTING_INT, &o->max_header_bytes,
+		  "32768", "N", "largest request headers", 256, 1048576, 0 },
+		{ "max-connections", SETTING_INT, &o->max_connections, "20000",
+		  "N", "connections of callers at once", 1, 1000000, 0 },
 		{ "read-timeout-ms", SETTING_INT, &o->read_timeout_ms, "30000",
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
@@ -314,6 +322,7 @@
 		fprintf(stderr, "wasabilink entry: --route-policy: unknown\n");
 		return 64;
 	}
+	os_raise_file_limit();
 	log_init(o->node_id, level);
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -42,6 +42,8 @@
 	char *environment; /* trial or production */
 	int64_t platform_timeout_ms;
 	int64_t max_body_bytes;
+	int64_t max_header_bytes;
+	int64_t max_connections;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
 	int64_t request_timeout_ms; /* without a caller's deadline */
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -155,3 +155,32 @@
 				"no such path");
 	}
 }
+
+void front_reject(int status, GString *headers, GString *body, void *user_data)
+{
+	static const struct {
+		int status;
+		api_error_id_t error;
+		const char *message;
+	} rejects[] = {
+		{ 408, API_REQUEST_TIMEOUT, "the request came too slowly" },
+		{ 413, API_TOO_LARGE, "the body is above the limit" },
+		{ 431, API_HEADERS_TOO_LARGE, "the headers are too large" },
+		{ 503, API_OVERLOADED, "too many connections" },
+		{ 400, API_INVALID_REQUEST, "the request is malformed" },
+	};
+	entry_t *entry = user_data;
+	size_t i = 0;
+	char *text;
+
+	while (i < G_N_ELEMENTS(rejects) - 1 && rejects[i].status != status)
+		i++;
+	text = api_error_body(rejects[i].error, WORK_NOT_RUN,
+			      rejects[i].message);
+	g_string_append(body, text);
+	free(text);
+	g_string_append_printf(headers, "x-request-id: %s-%" PRIu64 "\r\n",
+			       entry->instance, ++entry->next_request);
+	if (status == 503)
+		g_string_append(headers, "Retry-After: 1\r\n");
+}
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -6,5 +6,7 @@
 /* front - dispatches callers' and operators' HTTP requests. */
 void front_handle_caller(http_exchange_t *exchange, void *entry);
 void front_handle_operator(http_exchange_t *exchange, void *entry);
+/* Fills the answer to a request that cannot be read. */
+void front_reject(int status, GString *headers, GString *body, void *entry);
 
 #endif
--- /dev/null
+++ b/src/http/http_reject.c
@@ -0,0 +1,84 @@
+#include "http/http_reject.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LINGER_MS 1000
+#define LINGER_MAX_BYTES (4 * 1024 * 1024)
+
+typedef struct reject_linger {
+	struct event *event;
+	evutil_socket_t fd;
+	size_t dropped;
+} reject_linger_t;
+
+static const struct {
+	int status;
+	const char *reason;
+} reasons[] = {
+	{ 400, "Bad Request" },
+	{ 408, "Request Timeout" },
+	{ 413, "Content Too Large" },
+	{ 431, "Request Header Fields Too Large" },
+	{ 503, "Service Unavailable" },
+};
+
+static const char *reason_of(int status)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++)
+		if (reasons[i].status == status)
+			return reasons[i].reason;
+	return "Error";
+}
+
+static void linger_free(reject_linger_t *linger)
+{
+	event_free(linger->event);
+	evutil_closesocket(linger->fd);
+	g_free(linger);
+}
+
+static void on_readable(evutil_socket_t fd, short events, void *arg)
+{
+	reject_linger_t *linger = arg;
+	char buffer[16384];
+	ssize_t len = 0;
+
+	if (events & EV_READ)
+		len = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+	if (len > 0)
+		linger->dropped += (size_t)len;
+	if (len <= 0 || linger->dropped > LINGER_MAX_BYTES)
+		linger_free(linger);
+}
+
+void http_reject_send(struct event_base *base, evutil_socket_t fd, int status,
+		      const GString *headers, const GString *body)
+{
+	const struct timeval wait = { LINGER_MS / 1000,
+				      LINGER_MS % 1000 * 1000 };
+	reject_linger_t *linger = g_new0(reject_linger_t, 1);
+	GString *answer = g_string_new(NULL);
+	ssize_t sent;
+
+	g_string_append_printf(answer,
+			       "HTTP/1.1 %d %s\r\n%s"
+			       "Content-Type: application/json\r\n"
+			       "Content-Length: %zu\r\n"
+			       "Connection: close\r\n\r\n%s",
+			       status, reason_of(status), headers->str,
+			       body->len, body->str);
+	/* Small enough for an empty socket buffer; a full one means that the
+	 * peer reads nothing and would not see the answer anyway. */
+	sent = send(fd, answer->str, answer->len, MSG_DONTWAIT | MSG_NOSIGNAL);
+	g_string_free(answer, TRUE);
+	linger->fd = sent > 0 ? dup(fd) : -1;
+	if (linger->fd < 0) {
+		g_free(linger);
+		return;
+	}
+	shutdown(linger->fd, SHUT_WR);
+	linger->event = event_new(base, linger->fd, EV_READ | EV_PERSIST,
+				  on_readable, linger);
+	event_add(linger->event, &wait);
+}
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -8,22 +8,50 @@
 #include <event2/listener.h>
 #include <evhtp.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/clock.h"
 #include "base/error.h"
+#include "http/http_reject.h"
 
 #define LISTEN_BACKLOG 1024
+#define SWEEP_MS 500
+#define MIN_LONG_LINE 2048
 
 struct http_server {
 	evhtp_t *htp;
 	struct event_base *base;
 	http_handler_t handler;
+	http_reject_t reject;
 	void *user_data;
+	struct event *sweep; /* looks for requests that come too slowly */
+	GQueue connections; /* connection_t */
+	uint64_t max_body_bytes;
+	uint32_t max_header_bytes;
+	uint32_t max_connections;
+	int32_t read_timeout_ms;
 	uint16_t port;
 	uint32_t active;
 };
 
+/* Lives as long as the evhtp connection. */
+typedef struct connection {
+	http_server_t *server;
+	evhtp_connection_t *evhtp;
+	GList link;
+	int64_t since_ms; /* start of reading the current request */
+	uint64_t length; /* Content-Length of the current request */
+	uint64_t body_bytes; /* received */
+	uint32_t header_bytes;
+	uint16_t lengths; /* Content-Length headers seen */
+	bool chunked;
+	bool headers_complete;
+	bool handling; /* the request is whole */
+	int reject_status; /* answer instead of handling; 0: none */
+} connection_t;
+
 typedef enum exchange_state {
 	EXCHANGE_PENDING, /* not answered */
 	EXCHANGE_STREAMING, /* headers sent */
@@ -52,6 +80,24 @@
 	bool paused;
 };
 
+static connection_t *connection_of(const evhtp_request_t *request)
+{
+	return request->conn->hooks->on_connection_fini_arg;
+}
+
+/* The next request on a kept connection starts. */
+static void connection_reset(connection_t *connection)
+{
+	connection->since_ms = clock_now_ms(clock_system());
+	connection->length = 0;
+	connection->body_bytes = 0;
+	connection->header_bytes = 0;
+	connection->lengths = 0;
+	connection->chunked = false;
+	connection->headers_complete = false;
+	connection->handling = false;
+}
+
 static void mark_answered(http_exchange_t *exchange)
 {
 	if (!exchange->counted)
@@ -111,6 +157,7 @@
 	http_exchange_t *exchange = arg;
 
 	notify_closed(exchange);
+	connection_reset(connection_of(request));
 	if (exchange->peer_closed_event)
 		event_free(exchange->peer_closed_event);
 	if (exchange->drained_event) {
@@ -176,10 +223,148 @@
 		event_active(exchange->drained_event, EV_TIMEOUT, 0);
 }
 
+static evhtp_res reject(connection_t *connection, int status)
+{
+	connection->reject_status = status;
+	return EVHTP_RES_ERROR;
+}
+
+static evhtp_res on_header(evhtp_request_t *request, evhtp_header_t *header,
+			   void *arg)
+{
+	connection_t *connection = arg;
+	uint32_t max_bytes = connection->server->max_header_bytes;
+
+	connection->header_bytes +=
+		(uint32_t)(strlen(header->key) + strlen(header->val));
+	if (max_bytes && connection->header_bytes > max_bytes)
+		return reject(connection, 431);
+	if (evutil_ascii_strcasecmp(header->key, "Content-Length") == 0) {
+		char *end;
+
+		connection->length = g_ascii_strtoull(header->val, &end, 10);
+		if (!g_ascii_isdigit(header->val[0]) || *end != '\0' ||
+		    ++connection->lengths > 1)
+			return reject(connection, 400);
+	}
+	if (evutil_ascii_strcasecmp(header->key, "Transfer-Encoding") == 0)
+		connection->chunked = true;
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_headers(evhtp_request_t *request, evhtp_headers_t *headers,
+			    void *arg)
+{
+	connection_t *connection = arg;
+	uint64_t max_bytes = connection->server->max_body_bytes;
+	htparser *parser = connection->evhtp->parser;
+
+	connection->headers_complete = true;
+	if (htparser_get_major(parser) != 1 || htparser_get_minor(parser) > 1)
+		return reject(connection, 400);
+	/* Two lengths would let a proxy and this server see two requests. */
+	if (connection->chunked && connection->lengths > 0)
+		return reject(connection, 400);
+	if (max_bytes && connection->length > max_bytes)
+		return reject(connection, 413);
+	return connection->reject_status ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+}
+
+static evhtp_res on_body(evhtp_request_t *request, struct evbuffer *piece,
+			 void *arg)
+{
+	connection_t *connection = arg;
+	uint64_t max_bytes = connection->server->max_body_bytes;
+
+	connection->body_bytes += evbuffer_get_length(piece);
+	if (max_bytes && connection->body_bytes > max_bytes)
+		return reject(connection, 413);
+	return EVHTP_RES_OK;
+}
+
+/* What a connection that evhtp closes by itself is told, 0: nothing. */
+static int final_status(const connection_t *connection)
+{
+	const evhtp_connection_t *evhtp = connection->evhtp;
+	struct evbuffer *input = bufferevent_get_input(evhtp->bev);
+	htpparse_error error = htparser_get_error(evhtp->parser);
+
+	if (connection->reject_status)
+		return connection->reject_status;
+	if (connection->handling || error == htparse_error_none)
+		return 0;
+	/* The parser calls a Content-Length that is no number too big, too. */
+	if (error == htparse_error_too_big &&
+	    evbuffer_get_length(input) > MIN_LONG_LINE)
+		return 431;
+	return 400;
+}
+
+static evhtp_res on_connection_fini(evhtp_connection_t *evhtp, void *arg)
+{
+	connection_t *connection = arg;
+	http_server_t *server = connection->server;
+	int status = final_status(connection);
+	GString *headers = g_string_new(NULL);
+	GString *body = g_string_new(NULL);
+
+	if (status && server->reject)
+		server->reject(status, headers, body, server->user_data);
+	if (status)
+		http_reject_send(server->base, evhtp->sock, status, headers,
+				 body);
+	g_string_free(headers, TRUE);
+	g_string_free(body, TRUE);
+	g_queue_unlink(&server->connections, &connection->link);
+	g_free(connection);
+	return EVHTP_RES_OK;
+}
+
+static bool is_too_slow(const connection_t *connection, int64_t now_ms)
+{
+	int64_t limit_ms = connection->server->read_timeout_ms;
+
+	if (connection->handling || connection->reject_status)
+		return false;
+	if (connection->headers_complete)
+		limit_ms += (int64_t)(connection->body_bytes * 1000 /
+				      HTTP_MIN_BODY_RATE);
+	return now_ms - connection->since_ms > limit_ms;
+}
+
+/* A kept connection without a request is closed without an answer. */
+static bool is_idle(const connection_t *connection)
+{
+	return connection->header_bytes == 0 && connection->evhtp->num_requests;
+}
+
+static void on_sweep(evutil_socket_t fd, short events, void *arg)
+{
+	http_server_t *server = arg;
+	const struct timeval period = { 0, SWEEP_MS * 1000 };
+	int64_t now_ms = clock_now_ms(clock_system());
+	GList *link = server->connections.head;
+
+	while (link) {
+		connection_t *connection = link->data;
+
+		link = link->next;
+		if (!is_too_slow(connection, now_ms))
+			continue;
+		if (!is_idle(connection))
+			connection->reject_status = 408;
+		evhtp_connection_free(connection->evhtp);
+	}
+	evtimer_add(server->sweep, &period);
+}
+
 static void on_request(evhtp_request_t *request, void *arg)
 {
 	http_server_t *server = arg;
 	http_exchange_t *exchange = g_new0(http_exchange_t, 1);
+	connection_t *connection = connection_of(request);
+
+	connection->handling = true;
 
 	exchange->server = server;
 	exchange->request = request;
@@ -206,12 +391,29 @@
 	request->status = EVHTP_RES_PAUSE;
 }
 
-static evhtp_res on_accept(evhtp_connection_t *connection, void *arg)
+static evhtp_res on_accept(evhtp_connection_t *evhtp, void *arg)
 {
+	http_server_t *server = arg;
+	connection_t *connection = g_new0(connection_t, 1);
 	int one = 1;
 
-	setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &one,
-		   sizeof(one));
+	setsockopt(evhtp->sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	connection->server = server;
+	connection->evhtp = evhtp;
+	connection->link.data = connection;
+	connection_reset(connection);
+	evhtp_connection_set_hook(evhtp, evhtp_hook_on_header,
+				  (evhtp_hook)on_header, connection);
+	evhtp_connection_set_hook(evhtp, evhtp_hook_on_headers,
+				  (evhtp_hook)on_headers, connection);
+	evhtp_connection_set_hook(evhtp, evhtp_hook_on_read,
+				  (evhtp_hook)on_body, connection);
+	evhtp_connection_set_hook(evhtp, evhtp_hook_on_connection_fini,
+				  (evhtp_hook)on_connection_fini, connection);
+	g_queue_push_tail_link(&server->connections, &connection->link);
+	if (server->max_connections &&
+	    server->connections.length > server->max_connections)
+		return reject(connection, 503);
 	return EVHTP_RES_OK;
 }
 
@@ -236,14 +438,18 @@
 
 	server->base = options->base;
 	server->handler = options->handler;
+	server->reject = options->reject;
+	server->max_body_bytes = options->max_body_bytes;
+	server->max_header_bytes = options->max_header_bytes;
+	server->max_connections = options->max_connections;
+	server->read_timeout_ms = options->read_timeout_ms;
+	g_queue_init(&server->connections);
 	server->user_data = options->user_data;
 	server->htp = evhtp_new(options->base, NULL);
 	evhtp_set_gencb(server->htp, on_request, server);
 	evhtp_set_post_accept_cb(server->htp, on_accept, server);
-	if (options->max_body_bytes)
-		evhtp_set_max_body_size(server->htp, options->max_body_bytes);
 	if (options->read_timeout_ms)
-		evhtp_set_timeouts(server->htp, &timeout, NULL);
+		evhtp_set_timeouts(server->htp, &timeout, &timeout);
 	if (evhtp_bind_socket(server->htp, options->address, options->port,
 			      LISTEN_BACKLOG) != 0) {
 		g_set_error(error, WL_ERROR, WL_ERROR_UNAVAILABLE,
@@ -254,6 +460,9 @@
 		return NULL;
 	}
 	server->port = bound_port(server->htp);
+	server->sweep = evtimer_new(options->base, on_sweep, server);
+	if (options->read_timeout_ms)
+		on_sweep(-1, 0, server);
 	return server;
 }
 
@@ -261,6 +470,7 @@
 {
 	if (!server)
 		return;
+	event_free(server->sweep);
 	evhtp_unbind_socket(server->htp);
 	evhtp_free(server->htp);
 	g_free(server);
@@ -396,7 +606,15 @@
 		return;
 	if (content_type)
 		http_reply_header(exchange, "Content-Type", content_type);
-	evbuffer_add(exchange->request->buffer_out, body, len);
+	if (evhtp_request_get_method(exchange->request) == htp_method_HEAD) {
+		char length[24];
+
+		/* The answer to HEAD tells the length of what GET gives. */
+		snprintf(length, sizeof(length), "%zu", len);
+		http_reply_header(exchange, "Content-Length", length);
+	} else {
+		evbuffer_add(exchange->request->buffer_out, body, len);
+	}
 	exchange->state = EXCHANGE_FINISHED;
 	mark_answered(exchange);
 	evhtp_send_reply(exchange->request, (evhtp_res)status);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -17,6 +17,8 @@
  * answer is complete or its closed callback has run, whichever is first;
  * after the closed callback the owner must not touch it again.
  */
+#define HTTP_MIN_BODY_RATE 32768 /* bytes per second */
+
 typedef struct http_server http_server_t;
 typedef struct http_exchange http_exchange_t;
 
@@ -24,12 +26,25 @@
 typedef void (*http_closed_t)(http_exchange_t *exchange, void *user_data);
 typedef void (*http_drained_t)(http_exchange_t *exchange, void *user_data);
 
+/* The body and further header lines of an answer to a request that cannot be
+ * read: 400, 408, 413, 431, or 503 above max_connections. */
+typedef void (*http_reject_t)(int status, GString *headers, GString *body,
+			      void *user_data);
+
 typedef struct http_server_options {
 	struct event_base *base;
 	const char *address; /* IP number */
 	uint16_t port; /* 0 picks a free port */
 	uint64_t max_body_bytes; /* above: 413 */
-	int32_t read_timeout_ms; /* bound for header and body reads, 0: none */
+	uint32_t max_header_bytes; /* above: 431, 0: unlimited */
+	uint32_t max_connections; /* above: 503, 0: unlimited */
+	/*
+	 * Longest wait for a byte, for whole headers, and for a body on top of
+	 * the time that it takes at HTTP_MIN_BODY_RATE; 0: none. A peer that
+	 * takes none of the answer for this time is cut as well.
+	 */
+	int32_t read_timeout_ms;
+	http_reject_t reject; /* NULL: empty bodies */
 	http_handler_t handler;
 	void *user_data;
 } http_server_options_t;
