--- /dev/null
+++ b/tests/process/scripted_engine.py
@@ -0,0 +1,163 @@
+"""An engine in the test's own process that fails as the test says."""
+import json
+import socket
+import threading
+import time
+
+TOKENS = ["red ", "koi ", "pond "]
+
+
+class ScriptedEngine:
+    """Answers chat completions by `mode`; `first_only` fails first tries only.
+
+    runs counts, by prompt, the calls that were started on the model; calls
+    counts all that came in; closed holds the prompts whose caller went away.
+    """
+
+    def __init__(self):
+        self.mode = "whole"
+        self.first_only = False
+        self.runs = {}
+        self.calls = {}
+        self.closed = set()
+        self.headers = {}
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port = self.listener.getsockname()[1]
+        self.stopped = False
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def vm(self, partner, deployment, domain, role="runner"):
+        return {"address": f"127.0.0.1:{self.port}", "role": role,
+                "domain": domain, "partner": partner,
+                "deployment": deployment, "state": "live"}
+
+    def close(self):
+        self.stopped = True
+        self.listener.close()
+
+    def accept(self):
+        while not self.stopped:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,),
+                             daemon=True).start()
+
+    def serve(self, connection):
+        stream = connection.makefile("rb")
+        try:
+            while self.serve_one(connection, stream):
+                pass
+        except OSError:
+            pass
+        finally:
+            stream.close()
+            connection.close()
+
+    def serve_one(self, connection, stream):
+        line = stream.readline()
+        if not line:
+            return False
+        headers = {}
+        while True:
+            header = stream.readline().strip()
+            if not header:
+                break
+            name, _, value = header.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        body = stream.read(int(headers.get("content-length", 0)))
+        path = line.split()[1].decode()
+        if path == "/engine/load":
+            self.reply(connection, 200, {"running": 0, "queued": 0,
+                                         "slots": 100}, {})
+            return True
+        return self.chat(connection, headers, json.loads(body))
+
+    def reply(self, connection, status, body, headers):
+        text = json.dumps(body).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n"
+        for name, value in headers.items():
+            head += f"{name}: {value}\r\n"
+        connection.sendall(head.encode() + b"\r\n" + text)
+
+    def chat(self, connection, headers, request):
+        prompt = request["messages"][0]["content"]
+        self.calls[prompt] = self.calls.get(prompt, 0) + 1
+        self.headers[prompt] = headers
+        mode = self.mode
+        if self.first_only and self.calls[prompt] > 1:
+            mode = "whole"
+        echo = {"X-Request-Id": headers["x-request-id"]}
+        refusals = {"busy": 503, "version": 409, "limited": 429}
+        if mode in refusals:
+            self.reply(connection, refusals[mode], {}, echo)
+            return True
+        if mode == "error_before":
+            self.reply(connection, 500, {}, echo)
+            return True
+        self.runs[prompt] = self.runs.get(prompt, 0) + 1
+        if mode == "error_after":
+            self.reply(connection, 500, {}, echo)
+            return True
+        if mode == "die":
+            return False
+        if mode == "mismatch":
+            echo = {"X-Request-Id": "another"}
+        if mode == "hang":
+            self.wait_for_close(connection, prompt)
+            return False
+        if not request.get("stream"):
+            return self.whole(connection, mode, echo)
+        return self.stream(connection, mode, echo, prompt)
+
+    def whole(self, connection, mode, echo):
+        answer = {"choices": [{"index": 0, "finish_reason": "stop",
+                               "message": {"role": "assistant",
+                                           "content": "".join(TOKENS)}}]}
+        if mode == "cut":
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n"
+                               b"X-Request-Id: " +
+                               echo["X-Request-Id"].encode() +
+                               b"\r\n\r\n{\"choices\":")
+            return False
+        self.reply(connection, 200, answer, echo)
+        return True
+
+    def stream(self, connection, mode, echo, prompt):
+        head = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                f"X-Request-Id: {echo['X-Request-Id']}\r\n\r\n")
+        connection.sendall(head.encode())
+        for token in TOKENS:
+            self.event(connection, {"choices": [
+                {"index": 0, "delta": {"content": token},
+                 "finish_reason": None}]})
+            if mode == "cut":
+                return False
+            if mode == "stall":
+                self.wait_for_close(connection, prompt)
+                return False
+            if mode == "slow":
+                time.sleep(0.05)
+        if mode != "no_finish":
+            self.event(connection, {"choices": [
+                {"index": 0, "delta": {}, "finish_reason": "stop"}]})
+        if mode != "no_done":
+            self.chunk(connection, b"data: [DONE]\n\n")
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
+    def event(self, connection, event):
+        self.chunk(connection, b"data: " + json.dumps(event).encode() +
+                   b"\n\n")
+
+    def chunk(self, connection, data):
+        connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def wait_for_close(self, connection, prompt):
+        connection.settimeout(20)
+        try:
+            if not connection.recv(1):
+                self.closed.add(prompt)
+        except OSError:
+            self.closed.add(prompt)
