--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,5 @@
 #include "entry/entry.h"
 
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,13 +11,11 @@
 #include "entry/front.h"
 #include "platform/object_http.h"
 
-#define POLL_MS 1000
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
 
 typedef struct entry_timers {
 	entry_t *entry;
-	struct event *poll;
 	struct event *drain;
 	int64_t drain_until_ms;
 } entry_timers_t;
@@ -35,39 +32,13 @@
 	membership_set_listed(entry->membership, vms);
 }
 
-static void on_document(const object_value_t *value, const GError *error,
-			void *user_data)
+static void on_adopted(document_t *document, uint64_t version, void *user_data)
 {
 	entry_t *entry = user_data;
-	GError *parse_error = NULL;
-	document_t *document;
 
-	if (error || value->version <= entry->document_version)
-		return;
-	document = document_parse(value->data, value->len, &parse_error);
-	if (!document) {
-		log_error("document_invalid", "version=%" PRIu64 " message=%s",
-			  value->version, log_quote(parse_error->message));
-		g_error_free(parse_error);
-		return;
-	}
 	document_unref(entry->document);
-	entry->document = document;
-	entry->document_version = value->version;
-	log_info("document_adopted", "version=%" PRIu64 " digest=%.12s",
-		 value->version, document->digest);
-}
-
-static void on_poll(evutil_socket_t fd, short events, void *arg)
-{
-	entry_timers_t *timers = arg;
-	entry_t *entry = timers->entry;
-	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
-	char *key = g_strconcat("config/", entry->options.environment, NULL);
-
-	object_get(entry->store, key, on_document, entry);
-	g_free(key);
-	evtimer_add(timers->poll, &period);
+	entry->document = document_ref(document);
+	entry->document_version = version;
 }
 
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
@@ -75,8 +46,12 @@
 	entry_timers_t *timers = arg;
 	entry_t *entry = timers->entry;
 	struct timeval period = { 0, DRAIN_CHECK_MS * 1000 };
+	bool idle =
+		http_server_active(entry->callers) == 0 && entry->detached == 0;
 
-	if ((http_server_active(entry->callers) == 0 && entry->detached == 0) ||
+	if (idle)
+		records_release(entry->records);
+	if ((idle && records_is_released(entry->records)) ||
 	    clock_now_ms(entry->clock) >= timers->drain_until_ms)
 		event_base_loopbreak(entry->base);
 	else
@@ -135,6 +110,51 @@
 	return entry->membership != NULL;
 }
 
+static uint64_t random_u64(entry_t *entry)
+{
+	return (uint64_t)g_rand_int(entry->random) << 32 |
+	       g_rand_int(entry->random);
+}
+
+static void start_ledger(entry_t *entry)
+{
+	records_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.store = entry->store,
+		.members = entry->members,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.counters = entry->counters,
+		.incarnation = random_u64(entry),
+		.shards = (uint32_t)entry->options.shards,
+		.writes_per_s = (double)entry->options.ledger_writes_per_s,
+	};
+
+	entry->records = records_new(&options);
+}
+
+static void start_config(entry_t *entry)
+{
+	config_follow_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.counters = entry->counters,
+		.store = entry->store,
+		.members = entry->members,
+		.membership = entry->membership,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
+		.environment = entry->options.environment,
+		.node_id = entry->options.node_id,
+		.adopted = on_adopted,
+		.user_data = entry,
+	};
+
+	entry->config = config_follow_new(&options);
+}
+
 static void start_online(entry_t *entry)
 {
 	const entry_options_t *o = &entry->options;
@@ -194,6 +214,8 @@
 	g_free(own_address);
 	if (!start_membership(entry, error))
 		return FALSE;
+	start_ledger(entry);
+	start_config(entry);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -226,14 +248,11 @@
 	entry_timers_t timers = { .entry = entry };
 
 	follow_vms(entry);
-
-	timers.poll = evtimer_new(entry->base, on_poll, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
 	event_add(evsignal_new(entry->base, SIGINT, on_terminate, &timers),
 		  NULL);
-	on_poll(-1, 0, &timers);
 	log_info("started", "domain=%s port=%u operator_port=%u peer_port=%u",
 		 entry->options.domain, http_server_port(entry->callers),
 		 http_server_port(entry->operators),
@@ -280,6 +299,11 @@
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
 		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "shards", SETTING_INT, &o->shards, "8", "N",
+		  "shards of the ledger, the same on all nodes", 1, 1024, 0 },
+		{ "ledger-writes-per-s", SETTING_INT, &o->ledger_writes_per_s,
+		  "100", "N", "the node's share of the platform's writes", 1,
+		  100000, 0 },
 		{ "request-timeout-ms", SETTING_INT, &o->request_timeout_ms,
 		  "600000", "MS", "deadline of requests that give none", 1,
 		  86400000, 0 },
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,11 +13,16 @@
 #include "config/document.h"
 #include "coord/limiter.h"
 #include "coord/member.h"
+#include "entry/records.h"
 #include "coord/retry_budget.h"
 #include "entry/claim.h"
 #include "entry/vm_follow.h"
+#include "entry/config_follow.h"
 #include "entry/membership.h"
 #include "entry/pool.h"
+#include "entry/vm_follow.h"
+#include "entry/membership.h"
+#include "entry/records.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
@@ -46,6 +51,8 @@
 	int64_t max_connections;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
+	int64_t shards; /* of the ledger, the same on all nodes */
+	int64_t ledger_writes_per_s; /* of this node */
 	int64_t request_timeout_ms; /* without a caller's deadline */
 	int64_t stall_ms; /* longest pause of a runner's stream */
 	int64_t slow_caller_ms; /* longest pause of a caller's reading */
@@ -68,8 +75,10 @@
 	rpc_server_t *rpc_server;
 	object_store_t *store;
 	member_table_t *members;
+	records_t *records;
 	vm_follow_t *vm_follow;
 	membership_t *membership;
+	config_follow_t *config;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
