--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -49,6 +49,8 @@
 	char *environment; /* trial or production */
 	int64_t platform_timeout_ms;
 	int64_t max_body_bytes;
+	int64_t max_header_bytes;
+	int64_t max_connections;
 	int64_t read_timeout_ms;
 	int64_t drain_ms; /* longest graceful shutdown */
 	double weight_loads_per_minute; /* of the weight store, fleet-wide */
