Serve files and batch jobs end to end

Cause: the decision logic of batch had no I/O, and callers had no way to submit jobs.

Change: files, content and batches serve /v1/files and /v1/batches; chunks is the coordinator's I/O over records, result objects and CHUNK_PULL, RENEW, DONE; dispatch is the dispatcher's over engine streams, with RUNNER_PRESSURE notices from other nodes. Settings batch-policy, batch-slots and batch-reserve.

--- a/src/backend/runner.c
+++ b/src/backend/runner.c
@@ -103,6 +103,22 @@
 	return set->found;
 }
 
+const GPtrArray *runner_set_engines(runner_set_t *set)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_ptr_array_set_size(set->found, 0);
+	g_hash_table_iter_init(&iter, set->by_address);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		runner_t *runner = value;
+
+		if (runner->state == RUNNER_LIVE && !runner->is_service)
+			g_ptr_array_add(set->found, runner);
+	}
+	return set->found;
+}
+
 uint32_t runner_set_size(const runner_set_t *set)
 {
 	return g_hash_table_size(set->by_address);
--- a/src/backend/runner.h
+++ b/src/backend/runner.h
@@ -36,6 +36,8 @@
  * is the set's own and valid until the next call. */
 const GPtrArray *runner_set_find(runner_set_t *set, const char *partner,
 				 const char *deployment, bool is_service);
+/* All live engines, in the same array. */
+const GPtrArray *runner_set_engines(runner_set_t *set);
 uint32_t runner_set_size(const runner_set_t *set);
 
 #endif
--- a/src/batch/job.c
+++ b/src/batch/job.c
@@ -274,7 +274,7 @@
 	};
 	char *id = g_strconcat("batch_", job->id, NULL);
 	json_t *root = json_pack(
-		"{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:b, "
+		"{s:s, s:s, s:s, s:s, s:s, s:s, s:s?, s:s?, s:I, s:I, s:b, "
 		"s:{s:I, s:I, s:I}}",
 		"id", id, "object", "batch", "endpoint", job->endpoint,
 		"input_file_id", job->input_file_id, "completion_window",
--- /dev/null
+++ b/src/entry/batch_id.c
@@ -0,0 +1,137 @@
+#include "entry/batch_id.h"
+
+#include <string.h>
+
+#define SCOPE_DIGITS 16
+#define KEY_DIGITS (2 * RECORD_KEY_BYTES)
+
+static const char file_prefix[] = "file-";
+static const char job_prefix[] = "batch_";
+static const char *const marks[] = {
+	[BATCH_ID_FILE] = "",
+	[BATCH_ID_OUTPUT] = "out",
+	[BATCH_ID_ERRORS] = "err",
+};
+
+static char *to_hex(const uint8_t *bytes, size_t len)
+{
+	GString *text = g_string_sized_new(2 * len);
+
+	for (size_t i = 0; i < len; i++)
+		g_string_append_printf(text, "%02x", bytes[i]);
+	return g_string_free(text, FALSE);
+}
+
+static gboolean is_hex(const char *text, size_t digits)
+{
+	for (size_t i = 0; i < digits; i++)
+		if (!g_ascii_isdigit(text[i]) &&
+		    (text[i] < 'a' || text[i] > 'f'))
+			return FALSE;
+	return text[digits] == '\0';
+}
+
+char *batch_id_scope(const char *partner, const char *workspace)
+{
+	record_key_t key = record_key_make(partner, workspace, "scope", NULL);
+
+	return to_hex(key.bytes, SCOPE_DIGITS / 2);
+}
+
+static char *scope_of(const document_caller_t *caller)
+{
+	return batch_id_scope(caller->partner->name,
+			      caller->workspace ? caller->workspace->name : "");
+}
+
+char *batch_id_owner_tag(const document_caller_t *caller)
+{
+	return g_strconcat(caller->partner->name, "/",
+			   caller->workspace ? caller->workspace->name : "",
+			   NULL);
+}
+
+char *batch_id_new_file(const document_caller_t *caller)
+{
+	char *scope = scope_of(caller);
+	char *uuid = g_uuid_string_random();
+	record_key_t key = record_key_make(scope, uuid, NULL);
+	char *nonce = to_hex(key.bytes, RECORD_KEY_BYTES);
+	char *id = g_strconcat(file_prefix, scope, nonce, NULL);
+
+	g_free(nonce);
+	g_free(uuid);
+	g_free(scope);
+	return id;
+}
+
+char *batch_id_job(const char *scope, const record_key_t *key)
+{
+	char *hex = to_hex(key->bytes, RECORD_KEY_BYTES);
+	char *job = g_strconcat(scope, hex, NULL);
+
+	g_free(hex);
+	return job;
+}
+
+char *batch_id_results(const char *job, batch_id_kind_t kind)
+{
+	return g_strdup_printf("%s%.*s%s%s", file_prefix, SCOPE_DIGITS, job,
+			       marks[kind], job + SCOPE_DIGITS);
+}
+
+/* What follows the prefix and the caller's scope; NULL for another's. */
+static const char *after_scope(const document_caller_t *caller, const char *id,
+			       const char *prefix)
+{
+	char *scope = scope_of(caller);
+	const char *rest = NULL;
+
+	if (g_str_has_prefix(id, prefix) &&
+	    g_str_has_prefix(id + strlen(prefix), scope))
+		rest = id + strlen(prefix) + SCOPE_DIGITS;
+	g_free(scope);
+	return rest;
+}
+
+gboolean batch_id_parse_file(const document_caller_t *caller, const char *id,
+			     batch_id_kind_t *kind, char **job)
+{
+	const char *rest = after_scope(caller, id, file_prefix);
+
+	*job = NULL;
+	for (int i = BATCH_ID_ERRORS; rest && i >= BATCH_ID_FILE; i--) {
+		if (!g_str_has_prefix(rest, marks[i]) ||
+		    !is_hex(rest + strlen(marks[i]), KEY_DIGITS))
+			continue;
+		*kind = (batch_id_kind_t)i;
+		if (i != BATCH_ID_FILE)
+			*job = g_strdup_printf("%.*s%s", SCOPE_DIGITS,
+					       id + strlen(file_prefix),
+					       rest + strlen(marks[i]));
+		return TRUE;
+	}
+	return FALSE;
+}
+
+char *batch_id_parse_job(const document_caller_t *caller, const char *id)
+{
+	const char *rest = after_scope(caller, id, job_prefix);
+
+	return rest && is_hex(rest, KEY_DIGITS) ?
+		       g_strdup(id + strlen(job_prefix)) :
+		       NULL;
+}
+
+gboolean batch_id_key(const char *job, record_key_t *key)
+{
+	if (strlen(job) != SCOPE_DIGITS + KEY_DIGITS ||
+	    !is_hex(job, SCOPE_DIGITS + KEY_DIGITS))
+		return FALSE;
+	job += SCOPE_DIGITS;
+	for (int i = 0; i < RECORD_KEY_BYTES; i++)
+		key->bytes[i] =
+			(uint8_t)(g_ascii_xdigit_value(job[2 * i]) << 4 |
+				  g_ascii_xdigit_value(job[2 * i + 1]));
+	return TRUE;
+}
--- /dev/null
+++ b/src/entry/content.c
@@ -0,0 +1,355 @@
+#include "entry/content.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "batch/job.h"
+#include "batch/result.h"
+#include "entry/api_error.h"
+#include "entry/files.h"
+
+#define STREAM_BUFFER_BYTES (256 * 1024)
+#define LIST_LIMIT 200
+#define RETRY_MS 200
+#define MAX_RETRIES 50
+
+static const char line_type[] = "application/jsonl";
+
+typedef struct content {
+	entry_t *entry;
+	http_exchange_t *exchange; /* NULL when the caller is gone */
+	struct event *timer; /* retries, or slow callers */
+	char *id;
+	char *job; /* NULL for an uploaded file */
+	batch_id_kind_t kind;
+	GPtrArray *keys; /* objects still to send */
+	guint next;
+	char *after; /* last listed key */
+	size_t last_pending;
+	int retries;
+	bool listed_all;
+	bool started;
+	bool draining;
+	bool calling; /* the store has not answered yet */
+} content_t;
+
+static void content_next(content_t *content);
+
+static void content_free(content_t *content)
+{
+	if (content->exchange)
+		http_on_closed(content->exchange, NULL, NULL);
+	event_free(content->timer);
+	g_ptr_array_free(content->keys, TRUE);
+	g_free(content->after);
+	g_free(content->job);
+	g_free(content->id);
+	g_free(content);
+}
+
+static void on_caller_closed(http_exchange_t *exchange, void *user_data)
+{
+	content_t *content = user_data;
+
+	content->exchange = NULL;
+	if (!content->calling)
+		content_free(content);
+}
+
+static void arm_timer(content_t *content, int64_t ms)
+{
+	struct timeval wait = { ms / 1000, ms % 1000 * 1000 };
+
+	evtimer_add(content->timer, &wait);
+}
+
+static void fail(content_t *content, const GError *error)
+{
+	if (content->started)
+		http_stream_abort(content->exchange);
+	else if (error->code == WL_ERROR_NOT_FOUND)
+		api_error_reply(content->exchange, API_NOT_FOUND, WORK_NOT_RUN,
+				0, "no such file");
+	else
+		api_error_reply(content->exchange, API_LEDGER_UNAVAILABLE,
+				WORK_NOT_RUN, 0,
+				"the object store does not answer");
+	content_free(content);
+}
+
+/* TRUE when the error ended the content or a retry is under way. */
+static gboolean handle_error(content_t *content, const GError *error)
+{
+	content->calling = false;
+	if (!content->exchange) {
+		content_free(content);
+		return TRUE;
+	}
+	if (!error) {
+		content->retries = 0;
+		return FALSE;
+	}
+	if (error->code == WL_ERROR_NOT_FOUND || !content->started ||
+	    ++content->retries > MAX_RETRIES)
+		fail(content, error);
+	else
+		arm_timer(content, RETRY_MS);
+	return TRUE;
+}
+
+static void start_stream(content_t *content)
+{
+	if (content->started)
+		return;
+	content->started = true;
+	http_stream_start(content->exchange, 200, line_type);
+}
+
+static void on_drained(http_exchange_t *exchange, void *user_data)
+{
+	content_t *content = user_data;
+
+	content->draining = false;
+	event_del(content->timer);
+	content_next(content);
+}
+
+/* A retry, or a check that the caller goes on reading. */
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	content_t *content = arg;
+	size_t pending;
+
+	if (!content->draining) {
+		content_next(content);
+		return;
+	}
+	pending = http_stream_pending(content->exchange);
+	if (pending >= content->last_pending) {
+		http_stream_abort(content->exchange);
+		content_free(content);
+		return;
+	}
+	content->last_pending = pending;
+	arm_timer(content, content->entry->options.slow_caller_ms);
+}
+
+static gboolean select_lines(const content_t *content,
+			     const object_value_t *value, const char **data,
+			     size_t *len)
+{
+	result_t result;
+
+	*data = value->data;
+	*len = value->len;
+	if (content->kind == BATCH_ID_FILE)
+		return TRUE;
+	if (!result_parse(value->data, value->len, &result, NULL))
+		return FALSE;
+	*data = content->kind == BATCH_ID_OUTPUT ? result.output :
+						   result.errors;
+	*len = content->kind == BATCH_ID_OUTPUT ? result.output_len :
+						  result.errors_len;
+	return TRUE;
+}
+
+static void on_object(const object_value_t *value, const GError *error,
+		      void *user_data)
+{
+	content_t *content = user_data;
+	const char *data;
+	size_t len;
+
+	if (handle_error(content, error))
+		return;
+	start_stream(content);
+	if (!select_lines(content, value, &data, &len)) {
+		http_stream_abort(content->exchange);
+		content_free(content);
+		return;
+	}
+	content->next++;
+	http_stream_write(content->exchange, data, len);
+	if (http_stream_pending(content->exchange) <= STREAM_BUFFER_BYTES) {
+		content_next(content);
+		return;
+	}
+	content->draining = true;
+	content->last_pending = http_stream_pending(content->exchange);
+	http_stream_on_drained(content->exchange, on_drained, content);
+	arm_timer(content, content->entry->options.slow_caller_ms);
+}
+
+static void on_job(const record_t *record, const GError *error, void *user_data)
+{
+	content_t *content = user_data;
+
+	if (handle_error(content, error))
+		return;
+	start_stream(content);
+	http_stream_end(content->exchange);
+	content_free(content);
+}
+
+static void on_listed(const object_listing_t *listing, const GError *error,
+		      void *user_data)
+{
+	content_t *content = user_data;
+
+	if (handle_error(content, error))
+		return;
+	g_ptr_array_set_size(content->keys, 0);
+	content->next = 0;
+	for (guint i = 0; i < listing->entries->len; i++)
+		g_ptr_array_add(content->keys,
+				g_strdup(g_array_index(listing->entries,
+						       object_entry_t, i)
+						 .key));
+	content->listed_all = listing->entries->len < LIST_LIMIT;
+	if (content->keys->len > 0) {
+		g_free(content->after);
+		content->after =
+			g_strdup(content->keys->pdata[content->keys->len - 1]);
+	}
+	content_next(content);
+}
+
+static void list_results(content_t *content)
+{
+	char *prefix = g_strconcat("result/", content->job, "/", NULL);
+
+	content->calling = true;
+	object_list(content->entry->store, prefix, content->after, LIST_LIMIT,
+		    on_listed, content);
+	g_free(prefix);
+}
+
+/* Without any result yet, the job's record tells whether the job exists. */
+static void ask_for_job(content_t *content)
+{
+	record_key_t key;
+
+	content->calling = true;
+	if (batch_id_key(content->job, &key))
+		records_get(content->entry->records, &key, on_job, content);
+}
+
+static void content_next(content_t *content)
+{
+	if (content->next < content->keys->len) {
+		content->calling = true;
+		object_get(content->entry->store,
+			   content->keys->pdata[content->next], on_object,
+			   content);
+	} else if (!content->listed_all) {
+		list_results(content);
+	} else if (!content->started && content->job) {
+		ask_for_job(content);
+	} else {
+		start_stream(content);
+		http_stream_end(content->exchange);
+		content_free(content);
+	}
+}
+
+static void on_file_meta(const file_meta_t *meta, const GError *error,
+			 void *user_data)
+{
+	content_t *content = user_data;
+
+	if (handle_error(content, error))
+		return;
+	for (guint i = 0; i < meta->part_items->len; i++)
+		g_ptr_array_add(content->keys, files_part_key(content->id, i));
+	content->listed_all = true;
+	content_next(content);
+}
+
+void content_send(entry_t *entry, http_exchange_t *exchange, const char *id,
+		  batch_id_kind_t kind, const char *job)
+{
+	content_t *content = g_new0(content_t, 1);
+
+	content->entry = entry;
+	content->exchange = exchange;
+	content->timer = evtimer_new(entry->base, on_timer, content);
+	content->id = g_strdup(id);
+	content->job = g_strdup(job);
+	content->kind = kind;
+	content->keys = g_ptr_array_new_with_free_func(g_free);
+	http_on_closed(exchange, on_caller_closed, content);
+	if (job) {
+		list_results(content);
+		return;
+	}
+	content->calling = true;
+	files_read_meta(entry, id, on_file_meta, content);
+}
+
+typedef struct description {
+	http_exchange_t *exchange;
+	char *id;
+	batch_id_kind_t kind;
+} description_t;
+
+static void on_description_closed(http_exchange_t *exchange, void *user_data)
+{
+	((description_t *)user_data)->exchange = NULL;
+}
+
+static void reply_description(const description_t *description,
+			      const job_t *job)
+{
+	bool output = description->kind == BATCH_ID_OUTPUT;
+	json_t *root = json_pack(
+		"{s:s, s:s, s:I, s:I, s:s, s:s, s:s}", "id", description->id,
+		"object", "file", "bytes", (json_int_t)0, "created_at",
+		(json_int_t)(job->at_ms[JOB_VALIDATING] / 1000), "filename",
+		output ? "output.jsonl" : "errors.jsonl", "purpose",
+		"batch_output", "status", "processed");
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	http_reply(description->exchange, 200, "application/json", text,
+		   strlen(text));
+	free(text);
+	json_decref(root);
+}
+
+static void on_described(const record_t *record, const GError *error,
+			 void *user_data)
+{
+	description_t *description = user_data;
+	job_t *job = error ? NULL : job_decode(record->data, record->len, NULL);
+
+	if (description->exchange) {
+		http_on_closed(description->exchange, NULL, NULL);
+		if (job)
+			reply_description(description, job);
+		else if (error && error->code != WL_ERROR_NOT_FOUND)
+			api_error_reply(description->exchange,
+					API_LEDGER_UNAVAILABLE, WORK_NOT_RUN, 0,
+					"the job's record cannot be read");
+		else
+			api_error_reply(description->exchange, API_NOT_FOUND,
+					WORK_NOT_RUN, 0, "no such file");
+	}
+	job_free(job);
+	g_free(description->id);
+	g_free(description);
+}
+
+void content_describe(entry_t *entry, http_exchange_t *exchange, const char *id,
+		      batch_id_kind_t kind, const char *job)
+{
+	description_t *description = g_new0(description_t, 1);
+	record_key_t key;
+
+	description->exchange = exchange;
+	description->id = g_strdup(id);
+	description->kind = kind;
+	http_on_closed(exchange, on_description_closed, description);
+	if (batch_id_key(job, &key))
+		records_get(entry->records, &key, on_described, description);
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,6 +8,9 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "base/setting.h"
+#include "batch/slot.h"
+#include "entry/chunks.h"
+#include "entry/dispatch.h"
 #include "entry/front.h"
 #include "platform/object_http.h"
 
@@ -77,6 +80,8 @@
 	bool idle =
 		http_server_active(entry->callers) == 0 && entry->detached == 0;
 
+	if (!dispatch_is_idle(entry->dispatch))
+		idle = false;
 	if (idle)
 		records_release(entry->records);
 	if ((idle && records_is_released(entry->records)) ||
@@ -99,6 +104,7 @@
 	timers->drain_until_ms =
 		clock_now_ms(entry->clock) + entry->options.drain_ms;
 	membership_drain(entry->membership);
+	dispatch_drain(entry->dispatch);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
 	on_drain_check(-1, 0, timers);
 }
@@ -219,6 +225,8 @@
 	if (!start_membership(entry, error))
 		return FALSE;
 	start_ledger(entry);
+	entry->writer = object_writer_new(entry->base, entry->store,
+					  entry->clock, entry->instance);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -251,7 +259,8 @@
 	entry_timers_t timers = { .entry = entry };
 
 	follow_vms(entry);
-
+	entry->dispatch = dispatch_new(entry);
+	entry->chunks = chunks_new(entry);
 	timers.poll = evtimer_new(entry->base, on_poll, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
@@ -325,6 +334,16 @@
 		  0, 0, 0 },
 		{ "hedge-share", SETTING_DOUBLE, &o->hedge_share, "0.05", "P",
 		  "hedged requests as a share of all, 0: none", 0, 1, 0 },
+		{ "batch-policy", SETTING_STRING, &o->batch_policy, "learned",
+		  "NAME",
+		  "batch streams per runner: learned, or for measurements off, "
+		  "fixed or unlimited",
+		  0, 0, 0 },
+		{ "batch-slots", SETTING_INT, &o->batch_slots, "4", "N",
+		  "batch streams per runner under the policy fixed", 0, 10000,
+		  0 },
+		{ "batch-reserve", SETTING_INT, &o->batch_reserve, "0", "N",
+		  "slots per runner that batch leaves free", 0, 10000, 0 },
 		{ "log-level", SETTING_STRING, &level_name, "info", "LEVEL",
 		  "debug, info, warn or error", 0, 0, 0 },
 		{ 0 },
@@ -335,6 +354,7 @@
 	};
 	GError *error = NULL;
 	log_level_t level;
+	slot_policy_t batch_policy;
 
 	if (!setting_parse(&program, settings, argc, argv, NULL, &error)) {
 		fprintf(stderr, "wasabilink entry: %s\n", error->message);
@@ -344,6 +364,11 @@
 		fprintf(stderr, "wasabilink entry: --log-level: bad value\n");
 		return 64;
 	}
+	if (!slot_parse_policy(o->batch_policy, &batch_policy)) {
+		fprintf(stderr,
+			"wasabilink entry: --batch-policy: bad value\n");
+		return 64;
+	}
 	if (!route_policy_exists(o->route_policy)) {
 		fprintf(stderr, "wasabilink entry: --route-policy: unknown\n");
 		return 64;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -22,6 +22,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/object_store.h"
+#include "platform/object_writer.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
@@ -54,6 +55,9 @@
 	int64_t queue_ms; /* longest wait in the queue */
 	char *route_policy;
 	double hedge_share;
+	char *batch_policy; /* slot_policy_t by name */
+	int64_t batch_slots; /* per runner under the policy fixed */
+	int64_t batch_reserve; /* slots per runner kept free for online load */
 } entry_options_t;
 
 typedef struct entry {
@@ -77,6 +81,9 @@
 	uint64_t document_version;
 	engine_client_t *engines;
 	pool_table_t *pools;
+	struct chunks *chunks; /* batch: coordinator */
+	struct dispatch *dispatch; /* batch: dispatcher */
+	object_writer_t *writer;
 	limiter_t *limiter;
 	retry_budget_t *retry_budget;
 	claims_t *claims;
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 #include "entry/api_error.h"
+#include "entry/batches.h"
 #include "entry/chat.h"
+#include "entry/files.h"
 #include "entry/service_call.h"
 
 static const char bearer[] = "Bearer ";
@@ -92,6 +94,14 @@
 	return document_authenticate(entry->document, value + strlen(bearer));
 }
 
+static bool is_below(const char *path, const char *root)
+{
+	size_t len = strlen(root);
+
+	return strncmp(path, root, len) == 0 &&
+	       (path[len] == '\0' || path[len] == '/');
+}
+
 void front_handle_caller(http_exchange_t *exchange, void *user_data)
 {
 	entry_t *entry = user_data;
@@ -115,6 +125,14 @@
 		service_call_handle(entry, exchange, caller);
 		return;
 	}
+	if (is_below(path, FILES_PATH)) {
+		files_handle(entry, exchange, caller);
+		return;
+	}
+	if (is_below(path, BATCHES_PATH)) {
+		batches_handle(entry, exchange, caller);
+		return;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(caller_routes); i++) {
 		if (strcmp(caller_routes[i].path, path) != 0)
 			continue;
