Let a request ask a runner again that refused the other version

Cause: a request that met two runners which had just left the previous version counted both as tried, although one of them served the new version, and failed after its third try.

The number of sent tries stays bounded.

--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -19,6 +19,8 @@
 #define STREAM_BUFFER_BYTES (256 * 1024)
 #define MAX_TRIES 3
 #define MAX_EXCLUDED 64
+/* Bound on tries that runners refused for the version. */
+#define MAX_SENT 12
 /* The first try and its hedge. */
 #define PARALLEL_TRIES 2
 #define UPSTREAM_ID_BYTES 96
@@ -52,6 +54,7 @@
 	const chat_try_t *winner; /* the first with a token */
 	const route_runner_t *tried[MAX_TRIES + 1];
 	uint32_t tried_count;
+	uint32_t sent_count; /* tries with those refused for the version */
 	char *body;
 	size_t body_len;
 	GString *record; /* events of a keyed stream */
@@ -502,7 +505,7 @@
 	bool allowed;
 
 	if (chat->state == REQUEST_STREAMING ||
-	    chat->tried_count >= MAX_TRIES ||
+	    chat->tried_count >= MAX_TRIES || chat->sent_count >= MAX_SENT ||
 	    result->fault == ENGINE_FAULT_REJECTED ||
 	    result->fault == ENGINE_FAULT_TIMEOUT)
 		return false;
@@ -544,6 +547,20 @@
 	     fault_errors[result->fault].message);
 }
 
+/*
+ * While a deployment changes its version, a runner that refused the previous
+ * one may serve the new one to the same request.
+ */
+static void forget_tried(chat_t *chat, const route_runner_t *runner)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < chat->tried_count; i++)
+		if (chat->tried[i] != runner)
+			chat->tried[kept++] = chat->tried[i];
+	chat->tried_count = kept;
+}
+
 static void on_try_done(const engine_result_t *result, void *user_data)
 {
 	chat_try_t *try = user_data;
@@ -554,9 +571,11 @@
 		  try->route.runner->address,
 		  engine_outcome_name(result->outcome),
 		  engine_fault_name(result->fault));
-	if (result->fault == ENGINE_FAULT_VERSION)
+	if (result->fault == ENGINE_FAULT_VERSION) {
 		rollout_refused(chat->pool->rollout, try->route.runner->address,
 				try->version);
+		forget_tried(chat, try->route.runner);
+	}
 	if (result->outcome == ENGINE_WHOLE) {
 		rollout_served(chat->pool->rollout, try->route.runner->address,
 			       try->version);
@@ -664,7 +683,7 @@
 		return;
 	}
 	snprintf(id, sizeof(id), "%s.%" PRIu64 ".%u", chat->entry->instance,
-		 chat->number, chat->tried_count);
+		 chat->number, chat->sent_count++);
 	options.address = runner->address;
 	chat->tried[chat->tried_count++] = runner;
 	try->chat = chat;
