--- a/src/coord/ledger.c
+++ b/src/coord/ledger.c
@@ -56,6 +56,14 @@
 	live_t *previous; /* NULL: was not live */
 };
 
+/* The segment under compaction. */
+typedef struct carry {
+	uint64_t id; /* 0: none */
+	cached_t *cached; /* taken out of the cache */
+	u_int position;
+	ledger_lookup_t lookup;
+} carry_t;
+
 struct ledger {
 	ledger_options_t options;
 	GHashTable *live; /* record key -> live_t */
@@ -63,6 +71,7 @@
 	size_t kind_bytes[MAX_KINDS];
 	uint64_t changes;
 	GPtrArray *segments; /* segment_t, ascending ids */
+	uint64_t first_segment; /* older ones were forgotten */
 	index_slot_t *slots;
 	uint32_t slot_count; /* power of two */
 	uint32_t slots_used;
@@ -70,6 +79,7 @@
 	GArray *garbage; /* ledger_garbage_t */
 	GHashTable *cache; /* segment id -> cached_t */
 	uint64_t uses;
+	carry_t carry;
 };
 
 typedef struct cover {
@@ -197,6 +207,8 @@
 	g_array_free(ledger->indexes, TRUE);
 	g_array_free(ledger->garbage, TRUE);
 	g_hash_table_destroy(ledger->cache);
+	if (ledger->carry.cached)
+		cached_free(ledger->carry.cached);
 	g_free(ledger);
 }
 
@@ -451,29 +463,49 @@
 
 /* Lookup and update */
 
-ledger_status_t ledger_find(ledger_t *ledger, const void *key, uint64_t now_ms,
-			    ledger_lookup_t *found)
+static uint64_t newest_segment(const ledger_t *ledger)
 {
-	const live_t *live = live_get(ledger, key);
-	const segment_t *segment = NULL;
-	uint32_t print = fingerprint(key);
-	uint64_t before = UINT64_MAX;
+	guint count = ledger->segments->len;
 
-	found->record = NULL;
-	found->segment = 0;
-	if (live)
-		found->record = live->record;
-	while (!found->record &&
-	       (segment = slot_next(ledger, print, before)) != NULL) {
+	return count ? ((segment_t *)ledger->segments->pdata[count - 1])->id :
+		       0;
+}
+
+/* Goes on where an earlier call stopped, unless a seal has come between. */
+static ledger_status_t find_sealed(ledger_t *ledger, const void *key,
+				   ledger_lookup_t *found)
+{
+	uint64_t newest = newest_segment(ledger);
+	const segment_t *segment;
+
+	if (!found->before || found->newest != newest)
+		found->before = UINT64_MAX;
+	found->newest = newest;
+	while ((segment = slot_next(ledger, fingerprint(key), found->before))) {
 		const cached_t *cached = cache_get(ledger, segment->id);
 
 		if (!cached) {
 			found->segment = segment->id;
 			return LEDGER_NEED_SEGMENT;
 		}
+		found->before = segment->id;
 		found->record = cached_find(cached, key);
-		before = segment->id;
+		if (found->record)
+			break;
 	}
+	found->before = 0;
+	return found->record ? LEDGER_FOUND : LEDGER_ABSENT;
+}
+
+ledger_status_t ledger_find(ledger_t *ledger, const void *key, uint64_t now_ms,
+			    ledger_lookup_t *found)
+{
+	const live_t *live = live_get(ledger, key);
+
+	found->record = live ? live->record : NULL;
+	found->segment = 0;
+	if (!live && find_sealed(ledger, key, found) == LEDGER_NEED_SEGMENT)
+		return LEDGER_NEED_SEGMENT;
 	if (!found->record || expired(found->record, now_ms)) {
 		found->record = NULL;
 		return LEDGER_ABSENT;
@@ -629,6 +661,7 @@
 		indexes[i] =
 			g_array_index(ledger->indexes, index_object_t, i).id;
 	full.format = LEDGER_FORMAT;
+	full.first_segment = ledger->first_segment;
 	full.records.records_len = count;
 	full.records.records_val = records;
 	full.segments.segments_len = refs->len;
@@ -647,8 +680,11 @@
 {
 	for (guint i = 0; i < count; i++) {
 		ledger_segment_ref *ref = &refs[i];
-		segment_t *segment = g_new0(segment_t, 1);
+		segment_t *segment;
 
+		if (ref->id < ledger->first_segment)
+			continue;
+		segment = g_new0(segment_t, 1);
 		segment->id = ref->id;
 		segment->kind = ref->kind;
 		segment->sealed_ms = ref->sealed_ms;
@@ -704,6 +740,7 @@
 		memset(head, 0, sizeof(*head));
 		return FALSE;
 	}
+	ledger->first_segment = head->first_segment;
 	adopt_records(ledger, head);
 	add_refs(ledger, head->segments.segments_val,
 		 head->segments.segments_len, 0);
@@ -922,6 +959,11 @@
 	return NULL;
 }
 
+gboolean ledger_knows_segment(const ledger_t *ledger, uint64_t id)
+{
+	return segment_get(ledger, id) != NULL;
+}
+
 static void garbage_add(ledger_t *ledger, uint64_t id, bool is_index)
 {
 	ledger_garbage_t garbage = { id, is_index };
@@ -1042,6 +1084,7 @@
 		if (!segment->expire_ms || segment->expire_ms > now_ms)
 			break;
 		garbage_add(ledger, id, false);
+		ledger->first_segment = id + 1;
 		g_hash_table_remove(ledger->cache, &id);
 		g_ptr_array_remove_index(ledger->segments, 0);
 	}
@@ -1054,44 +1097,88 @@
 	g_array_set_size(ledger->garbage, 0);
 }
 
-uint64_t ledger_carry_next(const ledger_t *ledger, uint64_t sealed_before_ms)
+static segment_t *carry_choose(const ledger_t *ledger,
+			       uint64_t sealed_before_ms)
 {
 	for (guint i = 0; i < ledger->segments->len; i++) {
-		const segment_t *segment = ledger->segments->pdata[i];
+		segment_t *segment = ledger->segments->pdata[i];
 
 		if (!segment->expire_ms &&
 		    segment->sealed_ms < sealed_before_ms)
-			return segment->id;
+			return segment;
 	}
-	return 0;
+	return NULL;
 }
 
-ledger_status_t ledger_carry(ledger_t *ledger, uint64_t id, uint64_t now_ms,
-			     ledger_lookup_t *found)
+/* Takes the segment out of the cache, so that loading others does not evict
+ * it. */
+static bool carry_start(ledger_t *ledger, uint64_t id)
 {
-	const cached_t *cached = cache_get(ledger, id);
-	segment_t *segment = segment_get(ledger, id);
+	carry_t *carry = &ledger->carry;
+	void *key = NULL;
+	void *value = NULL;
 
-	found->record = NULL;
-	found->segment = id;
-	if (!segment)
-		return LEDGER_ABSENT;
-	if (!cached)
-		return LEDGER_NEED_SEGMENT;
-	for (u_int i = 0; i < cached->segment.records.records_len; i++) {
-		const ledger_record *record =
-			&cached->segment.records.records_val[i];
+	if (carry->cached)
+		return true;
+	if (!g_hash_table_steal_extended(ledger->cache, &id, &key, &value))
+		return false;
+	g_free(key);
+	carry->id = id;
+	carry->cached = value;
+	carry->position = 0;
+	carry->lookup = (ledger_lookup_t){ 0 };
+	return true;
+}
 
-		if (ledger_find(ledger, record->key, now_ms, found) ==
-		    LEDGER_NEED_SEGMENT)
-			return LEDGER_NEED_SEGMENT;
-		if (found->record == record)
+/* Returns the segment that is needed, or 0 when all records are done. */
+static uint64_t carry_records(ledger_t *ledger, uint64_t now_ms)
+{
+	carry_t *carry = &ledger->carry;
+	const ledger_segment *content = &carry->cached->segment;
+
+	for (; carry->position < content->records.records_len;
+	     carry->position++) {
+		const ledger_record *record =
+			&content->records.records_val[carry->position];
+		ledger_status_t status = ledger_find(ledger, record->key,
+						     now_ms, &carry->lookup);
+		const ledger_record *current = carry->lookup.record;
+
+		/* The segment itself is not in the cache; what needs it is
+		 * in it, as nothing newer has the key. */
+		if (status == LEDGER_NEED_SEGMENT &&
+		    carry->lookup.segment != carry->id)
+			return carry->lookup.segment;
+		if ((status == LEDGER_NEED_SEGMENT ||
+		     (current && current->revision == record->revision)) &&
+		    !live_get(ledger, record->key) && !expired(record, now_ms))
 			live_put(ledger,
 				 live_new(ledger, ledger_record_copy(record)));
+		carry->lookup = (ledger_lookup_t){ 0 };
 	}
+	return 0;
+}
+
+uint64_t ledger_carry(ledger_t *ledger, uint64_t sealed_before_ms,
+		      uint64_t now_ms)
+{
+	carry_t *carry = &ledger->carry;
+	segment_t *segment = carry->id ? segment_get(ledger, carry->id) :
+					 carry_choose(ledger, sealed_before_ms);
+	uint64_t needed;
+
+	if (!segment)
+		return 0;
+	if (!carry_start(ledger, segment->id))
+		return segment->id;
+	needed = carry_records(ledger, now_ms);
+	if (needed)
+		return needed;
 	/* Nothing in it is current any more. */
 	segment->expire_ms = 1;
-	return LEDGER_APPLIED;
+	cached_free(carry->cached);
+	*carry = (carry_t){ 0 };
+	return 0;
 }
 
 /* Enumeration */
--- a/src/coord/ledger.h
+++ b/src/coord/ledger.h
@@ -41,9 +41,17 @@
 	uint32_t cached_segments; /* decoded segments in memory; 4 */
 } ledger_options_t;
 
+/*
+ * Starts as zeroes. When a call returns LEDGER_NEED_SEGMENT, it is repeated
+ * with the same lookup after the segment was loaded, and goes on from there:
+ * of a key that shares its fingerprint with another, more segments may have
+ * to be read than the cache holds.
+ */
 typedef struct ledger_lookup {
 	const ledger_record *record;
 	uint64_t segment; /* with LEDGER_NEED_SEGMENT */
+	uint64_t before; /* internal: older segments are to be searched */
+	uint64_t newest; /* internal: newest segment at the start */
 } ledger_lookup_t;
 
 typedef struct ledger_undo ledger_undo_t;
@@ -88,6 +96,8 @@
 gboolean ledger_load_index(ledger_t *ledger, uint64_t id, const void *data,
 			   size_t len, GError **error);
 
+/* Whether the segment is part of the ledger, and whether it is loaded. */
+gboolean ledger_knows_segment(const ledger_t *ledger, uint64_t id);
 gboolean ledger_has_segment(const ledger_t *ledger, uint64_t id);
 gboolean ledger_load_segment(ledger_t *ledger, uint64_t id, const void *data,
 			     size_t len, GError **error);
@@ -126,14 +136,14 @@
 void ledger_collect(ledger_t *ledger, uint64_t now_ms, GArray *garbage);
 
 /*
- * A segment that was sealed before the time and still holds records without
- * expiry, or 0. ledger_carry() makes what is current in it live again, so that
- * the segment can be forgotten; it returns LEDGER_NEED_SEGMENT until all that
- * it needs is loaded, then LEDGER_APPLIED.
+ * Compaction: of the oldest segment that was sealed before the time and holds
+ * records without expiry, makes what is current live again, so that the
+ * segment can be forgotten. Only while no update waits to become durable, as
+ * undoing one would bring an older version back. Returns the id of the segment that must be loaded
+ * before the next call, or 0 when there is nothing more to do now.
  */
-uint64_t ledger_carry_next(const ledger_t *ledger, uint64_t sealed_before_ms);
-ledger_status_t ledger_carry(ledger_t *ledger, uint64_t id, uint64_t now_ms,
-			     ledger_lookup_t *found);
+uint64_t ledger_carry(ledger_t *ledger, uint64_t sealed_before_ms,
+		      uint64_t now_ms);
 
 /* Segments of a kind, newest first, as uint64_t. */
 GArray *ledger_segments(const ledger_t *ledger, uint32_t kind);
--- a/src/coord/shard.c
+++ b/src/coord/shard.c
@@ -42,6 +42,7 @@
 	void *user_data;
 	/* Outcome, to be told once it is durable. */
 	ledger_status_t status;
+	ledger_lookup_t lookup;
 	ledger_record *answer;
 	ledger_undo_t *undo;
 	/* List. */
@@ -89,6 +90,7 @@
 	int64_t poll_ms;
 	uint64_t seen_version;
 	int64_t seen_since_ms;
+	uint64_t unreadable_version; /* of a head that lacks an index */
 	/* Owner. */
 	head_write_t write;
 	ledger_write_t *other_write;
@@ -467,7 +469,7 @@
 	refuse_all(shard, &shard->waiting, "the shard has another owner");
 }
 
-/* Of what a list has read, updates may be undone. */
+/* Drops what a list has read so far. */
 static void list_restart(op_t *op)
 {
 	if (!op->segments)
@@ -503,6 +505,7 @@
 		}
 	}
 	g_ptr_array_free(batch, TRUE);
+	/* Lists may have read what is now undone. */
 	for (GList *l = shard->waiting.head; l; l = l->next)
 		list_restart(l->data);
 }
@@ -689,9 +692,11 @@
 	id = ledger_missing_index(shard->ledger);
 	if (error || !ledger_load_index(shard->ledger, id, value->data,
 					value->len, NULL)) {
-		if (!error ||
-		    g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND))
+		/* Once, it may have been replaced after the head was read. */
+		if (!error || shard->unreadable_version == shard->version)
 			notify(shard, SHARD_BROKEN);
+		if (g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND))
+			shard->unreadable_version = shard->version;
 		abort_takeover(shard);
 		return;
 	}
@@ -794,6 +799,13 @@
 
 /* Segments */
 
+static bool reads_valid(const shard_t *shard, int64_t now)
+{
+	return now - shard->written_ms < (int64_t)shard->options.lease_ms *
+						 READ_LEASE_NUM /
+						 READ_LEASE_DEN;
+}
+
 static void on_segment(const object_value_t *value, const GError *error,
 		       void *user_data)
 {
@@ -813,7 +825,10 @@
 		shard_step(shard);
 		return;
 	}
-	if (!error || g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND))
+	/* Compaction may have removed it since, or that of a successor. */
+	if (reads_valid(shard, now_ms(shard)) &&
+	    ledger_knows_segment(shard->ledger, id) &&
+	    (!error || g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND)))
 		notify(shard, SHARD_BROKEN);
 	shard->retry_ms = now_ms(shard) + FIRST_RETRY_MS;
 }
@@ -948,10 +963,16 @@
 	return memcmp(a, b, LEDGER_KEY_BYTES) == 0;
 }
 
-/* Newest first, so that the first record of a key is the current one. Returns
- * false with the segment that must be read. */
+/* Newest first, so that the first record of a key is the current one. Starts
+ * anew when compaction has moved records meanwhile. Returns false with the
+ * segment that must be read. */
 static bool advance_list(shard_t *shard, op_t *op, uint64_t *segment)
 {
+	if (op->segments && op->position < op->segments->len &&
+	    !ledger_knows_segment(
+		    shard->ledger,
+		    g_array_index(op->segments, uint64_t, op->position)))
+		list_restart(op);
 	if (!op->segments) {
 		op->seen = g_hash_table_new(listed_hash, listed_equal);
 		op->segments = ledger_segments(shard->ledger, op->list_kind);
@@ -972,7 +993,7 @@
 /* False when the operation must wait for a segment. */
 static bool execute(shard_t *shard, op_t *op, uint64_t *segment)
 {
-	ledger_lookup_t found = { 0 };
+	ledger_lookup_t *found = &op->lookup;
 
 	if (op->kind == OP_LIST) {
 		op->status = LEDGER_FOUND;
@@ -980,15 +1001,15 @@
 	}
 	if (op->kind == OP_GET)
 		op->status = ledger_find(shard->ledger, op->key, wall_ms(shard),
-					 &found);
+					 found);
 	else
 		op->status = ledger_update(shard->ledger, op->update, op->token,
-					   wall_ms(shard), &found, &op->undo);
-	*segment = found.segment;
+					   wall_ms(shard), found, &op->undo);
+	*segment = found->segment;
 	if (op->status == LEDGER_NEED_SEGMENT)
 		return false;
-	if (found.record)
-		op->answer = ledger_record_copy(found.record);
+	if (found->record)
+		op->answer = ledger_record_copy(found->record);
 	return true;
 }
 
@@ -1025,13 +1046,6 @@
 	return bytes;
 }
 
-static bool reads_valid(const shard_t *shard, int64_t now)
-{
-	return now - shard->written_ms < (int64_t)shard->options.lease_ms *
-						 READ_LEASE_NUM /
-						 READ_LEASE_DEN;
-}
-
 /* While no write can start, only reads are answered. */
 static void serve_reads(shard_t *shard, int64_t now)
 {
@@ -1066,14 +1080,13 @@
 {
 	uint64_t wall = wall_ms(shard);
 	uint64_t age = (uint64_t)shard->options.carry_after_ms;
-	uint64_t id =
-		wall > age ? ledger_carry_next(shard->ledger, wall - age) : 0;
-	ledger_lookup_t found;
-
-	if (id && !shard->reading_segment &&
-	    ledger_carry(shard->ledger, id, wall, &found) ==
-		    LEDGER_NEED_SEGMENT)
-		read_segment(shard, found.segment);
+	uint64_t needed;
+
+	if (wall < age || shard->reading_segment)
+		return;
+	needed = ledger_carry(shard->ledger, wall - age, wall);
+	if (needed)
+		read_segment(shard, needed);
 }
 
 static void write_batch(shard_t *shard, int64_t now)
--- a/src/platform/object_memory.c
+++ b/src/platform/object_memory.c
@@ -342,6 +342,11 @@
 	return count;
 }
 
+static bool chance(object_memory_t *memory, double probability)
+{
+	return probability > 0 && g_rand_double(memory->random) < probability;
+}
+
 static call_t *call_start(object_store_t *base, call_kind_t kind,
 			  const char *key, void *user_data)
 {
@@ -363,10 +368,13 @@
 		call->answer_ms += g_rand_int_range(memory->random, 0,
 						    faults->delay_ms + 1);
 	call->timeout_ms = now + faults->timeout_ms;
-	call->lost = faults->lose_calls > 0 &&
-		     g_rand_double(memory->random) < faults->lose_calls;
-	call->silent = faults->lose_answers > 0 &&
-		       g_rand_double(memory->random) < faults->lose_answers;
+	call->lost = chance(memory, faults->lose_calls);
+	call->silent = chance(memory, faults->lose_answers);
+	if ((kind == CALL_PUT || kind == CALL_REMOVE) &&
+	    chance(memory, faults->late_writes))
+		call->effect_ms =
+			call->timeout_ms +
+			g_rand_int_range(memory->random, 0, faults->timeout_ms);
 	if (store->cut) {
 		call->executed = true;
 		call->lost = call->silent = false;
--- a/src/platform/object_memory.h
+++ b/src/platform/object_memory.h
@@ -27,6 +27,8 @@
 	int32_t delay_ms; /* most before the effect, and before the answer */
 	double lose_answers; /* probability, effect kept */
 	double lose_calls; /* probability, without effect, no answer */
+	double late_writes; /* probability that a write's effect comes within
+			     * timeout_ms after its timeout */
 	double writes_per_s; /* 0: no limit */
 	int32_t timeout_ms;
 } object_memory_faults_t;
--- a/src/rpc/ledger.x
+++ b/src/rpc/ledger.x
@@ -33,6 +33,8 @@
 	uint64_t epoch;
 	uint64_t sequence;
 	bool released;
+	/* Index objects may still list older segments; these are removed. */
+	uint64_t first_segment;
 	ledger_record records<>;
 	ledger_segment_ref segments<>;
 	uint64_t indexes<>;
--- a/src/rpc/ledger_xdr.c
+++ b/src/rpc/ledger_xdr.c
@@ -62,6 +62,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->released))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->first_segment))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, ~0,
 		sizeof (ledger_record), (xdrproc_t) xdr_ledger_record))
 		 return FALSE;
--- a/src/rpc/ledger_xdr.h
+++ b/src/rpc/ledger_xdr.h
@@ -50,6 +50,7 @@
 	uint64_t epoch;
 	uint64_t sequence;
 	bool_t released;
+	uint64_t first_segment;
 	struct {
 		u_int records_len;
 		ledger_record *records_val;
