--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,23 +1,29 @@
 #include "entry/entry.h"
 
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/os.h"
 #include "base/setting.h"
+#include "batch/slot.h"
+#include "entry/chunks.h"
+#include "entry/dispatch.h"
 #include "entry/front.h"
+#include "entry/reconciler.h"
 #include "platform/object_http.h"
 
-#define POLL_MS 1000
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
+#define TICK_MS 1000
+#define TIMELINE_LINES 8192
+#define TIMELINE_BYTES (1024 * 1024)
 
 typedef struct entry_timers {
 	entry_t *entry;
-	struct event *poll;
+	struct event *tick;
 	struct event *drain;
 	int64_t drain_until_ms;
 } entry_timers_t;
@@ -26,44 +32,30 @@
 {
 	entry_t *entry = user_data;
 
+	uint32_t nodes = member_count(entry->members, MEMBER_ALIVE);
+
 	runner_set_update(entry->runners, vms);
+	pool_table_update(entry->pools, nodes);
+	limiter_set_nodes(entry->limiter, nodes);
 	membership_set_listed(entry->membership, vms);
 }
 
-static void on_document(const object_value_t *value, const GError *error,
-			void *user_data)
+static void on_adopted(document_t *document, uint64_t version, void *user_data)
 {
 	entry_t *entry = user_data;
-	GError *parse_error = NULL;
-	document_t *document;
 
-	if (error || value->version <= entry->document_version)
-		return;
-	document = document_parse(value->data, value->len, &parse_error);
-	if (!document) {
-		log_error("document_invalid", "version=%" PRIu64 " message=%s",
-			  value->version, log_quote(parse_error->message));
-		g_error_free(parse_error);
-		return;
-	}
 	document_unref(entry->document);
-	entry->document = document;
-	entry->document_version = value->version;
-	log_info("document_adopted", "version=%" PRIu64 " digest=%.12s",
-		 value->version, document->digest);
+	entry->document = document_ref(document);
+	entry->document_version = version;
 }
 
-static void on_poll(evutil_socket_t fd, short events, void *arg)
+static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
-	entry_t *entry = timers->entry;
-	struct timeval period = { POLL_MS / 1000, POLL_MS % 1000 * 1000 };
-	char *key = g_strconcat("config/", entry->options.environment, NULL);
+	struct timeval period = { TICK_MS / 1000, TICK_MS % 1000 * 1000 };
 
-	object_get(entry->store, key, on_document, entry);
-	g_free(key);
-	claims_step(entry->claims);
-	evtimer_add(timers->poll, &period);
+	claims_step(timers->entry->claims);
+	evtimer_add(timers->tick, &period);
 }
 
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
@@ -71,8 +63,11 @@
 	entry_timers_t *timers = arg;
 	entry_t *entry = timers->entry;
 	struct timeval period = { 0, DRAIN_CHECK_MS * 1000 };
-	bool idle = http_server_active(entry->callers) == 0;
+	bool idle =
+		http_server_active(entry->callers) == 0 && entry->detached == 0;
 
+	if (!dispatch_is_idle(entry->dispatch))
+		idle = false;
 	if (idle)
 		records_release(entry->records);
 	if ((idle && records_is_released(entry->records)) ||
@@ -95,6 +90,7 @@
 	timers->drain_until_ms =
 		clock_now_ms(entry->clock) + entry->options.drain_ms;
 	membership_drain(entry->membership);
+	dispatch_drain(entry->dispatch);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
 	on_drain_check(-1, 0, timers);
 }
@@ -108,13 +104,32 @@
 		.port = port,
 		.max_body_bytes = (uint64_t)entry->options.max_body_bytes,
 		.read_timeout_ms = (int32_t)entry->options.read_timeout_ms,
+		.max_header_bytes = (uint32_t)entry->options.max_header_bytes,
+		.max_connections = (uint32_t)entry->options.max_connections,
 		.handler = handler,
+		.reject = front_reject,
 		.user_data = entry,
 	};
 
 	return http_server_new(&options, error);
 }
 
+static gboolean start_membership(entry_t *entry, GError **error)
+{
+	membership_options_t options = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.counters = entry->counters,
+		.members = entry->members,
+		.environment = entry->options.environment,
+		.seeds = entry->options.seeds,
+	};
+
+	entry->membership = membership_new(&options, error);
+	return entry->membership != NULL;
+}
+
 static uint64_t random_u64(entry_t *entry)
 {
 	return (uint64_t)g_rand_int(entry->random) << 32 |
@@ -136,7 +151,6 @@
 		.shards = (uint32_t)entry->options.shards,
 		.writes_per_s = (double)entry->options.ledger_writes_per_s,
 	};
-
 	claims_options_t claims = {
 		.members = entry->members,
 		.clock = entry->clock,
@@ -149,20 +163,56 @@
 	entry->claims = claims_new(&claims);
 }
 
-static gboolean start_membership(entry_t *entry, GError **error)
+static void start_config(entry_t *entry)
 {
-	membership_options_t options = {
+	config_follow_options_t options = {
 		.base = entry->base,
 		.clock = entry->clock,
 		.random = entry->random,
 		.counters = entry->counters,
+		.store = entry->store,
 		.members = entry->members,
+		.membership = entry->membership,
+		.rpc_client = entry->rpc_client,
+		.rpc_server = entry->rpc_server,
 		.environment = entry->options.environment,
-		.seeds = entry->options.seeds,
+		.node_id = entry->options.node_id,
+		.adopted = on_adopted,
+		.user_data = entry,
 	};
 
-	entry->membership = membership_new(&options, error);
-	return entry->membership != NULL;
+	entry->config = config_follow_new(&options);
+}
+
+static void start_online(entry_t *entry)
+{
+	const entry_options_t *o = &entry->options;
+	/* New buckets hold three tries, so that a first failure is retried. */
+	const retry_budget_options_t budget = {
+		.share = 0.1, .initial = 3, .max = 20, .max_keys = 100000
+	};
+	const pool_options_t pools = {
+		.base = entry->base,
+		.clock = entry->clock,
+		.random = entry->random,
+		.http = entry->http,
+		.runners = entry->runners,
+		.counters = entry->counters,
+		.node_id = o->node_id,
+		.domain = o->domain,
+		.policy = o->route_policy,
+		.hedge_share = o->hedge_share,
+		.max_queue = (uint32_t)o->max_queue,
+		.max_wait_ms = o->queue_ms,
+	};
+
+	entry->instance = g_strdup_printf("%s-%08x", o->node_id,
+					  g_rand_int(entry->random));
+	entry->engines =
+		engine_client_new(entry->base, entry->http, entry->clock);
+	entry->retry_budget = retry_budget_new(&budget);
+	entry->limiter = limiter_new(entry->clock);
+	entry->pools = pool_table_new(&pools);
 }
 
 static gboolean entry_start(entry_t *entry, GError **error)
@@ -180,6 +230,7 @@
 	entry->http = http_client_new(entry->base);
 	entry->rpc_client = rpc_client_new(entry->base);
 	entry->runners = runner_set_new();
+	start_online(entry);
 	store_options.client = entry->http;
 	entry->store = object_http_new(&store_options);
 	entry->rpc_server = rpc_server_new(entry->base, entry->options.address,
@@ -193,6 +244,11 @@
 	if (!start_membership(entry, error))
 		return FALSE;
 	start_ledger(entry);
+	start_config(entry);
+	entry->reconciler =
+		reconciler_new(entry, entry->options.weight_loads_per_minute);
+	entry->writer = object_writer_new(entry->base, entry->store,
+					  entry->clock, entry->instance);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -225,14 +281,16 @@
 	entry_timers_t timers = { .entry = entry };
 
 	follow_vms(entry);
-
+	timers.tick = evtimer_new(entry->base, on_tick, &timers);
+	on_tick(-1, 0, &timers);
+	entry->dispatch = dispatch_new(entry);
+	entry->chunks = chunks_new(entry);
 	timers.poll = evtimer_new(entry->base, on_poll, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
 	event_add(evsignal_new(entry->base, SIGINT, on_terminate, &timers),
 		  NULL);
-	on_poll(-1, 0, &timers);
 	log_info("started", "domain=%s port=%u operator_port=%u peer_port=%u",
 		 entry->options.domain, http_server_port(entry->callers),
 		 http_server_port(entry->operators),
@@ -271,15 +329,52 @@
 		{ "max-body-bytes", SETTING_INT, &o->max_body_bytes,
 		  "536870912", "N", "largest request body", 1024, INT64_MAX,
 		  0 },
+		{ "max-header-bytes", SETTING_INT, &o->max_header_bytes,
+		  "32768", "N", "largest request headers", 256, 1048576, 0 },
+		{ "max-connections", SETTING_INT, &o->max_connections, "20000",
+		  "N", "connections of callers at once", 1, 1000000, 0 },
 		{ "read-timeout-ms", SETTING_INT, &o->read_timeout_ms, "30000",
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
 		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "weight-loads-per-minute", SETTING_DOUBLE,
+		  &o->weight_loads_per_minute, "60", "N",
+		  "model loads that the weight store serves for the fleet", 0,
+		  100000, 0 },
 		{ "shards", SETTING_INT, &o->shards, "8", "N",
 		  "shards of the ledger, the same on all nodes", 1, 1024, 0 },
 		{ "ledger-writes-per-s", SETTING_INT, &o->ledger_writes_per_s,
 		  "100", "N", "the node's share of the platform's writes", 1,
 		  100000, 0 },
+		{ "request-timeout-ms", SETTING_INT, &o->request_timeout_ms,
+		  "600000", "MS", "deadline of requests that give none", 1,
+		  86400000, 0 },
+		{ "stall-ms", SETTING_INT, &o->stall_ms, "30000", "MS",
+		  "longest pause of a runner's stream", 10, 3600000, 0 },
+		{ "slow-caller-ms", SETTING_INT, &o->slow_caller_ms, "30000",
+		  "MS", "longest time without progress of a caller's reading",
+		  10, 3600000, 0 },
+		{ "max-queue", SETTING_INT, &o->max_queue, "2000", "N",
+		  "waiting requests per deployment", 0, 1000000, 0 },
+		{ "queue-ms", SETTING_INT, &o->queue_ms, "2000", "MS",
+		  "longest wait for a runner", 0, 3600000, 0 },
+		{ "route-policy", SETTING_STRING, &o->route_policy, "observed",
+		  "NAME",
+		  "observed, or for measurements random, round-robin or "
+		  "least-reported",
+		  0, 0, 0 },
+		{ "hedge-share", SETTING_DOUBLE, &o->hedge_share, "0.05", "P",
+		  "hedged requests as a share of all, 0: none", 0, 1, 0 },
+		{ "batch-policy", SETTING_STRING, &o->batch_policy, "learned",
+		  "NAME",
+		  "batch streams per runner: learned, or for measurements off, "
+		  "fixed or unlimited",
+		  0, 0, 0 },
+		{ "batch-slots", SETTING_INT, &o->batch_slots, "4", "N",
+		  "batch streams per runner under the policy fixed", 0, 10000,
+		  0 },
+		{ "batch-reserve", SETTING_INT, &o->batch_reserve, "0", "N",
+		  "slots per runner that batch leaves free", 0, 10000, 0 },
 		{ "log-level", SETTING_STRING, &level_name, "info", "LEVEL",
 		  "debug, info, warn or error", 0, 0, 0 },
 		{ 0 },
@@ -290,6 +385,7 @@
 	};
 	GError *error = NULL;
 	log_level_t level;
+	slot_policy_t batch_policy;
 
 	if (!setting_parse(&program, settings, argc, argv, NULL, &error)) {
 		fprintf(stderr, "wasabilink entry: %s\n", error->message);
@@ -299,7 +395,19 @@
 		fprintf(stderr, "wasabilink entry: --log-level: bad value\n");
 		return 64;
 	}
+	if (!slot_parse_policy(o->batch_policy, &batch_policy)) {
+		fprintf(stderr,
+			"wasabilink entry: --batch-policy: bad value\n");
+		return 64;
+	}
+	if (!route_policy_exists(o->route_policy)) {
+		fprintf(stderr, "wasabilink entry: --route-policy: unknown\n");
+		return 64;
+	}
+	os_raise_file_limit();
 	log_init(o->node_id, level);
+	entry.timeline = timeline_new(TIMELINE_LINES, TIMELINE_BYTES);
+	log_set_sink(timeline_sink, entry.timeline);
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
 			  log_quote(error->message));
