--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -9,6 +9,9 @@
 #define DEFAULT_RETENTION_MS (24 * 3600 * 1000LL)
 #define DEFAULT_MAX_BUFFERED 1000
 #define BEGIN_TIMEOUT_MS 2500
+/* While a shard's last claim was unavailable: idempotent work must not wait
+ * for a ledger that is known to be away. */
+#define DEGRADED_TIMEOUT_MS 300
 #define FINISH_TIMEOUT_MS 2500
 /* The ledger was unavailable a moment ago; the answer should not wait. */
 #define UNRECORDED_TIMEOUT_MS 300
@@ -29,6 +32,7 @@
 	uint64_t attempts;
 	GQueue buffered; /* claim_t that wait for claims_step() */
 	uint32_t settling; /* claim_t in a background attempt */
+	GHashTable *degraded; /* set of shards */
 	int64_t *answers[CLAIM_ANSWER_COUNT];
 	int64_t *buffered_gauge;
 	int64_t *dropped;
@@ -361,6 +365,21 @@
 	claim_free(claim);
 }
 
+static void *shard_id(const claim_t *claim)
+{
+	uint32_t shard =
+		records_shard(claim->claims->options.records, &claim->key);
+
+	return GUINT_TO_POINTER(shard + 1);
+}
+
+static int32_t begin_timeout(const claim_t *claim)
+{
+	return g_hash_table_contains(claim->claims->degraded, shard_id(claim)) ?
+		       DEGRADED_TIMEOUT_MS :
+		       BEGIN_TIMEOUT_MS;
+}
+
 static void on_marked_unknown(const record_t *record, const GError *error,
 			      void *user_data)
 {
@@ -401,11 +420,12 @@
 	}
 	may_rerun = may_rerun || (data->idempotent && claim->idempotent);
 	if (may_rerun)
-		put(claim, CLAIM_STATE_CLAIMED, BEGIN_TIMEOUT_MS, on_claimed);
+		put(claim, CLAIM_STATE_CLAIMED, begin_timeout(claim),
+		    on_claimed);
 	else if (data->state == CLAIM_STATE_UNKNOWN)
 		refuse(claim, CLAIM_UNKNOWN, NULL);
 	else
-		put(claim, CLAIM_STATE_UNKNOWN, BEGIN_TIMEOUT_MS,
+		put(claim, CLAIM_STATE_UNKNOWN, begin_timeout(claim),
 		    on_marked_unknown);
 }
 
@@ -443,7 +463,12 @@
 		       void *user_data)
 {
 	claim_t *claim = user_data;
+	GHashTable *degraded = claim->claims->degraded;
 
+	if (!error || error->code == WL_ERROR_CONFLICT)
+		g_hash_table_remove(degraded, shard_id(claim));
+	else if (error->code != WL_ERROR_NOT_FOUND)
+		g_hash_table_add(degraded, shard_id(claim));
 	if (!error) {
 		claim->version = record->version;
 		answer(claim, CLAIM_GRANTED, claim, NULL);
@@ -460,7 +485,7 @@
 static void begin(claim_t *claim)
 {
 	claim->version = RECORD_ABSENT;
-	put(claim, CLAIM_STATE_CLAIMED, BEGIN_TIMEOUT_MS, on_claimed);
+	put(claim, CLAIM_STATE_CLAIMED, begin_timeout(claim), on_claimed);
 }
 
 void claim_begin(claims_t *claims, const claim_options_t *options,
@@ -492,6 +517,7 @@
 		claims->options.retention_ms = DEFAULT_RETENTION_MS;
 	if (!claims->options.max_buffered)
 		claims->options.max_buffered = DEFAULT_MAX_BUFFERED;
+	claims->degraded = g_hash_table_new(NULL, NULL);
 	g_queue_init(&claims->buffered);
 	for (int i = 0; i < CLAIM_ANSWER_COUNT; i++) {
 		char *labels = g_strdup_printf(
@@ -520,5 +546,6 @@
 	if (!claims)
 		return;
 	g_queue_clear_full(&claims->buffered, free_buffered);
+	g_hash_table_destroy(claims->degraded);
 	g_free(claims);
 }
--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -954,6 +954,11 @@
 
 /* Ownership */
 
+uint32_t records_shard(const records_t *records, const record_key_t *key)
+{
+	return shard_number(place_of(records, key->bytes)->shard);
+}
+
 gboolean records_is_owner(const records_t *records, const record_key_t *key)
 {
 	return shard_is_owner(place_of(records, key->bytes)->shard);
--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -111,6 +111,8 @@
 typedef void (*record_each_t)(const record_t *record, void *user_data);
 void records_follow(records_t *records, record_kind_t kind, record_each_t each,
 		    void *user_data);
+/* Shard of a key, below the options' shards. */
+uint32_t records_shard(const records_t *records, const record_key_t *key);
 gboolean records_is_owner(const records_t *records, const record_key_t *key);
 /* Peer address of the node that most likely owns the key; NULL if unknown. */
 const char *records_owner_address(const records_t *records,
--- a/src/platform/object_memory.c
+++ b/src/platform/object_memory.c
@@ -308,14 +308,20 @@
 		call->done(has_value ? &value : NULL, error, call->user_data);
 }
 
+/* An answer that comes after the time limit is as good as none. */
+static bool is_answered(const call_t *call, int64_t now)
+{
+	return call->executed && !call->lost && !call->silent &&
+	       call->answer_ms <= now && call->answer_ms <= call->timeout_ms;
+}
+
 static call_t *next_delivery(const memory_store_t *store, int64_t now)
 {
 	for (GList *l = store->calls.head; l; l = l->next) {
 		call_t *call = l->data;
-		bool answered = call->executed && !call->lost &&
-				!call->silent && call->answer_ms <= now;
 
-		if (!call->delivered && (answered || call->timeout_ms <= now))
+		if (!call->delivered &&
+		    (is_answered(call, now) || call->timeout_ms <= now))
 			return call;
 	}
 	return NULL;
@@ -329,8 +335,7 @@
 	call_t *call;
 
 	while ((call = next_delivery(store, now)) != NULL) {
-		bool answered = call->executed && !call->lost &&
-				!call->silent && call->answer_ms <= now;
+		bool answered = is_answered(call, now);
 		GError timeout = { WL_ERROR, WL_ERROR_TIMEOUT,
 				   "the store did not answer" };
 
@@ -371,10 +376,12 @@
 	call->lost = chance(memory, faults->lose_calls);
 	call->silent = chance(memory, faults->lose_answers);
 	if ((kind == CALL_PUT || kind == CALL_REMOVE) &&
-	    chance(memory, faults->late_writes))
+	    chance(memory, faults->late_writes)) {
 		call->effect_ms =
 			call->timeout_ms +
 			g_rand_int_range(memory->random, 0, faults->timeout_ms);
+		call->silent = true;
+	}
 	if (store->cut) {
 		call->executed = true;
 		call->lost = call->silent = false;
