--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -17,13 +17,13 @@
 typedef struct entry_timers {
 	entry_t *entry;
 	struct event *drain;
+	struct event *second;
 	int64_t drain_until_ms;
 } entry_timers_t;
 
 static void on_vms_changed(const GArray *vms, void *user_data)
 {
 	entry_t *entry = user_data;
-
 	uint32_t nodes = member_count(entry->members, MEMBER_ALIVE);
 
 	runner_set_update(entry->runners, vms);
@@ -41,6 +41,15 @@
 	entry->document_version = version;
 }
 
+static void on_second(evutil_socket_t fd, short events, void *arg)
+{
+	entry_timers_t *timers = arg;
+	struct timeval period = { 1, 0 };
+
+	claims_step(timers->entry->claims);
+	evtimer_add(timers->second, &period);
+}
+
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
@@ -118,6 +127,7 @@
 
 static void start_ledger(entry_t *entry)
 {
+	uint64_t process = random_u64(entry);
 	records_options_t options = {
 		.base = entry->base,
 		.clock = entry->clock,
@@ -126,12 +136,21 @@
 		.rpc_client = entry->rpc_client,
 		.rpc_server = entry->rpc_server,
 		.counters = entry->counters,
-		.incarnation = random_u64(entry),
+		.incarnation = process,
 		.shards = (uint32_t)entry->options.shards,
 		.writes_per_s = (double)entry->options.ledger_writes_per_s,
 	};
 
+	claims_options_t claims = {
+		.members = entry->members,
+		.clock = entry->clock,
+		.counters = entry->counters,
+		.process = process,
+	};
+
 	entry->records = records_new(&options);
+	claims.records = entry->records;
+	entry->claims = claims_new(&claims);
 }
 
 static void start_config(entry_t *entry)
@@ -249,6 +268,8 @@
 
 	follow_vms(entry);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
+	timers.second = evtimer_new(entry->base, on_second, &timers);
+	on_second(-1, 0, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
 	event_add(evsignal_new(entry->base, SIGINT, on_terminate, &timers),
