--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,22 +8,30 @@
 #include "base/log.h"
 #include "base/os.h"
 #include "base/setting.h"
+#include "batch/slot.h"
+#include "entry/chunks.h"
+#include "entry/dispatch.h"
 #include "entry/front.h"
+#include "entry/reconciler.h"
 #include "platform/object_http.h"
 
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
+#define TICK_MS 1000
+#define TIMELINE_LINES 8192
+#define TIMELINE_BYTES (1024 * 1024)
 
 typedef struct entry_timers {
 	entry_t *entry;
+	struct event *tick;
 	struct event *drain;
-	struct event *second;
 	int64_t drain_until_ms;
 } entry_timers_t;
 
 static void on_vms_changed(const GArray *vms, void *user_data)
 {
 	entry_t *entry = user_data;
+
 	uint32_t nodes = member_count(entry->members, MEMBER_ALIVE);
 
 	runner_set_update(entry->runners, vms);
@@ -41,13 +49,13 @@
 	entry->document_version = version;
 }
 
-static void on_second(evutil_socket_t fd, short events, void *arg)
+static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
-	struct timeval period = { 1, 0 };
+	struct timeval period = { TICK_MS / 1000, TICK_MS % 1000 * 1000 };
 
 	claims_step(timers->entry->claims);
-	evtimer_add(timers->second, &period);
+	evtimer_add(timers->tick, &period);
 }
 
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
@@ -58,6 +66,8 @@
 	bool idle =
 		http_server_active(entry->callers) == 0 && entry->detached == 0;
 
+	if (!dispatch_is_idle(entry->dispatch))
+		idle = false;
 	if (idle)
 		records_release(entry->records);
 	if ((idle && records_is_released(entry->records)) ||
@@ -80,6 +90,7 @@
 	timers->drain_until_ms =
 		clock_now_ms(entry->clock) + entry->options.drain_ms;
 	membership_drain(entry->membership);
+	dispatch_drain(entry->dispatch);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
 	on_drain_check(-1, 0, timers);
 }
@@ -140,7 +151,6 @@
 		.shards = (uint32_t)entry->options.shards,
 		.writes_per_s = (double)entry->options.ledger_writes_per_s,
 	};
-
 	claims_options_t claims = {
 		.members = entry->members,
 		.clock = entry->clock,
@@ -235,6 +245,10 @@
 		return FALSE;
 	start_ledger(entry);
 	start_config(entry);
+	entry->reconciler =
+		reconciler_new(entry, entry->options.weight_loads_per_minute);
+	entry->writer = object_writer_new(entry->base, entry->store,
+					  entry->clock, entry->instance);
 	entry->callers = listen_http(entry, entry->options.port,
 				     front_handle_caller, error);
 	if (!entry->callers)
@@ -267,9 +281,11 @@
 	entry_timers_t timers = { .entry = entry };
 
 	follow_vms(entry);
+	timers.tick = evtimer_new(entry->base, on_tick, &timers);
+	on_tick(-1, 0, &timers);
+	entry->dispatch = dispatch_new(entry);
+	entry->chunks = chunks_new(entry);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
-	timers.second = evtimer_new(entry->base, on_second, &timers);
-	on_second(-1, 0, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
 	event_add(evsignal_new(entry->base, SIGINT, on_terminate, &timers),
@@ -320,6 +336,10 @@
 		  "MS", "longest wait for a caller's bytes", 100, 3600000, 0 },
 		{ "drain-ms", SETTING_INT, &o->drain_ms, "60000", "MS",
 		  "longest graceful shutdown", 0, 3600000, 0 },
+		{ "weight-loads-per-minute", SETTING_DOUBLE,
+		  &o->weight_loads_per_minute, "60", "N",
+		  "model loads that the weight store serves for the fleet", 0,
+		  100000, 0 },
 		{ "shards", SETTING_INT, &o->shards, "8", "N",
 		  "shards of the ledger, the same on all nodes", 1, 1024, 0 },
 		{ "ledger-writes-per-s", SETTING_INT, &o->ledger_writes_per_s,
@@ -344,6 +364,16 @@
 		  0, 0, 0 },
 		{ "hedge-share", SETTING_DOUBLE, &o->hedge_share, "0.05", "P",
 		  "hedged requests as a share of all, 0: none", 0, 1, 0 },
+		{ "batch-policy", SETTING_STRING, &o->batch_policy, "learned",
+		  "NAME",
+		  "batch streams per runner: learned, or for measurements off, "
+		  "fixed or unlimited",
+		  0, 0, 0 },
+		{ "batch-slots", SETTING_INT, &o->batch_slots, "4", "N",
+		  "batch streams per runner under the policy fixed", 0, 10000,
+		  0 },
+		{ "batch-reserve", SETTING_INT, &o->batch_reserve, "0", "N",
+		  "slots per runner that batch leaves free", 0, 10000, 0 },
 		{ "log-level", SETTING_STRING, &level_name, "info", "LEVEL",
 		  "debug, info, warn or error", 0, 0, 0 },
 		{ 0 },
@@ -354,6 +384,7 @@
 	};
 	GError *error = NULL;
 	log_level_t level;
+	slot_policy_t batch_policy;
 
 	if (!setting_parse(&program, settings, argc, argv, NULL, &error)) {
 		fprintf(stderr, "wasabilink entry: %s\n", error->message);
@@ -363,12 +394,19 @@
 		fprintf(stderr, "wasabilink entry: --log-level: bad value\n");
 		return 64;
 	}
+	if (!slot_parse_policy(o->batch_policy, &batch_policy)) {
+		fprintf(stderr,
+			"wasabilink entry: --batch-policy: bad value\n");
+		return 64;
+	}
 	if (!route_policy_exists(o->route_policy)) {
 		fprintf(stderr, "wasabilink entry: --route-policy: unknown\n");
 		return 64;
 	}
 	os_raise_file_limit();
 	log_init(o->node_id, level);
+	entry.timeline = timeline_new(TIMELINE_LINES, TIMELINE_BYTES);
+	log_set_sink(timeline_sink, entry.timeline);
 	if (!entry_start(&entry, &error)) {
 		log_error("start_failed", "message=%s",
 			  log_quote(error->message));
