--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,11 +13,12 @@
 #include "config/document.h"
 #include "coord/limiter.h"
 #include "coord/member.h"
+#include "entry/records.h"
 #include "coord/retry_budget.h"
 #include "entry/claim.h"
 #include "entry/vm_follow.h"
+#include "entry/config_follow.h"
 #include "entry/membership.h"
-#include "entry/records.h"
 #include "entry/pool.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -73,9 +74,10 @@
 	rpc_server_t *rpc_server;
 	object_store_t *store;
 	member_table_t *members;
+	records_t *records;
 	vm_follow_t *vm_follow;
 	membership_t *membership;
-	records_t *records;
+	config_follow_t *config;
 	runner_set_t *runners;
 	document_t *document; /* NULL until the first one is adopted */
 	uint64_t document_version;
