--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,9 @@
 #include "emulator/service.h"
 #include "entry/entry.h"
 #include "tool/load.h"
+#include "tool/config_tool.h"
+#include "tool/status_tool.h"
+#include "tool/timeline_tool.h"
 
 #define VERSION "0.1.0"
 
@@ -22,6 +25,9 @@
 	{ "engine", engine_main, "model engine emulator" },
 	{ "service", service_main, "plain service emulator" },
 	{ "load", load_main, "send load and measure" },
+	{ "config", config_tool_main, "check, show, diff, apply or promote" },
+	{ "status", status_tool_main, "show what an entry node knows" },
+	{ "timeline", timeline_tool_main, "merge log lines by time" },
 	{ NULL, NULL, NULL },
 };
 
