--- /dev/null
+++ b/tests/process/test_batch.py
@@ -0,0 +1,204 @@
+#!/usr/bin/env python3
+"""Batch jobs while nodes, engines and the store fail."""
+import os
+import signal
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import batch as b  # noqa: E402
+from batch import f  # noqa: E402
+
+DOMAINS = ["old-town", "thu-bon", "cam-kim"]
+TAKEOVER_S = 40
+
+
+class BatchTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = f.Fleet()
+        self.fleet.start_platform()
+        self.engines = [
+            self.fleet.start_engine(f"muse-{i}", "guild", b.MODEL,
+                                    DOMAINS[i % 3], "--slots", "4")
+            for i in range(6)]
+        self.vms = list(self.fleet.vms)
+        self.oracle = self.fleet.start_engine("oracle", "guild", "oracle",
+                                              "none", "--token-us", "0",
+                                              "--first-token-us", "0")
+        self.fleet.vms.pop()
+        self.fleet.put_object("config/production",
+                              f.json.dumps(f.sample_document()))
+        self.entries = [self.fleet.start_entry(f"entry-{d}", d)
+                        for d in DOMAINS]
+        self.fleet.publish_vms()
+
+    def tearDown(self):
+        self.fleet.close()
+
+    def check_results(self, entry, job, items, failed=()):
+        """Each item has exactly one result, the one that its engine gives."""
+        output = {}
+        for line in b.lines(entry, job["output_file_id"]):
+            self.assertNotIn(line["custom_id"], output)
+            output[line["custom_id"]] = line
+        errors = {}
+        for line in b.lines(entry, job["error_file_id"]):
+            self.assertNotIn(line["custom_id"], errors)
+            errors[line["custom_id"]] = line
+        self.assertEqual(set(errors), {f"i{n}" for n in failed})
+        self.assertEqual(len(output) + len(errors), len(items))
+        for wanted in items:
+            if wanted["custom_id"] in errors:
+                continue
+            body = output[wanted["custom_id"]]["response"]["body"]
+            self.assertEqual(body["choices"][0]["message"]["content"],
+                             b.expected(self.oracle, wanted))
+        return errors
+
+    def owner(self, job):
+        """The entry that coordinates the job."""
+        def find():
+            for entry in self.entries:
+                if entry.alive() and b.metric(
+                        entry, "wasabilink_batch_jobs_coordinated"):
+                    return entry
+            return None
+        return f.wait_for(find, "a coordinator")
+
+    def others(self, entry):
+        return [e for e in self.entries if e is not entry]
+
+    def wait_progress(self, entry, job):
+        f.wait_for(lambda: b.get(entry, job).json()["request_counts"]
+                   ["completed"] > 0, "first results")
+
+    def test_items_that_can_never_be_done(self):
+        """One bad item must neither end more than two engines nor stop the
+        others."""
+        items = [b.item(n) for n in range(300)]
+        items[70] = b.item(70, "[fail] always")
+        items[150] = b.item(150, "[kill] the engine")
+        job = b.submit(self.entries[0], items)
+        job = b.wait_state(self.entries[1], job)
+        errors = self.check_results(self.entries[2], job, items, (70, 150))
+        self.assertEqual(errors["i70"]["error"]["code"], "engine_error")
+        self.assertEqual(errors["i150"]["error"]["code"], "runner_lost")
+        self.assertEqual(job["request_counts"],
+                         {"total": 300, "completed": 298, "failed": 2})
+        self.assertEqual(sum(not e.alive() for e in self.engines), 2)
+
+    def test_coordinator_and_dispatcher_are_killed(self):
+        items = [b.item(n, max_tokens=40) for n in range(400)]
+        job = b.submit(self.entries[0], items)
+        owner = self.owner(job)
+        self.wait_progress(owner, job)
+        owner.kill()
+        left = self.others(owner)
+        b.wait_state(left[0], job, ("in_progress", "completed"))
+        left[1].kill()
+        job = b.wait_state(left[0], job, timeout_s=90)
+        self.check_results(left[0], job, items)
+
+    def test_resent_job(self):
+        """A resent job must not run again, whichever node gets it."""
+        items = [b.item(n) for n in range(20)]
+        first = b.submit(self.entries[0], items,
+                         headers={"Idempotency-Key": "evening"})
+        file_id = b.upload(self.entries[1], items).json()["id"]
+        again = b.create(self.entries[1], file_id,
+                         headers={"Idempotency-Key": "evening"})
+        self.assertEqual(again.json()["id"], first["id"])
+        other = b.upload(self.entries[1], items[:5]).json()["id"]
+        conflict = b.create(self.entries[2], other,
+                            headers={"Idempotency-Key": "evening"})
+        self.assertEqual(conflict.status, 422)
+        by_content = b.create(self.entries[1], file_id, metadata={"a": "b"})
+        same = b.create(self.entries[2], file_id, metadata={"a": "b"})
+        self.assertEqual(by_content.json()["id"], same.json()["id"])
+        self.assertNotEqual(by_content.json()["id"], first["id"])
+        listed = f.request(self.entries[2].port, "GET", "/v1/batches?limit=1",
+                           None, b.KEY).json()
+        self.assertTrue(listed["has_more"])
+        rest = f.request(self.entries[0].port, "GET",
+                         "/v1/batches?after=" + listed["last_id"], None,
+                         b.KEY).json()
+        self.assertEqual({listed["data"][0]["id"], rest["data"][0]["id"]},
+                         {first["id"], by_content.json()["id"]})
+        job = b.wait_state(self.entries[2], first)
+        self.check_results(self.entries[1], job, items)
+
+    def test_cancel_while_the_owner_is_frozen(self):
+        """After `cancelled` nothing starts, also when the owner wakes up."""
+        items = [b.item(n, max_tokens=100) for n in range(400)]
+        job = b.submit(self.entries[0], items)
+        owner = self.owner(job)
+        self.wait_progress(owner, job)
+        owner.send(signal.SIGSTOP)
+        other = self.others(owner)[0]
+        path = f"/v1/batches/{job['id']}/cancel"
+
+        def cancel():
+            answer = f.request(other.port, "POST", path, "", b.KEY)
+            return answer.status == 200
+        f.wait_for(cancel, "the cancel to be taken", TAKEOVER_S)
+        b.wait_state(other, job, ("cancelled",), TAKEOVER_S)
+        before = self.runs()
+        owner.send(signal.SIGCONT)
+        time.sleep(5)
+        self.assertEqual(self.runs(), before)
+        done = b.get(owner, job).json()
+        self.assertEqual(done["status"], "cancelled")
+        output = b.lines(other, done["output_file_id"])
+        self.assertGreater(len(output), 0)
+        self.assertLess(len(output), len(items))
+
+    def runs(self):
+        return sum(sum(f.request(e.port, "GET", "/engine/runs").json()
+                       .values()) for e in self.engines if e.alive())
+
+    def test_store_outage(self):
+        """Granted chunks go on; every item still gets one result."""
+        items = [b.item(n, max_tokens=40) for n in range(400)]
+        job = b.submit(self.entries[0], items)
+        self.wait_progress(self.entries[0], job)
+        self.fleet.fault(self.fleet.platform, outage_ms=8000)
+        time.sleep(0.5)
+        refused = b.upload(self.entries[1], [b.item(1)])
+        self.assertEqual(refused.status, 503)
+        self.assertEqual(refused.json()["error"]["work"], "not_run")
+        time.sleep(8)
+        self.fleet.fault(self.fleet.platform, outage_ms=0, lose_answers=0.2)
+        job = b.wait_state(self.entries[1], job, timeout_s=90)
+        self.fleet.fault(self.fleet.platform, lose_answers=0)
+        self.check_results(self.entries[2], job, items)
+
+    def test_files(self):
+        entry = self.entries[0]
+        bad = b.upload(entry, '{"custom_id": "a"}\nnot json\n')
+        self.assertEqual(bad.status, 400)
+        self.assertIn("line 2", bad.json()["error"]["message"])
+        self.assertEqual(b.upload(entry, "").status, 400)
+        self.assertEqual(b.upload(entry, "x" * 600000).status, 413)
+        items = [b.item(n, "y" * 5000) for n in range(500)]
+        stored = b.upload(entry, items)
+        self.assertEqual(stored.status, 200)
+        file_id = stored.json()["id"]
+        body = b.content(self.entries[1], file_id).body
+        self.assertEqual([f.json.loads(line) for line in body.splitlines()],
+                         items)
+        other = {"Authorization": "Bearer shannonside-key"}
+        for path in ("", "/content"):
+            answer = f.request(entry.port, "GET", f"/v1/files/{file_id}{path}",
+                               None, other)
+            self.assertEqual(answer.status, 404)
+        self.assertEqual(b.create(entry, file_id, key=other).status, 404)
+        self.assertEqual(b.create(entry, file_id, "soon").status, 400)
+        listed = f.request(entry.port, "GET", "/v1/files", None, b.KEY).json()
+        self.assertEqual([x["id"] for x in listed["data"]], [file_id])
+        f.request(entry.port, "DELETE", f"/v1/files/{file_id}", None, b.KEY)
+        self.assertEqual(b.content(entry, file_id).status, 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
