Fuzz the decoders that read from the network; bound XDR lengths

Cause: decoders of peers' messages, platform answers, uploads and streams had no fuzzing. The first runs found two faults: a message of a few bytes made libtirpc allocate up to 4 GB, because it allocates what a length says before it reads; and the multipart parser leaked the file name of a Content-Disposition line without a name.

Change: `make fuzz` runs 13 targets under libFuzzer with sanitizers, bounded in time; tests/test_fuzz_corpus replays the committed corpus as a normal test. xdr_bound replaces libtirpc's variable-length decoders in the generated code and checks a length against the bytes left, so .x files need no bounds for it. Bodies of platform answers are parsed by object_answer, split from object_http. The load tool prints how many requests it started, for the extra work of hedging.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,11 @@
 libwasabilink.a: $(COORD_OBJS)
 	rm -f $@ && ar rcs $@ $^
 
-# rpcgen output has unused variables and its own style.
-$(BUILD)/src/rpc/%_xdr.o: override CFLAGS += -Wno-unused-variable -Wno-error
+# rpcgen output has unused variables and its own style; xdr_bound.h replaces
+# decoders that allocate before they read.
+$(BUILD)/src/rpc/%_xdr.o: override CFLAGS += -Wno-unused-variable -Wno-error \
+	-DXDR_BOUND_REPLACE -include src/rpc/xdr_bound.h
+$(patsubst %.c,$(BUILD)/%.o,$(filter %.c,$(GENERATED))): src/rpc/xdr_bound.h
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -41,6 +44,13 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(OBJS)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
+FUZZ_TARGET_OBJ := $(BUILD)/tests/fuzz/fuzz_target.o
+$(BUILD)/tests/test_fuzz_corpus: $(FUZZ_TARGET_OBJ)
+$(BUILD)/tests/%.o: CPPFLAGS += -Itests
+
+$(BUILD)/fuzzer: $(BUILD)/tests/fuzz/fuzzer.o $(FUZZ_TARGET_OBJ) $(OBJS)
+	$(CC) $(CFLAGS) -fsanitize=fuzzer $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/examples/%: $(BUILD)/examples/%.o libwasabilink.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -69,6 +79,16 @@
 	BUILD=build-asan BIN=$(CURDIR)/build-asan/wasabilink \
 		ASAN_OPTIONS=detect_leaks=0 scripts/check
 
+# Runs each decoder's target for FUZZ_SECONDS; new inputs and crashes go to
+# build-fuzz.
+FUZZ_FLAGS = -O1 -g -fsanitize=address,undefined,fuzzer-no-link \
+	-fno-sanitize-recover=undefined -Wno-unused-command-line-argument
+FUZZ_SECONDS ?= 20
+fuzz: deps
+	$(MAKE) CC=clang BUILD=build-fuzz CFLAGS="$(FUZZ_FLAGS)" \
+		build-fuzz/fuzzer
+	scripts/fuzz $(FUZZ_SECONDS)
+
 demo: deps
 	$(MAKE) all
 	scripts/demo
@@ -94,6 +114,7 @@
 clean:
 	rm -rf $(BUILD) $(BIN) libwasabilink.a
 
-.PHONY: all tests check check-asan demo bench format lint clean deps xdr
+.PHONY: all tests check check-asan fuzz demo bench format lint clean deps xdr
 .SECONDARY:
--include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d)
+-include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d) \
+	$(FUZZ_TARGET_OBJ:.o=.d)
--- a/scripts/bench_fleet.py
+++ b/scripts/bench_fleet.py
@@ -112,8 +112,7 @@
             runs = t.runs_started(engines) - before
     finally:
         fleet.close()
-    sent = figures["sent"] * seconds / max(figures["seconds"], 0.001)
-    figures["extra_work"] = max(0, runs / sent - 1)
+    figures["extra_work"] = runs / max(figures["started"], 1) - 1
     return figures
 
 
--- a/src/http/multipart.c
+++ b/src/http/multipart.c
@@ -52,7 +52,8 @@
 		if (g_ascii_strncasecmp(*line, disposition,
 					strlen(disposition)) != 0)
 			continue;
-		if (field->name)
+		/* A line without a name may have had a file name. */
+		if (field->name || field->file_name)
 			break;
 		field->name = parameter(*line, "name");
 		field->file_name = parameter(*line, "filename");
--- a/src/platform/object_http.c
+++ b/src/platform/object_http.c
@@ -1,11 +1,11 @@
 #include "platform/object_http.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/error.h"
+#include "platform/object_answer.h"
 
 /* Slack on top of a watch's own time for the answer to arrive. */
 #define WATCH_GRACE_MS 2000
@@ -94,120 +94,35 @@
 	pending_free(pending);
 }
 
-static GArray *entries_from_json(json_t *array)
-{
-	GArray *entries = g_array_new(FALSE, TRUE, sizeof(object_entry_t));
-	size_t index;
-	json_t *item;
-
-	json_array_foreach(array, index, item) {
-		const char *key =
-			json_string_value(json_object_get(item, "key"));
-		object_entry_t entry = {
-			.key = g_strdup(key ? key : ""),
-			.version = (uint64_t)json_integer_value(
-				json_object_get(item, "version")),
-			.deleted =
-				json_is_true(json_object_get(item, "deleted")),
-		};
-
-		g_array_append_val(entries, entry);
-	}
-	return entries;
-}
-
-static void entries_free(GArray *entries)
-{
-	for (guint i = 0; i < entries->len; i++)
-		g_free(g_array_index(entries, object_entry_t, i).key);
-	g_array_free(entries, TRUE);
-}
-
-static json_t *parse_body(const http_answer_t *answer, GError **error)
-{
-	json_t *root;
-
-	*error = outcome_error(answer);
-	if (*error)
-		return NULL;
-	root = json_loadb(answer->body, answer->body_len, 0, NULL);
-	if (!json_is_object(root)) {
-		json_decref(root);
-		*error = g_error_new(WL_ERROR, WL_ERROR_PROTOCOL,
-				     "the platform's answer is not JSON");
-		return NULL;
-	}
-	return root;
-}
-
 static void on_list_done(const http_answer_t *answer, void *user_data)
 {
 	pending_t *pending = user_data;
-	GError *error = NULL;
-	json_t *root = parse_body(answer, &error);
+	GError *error = outcome_error(answer);
 	object_listing_t listing = { 0 };
-	json_t *array;
 
-	if (!root) {
+	if (!error && object_answer_listing(answer->body, answer->body_len,
+					    &listing, &error)) {
+		pending->list_done(&listing, NULL, pending->user_data);
+		object_entries_free(listing.entries);
+	} else {
 		pending->list_done(NULL, error, pending->user_data);
-		g_clear_error(&error);
-		pending_free(pending);
-		return;
+		g_error_free(error);
 	}
-	array = json_object_get(root, "objects");
-	if (!array)
-		array = json_object_get(root, "events");
-	listing.revision =
-		(uint64_t)json_integer_value(json_object_get(root, "revision"));
-	listing.entries = entries_from_json(array);
-	pending->list_done(&listing, NULL, pending->user_data);
-	entries_free(listing.entries);
-	json_decref(root);
 	pending_free(pending);
 }
 
-static char *string_member(json_t *object, const char *name)
-{
-	const char *value = json_string_value(json_object_get(object, name));
-
-	return g_strdup(value ? value : "");
-}
-
 static void on_vms_done(const http_answer_t *answer, void *user_data)
 {
 	pending_t *pending = user_data;
-	GError *error = NULL;
-	json_t *root = parse_body(answer, &error);
-	GArray *vms = g_array_new(FALSE, TRUE, sizeof(platform_vm_t));
-	size_t index;
-	json_t *item;
-
-	json_array_foreach(json_object_get(root, "vms"), index, item) {
-		platform_vm_t vm = {
-			.address = string_member(item, "address"),
-			.role = string_member(item, "role"),
-			.domain = string_member(item, "domain"),
-			.partner = string_member(item, "partner"),
-			.deployment = string_member(item, "deployment"),
-			.state = string_member(item, "state"),
-		};
-
-		g_array_append_val(vms, vm);
-	}
-	pending->vms_done(error ? NULL : vms, error, pending->user_data);
-	for (guint i = 0; i < vms->len; i++) {
-		platform_vm_t *vm = &g_array_index(vms, platform_vm_t, i);
-
-		g_free(vm->address);
-		g_free(vm->role);
-		g_free(vm->domain);
-		g_free(vm->partner);
-		g_free(vm->deployment);
-		g_free(vm->state);
-	}
-	g_array_free(vms, TRUE);
+	GError *error = outcome_error(answer);
+	GArray *vms = error ? NULL :
+			      object_answer_vms(answer->body, answer->body_len,
+						&error);
+
+	pending->vms_done(vms, error, pending->user_data);
+	if (vms)
+		object_vms_free(vms);
 	g_clear_error(&error);
-	json_decref(root);
 	pending_free(pending);
 }
 
--- a/src/tool/load_run.c
+++ b/src/tool/load_run.c
@@ -487,7 +487,9 @@
 			 (double)run->options.warmup_ms / 1000;
 
 	seconds = MAX(seconds, 0.001);
-	fprintf(out, "seconds=%.3f\nnot_started=%" PRIu64 "\n", seconds,
+	fprintf(out,
+		"seconds=%.3f\nstarted=%" PRId64 "\nnot_started=%" PRIu64 "\n",
+		seconds, run->started - (int64_t)run->not_started,
 		run->not_started);
 	load_stats_write(run->all, "", seconds, out);
 	if (run->options.long_share > 0) {
--- /dev/null
+++ b/tests/fuzz/fuzz_target.c
@@ -0,0 +1,335 @@
+#include "fuzz/fuzz_target.h"
+
+#include <event2/buffer.h>
+#include <glib.h>
+#include <rpc/rpc.h>
+#include <string.h>
+
+#include "backend/sse.h"
+#include "batch/item_file.h"
+#include "batch/job.h"
+#include "batch/result.h"
+#include "config/document.h"
+#include "config/document_diff.h"
+#include "coord/ledger.h"
+#include "entry/completion.h"
+#include "http/multipart.h"
+#include "platform/object_answer.h"
+#include "rpc/config_xdr.h"
+#include "rpc/fleet_xdr.h"
+#include "rpc/ledger_xdr.h"
+#include "rpc/member_xdr.h"
+#include "rpc/rpc_message.h"
+
+#define MAX_DOCUMENT_BYTES (1024 * 1024)
+
+static void run_document(const uint8_t *data, size_t size)
+{
+	GError *error = NULL;
+	document_t *document = document_parse((const char *)data, size, &error);
+
+	g_assert((document == NULL) == (error != NULL));
+	document_unref(document);
+	g_clear_error(&error);
+}
+
+typedef struct xdr_type {
+	xdrproc_t decode;
+	size_t size;
+} xdr_type_t;
+
+static const xdr_type_t xdr_types[] = {
+	{ (xdrproc_t)xdr_member_message, sizeof(member_message) },
+	{ (xdrproc_t)xdr_fleet_fetch_args, sizeof(fleet_fetch_args) },
+	{ (xdrproc_t)xdr_fleet_fetch_result, sizeof(fleet_fetch_result) },
+	{ (xdrproc_t)xdr_config_fetch_args, sizeof(config_fetch_args) },
+	{ (xdrproc_t)xdr_config_fetch_result, sizeof(config_fetch_result) },
+	{ (xdrproc_t)xdr_ledger_head, sizeof(ledger_head) },
+	{ (xdrproc_t)xdr_ledger_segment, sizeof(ledger_segment) },
+	{ (xdrproc_t)xdr_ledger_index, sizeof(ledger_index) },
+	{ (xdrproc_t)xdr_ledger_update_args, sizeof(ledger_update_args) },
+	{ (xdrproc_t)xdr_ledger_read_args, sizeof(ledger_read_args) },
+	{ (xdrproc_t)xdr_ledger_result, sizeof(ledger_result) },
+	{ (xdrproc_t)xdr_ledger_list_args, sizeof(ledger_list_args) },
+	{ (xdrproc_t)xdr_ledger_list_result, sizeof(ledger_list_result) },
+};
+
+static void decode_type(const xdr_type_t *type, char *data, size_t size)
+{
+	void *value = g_malloc0(type->size);
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, data, (u_int)size, XDR_DECODE);
+	type->decode(&xdrs, value);
+	xdr_free(type->decode, value);
+	xdr_destroy(&xdrs);
+	g_free(value);
+}
+
+/* The first byte chooses the type. */
+static void run_xdr(const uint8_t *data, size_t size)
+{
+	if (size > 0)
+		decode_type(&xdr_types[data[0] % G_N_ELEMENTS(xdr_types)],
+			    (char *)data + 1, size - 1);
+}
+
+static void run_rpc(const uint8_t *data, size_t size)
+{
+	struct evbuffer *input = evbuffer_new();
+	char *record;
+	size_t len;
+
+	evbuffer_add(input, data, size);
+	while (rpc_record_take(input, &record, &len) == 1) {
+		rpc_call_header_t call;
+		rpc_reply_header_t reply;
+		XDR xdrs;
+
+		xdrmem_create(&xdrs, record, (u_int)len, XDR_DECODE);
+		rpc_call_decode(&xdrs, &call);
+		xdr_destroy(&xdrs);
+		xdrmem_create(&xdrs, record, (u_int)len, XDR_DECODE);
+		rpc_reply_decode(&xdrs, &reply);
+		xdr_destroy(&xdrs);
+		g_free(record);
+	}
+	evbuffer_free(input);
+}
+
+static void run_platform(const uint8_t *data, size_t size)
+{
+	object_listing_t listing = { 0 };
+	GArray *vms = object_answer_vms((const char *)data, size, NULL);
+
+	if (vms)
+		object_vms_free(vms);
+	if (object_answer_listing((const char *)data, size, &listing, NULL))
+		object_entries_free(listing.entries);
+}
+
+static void append_events(const char *events, size_t len, void *user_data)
+{
+	const char *payload;
+	size_t payload_len;
+	size_t consumed;
+
+	g_string_append_len(user_data, events, len);
+	while (len > 0 && sse_next_payload(events, len, &payload, &payload_len,
+					   &consumed)) {
+		g_assert(consumed > 0 && consumed <= len);
+		g_assert(payload >= events &&
+			 payload + payload_len <= events + consumed);
+		events += consumed;
+		len -= consumed;
+	}
+}
+
+static bool feed_in_pieces(const uint8_t *data, size_t size, size_t piece,
+			   GString *out)
+{
+	sse_t sse;
+	bool whole;
+
+	sse_init(&sse);
+	for (size_t at = 0; at < size; at += piece)
+		sse_feed(&sse, (const char *)data + at, MIN(piece, size - at),
+			 append_events, out);
+	whole = sse_is_whole(&sse);
+	sse_clear(&sse);
+	return whole;
+}
+
+/* How the network cuts a stream must not change what is read from it. */
+static void run_sse(const uint8_t *data, size_t size)
+{
+	GString *at_once = g_string_new(NULL);
+	GString *bytewise = g_string_new(NULL);
+	bool whole = feed_in_pieces(data, size, MAX(size, 1), at_once);
+
+	g_assert(feed_in_pieces(data, size, 1, bytewise) == whole);
+	g_assert(g_string_equal(at_once, bytewise));
+	g_string_free(at_once, TRUE);
+	g_string_free(bytewise, TRUE);
+}
+
+static void run_completion(const uint8_t *data, size_t size)
+{
+	char *whole = completion_from_events((const char *)data, size);
+	GString *events;
+
+	if (whole) {
+		completion_total_tokens(whole, strlen(whole));
+		free(whole);
+	}
+	events = completion_to_events((const char *)data, size);
+	if (events)
+		g_string_free(events, TRUE);
+}
+
+static void run_item(const uint8_t *data, size_t size)
+{
+	item_t item;
+
+	if (item_parse((const char *)data, size, &item, NULL))
+		item_clear(&item);
+}
+
+/* Reads a file and returns its digest, or NULL when it is bad. */
+static char *read_item_file(const uint8_t *data, size_t size, size_t piece)
+{
+	item_file_t *file = item_file_new();
+	char *digest = NULL;
+	GString *part;
+
+	for (size_t at = 0; at < size;) {
+		size_t taken = item_file_feed(file, (const char *)data + at,
+					      MIN(piece, size - at));
+
+		at += taken;
+		part = item_file_take_part(file);
+		if (part)
+			g_string_free(part, TRUE);
+		else if (taken == 0)
+			break;
+	}
+	if (item_file_finish(file, NULL))
+		digest = g_strdup(item_file_digest(file));
+	while ((part = item_file_take_part(file)))
+		g_string_free(part, TRUE);
+	item_file_free(file);
+	return digest;
+}
+
+/* How an upload is cut must not change what is read from it. */
+static void run_item_file(const uint8_t *data, size_t size)
+{
+	char *at_once = read_item_file(data, size, MAX(size, 1));
+	char *bytewise = read_item_file(data, size, 1);
+
+	g_assert(g_strcmp0(at_once, bytewise) == 0);
+	g_free(at_once);
+	g_free(bytewise);
+}
+
+/* The first line is the Content-Type, the rest the body. */
+static void run_multipart(const uint8_t *data, size_t size)
+{
+	const uint8_t *newline = memchr(data, '\n', size);
+	char *content_type;
+	const char *body;
+	size_t len;
+	GArray *fields;
+
+	if (!newline)
+		return;
+	content_type = g_strndup((const char *)data, newline - data);
+	body = (const char *)newline + 1;
+	len = size - (newline + 1 - data);
+	fields = multipart_parse(content_type, body, len, NULL);
+	for (guint i = 0; fields && i < fields->len; i++) {
+		const multipart_field_t *field =
+			&g_array_index(fields, multipart_field_t, i);
+
+		g_assert(field->data >= body &&
+			 field->data + field->len <= body + len);
+	}
+	if (fields)
+		multipart_free(fields);
+	g_free(content_type);
+}
+
+static void run_result(const uint8_t *data, size_t size)
+{
+	const char *text = (const char *)data;
+	result_t result;
+
+	if (!result_parse(text, size, &result, NULL))
+		return;
+	g_assert(result.output >= text &&
+		 result.output + result.output_len <= text + size);
+	g_assert(result.errors >= text &&
+		 result.errors + result.errors_len <= text + size);
+}
+
+static void run_job(const uint8_t *data, size_t size)
+{
+	job_t *job = job_decode((const char *)data, size, NULL);
+
+	if (job)
+		job_free(job);
+}
+
+static void run_ledger(const uint8_t *data, size_t size)
+{
+	static const ledger_options_t options = { 0 };
+	ledger_t *ledger = ledger_new(&options);
+	ledger_head head = { 0 };
+
+	if (ledger_replay(ledger, data, size, &head, NULL))
+		xdr_free((xdrproc_t)xdr_ledger_head, (char *)&head);
+	ledger_free(ledger);
+	ledger = ledger_new(&options);
+	ledger_load_segment(ledger, 1, data, size, NULL);
+	ledger_load_index(ledger, 1, data, size, NULL);
+	ledger_free(ledger);
+}
+
+/* Edits that a peer sends, for a document of 64 bytes. */
+static void run_edits(const uint8_t *data, size_t size)
+{
+	static const char old_text[] =
+		"{\"partners\": {\"guild\": {\"limits\": {\"max_concurrent\": 4}}}}  ";
+	config_fetch_result result = { 0 };
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	if (xdr_config_fetch_result(&xdrs, &result)) {
+		guint count = result.edits.edits_len;
+		document_edit_t *edits = g_new0(document_edit_t, count + 1);
+		GBytes *text;
+
+		for (guint i = 0; i < count; i++) {
+			const config_edit *edit = &result.edits.edits_val[i];
+
+			edits[i].offset = edit->offset;
+			edits[i].length = edit->length;
+			edits[i].insert = edit->insert.insert_val;
+			edits[i].insert_len = edit->insert.insert_len;
+		}
+		text = document_diff_apply(old_text, strlen(old_text), edits,
+					   count, MAX_DOCUMENT_BYTES, NULL);
+		if (text) {
+			g_assert(g_bytes_get_size(text) <= MAX_DOCUMENT_BYTES);
+			g_bytes_unref(text);
+		}
+		g_free(edits);
+	}
+	xdr_free((xdrproc_t)xdr_config_fetch_result, (char *)&result);
+	xdr_destroy(&xdrs);
+}
+
+const fuzz_target_t fuzz_targets[] = {
+	{ "document", run_document },
+	{ "xdr", run_xdr },
+	{ "rpc", run_rpc },
+	{ "platform", run_platform },
+	{ "sse", run_sse },
+	{ "completion", run_completion },
+	{ "item", run_item },
+	{ "item_file", run_item_file },
+	{ "multipart", run_multipart },
+	{ "result", run_result },
+	{ "job", run_job },
+	{ "ledger", run_ledger },
+	{ "edits", run_edits },
+	{ NULL, NULL },
+};
+
+const fuzz_target_t *fuzz_target_find(const char *name)
+{
+	for (const fuzz_target_t *t = fuzz_targets; t->name; t++)
+		if (strcmp(t->name, name) == 0)
+			return t;
+	return NULL;
+}
