--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -6,8 +6,11 @@
 #include <string.h>
 
 #include "entry/api_error.h"
+#include "entry/batches.h"
 #include "entry/chat.h"
+#include "entry/files.h"
 #include "entry/service_call.h"
+#include "entry/operator.h"
 
 static const char bearer[] = "Bearer ";
 
@@ -92,6 +95,14 @@
 	return document_authenticate(entry->document, value + strlen(bearer));
 }
 
+static bool is_below(const char *path, const char *root)
+{
+	size_t len = strlen(root);
+
+	return strncmp(path, root, len) == 0 &&
+	       (path[len] == '\0' || path[len] == '/');
+}
+
 void front_handle_caller(http_exchange_t *exchange, void *user_data)
 {
 	entry_t *entry = user_data;
@@ -115,6 +126,14 @@
 		service_call_handle(entry, exchange, caller);
 		return;
 	}
+	if (is_below(path, FILES_PATH)) {
+		files_handle(entry, exchange, caller);
+		return;
+	}
+	if (is_below(path, BATCHES_PATH)) {
+		batches_handle(entry, exchange, caller);
+		return;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(caller_routes); i++) {
 		if (strcmp(caller_routes[i].path, path) != 0)
 			continue;
@@ -150,8 +169,37 @@
 		http_reply(exchange, 200, "text/plain; version=0.0.4",
 			   text->str, text->len);
 		g_string_free(text, TRUE);
-	} else {
+	} else if (!operator_handle(entry, exchange)) {
 		api_error_reply(exchange, API_NOT_FOUND, WORK_NOT_RUN, 0,
 				"no such path");
 	}
 }
+
+void front_reject(int status, GString *headers, GString *body, void *user_data)
+{
+	static const struct {
+		int status;
+		api_error_id_t error;
+		const char *message;
+	} rejects[] = {
+		{ 408, API_REQUEST_TIMEOUT, "the request came too slowly" },
+		{ 413, API_TOO_LARGE, "the body is above the limit" },
+		{ 431, API_HEADERS_TOO_LARGE, "the headers are too large" },
+		{ 503, API_OVERLOADED, "too many connections" },
+		{ 400, API_INVALID_REQUEST, "the request is malformed" },
+	};
+	entry_t *entry = user_data;
+	size_t i = 0;
+	char *text;
+
+	while (i < G_N_ELEMENTS(rejects) - 1 && rejects[i].status != status)
+		i++;
+	text = api_error_body(rejects[i].error, WORK_NOT_RUN,
+			      rejects[i].message);
+	g_string_append(body, text);
+	free(text);
+	g_string_append_printf(headers, "x-request-id: %s-%" PRIu64 "\r\n",
+			       entry->instance, ++entry->next_request);
+	if (status == 503)
+		g_string_append(headers, "Retry-After: 1\r\n");
+}
