--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -285,7 +285,6 @@
 	on_tick(-1, 0, &timers);
 	entry->dispatch = dispatch_new(entry);
 	entry->chunks = chunks_new(entry);
-	timers.poll = evtimer_new(entry->base, on_poll, &timers);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
