--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -11,9 +11,8 @@
 #include "entry/files.h"
 #include "entry/service_call.h"
 #include "entry/operator.h"
-== == == = >>>>>>> membership
 
-	   static const char bearer[] = "Bearer ";
+static const char bearer[] = "Bearer ";
 
 static void handle_models(entry_t *entry, http_exchange_t *exchange,
 			  const document_caller_t *caller)
--- a/src/main.c
+++ b/src/main.c
@@ -7,14 +7,13 @@
 #include "emulator/service.h"
 #include "entry/entry.h"
 #include "tool/load.h"
-== == == =
 #include "tool/config_tool.h"
 #include "tool/status_tool.h"
 #include "tool/timeline_tool.h"
 
 #define VERSION "0.1.0"
 
-		 typedef struct subcommand {
+typedef struct subcommand {
 	const char *name;
 	int (*run)(int argc, char **argv);
 	const char *help;
