--- a/src/main.c
+++ b/src/main.c
@@ -6,8 +6,8 @@
 #include "emulator/platform_standin.h"
 #include "emulator/service.h"
 #include "entry/entry.h"
-#include "tool/config_tool.h"
 #include "tool/load.h"
+#include "tool/config_tool.h"
 #include "tool/status_tool.h"
 #include "tool/timeline_tool.h"
 
@@ -24,10 +24,10 @@
 	{ "platform", platform_standin_main, "stand-in for the object API" },
 	{ "engine", engine_main, "model engine emulator" },
 	{ "service", service_main, "plain service emulator" },
+	{ "load", load_main, "send load and measure" },
 	{ "config", config_tool_main, "check, show, diff, apply or promote" },
 	{ "status", status_tool_main, "show what an entry node knows" },
 	{ "timeline", timeline_tool_main, "merge log lines by time" },
-	{ "load", load_main, "send load and measure" },
 	{ NULL, NULL, NULL },
 };
 
