--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -40,6 +40,7 @@
 	uint32_t waiting;
 	uint32_t unfinished; /* chunks */
 	int64_t adopted_ms;
+	int64_t grant_ms; /* no grant before: holders renew first */
 	int64_t last_write_ms;
 	int64_t retry_ms;
 	int64_t rate_ms;
@@ -249,6 +250,9 @@
 	entry->chunks = g_ptr_array_new_with_free_func(chunk_free);
 	entry->by_first = g_hash_table_new(NULL, NULL);
 	entry->adopted_ms = now_ms;
+	if (job->state != JOB_VALIDATING)
+		entry->grant_ms =
+			now_ms + COORDINATOR_LEASE_MS + LEASE_MARGIN_MS;
 	entry->rate_ms = now_ms;
 	entry->rate_items = items_done(job);
 	make_plan(entry);
@@ -385,6 +389,17 @@
 	       remaining_ms(coordinator, entry) > 0;
 }
 
+/*
+ * A predecessor's holders are given the time to renew. A chunk that they hold
+ * would run twice otherwise, and a bad item in it end more runners.
+ */
+static gboolean has_grant(const coordinator_t *coordinator,
+			  const entry_t *entry)
+{
+	return entry->waiting > 0 && runs(coordinator, entry) &&
+	       clock_now_ms(coordinator->clock) >= entry->grant_ms;
+}
+
 static char *service_key(const job_t *job)
 {
 	return g_strconcat(job->partner, "/", job->workspace, NULL);
@@ -441,7 +456,7 @@
 		int64_t slack;
 		double tag;
 
-		if (entry->waiting == 0 || !runs(coordinator, entry) ||
+		if (!has_grant(coordinator, entry) ||
 		    !serves(entry, partner, deployment))
 			continue;
 		slack = slack_ms(coordinator, entry);
@@ -733,7 +748,7 @@
 		entry_t *entry = value;
 		coordinator_demand_t *demand;
 
-		if (entry->waiting == 0 || !runs(coordinator, entry))
+		if (!has_grant(coordinator, entry))
 			continue;
 		demand = find_demand(demands, entry->job);
 		demand->waiting += entry->waiting;
--- a/src/batch/dispatcher.c
+++ b/src/batch/dispatcher.c
@@ -14,6 +14,11 @@
 #define MAX_PAUSE_MS 2000
 /* Cuts without a token in between that count as a death of the runner. */
 #define MAX_CUTS 3
+/* Chunks go back when no runner of the pool has taken an item for so long. */
+#define NO_RUNNER_MS 2000
+
+static const char lost_message[] = "runners were lost while they ran this item";
+static const char error_message[] = "the engine answered with an error";
 
 struct dispatcher {
 	dispatcher_ops_t ops;
@@ -394,7 +399,9 @@
 		const dispatch_item_t *item = &chunk->items[i];
 		suspect_t suspect = { item->number, item->tries, item->deaths };
 
-		if (item->state != ITEM_DONE && (item->tries || item->deaths))
+		/* A failed item must not be tried again by the next holder. */
+		if ((item->state != ITEM_DONE || item->is_error) &&
+		    (item->tries || item->deaths))
 			g_array_append_val(suspects, suspect);
 	}
 	return suspects;
@@ -629,8 +636,7 @@
 	}
 	item->cuts = 0;
 	if (++item->deaths >= SUSPECT_MAX_DEATHS)
-		fail_item(dispatcher, item, "runner_lost",
-			  "runners were lost while they ran this item");
+		fail_item(dispatcher, item, "runner_lost", lost_message);
 	else
 		wait_again(item, false);
 }
@@ -688,6 +694,18 @@
 	return NULL;
 }
 
+/* What the item's former holders have found is final. */
+static gboolean fail_hopeless(dispatcher_t *dispatcher, dispatch_item_t *item)
+{
+	if (item->deaths >= SUSPECT_MAX_DEATHS)
+		fail_item(dispatcher, item, "runner_lost", lost_message);
+	else if (item->tries >= SUSPECT_MAX_TRIES)
+		fail_item(dispatcher, item, "engine_error", error_message);
+	else
+		return FALSE;
+	return TRUE;
+}
+
 static void start_item(dispatcher_t *dispatcher, dispatch_item_t *item,
 		       dispatch_runner_t *runner)
 {
@@ -708,6 +726,10 @@
 	}
 	g_free(item->custom_id);
 	item->custom_id = g_strdup(parsed.custom_id);
+	if (fail_hopeless(dispatcher, item)) {
+		item_clear(&parsed);
+		return;
+	}
 	item->state = ITEM_RUNNING;
 	item->runner = runner;
 	item->last_token_us = 0;
@@ -807,7 +829,8 @@
 	for (guint i = 0; i < pool->runners->len; i++) {
 		dispatch_runner_t *runner = pool->runners->pdata[i];
 
-		if (now_ms(dispatcher) >= runner->not_before_ms)
+		if (now_ms(dispatcher) >= runner->not_before_ms &&
+		    runner->pause_ms < MAX_PAUSE_MS)
 			wanted += slot_allowed(
 				&runner->slot, &dispatcher->slots,
 				runner->online, now_ms(dispatcher));
@@ -825,6 +848,38 @@
 			     dispatcher->ops.user_data);
 }
 
+/* Whether any runner can be expected to take items. Runners that are full of
+ * online load count: that passes. */
+static gboolean has_runner(const dispatch_pool_t *pool)
+{
+	for (guint i = 0; i < pool->runners->len; i++) {
+		const dispatch_runner_t *runner = pool->runners->pdata[i];
+
+		if (runner->pause_ms < MAX_PAUSE_MS)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Other nodes may have runners for what this one cannot run. */
+static void hand_back_if_stuck(dispatcher_t *dispatcher, dispatch_pool_t *pool)
+{
+	int64_t now = now_ms(dispatcher);
+
+	if (has_runner(pool) || pool->chunks->len == 0) {
+		pool->runner_ms = now;
+		return;
+	}
+	if (now < pool->runner_ms + NO_RUNNER_MS)
+		return;
+	for (guint i = pool->chunks->len; i-- > 0;) {
+		dispatch_chunk_t *chunk = pool->chunks->pdata[i];
+
+		if (!chunk->writing)
+			hand_back(dispatcher, chunk);
+	}
+}
+
 static void renew_chunk(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
 {
 	GArray *suspects;
@@ -864,6 +919,7 @@
 		return;
 	for (guint i = 0; i < dispatcher->pools->len; i++) {
 		schedule_pool(dispatcher, dispatcher->pools->pdata[i]);
+		hand_back_if_stuck(dispatcher, dispatcher->pools->pdata[i]);
 		pull_if_short(dispatcher, dispatcher->pools->pdata[i]);
 	}
 }
--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -74,6 +74,7 @@
 	dispatch_item_t *suspect; /* running alone */
 	bool pulling;
 	int64_t pull_ms; /* next pull when nobody offers work */
+	int64_t runner_ms; /* when a runner was last of use */
 };
 
 struct dispatch_chunk {
--- a/src/entry/files.c
+++ b/src/entry/files.c
@@ -17,7 +17,7 @@
 /* Bytes checked before other events get their turn, about 1 ms of work. */
 #define SLICE_BYTES (64 * 1024)
 /* An upload gives up on a store that refuses a part for so long. */
-#define PART_TIMEOUT_MS 10000
+#define PART_TIMEOUT_MS 3000
 #define MAX_NAME_BYTES 255
 #define LIST_LIMIT 1000
 #define DEFAULT_LISTED 100
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -146,7 +146,7 @@
 	char *line;
 
 	if (number == world->fail_item)
-		g_string_append_printf(text, "E i%u boom", number);
+		g_string_append_printf(text, "E i%u engine_error", number);
 	else if (number == world->kill_item)
 		g_string_append_printf(text, "E i%u runner_lost", number);
 	else {
@@ -586,7 +586,8 @@
 		kill_runner(world, stream);
 	} else if (item->number == world->fail_item) {
 		g_ptr_array_remove(world->streams, stream);
-		dispatcher_item_failed(dispatcher, item, "boom", "always");
+		dispatcher_item_failed(dispatcher, item, "engine_error",
+				       "always");
 	} else if (chance(world, 0.002)) {
 		g_ptr_array_remove(world->streams, stream);
 		dispatcher_item_cut(dispatcher, item);
