Add the jobs command

Cause: operators had no command to submit, watch, cancel and read batch jobs.

Change: wasabilink jobs submit|list|show|wait|cancel|output|errors through an entry node's port for callers; tool_client_call() for requests of callers with the error body's message.

Before: not there.

--- a/src/main.c
+++ b/src/main.c
@@ -6,8 +6,9 @@
 #include "emulator/platform_standin.h"
 #include "emulator/service.h"
 #include "entry/entry.h"
-#include "tool/load.h"
 #include "tool/config_tool.h"
+#include "tool/jobs_tool.h"
+#include "tool/load.h"
 #include "tool/status_tool.h"
 #include "tool/timeline_tool.h"
 
@@ -26,6 +27,8 @@
 	{ "service", service_main, "plain service emulator" },
 	{ "load", load_main, "send load and measure" },
 	{ "config", config_tool_main, "check, show, diff, apply or promote" },
+	{ "jobs", jobs_tool_main,
+	  "submit, list, show, wait, cancel, output or errors" },
 	{ "status", status_tool_main, "show what an entry node knows" },
 	{ "timeline", timeline_tool_main, "merge log lines by time" },
 	{ NULL, NULL, NULL },
--- a/src/tool/tool_client.c
+++ b/src/tool/tool_client.c
@@ -2,7 +2,9 @@
 
 #include <event2/event.h>
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -23,6 +25,7 @@
 	tool_client_t *client;
 	tool_object_t *object;
 	char *body;
+	size_t body_len;
 	int status;
 	http_outcome_t outcome;
 	GError *error;
@@ -176,8 +179,11 @@
 
 	result->outcome = answer->outcome;
 	result->status = answer->status;
-	result->body = g_strndup(answer->body ? answer->body : "",
-				 answer->body ? answer->body_len : 0);
+	result->body_len = answer->body ? answer->body_len : 0;
+	result->body = g_malloc(result->body_len + 1);
+	if (result->body_len)
+		memcpy(result->body, answer->body, result->body_len);
+	result->body[result->body_len] = '\0';
 	event_base_loopbreak(result->client->base);
 }
 
@@ -236,6 +242,81 @@
 	return NULL;
 }
 
+static error_code_t code_of_status(int status)
+{
+	static const struct {
+		int status;
+		error_code_t code;
+	} codes[] = {
+		{ 400, WL_ERROR_INVALID },	{ 401, WL_ERROR_PERMISSION },
+		{ 404, WL_ERROR_NOT_FOUND },	{ 409, WL_ERROR_CONFLICT },
+		{ 413, WL_ERROR_TOO_LARGE },	{ 422, WL_ERROR_CONFLICT },
+		{ 429, WL_ERROR_RATE_LIMITED }, { 503, WL_ERROR_UNAVAILABLE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++)
+		if (codes[i].status == status)
+			return codes[i].code;
+	return WL_ERROR_PROTOCOL;
+}
+
+static GError *call_error(const result_t *result, const char *address)
+{
+	json_t *root, *detail;
+	const char *message;
+	GError *error;
+
+	if (result->outcome != HTTP_COMPLETE)
+		return fetch_error(result, address);
+	root = json_loads(result->body, 0, NULL);
+	detail = json_object_get(root, "error");
+	message = json_string_value(json_object_get(detail, "message"));
+	error = g_error_new(WL_ERROR, (gint)code_of_status(result->status),
+			    "%s: status %d: %s", address, result->status,
+			    message ? message : "no error body");
+	json_decref(root);
+	return error;
+}
+
+char *tool_client_call(tool_client_t *client, const tool_request_t *request,
+		       size_t *len, GError **error)
+{
+	result_t result = { .client = client };
+	char *bearer = g_strconcat("Bearer ", request->key, NULL);
+	const char *headers[7] = { "Authorization", bearer };
+	size_t used = 2;
+	http_request_options_t options = {
+		.method = request->method,
+		.address = request->address,
+		.target = request->target,
+		.headers = headers,
+		.body = request->body,
+		.body_len = request->body_len,
+		.timeout_ms = client->timeout_ms,
+		.on_done = on_fetched,
+		.user_data = &result,
+	};
+
+	if (request->content_type) {
+		headers[used++] = "Content-Type";
+		headers[used++] = request->content_type;
+	}
+	if (request->idempotency_key) {
+		headers[used++] = "Idempotency-Key";
+		headers[used++] = request->idempotency_key;
+	}
+	http_call_start(client->http, &options);
+	event_base_dispatch(client->base);
+	g_free(bearer);
+	if (result.outcome == HTTP_COMPLETE && result.status == 200) {
+		*len = result.body_len;
+		return result.body;
+	}
+	g_propagate_error(error, call_error(&result, request->address));
+	g_free(result.body);
+	return NULL;
+}
+
 int tool_fail(const char *command, GError *error)
 {
 	int status = 1;
--- a/src/tool/tool_client.h
+++ b/src/tool/tool_client.h
@@ -45,6 +45,25 @@
 char *tool_client_fetch(tool_client_t *client, const char *address,
 			const char *target, const char *key, GError **error);
 
+/*
+ * A request of a caller to an entry node. headers as in http_client.h, without
+ * Authorization. Returns the answer's body (length in *len, NUL-terminated);
+ * any status but 200 is an error with the code and message of the answer.
+ */
+typedef struct tool_request {
+	const char *method;
+	const char *address;
+	const char *target;
+	const char *key;
+	const char *content_type; /* NULL: none */
+	const char *idempotency_key; /* NULL: none */
+	const void *body;
+	size_t body_len;
+} tool_request_t;
+
+char *tool_client_call(tool_client_t *client, const tool_request_t *request,
+		       size_t *len, GError **error);
+
 void tool_object_clear(tool_object_t *object);
 
 /* Prints "wasabilink <command>: <message>", frees the error and returns the
