--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -343,7 +343,7 @@
 		{ "shards", SETTING_INT, &o->shards, "8", "N",
 		  "shards of the ledger, the same on all nodes", 1, 1024, 0 },
 		{ "ledger-writes-per-s", SETTING_INT, &o->ledger_writes_per_s,
-		  "100", "N", "the node's share of the platform's writes", 1,
+		  "40", "N", "the node's share of the platform's writes", 1,
 		  100000, 0 },
 		{ "request-timeout-ms", SETTING_INT, &o->request_timeout_ms,
 		  "600000", "MS", "deadline of requests that give none", 1,
--- /dev/null
+++ b/tests/bench/ledger_cost.c
@@ -0,0 +1,285 @@
+/* Costs of the ledger, to be run by hand:
+ *   make build/tests/bench/ledger_cost && build/tests/bench/ledger_cost
+ * First table: one shard's ledger with 200-byte results at several sizes,
+ * sealed as in service. Second table: one shard's writes against offered
+ * claims (a claim is two updates, a claim and its result after 1 s), over a
+ * store that answers in up to 4 ms, on an injected clock. Figures of the
+ * second table are simulated time, but for the CPU column. */
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "coord/shard.h"
+#include "platform/object_memory.h"
+
+#define T0 1700000000000ULL
+#define DATA_BYTES 200
+#define OFFERED_S 20
+#define WORK_MS 1000
+
+static double cpu_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
+}
+
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static void fill_key(char *key, uint64_t number)
+{
+	uint64_t hash[2] = { number * 0x9e3779b97f4a7c15ULL,
+			     number ^ 0xbf58476d1ce4e5b9ULL };
+
+	hash[0] ^= hash[0] >> 31;
+	hash[0] *= 0x94d049bb133111ebULL;
+	memcpy(key, hash, LEDGER_KEY_BYTES);
+}
+
+static void fill_record(ledger_record *record, uint64_t number, char *data)
+{
+	*record = (ledger_record){ .kind = 1,
+				   .expire_ms = T0 + 86400000,
+				   .owner_tag = (char *)"guild/workshop-1" };
+	fill_key(record->key, number);
+	record->data.data_val = data;
+	record->data.data_len = DATA_BYTES;
+}
+
+static void seal_all(ledger_t *ledger, uint64_t *ids, GPtrArray *indexes,
+		     size_t *written)
+{
+	ledger_write_t *write;
+
+	while ((write = ledger_write_next(ledger, ++*ids, T0)) != NULL) {
+		*written += g_bytes_get_size(write->data);
+		if (write->is_index)
+			g_ptr_array_add(indexes, g_bytes_ref(write->data));
+		ledger_write_done(ledger, write);
+	}
+}
+
+static void measure_replay(ledger_t *ledger, GPtrArray *indexes, double *us,
+			   size_t *bytes, uint32_t *objects)
+{
+	ledger_head head = { .owner = (char *)"127.0.0.1:1" };
+	GBytes *stored = ledger_encode_head(ledger, &head, T0);
+	ledger_t *copy = ledger_new(NULL);
+	gsize len;
+	const void *data = g_bytes_get_data(stored, &len);
+	double start = cpu_us();
+	uint64_t id;
+
+	ledger_replay(copy, data, len, &head, NULL);
+	*bytes = len;
+	*objects = 1;
+	/* Which index object has the id does not matter for the cost. */
+	for (guint i = indexes->len; (id = ledger_missing_index(copy)) != 0;) {
+		i -= i > 0;
+		data = g_bytes_get_data(indexes->pdata[i], &len);
+		ledger_load_index(copy, id, data, len, NULL);
+		*bytes += len;
+		++*objects;
+	}
+	*us = cpu_us() - start;
+	xdr_free((xdrproc_t)xdr_ledger_head, (char *)&head);
+	ledger_free(copy);
+	g_bytes_unref(stored);
+}
+
+static void measure_size(uint64_t records)
+{
+	size_t before = heap_bytes();
+	ledger_t *ledger = ledger_new(NULL);
+	GPtrArray *indexes =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	char data[DATA_BYTES] = { 0 };
+	char token[LEDGER_TOKEN_BYTES] = { 1 };
+	uint64_t ids = 0;
+	size_t written = 0;
+	size_t held;
+	size_t replay_bytes;
+	uint32_t objects;
+	double replay_us;
+	double start = cpu_us();
+	double spent;
+
+	for (uint64_t i = 0; i < records; i++) {
+		ledger_lookup_t found = { 0 };
+		ledger_undo_t *undo;
+		ledger_record record;
+
+		fill_record(&record, i, data);
+		ledger_update(ledger, &record, token, T0, &found, &undo);
+		ledger_undo_free(undo);
+		if (i % 50 == 0)
+			seal_all(ledger, &ids, indexes, &written);
+	}
+	spent = cpu_us() - start;
+	held = heap_bytes() - before;
+	for (guint i = 0; i < indexes->len; i++)
+		held -= g_bytes_get_size(indexes->pdata[i]);
+	measure_replay(ledger, indexes, &replay_us, &replay_bytes, &objects);
+	printf("records=%" PRIu64 " cpu_us_per_record=%.2f heap_bytes=%zu "
+	       "heap_bytes_per_record=%.1f index_bytes_per_record=%.1f "
+	       "segments=%u written_bytes_per_record=%.0f replay_ms=%.1f "
+	       "replay_objects=%u replay_bytes=%zu\n",
+	       records, spent / (double)records, held,
+	       (double)held / (double)records,
+	       (double)ledger_index_bytes(ledger) / (double)records,
+	       ledger_segment_count(ledger), (double)written / (double)records,
+	       replay_us / 1e3, objects, replay_bytes);
+	g_ptr_array_free(indexes, TRUE);
+	ledger_free(ledger);
+}
+
+typedef struct offer {
+	clock_manual_t clock;
+	shard_t *shard;
+	GQueue results; /* claim_t that wait for their result */
+	uint64_t claims;
+	uint64_t done;
+	uint64_t failed;
+	double latency_ms;
+	double max_latency_ms;
+} offer_t;
+
+typedef struct claim {
+	offer_t *offer;
+	uint64_t number;
+	int64_t began_ms;
+	int64_t due_ms;
+	bool finishing;
+} claim_t;
+
+static void claim_send(claim_t *claim);
+
+static void on_done(const ledger_record *record, const GError *error,
+		    void *user_data)
+{
+	claim_t *claim = user_data;
+	offer_t *offer = claim->offer;
+	int64_t now = clock_now_ms(&offer->clock.base);
+	double latency = (double)(now - claim->began_ms);
+
+	if (error) {
+		offer->failed++;
+		g_free(claim);
+		return;
+	}
+	offer->done++;
+	offer->latency_ms += latency;
+	offer->max_latency_ms = MAX(offer->max_latency_ms, latency);
+	if (claim->finishing) {
+		g_free(claim);
+		return;
+	}
+	claim->finishing = true;
+	claim->due_ms = now + WORK_MS;
+	g_queue_push_tail(&offer->results, claim);
+}
+
+static void claim_send(claim_t *claim)
+{
+	static uint64_t tokens;
+	char token[LEDGER_TOKEN_BYTES] = { 0 };
+	char data[DATA_BYTES] = { 0 };
+	ledger_record record;
+
+	fill_record(&record, claim->number, data);
+	record.revision = claim->finishing ? 1 : 0;
+	tokens++;
+	memcpy(token, &tokens, sizeof(tokens));
+	claim->began_ms = clock_now_ms(&claim->offer->clock.base);
+	shard_update(claim->offer->shard, &record, token,
+		     claim->began_ms + 5000, on_done, claim);
+}
+
+static void offer_step(offer_t *offer, uint32_t per_s, int64_t ms)
+{
+	uint64_t due = (uint64_t)ms * per_s / 1000;
+	claim_t *claim;
+
+	while (offer->claims < due) {
+		claim = g_new0(claim_t, 1);
+		claim->offer = offer;
+		claim->number = offer->claims++;
+		claim_send(claim);
+	}
+	while ((claim = g_queue_peek_head(&offer->results)) != NULL &&
+	       claim->due_ms <= clock_now_ms(&offer->clock.base))
+		claim_send(g_queue_pop_head(&offer->results));
+}
+
+static void measure_offer(uint32_t per_s, double budget_per_s)
+{
+	offer_t offer = { 0 };
+	shard_stats_t stats = { 0 };
+	shard_budget_t budget = { .writes_per_s = budget_per_s };
+	object_memory_t *memory;
+	shard_options_t options = { .clock = &offer.clock.base,
+				    .owner = "127.0.0.1:1",
+				    .incarnation = 1,
+				    .budget = &budget,
+				    .stats = &stats };
+	double spent;
+
+	clock_manual_init(&offer.clock, T0);
+	memory = object_memory_new(&offer.clock.base, 1);
+	object_memory_faults(memory)->delay_ms = 2;
+	options.store = object_memory_open(memory);
+	offer.shard = shard_new(&options);
+	shard_set_candidate(offer.shard, true);
+	spent = cpu_us();
+	for (int64_t ms = 0; ms < OFFERED_S * 1000; ms++) {
+		clock_manual_advance_ms(&offer.clock, 1);
+		object_memory_step(memory);
+		object_memory_deliver(options.store);
+		offer_step(&offer, per_s, ms);
+		shard_step(offer.shard);
+	}
+	spent = cpu_us() - spent;
+	printf("claims_per_s=%u budget=%.0f writes_per_s=%.1f "
+	       "updates_per_write=%.1f mean_ms=%.1f max_ms=%.0f failed=%" PRIu64
+	       " segment_reads=%" PRId64 " stored_mb_per_s=%.2f "
+	       "cpu_us_per_update=%.1f\n",
+	       per_s, budget_per_s,
+	       (double)object_memory_stats(memory)->writes / OFFERED_S,
+	       (double)stats.updates / (double)stats.head_writes,
+	       offer.latency_ms / (double)MAX(offer.done, 1),
+	       offer.max_latency_ms, offer.failed, stats.segment_reads,
+	       (double)object_memory_stats(memory)->bytes_written / OFFERED_S /
+		       1e6,
+	       spent / (double)MAX(stats.updates, 1));
+	shard_free(offer.shard);
+	clock_manual_advance_ms(&offer.clock, 100000);
+	object_memory_step(memory);
+	object_memory_deliver(options.store);
+	object_store_free(options.store);
+	object_memory_free(memory);
+	while (!g_queue_is_empty(&offer.results))
+		g_free(g_queue_pop_head(&offer.results));
+}
+
+int main(void)
+{
+	static const uint64_t sizes[] = { 1000, 10000, 100000, 1000000,
+					  2000000 };
+	static const uint32_t rates[] = { 1, 10, 100, 500, 1000, 2000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		measure_size(sizes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++)
+		measure_offer(rates[i], 12.5);
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++)
+		measure_offer(rates[i], 100);
+	return 0;
+}
