--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -9,6 +9,9 @@
 #define DEFAULT_RETENTION_MS (24 * 3600 * 1000LL)
 #define DEFAULT_MAX_BUFFERED 1000
 #define BEGIN_TIMEOUT_MS 2500
+/* While a shard's last claim was unavailable: idempotent work must not wait
+ * for a ledger that is known to be away. */
+#define DEGRADED_TIMEOUT_MS 300
 #define FINISH_TIMEOUT_MS 2500
 /* The ledger was unavailable a moment ago; the answer should not wait. */
 #define UNRECORDED_TIMEOUT_MS 300
@@ -29,6 +32,8 @@
 	uint64_t attempts;
 	GQueue buffered; /* claim_t that wait for claims_step() */
 	uint32_t settling; /* claim_t in a background attempt */
+	GHashTable *degraded; /* set of shards */
+	GHashTable *pending; /* set of claim_t with an update on its way */
 	int64_t *answers[CLAIM_ANSWER_COUNT];
 	int64_t *buffered_gauge;
 	int64_t *dropped;
@@ -83,6 +88,11 @@
 	g_free(claim);
 }
 
+static void free_claim(void *data)
+{
+	claim_free(data);
+}
+
 static GBytes *encode(const claim_data *data)
 {
 	size_t len = xdr_sizeof((xdrproc_t)xdr_claim_data, (void *)data);
@@ -145,6 +155,7 @@
 		data.body.body_len = (u_int)result->body_len;
 		data.body_omitted = result->body_omitted;
 	}
+	g_hash_table_add(claims->pending, claim);
 	bytes = encode(&data);
 	record.data = g_bytes_get_data(bytes, &record.len);
 	records_update_within(claims->options.records, &record, timeout_ms,
@@ -264,6 +275,7 @@
 {
 	claim_t *claim = user_data;
 
+	g_hash_table_steal(claim->claims->pending, claim);
 	claim->claims->settling--;
 	if (!error) {
 		tell_finished(claim, true, NULL);
@@ -361,11 +373,27 @@
 	claim_free(claim);
 }
 
+static void *shard_id(const claim_t *claim)
+{
+	uint32_t shard =
+		records_shard(claim->claims->options.records, &claim->key);
+
+	return GUINT_TO_POINTER(shard + 1);
+}
+
+static int32_t begin_timeout(const claim_t *claim)
+{
+	return g_hash_table_contains(claim->claims->degraded, shard_id(claim)) ?
+		       DEGRADED_TIMEOUT_MS :
+		       BEGIN_TIMEOUT_MS;
+}
+
 static void on_marked_unknown(const record_t *record, const GError *error,
 			      void *user_data)
 {
 	claim_t *claim = user_data;
 
+	g_hash_table_steal(claim->claims->pending, claim);
 	if (error && error->code == WL_ERROR_CONFLICT) {
 		/* Somebody else was faster: judge the record as it is now. */
 		begin(claim);
@@ -401,11 +429,12 @@
 	}
 	may_rerun = may_rerun || (data->idempotent && claim->idempotent);
 	if (may_rerun)
-		put(claim, CLAIM_STATE_CLAIMED, BEGIN_TIMEOUT_MS, on_claimed);
+		put(claim, CLAIM_STATE_CLAIMED, begin_timeout(claim),
+		    on_claimed);
 	else if (data->state == CLAIM_STATE_UNKNOWN)
 		refuse(claim, CLAIM_UNKNOWN, NULL);
 	else
-		put(claim, CLAIM_STATE_UNKNOWN, BEGIN_TIMEOUT_MS,
+		put(claim, CLAIM_STATE_UNKNOWN, begin_timeout(claim),
 		    on_marked_unknown);
 }
 
@@ -443,7 +472,13 @@
 		       void *user_data)
 {
 	claim_t *claim = user_data;
+	GHashTable *degraded = claim->claims->degraded;
 
+	g_hash_table_steal(claim->claims->pending, claim);
+	if (!error || error->code == WL_ERROR_CONFLICT)
+		g_hash_table_remove(degraded, shard_id(claim));
+	else if (error->code != WL_ERROR_NOT_FOUND)
+		g_hash_table_add(degraded, shard_id(claim));
 	if (!error) {
 		claim->version = record->version;
 		answer(claim, CLAIM_GRANTED, claim, NULL);
@@ -460,7 +495,7 @@
 static void begin(claim_t *claim)
 {
 	claim->version = RECORD_ABSENT;
-	put(claim, CLAIM_STATE_CLAIMED, BEGIN_TIMEOUT_MS, on_claimed);
+	put(claim, CLAIM_STATE_CLAIMED, begin_timeout(claim), on_claimed);
 }
 
 void claim_begin(claims_t *claims, const claim_options_t *options,
@@ -492,6 +527,8 @@
 		claims->options.retention_ms = DEFAULT_RETENTION_MS;
 	if (!claims->options.max_buffered)
 		claims->options.max_buffered = DEFAULT_MAX_BUFFERED;
+	claims->degraded = g_hash_table_new(NULL, NULL);
+	claims->pending = g_hash_table_new_full(NULL, NULL, free_claim, NULL);
 	g_queue_init(&claims->buffered);
 	for (int i = 0; i < CLAIM_ANSWER_COUNT; i++) {
 		char *labels = g_strdup_printf(
@@ -510,15 +547,12 @@
 	return claims;
 }
 
-static void free_buffered(void *data)
-{
-	claim_free(data);
-}
-
 void claims_free(claims_t *claims)
 {
 	if (!claims)
 		return;
-	g_queue_clear_full(&claims->buffered, free_buffered);
+	g_queue_clear_full(&claims->buffered, free_claim);
+	g_hash_table_destroy(claims->degraded);
+	g_hash_table_destroy(claims->pending);
 	g_free(claims);
 }
