--- a/scripts/demo_batch.py
+++ b/scripts/demo_batch.py
@@ -14,11 +14,6 @@
                      "messages": [{"role": "user", "content": text}]}}
 
 
-def available(entry):
-    """Whether this build serves files and batches."""
-    return f.request(entry.port, "GET", "/v1/batches", None, KEY).status != 404
-
-
 def upload(entry, items):
     boundary = uuid.uuid4().hex
     lines = "".join(json.dumps(i) + "\n" for i in items)
@@ -50,7 +45,7 @@
                      None, KEY)
 
 
-def wait_for_state(entry, job, states, timeout_s=90):
+def wait_for_state(entry, job, states, timeout_s=120):
     """Watches the job, printing its progress, until it is in a state."""
     seen = [None]
 
--- a/src/tool/load_run.c
+++ b/src/tool/load_run.c
@@ -12,6 +12,8 @@
 /* Closed loop: requests opened per millisecond, below the listen backlog. */
 #define RAMP_PER_MS 50
 #define DEFAULT_RETRY_MS 1000
+/* Closed loop: pause after a refused connection, which fails at once. */
+#define REFUSED_PAUSE_MS 100
 
 struct load_run {
 	load_options_t options;
@@ -28,6 +30,7 @@
 	int64_t finished_us;
 	int64_t started; /* requests, warm-up included */
 	uint64_t not_started; /* above max_in_flight */
+	uint32_t paused; /* places of the closed loop */
 	guint address_count;
 	guint key_count;
 	load_stats_t *all;
@@ -64,9 +67,7 @@
 static void send_request(load_request_t *request);
 static void check_end(load_run_t *run);
 
-typedef void (*add_t)(load_stats_t *stats, int64_t value);
-
-static void add_to_groups(const load_request_t *request, add_t add,
+static void add_to_groups(const load_request_t *request, load_stats_add_t add,
 			  int64_t value)
 {
 	const load_run_t *run = request->run;
@@ -77,15 +78,16 @@
 }
 
 /* Counts for requests that arrived after the warm-up. */
-static void each_group(const load_request_t *request, add_t add, int64_t value)
+static void each_group(const load_request_t *request, load_stats_add_t add,
+		       int64_t value)
 {
 	if (request->counted)
 		add_to_groups(request, add, value);
 }
 
 /* Counts what happens between the warm-up and the end of arrivals. */
-static void add_in_time(const load_request_t *request, int64_t now, add_t add,
-			int64_t value)
+static void add_in_time(const load_request_t *request, int64_t now,
+			load_stats_add_t add, int64_t value)
 {
 	const load_run_t *run = request->run;
 
@@ -94,46 +96,6 @@
 		add_to_groups(request, add, value);
 }
 
-static void add_sent(load_stats_t *stats, int64_t value)
-{
-	stats->sent++;
-}
-
-static void add_resent(load_stats_t *stats, int64_t value)
-{
-	stats->resent++;
-}
-
-static void add_outcome(load_stats_t *stats, int64_t value)
-{
-	stats->outcomes[value]++;
-}
-
-static void add_events(load_stats_t *stats, int64_t value)
-{
-	stats->events_in_time += (uint64_t)value;
-}
-
-static void add_ok(load_stats_t *stats, int64_t value)
-{
-	stats->ok_in_time++;
-}
-
-static void add_first(load_stats_t *stats, int64_t value)
-{
-	load_histogram_add(&stats->first, value);
-}
-
-static void add_between(load_stats_t *stats, int64_t value)
-{
-	load_histogram_add(&stats->between, value);
-}
-
-static void add_whole(load_stats_t *stats, int64_t value)
-{
-	load_histogram_add(&stats->whole, value);
-}
-
 static void request_free(load_request_t *request)
 {
 	g_hash_table_remove(request->run->open, request);
@@ -145,21 +107,45 @@
 	g_free(request);
 }
 
+static void on_pause_over(evutil_socket_t fd, short events, void *arg)
+{
+	load_run_t *run = arg;
+
+	run->paused--;
+	arrive(run, now_us());
+	check_end(run);
+}
+
+/* Closed loop: a request that has ended makes room for another. */
+static void replace_request(load_run_t *run, load_outcome_t outcome)
+{
+	struct timeval pause = { 0, REFUSED_PAUSE_MS * 1000 };
+
+	if (outcome == LOAD_NOT_SENT) {
+		run->paused++;
+		event_base_once(run->base, -1, EV_TIMEOUT, on_pause_over, run,
+				&pause);
+	} else {
+		arrive(run, now_us());
+	}
+}
+
 static void finish(load_request_t *request, load_outcome_t outcome)
 {
 	load_run_t *run = request->run;
 	int64_t now = now_us();
 
-	each_group(request, add_outcome, outcome);
+	each_group(request, load_stats_add_outcome, outcome);
 	if (outcome == LOAD_OK) {
-		add_in_time(request, now, add_ok, 0);
-		each_group(request, add_whole, now - request->arrival_us);
+		add_in_time(request, now, load_stats_add_ok, 0);
+		each_group(request, load_stats_add_whole,
+			   now - request->arrival_us);
 	}
 	request_free(request);
 	if (run->over)
 		return;
 	if (run->options.rate_per_s <= 0)
-		arrive(run, now);
+		replace_request(run, outcome);
 	check_end(run);
 }
 
@@ -173,11 +159,13 @@
 	if (events == 0)
 		return;
 	now = now_us();
-	add_in_time(request, now, add_events, events);
+	add_in_time(request, now, load_stats_add_events, events);
 	if (request->last_event_us == 0)
-		each_group(request, add_first, now - request->arrival_us);
+		each_group(request, load_stats_add_first,
+			   now - request->arrival_us);
 	else
-		each_group(request, add_between, now - request->last_event_us);
+		each_group(request, load_stats_add_between,
+			   now - request->last_event_us);
 	request->last_event_us = now;
 }
 
@@ -207,7 +195,7 @@
 {
 	load_request_t *request = arg;
 
-	each_group(request, add_resent, 0);
+	each_group(request, load_stats_add_resent, 0);
 	send_request(request);
 }
 
@@ -240,7 +228,7 @@
 	    answer->status == 200) {
 		load_answer_whole(&request->answer, answer->body,
 				  answer->body_len);
-		add_in_time(request, now_us(), add_events,
+		add_in_time(request, now_us(), load_stats_add_events,
 			    request->answer.received);
 	}
 	outcome = outcome_of(request, answer);
@@ -343,7 +331,7 @@
 	load_answer_init(&request->answer, request->prompt, request->max_tokens,
 			 o->expect_run);
 	g_hash_table_add(run->open, request);
-	each_group(request, add_sent, 0);
+	each_group(request, load_stats_add_sent, 0);
 	send_request(request);
 }
 
@@ -412,7 +400,8 @@
 
 static void check_end(load_run_t *run)
 {
-	if (arrivals_over(run) && g_hash_table_size(run->open) == 0)
+	if (arrivals_over(run) && g_hash_table_size(run->open) == 0 &&
+	    run->paused == 0)
 		end_run(run);
 }
 
--- a/src/tool/load_stats.c
+++ b/src/tool/load_stats.c
@@ -51,6 +51,46 @@
 	return bucket_end_us(LOAD_BUCKETS - 1);
 }
 
+void load_stats_add_sent(load_stats_t *stats, int64_t value)
+{
+	stats->sent++;
+}
+
+void load_stats_add_resent(load_stats_t *stats, int64_t value)
+{
+	stats->resent++;
+}
+
+void load_stats_add_outcome(load_stats_t *stats, int64_t value)
+{
+	stats->outcomes[value]++;
+}
+
+void load_stats_add_events(load_stats_t *stats, int64_t value)
+{
+	stats->events_in_time += (uint64_t)value;
+}
+
+void load_stats_add_ok(load_stats_t *stats, int64_t value)
+{
+	stats->ok_in_time++;
+}
+
+void load_stats_add_first(load_stats_t *stats, int64_t value)
+{
+	load_histogram_add(&stats->first, value);
+}
+
+void load_stats_add_between(load_stats_t *stats, int64_t value)
+{
+	load_histogram_add(&stats->between, value);
+}
+
+void load_stats_add_whole(load_stats_t *stats, int64_t value)
+{
+	load_histogram_add(&stats->whole, value);
+}
+
 static void write_quantiles(const load_histogram_t *histogram,
 			    const char *prefix, const char *name, FILE *out)
 {
--- a/src/tool/load_stats.h
+++ b/src/tool/load_stats.h
@@ -51,6 +51,19 @@
 	load_histogram_t whole; /* arrival to the end */
 } load_stats_t;
 
+/* Each counts one thing that happened; value is what its name says, a number
+ * of events, a duration in us or a load_outcome_t. */
+typedef void (*load_stats_add_t)(load_stats_t *stats, int64_t value);
+
+void load_stats_add_sent(load_stats_t *stats, int64_t value);
+void load_stats_add_resent(load_stats_t *stats, int64_t value);
+void load_stats_add_outcome(load_stats_t *stats, int64_t value);
+void load_stats_add_events(load_stats_t *stats, int64_t value);
+void load_stats_add_ok(load_stats_t *stats, int64_t value);
+void load_stats_add_first(load_stats_t *stats, int64_t value);
+void load_stats_add_between(load_stats_t *stats, int64_t value);
+void load_stats_add_whole(load_stats_t *stats, int64_t value);
+
 /* Writes name=value lines; prefix is put before each name. */
 void load_stats_write(const load_stats_t *stats, const char *prefix,
 		      double seconds, FILE *out);
