--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -3,6 +3,9 @@
 #include <inttypes.h>
 #include <string.h>
 
+/* Of every name in the exposition. */
+#define PREFIX "wasabilink_"
+
 typedef struct counter {
 	int64_t value; /* first member: counter_get() returns its address */
 	counter_kind_t kind;
@@ -82,16 +85,16 @@
 
 		if (strcmp(previous, counter->name) != 0)
 			g_string_append_printf(
-				out, "# TYPE %s %s\n", counter->name,
+				out, "# TYPE " PREFIX "%s %s\n", counter->name,
 				counter->kind == COUNTER_GAUGE ? "gauge" :
 								 "counter");
 		previous = counter->name;
 		if (counter->labels[0])
-			g_string_append_printf(out, "%s{%s} %" PRId64 "\n",
-					       counter->name, counter->labels,
-					       counter->value);
+			g_string_append_printf(
+				out, PREFIX "%s{%s} %" PRId64 "\n",
+				counter->name, counter->labels, counter->value);
 		else
-			g_string_append_printf(out, "%s %" PRId64 "\n",
+			g_string_append_printf(out, PREFIX "%s %" PRId64 "\n",
 					       counter->name, counter->value);
 	}
 }
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -25,7 +25,8 @@
 int64_t *counter_get(counter_set_t *set, counter_kind_t kind, const char *name,
 		     const char *labels);
 
-/* Writes the set in the Prometheus text exposition format. */
+/* Writes the set in the Prometheus text exposition format, each name with the
+ * prefix "wasabilink_". */
 void counter_set_write(const counter_set_t *set, GString *out);
 
 #endif
--- a/src/entry/chunks.c
+++ b/src/entry/chunks.c
@@ -509,13 +509,11 @@
 	chunks->entry = entry;
 	chunks->coordinator = coordinator_new(&ops, entry->clock);
 	chunks->jobs = counter_get(entry->counters, COUNTER_GAUGE,
-				   "wasabilink_batch_jobs_coordinated", NULL);
-	chunks->granted =
-		counter_get(entry->counters, COUNTER_MONOTONIC,
-			    "wasabilink_batch_chunks_granted_total", NULL);
-	chunks->finished =
-		counter_get(entry->counters, COUNTER_MONOTONIC,
-			    "wasabilink_batch_chunks_finished_total", NULL);
+				   "batch_jobs_coordinated", NULL);
+	chunks->granted = counter_get(entry->counters, COUNTER_MONOTONIC,
+				      "batch_chunks_granted_total", NULL);
+	chunks->finished = counter_get(entry->counters, COUNTER_MONOTONIC,
+				       "batch_chunks_finished_total", NULL);
 	chunks->last_tick_ms = clock_now_ms(entry->clock);
 	chunks->tick = evtimer_new(entry->base, on_tick, chunks);
 	register_procedures(chunks);
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -534,16 +534,14 @@
 		char *labels = g_strdup_printf(
 			"answer=\"%s\"", claim_answer_name((claim_answer_t)i));
 
-		claims->answers[i] =
-			counter_get(set, COUNTER_MONOTONIC,
-				    "wasabilink_claims_total", labels);
+		claims->answers[i] = counter_get(set, COUNTER_MONOTONIC,
+						 "claims_total", labels);
 		g_free(labels);
 	}
-	claims->buffered_gauge = counter_get(
-		set, COUNTER_GAUGE, "wasabilink_claims_buffered", NULL);
-	claims->dropped =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_claim_results_dropped_total", NULL);
+	claims->buffered_gauge =
+		counter_get(set, COUNTER_GAUGE, "claims_buffered", NULL);
+	claims->dropped = counter_get(set, COUNTER_MONOTONIC,
+				      "claim_results_dropped_total", NULL);
 	return claims;
 }
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -1076,23 +1076,18 @@
 {
 	counter_set_t *set = dispatch->entry->counters;
 
-	dispatch->items_started =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_batch_items_started_total", NULL);
-	dispatch->items_stopped =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_batch_items_stopped_total", NULL);
-	dispatch->items_completed =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_batch_items_completed_total", NULL);
-	dispatch->items_failed =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_batch_item_errors_total", NULL);
-	dispatch->pressures_sent =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_runner_pressure_sent_total", NULL);
-	dispatch->running = counter_get(set, COUNTER_GAUGE,
-					"wasabilink_batch_items_running", NULL);
+	dispatch->items_started = counter_get(
+		set, COUNTER_MONOTONIC, "batch_items_started_total", NULL);
+	dispatch->items_stopped = counter_get(
+		set, COUNTER_MONOTONIC, "batch_items_stopped_total", NULL);
+	dispatch->items_completed = counter_get(
+		set, COUNTER_MONOTONIC, "batch_items_completed_total", NULL);
+	dispatch->items_failed = counter_get(set, COUNTER_MONOTONIC,
+					     "batch_item_errors_total", NULL);
+	dispatch->pressures_sent = counter_get(
+		set, COUNTER_MONOTONIC, "runner_pressure_sent_total", NULL);
+	dispatch->running =
+		counter_get(set, COUNTER_GAUGE, "batch_items_running", NULL);
 }
 
 dispatch_t *dispatch_new(entry_t *entry)
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -106,12 +106,12 @@
 		int64_t **target;
 		const char *name;
 	} counters[] = {
-		{ &pool->requests, "wasabilink_online_requests_total" },
-		{ &pool->hedges, "wasabilink_online_hedges_total" },
-		{ &pool->hedges_won, "wasabilink_online_hedges_won_total" },
-		{ &pool->retries, "wasabilink_online_retries_total" },
-		{ &pool->refused, "wasabilink_online_refused_total" },
-		{ &pool->failed, "wasabilink_online_failed_total" },
+		{ &pool->requests, "online_requests_total" },
+		{ &pool->hedges, "online_hedges_total" },
+		{ &pool->hedges_won, "online_hedges_won_total" },
+		{ &pool->retries, "online_retries_total" },
+		{ &pool->refused, "online_refused_total" },
+		{ &pool->failed, "online_failed_total" },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
@@ -397,7 +397,7 @@
 			pool->partner, pool->name, what, quantiles[i].label);
 
 		*counter_get(pool->table->options.counters, COUNTER_GAUGE,
-			     "wasabilink_online_latency_us", labels) =
+			     "online_latency_us", labels) =
 			histogram_quantile(histogram, quantiles[i].quantile);
 		g_free(labels);
 	}
--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -78,20 +78,13 @@
 } scan_t;
 
 static const char *const stat_names[] = {
-	"wasabilink_ledger_head_writes_total",
-	"wasabilink_ledger_other_writes_total",
-	"wasabilink_ledger_updates_total",
-	"wasabilink_ledger_largest_batch",
-	"wasabilink_ledger_conflicts_total",
-	"wasabilink_ledger_repeats_total",
-	"wasabilink_ledger_refused_total",
-	"wasabilink_ledger_unknown_total",
-	"wasabilink_ledger_takeovers_total",
-	"wasabilink_ledger_losses_total",
-	"wasabilink_ledger_uncertain_writes_total",
-	"wasabilink_ledger_store_failures_total",
-	"wasabilink_ledger_segment_reads_total",
-	"wasabilink_ledger_head_bytes_total",
+	"ledger_head_writes_total",	 "ledger_other_writes_total",
+	"ledger_updates_total",		 "ledger_largest_batch",
+	"ledger_conflicts_total",	 "ledger_repeats_total",
+	"ledger_refused_total",		 "ledger_unknown_total",
+	"ledger_takeovers_total",	 "ledger_losses_total",
+	"ledger_uncertain_writes_total", "ledger_store_failures_total",
+	"ledger_segment_reads_total",	 "ledger_head_bytes_total",
 };
 
 G_STATIC_ASSERT(sizeof(shard_stats_t) ==
@@ -1095,14 +1088,12 @@
 					    COUNTER_MONOTONIC :
 					    COUNTER_GAUGE,
 				    stat_names[i], NULL);
-	records->owned = counter_get(set, COUNTER_GAUGE,
-				     "wasabilink_ledger_shards_owned", NULL);
-	records->waiting =
-		counter_get(set, COUNTER_GAUGE,
-			    "wasabilink_ledger_operations_waiting", NULL);
-	records->forwarded =
-		counter_get(set, COUNTER_MONOTONIC,
-			    "wasabilink_ledger_forwarded_total", NULL);
+	records->owned =
+		counter_get(set, COUNTER_GAUGE, "ledger_shards_owned", NULL);
+	records->waiting = counter_get(set, COUNTER_GAUGE,
+				       "ledger_operations_waiting", NULL);
+	records->forwarded = counter_get(set, COUNTER_MONOTONIC,
+					 "ledger_forwarded_total", NULL);
 }
 
 static void create_places(records_t *records)
--- a/src/tool/config_tool.c
+++ b/src/tool/config_tool.c
@@ -293,12 +293,12 @@
 	  "Copies the document that was served in trial, byte by byte." },
 };
 
-static int usage(void)
+static int usage(FILE *out, int status)
 {
-	fprintf(stderr, "Usage: wasabilink config VERB [OPTION...]\n\n");
+	fprintf(out, "Usage: wasabilink config VERB [OPTION...]\n\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(verbs); i++)
-		fprintf(stderr, "  %-8s %s\n", verbs[i].name, verbs[i].doc);
-	return TOOL_EXIT_USAGE;
+		fprintf(out, "  %-8s %s\n", verbs[i].name, verbs[i].doc);
+	return status;
 }
 
 static gboolean parse(config_tool_t *tool, const verb_t *verb, int argc,
@@ -365,8 +365,10 @@
 	for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS(verbs); i++)
 		if (strcmp(argv[1], verbs[i].name) == 0)
 			return run_verb(&verbs[i], argc - 1, argv + 1);
+	if (argc > 1 && strcmp(argv[1], "--help") == 0)
+		return usage(stdout, 0);
 	if (argc > 1)
 		fprintf(stderr, "wasabilink config: unknown verb '%s'\n",
 			argv[1]);
-	return usage();
+	return usage(stderr, TOOL_EXIT_USAGE);
 }
