--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -26,6 +26,7 @@
 	struct event *tick;
 	struct event *drain;
 	int64_t drain_until_ms;
+	bool was_idle; /* at the last check */
 } entry_timers_t;
 
 static void on_vms_changed(const GArray *vms, void *user_data)
@@ -70,11 +71,14 @@
 		idle = false;
 	if (idle)
 		records_release(entry->records);
-	if ((idle && records_is_released(entry->records)) ||
+	/* An answered exchange may still have bytes to send; they go out
+	 * before the next check. */
+	if ((idle && timers->was_idle && records_is_released(entry->records)) ||
 	    clock_now_ms(entry->clock) >= timers->drain_until_ms)
 		event_base_loopbreak(entry->base);
 	else
 		evtimer_add(timers->drain, &period);
+	timers->was_idle = idle;
 }
 
 static void on_terminate(evutil_socket_t fd, short events, void *arg)
