Tell online load to batch dispatchers without gaps

Cause: a node stopped telling a runner's dispatcher of its online requests for 1 s whenever no batch item ran on the runner at that moment, which is just when a burst has stopped them; the dispatcher then restarted batch on slots in use. Changes within the shortest pause waited for a tick of up to 100 ms.

Change: the dispatcher asks for notices while its pool holds chunks; a change within the pause goes out when the pause ends; the pause is 5 ms, not 20.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -25,7 +25,7 @@
 #define OFFER_TTL_MS 3000
 #define NO_OFFER_RETRY_MS 1000
 #define CACHED_PARTS 4
-#define PRESSURE_MIN_MS 20
+#define PRESSURE_MIN_MS 5
 /* While no batch runs on the runner, its dispatcher need not know at once. */
 #define PRESSURE_IDLE_MS 1000
 #define PRESSURE_TTL_MS 3000
@@ -65,6 +65,7 @@
 	entry_t *entry;
 	dispatcher_t *dispatcher;
 	struct event *tick;
+	struct event *pressure; /* a change waits for its pause to end */
 	struct event *soon; /* a tick right after the current event */
 	GPtrArray *parts; /* part_t */
 	GPtrArray *offers; /* offer_t */
@@ -833,7 +834,7 @@
 	const dispatch_runner_t *runner = g_hash_table_lookup(
 		dispatcher_runners(dispatch->dispatcher), args->runner);
 	runner_pressure_result result = { .ok = runner &&
-						runner->running->len > 0 };
+						runner->pool->chunks->len > 0 };
 	pressure_t *pressure = g_new0(pressure_t, 1);
 
 	pressure->runner = g_strdup(args->runner);
@@ -933,6 +934,7 @@
 {
 	dispatch_t *dispatch = user_data;
 	own_load_t *own = find_own_load(dispatch, runner);
+	struct timeval pause = { 0, PRESSURE_MIN_MS * 1000 };
 
 	if (!own) {
 		own = g_new0(own_load_t, 1);
@@ -947,6 +949,13 @@
 	}
 	if (now_ms(dispatch) >= own->told_ms + PRESSURE_MIN_MS)
 		tell_pressures(dispatch);
+	else if (!evtimer_pending(dispatch->pressure, NULL))
+		evtimer_add(dispatch->pressure, &pause);
+}
+
+static void on_pressure_due(evutil_socket_t fd, short events, void *arg)
+{
+	tell_pressures(arg);
 }
 
 /* Runners */
@@ -1125,6 +1134,8 @@
 	dispatch->own_loads = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    NULL, own_load_free);
 	dispatch->tick = evtimer_new(entry->base, on_tick, dispatch);
+	dispatch->pressure =
+		evtimer_new(entry->base, on_pressure_due, dispatch);
 	dispatch->soon = event_new(entry->base, -1, 0, on_soon, dispatch);
 	create_counters(dispatch);
 	register_procedures(dispatch);
