Hedge from the first request on, so that a cut-off domain does not wait

Cause: a domain without the platform and the other domains held a request for the stall limit of 30 s, because the request had gone to a runner of the other domain and hedging waits for 20 samples.

Change: until there are samples a second try starts after 1 s, within three tries at the start.

--- a/src/coord/hedge.c
+++ b/src/coord/hedge.c
@@ -41,7 +41,7 @@
 	hedge_t *hedge = g_new0(hedge_t, 1);
 
 	hedge->options = *options;
-	hedge->budget = 1;
+	hedge->budget = options->initial > 0 ? options->initial : 1;
 	return hedge;
 }
 
@@ -91,7 +91,9 @@
 {
 	const hedge_class_state_t *state = hedge->classes[class_index];
 
-	return state ? state->delay_us : 0;
+	if (state && state->delay_us)
+		return state->delay_us;
+	return hedge->options.initial_delay_us;
 }
 
 bool hedge_take(hedge_t *hedge)
--- a/src/coord/hedge.h
+++ b/src/coord/hedge.h
@@ -20,7 +20,10 @@
 typedef struct hedge_options {
 	double share; /* second tries per request, such as 0.05 */
 	double burst; /* second tries that can be saved up */
+	double initial; /* second tries at the start; 0: one */
 	int64_t min_delay_us;
+	int64_t initial_delay_us; /* while there are too few samples; 0: no
+				   * second try then */
 } hedge_options_t;
 
 /* Class of a request: streams are one, whole answers go by their tokens. */
@@ -33,7 +36,7 @@
 void hedge_request(hedge_t *hedge);
 /* A first token, or the age of a first try that was given up. */
 void hedge_sample(hedge_t *hedge, uint32_t class_index, int64_t first_us);
-/* Time after which to hedge; 0 while there are too few samples. */
+/* Time after which to hedge; 0: not at all. */
 int64_t hedge_delay_us(const hedge_t *hedge, uint32_t class_index);
 /* Takes one second try out of the budget. */
 bool hedge_take(hedge_t *hedge);
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -16,6 +16,12 @@
 #define MIN_LOCAL 3
 #define HEDGE_BURST 20
 #define HEDGE_MIN_DELAY_US 2000
+/*
+ * Before there are samples: a node that starts while a domain is cut off would
+ * otherwise wait for the stall limit on each of that domain's runners.
+ */
+#define HEDGE_INITIAL 3
+#define HEDGE_INITIAL_DELAY_US 1000000
 /* Histograms are halved at this number of values. */
 #define RECENT_VALUES 4096
 
@@ -133,7 +139,10 @@
 					.min_local = MIN_LOCAL };
 	const hedge_options_t hedge = { .share = options->hedge_share,
 					.burst = HEDGE_BURST,
-					.min_delay_us = HEDGE_MIN_DELAY_US };
+					.initial = HEDGE_INITIAL,
+					.min_delay_us = HEDGE_MIN_DELAY_US,
+					.initial_delay_us =
+						HEDGE_INITIAL_DELAY_US };
 	const admission_options_t admission = {
 		.clock = options->clock,
 		.max_queue = options->max_queue,
--- a/tests/test_hedge.c
+++ b/tests/test_hedge.c
@@ -45,6 +45,26 @@
 }
 
 /* The extra work must stay at the set share whatever happens. */
+/* Without samples a request must not wait for the stall limit of a runner
+ * that has become unreachable. */
+static void test_initial_delay(void)
+{
+	const hedge_options_t options = { .share = 0.05,
+					  .burst = 10,
+					  .initial = 2,
+					  .initial_delay_us = 500000 };
+	hedge_t *hedge = hedge_new(&options);
+
+	CU_ASSERT_EQUAL(hedge_delay_us(hedge, 3), 500000);
+	CU_ASSERT_TRUE(hedge_take(hedge));
+	CU_ASSERT_TRUE(hedge_take(hedge));
+	CU_ASSERT_FALSE(hedge_take(hedge));
+	for (int i = 0; i < 20; i++)
+		hedge_sample(hedge, 3, 20000);
+	CU_ASSERT(hedge_delay_us(hedge, 3) < 500000);
+	hedge_free(hedge);
+}
+
 static void test_budget(void)
 {
 	hedge_t *hedge = hedge_new(&options);
@@ -76,6 +96,7 @@
 		{ "delay with many stragglers",
 		  test_delay_with_many_stragglers },
 		{ "delay follows change", test_delay_follows_change },
+		{ "initial delay", test_initial_delay },
 		{ "budget", test_budget },
 		{ "classes", test_classes },
 		{ NULL, NULL },
