--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,10 @@
 GENERATED := $(wildcard src/rpc/*_xdr.c src/rpc/*_xdr.h)
 SRCS := $(wildcard src/*/*.c)
 OBJS := $(SRCS:%.c=$(BUILD)/%.o)
-COORD_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/coord/*.c))
+# The library: coordination parts and what they need of base and rpc.
+COORD_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/coord/*.c) \
+	$(wildcard src/rpc/*_xdr.c) src/base/clock.c src/base/error.c \
+	src/base/histogram.c src/rpc/xdr_bound.c)
 MAIN_OBJ := $(BUILD)/src/main.o
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
@@ -113,10 +116,19 @@
 	@printf '%s\n' $(filter %.c,$(filter src/%,$(OWN))) | xargs -P 6 -n 4 \
 		sh -c '$(CLANG_TIDY) --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
 
+PREFIX ?= /usr/local
+install: $(BIN) libwasabilink.a
+	install -D -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin/wasabilink
+	install -D -m 644 libwasabilink.a $(DESTDIR)$(PREFIX)/lib/libwasabilink.a
+	for header in src/coord/*.h src/base/*.h src/platform/*.h src/rpc/*_xdr.h; do \
+		install -D -m 644 $$header \
+			$(DESTDIR)$(PREFIX)/include/wasabilink/$${header#src/}; \
+	done
+
 clean:
 	rm -rf $(BUILD) $(BIN) libwasabilink.a
 
-.PHONY: all tests check check-asan fuzz demo bench format lint clean deps xdr
+.PHONY: all install tests check check-asan fuzz demo bench format lint clean deps xdr
 .SECONDARY:
 -include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d) \
 	$(FUZZ_TARGET_OBJ:.o=.d)
