--- a/src/coord/admission.c
+++ b/src/coord/admission.c
@@ -11,6 +11,12 @@
 /* Share of the places that long requests may take beside short ones. */
 #define LONG_SHARE 0.75
 #define SHORT_SEEN_US 1000000
+/*
+ * A queue that has not been empty for the longest wait is a standing one: it
+ * adds delay and no throughput (Nichols and Jacobson, "Controlling queue
+ * delay", 2012). Then only this share of the wait is accepted.
+ */
+#define STANDING_SHARE 0.25
 #define USUAL_WORK_GAIN 0.02
 #define SERVICE_GAIN 0.05
 
@@ -47,6 +53,7 @@
 	double usual_work_log2; /* mean of log2: few long ones do not move it */
 	double us_per_work;
 	int64_t short_seen_us;
+	int64_t empty_us; /* when the queue was last empty */
 	int64_t next_give_up_us; /* no queued ticket is due before */
 };
 
@@ -188,6 +195,15 @@
 			 admission->us_per_work / MAX(admission->capacity, 1));
 }
 
+static int64_t accepted_wait_us(const admission_t *admission, int64_t now_us)
+{
+	int64_t max_us = admission->options.max_wait_us;
+
+	if (admission->queued > 0 && now_us - admission->empty_us > max_us)
+		return (int64_t)((double)max_us * STANDING_SHARE);
+	return max_us;
+}
+
 static void enqueue(admission_t *admission, admission_ticket_t *ticket)
 {
 	admission_class_t *class = &admission->classes[ticket->priority];
@@ -272,6 +288,8 @@
 	int64_t now_us = clock_now_us(admission->options.clock);
 	int64_t wait_us;
 
+	if (admission->queued == 0)
+		admission->empty_us = now_us;
 	ticket->work = MAX(ticket->work, 1);
 	ticket->lane = lane_of(ticket->work);
 	ticket->arrived_us = now_us;
@@ -286,7 +304,8 @@
 		ticket->give_up_us =
 			MIN(ticket->give_up_us, ticket->deadline_us);
 	wait_us = estimate_wait_us(admission, ticket, ticket->flow);
-	if (now_us + wait_us > ticket->give_up_us ||
+	if (wait_us > accepted_wait_us(admission, now_us) ||
+	    now_us + wait_us > ticket->give_up_us ||
 	    (admission->queued >= admission->options.max_queue &&
 	     !make_room(admission, ticket->flow))) {
 		ticket->state = ADMISSION_REFUSED;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -188,6 +188,35 @@
 	admission_free(admission);
 }
 
+/* A queue that never empties adds delay and no throughput: it must shrink. */
+static void test_standing_queue(void)
+{
+	admission_t *admission = open_admission(1, 1000);
+	admission_ticket_t *tickets = g_new0(admission_ticket_t, 400);
+	admission_ticket_t *running = &tickets[0];
+	int next = 1;
+
+	offer(admission, running, ADMISSION_ONLINE, "a", 16);
+	/* 100 ms each, offered at twice that rate for 10 s. */
+	for (int step = 0; step < 100; step++) {
+		clock_manual_advance_ms(&clock_manual, 100);
+		for (int i = 0; i < 2; i++)
+			offer(admission, &tickets[next++], ADMISSION_ONLINE,
+			      "a", 16);
+		admission_release(admission, running);
+		while (admission_expired(admission))
+			;
+		running = admission_next(admission);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(running);
+	}
+	CU_ASSERT(admission_queued(admission) >= 1);
+	CU_ASSERT(admission_queued(admission) <= 4);
+	for (int i = 0; i < 400; i++)
+		admission_release(admission, &tickets[i]);
+	g_free(tickets);
+	admission_free(admission);
+}
+
 /* A full queue must not refuse the workspace that has nothing in it. */
 static void test_full_queue_is_shared(void)
 {
@@ -258,6 +287,7 @@
 		{ "places for short", test_places_for_short },
 		{ "expiry", test_expiry },
 		{ "early refusal", test_early_refusal },
+		{ "standing queue", test_standing_queue },
 		{ "full queue is shared", test_full_queue_is_shared },
 		{ "random sequence", test_random_sequence },
 		{ NULL, NULL },
