Reset the load tool's answer before a resend

In a stream, the body of a refusal stayed in the checker's line buffer and spoiled the first event of the resent request's answer. Change: the checker starts anew with each resend; test_load.py resends streams.

--- a/src/tool/load_run.c
+++ b/src/tool/load_run.c
@@ -196,6 +196,10 @@
 	load_request_t *request = arg;
 
 	each_group(request, load_stats_add_resent, 0);
+	/* The refusal's body must not count as the start of the answer. */
+	load_answer_clear(&request->answer);
+	load_answer_init(&request->answer, request->prompt, request->max_tokens,
+			 request->run->options.expect_run);
 	send_request(request);
 }
 
--- a/tests/process/test_load.py
+++ b/tests/process/test_load.py
@@ -59,7 +59,7 @@
         refused = self.load("--requests", "20", "--duration-ms", "20000")
         self.assertEqual((refused["refused"], refused["ok"]), (10, 10))
         resent = self.load("--requests", "20", "--duration-ms", "20000",
-                           "--resend", "1", "--seed", "2")
+                           "--resend", "1", "--seed", "2", "--stream", "1")
         self.assertEqual((resent["ok"], resent["resent"]), (20, 10))
 
     def test_cut_answers_are_not_ok(self):
