Split the ledger into modules

Each section is now a file of its own with a header; the shared types are in ledger_state.h. ledger.h and the behaviour are unchanged.

--- /dev/null
+++ b/src/coord/ledger_write.c
@@ -0,0 +1,243 @@
+#include "coord/ledger_write.h"
+
+#include <string.h>
+
+#include "coord/ledger_cache.h"
+#include "coord/ledger_index.h"
+#include "coord/ledger_live.h"
+#include "coord/ledger_record.h"
+
+/* An index object grows by merging up to this size, so that a day of segments
+ * needs few of them, each well below the store's limit. */
+#define MERGED_INDEX_BYTES (512 * 1024)
+/* Largest segment; the store takes 1 MiB. */
+#define MAX_SEGMENT_BYTES (900 * 1024)
+#define SEGMENT_REF_BYTES 32
+
+typedef struct cover {
+	char key[LEDGER_KEY_BYTES];
+	uint64_t number; /* record revision, or segment id */
+} cover_t;
+
+static int compare_changed(const void *a, const void *b)
+{
+	const live_t *left = *(live_t *const *)a;
+	const live_t *right = *(live_t *const *)b;
+
+	return (left->changed > right->changed) -
+	       (left->changed < right->changed);
+}
+
+/* Live records of the kind, oldest change first. */
+static GPtrArray *live_by_age(const ledger_t *ledger, uint32_t kind)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, ledger->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (ledger_live_kind(((live_t *)value)->record) == kind)
+			g_ptr_array_add(found, value);
+	g_ptr_array_sort(found, compare_changed);
+	return found;
+}
+
+static uint32_t largest_kind(const ledger_t *ledger)
+{
+	uint32_t best = 0;
+
+	for (uint32_t kind = 1; kind < LEDGER_MAX_KINDS; kind++)
+		if (ledger->kind_bytes[kind] > ledger->kind_bytes[best])
+			best = kind;
+	return best;
+}
+
+static void take_records(const ledger_t *ledger, uint32_t kind, GArray *records,
+			 GArray *covers)
+{
+	GPtrArray *aged = live_by_age(ledger, kind);
+	size_t left = ledger->kind_bytes[kind];
+	size_t taken = 0;
+
+	for (guint i = 0; i < aged->len; i++) {
+		const ledger_record *record =
+			((live_t *)aged->pdata[i])->record;
+		size_t bytes = ledger_record_bytes(record);
+		cover_t cover = { .number = record->revision };
+
+		if (left <= ledger->options.keep_bytes ||
+		    taken + bytes > MAX_SEGMENT_BYTES)
+			break;
+		memcpy(cover.key, record->key, sizeof(cover.key));
+		g_array_append_vals(records, record, 1);
+		g_array_append_val(covers, cover);
+		left -= bytes;
+		taken += bytes;
+	}
+	g_ptr_array_free(aged, TRUE);
+}
+
+static ledger_write_t *write_segment(ledger_t *ledger, uint64_t id,
+				     uint64_t now_ms)
+{
+	ledger_write_t *write = g_new0(ledger_write_t, 1);
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(ledger_record));
+	ledger_segment segment = { .format = LEDGER_FORMAT };
+
+	write->id = id;
+	write->kind = largest_kind(ledger);
+	write->sealed_ms = now_ms;
+	write->covers = g_array_new(FALSE, TRUE, sizeof(cover_t));
+	take_records(ledger, write->kind, records, write->covers);
+	g_array_sort(records, ledger_record_compare);
+	segment.records.records_len = records->len;
+	segment.records.records_val = (ledger_record *)(void *)records->data;
+	write->data =
+		ledger_record_encode((xdrproc_t)xdr_ledger_segment, &segment);
+	g_array_free(records, TRUE);
+	return write;
+}
+
+static size_t refs_bytes(const GArray *refs)
+{
+	size_t bytes = 0;
+
+	for (guint i = 0; i < refs->len; i++)
+		bytes += SEGMENT_REF_BYTES +
+			 4UL * g_array_index(refs, ledger_segment_ref, i)
+					 .fingerprints.fingerprints_len;
+	return bytes;
+}
+
+static ledger_write_t *write_index(ledger_t *ledger, uint64_t id, GArray *refs)
+{
+	ledger_write_t *write = g_new0(ledger_write_t, 1);
+	ledger_index index = { .format = LEDGER_FORMAT };
+
+	write->id = id;
+	write->is_index = true;
+	write->covers = g_array_new(FALSE, TRUE, sizeof(cover_t));
+	if (ledger->indexes->len) {
+		uint64_t last = g_array_index(ledger->indexes, index_object_t,
+					      ledger->indexes->len - 1)
+					.id;
+		GArray *old = ledger_index_refs(ledger, last);
+
+		if (refs_bytes(old) + refs_bytes(refs) <= MERGED_INDEX_BYTES) {
+			write->replaces = last;
+			g_array_append_vals(refs, old->data, old->len);
+		}
+		g_array_free(old, TRUE);
+	}
+	for (guint i = 0; i < refs->len; i++) {
+		cover_t cover = {
+			.number = g_array_index(refs, ledger_segment_ref, i).id
+		};
+
+		g_array_append_val(write->covers, cover);
+	}
+	index.segments.segments_len = refs->len;
+	index.segments.segments_val = (ledger_segment_ref *)(void *)refs->data;
+	write->data = ledger_record_encode((xdrproc_t)xdr_ledger_index, &index);
+	return write;
+}
+
+ledger_write_t *ledger_write_next(ledger_t *ledger, uint64_t next_id,
+				  uint64_t now_ms)
+{
+	ledger_write_t *write = NULL;
+	GArray *refs;
+
+	if (ledger->live_bytes > ledger->options.seal_bytes)
+		ledger_live_drop_expired(ledger, now_ms);
+	if (ledger->live_bytes > ledger->options.seal_bytes &&
+	    ledger->kind_bytes[largest_kind(ledger)] >
+		    ledger->options.keep_bytes)
+		return write_segment(ledger, next_id, now_ms);
+	refs = ledger_index_refs(ledger, 0);
+	if (refs_bytes(refs) > ledger->options.index_bytes)
+		write = write_index(ledger, next_id, refs);
+	g_array_free(refs, TRUE);
+	return write;
+}
+
+static void index_written(ledger_t *ledger, const ledger_write_t *write)
+{
+	index_object_t index = { write->id, true };
+
+	for (guint i = 0; i < write->covers->len; i++) {
+		segment_t *segment = ledger_index_segment(
+			ledger,
+			g_array_index(write->covers, cover_t, i).number);
+
+		if (segment)
+			segment->index_id = write->id;
+	}
+	if (write->replaces)
+		ledger_index_forget(ledger, write->replaces);
+	g_array_append_val(ledger->indexes, index);
+}
+
+static segment_t *segment_from(const ledger_write_t *write,
+			       const cached_t *cached)
+{
+	const ledger_segment *content = &cached->segment;
+	segment_t *segment = g_new0(segment_t, 1);
+	bool never = false;
+
+	segment->id = write->id;
+	segment->kind = write->kind;
+	segment->sealed_ms = write->sealed_ms;
+	segment->count = content->records.records_len;
+	segment->fingerprints = g_new(uint32_t, segment->count + 1);
+	for (u_int i = 0; i < segment->count; i++) {
+		const ledger_record *record = &content->records.records_val[i];
+
+		segment->fingerprints[i] =
+			ledger_record_fingerprint(record->key);
+		never = never || record->expire_ms == 0;
+		segment->expire_ms = MAX(segment->expire_ms, record->expire_ms);
+	}
+	if (never)
+		segment->expire_ms = 0;
+	return segment;
+}
+
+static void segment_written(ledger_t *ledger, const ledger_write_t *write)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(write->data, &len);
+
+	if (!ledger_load_segment(ledger, write->id, data, len, NULL))
+		return;
+	ledger_index_add(
+		ledger,
+		segment_from(write, ledger_cache_get(ledger, write->id)));
+	for (guint i = 0; i < write->covers->len; i++) {
+		const cover_t *cover =
+			&g_array_index(write->covers, cover_t, i);
+		const live_t *live = ledger_live_get(ledger, cover->key);
+
+		if (live && live->record->revision == cover->number)
+			ledger_live_remove(ledger, cover->key);
+	}
+}
+
+void ledger_write_done(ledger_t *ledger, ledger_write_t *write)
+{
+	if (write->is_index)
+		index_written(ledger, write);
+	else
+		segment_written(ledger, write);
+	ledger_write_free(write);
+}
+
+void ledger_write_free(ledger_write_t *write)
+{
+	if (!write)
+		return;
+	g_bytes_unref(write->data);
+	g_array_free(write->covers, TRUE);
+	g_free(write);
+}
