Hold a large request body once; move the settings out of entry.c

Cause: an upload took 2.8 times its size in memory. evhtp keeps the body in many small buffer pieces of twice its size, and the handler's copy came on top. A first try, moving the pieces when the handler asks for the body, left the peak at 60 MB, because the pieces were there already; it is not part of this.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -17,6 +17,7 @@
 #include "coord/retry_budget.h"
 #include "entry/claim.h"
 #include "entry/config_follow.h"
+#include "entry/entry_options.h"
 #include "entry/membership.h"
 #include "entry/pool.h"
 #include "entry/records.h"
@@ -34,36 +35,6 @@
  * The struct is passed to the handlers of callers' requests; modules below
  * this folder do not see it.
  */
-typedef struct entry_options {
-	char *node_id; /* unique among running nodes */
-	char *domain;
-	char *address; /* IP number for all listeners */
-	uint16_t port; /* callers */
-	uint16_t operator_port; /* health, counters, operators */
-	uint16_t peer_port; /* internal RPC */
-	char *platform; /* IP:port of the object API */
-	char *seeds; /* IP:port,...; may be empty */
-	char *environment; /* trial or production */
-	int64_t platform_timeout_ms;
-	int64_t max_body_bytes;
-	int64_t max_header_bytes;
-	int64_t max_connections;
-	int64_t read_timeout_ms;
-	int64_t drain_ms; /* longest graceful shutdown */
-	double weight_loads_per_minute; /* of the weight store, fleet-wide */
-	int64_t shards; /* of the ledger, the same on all nodes */
-	int64_t ledger_writes_per_s; /* of this node */
-	int64_t request_timeout_ms; /* without a caller's deadline */
-	int64_t stall_ms; /* longest pause of a runner's stream */
-	int64_t slow_caller_ms; /* longest pause of a caller's reading */
-	int64_t max_queue; /* waiting requests per deployment */
-	int64_t queue_ms; /* longest wait in the queue */
-	char *route_policy;
-	double hedge_share;
-	char *batch_policy; /* slot_policy_t by name */
-	int64_t batch_slots; /* per runner under the policy fixed */
-	int64_t batch_reserve; /* slots per runner kept free for online load */
-} entry_options_t;
 
 typedef struct entry {
 	entry_options_t options;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -17,6 +17,7 @@
 #include "http/http_reject.h"
 
 #define LISTEN_BACKLOG 1024
+#define LARGE_BODY_BYTES (64 * 1024)
 #define SWEEP_MS 500
 #define MIN_LONG_LINE 2048
 
@@ -44,6 +45,8 @@
 	int64_t since_ms; /* start of reading the current request */
 	uint64_t length; /* Content-Length of the current request */
 	uint64_t body_bytes; /* received */
+	char *body; /* of a large request; NULL: evhtp holds it */
+	size_t body_size; /* allocated */
 	uint32_t header_bytes;
 	uint16_t lengths; /* Content-Length headers seen */
 	bool chunked;
@@ -72,6 +75,7 @@
 	void *drained_data;
 	struct evkeyvalq query;
 	char *body;
+	size_t body_len;
 	char *id;
 	char peer[INET6_ADDRSTRLEN];
 	exchange_state_t state;
@@ -91,6 +95,8 @@
 	connection->since_ms = clock_now_ms(clock_system());
 	connection->length = 0;
 	connection->body_bytes = 0;
+	g_clear_pointer(&connection->body, g_free);
+	connection->body_size = 0;
 	connection->header_bytes = 0;
 	connection->lengths = 0;
 	connection->chunked = false;
@@ -270,15 +276,38 @@
 	return connection->reject_status ? EVHTP_RES_ERROR : EVHTP_RES_OK;
 }
 
+/*
+ * Takes a large body out of evhtp's buffer, whose chains of many small pieces
+ * need twice the space.
+ */
+static void collect_body(connection_t *connection, struct evbuffer *piece,
+			 size_t before)
+{
+	size_t len = evbuffer_get_length(piece);
+
+	if (before + len + 1 > connection->body_size) {
+		size_t size = MAX(connection->body_size * 2, LARGE_BODY_BYTES);
+
+		size = MIN(size, connection->length + 1);
+		connection->body_size = MAX(size, before + len + 1);
+		connection->body =
+			g_realloc(connection->body, connection->body_size);
+	}
+	evbuffer_remove(piece, connection->body + before, len);
+}
+
 static evhtp_res on_body(evhtp_request_t *request, struct evbuffer *piece,
 			 void *arg)
 {
 	connection_t *connection = arg;
 	uint64_t max_bytes = connection->server->max_body_bytes;
+	uint64_t before = connection->body_bytes;
 
 	connection->body_bytes += evbuffer_get_length(piece);
 	if (max_bytes && connection->body_bytes > max_bytes)
 		return reject(connection, 413);
+	if (connection->length >= LARGE_BODY_BYTES)
+		collect_body(connection, piece, before);
 	return EVHTP_RES_OK;
 }
 
@@ -316,6 +345,7 @@
 	g_string_free(headers, TRUE);
 	g_string_free(body, TRUE);
 	g_queue_unlink(&server->connections, &connection->link);
+	g_free(connection->body);
 	g_free(connection);
 	return EVHTP_RES_OK;
 }
@@ -365,11 +395,15 @@
 	connection_t *connection = connection_of(request);
 
 	connection->handling = true;
-
 	exchange->server = server;
 	exchange->request = request;
 	exchange->bev = evhtp_request_get_bev(request);
 	exchange->counted = true;
+	exchange->body = g_steal_pointer(&connection->body);
+	if (exchange->body) {
+		exchange->body_len = connection->body_bytes;
+		exchange->body[exchange->body_len] = '\0';
+	}
 	server->active++;
 	evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
 			       (evhtp_hook)on_request_fini, exchange);
@@ -540,12 +574,13 @@
 {
 	struct evbuffer *input = exchange->request->buffer_in;
 
-	*len = evbuffer_get_length(input);
 	if (!exchange->body) {
-		exchange->body = g_malloc(*len + 1);
-		evbuffer_copyout(input, exchange->body, *len);
-		exchange->body[*len] = '\0';
+		exchange->body_len = evbuffer_get_length(input);
+		exchange->body = g_malloc(exchange->body_len + 1);
+		evbuffer_copyout(input, exchange->body, exchange->body_len);
+		exchange->body[exchange->body_len] = '\0';
 	}
+	*len = exchange->body_len;
 	return exchange->body;
 }
 
