Split the shard into modules

Each of them is now a file of its own with a header; the shared types are in shard_state.h. shard.h and the behaviour are unchanged.

--- /dev/null
+++ b/src/coord/shard_head.h
@@ -0,0 +1,16 @@
+#ifndef WASABILINK_COORD_SHARD_HEAD_H
+#define WASABILINK_COORD_SHARD_HEAD_H
+
+#include "coord/shard_state.h"
+
+/*
+ * shard_head - conditional writes of the head object and their read-back.
+ *
+ * At most one is in flight. Its outcome makes the batch durable, or ends the
+ * ownership.
+ */
+
+void shard_head_write(shard_t *shard, bool acquiring, bool releasing);
+void shard_head_read_back(shard_t *shard);
+
+#endif
--- /dev/null
+++ b/src/coord/shard_segment.c
@@ -0,0 +1,111 @@
+#include "coord/shard_segment.h"
+
+#include "base/error.h"
+#include "coord/shard_store.h"
+
+static void on_segment(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	shard_t *shard = user_data;
+	uint64_t id;
+
+	if (!shard_state_call_returned(shard))
+		return;
+	shard->reading_segment = false;
+	id = shard->wanted_segment;
+	shard->wanted_segment = 0;
+	if (!shard->owner || !id)
+		return;
+	if (!error && ledger_load_segment(shard->ledger, id, value->data,
+					  value->len, NULL)) {
+		shard->options.stats->segment_reads++;
+		shard_step(shard);
+		return;
+	}
+	/* Compaction may have removed it since, or that of a successor. */
+	if (shard_state_reads_valid(shard, shard_state_now_ms(shard)) &&
+	    ledger_knows_segment(shard->ledger, id) &&
+	    (!error || g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND)))
+		shard_state_notify(shard, SHARD_BROKEN);
+	shard->retry_ms = shard_state_now_ms(shard) + SHARD_FIRST_RETRY_MS;
+}
+
+void shard_segment_read(shard_t *shard, uint64_t id)
+{
+	char *name;
+
+	if (shard->reading_segment)
+		return;
+	name = shard_store_object_name(shard, id, false);
+	shard->wanted_segment = id;
+	shard->reading_segment = true;
+	shard->pending++;
+	object_get(shard->options.store, name, on_segment, shard);
+	g_free(name);
+}
+
+static void on_other_put(const object_value_t *value, const GError *error,
+			 void *user_data)
+{
+	shard_t *shard = user_data;
+
+	if (!shard_state_call_returned(shard))
+		return;
+	shard->busy = false;
+	/* Ids are unique, so an existing object is the own earlier write. */
+	if (error && !g_error_matches(error, WL_ERROR, WL_ERROR_CONFLICT)) {
+		shard_store_back_off(shard);
+	} else if (shard->other_write) {
+		shard->options.stats->other_writes++;
+		ledger_write_done(shard->ledger, shard->other_write);
+		shard->other_write = NULL;
+		shard_store_answered(shard);
+		shard_state_notify(shard, SHARD_SEALED);
+	}
+	shard_step(shard);
+}
+
+static void put_other(shard_t *shard)
+{
+	const ledger_write_t *write = shard->other_write;
+	char *name = shard_store_object_name(shard, write->id, write->is_index);
+	char *writer = shard_store_next_writer(shard, false);
+	gsize len;
+	const void *data = g_bytes_get_data(write->data, &len);
+
+	shard_store_budget_take(shard);
+	shard->busy = true;
+	shard->pending++;
+	object_put(shard->options.store, name, data, len, OBJECT_ABSENT, writer,
+		   on_other_put, shard);
+	g_free(writer);
+	g_free(name);
+}
+
+bool shard_segment_write(shard_t *shard)
+{
+	if (!shard->other_write) {
+		shard->other_write =
+			ledger_write_next(shard->ledger, shard->ids + 1,
+					  shard_state_wall_ms(shard));
+		if (shard->other_write)
+			shard->ids++;
+	}
+	if (!shard->other_write)
+		return false;
+	put_other(shard);
+	return true;
+}
+
+void shard_segment_carry(shard_t *shard)
+{
+	uint64_t wall = shard_state_wall_ms(shard);
+	uint64_t age = (uint64_t)shard->options.carry_after_ms;
+	uint64_t needed;
+
+	if (wall < age || shard->reading_segment)
+		return;
+	needed = ledger_carry(shard->ledger, wall - age, wall);
+	if (needed)
+		shard_segment_read(shard, needed);
+}
--- /dev/null
+++ b/src/coord/shard_takeover.c
@@ -0,0 +1,139 @@
+#include "coord/shard_takeover.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "coord/shard_head.h"
+#include "coord/shard_op.h"
+#include "coord/shard_store.h"
+
+#define POLL_MS 1000
+/* Ids of segments and index objects: epoch, then a count. */
+#define ID_COUNT_BITS 24
+
+static void load_indexes(shard_t *shard);
+
+static void abort_takeover(shard_t *shard)
+{
+	shard_state_drop_ledger(shard);
+	shard->poll_ms = shard_state_now_ms(shard) + POLL_MS;
+}
+
+static void on_index(const object_value_t *value, const GError *error,
+		     void *user_data)
+{
+	shard_t *shard = user_data;
+	uint64_t id;
+
+	if (!shard_state_call_returned(shard))
+		return;
+	shard->busy = false;
+	id = ledger_missing_index(shard->ledger);
+	if (error || !ledger_load_index(shard->ledger, id, value->data,
+					value->len, NULL)) {
+		/* Once, it may have been replaced after the head was read. */
+		if (!error || shard->unreadable_version == shard->version)
+			shard_state_notify(shard, SHARD_BROKEN);
+		if (g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND))
+			shard->unreadable_version = shard->version;
+		abort_takeover(shard);
+		return;
+	}
+	load_indexes(shard);
+}
+
+static void load_indexes(shard_t *shard)
+{
+	uint64_t id = ledger_missing_index(shard->ledger);
+	char *name;
+
+	if (!id) {
+		shard_head_write(shard, true, false);
+		return;
+	}
+	name = shard_store_object_name(shard, id, true);
+	shard->busy = true;
+	shard->pending++;
+	object_get(shard->options.store, name, on_index, shard);
+	g_free(name);
+}
+
+static void start_takeover(shard_t *shard, const object_value_t *value)
+{
+	ledger_head head = { 0 };
+
+	shard->ledger = ledger_new(&shard->options.ledger);
+	shard->version = value ? value->version : OBJECT_ABSENT;
+	if (value && !ledger_replay(shard->ledger, value->data, value->len,
+				    &head, NULL)) {
+		shard_state_notify(shard, SHARD_BROKEN);
+		abort_takeover(shard);
+		return;
+	}
+	shard->epoch = head.epoch + 1;
+	shard->sequence = head.sequence;
+	shard->ids = shard->epoch << ID_COUNT_BITS;
+	xdr_free((xdrproc_t)xdr_ledger_head, (char *)&head);
+	load_indexes(shard);
+}
+
+/* Written by an earlier process at the own address, which is gone. */
+static bool written_by_predecessor(const shard_t *shard, const char *writer)
+{
+	size_t len = strlen(shard->owner_address);
+	char own[24];
+
+	snprintf(own, sizeof(own), "/%" PRIx64 "/", shard->options.incarnation);
+	return strncmp(writer, shard->owner_address, len) == 0 &&
+	       writer[len] == '/' && !g_str_has_prefix(writer + len, own);
+}
+
+static bool may_take_over(shard_t *shard, const object_value_t *value)
+{
+	const char *writer = value->writer ? value->writer : "";
+	int64_t now = shard_state_now_ms(shard);
+
+	shard_state_set_hint(shard, writer);
+	if (g_str_has_suffix(writer, "/released") ||
+	    written_by_predecessor(shard, writer))
+		return true;
+	if (value->version != shard->seen_version) {
+		shard->seen_version = value->version;
+		shard->seen_since_ms = now;
+		return false;
+	}
+	return now - shard->seen_since_ms >= shard->options.lease_ms;
+}
+
+static void on_poll(const object_value_t *value, const GError *error,
+		    void *user_data)
+{
+	shard_t *shard = user_data;
+
+	if (!shard_state_call_returned(shard))
+		return;
+	shard->busy = false;
+	shard->poll_ms = shard_state_now_ms(shard) + POLL_MS;
+	if (shard->releasing || !shard->candidate)
+		return;
+	if (g_error_matches(error, WL_ERROR, WL_ERROR_NOT_FOUND))
+		start_takeover(shard, NULL);
+	else if (!error && may_take_over(shard, value))
+		start_takeover(shard, value);
+}
+
+void shard_takeover_step(shard_t *shard, int64_t now)
+{
+	if (!shard->candidate || shard->releasing) {
+		shard_op_refuse_all(shard, &shard->waiting,
+				    "this node is not the owner");
+		return;
+	}
+	if (now < shard->poll_ms)
+		return;
+	shard->busy = true;
+	shard->pending++;
+	object_get(shard->options.store, shard->key, on_poll, shard);
+}
