--- /dev/null
+++ b/src/entry/records_place.c
@@ -0,0 +1,60 @@
+#include "entry/records_place.h"
+
+#include <string.h>
+
+place_t *records_place_of(const records_t *records, const void *key)
+{
+	const uint8_t *b = (const uint8_t *)key + 12;
+	uint32_t hash = (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 |
+			(uint32_t)b[2] << 8 | b[3];
+
+	return &records->places[hash % records->shard_count];
+}
+
+static bool is_dead(const records_t *records, const char *address)
+{
+	const member_t *member = member_find(records->options.members, address);
+
+	return member && member->state == MEMBER_DEAD;
+}
+
+void records_place_set_hint(place_t *place, const char *hint)
+{
+	const char *own = records_state_own_address(place->records);
+
+	g_free(place->hint);
+	place->hint =
+		hint && *hint && strcmp(hint, own) != 0 ? g_strdup(hint) : NULL;
+}
+
+static bool records_place_usable(const records_t *records, const char *address)
+{
+	return address &&
+	       strcmp(address, records_state_own_address(records)) != 0 &&
+	       !is_dead(records, address);
+}
+
+const char *records_place_target(const place_t *place)
+{
+	const records_t *records = place->records;
+	const member_t *candidate;
+
+	if (shard_is_owner(place->shard))
+		return NULL;
+	if (records_place_usable(records, place->hint))
+		return place->hint;
+	if (records_place_usable(records, shard_owner(place->shard)))
+		return shard_owner(place->shard);
+	candidate = member_owner(records->options.members, NULL, place->key);
+	if (candidate && records_place_usable(records, candidate->address))
+		return candidate->address;
+	return NULL;
+}
+
+bool records_place_serves(const place_t *place)
+{
+	if (shard_is_owner(place->shard))
+		return true;
+	return place->candidate &&
+	       !records_place_usable(place->records, shard_owner(place->shard));
+}
--- /dev/null
+++ b/src/entry/records_state.h
@@ -0,0 +1,57 @@
+#ifndef WASABILINK_ENTRY_RECORDS_STATE_H
+#define WASABILINK_ENTRY_RECORDS_STATE_H
+
+#include "coord/shard.h"
+#include "entry/records.h"
+
+/*
+ * records_state - types and helpers that the modules of records share;
+ * private to them.
+ */
+
+/* One forwarded attempt; the same update is repeated with its token. */
+#define RECORDS_ATTEMPT_MS 2000
+#define RECORDS_RETRY_MS 100
+
+typedef struct place {
+	records_t *records;
+	shard_t *shard;
+	char *key; /* "shard/<n>" */
+	char *hint; /* owner as told by a peer; NULL if unknown */
+	bool candidate;
+} place_t;
+
+typedef struct follower {
+	record_kind_t kind;
+	record_each_t each;
+	void *user_data;
+} follower_t;
+
+struct records {
+	records_options_t options;
+	uint32_t shard_count;
+	place_t *places;
+	shard_budget_t budget;
+	shard_stats_t stats;
+	int64_t **counters; /* in the order of the fields of shard_stats_t */
+	int64_t *owned;
+	int64_t *waiting;
+	int64_t *forwarded;
+	struct event *step_timer;
+	struct event *kick;
+	int64_t candidates_ms; /* last computed */
+	uint64_t tokens;
+	bool releasing;
+	GHashTable *calls; /* set of call_t */
+	GPtrArray *followers; /* follower_t */
+	GPtrArray *scans; /* scan_t */
+};
+
+int64_t records_state_now_ms(const records_t *records);
+record_t records_state_to_record(const ledger_record *from);
+ledger_record records_state_from_record(const record_t *from);
+const char *records_state_own_address(const records_t *records);
+void records_state_kick(records_t *records);
+bool records_state_matches(const ledger_record *record, const char *owner_tag);
+
+#endif
