Split the dispatcher's messages, streams, parts and notices into modules

Change: dispatch_state, dispatch_stream, dispatch_part, dispatch_grant and dispatch_pressure; dispatch keeps the ticks and the start. No function body changes but for names.

--- /dev/null
+++ b/src/entry/dispatch_stream.h
@@ -0,0 +1,16 @@
+#ifndef WASABILINK_ENTRY_DISPATCH_STREAM_H
+#define WASABILINK_ENTRY_DISPATCH_STREAM_H
+
+#include "entry/dispatch_state.h"
+
+/*
+ * dispatch_stream - runs batch items on engines: starts and stops their
+ * streams and probes an engine that may be gone. Operations of dispatcher_t.
+ */
+
+void dispatch_stream_start(dispatch_item_t *item, json_t *body,
+			   void *user_data);
+void dispatch_stream_stop(dispatch_item_t *item, void *user_data);
+void dispatch_stream_probe(const char *address, void *user_data);
+
+#endif
