--- a/src/entry/files.c
+++ b/src/entry/files.c
@@ -11,6 +11,7 @@
 #include "batch/item_file.h"
 #include "entry/api_error.h"
 #include "entry/batch_id.h"
+#include "entry/collection.h"
 #include "entry/content.h"
 #include "http/multipart.h"
 
@@ -625,46 +626,17 @@
 	g_free(scope);
 }
 
-typedef void (*file_handler_t)(entry_t *entry, http_exchange_t *exchange,
-			       const document_caller_t *caller, const char *id);
-
-static const struct {
-	const char *method;
-	bool has_id;
-	const char *rest; /* after the id */
-	file_handler_t handler;
-} routes[] = {
+static const collection_route_t routes[] = {
 	{ "POST", false, "", handle_upload },
 	{ "GET", false, "", handle_list },
 	{ "GET", true, "", handle_get },
 	{ "DELETE", true, "", handle_delete },
 	{ "GET", true, "content", handle_content },
+	{ NULL, false, NULL, NULL },
 };
 
 void files_handle(entry_t *entry, http_exchange_t *exchange,
 		  const document_caller_t *caller)
 {
-	char **steps =
-		g_strsplit(http_path(exchange) + strlen(FILES_PATH), "/", 4);
-	guint count = g_strv_length(steps);
-	const char *id = count > 1 ? steps[1] : "";
-	const char *rest = count > 2 ? steps[2] : "";
-	bool path_known = false;
-
-	for (size_t i = 0; count <= 3 && i < G_N_ELEMENTS(routes); i++) {
-		if (routes[i].has_id != (*id != '\0') ||
-		    strcmp(routes[i].rest, rest) != 0)
-			continue;
-		path_known = true;
-		if (strcmp(routes[i].method, http_method(exchange)) != 0)
-			continue;
-		routes[i].handler(entry, exchange, caller, id);
-		g_strfreev(steps);
-		return;
-	}
-	g_strfreev(steps);
-	api_error_reply(exchange,
-			path_known ? API_METHOD_NOT_ALLOWED : API_NOT_FOUND,
-			WORK_NOT_RUN, 0,
-			path_known ? "method not allowed" : "no such path");
+	collection_handle(entry, exchange, caller, FILES_PATH, routes);
 }
