--- /dev/null
+++ b/src/batch/dispatcher_chunk.c
@@ -0,0 +1,318 @@
+#include "batch/dispatcher_chunk.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "batch/dispatcher_item.h"
+#include "batch/item_file.h"
+#include "batch/result.h"
+
+#define RENEW_MS 1000
+/* A chunk whose lease is gone is kept this long in case it comes back. */
+#define PARK_MS 30000
+#define LOAD_RETRY_MS 500
+
+void dispatcher_chunk_free(void *data)
+{
+	dispatch_chunk_t *chunk = data;
+
+	for (uint32_t i = 0; i < chunk->count; i++)
+		dispatcher_item_clear(&chunk->items[i]);
+	g_free(chunk->items);
+	g_queue_clear(&chunk->waiting);
+	if (chunk->data)
+		g_bytes_unref(chunk->data);
+	if (chunk->index)
+		g_array_free(chunk->index, TRUE);
+	g_free(chunk->job);
+	g_free(chunk->input_file_id);
+	g_free(chunk);
+}
+
+static dispatch_chunk_t *find_chunk(const dispatcher_t *dispatcher,
+				    const char *job, uint32_t first)
+{
+	for (guint i = 0; i < dispatcher->chunks->len; i++) {
+		dispatch_chunk_t *chunk = dispatcher->chunks->pdata[i];
+
+		if (chunk->first == first && strcmp(chunk->job, job) == 0)
+			return chunk;
+	}
+	return NULL;
+}
+
+static void stop_chunk(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	for (uint32_t i = 0; i < chunk->count; i++)
+		dispatcher_item_stop(dispatcher, &chunk->items[i]);
+}
+
+static void drop_chunk(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	stop_chunk(dispatcher, chunk);
+	g_ptr_array_remove(chunk->pool->chunks, chunk);
+	g_ptr_array_remove(dispatcher->chunks, chunk);
+}
+
+static int compare_due(const void *a, const void *b)
+{
+	const dispatch_chunk_t *left = *(dispatch_chunk_t *const *)a;
+	const dispatch_chunk_t *right = *(dispatch_chunk_t *const *)b;
+
+	if (left->due_ms != right->due_ms)
+		return left->due_ms < right->due_ms ? -1 : 1;
+	return left->first < right->first ? -1 : left->first > right->first;
+}
+
+static void add_chunk(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	g_ptr_array_add(dispatcher->chunks, chunk);
+	g_ptr_array_add(chunk->pool->chunks, chunk);
+	g_ptr_array_sort(chunk->pool->chunks, compare_due);
+}
+
+static void apply_suspects(dispatch_chunk_t *chunk, const GArray *suspects)
+{
+	for (guint i = 0; suspects && i < suspects->len; i++) {
+		const suspect_t *s = &g_array_index(suspects, suspect_t, i);
+
+		if (s->item < chunk->first ||
+		    s->item - chunk->first >= chunk->count)
+			continue;
+		chunk->items[s->item - chunk->first].tries = s->tries;
+		chunk->items[s->item - chunk->first].deaths = s->deaths;
+	}
+}
+
+void dispatcher_granted(dispatcher_t *dispatcher,
+			const dispatcher_grant_t *grant)
+{
+	dispatch_chunk_t *chunk =
+		find_chunk(dispatcher, grant->job, grant->first);
+
+	if (chunk || dispatcher->draining) {
+		if (chunk)
+			chunk->lease_until_ms = MAX(chunk->lease_until_ms,
+						    grant->lease_until_ms);
+		return;
+	}
+	chunk = g_new0(dispatch_chunk_t, 1);
+	chunk->pool = dispatcher_get_pool(dispatcher, grant->partner,
+					  grant->deployment);
+	chunk->job = g_strdup(grant->job);
+	chunk->input_file_id = g_strdup(grant->input_file_id);
+	chunk->part = grant->part;
+	chunk->line = grant->line;
+	chunk->first = grant->first;
+	chunk->count = grant->count;
+	chunk->due_ms = dispatcher_now_ms(dispatcher) + grant->slack_ms;
+	chunk->lease_until_ms = grant->lease_until_ms;
+	chunk->renew_ms = dispatcher_now_ms(dispatcher) + RENEW_MS;
+	chunk->items = g_new0(dispatch_item_t, grant->count);
+	g_queue_init(&chunk->waiting);
+	for (uint32_t i = 0; i < chunk->count; i++) {
+		chunk->items[i].chunk = chunk;
+		chunk->items[i].number = chunk->first + i;
+		g_queue_push_tail(&chunk->waiting, &chunk->items[i]);
+	}
+	apply_suspects(chunk, grant->suspects);
+	add_chunk(dispatcher, chunk);
+	dispatcher->ops.load(chunk, dispatcher->ops.user_data);
+}
+
+void dispatcher_pulled(dispatcher_t *dispatcher, const char *partner,
+		       const char *deployment, int32_t retry_ms)
+{
+	dispatch_pool_t *pool =
+		dispatcher_find_pool(dispatcher, partner, deployment);
+
+	if (!pool)
+		return;
+	pool->pulling = false;
+	pool->pull_ms = dispatcher_now_ms(dispatcher) + retry_ms;
+}
+
+void dispatcher_offered(dispatcher_t *dispatcher, const char *partner,
+			const char *deployment)
+{
+	dispatch_pool_t *pool =
+		dispatcher_find_pool(dispatcher, partner, deployment);
+
+	if (pool)
+		pool->pull_ms = 0;
+}
+
+void dispatcher_loaded(dispatcher_t *dispatcher, const char *job,
+		       uint32_t first, GBytes *data)
+{
+	dispatch_chunk_t *chunk = find_chunk(dispatcher, job, first);
+	const char *text;
+	size_t len;
+
+	if (!chunk || chunk->data)
+		return;
+	if (!data) {
+		/* The next renewal loads again. */
+		chunk->renew_ms = dispatcher_now_ms(dispatcher) + LOAD_RETRY_MS;
+		return;
+	}
+	chunk->data = g_bytes_ref(data);
+	text = g_bytes_get_data(data, &len);
+	chunk->index = item_index_new(text, len);
+}
+
+static GArray *collect_suspects(const dispatch_chunk_t *chunk)
+{
+	GArray *suspects = g_array_new(FALSE, FALSE, sizeof(suspect_t));
+
+	for (uint32_t i = 0; i < chunk->count; i++) {
+		const dispatch_item_t *item = &chunk->items[i];
+		suspect_t suspect = { item->number, item->tries, item->deaths };
+
+		/* A failed item must not be tried again by the next holder. */
+		if ((item->state != ITEM_DONE || item->is_error) &&
+		    (item->tries || item->deaths))
+			g_array_append_val(suspects, suspect);
+	}
+	return suspects;
+}
+
+void dispatcher_chunk_hand_back(dispatcher_t *dispatcher,
+				dispatch_chunk_t *chunk)
+{
+	GArray *suspects = collect_suspects(chunk);
+
+	stop_chunk(dispatcher, chunk);
+	dispatcher->ops.hand_back(chunk, suspects, dispatcher->ops.user_data);
+	g_array_free(suspects, TRUE);
+	drop_chunk(dispatcher, chunk);
+}
+
+void dispatcher_renewed(dispatcher_t *dispatcher, const char *job,
+			uint32_t first, gboolean answered,
+			lease_status_t status, int64_t sent_ms)
+{
+	dispatch_chunk_t *chunk = find_chunk(dispatcher, job, first);
+
+	if (!chunk)
+		return;
+	chunk->renewing = false;
+	if (!answered || status == LEASE_LOST)
+		return;
+	if (status == LEASE_ENDED) {
+		/* The object may still be the first of its chunk. */
+		if (!chunk->writing)
+			dispatcher_chunk_hand_back(dispatcher, chunk);
+		return;
+	}
+	chunk->lease_until_ms = sent_ms + COORDINATOR_LEASE_MS;
+	chunk->parked_ms = 0;
+}
+
+/* Turns items from index taken on into a chunk of their own. */
+static dispatch_chunk_t *split_chunk(dispatcher_t *dispatcher,
+				     dispatch_chunk_t *chunk, uint32_t taken)
+{
+	dispatch_chunk_t *rest = g_new0(dispatch_chunk_t, 1);
+
+	rest->pool = chunk->pool;
+	rest->job = g_strdup(chunk->job);
+	rest->input_file_id = g_strdup(chunk->input_file_id);
+	rest->part = chunk->part;
+	rest->line = chunk->line + taken;
+	rest->first = chunk->first + taken;
+	rest->count = chunk->count - taken;
+	rest->due_ms = chunk->due_ms;
+	rest->lease_until_ms = chunk->lease_until_ms;
+	rest->renew_ms = dispatcher_now_ms(dispatcher);
+	rest->data = g_bytes_ref(chunk->data);
+	rest->index = item_index_new(g_bytes_get_data(chunk->data, NULL),
+				     g_bytes_get_size(chunk->data));
+	rest->items = g_new0(dispatch_item_t, rest->count);
+	g_queue_init(&rest->waiting);
+	memcpy(rest->items, chunk->items + taken,
+	       rest->count * sizeof(dispatch_item_t));
+	for (uint32_t i = 0; i < rest->count; i++)
+		rest->items[i].chunk = rest;
+	rest->done = rest->count;
+	chunk->count = taken;
+	chunk->done = taken;
+	return rest;
+}
+
+void dispatcher_chunk_write(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	result_line_t *lines = g_new0(result_line_t, chunk->count);
+	GBytes *object;
+	uint32_t taken;
+
+	for (uint32_t i = 0; i < chunk->count; i++) {
+		lines[i].text = chunk->items[i].line;
+		lines[i].len = strlen(lines[i].text);
+		lines[i].is_error = chunk->items[i].is_error;
+	}
+	object = result_build(chunk->first, lines, chunk->count, &taken);
+	chunk->result =
+		(coordinator_result_t){ .first = chunk->first, .count = taken };
+	for (uint32_t i = 0; i < taken; i++)
+		chunk->result.failed += lines[i].is_error;
+	chunk->result.completed = taken - chunk->result.failed;
+	g_free(lines);
+	chunk->writing = true;
+	dispatcher->ops.write(chunk, object, dispatcher->ops.user_data);
+	g_bytes_unref(object);
+}
+
+void dispatcher_written(dispatcher_t *dispatcher, const char *job,
+			uint32_t first, object_write_outcome_t outcome)
+{
+	dispatch_chunk_t *chunk = find_chunk(dispatcher, job, first);
+	dispatch_chunk_t *rest = NULL;
+
+	if (!chunk || !chunk->writing)
+		return;
+	if (outcome == OBJECT_WRITTEN) {
+		dispatcher->ops.done(chunk, &chunk->result,
+				     dispatcher->ops.user_data);
+		if (chunk->result.count < chunk->count)
+			rest = split_chunk(dispatcher, chunk,
+					   chunk->result.count);
+	}
+	/* Lost: the coordinator reads the other object when the lease ends. */
+	drop_chunk(dispatcher, chunk);
+	if (!rest)
+		return;
+	add_chunk(dispatcher, rest);
+	dispatcher_chunk_write(dispatcher, rest);
+}
+
+static void renew_chunk(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	GArray *suspects;
+
+	chunk->renew_ms = dispatcher_now_ms(dispatcher) + RENEW_MS;
+	if (!chunk->data)
+		dispatcher->ops.load(chunk, dispatcher->ops.user_data);
+	if (chunk->renewing)
+		return;
+	chunk->renewing = true;
+	suspects = collect_suspects(chunk);
+	dispatcher->ops.renew(chunk, suspects, dispatcher->ops.user_data);
+	g_array_free(suspects, TRUE);
+}
+
+void dispatcher_chunk_tick(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	int64_t now = dispatcher_now_ms(dispatcher);
+
+	if (now >= chunk->renew_ms)
+		renew_chunk(dispatcher, chunk);
+	if (now < chunk->lease_until_ms || chunk->writing)
+		return;
+	if (!chunk->parked_ms) {
+		chunk->parked_ms = now;
+		stop_chunk(dispatcher, chunk);
+	}
+	if (now >= chunk->parked_ms + PARK_MS)
+		drop_chunk(dispatcher, chunk);
+}
--- /dev/null
+++ b/src/batch/dispatcher_item.c
@@ -0,0 +1,222 @@
+#include "batch/dispatcher_item.h"
+
+#include <string.h>
+
+#include "batch/dispatcher_chunk.h"
+#include "batch/result.h"
+
+#define FIRST_PAUSE_MS 100
+#define MAX_PAUSE_MS 2000
+/* Cuts without a token in between that count as a death of the runner. */
+#define MAX_CUTS 3
+
+static const char lost_message[] = "runners were lost while they ran this item";
+static const char error_message[] = "the engine answered with an error";
+
+void dispatcher_item_clear(dispatch_item_t *item)
+{
+	g_free(item->custom_id);
+	g_free(item->line);
+	if (item->text)
+		g_string_free(item->text, TRUE);
+}
+
+/* Takes the item off its runner's list of running ones. */
+static void leave_runner(dispatcher_t *dispatcher, dispatch_item_t *item)
+{
+	dispatch_runner_t *runner = item->runner;
+
+	item->call = NULL;
+	dispatcher->running--;
+	g_ptr_array_remove(runner->running, item);
+	if (runner->alone == item) {
+		runner->alone = NULL;
+		runner->pool->suspect = NULL;
+	}
+}
+
+static void wait_again(dispatch_item_t *item, bool at_front)
+{
+	item->state = ITEM_WAITING;
+	item->runner = NULL;
+	if (at_front)
+		g_queue_push_head(&item->chunk->waiting, item);
+	else
+		g_queue_push_tail(&item->chunk->waiting, item);
+}
+
+void dispatcher_item_stop(dispatcher_t *dispatcher, dispatch_item_t *item)
+{
+	if (item->state == ITEM_RUNNING) {
+		dispatcher->ops.stop(item, dispatcher->ops.user_data);
+		leave_runner(dispatcher, item);
+		wait_again(item, true);
+	} else if (item->state == ITEM_CUT) {
+		item->runner->cut--;
+		wait_again(item, true);
+	}
+}
+
+static void finish_item(dispatcher_t *dispatcher, dispatch_item_t *item,
+			char *line, bool is_error)
+{
+	dispatch_chunk_t *chunk = item->chunk;
+
+	item->state = ITEM_DONE;
+	item->runner = NULL;
+	item->line = line;
+	item->is_error = is_error;
+	if (item->text)
+		g_string_free(item->text, TRUE);
+	item->text = NULL;
+	if (++chunk->done == chunk->count)
+		dispatcher_chunk_write(dispatcher, chunk);
+}
+
+void dispatcher_item_fail(dispatcher_t *dispatcher, dispatch_item_t *item,
+			  const char *code, const char *message)
+{
+	char *id = g_strdup_printf("batch_req_%s_%u", item->chunk->job,
+				   item->number);
+
+	finish_item(dispatcher, item,
+		    result_error_line(item->custom_id, id, code, message),
+		    true);
+	g_free(id);
+}
+
+void dispatcher_item_tokens(dispatcher_t *dispatcher, dispatch_item_t *item,
+			    const char *text, uint32_t tokens)
+{
+	int64_t now_us = clock_now_us(dispatcher->clock);
+
+	if (!item->text)
+		item->text = g_string_new(NULL);
+	g_string_append(item->text, text);
+	item->tokens += tokens;
+	item->cuts = 0;
+	if (item->last_token_us && tokens == 1)
+		slot_observe(&item->runner->slot, now_us - item->last_token_us,
+			     now_us / 1000);
+	item->last_token_us = now_us;
+	item->runner->pause_ms = 0;
+}
+
+void dispatcher_item_whole(dispatcher_t *dispatcher, dispatch_item_t *item,
+			   char *line)
+{
+	leave_runner(dispatcher, item);
+	if (strlen(line) <= RESULT_LINE_MAX_BYTES) {
+		finish_item(dispatcher, item, line, false);
+		return;
+	}
+	g_free(line);
+	dispatcher_item_fail(dispatcher, item, "result_too_large",
+			     "the answer is larger than a result object");
+}
+
+/* Progress is void after an error: the next try starts anew. */
+static void forget_progress(dispatch_item_t *item)
+{
+	if (item->text)
+		g_string_truncate(item->text, 0);
+	item->tokens = 0;
+}
+
+void dispatcher_item_failed(dispatcher_t *dispatcher, dispatch_item_t *item,
+			    const char *code, const char *message)
+{
+	leave_runner(dispatcher, item);
+	forget_progress(item);
+	if (++item->tries >= SUSPECT_MAX_TRIES) {
+		dispatcher_item_fail(dispatcher, item, code, message);
+		return;
+	}
+	item->not_before_ms = dispatcher_now_ms(dispatcher) +
+			      (int64_t)FIRST_PAUSE_MS * item->tries;
+	wait_again(item, false);
+}
+
+static void pause_runner(dispatcher_t *dispatcher, dispatch_runner_t *runner)
+{
+	runner->pause_ms = runner->pause_ms ?
+				   MIN(runner->pause_ms * 2, MAX_PAUSE_MS) :
+				   FIRST_PAUSE_MS;
+	runner->not_before_ms =
+		dispatcher_now_ms(dispatcher) + runner->pause_ms;
+}
+
+void dispatcher_item_refused(dispatcher_t *dispatcher, dispatch_item_t *item)
+{
+	dispatch_runner_t *runner = item->runner;
+
+	leave_runner(dispatcher, item);
+	wait_again(item, true);
+	if (dispatcher_now_ms(dispatcher) >= runner->not_before_ms)
+		pause_runner(dispatcher, runner);
+}
+
+void dispatcher_item_cut(dispatcher_t *dispatcher, dispatch_item_t *item)
+{
+	dispatch_runner_t *runner = item->runner;
+
+	leave_runner(dispatcher, item);
+	item->state = ITEM_CUT;
+	runner->cut++;
+	if (runner->probing)
+		return;
+	runner->probing = true;
+	dispatcher->ops.probe(runner->address, dispatcher->ops.user_data);
+}
+
+static void settle_cut(dispatcher_t *dispatcher, dispatch_item_t *item,
+		       gboolean alive)
+{
+	item->runner->cut--;
+	if (alive && ++item->cuts < MAX_CUTS) {
+		wait_again(item, true);
+		return;
+	}
+	item->cuts = 0;
+	if (++item->deaths >= SUSPECT_MAX_DEATHS)
+		dispatcher_item_fail(dispatcher, item, "runner_lost",
+				     lost_message);
+	else
+		wait_again(item, false);
+}
+
+void dispatcher_probed(dispatcher_t *dispatcher, const char *address,
+		       gboolean alive)
+{
+	dispatch_runner_t *runner =
+		g_hash_table_lookup(dispatcher->runners, address);
+
+	if (!runner)
+		return;
+	runner->probing = false;
+	if (!alive)
+		pause_runner(dispatcher, runner);
+	for (guint i = dispatcher->chunks->len; i-- > 0;) {
+		dispatch_chunk_t *chunk = dispatcher->chunks->pdata[i];
+
+		for (uint32_t k = 0; k < chunk->count; k++)
+			if (chunk->items[k].state == ITEM_CUT &&
+			    chunk->items[k].runner == runner)
+				settle_cut(dispatcher, &chunk->items[k], alive);
+	}
+}
+
+/* What the item's former holders have found is final. */
+gboolean dispatcher_item_fail_hopeless(dispatcher_t *dispatcher,
+				       dispatch_item_t *item)
+{
+	if (item->deaths >= SUSPECT_MAX_DEATHS)
+		dispatcher_item_fail(dispatcher, item, "runner_lost",
+				     lost_message);
+	else if (item->tries >= SUSPECT_MAX_TRIES)
+		dispatcher_item_fail(dispatcher, item, "engine_error",
+				     error_message);
+	else
+		return FALSE;
+	return TRUE;
+}
