Do not touch a connection that evhtp has already ended

Cause: evhtp calls the connection's end hook before the end hook of the request that is handled on it, so http_server reset a connection that was freed. In the normal build the write went unnoticed.

Change: an exchange holds its connection only until that has ended.

Before: test_engine, test_platform, test_load, test_failure_points, test_front and test_keyed failed under AddressSanitizer. After: these six pass under it.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -41,6 +41,7 @@
 typedef struct connection {
 	http_server_t *server;
 	evhtp_connection_t *evhtp;
+	http_exchange_t *exchange; /* of the request that is handled */
 	GList link;
 	int64_t since_ms; /* start of reading the current request */
 	uint64_t length; /* Content-Length of the current request */
@@ -65,6 +66,7 @@
 /* Lives as long as the evhtp request that it is attached to. */
 struct http_exchange {
 	http_server_t *server;
+	connection_t *connection; /* NULL: evhtp is freeing it */
 	evhtp_request_t *request;
 	struct bufferevent *bev; /* of the connection */
 	struct event *peer_closed_event;
@@ -163,7 +165,11 @@
 	http_exchange_t *exchange = arg;
 
 	notify_closed(exchange);
-	connection_reset(connection_of(request));
+	/* evhtp ends a connection before the request that is handled on it. */
+	if (exchange->connection) {
+		exchange->connection->exchange = NULL;
+		connection_reset(exchange->connection);
+	}
 	if (exchange->peer_closed_event)
 		event_free(exchange->peer_closed_event);
 	if (exchange->drained_event) {
@@ -345,6 +351,8 @@
 	g_string_free(headers, TRUE);
 	g_string_free(body, TRUE);
 	g_queue_unlink(&server->connections, &connection->link);
+	if (connection->exchange)
+		connection->exchange->connection = NULL;
 	g_free(connection->body);
 	g_free(connection);
 	return EVHTP_RES_OK;
@@ -396,6 +404,8 @@
 
 	connection->handling = true;
 	exchange->server = server;
+	exchange->connection = connection;
+	connection->exchange = exchange;
 	exchange->request = request;
 	exchange->bev = evhtp_request_get_bev(request);
 	exchange->counted = true;
