Give each build folder its own library archive

Cause: the sanitizer build left its objects in libwasabilink.a, and the next normal build could not link the example.

Before: make tests failed after make check-asan. After: it links; the archive of the normal build stays at the top.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 CC ?= gcc
 BUILD ?= build
 BIN ?= wasabilink
+# Each build has an archive of its own.
+LIB = $(if $(filter build,$(BUILD)),libwasabilink.a,$(BUILD)/libwasabilink.a)
 PKGS = libevent evhtp libtirpc glib-2.0 jansson libcrypto
 CPPFLAGS += -D_GNU_SOURCE -Isrc -Isrc/rpc $(shell pkg-config --cflags $(PKGS))
 CFLAGS ?= -O2 -g
@@ -31,7 +33,7 @@
 $(BIN): $(MAIN_OBJ) $(OBJS)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-libwasabilink.a: $(COORD_OBJS)
+$(LIB): $(COORD_OBJS)
 	rm -f $@ && ar rcs $@ $^
 
 # rpcgen output has unused variables and its own style; xdr_bound.h replaces
@@ -54,7 +56,7 @@
 $(BUILD)/fuzzer: $(BUILD)/tests/fuzz/fuzzer.o $(FUZZ_TARGET_OBJ) $(OBJS)
 	$(CC) $(CFLAGS) -fsanitize=fuzzer $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/examples/%: $(BUILD)/examples/%.o libwasabilink.a
+$(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # Regenerates the committed XDR code; the build itself does not need rpcgen.
@@ -117,9 +119,9 @@
 		sh -c '$(CLANG_TIDY) --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
 
 PREFIX ?= /usr/local
-install: $(BIN) libwasabilink.a
+install: $(BIN) $(LIB)
 	install -D -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin/wasabilink
-	install -D -m 644 libwasabilink.a $(DESTDIR)$(PREFIX)/lib/libwasabilink.a
+	install -D -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib/libwasabilink.a
 	for header in src/coord/*.h src/base/*.h src/platform/*.h src/rpc/*_xdr.h; do \
 		install -D -m 644 $$header \
 			$(DESTDIR)$(PREFIX)/include/wasabilink/$${header#src/}; \
