--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -211,8 +211,11 @@
 
 
 def interrupt_closes():
-    """Turns SIGTERM into a normal exit, so that atexit ends the processes."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    """Turns SIGTERM and SIGINT into a normal exit, so that atexit ends the
+    processes. A shell starts background commands with SIGINT ignored, and
+    Python keeps that unless a handler is set."""
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(sig, lambda number, _: sys.exit(128 + number))
 
 
 def sample_document():
