Give test processes ports that no other process can take

Cause: free_ports() let the kernel choose ports, closed the probes and passed the numbers on. Until the daemon bound them, any outgoing connection or any other test beside it could get the same port; the daemon then ended and the test only waited out its 20 s.

Change: ports come from blocks between 10000 and 15999, below the ranges that kernels use for outgoing connections. A program holds the first port of its block as long as it runs, so no two programs use the same block. Starting a process ends at once when it exits, and a failure shows the exit status and the last log lines. close() ends entry processes before the platform and the engines that they need while they drain.

Weighed: a counter in a file under a lock.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -20,17 +20,56 @@
 START_TIMEOUT_S = 20
 
 
+# Below the ranges from which kernels choose ports of outgoing connections.
+FIRST_PORT, LAST_PORT = 10000, 15999
+BLOCK_PORTS = 50
+
+
+def can_bind(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+class PortBlock:
+    """Ports that this program alone gives out.
+
+    A port that the kernel chose is free only until the probe closes it: any
+    process may get it before the daemon binds it. Here a program holds the
+    first port of a block as long as it runs, and uses the others."""
+    guards = []
+    ports = []
+
+    @classmethod
+    def take(cls):
+        for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", first))
+            except OSError:
+                guard.close()
+                continue
+            cls.guards.append(guard)
+            cls.ports = list(range(first + 1, first + BLOCK_PORTS))
+            return
+        raise OSError("no block of ports is free")
+
+    @classmethod
+    def next(cls):
+        while True:
+            if not cls.ports:
+                cls.take()
+            port = cls.ports.pop(0)
+            if can_bind(port):
+                return port
+
+
 def free_ports(count):
-    """Reserves distinct free TCP ports by binding them all at once."""
-    sockets = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+    return [PortBlock.next() for _ in range(count)]
 
 
 def sha256_hex(text):
@@ -136,13 +175,13 @@
         self.platform = self.spawn(
             "platform", ["platform", "--port", str(port), *args], port,
             info=dict(zip(domains, more)))
-        wait_for(lambda: reachable(port, "/stats"), "the platform stand-in")
+        self.wait_started(self.platform, port, "/stats")
         return self.platform
 
     def start_engine(self, name, partner, deployment, domain, *args):
         port = free_ports(1)[0]
         engine = self.spawn(name, ["engine", "--port", str(port), *args], port)
-        wait_for(lambda: reachable(port), name)
+        self.wait_started(engine, port, "/healthz")
         self.vms.append({"address": f"127.0.0.1:{port}", "role": "runner",
                          "domain": domain, "partner": partner,
                          "deployment": deployment, "state": "live"})
@@ -152,7 +191,7 @@
         port = free_ports(1)[0]
         process = self.spawn(name, ["service", "--port", str(port), *args],
                              port)
-        wait_for(lambda: reachable(port), name)
+        self.wait_started(process, port, "/healthz")
         self.vms.append({"address": f"127.0.0.1:{port}", "role": "service",
                          "domain": domain, "partner": partner,
                          "deployment": service, "state": "live"})
@@ -178,9 +217,23 @@
     def platform_port(self, domain):
         return self.platform.info.get(domain, self.platform.port)
 
+    def wait_started(self, process, port, path):
+        """Names the exit status and the last log lines on failure."""
+        try:
+            wait_for(lambda: reachable(port, path) or not process.alive(),
+                     process.name + " to start")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}\n{self.log_end(process)}") from None
+        if not process.alive():
+            raise RuntimeError(
+                f"{process.name} ended with status {process.popen.poll()}\n"
+                f"{self.log_end(process)}")
+
+    def log_end(self, process):
+        return "".join(self.log(process.name).splitlines(True)[-20:])
+
     def wait_ready(self, entry):
-        wait_for(lambda: reachable(entry.operator_port, "/readyz"),
-                 entry.name + " to be ready")
+        self.wait_started(entry, entry.operator_port, "/readyz")
 
     def publish_vms(self):
         return request(self.platform.port, "PUT", "/vms", {"vms": self.vms})
@@ -199,11 +252,19 @@
             return f.read()
 
     def close(self):
-        for process in self.processes:
+        """Ends the entry processes first: while they drain, they need the
+        platform and the engines."""
+        entries = [p for p in self.processes if p.operator_port]
+        self.end_processes(entries)
+        self.end_processes([p for p in self.processes if p not in entries])
+
+    @staticmethod
+    def end_processes(processes):
+        for process in processes:
             process.send(signal.SIGCONT)
             process.send(signal.SIGTERM)
         end = time.monotonic() + 5
-        for process in self.processes:
+        for process in processes:
             try:
                 process.popen.wait(max(0.1, end - time.monotonic()))
             except subprocess.TimeoutExpired:
