Keep what is known against a batch item when its coordinator moves

Cause: one item that ends its engine ended 4 of 6 engines instead of 2. Holders keep the address that last answered a ledger call, and chunk messages never correct it: they went on renewing at the former owner, which answers LEASE_LOST. The lease ran out, the successor granted the chunk anew without the known deaths, and two more engines ended. Three more ways lost deaths: a returned chunk was sent once and its answer ignored; a successor dropped what a return said when it did not know the lease; and a chunk whose lease ended while a probe was pending forgot the cut.

Ruled out: a merge fault in the coordinator (its merges keep the maximum), and the grace period of the successor (3.2 s, long enough for holders that know where to renew).

Change: a renewal without a lease makes the holder read the job's record, which follows the answers of former owners to the new one. Returned chunks are repeated until a coordinator takes them, the job is over, or 15 s have passed. A death is told at once, and no suspect of the chunk starts before a renewal that carries it was answered. The successor merges what returns say in any case. Cut items keep waiting for their probe when the lease ends.

Conclusion: a death that only a lost holder knew can still be forgotten; that is bounded by one more engine for each holder lost in that moment.

--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -581,11 +581,12 @@
 	entry_t *entry = find(coordinator, job);
 	chunk_t *chunk = find_chunk(entry, first);
 
-	if (!chunk || chunk->state == CHUNK_DONE || !chunk->holder ||
-	    strcmp(chunk->holder, holder) != 0)
+	if (!chunk || chunk->state == CHUNK_DONE)
 		return;
+	/* Also when the lease is not known here: it may be a predecessor's. */
 	merge_suspects(chunk, suspects);
-	set_state(entry, chunk, CHUNK_WAITING);
+	if (chunk->holder && strcmp(chunk->holder, holder) == 0)
+		set_state(entry, chunk, CHUNK_WAITING);
 }
 
 static void write_record(coordinator_t *coordinator, entry_t *entry)
--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -96,6 +96,8 @@
 	int64_t parked_ms; /* since when there is no lease; 0: there is one */
 	bool renewing;
 	bool writing;
+	bool unrecorded; /* a death that the coordinator does not know yet */
+	bool recording; /* the pending renewal tells all deaths */
 	coordinator_result_t result; /* of the object being written */
 };
 
--- a/src/batch/dispatcher_chunk.c
+++ b/src/batch/dispatcher_chunk.c
@@ -47,6 +47,14 @@
 		dispatcher_item_stop(dispatcher, &chunk->items[i]);
 }
 
+/* An item that was cut runs nowhere; its probe still tells of a death. */
+static void stop_running(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
+{
+	for (uint32_t i = 0; i < chunk->count; i++)
+		if (chunk->items[i].state == ITEM_RUNNING)
+			dispatcher_item_stop(dispatcher, &chunk->items[i]);
+}
+
 static void drop_chunk(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
 {
 	stop_chunk(dispatcher, chunk);
@@ -75,12 +83,14 @@
 {
 	for (guint i = 0; suspects && i < suspects->len; i++) {
 		const suspect_t *s = &g_array_index(suspects, suspect_t, i);
+		dispatch_item_t *item;
 
 		if (s->item < chunk->first ||
 		    s->item - chunk->first >= chunk->count)
 			continue;
-		chunk->items[s->item - chunk->first].tries = s->tries;
-		chunk->items[s->item - chunk->first].deaths = s->deaths;
+		item = &chunk->items[s->item - chunk->first];
+		item->tries = MAX(item->tries, s->tries);
+		item->deaths = MAX(item->deaths, s->deaths);
 	}
 }
 
@@ -199,6 +209,8 @@
 	chunk->renewing = false;
 	if (!answered || status == LEASE_LOST)
 		return;
+	if (chunk->recording)
+		chunk->unrecorded = false;
 	if (status == LEASE_ENDED) {
 		/* The object may still be the first of its chunk. */
 		if (!chunk->writing)
@@ -225,6 +237,7 @@
 	rest->due_ms = chunk->due_ms;
 	rest->lease_until_ms = chunk->lease_until_ms;
 	rest->renew_ms = dispatcher_now_ms(dispatcher);
+	rest->unrecorded = chunk->unrecorded;
 	rest->data = g_bytes_ref(chunk->data);
 	rest->index = item_index_new(g_bytes_get_data(chunk->data, NULL),
 				     g_bytes_get_size(chunk->data));
@@ -296,11 +309,20 @@
 	if (chunk->renewing)
 		return;
 	chunk->renewing = true;
+	chunk->recording = true;
 	suspects = collect_suspects(chunk);
 	dispatcher->ops.renew(chunk, suspects, dispatcher->ops.user_data);
 	g_array_free(suspects, TRUE);
 }
 
+void dispatcher_chunk_record_death(dispatcher_t *dispatcher,
+				   dispatch_chunk_t *chunk)
+{
+	chunk->unrecorded = true;
+	chunk->recording = false;
+	chunk->renew_ms = dispatcher_now_ms(dispatcher);
+}
+
 void dispatcher_chunk_tick(dispatcher_t *dispatcher, dispatch_chunk_t *chunk)
 {
 	int64_t now = dispatcher_now_ms(dispatcher);
@@ -311,7 +333,7 @@
 		return;
 	if (!chunk->parked_ms) {
 		chunk->parked_ms = now;
-		stop_chunk(dispatcher, chunk);
+		stop_running(dispatcher, chunk);
 	}
 	if (now >= chunk->parked_ms + PARK_MS)
 		drop_chunk(dispatcher, chunk);
--- a/src/batch/dispatcher_item.c
+++ b/src/batch/dispatcher_item.c
@@ -178,6 +178,7 @@
 		return;
 	}
 	item->cuts = 0;
+	dispatcher_chunk_record_death(dispatcher, item->chunk);
 	if (++item->deaths >= SUSPECT_MAX_DEATHS)
 		dispatcher_item_fail(dispatcher, item, "runner_lost",
 				     lost_message);
--- a/src/batch/dispatcher_schedule.c
+++ b/src/batch/dispatcher_schedule.c
@@ -24,7 +24,8 @@
 	for (guint i = 0; i < pool->chunks->len; i++) {
 		dispatch_chunk_t *chunk = pool->chunks->pdata[i];
 
-		if (!may_run(dispatcher, chunk))
+		if (!may_run(dispatcher, chunk) ||
+		    (suspects && chunk->unrecorded))
 			continue;
 		for (GList *link = chunk->waiting.head; link;
 		     link = link->next) {
--- a/src/entry/chunks.c
+++ b/src/entry/chunks.c
@@ -448,6 +448,9 @@
 		coordinator_done(chunks->coordinator, args->holder, args->job,
 				 &told);
 	} else {
+		/* Elsewhere the suspects would be lost; the holder repeats. */
+		result.ok = coordinator_find(chunks->coordinator, args->job) !=
+			    NULL;
 		coordinator_hand_back(chunks->coordinator, args->holder,
 				      args->job, args->first, suspects);
 	}
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -5,6 +5,7 @@
 #include "entry/dispatch_grant.h"
 #include "entry/dispatch_part.h"
 #include "entry/dispatch_pressure.h"
+#include "entry/dispatch_return.h"
 #include "entry/dispatch_state.h"
 #include "entry/dispatch_stream.h"
 #include "rpc/batch_xdr.h"
@@ -170,7 +171,7 @@
 		.renew = dispatch_grant_renew,
 		.write = dispatch_grant_write,
 		.done = dispatch_grant_done,
-		.hand_back = dispatch_grant_hand_back,
+		.hand_back = dispatch_return_chunk,
 		.user_data = dispatch,
 	};
 
@@ -180,6 +181,9 @@
 	dispatch->parts = g_ptr_array_new_with_free_func(dispatch_part_free);
 	dispatch->offers =
 		g_ptr_array_new_with_free_func(dispatch_grant_offer_free);
+	dispatch->returns = g_ptr_array_new();
+	dispatch->locating =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	dispatch->pressures = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, dispatch_pressure_free);
 	dispatch->own_loads = g_hash_table_new_full(
@@ -203,5 +207,6 @@
 
 bool dispatch_is_idle(const dispatch_t *dispatch)
 {
-	return dispatcher_chunks(dispatch->dispatcher) == 0;
+	return dispatcher_chunks(dispatch->dispatcher) == 0 &&
+	       dispatch->returns->len == 0;
 }
--- a/src/entry/dispatch_grant.c
+++ b/src/entry/dispatch_grant.c
@@ -6,47 +6,14 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "batch/result.h"
-#include "entry/batch_id.h"
+#include "entry/dispatch_coordinator.h"
+#include "entry/dispatch_return.h"
 #include "platform/object_writer.h"
 #include "rpc/batch_xdr.h"
 
-#define CALL_TIMEOUT_MS 1000
 #define OFFER_TTL_MS 3000
 #define NO_OFFER_RETRY_MS 1000
 
-static const char *coordinator_of(const dispatch_t *dispatch, const char *job)
-{
-	record_key_t key;
-	const char *address;
-
-	if (!batch_id_key(job, &key))
-		return NULL;
-	if (records_is_owner(dispatch->entry->records, &key))
-		return dispatch_own_address(dispatch);
-	address = records_owner_address(dispatch->entry->records, &key);
-	return address && *address ? address : NULL;
-}
-
-static void call_coordinator(dispatch_t *dispatch, const char *address,
-			     rpc_call_options_t *options)
-{
-	options->address = address;
-	options->program = CHUNK_PROGRAM;
-	options->timeout_ms = CALL_TIMEOUT_MS;
-	rpc_client_call(dispatch->entry->rpc_client, options);
-}
-
-static batch_suspects suspects_to_wire(const GArray *suspects)
-{
-	/* suspect_t has the layout of the wire type. */
-	batch_suspects wire = {
-		suspects ? MIN(suspects->len, BATCH_SUSPECTS_MAX) : 0,
-		suspects ? (batch_suspect *)suspects->data : NULL
-	};
-
-	return wire;
-}
-
 static GArray *suspects_from_wire(const batch_suspects *wire)
 {
 	GArray *suspects = g_array_new(FALSE, FALSE, sizeof(suspect_t));
@@ -62,6 +29,8 @@
 	const chunk_renew_result *result = data;
 	chunk_call_t *call = user_data;
 
+	if (!result || result->status == LEASE_LOST)
+		dispatch_coordinator_locate(call->dispatch, call->job);
 	dispatcher_renewed(call->dispatch->dispatcher, call->job, call->first,
 			   result != NULL,
 			   result ? (lease_status_t)result->status : LEASE_LOST,
@@ -82,13 +51,13 @@
 			  void *user_data)
 {
 	dispatch_t *dispatch = user_data;
-	const char *address = coordinator_of(dispatch, chunk->job);
+	const char *address = dispatch_coordinator_of(dispatch, chunk->job);
 	chunk_call_t *call = chunk_call_new(dispatch, chunk->job, chunk->first);
 	chunk_renew_args args = {
 		.holder = (char *)dispatch_own_address(dispatch),
 		.job = chunk->job,
 		.first = chunk->first,
-		.suspects = suspects_to_wire(suspects),
+		.suspects = dispatch_suspects_to_wire(suspects),
 	};
 	rpc_call_options_t options = {
 		.procedure = CHUNK_RENEW,
@@ -102,7 +71,7 @@
 	struct timeval now = { 0, 0 };
 
 	if (address)
-		call_coordinator(dispatch, address, &options);
+		dispatch_coordinator_call(dispatch, address, &options);
 	else
 		event_base_once(dispatch->entry->base, -1, EV_TIMEOUT,
 				on_no_coordinator, call, &now);
@@ -113,19 +82,18 @@
 {
 }
 
-static void tell_done(dispatch_t *dispatch, const dispatch_chunk_t *chunk,
-		      const coordinator_result_t *result,
-		      const GArray *suspects)
+void dispatch_grant_done(const dispatch_chunk_t *chunk,
+			 const coordinator_result_t *result, void *user_data)
 {
-	const char *address = coordinator_of(dispatch, chunk->job);
+	dispatch_t *dispatch = user_data;
+	const char *address = dispatch_coordinator_of(dispatch, chunk->job);
 	chunk_done_args args = {
 		.holder = (char *)dispatch_own_address(dispatch),
 		.job = chunk->job,
 		.first = chunk->first,
-		.count = result ? result->count : 0,
-		.completed = result ? result->completed : 0,
-		.failed = result ? result->failed : 0,
-		.suspects = suspects_to_wire(suspects),
+		.count = result->count,
+		.completed = result->completed,
+		.failed = result->failed,
 	};
 	rpc_call_options_t options = {
 		.procedure = CHUNK_DONE,
@@ -137,19 +105,7 @@
 	};
 
 	if (address)
-		call_coordinator(dispatch, address, &options);
-}
-
-void dispatch_grant_done(const dispatch_chunk_t *chunk,
-			 const coordinator_result_t *result, void *user_data)
-{
-	tell_done(user_data, chunk, result, NULL);
-}
-
-void dispatch_grant_hand_back(const dispatch_chunk_t *chunk,
-			      const GArray *suspects, void *user_data)
-{
-	tell_done(user_data, chunk, NULL, suspects);
+		dispatch_coordinator_call(dispatch, address, &options);
 }
 
 void dispatch_grant_offer_free(void *data)
@@ -225,6 +181,9 @@
 		.suspects = suspects,
 	};
 
+	/* An older return must not end the new lease. */
+	dispatch_return_recall(call->dispatch, wire->job, wire->first,
+			       suspects);
 	if (grant.count > 0 && grant.count <= JOB_MAX_CHUNK_ITEMS)
 		dispatcher_granted(call->dispatch->dispatcher, &grant);
 	g_array_free(suspects, TRUE);
@@ -287,7 +246,7 @@
 		return;
 	}
 	call->coordinator = g_strdup(offer->coordinator);
-	call_coordinator(dispatch, offer->coordinator, &options);
+	dispatch_coordinator_call(dispatch, offer->coordinator, &options);
 }
 
 void dispatch_grant_handle_offer(rpc_call_t *call, const void *data,
--- a/src/entry/dispatch_grant.h
+++ b/src/entry/dispatch_grant.h
@@ -6,15 +6,13 @@
 
 /*
  * dispatch_grant - messages to and from coordinators: offers, pulls, renewals,
- * returned and finished chunks, and the chunks' result objects.
+ * finished chunks, and the chunks' result objects.
  */
 
 void dispatch_grant_renew(const dispatch_chunk_t *chunk, const GArray *suspects,
 			  void *user_data);
 void dispatch_grant_done(const dispatch_chunk_t *chunk,
 			 const coordinator_result_t *result, void *user_data);
-void dispatch_grant_hand_back(const dispatch_chunk_t *chunk,
-			      const GArray *suspects, void *user_data);
 void dispatch_grant_offer_free(void *data);
 void dispatch_grant_pull(const char *partner, const char *deployment,
 			 void *user_data);
--- a/src/entry/dispatch_state.h
+++ b/src/entry/dispatch_state.h
@@ -51,6 +51,8 @@
 	struct event *soon; /* a tick right after the current event */
 	GPtrArray *parts; /* part_t */
 	GPtrArray *offers; /* offer_t */
+	GPtrArray *returns; /* chunks that the coordinator must still take */
+	GHashTable *locating; /* jobs whose coordinator is being looked up */
 	GHashTable *pressures; /* "runner sender" -> pressure_t */
 	GHashTable *own_loads; /* runner -> own_load_t */
 	int64_t members_ms;
--- /dev/null
+++ b/tests/test_coordinator.c
@@ -0,0 +1,107 @@
+#include "batch/coordinator.h"
+
+#include "unit.h"
+
+#define ITEMS 20
+
+static void op_update(const job_t *job, uint64_t version, void *user_data)
+{
+}
+
+static void op_learn(const char *job, void *user_data)
+{
+	coordinator_ready(*(coordinator_t **)user_data, job, TRUE);
+}
+
+static job_t *running_job(void)
+{
+	job_t *job = job_new();
+	uint32_t items = ITEMS;
+
+	job->id = g_strdup("job");
+	job->partner = g_strdup("guild");
+	job->workspace = g_strdup("w");
+	job->deployment = g_strdup("muse");
+	job->input_file_id = g_strdup("file");
+	job->endpoint = g_strdup("/v1/chat/completions");
+	job->window = g_strdup("1h");
+	job->metadata = g_strdup("{}");
+	job->digest = g_strdup("d");
+	job->total = items;
+	job->chunk_items = items;
+	job->expires_ms = G_MAXINT64 / 2;
+	g_array_append_val(job->part_items, items);
+	job_move(job, JOB_IN_PROGRESS, 1);
+	return job;
+}
+
+/*
+ * A chunk that comes back right after the job's shard moved: the successor
+ * does not know the lease, but must not forget the deaths of runners, or the
+ * item ends two more of them.
+ */
+static void test_return_to_successor(void)
+{
+	clock_manual_t clock;
+	coordinator_t *coordinator;
+	coordinator_ops_t ops = { .update = op_update,
+				  .learn = op_learn,
+				  .user_data = &coordinator };
+	suspect_t known = { .item = 7, .deaths = 2 };
+	GArray *suspects = g_array_new(FALSE, FALSE, sizeof(suspect_t));
+	coordinator_grant_t grant;
+
+	g_array_append_val(suspects, known);
+	clock_manual_init(&clock, 1000000);
+	coordinator = coordinator_new(&ops, &clock.base);
+	coordinator_follow(coordinator, running_job(), 1);
+	coordinator_hand_back(coordinator, "a", "job", 0, suspects);
+	coordinator_tick(coordinator);
+	CU_ASSERT_FALSE(
+		coordinator_pull(coordinator, "b", "guild", "muse", &grant));
+	clock_manual_advance_ms(&clock, 2 * COORDINATOR_LEASE_MS);
+	CU_ASSERT_TRUE_FATAL(
+		coordinator_pull(coordinator, "b", "guild", "muse", &grant));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(grant.suspects);
+	CU_ASSERT_EQUAL_FATAL(grant.suspects->len, 1);
+	CU_ASSERT_EQUAL(g_array_index(grant.suspects, suspect_t, 0).item, 7);
+	CU_ASSERT_EQUAL(g_array_index(grant.suspects, suspect_t, 0).deaths, 2);
+	coordinator_free(coordinator);
+	g_array_free(suspects, TRUE);
+}
+
+/* A former holder's return must not end the lease of the present one. */
+static void test_return_of_former_holder(void)
+{
+	clock_manual_t clock;
+	coordinator_t *coordinator;
+	coordinator_ops_t ops = { .update = op_update,
+				  .learn = op_learn,
+				  .user_data = &coordinator };
+	coordinator_grant_t grant;
+
+	clock_manual_init(&clock, 1000000);
+	coordinator = coordinator_new(&ops, &clock.base);
+	coordinator_follow(coordinator, running_job(), 1);
+	coordinator_tick(coordinator);
+	clock_manual_advance_ms(&clock, 2 * COORDINATOR_LEASE_MS);
+	CU_ASSERT_TRUE(
+		coordinator_pull(coordinator, "b", "guild", "muse", &grant));
+	coordinator_hand_back(coordinator, "a", "job", 0, NULL);
+	CU_ASSERT_FALSE(
+		coordinator_pull(coordinator, "c", "guild", "muse", &grant));
+	CU_ASSERT_EQUAL(coordinator_renew(coordinator, "b", "job", 0, NULL),
+			LEASE_VALID);
+	coordinator_free(coordinator);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "return_to_successor", test_return_to_successor },
+		{ "return_of_former_holder", test_return_of_former_holder },
+		{ NULL, NULL },
+	};
+
+	return unit_run("coordinator", tests);
+}
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -18,6 +18,7 @@
 #define STEP_MS 20
 #define TAKEOVER_MS 6000
 #define HISTORIES 150
+#define MAX_ITEMS 120
 
 typedef struct world world_t;
 typedef struct message message_t;
@@ -72,6 +73,7 @@
 	uint32_t kill_item;
 	uint32_t fail_item;
 	uint32_t starts_after_cancel;
+	uint32_t told_deaths[MAX_ITEMS]; /* known to some coordinator */
 	uint32_t padding; /* bytes of a token */
 	bool calm; /* no more faults, so that the job ends */
 };
@@ -391,6 +393,16 @@
 			   (lease_status_t)message->status, message->sent_ms);
 }
 
+static void note_deaths(world_t *world, const GArray *suspects)
+{
+	for (guint i = 0; i < suspects->len; i++) {
+		const suspect_t *s = &g_array_index(suspects, suspect_t, i);
+
+		world->told_deaths[s->item] =
+			MAX(world->told_deaths[s->item], s->deaths);
+	}
+}
+
 static void deliver_renew(world_t *world, message_t *message)
 {
 	message_t *answer = post_worker(message->worker, deliver_renewed);
@@ -402,6 +414,7 @@
 	answer->status = -1;
 	if (!reaches(world, message) || chance(world, 0.1))
 		return;
+	note_deaths(world, message->suspects);
 	answer->status = coordinator_renew(world->coordinator,
 					   message->worker->name, message->job,
 					   message->first, message->suspects);
@@ -475,10 +488,11 @@
 
 static void deliver_hand_back(world_t *world, message_t *message)
 {
-	if (reaches(world, message) && !chance(world, 0.2))
-		coordinator_hand_back(world->coordinator, message->worker->name,
-				      message->job, message->first,
-				      message->suspects);
+	if (!reaches(world, message) || chance(world, 0.2))
+		return;
+	note_deaths(world, message->suspects);
+	coordinator_hand_back(world->coordinator, message->worker->name,
+			      message->job, message->first, message->suspects);
 }
 
 static void op_hand_back(const dispatch_chunk_t *chunk, const GArray *suspects,
@@ -500,6 +514,8 @@
 
 	if (worker->world->state == JOB_CANCELLED)
 		worker->world->starts_after_cancel++;
+	/* A death that only the holder knows would be forgotten with it. */
+	CU_ASSERT(item->deaths <= worker->world->told_deaths[item->number]);
 	/* A suspect shares its runner with no other batch item. */
 	CU_ASSERT(item->deaths == 0 || item->runner->running->len == 1);
 	CU_ASSERT(!item->runner->alone || item->runner->alone == item);
@@ -757,9 +773,11 @@
 					       (GDestroyNotify)g_bytes_unref);
 	world->padding = seed % 10 == 0 ? 20000 : 1;
 	world->total = items =
-		(uint32_t)g_rand_int_range(world->random, 1, 120);
-	world->kill_item = (uint32_t)g_rand_int_range(world->random, 0, 120);
-	world->fail_item = (uint32_t)g_rand_int_range(world->random, 0, 120);
+		(uint32_t)g_rand_int_range(world->random, 1, MAX_ITEMS);
+	world->kill_item =
+		(uint32_t)g_rand_int_range(world->random, 0, MAX_ITEMS);
+	world->fail_item =
+		(uint32_t)g_rand_int_range(world->random, 0, MAX_ITEMS);
 	for (uint32_t i = 0; i < items; i++)
 		g_string_append_printf(
 			input,
