Share the emulators' listening and signal handling

Cause: engine, service and platform stand-in each had the same twenty lines to listen, to log the port and to end at SIGTERM or SIGINT (found by a search for duplicate runs of lines).

Change: standin_server does it for the three. The stand-in of the platform listens on several ports, so listening and running are two calls.

--- a/src/emulator/engine.c
+++ b/src/emulator/engine.c
@@ -2,7 +2,6 @@
 
 #include <event2/event.h>
 #include <jansson.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -18,6 +17,7 @@
 #include "emulator/generation.h"
 #include "emulator/prefix_cache.h"
 #include "emulator/run_count.h"
+#include "emulator/standin_server.h"
 #include "http/http_server.h"
 
 #define MAX_BODY_BYTES (64 * 1024 * 1024)
@@ -301,11 +301,6 @@
 		reply_error(exchange, 404, "not_found", "no such path");
 }
 
-static void on_signal(evutil_socket_t fd, short events, void *arg)
-{
-	event_base_loopbreak(arg);
-}
-
 typedef struct engine_settings {
 	char *address;
 	uint16_t port;
@@ -351,21 +346,10 @@
 		.handler = on_request,
 		.user_data = engine,
 	};
-	GError *error = NULL;
-	http_server_t *server = http_server_new(&options, &error);
 
-	if (!server) {
-		log_error("listen_failed", "message=%s",
-			  log_quote(error->message));
+	if (!standin_server_listen(&options))
 		return 1;
-	}
-	event_add(evsignal_new(engine->base, SIGTERM, on_signal, engine->base),
-		  NULL);
-	event_add(evsignal_new(engine->base, SIGINT, on_signal, engine->base),
-		  NULL);
-	log_info("started", "address=%s port=%u", settings->address,
-		 http_server_port(server));
-	event_base_dispatch(engine->base);
+	standin_server_run(engine->base);
 	return 0;
 }
 
--- a/src/emulator/platform_standin.c
+++ b/src/emulator/platform_standin.c
@@ -3,7 +3,6 @@
 #include <event2/event.h>
 #include <inttypes.h>
 #include <jansson.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -12,6 +11,7 @@
 #include "base/setting.h"
 #include "emulator/standin_answer.h"
 #include "emulator/standin_fault.h"
+#include "emulator/standin_server.h"
 #include "emulator/standin_stats.h"
 #include "emulator/standin_watch.h"
 #include "http/http_server.h"
@@ -323,11 +323,6 @@
 			    http_server_port(port->server));
 }
 
-static void on_signal(evutil_socket_t fd, short events, void *arg)
-{
-	event_base_loopbreak(arg);
-}
-
 static gboolean listen_on(standin_t *standin, const char *address,
 			  uint16_t number)
 {
@@ -340,20 +335,10 @@
 		.handler = on_request,
 		.user_data = port,
 	};
-	GError *error = NULL;
 
 	port->standin = standin;
-	port->server = http_server_new(&options, &error);
-	if (!port->server) {
-		log_error("listen_failed", "message=%s",
-			  log_quote(error->message));
-		g_error_free(error);
-		g_free(port);
-		return FALSE;
-	}
-	log_info("started", "address=%s port=%u", address,
-		 http_server_port(port->server));
-	return TRUE;
+	port->server = standin_server_listen(&options);
+	return port->server != NULL;
 }
 
 static gboolean listen_on_all(standin_t *standin, const char *address,
@@ -385,11 +370,6 @@
 	options = (standin_watches_options_t){ standin->base, standin->table,
 					       &standin->fault, standin->held };
 	standin->watches = standin_watches_new(&options);
-	event_add(
-		evsignal_new(standin->base, SIGTERM, on_signal, standin->base),
-		NULL);
-	event_add(evsignal_new(standin->base, SIGINT, on_signal, standin->base),
-		  NULL);
 }
 
 int platform_standin_main(int argc, char **argv)
@@ -432,6 +412,6 @@
 	standin_setup(&standin);
 	if (!listen_on_all(&standin, address, port, more_ports))
 		return 1;
-	event_base_dispatch(standin.base);
+	standin_server_run(standin.base);
 	return 0;
 }
--- a/src/emulator/service.c
+++ b/src/emulator/service.c
@@ -2,7 +2,6 @@
 
 #include <event2/event.h>
 #include <jansson.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,6 +10,7 @@
 #include "base/setting.h"
 #include "emulator/engine_fault.h"
 #include "emulator/run_count.h"
+#include "emulator/standin_server.h"
 #include "http/http_server.h"
 
 #define MAX_BODY_BYTES (16 * 1024 * 1024)
@@ -164,11 +164,6 @@
 		handle_call(service, exchange);
 }
 
-static void on_signal(evutil_socket_t fd, short events, void *arg)
-{
-	event_base_loopbreak(arg);
-}
-
 static int service_run(service_t *service, const char *address, uint16_t port)
 {
 	const http_server_options_t options = {
@@ -179,22 +174,10 @@
 		.handler = on_request,
 		.user_data = service,
 	};
-	GError *error = NULL;
-	http_server_t *server = http_server_new(&options, &error);
 
-	if (!server) {
-		log_error("listen_failed", "message=%s",
-			  log_quote(error->message));
+	if (!standin_server_listen(&options))
 		return 1;
-	}
-	event_add(
-		evsignal_new(service->base, SIGTERM, on_signal, service->base),
-		NULL);
-	event_add(evsignal_new(service->base, SIGINT, on_signal, service->base),
-		  NULL);
-	log_info("started", "address=%s port=%u", address,
-		 http_server_port(server));
-	event_base_dispatch(service->base);
+	standin_server_run(service->base);
 	return 0;
 }
 
