Place ledger shards with bounded loads

Cause: an owner of two shards needs 260 MB at the design size, above the 256 MB that a node may use. Plain rendezvous hashing gives 2.5 of 380 nodes two of 48 shards or more (mean of 50 fleets, computed with the same hash).

Ruled out: an assignment kept in the store (one more object to agree on, and no progress without the store).

Change: new module placement: in the order of the shards, each goes to the alive member with the highest weight that has fewer than 1.25 equal shares, rounded up. It also names the standbys. Transient disagreement is decided by the lease as before.

Conclusion: a lost owner may move up to three further shards; that is the price of the bound.

--- a/src/coord/member.c
+++ b/src/coord/member.c
@@ -113,32 +113,6 @@
 	return best;
 }
 
-bool member_is_standby(const member_table_t *table, const char *key)
-{
-	const member_t *self = member_self(table);
-	const member_t *owner = member_owner(table, NULL, key);
-	uint64_t key_hash = ring_key_hash(key);
-	uint64_t own_weight = ring_weight_of(self->hash, key_hash);
-	bool after_owner = true;
-	bool after_domain = true;
-
-	if (!owner || owner == self || self->state != MEMBER_ALIVE)
-		return false;
-	after_domain = strcmp(self->domain, owner->domain) != 0;
-	for (guint i = 0; i < table->members->len; i++) {
-		const member_t *member = table->members->pdata[i];
-
-		if (member == owner || member == self ||
-		    member->state != MEMBER_ALIVE ||
-		    ring_weight_of(member->hash, key_hash) < own_weight)
-			continue;
-		after_owner = false;
-		if (strcmp(member->domain, owner->domain) != 0)
-			return false;
-	}
-	return after_owner || after_domain;
-}
-
 const char *member_state_name(member_state_t state)
 {
 	static const char *const names[] = { "alive", "suspect", "draining",
--- a/src/coord/member.h
+++ b/src/coord/member.h
@@ -56,10 +56,6 @@
 const member_t *member_owner(const member_table_t *table, const char *domain,
 			     const char *key);
 
-/* Whether the node itself would own the key if its owner were lost, alone or
- * with all other nodes of the owner's domain. */
-bool member_is_standby(const member_table_t *table, const char *key);
-
 const char *member_state_name(member_state_t state);
 
 #endif
--- /dev/null
+++ b/src/coord/placement.c
@@ -0,0 +1,141 @@
+#include "coord/placement.h"
+
+#include <string.h>
+
+#include "coord/ring.h"
+
+/* Keys a member may have beyond an equal share, in percent. Without slack a
+ * lost member would move many more keys than it had. */
+#define SLACK_PERCENT 25
+
+typedef struct place {
+	uint64_t key_hash;
+	char *owner;
+	bool own;
+	bool standby;
+} place_t;
+
+struct placement {
+	const member_table_t *members;
+	place_t *places;
+	uint32_t count;
+	uint32_t *loads; /* by index in the member table */
+	guint loads_len;
+};
+
+placement_t *placement_new(const member_table_t *members, const char *prefix,
+			   uint32_t count)
+{
+	placement_t *placement = g_new0(placement_t, 1);
+
+	placement->members = members;
+	placement->count = count;
+	placement->places = g_new0(place_t, count);
+	for (uint32_t i = 0; i < count; i++) {
+		char *key = g_strdup_printf("%s%u", prefix, i);
+
+		placement->places[i].key_hash = ring_key_hash(key);
+		g_free(key);
+	}
+	placement_update(placement);
+	return placement;
+}
+
+void placement_free(placement_t *placement)
+{
+	if (!placement)
+		return;
+	for (uint32_t i = 0; i < placement->count; i++)
+		g_free(placement->places[i].owner);
+	g_free(placement->places);
+	g_free(placement->loads);
+	g_free(placement);
+}
+
+uint32_t placement_bound(uint32_t keys, uint32_t alive)
+{
+	uint64_t shares = (uint64_t)keys * (100 + SLACK_PERCENT);
+
+	alive = MAX(alive, 1);
+	return (uint32_t)((shares + 100ULL * alive - 1) / (100ULL * alive));
+}
+
+/*
+ * The alive member with the highest weight and a load below the bound, other
+ * than without and, if asked for, outside its domain.
+ */
+static int32_t best_member(const placement_t *placement, uint64_t key_hash,
+			   uint32_t bound, const member_t *without,
+			   bool other_domain)
+{
+	const GPtrArray *all = member_all(placement->members);
+	uint64_t best_weight = 0;
+	int32_t best = -1;
+
+	for (guint i = 0; i < all->len; i++) {
+		const member_t *member = all->pdata[i];
+		uint64_t weight = ring_weight_of(member->hash, key_hash);
+
+		if (member->state != MEMBER_ALIVE || member == without ||
+		    placement->loads[i] >= bound ||
+		    (best >= 0 && weight <= best_weight) ||
+		    (other_domain &&
+		     strcmp(member->domain, without->domain) == 0))
+			continue;
+		best = (int32_t)i;
+		best_weight = weight;
+	}
+	return best;
+}
+
+static void place(placement_t *placement, place_t *place, uint32_t bound)
+{
+	const GPtrArray *all = member_all(placement->members);
+	int32_t best =
+		best_member(placement, place->key_hash, bound, NULL, false);
+	const member_t *owner = best >= 0 ? all->pdata[best] : NULL;
+
+	if (g_strcmp0(place->owner, owner ? owner->address : NULL) != 0) {
+		g_free(place->owner);
+		place->owner = owner ? g_strdup(owner->address) : NULL;
+	}
+	/* The node itself is the table's first member. */
+	place->own = best == 0;
+	place->standby = best > 0 && (best_member(placement, place->key_hash,
+						  bound, owner, false) == 0 ||
+				      best_member(placement, place->key_hash,
+						  bound, owner, true) == 0);
+	if (best >= 0)
+		placement->loads[best]++;
+}
+
+void placement_update(placement_t *placement)
+{
+	guint members = member_all(placement->members)->len;
+	uint32_t bound =
+		placement_bound(placement->count,
+				member_count(placement->members, MEMBER_ALIVE));
+
+	if (placement->loads_len < members) {
+		placement->loads = g_renew(uint32_t, placement->loads, members);
+		placement->loads_len = members;
+	}
+	memset(placement->loads, 0, members * sizeof(uint32_t));
+	for (uint32_t i = 0; i < placement->count; i++)
+		place(placement, &placement->places[i], bound);
+}
+
+const char *placement_owner(const placement_t *placement, uint32_t number)
+{
+	return placement->places[number].owner;
+}
+
+bool placement_is_own(const placement_t *placement, uint32_t number)
+{
+	return placement->places[number].own;
+}
+
+bool placement_is_standby(const placement_t *placement, uint32_t number)
+{
+	return placement->places[number].standby;
+}
--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -114,21 +114,19 @@
 
 static void choose_candidates(records_t *records)
 {
-	const member_t *self = member_self(records->options.members);
+	bool may_own = !records->releasing;
 
 	records->candidates_ms = records_state_now_ms(records);
+	placement_update(records->placement);
 	for (uint32_t i = 0; i < records->shard_count; i++) {
 		place_t *place = &records->places[i];
 
-		place->candidate = !records->releasing &&
-				   member_owner(records->options.members, NULL,
-						place->key) == self;
+		place->candidate =
+			may_own && placement_is_own(records->placement, i);
 		shard_set_candidate(place->shard, place->candidate);
 		shard_set_standby(
 			place->shard,
-			!records->releasing &&
-				member_is_standby(records->options.members,
-						  place->key));
+			may_own && placement_is_standby(records->placement, i));
 	}
 }
 
@@ -210,6 +208,8 @@
 {
 	const records_options_t *options = &records->options;
 
+	records->placement =
+		placement_new(options->members, "shard/", records->shard_count);
 	records->places = g_new0(place_t, records->shard_count);
 	for (uint32_t i = 0; i < records->shard_count; i++) {
 		place_t *place = &records->places[i];
@@ -284,5 +284,6 @@
 	g_ptr_array_free(records->scans, TRUE);
 	g_free(records->counters);
 	g_free(records->places);
+	placement_free(records->placement);
 	g_free(records);
 }
--- a/src/entry/records_place.c
+++ b/src/entry/records_place.c
@@ -37,7 +37,7 @@
 const char *records_place_target(const place_t *place)
 {
 	const records_t *records = place->records;
-	const member_t *candidate;
+	const char *candidate;
 
 	if (shard_is_owner(place->shard))
 		return NULL;
@@ -45,9 +45,10 @@
 		return place->hint;
 	if (records_place_usable(records, shard_owner(place->shard)))
 		return shard_owner(place->shard);
-	candidate = member_owner(records->options.members, NULL, place->key);
-	if (candidate && records_place_usable(records, candidate->address))
-		return candidate->address;
+	candidate =
+		placement_owner(records->placement, shard_number(place->shard));
+	if (records_place_usable(records, candidate))
+		return candidate;
 	return NULL;
 }
 
--- a/src/entry/records_state.h
+++ b/src/entry/records_state.h
@@ -1,6 +1,7 @@
 #ifndef WASABILINK_ENTRY_RECORDS_STATE_H
 #define WASABILINK_ENTRY_RECORDS_STATE_H
 
+#include "coord/placement.h"
 #include "coord/shard.h"
 #include "entry/records.h"
 
@@ -30,6 +31,7 @@
 struct records {
 	records_options_t options;
 	uint32_t shard_count;
+	placement_t *placement;
 	place_t *places;
 	shard_budget_t budget;
 	shard_stats_t stats;
