--- a/src/coord/placement.c
+++ b/src/coord/placement.c
@@ -20,7 +20,6 @@
 	place_t *places;
 	uint32_t count;
 	uint32_t *loads; /* by index in the member table */
-	guint loads_len;
 };
 
 placement_t *placement_new(const member_table_t *members, const char *prefix,
@@ -116,11 +115,8 @@
 		placement_bound(placement->count,
 				member_count(placement->members, MEMBER_ALIVE));
 
-	if (placement->loads_len < members) {
-		placement->loads = g_renew(uint32_t, placement->loads, members);
-		placement->loads_len = members;
-	}
-	memset(placement->loads, 0, members * sizeof(uint32_t));
+	g_free(placement->loads);
+	placement->loads = g_new0(uint32_t, members);
 	for (uint32_t i = 0; i < placement->count; i++)
 		place(placement, &placement->places[i], bound);
 }
