--- a/src/coord/placement.c
+++ b/src/coord/placement.c
@@ -7,6 +7,7 @@
 /* Keys a member may have beyond an equal share, in percent. Without slack a
  * lost member would move many more keys than it had. */
 #define SLACK_PERCENT 25
+#define NOBODY (-1)
 
 typedef struct place {
 	uint64_t key_hash;
@@ -59,27 +60,25 @@
 	return (uint32_t)((shares + 100ULL * alive - 1) / (100ULL * alive));
 }
 
-/*
- * The alive member with the highest weight and a load below the bound, other
- * than without and, if asked for, outside its domain.
- */
+/* The alive member with the highest weight and a load below the bound, other
+ * than the one at index without and outside of without_domain (NULL: any). */
 static int32_t best_member(const placement_t *placement, uint64_t key_hash,
-			   uint32_t bound, const member_t *without,
-			   bool other_domain)
+			   uint32_t bound, int32_t without,
+			   const char *without_domain)
 {
 	const GPtrArray *all = member_all(placement->members);
 	uint64_t best_weight = 0;
-	int32_t best = -1;
+	int32_t best = NOBODY;
 
 	for (guint i = 0; i < all->len; i++) {
 		const member_t *member = all->pdata[i];
 		uint64_t weight = ring_weight_of(member->hash, key_hash);
 
-		if (member->state != MEMBER_ALIVE || member == without ||
+		if (member->state != MEMBER_ALIVE || (int32_t)i == without ||
 		    placement->loads[i] >= bound ||
 		    (best >= 0 && weight <= best_weight) ||
-		    (other_domain &&
-		     strcmp(member->domain, without->domain) == 0))
+		    (without_domain &&
+		     strcmp(member->domain, without_domain) == 0))
 			continue;
 		best = (int32_t)i;
 		best_weight = weight;
@@ -90,22 +89,25 @@
 static void place(placement_t *placement, place_t *place, uint32_t bound)
 {
 	const GPtrArray *all = member_all(placement->members);
-	int32_t best =
-		best_member(placement, place->key_hash, bound, NULL, false);
-	const member_t *owner = best >= 0 ? all->pdata[best] : NULL;
-
-	if (g_strcmp0(place->owner, owner ? owner->address : NULL) != 0) {
-		g_free(place->owner);
-		place->owner = owner ? g_strdup(owner->address) : NULL;
-	}
+	uint64_t key = place->key_hash;
+	int32_t best = best_member(placement, key, bound, NOBODY, NULL);
+	const member_t *owner;
+
+	g_clear_pointer(&place->owner, g_free);
+	place->own = false;
+	place->standby = false;
+	if (best < 0)
+		return;
+	owner = all->pdata[best];
+	place->owner = g_strdup(owner->address);
 	/* The node itself is the table's first member. */
 	place->own = best == 0;
-	place->standby = best > 0 && (best_member(placement, place->key_hash,
-						  bound, owner, false) == 0 ||
-				      best_member(placement, place->key_hash,
-						  bound, owner, true) == 0);
-	if (best >= 0)
-		placement->loads[best]++;
+	if (!place->own)
+		place->standby =
+			best_member(placement, key, bound, best, NULL) == 0 ||
+			best_member(placement, key, bound, best,
+				    owner->domain) == 0;
+	placement->loads[best]++;
 }
 
 void placement_update(placement_t *placement)
