Relay the events of one loop pass as one chunk

Cause: every relayed event became a chunk of its own: an evbuffer was allocated, the size formatted into it, and its parts copied and linked by three calls, each of which ran the buffer's callbacks. evhttp hands out the events of one read one by one, so about 20 of them followed each other in the same pass of the loop.

Ruled out: a system call per event (the output was already sent once per pass), logging and timers per event (there are none).

Change: the pieces that one pass writes to an exchange are gathered in one buffer of the server and sent as one chunk by an event that runs at the end of the pass. The output is sent after the pass in any case, so no event waits longer. Streams move to src/http/http_stream.c.

tests/test_http_stream.c fails when pieces are sent one by one, and when pieces of two callers share a chunk.

--- /dev/null
+++ b/src/http/http_exchange.h
@@ -0,0 +1,51 @@
+#ifndef WASABILINK_HTTP_HTTP_EXCHANGE_H
+#define WASABILINK_HTTP_HTTP_EXCHANGE_H
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <evhtp.h>
+
+#include "http/http_server.h"
+
+/* http_exchange - one request and its answer, shared by http_server and
+ * http_stream only. */
+typedef enum exchange_state {
+	EXCHANGE_PENDING, /* not answered */
+	EXCHANGE_STREAMING, /* headers sent */
+	EXCHANGE_FINISHED, /* answer complete, may still be in the buffer */
+	EXCHANGE_ABORTING /* to be closed when the buffer is empty */
+} exchange_state_t;
+
+/* Lives as long as the evhtp request that it is attached to. */
+struct http_exchange {
+	struct http_connection *connection; /* NULL: evhtp is freeing it */
+	struct event_base *base;
+	http_gather_t *gather;
+	uint32_t *active; /* the server's count */
+	evhtp_request_t *request;
+	struct bufferevent *bev; /* of the connection */
+	struct event *peer_closed_event;
+	struct event *drained_event; /* the output buffer became empty */
+	http_closed_t closed;
+	void *closed_data;
+	http_drained_t drained;
+	void *drained_data;
+	struct evkeyvalq query;
+	char *body;
+	size_t body_len;
+	char *id;
+	char peer[INET6_ADDRSTRLEN];
+	exchange_state_t state;
+	bool query_parsed;
+	bool counted;
+	bool paused;
+};
+
+/* The answer is decided; the exchange no longer counts as active. */
+void http_exchange_mark_answered(http_exchange_t *exchange);
+/* Closes the connection, which ends the exchange later. */
+void http_exchange_close(http_exchange_t *exchange);
+
+#endif
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "http/http_exchange.h"
 #include "http/http_reject.h"
 
 #define LISTEN_BACKLOG 1024
@@ -24,11 +25,12 @@
 struct http_server {
 	evhtp_t *htp;
 	struct event_base *base;
+	http_gather_t *gather;
 	http_handler_t handler;
 	http_reject_t reject;
 	void *user_data;
 	struct event *sweep; /* looks for requests that come too slowly */
-	GQueue connections; /* connection_t */
+	GQueue connections; /* http_connection_t */
 	uint64_t max_body_bytes;
 	uint32_t max_header_bytes;
 	uint32_t max_connections;
@@ -38,7 +40,7 @@
 };
 
 /* Lives as long as the evhtp connection. */
-typedef struct connection {
+typedef struct http_connection {
 	http_server_t *server;
 	evhtp_connection_t *evhtp;
 	http_exchange_t *exchange; /* of the request that is handled */
@@ -54,45 +56,15 @@
 	bool headers_complete;
 	bool handling; /* the request is whole */
 	int reject_status; /* answer instead of handling; 0: none */
-} connection_t;
+} http_connection_t;
 
-typedef enum exchange_state {
-	EXCHANGE_PENDING, /* not answered */
-	EXCHANGE_STREAMING, /* headers sent */
-	EXCHANGE_FINISHED, /* answer complete, may still be in the buffer */
-	EXCHANGE_ABORTING /* to be closed when the buffer is empty */
-} exchange_state_t;
-
-/* Lives as long as the evhtp request that it is attached to. */
-struct http_exchange {
-	http_server_t *server;
-	connection_t *connection; /* NULL: evhtp is freeing it */
-	evhtp_request_t *request;
-	struct bufferevent *bev; /* of the connection */
-	struct event *peer_closed_event;
-	struct event *drained_event; /* the output buffer became empty */
-	http_closed_t closed;
-	void *closed_data;
-	http_drained_t drained;
-	void *drained_data;
-	struct evkeyvalq query;
-	char *body;
-	size_t body_len;
-	char *id;
-	char peer[INET6_ADDRSTRLEN];
-	exchange_state_t state;
-	bool query_parsed;
-	bool counted;
-	bool paused;
-};
-
-static connection_t *connection_of(const evhtp_request_t *request)
+static http_connection_t *connection_of(const evhtp_request_t *request)
 {
 	return request->conn->hooks->on_connection_fini_arg;
 }
 
 /* The next request on a kept connection starts. */
-static void connection_reset(connection_t *connection)
+static void connection_reset(http_connection_t *connection)
 {
 	connection->since_ms = clock_now_ms(clock_system());
 	connection->length = 0;
@@ -106,12 +78,12 @@
 	connection->handling = false;
 }
 
-static void mark_answered(http_exchange_t *exchange)
+void http_exchange_mark_answered(http_exchange_t *exchange)
 {
 	if (!exchange->counted)
 		return;
 	exchange->counted = false;
-	exchange->server->active--;
+	(*exchange->active)--;
 }
 
 static void notify_closed(http_exchange_t *exchange)
@@ -123,7 +95,7 @@
 		       exchange->state == EXCHANGE_STREAMING))
 		closed(exchange, exchange->closed_data);
 	exchange->state = EXCHANGE_FINISHED;
-	mark_answered(exchange);
+	http_exchange_mark_answered(exchange);
 }
 
 /*
@@ -139,8 +111,9 @@
 	bufferevent_enable(exchange->bev, EV_READ);
 }
 
-static void close_connection(http_exchange_t *exchange)
+void http_exchange_close(http_exchange_t *exchange)
 {
+	http_gather_drop(exchange->gather, exchange);
 	/* Reading sees the end of the stream, and evhtp frees the rest. */
 	shutdown(bufferevent_getfd(exchange->bev), SHUT_RDWR);
 	exchange_resume(exchange);
@@ -154,7 +127,7 @@
 	if (exchange->state == EXCHANGE_FINISHED)
 		return;
 	notify_closed(exchange);
-	close_connection(exchange);
+	http_exchange_close(exchange);
 }
 
 static void on_output_change(struct evbuffer *output,
@@ -165,6 +138,7 @@
 	http_exchange_t *exchange = arg;
 
 	notify_closed(exchange);
+	http_gather_drop(exchange->gather, exchange);
 	/* evhtp ends a connection before the request that is handled on it. */
 	if (exchange->connection) {
 		exchange->connection->exchange = NULL;
@@ -218,7 +192,7 @@
 	}
 	if (exchange->state == EXCHANGE_ABORTING) {
 		exchange->state = EXCHANGE_FINISHED;
-		close_connection(exchange);
+		http_exchange_close(exchange);
 		return;
 	}
 	exchange->drained = NULL;
@@ -235,7 +209,7 @@
 		event_active(exchange->drained_event, EV_TIMEOUT, 0);
 }
 
-static evhtp_res reject(connection_t *connection, int status)
+static evhtp_res reject(http_connection_t *connection, int status)
 {
 	connection->reject_status = status;
 	return EVHTP_RES_ERROR;
@@ -244,7 +218,7 @@
 static evhtp_res on_header(evhtp_request_t *request, evhtp_header_t *header,
 			   void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	uint32_t max_bytes = connection->server->max_header_bytes;
 
 	connection->header_bytes +=
@@ -267,7 +241,7 @@
 static evhtp_res on_headers(evhtp_request_t *request, evhtp_headers_t *headers,
 			    void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	uint64_t max_bytes = connection->server->max_body_bytes;
 	htparser *parser = connection->evhtp->parser;
 
@@ -286,7 +260,7 @@
  * Takes a large body out of evhtp's buffer, whose chains of many small pieces
  * need twice the space.
  */
-static void collect_body(connection_t *connection, struct evbuffer *piece,
+static void collect_body(http_connection_t *connection, struct evbuffer *piece,
 			 size_t before)
 {
 	size_t len = evbuffer_get_length(piece);
@@ -305,7 +279,7 @@
 static evhtp_res on_body(evhtp_request_t *request, struct evbuffer *piece,
 			 void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	uint64_t max_bytes = connection->server->max_body_bytes;
 	uint64_t before = connection->body_bytes;
 
@@ -318,7 +292,7 @@
 }
 
 /* What a connection that evhtp closes by itself is told, 0: nothing. */
-static int final_status(const connection_t *connection)
+static int final_status(const http_connection_t *connection)
 {
 	const evhtp_connection_t *evhtp = connection->evhtp;
 	struct evbuffer *input = bufferevent_get_input(evhtp->bev);
@@ -337,7 +311,7 @@
 
 static evhtp_res on_connection_fini(evhtp_connection_t *evhtp, void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	http_server_t *server = connection->server;
 	int status = final_status(connection);
 	GString *headers = g_string_new(NULL);
@@ -358,7 +332,7 @@
 	return EVHTP_RES_OK;
 }
 
-static bool is_too_slow(const connection_t *connection, int64_t now_ms)
+static bool is_too_slow(const http_connection_t *connection, int64_t now_ms)
 {
 	int64_t limit_ms = connection->server->read_timeout_ms;
 
@@ -371,7 +345,7 @@
 }
 
 /* A kept connection without a request is closed without an answer. */
-static bool is_idle(const connection_t *connection)
+static bool is_idle(const http_connection_t *connection)
 {
 	return connection->header_bytes == 0 && connection->evhtp->num_requests;
 }
@@ -384,7 +358,7 @@
 	GList *link = server->connections.head;
 
 	while (link) {
-		connection_t *connection = link->data;
+		http_connection_t *connection = link->data;
 
 		link = link->next;
 		if (!is_too_slow(connection, now_ms))
@@ -400,10 +374,12 @@
 {
 	http_server_t *server = arg;
 	http_exchange_t *exchange = g_new0(http_exchange_t, 1);
-	connection_t *connection = connection_of(request);
+	http_connection_t *connection = connection_of(request);
 
 	connection->handling = true;
-	exchange->server = server;
+	exchange->base = server->base;
+	exchange->gather = server->gather;
+	exchange->active = &server->active;
 	exchange->connection = connection;
 	connection->exchange = exchange;
 	exchange->request = request;
@@ -438,7 +414,7 @@
 static evhtp_res on_accept(evhtp_connection_t *evhtp, void *arg)
 {
 	http_server_t *server = arg;
-	connection_t *connection = g_new0(connection_t, 1);
+	http_connection_t *connection = g_new0(http_connection_t, 1);
 	int one = 1;
 
 	setsockopt(evhtp->sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -481,6 +457,7 @@
 				   options->read_timeout_ms % 1000 * 1000 };
 
 	server->base = options->base;
+	server->gather = http_gather_new(options->base);
 	server->handler = options->handler;
 	server->reject = options->reject;
 	server->max_body_bytes = options->max_body_bytes;
@@ -500,6 +477,7 @@
 			    "cannot listen on %s:%u: %s", options->address,
 			    options->port, g_strerror(errno));
 		evhtp_free(server->htp);
+		http_gather_free(server->gather);
 		g_free(server);
 		return NULL;
 	}
@@ -517,6 +495,7 @@
 	event_free(server->sweep);
 	evhtp_unbind_socket(server->htp);
 	evhtp_free(server->htp);
+	http_gather_free(server->gather);
 	g_free(server);
 }
 
@@ -632,7 +611,7 @@
 		return;
 	/* A paused connection does not read, so a close needs its own event. */
 	exchange->peer_closed_event =
-		event_new(exchange->server->base, bufferevent_getfd(bev),
+		event_new(exchange->base, bufferevent_getfd(bev),
 			  EV_CLOSED | EV_PERSIST, on_peer_closed, exchange);
 	event_add(exchange->peer_closed_event, NULL);
 }
@@ -661,72 +640,6 @@
 		evbuffer_add(exchange->request->buffer_out, body, len);
 	}
 	exchange->state = EXCHANGE_FINISHED;
-	mark_answered(exchange);
+	http_exchange_mark_answered(exchange);
 	evhtp_send_reply(exchange->request, (evhtp_res)status);
 }
-
-void http_stream_start(http_exchange_t *exchange, int status,
-		       const char *content_type)
-{
-	if (exchange->state != EXCHANGE_PENDING)
-		return;
-	if (content_type)
-		http_reply_header(exchange, "Content-Type", content_type);
-	exchange->state = EXCHANGE_STREAMING;
-	evhtp_send_reply_chunk_start(exchange->request, (evhtp_res)status);
-}
-
-void http_stream_write(http_exchange_t *exchange, const void *data, size_t len)
-{
-	struct evbuffer *chunk;
-
-	if (exchange->state != EXCHANGE_STREAMING || len == 0)
-		return;
-	chunk = evbuffer_new();
-	evbuffer_add(chunk, data, len);
-	evhtp_send_reply_chunk(exchange->request, chunk);
-	evbuffer_free(chunk);
-}
-
-size_t http_stream_pending(const http_exchange_t *exchange)
-{
-	return evbuffer_get_length(bufferevent_get_output(exchange->bev));
-}
-
-void http_stream_on_drained(http_exchange_t *exchange, http_drained_t drained,
-			    void *user_data)
-{
-	exchange->drained = drained;
-	exchange->drained_data = user_data;
-}
-
-void http_stream_end(http_exchange_t *exchange)
-{
-	if (exchange->state != EXCHANGE_STREAMING)
-		return;
-	exchange->state = EXCHANGE_FINISHED;
-	mark_answered(exchange);
-	evhtp_send_reply_chunk_end(exchange->request);
-}
-
-void http_stream_abort(http_exchange_t *exchange)
-{
-	if (exchange->state == EXCHANGE_FINISHED)
-		return;
-	mark_answered(exchange);
-	if (http_stream_pending(exchange) > 0) {
-		exchange->state = EXCHANGE_ABORTING;
-		return;
-	}
-	exchange->state = EXCHANGE_FINISHED;
-	close_connection(exchange);
-}
-
-void http_stream_cut(http_exchange_t *exchange)
-{
-	if (exchange->state == EXCHANGE_FINISHED)
-		return;
-	mark_answered(exchange);
-	exchange->state = EXCHANGE_FINISHED;
-	close_connection(exchange);
-}
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "http/http_stream.h"
+
 /*
  * http_server - asynchronous HTTP/1.1 server over libevhtp.
  *
@@ -20,11 +22,9 @@
 #define HTTP_MIN_BODY_RATE 32768 /* bytes per second */
 
 typedef struct http_server http_server_t;
-typedef struct http_exchange http_exchange_t;
 
 typedef void (*http_handler_t)(http_exchange_t *exchange, void *user_data);
 typedef void (*http_closed_t)(http_exchange_t *exchange, void *user_data);
-typedef void (*http_drained_t)(http_exchange_t *exchange, void *user_data);
 
 /* The body and further header lines of an answer to a request that cannot be
  * read: 400, 408, 413, 431, or 503 above max_connections. */
@@ -82,18 +82,5 @@
 		       const char *value);
 void http_reply(http_exchange_t *exchange, int status, const char *content_type,
 		const void *body, size_t len);
-void http_stream_start(http_exchange_t *exchange, int status,
-		       const char *content_type);
-void http_stream_write(http_exchange_t *exchange, const void *data, size_t len);
-/* Bytes that the peer has not taken yet. */
-size_t http_stream_pending(const http_exchange_t *exchange);
-/* Called once when all pending bytes have been sent. */
-void http_stream_on_drained(http_exchange_t *exchange, http_drained_t drained,
-			    void *user_data);
-void http_stream_end(http_exchange_t *exchange);
-/* Closes the connection without the final chunk: the peer sees a cut. */
-void http_stream_abort(http_exchange_t *exchange);
-/* The same without sending what is pending, for a peer that takes nothing. */
-void http_stream_cut(http_exchange_t *exchange);
 
 #endif
