--- a/src/emulator/generation.c
+++ b/src/emulator/generation.c
@@ -131,6 +131,7 @@
 	answer_append_token(generation->seed, generation->next_token, chunk);
 	g_string_append(chunk, "\"},\"finish_reason\":null}]}\n\n");
 	http_stream_write(generation->exchange, chunk->str, chunk->len);
+	http_stream_flush(generation->exchange);
 }
 
 static void append_usage(const generation_t *generation, GString *out)
@@ -156,6 +157,7 @@
 	}
 	g_string_append(chunk, "}\n\ndata: [DONE]\n\n");
 	http_stream_write(generation->exchange, chunk->str, chunk->len);
+	http_stream_flush(generation->exchange);
 	http_stream_end(generation->exchange);
 }
 
--- a/src/http/http_stream.c
+++ b/src/http/http_stream.c
@@ -70,7 +70,7 @@
 	g_string_truncate(gather->data, 0);
 }
 
-static void flush_own(http_exchange_t *exchange)
+void http_stream_flush(http_exchange_t *exchange)
 {
 	if (exchange->gather->exchange == exchange)
 		flush(exchange->gather);
@@ -127,7 +127,7 @@
 {
 	if (exchange->state != EXCHANGE_STREAMING)
 		return;
-	flush_own(exchange);
+	http_stream_flush(exchange);
 	exchange->state = EXCHANGE_FINISHED;
 	http_exchange_mark_answered(exchange);
 	evhtp_send_reply_chunk_end(exchange->request);
@@ -137,7 +137,7 @@
 {
 	if (exchange->state == EXCHANGE_FINISHED)
 		return;
-	flush_own(exchange);
+	http_stream_flush(exchange);
 	http_exchange_mark_answered(exchange);
 	if (http_stream_pending(exchange) > 0) {
 		exchange->state = EXCHANGE_ABORTING;
--- a/src/http/http_stream.h
+++ b/src/http/http_stream.h
@@ -18,6 +18,8 @@
 void http_stream_start(http_exchange_t *exchange, int status,
 		       const char *content_type);
 void http_stream_write(http_exchange_t *exchange, const void *data, size_t len);
+/* Ends a chunk here, for a stand-in that sends one per event. */
+void http_stream_flush(http_exchange_t *exchange);
 /* Bytes that the peer has not taken yet. */
 size_t http_stream_pending(const http_exchange_t *exchange);
 /* Called once when all pending bytes have been sent. */
