Learn from the write callback that an answer has been sent

Cause: each exchange had an event and an evbuffer callback that told when its output was empty. The callback ran at every change of the buffer, and the event took another turn of the loop before the request ended.

Ruled out: evhtp's hook for writing, which evhtp does not call while a connection is paused: answers then never end (tried, test_front hangs).

Change: evhtp's write callback is wrapped once per connection; libevent calls it when the output is empty. The request ends inside it.

--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -27,7 +27,6 @@
 	evhtp_request_t *request;
 	struct bufferevent *bev; /* of the connection */
 	struct event *peer_closed_event;
-	struct event *drained_event; /* the output buffer became empty */
 	http_closed_t closed;
 	void *closed_data;
 	http_drained_t drained;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -50,6 +50,7 @@
 	uint64_t body_bytes; /* received */
 	char *body; /* of a large request; NULL: evhtp holds it */
 	size_t body_size; /* allocated */
+	bufferevent_data_cb evhtp_write; /* evhtp's own callback */
 	uint32_t header_bytes;
 	uint16_t lengths; /* Content-Length headers seen */
 	bool chunked;
@@ -130,9 +131,6 @@
 	http_exchange_close(exchange);
 }
 
-static void on_output_change(struct evbuffer *output,
-			     const struct evbuffer_cb_info *info, void *arg);
-
 static evhtp_res on_request_fini(evhtp_request_t *request, void *arg)
 {
 	http_exchange_t *exchange = arg;
@@ -146,11 +144,6 @@
 	}
 	if (exchange->peer_closed_event)
 		event_free(exchange->peer_closed_event);
-	if (exchange->drained_event) {
-		evbuffer_remove_cb(bufferevent_get_output(exchange->bev),
-				   on_output_change, exchange);
-		event_free(exchange->drained_event);
-	}
 	if (exchange->query_parsed)
 		evhttp_clear_headers(&exchange->query);
 	g_free(exchange->body);
@@ -159,29 +152,24 @@
 	return EVHTP_RES_OK;
 }
 
-/* Lets evhtp end the request; it keeps or closes the connection. */
+/*
+ * Lets evhtp, in whose write callback this runs, end the request; it keeps or
+ * closes the connection.
+ */
 static void complete(http_exchange_t *exchange)
 {
 	struct bufferevent *bev = exchange->bev;
 
-	if (!exchange->paused)
-		return;
-	bufferevent_incref(bev);
 	exchange_resume(exchange);
-	/*
-	 * evhtp ends a finished request in its write callback only, which it
-	 * skips while the connection is paused. This frees the exchange.
-	 */
-	bufferevent_trigger(bev, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
 	/* A pipelined request may wait in the input buffer. */
 	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
-		bufferevent_trigger(bev, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
-	bufferevent_decref(bev);
+		bufferevent_trigger(bev, EV_READ,
+				    BEV_TRIG_IGNORE_WATERMARKS |
+					    BEV_TRIG_DEFER_CALLBACKS);
 }
 
-static void on_drained(evutil_socket_t fd, short events, void *arg)
+static void take_drained(http_exchange_t *exchange)
 {
-	http_exchange_t *exchange = arg;
 	http_drained_t drained = exchange->drained;
 
 	if (http_stream_pending(exchange) > 0)
@@ -200,13 +188,32 @@
 		drained(exchange, exchange->drained_data);
 }
 
-static void on_output_change(struct evbuffer *output,
-			     const struct evbuffer_cb_info *info, void *arg)
+/* The output buffer is empty. evhtp ignores this while it is paused. */
+static void on_write(struct bufferevent *bev, void *arg)
 {
-	http_exchange_t *exchange = arg;
+	evhtp_connection_t *evhtp = arg;
+	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
+	bufferevent_data_cb evhtp_write = connection->evhtp_write;
+
+	if (connection->exchange)
+		take_drained(connection->exchange);
+	evhtp_write(bev, arg);
+}
+
+/* evhtp has set its callbacks when the first request is whole. */
+static void watch_output(http_connection_t *connection)
+{
+	struct bufferevent *bev = connection->evhtp->bev;
+	bufferevent_data_cb read;
+	bufferevent_data_cb write;
+	bufferevent_event_cb event;
+	void *arg;
 
-	if (info->n_deleted > 0 && evbuffer_get_length(output) == 0)
-		event_active(exchange->drained_event, EV_TIMEOUT, 0);
+	if (connection->evhtp_write)
+		return;
+	bufferevent_getcb(bev, &read, &write, &event, &arg);
+	connection->evhtp_write = write;
+	bufferevent_setcb(bev, read, on_write, event, arg);
 }
 
 static evhtp_res reject(http_connection_t *connection, int status)
@@ -398,10 +405,7 @@
 	 * evhtp does not resume pipelined input when it was not paused.
 	 */
 	exchange->paused = true;
-	exchange->drained_event =
-		event_new(server->base, -1, 0, on_drained, exchange);
-	evbuffer_add_cb(bufferevent_get_output(exchange->bev), on_output_change,
-			exchange);
+	watch_output(connection);
 	evhtp_request_pause(request);
 	server->handler(exchange, server->user_data);
 	/*
