Free what an open stream does not need while it waits

Cause: of 18.0 KB of heap per open stream (massif, 500 streams), evhtp's HTTP parser is 8.3 KB, which a connection needs only to read a request; 1.0 KB is evhtp's copy of the request's body, and the body was held twice more, in the exchange and in the chat; the request's headers on both sides are about 1.5 KB. Kept input buffers, which were suspected, are not there: libevent frees a buffer that has been drained.

Change: the owner of an exchange can release the request; chat does so for streams once it has taken over the body. The release runs after the handler, as evhtp's parser is then off the stack. While the request is answered, connections share a parser that only knows the HTTP version; each gets one of its own again before evhtp reads on. The chat's body, now the only copy, is freed at the first token, after which there is no retry. The headers sent to the engine are freed when its answer starts.

--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -173,16 +173,15 @@
 	int64_t wait_ms = chat->request.deadline_ms ?
 				  chat->request.deadline_ms :
 				  entry->options.request_timeout_ms;
-	size_t len;
-	const char *body = http_body(chat->exchange, &len);
 
 	chat->pool = pool_find(entry->pools, chat->caller->partner->name,
 			       chat->deployment->name, false);
 	chat->number = ++entry->next_request;
 	if (!acquire_limits(chat))
 		return;
-	chat->body = g_memdup2(body, len);
-	chat->body_len = len;
+	chat->body = http_steal_body(chat->exchange, &chat->body_len);
+	if (chat->request.stream)
+		http_release_request(chat->exchange);
 	chat->deadline_us = clock_now_us(entry->clock) + wait_ms * 1000;
 	count_request(chat);
 	http_on_closed(chat->exchange, on_caller_closed, chat);
--- a/src/entry/chat_try.c
+++ b/src/entry/chat_try.c
@@ -54,6 +54,7 @@
 
 	win(try);
 	chat_state_set(chat, REQUEST_STREAMING);
+	g_clear_pointer(&chat->body, g_free); /* no retry any more */
 	if (!chat_state_is_detached(chat))
 		chat_answer_start(chat);
 }
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -202,6 +202,8 @@
 	if (call->cancelled)
 		return 0;
 	call->status = evhttp_request_get_response_code(request);
+	/* The request has gone out whole or is not wanted any more. */
+	evhttp_clear_headers(evhttp_request_get_output_headers(request));
 	if (call->on_headers)
 		call->on_headers(call, call->status, call->user_data);
 	return 0;
--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -24,6 +24,8 @@
 	struct event_base *base;
 	http_gather_t *gather;
 	uint32_t *active; /* the server's count */
+	GQueue *released; /* the server's, of release_link */
+	GList release_link; /* data is NULL outside the queue */
 	evhtp_request_t *request;
 	struct bufferevent *bev; /* of the connection */
 	struct event *peer_closed_event;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -29,6 +29,9 @@
 	http_handler_t handler;
 	http_reject_t reject;
 	void *user_data;
+	struct event *release; /* frees what waiting exchanges do not need */
+	GQueue released; /* http_exchange_t */
+	htparser *answering[2]; /* for waiting connections, by minor version */
 	struct event *sweep; /* looks for requests that come too slowly */
 	GQueue connections; /* http_connection_t */
 	uint64_t max_body_bytes;
@@ -56,6 +59,7 @@
 	bool chunked;
 	bool headers_complete;
 	bool handling; /* the request is whole */
+	bool shares_parser; /* see release_parser() */
 	int reject_status; /* answer instead of handling; 0: none */
 } http_connection_t;
 
@@ -99,6 +103,34 @@
 	http_exchange_mark_answered(exchange);
 }
 
+/*
+ * evhtp's parser is 8 KB, and nothing but the version is read from it while a
+ * request is answered. So waiting connections share two.
+ */
+static void release_parser(http_connection_t *connection)
+{
+	evhtp_connection_t *evhtp = connection->evhtp;
+	uint8_t minor = htparser_get_minor(evhtp->parser);
+
+	if (connection->shares_parser)
+		return;
+	free(evhtp->parser);
+	evhtp->parser = connection->server->answering[minor];
+	connection->shares_parser = true;
+}
+
+static void restore_parser(http_connection_t *connection)
+{
+	evhtp_connection_t *evhtp = connection->evhtp;
+
+	if (!connection->shares_parser)
+		return;
+	connection->shares_parser = false;
+	evhtp->parser = htparser_new();
+	htparser_init(evhtp->parser, htp_type_request);
+	htparser_set_userdata(evhtp->parser, evhtp);
+}
+
 /*
  * Clears evhtp's pause mark directly: evhtp_request_resume() also enables
  * writing, and evhtp shuts down an idle kept connection that becomes writable.
@@ -108,6 +140,7 @@
 	if (!exchange->paused)
 		return;
 	exchange->paused = false;
+	restore_parser(exchange->connection);
 	exchange->request->conn->flags &= ~EVHTP_CONN_FLAG_PAUSED;
 	bufferevent_enable(exchange->bev, EV_READ);
 }
@@ -131,6 +164,50 @@
 	http_exchange_close(exchange);
 }
 
+static htparser *answering_parser_new(unsigned char minor)
+{
+	htparser *parser = htparser_new();
+
+	htparser_init(parser, htp_type_request);
+	htparser_set_major(parser, 1);
+	htparser_set_minor(parser, minor);
+	return parser;
+}
+
+static void release(http_exchange_t *exchange)
+{
+	evhtp_request_t *request = exchange->request;
+
+	exchange->release_link.data = NULL;
+	evbuffer_drain(request->buffer_in,
+		       evbuffer_get_length(request->buffer_in));
+	evhtp_headers_free(request->headers_in);
+	request->headers_in = evhtp_headers_new();
+	g_clear_pointer(&exchange->body, g_free);
+	release_parser(exchange->connection);
+}
+
+static void on_release(evutil_socket_t fd, short events, void *arg)
+{
+	http_server_t *server = arg;
+	GList *link;
+
+	while ((link = g_queue_pop_head_link(&server->released)))
+		release(link->data);
+}
+
+void http_release_request(http_exchange_t *exchange)
+{
+	http_server_t *server = exchange->connection->server;
+
+	if (exchange->release_link.data)
+		return;
+	/* Deferred: evhtp's parser may be on the stack. */
+	exchange->release_link.data = exchange;
+	g_queue_push_tail_link(&server->released, &exchange->release_link);
+	event_active(server->release, EV_TIMEOUT, 0);
+}
+
 static evhtp_res on_request_fini(evhtp_request_t *request, void *arg)
 {
 	http_exchange_t *exchange = arg;
@@ -138,6 +215,8 @@
 	notify_closed(exchange);
 	http_gather_drop(exchange->gather, exchange);
 	/* evhtp ends a connection before the request that is handled on it. */
+	if (exchange->release_link.data)
+		g_queue_unlink(exchange->released, &exchange->release_link);
 	if (exchange->connection) {
 		exchange->connection->exchange = NULL;
 		connection_reset(exchange->connection);
@@ -316,21 +395,32 @@
 	return 400;
 }
 
-static evhtp_res on_connection_fini(evhtp_connection_t *evhtp, void *arg)
+static void send_final_status(const http_connection_t *connection)
 {
-	http_connection_t *connection = arg;
-	http_server_t *server = connection->server;
+	const http_server_t *server = connection->server;
 	int status = final_status(connection);
-	GString *headers = g_string_new(NULL);
-	GString *body = g_string_new(NULL);
+	GString *headers;
+	GString *body;
 
-	if (status && server->reject)
+	if (!status)
+		return;
+	headers = g_string_new(NULL);
+	body = g_string_new(NULL);
+	if (server->reject)
 		server->reject(status, headers, body, server->user_data);
-	if (status)
-		http_reject_send(server->base, evhtp->sock, status, headers,
-				 body);
+	http_reject_send(server->base, connection->evhtp->sock, status, headers,
+			 body);
 	g_string_free(headers, TRUE);
 	g_string_free(body, TRUE);
+}
+
+static evhtp_res on_connection_fini(evhtp_connection_t *evhtp, void *arg)
+{
+	http_connection_t *connection = arg;
+	http_server_t *server = connection->server;
+
+	restore_parser(connection);
+	send_final_status(connection);
 	g_queue_unlink(&server->connections, &connection->link);
 	if (connection->exchange)
 		connection->exchange->connection = NULL;
@@ -387,6 +477,7 @@
 	exchange->base = server->base;
 	exchange->gather = server->gather;
 	exchange->active = &server->active;
+	exchange->released = &server->released;
 	exchange->connection = connection;
 	connection->exchange = exchange;
 	exchange->request = request;
@@ -486,6 +577,10 @@
 		return NULL;
 	}
 	server->port = bound_port(server->htp);
+	g_queue_init(&server->released);
+	server->release = event_new(options->base, -1, 0, on_release, server);
+	for (unsigned char minor = 0; minor < 2; minor++)
+		server->answering[minor] = answering_parser_new(minor);
 	server->sweep = evtimer_new(options->base, on_sweep, server);
 	if (options->read_timeout_ms)
 		on_sweep(-1, 0, server);
@@ -497,9 +592,12 @@
 	if (!server)
 		return;
 	event_free(server->sweep);
+	event_free(server->release);
 	evhtp_unbind_socket(server->htp);
 	evhtp_free(server->htp);
 	http_gather_free(server->gather);
+	for (size_t i = 0; i < G_N_ELEMENTS(server->answering); i++)
+		free(server->answering[i]);
 	g_free(server);
 }
 
@@ -577,6 +675,12 @@
 	return exchange->body;
 }
 
+char *http_steal_body(http_exchange_t *exchange, size_t *len)
+{
+	http_body(exchange, len);
+	return g_steal_pointer(&exchange->body);
+}
+
 void http_set_id(http_exchange_t *exchange, const char *id)
 {
 	g_free(exchange->id);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -65,6 +65,11 @@
 const char *http_header(const http_exchange_t *exchange, const char *name);
 /* The body as one block, NUL-terminated beyond *len. Never NULL. */
 const char *http_body(http_exchange_t *exchange, size_t *len);
+/* The body as a block of the caller's, to be freed with g_free(). */
+char *http_steal_body(http_exchange_t *exchange, size_t *len);
+/* The owner needs the headers, the query and the body no more; an answer that
+ * takes long then holds little memory. */
+void http_release_request(http_exchange_t *exchange);
 /* Names the exchange for logs and adds the name to the answer's headers as
  * x-request-id. At most HTTP_ID_MAX characters are kept. */
 #define HTTP_ID_MAX 128
