Free headers and hook tables of an open stream

Cause: after the parser, an open stream still held the answer's headers on both connections, which are read no more, and a second table of evhtp's hooks (256 bytes) for one hook.

Change: the answer's headers are freed when they have gone out, those of the engine's answer at its first piece, but for the two that are read at the end. The hook is set on the connection.

Ruled out for what remains: pages that free() keeps. malloc_trim(0), called by gdb with 2,000 open streams, gives back 0.2 of 20.5 MB, and an mmap threshold of 8 KB saves 1.1 MB: the holes are smaller than a page.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -35,6 +35,7 @@
 	GString *body;
 	int status;
 	bool transport_error; /* evhttp reported a failure after connecting */
+	bool headers_dropped;
 	bool cancelled;
 	bool starting; /* inside evhttp_make_request() */
 	bool failed_to_start;
@@ -209,6 +210,27 @@
 	return 0;
 }
 
+/* What is read after the start of an answer's body, by evhttp or by users. */
+static bool is_read_late(const char *header)
+{
+	return g_ascii_strcasecmp(header, "Connection") == 0 ||
+	       g_ascii_strcasecmp(header, "Retry-After") == 0;
+}
+
+/* A long answer holds no more headers than needed. */
+static void drop_headers(struct evkeyvalq *headers)
+{
+	struct evkeyval *header = headers->tqh_first;
+
+	while (header) {
+		struct evkeyval *next = header->next.tqe_next;
+
+		if (!is_read_late(header->key))
+			evhttp_remove_header(headers, header->key);
+		header = next;
+	}
+}
+
 static void on_evhttp_chunk(struct evhttp_request *request, void *arg)
 {
 	http_call_t *call = arg;
@@ -218,6 +240,10 @@
 
 	if (call->cancelled || len == 0)
 		return;
+	if (call->on_data && !call->headers_dropped) {
+		call->headers_dropped = true;
+		drop_headers(evhttp_request_get_input_headers(request));
+	}
 	data = (const char *)evbuffer_pullup(input, -1);
 	if (call->on_data)
 		call->on_data(call, data, len, call->user_data);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -64,7 +64,8 @@
 void http_call_cancel(http_call_t *call);
 /* Stops or continues reading the answer, for backpressure. */
 void http_call_pause(http_call_t *call, bool pause);
-/* Answer header, valid during callbacks after the headers arrived. */
+/* Answer header, valid during callbacks after the headers arrived; with a data
+ * callback all but Retry-After end with the headers callback. */
 const char *http_answer_header(const http_call_t *call, const char *name);
 
 #endif
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -217,6 +217,8 @@
 	/* evhtp ends a connection before the request that is handled on it. */
 	if (exchange->release_link.data)
 		g_queue_unlink(exchange->released, &exchange->release_link);
+	evhtp_connection_set_hook(request->conn, evhtp_hook_on_request_fini,
+				  NULL, NULL);
 	if (exchange->connection) {
 		exchange->connection->exchange = NULL;
 		connection_reset(exchange->connection);
@@ -489,8 +491,9 @@
 		exchange->body[exchange->body_len] = '\0';
 	}
 	server->active++;
-	evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
-			       (evhtp_hook)on_request_fini, exchange);
+	/* A hook of the request's own would need a table of all hooks. */
+	evhtp_connection_set_hook(connection->evhtp, evhtp_hook_on_request_fini,
+				  (evhtp_hook)on_request_fini, exchange);
 	/*
 	 * One request at a time: a pipelined one waits in the input buffer.
 	 * evhtp does not resume pipelined input when it was not paused.
--- a/src/http/http_stream.c
+++ b/src/http/http_stream.c
@@ -79,12 +79,17 @@
 void http_stream_start(http_exchange_t *exchange, int status,
 		       const char *content_type)
 {
+	evhtp_request_t *request = exchange->request;
+
 	if (exchange->state != EXCHANGE_PENDING)
 		return;
 	if (content_type)
 		http_reply_header(exchange, "Content-Type", content_type);
 	exchange->state = EXCHANGE_STREAMING;
-	evhtp_send_reply_chunk_start(exchange->request, (evhtp_res)status);
+	evhtp_send_reply_chunk_start(request, (evhtp_res)status);
+	/* They have gone out. */
+	evhtp_headers_free(request->headers_out);
+	request->headers_out = evhtp_headers_new();
 }
 
 void http_stream_write(http_exchange_t *exchange, const void *data, size_t len)
