--- a/tests/process/scripted_engine.py
+++ b/tests/process/scripted_engine.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+FLOOD_BYTES = 64 * 1024 * 1024
 TOKENS = ["red ", "koi ", "pond "]
 
 
@@ -11,7 +12,8 @@
     """Answers chat completions by `mode`; `first_only` fails first tries only.
 
     runs counts, by prompt, the calls that were started on the model; calls
-    counts all that came in; closed holds the prompts whose caller went away.
+    counts all that came in; closed holds the prompts whose caller went away;
+    sent counts the bytes of the mode flood.
     """
 
     def __init__(self):
@@ -20,6 +22,7 @@
         self.runs = {}
         self.calls = {}
         self.closed = set()
+        self.sent = {}
         self.headers = {}
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.port = self.listener.getsockname()[1]
@@ -72,6 +75,9 @@
             self.reply(connection, 200, {"running": 0, "queued": 0,
                                          "slots": 100}, {})
             return True
+        if path != "/v1/chat/completions":
+            self.reply(connection, 404, {}, {})
+            return True
         return self.chat(connection, headers, json.loads(body))
 
     def reply(self, connection, status, body, headers):
@@ -128,6 +134,9 @@
         head = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
                 f"X-Request-Id: {echo['X-Request-Id']}\r\n\r\n")
         connection.sendall(head.encode())
+        if mode == "flood":
+            self.flood(connection, prompt)
+            return False
         for token in TOKENS:
             self.event(connection, {"choices": [
                 {"index": 0, "delta": {"content": token},
@@ -147,6 +156,18 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def flood(self, connection, prompt):
+        """Sends until the caller goes away or FLOOD_BYTES have gone out."""
+        event = {"choices": [{"index": 0, "delta": {"content": "x" * 4000},
+                              "finish_reason": None}]}
+        self.sent[prompt] = 0
+        try:
+            while self.sent[prompt] < FLOOD_BYTES:
+                self.event(connection, event)
+                self.sent[prompt] += 4000
+        except OSError:
+            self.closed.add(prompt)
+
     def event(self, connection, event):
         self.chunk(connection, b"data: " + json.dumps(event).encode() +
                    b"\n\n")
