Send answers and requests in the pass that writes them

Cause: libevent sends the output of a connection only after epoll has said that the socket is writable. That takes two changes of the epoll set and another pass of the loop on each of the two connections of a request, though a socket that has taken everything so far is nearly always writable.

Change: http_send_now() activates the write event at once. What the socket does not take is sent as before. The client does it only on a connection that is open already: a write on a socket that is still connecting would report the failure to connect as a cut, and so not as not_run.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -7,6 +7,8 @@
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 
+#include "http/http_send.h"
+
 #define MAX_IDLE_PER_ADDRESS 256
 #define MAX_ANSWER_BYTES (64 * 1024 * 1024)
 
@@ -307,6 +309,8 @@
 	http_call_t *call = g_new0(http_call_t, 1);
 	struct timeval timeout = { options->timeout_ms / 1000,
 				   options->timeout_ms % 1000 * 1000 };
+	struct bufferevent *bev;
+	bool kept;
 
 	call->client = client;
 	call->on_headers = options->on_headers;
@@ -323,12 +327,18 @@
 	evhttp_request_set_chunked_cb(call->request, on_evhttp_chunk);
 	add_headers(call->request, options);
 	call->timer = evtimer_new(client->base, on_timer, call);
+	bev = evhttp_connection_get_bufferevent(call->connection->evcon);
+	/* evhttp takes the socket away when the peer closes the connection, and
+	 * a write before a new one is connected would hide that it failed. */
+	kept = bufferevent_getfd(bev) >= 0;
 	call->starting = true;
 	if (evhttp_make_request(call->connection->evcon, call->request,
 				command_of(options->method),
 				options->target) != 0)
 		call->failed_to_start = true;
 	call->starting = false;
+	if (kept && !call->failed_to_start)
+		http_send_now(bev);
 	if (call->failed_to_start)
 		timeout = (struct timeval){ 0, 0 };
 	if (options->timeout_ms || call->failed_to_start)
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -16,6 +16,7 @@
 #include "base/error.h"
 #include "http/http_exchange.h"
 #include "http/http_reject.h"
+#include "http/http_send.h"
 
 #define LISTEN_BACKLOG 1024
 #define LARGE_BODY_BYTES (64 * 1024)
@@ -753,4 +754,5 @@
 	exchange->state = EXCHANGE_FINISHED;
 	http_exchange_mark_answered(exchange);
 	evhtp_send_reply(exchange->request, (evhtp_res)status);
+	http_send_now(exchange->bev);
 }
--- a/src/http/http_stream.c
+++ b/src/http/http_stream.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "http/http_exchange.h"
+#include "http/http_send.h"
 
 /* Larger writes gain nothing from being gathered. */
 #define GATHER_MAX_BYTES (16 * 1024)
@@ -22,6 +23,7 @@
 					  { (void *)data, len },
 					  { "\r\n", 2 } };
 
+	http_send_now(exchange->bev);
 	if (!(exchange->request->flags & EVHTP_REQ_FLAG_CHUNKED)) {
 		evbuffer_add(output, data, len); /* HTTP/1.0 */
 		return;
@@ -136,6 +138,7 @@
 	exchange->state = EXCHANGE_FINISHED;
 	http_exchange_mark_answered(exchange);
 	evhtp_send_reply_chunk_end(exchange->request);
+	http_send_now(exchange->bev);
 }
 
 void http_stream_abort(http_exchange_t *exchange)
