Hand on the chunks of one read from an engine together

Cause: evhttp calls back for each chunk, and each call went through the event parser, the chat and the server's stream by itself, with a look at the clock and at what the caller has pending.

Change: the HTTP client gathers the pieces of one call in one pass of the loop and hands them on at the end of the pass, before the call's end, and before another call's pieces. An answer that is cut still hands on what came before the cut.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -23,6 +23,9 @@
 	GHashTable *calls; /* set of live calls */
 	GQueue garbage; /* connections to free outside evhttp's callbacks */
 	struct event *garbage_event;
+	struct event *flush_event;
+	http_call_t *gathering; /* whose pieces are held; NULL: none */
+	GString *pieces;
 };
 
 struct http_call {
@@ -73,6 +76,28 @@
 	g_queue_free_full(queue, (GDestroyNotify)connection_free);
 }
 
+/*
+ * evhttp hands out each chunk of an answer by itself. Those of one pass of the
+ * event loop are handed on together, at the end of the pass.
+ */
+static void flush(http_client_t *client)
+{
+	http_call_t *call = client->gathering;
+	GString *pieces = client->pieces;
+
+	if (!call)
+		return;
+	client->gathering = NULL;
+	if (!call->cancelled)
+		call->on_data(call, pieces->str, pieces->len, call->user_data);
+	g_string_truncate(pieces, 0);
+}
+
+static void on_flush(evutil_socket_t fd, short events, void *arg)
+{
+	flush(arg);
+}
+
 http_client_t *http_client_new(struct event_base *base)
 {
 	http_client_t *client = g_new0(http_client_t, 1);
@@ -83,6 +108,8 @@
 	client->calls = g_hash_table_new(NULL, NULL);
 	g_queue_init(&client->garbage);
 	client->garbage_event = event_new(base, -1, 0, on_garbage, client);
+	client->flush_event = event_new(base, -1, 0, on_flush, client);
+	client->pieces = g_string_new(NULL);
 	return client;
 }
 
@@ -134,6 +161,10 @@
 
 static void call_free(http_call_t *call)
 {
+	if (call->client->gathering == call) {
+		call->client->gathering = NULL;
+		g_string_truncate(call->client->pieces, 0);
+	}
 	if (call->timer)
 		event_free(call->timer);
 	if (call->body)
@@ -165,6 +196,22 @@
 	call->transport_error = true;
 }
 
+static void gather(http_call_t *call, struct evbuffer *input, size_t len)
+{
+	http_client_t *client = call->client;
+	GString *pieces = client->pieces;
+	size_t before;
+
+	if (client->gathering != call)
+		flush(client);
+	if (!client->gathering)
+		event_active(client->flush_event, EV_TIMEOUT, 0);
+	client->gathering = call;
+	before = pieces->len;
+	g_string_set_size(pieces, before + len);
+	evbuffer_copyout(input, pieces->str + before, len);
+}
+
 static void on_evhttp_done(struct evhttp_request *request, void *arg)
 {
 	http_call_t *call = arg;
@@ -181,6 +228,8 @@
 		call->request = NULL;
 		return;
 	}
+	if (client->gathering == call)
+		flush(client);
 	if (call->cancelled) {
 		call->request = NULL; /* evhttp frees it after this callback */
 		return;
@@ -246,11 +295,12 @@
 		call->headers_dropped = true;
 		drop_headers(evhttp_request_get_input_headers(request));
 	}
+	if (call->on_data) {
+		gather(call, input, len);
+		return;
+	}
 	data = (const char *)evbuffer_pullup(input, -1);
-	if (call->on_data)
-		call->on_data(call, data, len, call->user_data);
-	else
-		g_string_append_len(call->body, data, len);
+	g_string_append_len(call->body, data, (gssize)len);
 }
 
 static void on_timer(evutil_socket_t fd, short events, void *arg)
@@ -399,5 +449,7 @@
 	on_garbage(-1, 0, client);
 	g_hash_table_destroy(client->idle);
 	event_free(client->garbage_event);
+	event_free(client->flush_event);
+	g_string_free(client->pieces, TRUE);
 	g_free(client);
 }
