--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -7,6 +7,8 @@
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 
+#include "http/http_send.h"
+
 #define MAX_IDLE_PER_ADDRESS 256
 #define MAX_ANSWER_BYTES (64 * 1024 * 1024)
 
@@ -21,6 +23,9 @@
 	GHashTable *calls; /* set of live calls */
 	GQueue garbage; /* connections to free outside evhttp's callbacks */
 	struct event *garbage_event;
+	struct event *flush_event;
+	http_call_t *gathering; /* whose pieces are held; NULL: none */
+	GString *pieces;
 };
 
 struct http_call {
@@ -35,6 +40,7 @@
 	GString *body;
 	int status;
 	bool transport_error; /* evhttp reported a failure after connecting */
+	bool headers_dropped;
 	bool cancelled;
 	bool starting; /* inside evhttp_make_request() */
 	bool failed_to_start;
@@ -70,6 +76,28 @@
 	g_queue_free_full(queue, (GDestroyNotify)connection_free);
 }
 
+/*
+ * evhttp hands out each chunk of an answer by itself. Those of one pass of the
+ * event loop are handed on together, at the end of the pass.
+ */
+static void flush(http_client_t *client)
+{
+	http_call_t *call = client->gathering;
+	GString *pieces = client->pieces;
+
+	if (!call)
+		return;
+	client->gathering = NULL;
+	if (!call->cancelled)
+		call->on_data(call, pieces->str, pieces->len, call->user_data);
+	g_string_truncate(pieces, 0);
+}
+
+static void on_flush(evutil_socket_t fd, short events, void *arg)
+{
+	flush(arg);
+}
+
 http_client_t *http_client_new(struct event_base *base)
 {
 	http_client_t *client = g_new0(http_client_t, 1);
@@ -80,6 +108,8 @@
 	client->calls = g_hash_table_new(NULL, NULL);
 	g_queue_init(&client->garbage);
 	client->garbage_event = event_new(base, -1, 0, on_garbage, client);
+	client->flush_event = event_new(base, -1, 0, on_flush, client);
+	client->pieces = g_string_new(NULL);
 	return client;
 }
 
@@ -131,6 +161,10 @@
 
 static void call_free(http_call_t *call)
 {
+	if (call->client->gathering == call) {
+		call->client->gathering = NULL;
+		g_string_truncate(call->client->pieces, 0);
+	}
 	if (call->timer)
 		event_free(call->timer);
 	if (call->body)
@@ -162,6 +196,22 @@
 	call->transport_error = true;
 }
 
+static void gather(http_call_t *call, struct evbuffer *input, size_t len)
+{
+	http_client_t *client = call->client;
+	GString *pieces = client->pieces;
+	size_t before;
+
+	if (client->gathering != call)
+		flush(client);
+	if (!client->gathering)
+		event_active(client->flush_event, EV_TIMEOUT, 0);
+	client->gathering = call;
+	before = pieces->len;
+	g_string_set_size(pieces, before + len);
+	evbuffer_copyout(input, pieces->str + before, len);
+}
+
 static void on_evhttp_done(struct evhttp_request *request, void *arg)
 {
 	http_call_t *call = arg;
@@ -178,6 +228,8 @@
 		call->request = NULL;
 		return;
 	}
+	if (client->gathering == call)
+		flush(client);
 	if (call->cancelled) {
 		call->request = NULL; /* evhttp frees it after this callback */
 		return;
@@ -202,11 +254,34 @@
 	if (call->cancelled)
 		return 0;
 	call->status = evhttp_request_get_response_code(request);
+	/* The request has gone out whole or is not wanted any more. */
+	evhttp_clear_headers(evhttp_request_get_output_headers(request));
 	if (call->on_headers)
 		call->on_headers(call, call->status, call->user_data);
 	return 0;
 }
 
+/* What is read after the start of an answer's body, by evhttp or by users. */
+static bool is_read_late(const char *header)
+{
+	return g_ascii_strcasecmp(header, "Connection") == 0 ||
+	       g_ascii_strcasecmp(header, "Retry-After") == 0;
+}
+
+/* A long answer holds no more headers than needed. */
+static void drop_headers(struct evkeyvalq *headers)
+{
+	struct evkeyval *header = headers->tqh_first;
+
+	while (header) {
+		struct evkeyval *next = header->next.tqe_next;
+
+		if (!is_read_late(header->key))
+			evhttp_remove_header(headers, header->key);
+		header = next;
+	}
+}
+
 static void on_evhttp_chunk(struct evhttp_request *request, void *arg)
 {
 	http_call_t *call = arg;
@@ -216,11 +291,16 @@
 
 	if (call->cancelled || len == 0)
 		return;
+	if (call->on_data && !call->headers_dropped) {
+		call->headers_dropped = true;
+		drop_headers(evhttp_request_get_input_headers(request));
+	}
+	if (call->on_data) {
+		gather(call, input, len);
+		return;
+	}
 	data = (const char *)evbuffer_pullup(input, -1);
-	if (call->on_data)
-		call->on_data(call, data, len, call->user_data);
-	else
-		g_string_append_len(call->body, data, len);
+	g_string_append_len(call->body, data, (gssize)len);
 }
 
 static void on_timer(evutil_socket_t fd, short events, void *arg)
@@ -279,6 +359,8 @@
 	http_call_t *call = g_new0(http_call_t, 1);
 	struct timeval timeout = { options->timeout_ms / 1000,
 				   options->timeout_ms % 1000 * 1000 };
+	struct bufferevent *bev;
+	bool kept;
 
 	call->client = client;
 	call->on_headers = options->on_headers;
@@ -295,12 +377,18 @@
 	evhttp_request_set_chunked_cb(call->request, on_evhttp_chunk);
 	add_headers(call->request, options);
 	call->timer = evtimer_new(client->base, on_timer, call);
+	bev = evhttp_connection_get_bufferevent(call->connection->evcon);
+	/* evhttp takes the socket away when the peer closes the connection, and
+	 * a write before a new one is connected would hide that it failed. */
+	kept = bufferevent_getfd(bev) >= 0;
 	call->starting = true;
 	if (evhttp_make_request(call->connection->evcon, call->request,
 				command_of(options->method),
 				options->target) != 0)
 		call->failed_to_start = true;
 	call->starting = false;
+	if (kept && !call->failed_to_start)
+		http_send_now(bev);
 	if (call->failed_to_start)
 		timeout = (struct timeval){ 0, 0 };
 	if (options->timeout_ms || call->failed_to_start)
@@ -361,5 +449,7 @@
 	on_garbage(-1, 0, client);
 	g_hash_table_destroy(client->idle);
 	event_free(client->garbage_event);
+	event_free(client->flush_event);
+	g_string_free(client->pieces, TRUE);
 	g_free(client);
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -14,7 +14,9 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "http/http_exchange.h"
 #include "http/http_reject.h"
+#include "http/http_send.h"
 
 #define LISTEN_BACKLOG 1024
 #define LARGE_BODY_BYTES (64 * 1024)
@@ -24,11 +26,15 @@
 struct http_server {
 	evhtp_t *htp;
 	struct event_base *base;
+	http_gather_t *gather;
 	http_handler_t handler;
 	http_reject_t reject;
 	void *user_data;
+	struct event *release; /* frees what waiting exchanges do not need */
+	GQueue released; /* http_exchange_t */
+	htparser *answering[2]; /* for waiting connections, by minor version */
 	struct event *sweep; /* looks for requests that come too slowly */
-	GQueue connections; /* connection_t */
+	GQueue connections; /* http_connection_t */
 	uint64_t max_body_bytes;
 	uint32_t max_header_bytes;
 	uint32_t max_connections;
@@ -38,7 +44,7 @@
 };
 
 /* Lives as long as the evhtp connection. */
-typedef struct connection {
+typedef struct http_connection {
 	http_server_t *server;
 	evhtp_connection_t *evhtp;
 	http_exchange_t *exchange; /* of the request that is handled */
@@ -48,51 +54,23 @@
 	uint64_t body_bytes; /* received */
 	char *body; /* of a large request; NULL: evhtp holds it */
 	size_t body_size; /* allocated */
+	bufferevent_data_cb evhtp_write; /* evhtp's own callback */
 	uint32_t header_bytes;
 	uint16_t lengths; /* Content-Length headers seen */
 	bool chunked;
 	bool headers_complete;
 	bool handling; /* the request is whole */
+	bool shares_parser; /* see release_parser() */
 	int reject_status; /* answer instead of handling; 0: none */
-} connection_t;
+} http_connection_t;
 
-typedef enum exchange_state {
-	EXCHANGE_PENDING, /* not answered */
-	EXCHANGE_STREAMING, /* headers sent */
-	EXCHANGE_FINISHED, /* answer complete, may still be in the buffer */
-	EXCHANGE_ABORTING /* to be closed when the buffer is empty */
-} exchange_state_t;
-
-/* Lives as long as the evhtp request that it is attached to. */
-struct http_exchange {
-	http_server_t *server;
-	connection_t *connection; /* NULL: evhtp is freeing it */
-	evhtp_request_t *request;
-	struct bufferevent *bev; /* of the connection */
-	struct event *peer_closed_event;
-	struct event *drained_event; /* the output buffer became empty */
-	http_closed_t closed;
-	void *closed_data;
-	http_drained_t drained;
-	void *drained_data;
-	struct evkeyvalq query;
-	char *body;
-	size_t body_len;
-	char *id;
-	char peer[INET6_ADDRSTRLEN];
-	exchange_state_t state;
-	bool query_parsed;
-	bool counted;
-	bool paused;
-};
-
-static connection_t *connection_of(const evhtp_request_t *request)
+static http_connection_t *connection_of(const evhtp_request_t *request)
 {
 	return request->conn->hooks->on_connection_fini_arg;
 }
 
 /* The next request on a kept connection starts. */
-static void connection_reset(connection_t *connection)
+static void connection_reset(http_connection_t *connection)
 {
 	connection->since_ms = clock_now_ms(clock_system());
 	connection->length = 0;
@@ -106,12 +84,12 @@
 	connection->handling = false;
 }
 
-static void mark_answered(http_exchange_t *exchange)
+void http_exchange_mark_answered(http_exchange_t *exchange)
 {
 	if (!exchange->counted)
 		return;
 	exchange->counted = false;
-	exchange->server->active--;
+	(*exchange->active)--;
 }
 
 static void notify_closed(http_exchange_t *exchange)
@@ -123,7 +101,35 @@
 		       exchange->state == EXCHANGE_STREAMING))
 		closed(exchange, exchange->closed_data);
 	exchange->state = EXCHANGE_FINISHED;
-	mark_answered(exchange);
+	http_exchange_mark_answered(exchange);
+}
+
+/*
+ * evhtp's parser is 8 KB, and nothing but the version is read from it while a
+ * request is answered. So waiting connections share two.
+ */
+static void release_parser(http_connection_t *connection)
+{
+	evhtp_connection_t *evhtp = connection->evhtp;
+	uint8_t minor = htparser_get_minor(evhtp->parser);
+
+	if (connection->shares_parser)
+		return;
+	free(evhtp->parser);
+	evhtp->parser = connection->server->answering[minor];
+	connection->shares_parser = true;
+}
+
+static void restore_parser(http_connection_t *connection)
+{
+	evhtp_connection_t *evhtp = connection->evhtp;
+
+	if (!connection->shares_parser)
+		return;
+	connection->shares_parser = false;
+	evhtp->parser = htparser_new();
+	htparser_init(evhtp->parser, htp_type_request);
+	htparser_set_userdata(evhtp->parser, evhtp);
 }
 
 /*
@@ -135,12 +141,14 @@
 	if (!exchange->paused)
 		return;
 	exchange->paused = false;
+	restore_parser(exchange->connection);
 	exchange->request->conn->flags &= ~EVHTP_CONN_FLAG_PAUSED;
 	bufferevent_enable(exchange->bev, EV_READ);
 }
 
-static void close_connection(http_exchange_t *exchange)
+void http_exchange_close(http_exchange_t *exchange)
 {
+	http_gather_drop(exchange->gather, exchange);
 	/* Reading sees the end of the stream, and evhtp frees the rest. */
 	shutdown(bufferevent_getfd(exchange->bev), SHUT_RDWR);
 	exchange_resume(exchange);
@@ -154,29 +162,70 @@
 	if (exchange->state == EXCHANGE_FINISHED)
 		return;
 	notify_closed(exchange);
-	close_connection(exchange);
+	http_exchange_close(exchange);
+}
+
+static htparser *answering_parser_new(unsigned char minor)
+{
+	htparser *parser = htparser_new();
+
+	htparser_init(parser, htp_type_request);
+	htparser_set_major(parser, 1);
+	htparser_set_minor(parser, minor);
+	return parser;
 }
 
-static void on_output_change(struct evbuffer *output,
-			     const struct evbuffer_cb_info *info, void *arg);
+static void release(http_exchange_t *exchange)
+{
+	evhtp_request_t *request = exchange->request;
+
+	exchange->release_link.data = NULL;
+	evbuffer_drain(request->buffer_in,
+		       evbuffer_get_length(request->buffer_in));
+	evhtp_headers_free(request->headers_in);
+	request->headers_in = evhtp_headers_new();
+	g_clear_pointer(&exchange->body, g_free);
+	release_parser(exchange->connection);
+}
+
+static void on_release(evutil_socket_t fd, short events, void *arg)
+{
+	http_server_t *server = arg;
+	GList *link;
+
+	while ((link = g_queue_pop_head_link(&server->released)))
+		release(link->data);
+}
+
+void http_release_request(http_exchange_t *exchange)
+{
+	http_server_t *server = exchange->connection->server;
+
+	if (exchange->release_link.data)
+		return;
+	/* Deferred: evhtp's parser may be on the stack. */
+	exchange->release_link.data = exchange;
+	g_queue_push_tail_link(&server->released, &exchange->release_link);
+	event_active(server->release, EV_TIMEOUT, 0);
+}
 
 static evhtp_res on_request_fini(evhtp_request_t *request, void *arg)
 {
 	http_exchange_t *exchange = arg;
 
 	notify_closed(exchange);
+	http_gather_drop(exchange->gather, exchange);
 	/* evhtp ends a connection before the request that is handled on it. */
+	if (exchange->release_link.data)
+		g_queue_unlink(exchange->released, &exchange->release_link);
+	evhtp_connection_set_hook(request->conn, evhtp_hook_on_request_fini,
+				  NULL, NULL);
 	if (exchange->connection) {
 		exchange->connection->exchange = NULL;
 		connection_reset(exchange->connection);
 	}
 	if (exchange->peer_closed_event)
 		event_free(exchange->peer_closed_event);
-	if (exchange->drained_event) {
-		evbuffer_remove_cb(bufferevent_get_output(exchange->bev),
-				   on_output_change, exchange);
-		event_free(exchange->drained_event);
-	}
 	if (exchange->query_parsed)
 		evhttp_clear_headers(&exchange->query);
 	g_free(exchange->body);
@@ -185,29 +234,24 @@
 	return EVHTP_RES_OK;
 }
 
-/* Lets evhtp end the request; it keeps or closes the connection. */
+/*
+ * Lets evhtp, in whose write callback this runs, end the request; it keeps or
+ * closes the connection.
+ */
 static void complete(http_exchange_t *exchange)
 {
 	struct bufferevent *bev = exchange->bev;
 
-	if (!exchange->paused)
-		return;
-	bufferevent_incref(bev);
 	exchange_resume(exchange);
-	/*
-	 * evhtp ends a finished request in its write callback only, which it
-	 * skips while the connection is paused. This frees the exchange.
-	 */
-	bufferevent_trigger(bev, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
 	/* A pipelined request may wait in the input buffer. */
 	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
-		bufferevent_trigger(bev, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
-	bufferevent_decref(bev);
+		bufferevent_trigger(bev, EV_READ,
+				    BEV_TRIG_IGNORE_WATERMARKS |
+					    BEV_TRIG_DEFER_CALLBACKS);
 }
 
-static void on_drained(evutil_socket_t fd, short events, void *arg)
+static void take_drained(http_exchange_t *exchange)
 {
-	http_exchange_t *exchange = arg;
 	http_drained_t drained = exchange->drained;
 
 	if (http_stream_pending(exchange) > 0)
@@ -218,7 +262,7 @@
 	}
 	if (exchange->state == EXCHANGE_ABORTING) {
 		exchange->state = EXCHANGE_FINISHED;
-		close_connection(exchange);
+		http_exchange_close(exchange);
 		return;
 	}
 	exchange->drained = NULL;
@@ -226,16 +270,35 @@
 		drained(exchange, exchange->drained_data);
 }
 
-static void on_output_change(struct evbuffer *output,
-			     const struct evbuffer_cb_info *info, void *arg)
+/* The output buffer is empty. evhtp ignores this while it is paused. */
+static void on_write(struct bufferevent *bev, void *arg)
 {
-	http_exchange_t *exchange = arg;
+	evhtp_connection_t *evhtp = arg;
+	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
+	bufferevent_data_cb evhtp_write = connection->evhtp_write;
+
+	if (connection->exchange)
+		take_drained(connection->exchange);
+	evhtp_write(bev, arg);
+}
+
+/* evhtp has set its callbacks when the first request is whole. */
+static void watch_output(http_connection_t *connection)
+{
+	struct bufferevent *bev = connection->evhtp->bev;
+	bufferevent_data_cb read;
+	bufferevent_data_cb write;
+	bufferevent_event_cb event;
+	void *arg;
 
-	if (info->n_deleted > 0 && evbuffer_get_length(output) == 0)
-		event_active(exchange->drained_event, EV_TIMEOUT, 0);
+	if (connection->evhtp_write)
+		return;
+	bufferevent_getcb(bev, &read, &write, &event, &arg);
+	connection->evhtp_write = write;
+	bufferevent_setcb(bev, read, on_write, event, arg);
 }
 
-static evhtp_res reject(connection_t *connection, int status)
+static evhtp_res reject(http_connection_t *connection, int status)
 {
 	connection->reject_status = status;
 	return EVHTP_RES_ERROR;
@@ -244,7 +307,7 @@
 static evhtp_res on_header(evhtp_request_t *request, evhtp_header_t *header,
 			   void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	uint32_t max_bytes = connection->server->max_header_bytes;
 
 	connection->header_bytes +=
@@ -267,7 +330,7 @@
 static evhtp_res on_headers(evhtp_request_t *request, evhtp_headers_t *headers,
 			    void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	uint64_t max_bytes = connection->server->max_body_bytes;
 	htparser *parser = connection->evhtp->parser;
 
@@ -286,7 +349,7 @@
  * Takes a large body out of evhtp's buffer, whose chains of many small pieces
  * need twice the space.
  */
-static void collect_body(connection_t *connection, struct evbuffer *piece,
+static void collect_body(http_connection_t *connection, struct evbuffer *piece,
 			 size_t before)
 {
 	size_t len = evbuffer_get_length(piece);
@@ -305,7 +368,7 @@
 static evhtp_res on_body(evhtp_request_t *request, struct evbuffer *piece,
 			 void *arg)
 {
-	connection_t *connection = arg;
+	http_connection_t *connection = arg;
 	uint64_t max_bytes = connection->server->max_body_bytes;
 	uint64_t before = connection->body_bytes;
 
@@ -318,7 +381,7 @@
 }
 
 /* What a connection that evhtp closes by itself is told, 0: nothing. */
-static int final_status(const connection_t *connection)
+static int final_status(const http_connection_t *connection)
 {
 	const evhtp_connection_t *evhtp = connection->evhtp;
 	struct evbuffer *input = bufferevent_get_input(evhtp->bev);
@@ -335,21 +398,32 @@
 	return 400;
 }
 
-static evhtp_res on_connection_fini(evhtp_connection_t *evhtp, void *arg)
+static void send_final_status(const http_connection_t *connection)
 {
-	connection_t *connection = arg;
-	http_server_t *server = connection->server;
+	const http_server_t *server = connection->server;
 	int status = final_status(connection);
-	GString *headers = g_string_new(NULL);
-	GString *body = g_string_new(NULL);
+	GString *headers;
+	GString *body;
 
-	if (status && server->reject)
+	if (!status)
+		return;
+	headers = g_string_new(NULL);
+	body = g_string_new(NULL);
+	if (server->reject)
 		server->reject(status, headers, body, server->user_data);
-	if (status)
-		http_reject_send(server->base, evhtp->sock, status, headers,
-				 body);
+	http_reject_send(server->base, connection->evhtp->sock, status, headers,
+			 body);
 	g_string_free(headers, TRUE);
 	g_string_free(body, TRUE);
+}
+
+static evhtp_res on_connection_fini(evhtp_connection_t *evhtp, void *arg)
+{
+	http_connection_t *connection = arg;
+	http_server_t *server = connection->server;
+
+	restore_parser(connection);
+	send_final_status(connection);
 	g_queue_unlink(&server->connections, &connection->link);
 	if (connection->exchange)
 		connection->exchange->connection = NULL;
@@ -358,7 +432,7 @@
 	return EVHTP_RES_OK;
 }
 
-static bool is_too_slow(const connection_t *connection, int64_t now_ms)
+static bool is_too_slow(const http_connection_t *connection, int64_t now_ms)
 {
 	int64_t limit_ms = connection->server->read_timeout_ms;
 
@@ -371,7 +445,7 @@
 }
 
 /* A kept connection without a request is closed without an answer. */
-static bool is_idle(const connection_t *connection)
+static bool is_idle(const http_connection_t *connection)
 {
 	return connection->header_bytes == 0 && connection->evhtp->num_requests;
 }
@@ -384,7 +458,7 @@
 	GList *link = server->connections.head;
 
 	while (link) {
-		connection_t *connection = link->data;
+		http_connection_t *connection = link->data;
 
 		link = link->next;
 		if (!is_too_slow(connection, now_ms))
@@ -400,10 +474,13 @@
 {
 	http_server_t *server = arg;
 	http_exchange_t *exchange = g_new0(http_exchange_t, 1);
-	connection_t *connection = connection_of(request);
+	http_connection_t *connection = connection_of(request);
 
 	connection->handling = true;
-	exchange->server = server;
+	exchange->base = server->base;
+	exchange->gather = server->gather;
+	exchange->active = &server->active;
+	exchange->released = &server->released;
 	exchange->connection = connection;
 	connection->exchange = exchange;
 	exchange->request = request;
@@ -415,17 +492,15 @@
 		exchange->body[exchange->body_len] = '\0';
 	}
 	server->active++;
-	evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
-			       (evhtp_hook)on_request_fini, exchange);
+	/* A hook of the request's own would need a table of all hooks. */
+	evhtp_connection_set_hook(connection->evhtp, evhtp_hook_on_request_fini,
+				  (evhtp_hook)on_request_fini, exchange);
 	/*
 	 * One request at a time: a pipelined one waits in the input buffer.
 	 * evhtp does not resume pipelined input when it was not paused.
 	 */
 	exchange->paused = true;
-	exchange->drained_event =
-		event_new(server->base, -1, 0, on_drained, exchange);
-	evbuffer_add_cb(bufferevent_get_output(exchange->bev), on_output_change,
-			exchange);
+	watch_output(connection);
 	evhtp_request_pause(request);
 	server->handler(exchange, server->user_data);
 	/*
@@ -438,7 +513,7 @@
 static evhtp_res on_accept(evhtp_connection_t *evhtp, void *arg)
 {
 	http_server_t *server = arg;
-	connection_t *connection = g_new0(connection_t, 1);
+	http_connection_t *connection = g_new0(http_connection_t, 1);
 	int one = 1;
 
 	setsockopt(evhtp->sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -481,6 +556,7 @@
 				   options->read_timeout_ms % 1000 * 1000 };
 
 	server->base = options->base;
+	server->gather = http_gather_new(options->base);
 	server->handler = options->handler;
 	server->reject = options->reject;
 	server->max_body_bytes = options->max_body_bytes;
@@ -500,10 +576,15 @@
 			    "cannot listen on %s:%u: %s", options->address,
 			    options->port, g_strerror(errno));
 		evhtp_free(server->htp);
+		http_gather_free(server->gather);
 		g_free(server);
 		return NULL;
 	}
 	server->port = bound_port(server->htp);
+	g_queue_init(&server->released);
+	server->release = event_new(options->base, -1, 0, on_release, server);
+	for (unsigned char minor = 0; minor < 2; minor++)
+		server->answering[minor] = answering_parser_new(minor);
 	server->sweep = evtimer_new(options->base, on_sweep, server);
 	if (options->read_timeout_ms)
 		on_sweep(-1, 0, server);
@@ -515,8 +596,12 @@
 	if (!server)
 		return;
 	event_free(server->sweep);
+	event_free(server->release);
 	evhtp_unbind_socket(server->htp);
 	evhtp_free(server->htp);
+	http_gather_free(server->gather);
+	for (size_t i = 0; i < G_N_ELEMENTS(server->answering); i++)
+		free(server->answering[i]);
 	g_free(server);
 }
 
@@ -594,6 +679,12 @@
 	return exchange->body;
 }
 
+char *http_steal_body(http_exchange_t *exchange, size_t *len)
+{
+	http_body(exchange, len);
+	return g_steal_pointer(&exchange->body);
+}
+
 void http_set_id(http_exchange_t *exchange, const char *id)
 {
 	g_free(exchange->id);
@@ -632,7 +723,7 @@
 		return;
 	/* A paused connection does not read, so a close needs its own event. */
 	exchange->peer_closed_event =
-		event_new(exchange->server->base, bufferevent_getfd(bev),
+		event_new(exchange->base, bufferevent_getfd(bev),
 			  EV_CLOSED | EV_PERSIST, on_peer_closed, exchange);
 	event_add(exchange->peer_closed_event, NULL);
 }
@@ -661,72 +752,7 @@
 		evbuffer_add(exchange->request->buffer_out, body, len);
 	}
 	exchange->state = EXCHANGE_FINISHED;
-	mark_answered(exchange);
+	http_exchange_mark_answered(exchange);
 	evhtp_send_reply(exchange->request, (evhtp_res)status);
-}
-
-void http_stream_start(http_exchange_t *exchange, int status,
-		       const char *content_type)
-{
-	if (exchange->state != EXCHANGE_PENDING)
-		return;
-	if (content_type)
-		http_reply_header(exchange, "Content-Type", content_type);
-	exchange->state = EXCHANGE_STREAMING;
-	evhtp_send_reply_chunk_start(exchange->request, (evhtp_res)status);
-}
-
-void http_stream_write(http_exchange_t *exchange, const void *data, size_t len)
-{
-	struct evbuffer *chunk;
-
-	if (exchange->state != EXCHANGE_STREAMING || len == 0)
-		return;
-	chunk = evbuffer_new();
-	evbuffer_add(chunk, data, len);
-	evhtp_send_reply_chunk(exchange->request, chunk);
-	evbuffer_free(chunk);
-}
-
-size_t http_stream_pending(const http_exchange_t *exchange)
-{
-	return evbuffer_get_length(bufferevent_get_output(exchange->bev));
-}
-
-void http_stream_on_drained(http_exchange_t *exchange, http_drained_t drained,
-			    void *user_data)
-{
-	exchange->drained = drained;
-	exchange->drained_data = user_data;
-}
-
-void http_stream_end(http_exchange_t *exchange)
-{
-	if (exchange->state != EXCHANGE_STREAMING)
-		return;
-	exchange->state = EXCHANGE_FINISHED;
-	mark_answered(exchange);
-	evhtp_send_reply_chunk_end(exchange->request);
-}
-
-void http_stream_abort(http_exchange_t *exchange)
-{
-	if (exchange->state == EXCHANGE_FINISHED)
-		return;
-	mark_answered(exchange);
-	if (http_stream_pending(exchange) > 0) {
-		exchange->state = EXCHANGE_ABORTING;
-		return;
-	}
-	exchange->state = EXCHANGE_FINISHED;
-	close_connection(exchange);
-}
-
-void http_stream_cut(http_exchange_t *exchange)
-{
-	if (exchange->state == EXCHANGE_FINISHED)
-		return;
-	mark_answered(exchange);
-	exchange->state = EXCHANGE_FINISHED;
-	close_connection(exchange);
+	http_send_now(exchange->bev);
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "http/http_stream.h"
+
 /*
  * http_server - asynchronous HTTP/1.1 server over libevhtp.
  *
@@ -20,11 +22,9 @@
 #define HTTP_MIN_BODY_RATE 32768 /* bytes per second */
 
 typedef struct http_server http_server_t;
-typedef struct http_exchange http_exchange_t;
 
 typedef void (*http_handler_t)(http_exchange_t *exchange, void *user_data);
 typedef void (*http_closed_t)(http_exchange_t *exchange, void *user_data);
-typedef void (*http_drained_t)(http_exchange_t *exchange, void *user_data);
 
 /* The body and further header lines of an answer to a request that cannot be
  * read: 400, 408, 413, 431, or 503 above max_connections. */
@@ -65,6 +65,11 @@
 const char *http_header(const http_exchange_t *exchange, const char *name);
 /* The body as one block, NUL-terminated beyond *len. Never NULL. */
 const char *http_body(http_exchange_t *exchange, size_t *len);
+/* The body as a block of the caller's, to be freed with g_free(). */
+char *http_steal_body(http_exchange_t *exchange, size_t *len);
+/* The owner needs the headers, the query and the body no more; an answer that
+ * takes long then holds little memory. */
+void http_release_request(http_exchange_t *exchange);
 /* Names the exchange for logs and adds the name to the answer's headers as
  * x-request-id. At most HTTP_ID_MAX characters are kept. */
 #define HTTP_ID_MAX 128
@@ -82,18 +87,5 @@
 		       const char *value);
 void http_reply(http_exchange_t *exchange, int status, const char *content_type,
 		const void *body, size_t len);
-void http_stream_start(http_exchange_t *exchange, int status,
-		       const char *content_type);
-void http_stream_write(http_exchange_t *exchange, const void *data, size_t len);
-/* Bytes that the peer has not taken yet. */
-size_t http_stream_pending(const http_exchange_t *exchange);
-/* Called once when all pending bytes have been sent. */
-void http_stream_on_drained(http_exchange_t *exchange, http_drained_t drained,
-			    void *user_data);
-void http_stream_end(http_exchange_t *exchange);
-/* Closes the connection without the final chunk: the peer sees a cut. */
-void http_stream_abort(http_exchange_t *exchange);
-/* The same without sending what is pending, for a peer that takes nothing. */
-void http_stream_cut(http_exchange_t *exchange);
 
 #endif
