Remove segments and indexes that no head names

Cause: an owner that ends between storing a segment or index object and the head that would have named it leaves the object for ever; so does a removal that fails, as it is tried once. With segments stored ahead of the head this happens at most takeovers under load.

Change: the owner of a shard lists the shard's objects after it has acquired the shard and then once an hour on the monotonic clock, and puts those that neither the ledger, a pending write nor the last durable head names into the removal queue, which is paid from the write budget. Ids above the own last one are a successor's and are left alone, so a deposed owner that does not know it yet removes nothing in use. Counter ledger_orphans_total, one log line (shard_orphans_found) a page.

Ruled out: going by the age of objects, which the API does not tell.

Conclusion: orphans of a shard live an hour at most.

--- a/src/coord/ledger.h
+++ b/src/coord/ledger.h
@@ -98,6 +98,8 @@
 gboolean ledger_load_index(ledger_t *ledger, uint64_t id, const void *data,
 			   size_t len, GError **error);
 
+/* Whether a head that is durable now may name the object. */
+bool ledger_names(const ledger_t *ledger, uint64_t id, bool is_index);
 /* Whether the segment is part of the ledger, and whether it is loaded. */
 gboolean ledger_knows_segment(const ledger_t *ledger, uint64_t id);
 gboolean ledger_has_segment(const ledger_t *ledger, uint64_t id);
--- a/src/coord/ledger_index.c
+++ b/src/coord/ledger_index.c
@@ -159,6 +159,19 @@
 	g_array_append_val(ledger->garbage, garbage);
 }
 
+bool ledger_names(const ledger_t *ledger, uint64_t id, bool is_index)
+{
+	for (guint i = 0; i < ledger->garbage->len; i++) {
+		const ledger_garbage_t *garbage =
+			&g_array_index(ledger->garbage, ledger_garbage_t, i);
+
+		if (garbage->id == id && garbage->is_index == is_index)
+			return true;
+	}
+	return is_index ? ledger_index_object(ledger, id) != NULL :
+			  ledger_index_segment(ledger, id) != NULL;
+}
+
 uint32_t ledger_segment_count(const ledger_t *ledger)
 {
 	return ledger->segments->len;
--- a/src/coord/shard.c
+++ b/src/coord/shard.c
@@ -6,6 +6,7 @@
 #include "coord/shard_garbage.h"
 #include "coord/shard_head.h"
 #include "coord/shard_op.h"
+#include "coord/shard_orphan.h"
 #include "coord/shard_segment.h"
 #include "coord/shard_store.h"
 #include "coord/shard_takeover.h"
@@ -15,6 +16,7 @@
 #define DEFAULT_LEASE_MS 6000
 #define DEFAULT_RENEW_MS 2000
 #define DEFAULT_CARRY_AFTER_MS (24 * 3600 * 1000LL)
+#define DEFAULT_SWEEP_MS (3600 * 1000LL)
 /* An owner waits this long for membership to settle before it hands over. */
 #define HANDOVER_MS 3000
 
@@ -101,6 +103,7 @@
 	}
 	write_batch(shard, now);
 	shard_garbage_remove(shard);
+	shard_orphan_step(shard, now);
 }
 
 void shard_step(shard_t *shard)
@@ -132,6 +135,8 @@
 		shard->options.renew_ms = DEFAULT_RENEW_MS;
 	if (!shard->options.carry_after_ms)
 		shard->options.carry_after_ms = DEFAULT_CARRY_AFTER_MS;
+	if (!shard->options.sweep_ms)
+		shard->options.sweep_ms = DEFAULT_SWEEP_MS;
 	shard->owner_address = g_strdup(options->owner);
 	shard->key = g_strdup_printf("shard/%u", options->number);
 	shard->batch = g_ptr_array_new();
@@ -213,6 +218,7 @@
 		[SHARD_STORE_FAILED] = "shard_store_failed",
 		[SHARD_STORE_BACK] = "shard_store_back",
 		[SHARD_SEALED] = "shard_sealed",
+		[SHARD_ORPHANS] = "shard_orphans_found",
 		[SHARD_BROKEN] = "shard_broken",
 	};
 
--- a/src/coord/shard.h
+++ b/src/coord/shard.h
@@ -37,6 +37,7 @@
 	SHARD_STORE_FAILED, /* first refused write after successful ones */
 	SHARD_STORE_BACK,
 	SHARD_SEALED, /* a segment or an index was written */
+	SHARD_ORPHANS, /* objects that no head names were found */
 	SHARD_BROKEN, /* an object cannot be decoded or is missing */
 	SHARD_EVENT_COUNT
 } shard_event_t;
@@ -64,6 +65,7 @@
 	int64_t store_failures;
 	int64_t segment_reads;
 	int64_t head_bytes; /* written */
+	int64_t orphans; /* objects that no head named */
 } shard_stats_t;
 
 /* record is NULL on errors other than WL_ERROR_CONFLICT. */
@@ -97,6 +99,7 @@
 	int32_t lease_ms; /* 6000 */
 	int32_t renew_ms; /* 2000 */
 	int64_t carry_after_ms; /* age of segments; 24 h */
+	int64_t sweep_ms; /* between searches for orphans; 1 h */
 } shard_options_t;
 
 shard_t *shard_new(const shard_options_t *options);
--- a/src/coord/shard_state.c
+++ b/src/coord/shard_state.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "coord/shard_orphan.h"
+
 /* Reads are served this long after the start of the last write; a successor
  * waits for the whole lease, so its clock may run faster by a sixth. */
 #define READ_LEASE_NUM 5
@@ -70,6 +72,7 @@
 	shard_state_drop_ledger(shard);
 	g_array_set_size(shard->dropped, 0);
 	g_array_set_size(shard->garbage, 0);
+	shard_orphan_reset(shard);
 	shard->seen_version = 0;
 	shard->poll_ms = shard_state_now_ms(shard);
 }
@@ -90,6 +93,7 @@
 	g_ptr_array_free(shard->batch, TRUE);
 	g_array_free(shard->garbage, TRUE);
 	g_array_free(shard->dropped, TRUE);
+	g_free(shard->orphans.after);
 	g_free(shard->owner_address);
 	g_free(shard->hint);
 	g_free(shard->key);
--- a/src/coord/shard_state.h
+++ b/src/coord/shard_state.h
@@ -9,6 +9,7 @@
  */
 
 #define SHARD_FIRST_RETRY_MS 50
+#define SHARD_ORPHAN_RETRY_MS 10000
 
 typedef enum op_kind { OP_GET, OP_UPDATE, OP_LIST } op_kind_t;
 
@@ -45,6 +46,14 @@
 	bool uncertain; /* some attempt got no answer */
 } head_write_t;
 
+typedef struct orphan_sweep {
+	bool is_index; /* lists index objects, else segments */
+	bool listing;
+	char *after; /* last key of the last page; NULL: starts */
+	uint64_t epoch; /* of the pending list */
+	int64_t due_ms;
+} orphan_sweep_t;
+
 struct shard {
 	shard_options_t options;
 	char *key;
@@ -80,6 +89,7 @@
 	GPtrArray *batch; /* op_t in the pending head write */
 	GArray *dropped; /* ledger_garbage_t, until the next durable head */
 	GArray *garbage; /* ledger_garbage_t to remove */
+	orphan_sweep_t orphans;
 	uint64_t wanted_segment;
 	GQueue waiting; /* op_t */
 	size_t waiting_bytes;
--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -21,6 +21,7 @@
 	"ledger_takeovers_total",	 "ledger_losses_total",
 	"ledger_uncertain_writes_total", "ledger_store_failures_total",
 	"ledger_segment_reads_total",	 "ledger_head_bytes_total",
+	"ledger_orphans_total",
 };
 
 G_STATIC_ASSERT(sizeof(shard_stats_t) ==
