Remove results of batch jobs after their retention

Cause: result objects stayed for ever. The record of their job expired 24 h after its end, and a job sent again with the same key then found the old results and took them for finished chunks, whatever it asked for.

Change: the owner of a job's record marks the record when the retention is over, waits 10 s, removes the job's result objects at the versions listed, at a bounded rate, lists again until none is left, and then ends the record. The record outlasts its results by up to 7 days for outages, so no job of the same key begins between the two. A successor is told the record and repeats the rest. A marked job's results answer 404, on every node, whatever its clock says; a download reads the job's record first, since a listing does not show that objects are missing (before: only when there was no result).

Conclusion: results go after their retention, and a resent job finds all of them or none.

--- a/src/batch/job.c
+++ b/src/batch/job.c
@@ -6,6 +6,8 @@
 #include "base/error.h"
 
 #define MAX_WINDOW_MS (30LL * 24 * 3600 * 1000)
+/* For the removal of results, also after an outage. */
+#define REMOVAL_TIME_MS (7LL * 24 * 3600 * 1000)
 /* A job of any size aims at this number of chunks at least. */
 #define TARGET_CHUNKS 64
 
@@ -76,6 +78,21 @@
 	return TRUE;
 }
 
+int64_t job_readable_until_ms(const job_t *job, int64_t retention_ms)
+{
+	int64_t end_ms = job_state_is_final(job->state) ?
+				 job->at_ms[job->state] :
+				 job->expires_ms;
+
+	return end_ms + retention_ms;
+}
+
+uint64_t job_record_expire_ms(const job_t *job, int64_t retention_ms)
+{
+	return (uint64_t)(job_readable_until_ms(job, retention_ms) +
+			  REMOVAL_TIME_MS);
+}
+
 uint32_t job_chunk_items(uint32_t total)
 {
 	return CLAMP(total / TARGET_CHUNKS, JOB_MIN_CHUNK_ITEMS,
@@ -159,7 +176,7 @@
 	}
 	root = json_pack(
 		"{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s?, s:i, s:o, "
-		"s:I, s:I, s:I, s:I, s:I, s:b, s:o, s:s, s:o}",
+		"s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:o, s:s, s:o}",
 		"id", job->id, "partner", job->partner, "workspace",
 		job->workspace, "deployment", job->deployment, "input",
 		job->input_file_id, "endpoint", job->endpoint, "window",
@@ -169,7 +186,8 @@
 		(json_int_t)job->total, "completed", (json_int_t)job->completed,
 		"failed", (json_int_t)job->failed, "chunk",
 		(json_int_t)job->chunk_items, "risk", (int)job->at_risk,
-		"parts", parts, "finished", bits, "splits", splits);
+		"removed", (int)job->results_removed, "parts", parts,
+		"finished", bits, "splits", splits);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	g_free(bits);
@@ -245,6 +263,7 @@
 	job->failed = number_member(root, "failed");
 	job->chunk_items = MAX(number_member(root, "chunk"), 1);
 	job->at_risk = json_is_true(json_object_get(root, "risk"));
+	job->results_removed = json_is_true(json_object_get(root, "removed"));
 	decode_bits(json_string_value(json_object_get(root, "finished")),
 		    job->finished);
 	decode_lists(root, job);
--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -51,6 +51,7 @@
 	uint32_t failed;
 	uint32_t chunk_items;
 	bool at_risk;
+	bool results_removed; /* or about to be; not readable any more */
 	GArray *part_items; /* uint32_t: items of each part of the input */
 	/*
 	 * Finished chunks: bit n is the nth chunk of the plan; splits name the
@@ -69,6 +70,13 @@
 /* Moves the job when the change is allowed, else returns FALSE. */
 gboolean job_move(job_t *job, job_state_t state, int64_t now_ms);
 
+/* Wall clock time until which the results are readable: retention_ms after the
+ * job's end, or after its deadline while it has not ended. */
+int64_t job_readable_until_ms(const job_t *job, int64_t retention_ms);
+/* The record's expiry. It outlasts the results, which are removed before it,
+ * by more than the longest outage that is reckoned with. */
+uint64_t job_record_expire_ms(const job_t *job, int64_t retention_ms);
+
 /* Chunk size for a job: small jobs spread over the runners as well. */
 uint32_t job_chunk_items(uint32_t total);
 
--- /dev/null
+++ b/src/batch/remover.h
@@ -0,0 +1,40 @@
+#ifndef WASABILINK_BATCH_REMOVER_H
+#define WASABILINK_BATCH_REMOVER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "platform/object_store.h"
+
+/*
+ * remover - removes all objects below a prefix, at a bounded rate.
+ *
+ * One prefix at a time. Each object is removed at the version that was listed,
+ * so one that is created anew meanwhile stays. An object that is missing or
+ * changed is no error. The prefix is listed again until nothing is left, so a
+ * removal without an answer is repeated. Nothing runs by itself.
+ */
+typedef struct remover remover_t;
+
+typedef struct remover_options {
+	object_store_t *store; /* borrowed */
+	const clock_source_t *clock;
+	double removals_per_s;
+} remover_options_t;
+
+/* empty: a listing showed no object; else the store failed. removed counts
+ * objects that the store confirmed. */
+typedef void (*remover_done_t)(bool empty, uint32_t removed, void *user_data);
+
+remover_t *remover_new(const remover_options_t *options);
+/* Ends a removal without its completion. */
+void remover_free(remover_t *remover);
+bool remover_is_busy(const remover_t *remover);
+void remover_start(remover_t *remover, const char *prefix, remover_done_t done,
+		   void *user_data);
+/* A few times a second. */
+void remover_step(remover_t *remover);
+
+#endif
--- a/src/entry/batches.c
+++ b/src/entry/batches.c
@@ -17,7 +17,6 @@
 #define MAX_TRIES 5
 #define DEFAULT_LISTED 20
 #define MAX_LISTED 100
-#define RETENTION_MS (24LL * 3600 * 1000)
 
 static const char endpoint_path[] = "/v1/chat/completions";
 
@@ -71,9 +70,10 @@
 {
 	char *output = batch_id_results(job->id, BATCH_ID_OUTPUT);
 	char *errors = batch_id_results(job->id, BATCH_ID_ERRORS);
-	json_t *root =
-		job_to_json(job, job->state == JOB_VALIDATING ? NULL : output,
-			    job->failed > 0 ? errors : NULL);
+	bool has_output = job->state != JOB_VALIDATING && !job->results_removed;
+	bool has_errors = job->failed > 0 && !job->results_removed;
+	json_t *root = job_to_json(job, has_output ? output : NULL,
+				   has_errors ? errors : NULL);
 
 	g_free(output);
 	g_free(errors);
@@ -169,7 +169,8 @@
 		.key = call->key,
 		.kind = RECORD_JOB,
 		.version = RECORD_ABSENT,
-		.expire_ms = (uint64_t)(call->job->expires_ms + RETENTION_MS),
+		.expire_ms = job_record_expire_ms(
+			call->job, call->entry->options.result_retention_ms),
 		.owner_tag = call->owner_tag,
 		.data = data,
 		.len = len,
--- a/src/entry/chunks.c
+++ b/src/entry/chunks.c
@@ -19,7 +19,6 @@
 #define SUSPEND_MS 3000
 #define LIST_LIMIT 1000
 #define CHECK_RETRY_MS 500
-#define RETENTION_MS (24LL * 3600 * 1000)
 
 struct chunks {
 	entry_t *entry;
@@ -118,16 +117,14 @@
 static void op_update(const job_t *job, uint64_t version, void *user_data)
 {
 	chunks_t *chunks = user_data;
-	int64_t keep_ms = job_state_is_final(job->state) ?
-				  job->at_ms[job->state] :
-				  job->expires_ms;
 	char *tag = g_strconcat(job->partner, "/", job->workspace, NULL);
 	size_t len;
 	char *data = job_encode(job, &len);
 	record_t record = {
 		.kind = RECORD_JOB,
 		.version = version,
-		.expire_ms = (uint64_t)(keep_ms + RETENTION_MS),
+		.expire_ms = job_record_expire_ms(
+			job, chunks->entry->options.result_retention_ms),
 		.owner_tag = tag,
 		.data = data,
 		.len = len,
--- a/src/entry/content.c
+++ b/src/entry/content.c
@@ -14,6 +14,8 @@
 #define LIST_LIMIT 200
 #define RETRY_MS 200
 #define MAX_RETRIES 50
+/* Longer than a takeover of the record's shard takes (6 s). */
+#define RECORD_TIMEOUT_MS 10000
 
 static const char line_type[] = "application/jsonl";
 
@@ -29,6 +31,7 @@
 	char *after; /* last listed key */
 	size_t last_pending;
 	int retries;
+	bool checked; /* the job's results are readable */
 	bool listed_all;
 	bool started;
 	bool draining;
@@ -185,12 +188,22 @@
 static void on_job(const record_t *record, const GError *error, void *user_data)
 {
 	content_t *content = user_data;
+	GError *gone = NULL;
+	job_t *job;
 
 	if (handle_error(content, error))
 		return;
-	start_stream(content);
-	http_stream_end(content->exchange);
-	content_free(content);
+	job = job_decode(record->data, record->len, NULL);
+	if (job && !job->results_removed) {
+		content->checked = true;
+		content_next(content);
+	} else {
+		gone = g_error_new_literal(WL_ERROR, WL_ERROR_NOT_FOUND,
+					   "the results are not kept any more");
+		fail(content, gone);
+		g_error_free(gone);
+	}
+	job_free(job);
 }
 
 static void on_listed(const object_listing_t *listing, const GError *error,
@@ -226,27 +239,29 @@
 	g_free(prefix);
 }
 
-/* Without any result yet, the job's record tells whether the job exists. */
+/* The job's record tells whether the job exists and has all its results: a
+ * listing would not show that some are removed. */
 static void ask_for_job(content_t *content)
 {
 	record_key_t key;
 
 	content->calling = true;
 	if (batch_id_key(content->job, &key))
-		records_get(content->entry->records, &key, on_job, content);
+		records_get_within(content->entry->records, &key,
+				   RECORD_TIMEOUT_MS, on_job, content);
 }
 
 static void content_next(content_t *content)
 {
-	if (content->next < content->keys->len) {
+	if (content->job && !content->checked) {
+		ask_for_job(content);
+	} else if (content->next < content->keys->len) {
 		content->calling = true;
 		object_get(content->entry->store,
 			   content->keys->pdata[content->next], on_object,
 			   content);
 	} else if (!content->listed_all) {
 		list_results(content);
-	} else if (!content->started && content->job) {
-		ask_for_job(content);
 	} else {
 		start_stream(content);
 		http_stream_end(content->exchange);
@@ -281,7 +296,7 @@
 	content->keys = g_ptr_array_new_with_free_func(g_free);
 	http_on_closed(exchange, on_caller_closed, content);
 	if (job) {
-		list_results(content);
+		content_next(content);
 		return;
 	}
 	content->calling = true;
@@ -325,7 +340,7 @@
 
 	if (description->exchange) {
 		http_on_closed(description->exchange, NULL, NULL);
-		if (job)
+		if (job && !job->results_removed)
 			reply_description(description, job);
 		else if (error && error->code != WL_ERROR_NOT_FOUND)
 			api_error_reply(description->exchange,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -11,6 +11,7 @@
 #include "entry/dispatch.h"
 #include "entry/front.h"
 #include "entry/reconciler.h"
+#include "entry/removal.h"
 #include "platform/object_http.h"
 
 #define VM_LIST_PERIOD_MS 1000
@@ -304,6 +305,7 @@
 	on_tick(-1, 0, &timers);
 	entry->dispatch = dispatch_new(entry);
 	entry->chunks = chunks_new(entry);
+	entry->removal = removal_new(entry);
 	timers.drain = evtimer_new(entry->base, on_drain_check, &timers);
 	event_add(evsignal_new(entry->base, SIGTERM, on_terminate, &timers),
 		  NULL);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -62,6 +62,7 @@
 	engine_client_t *engines;
 	pool_table_t *pools;
 	struct chunks *chunks; /* batch: coordinator */
+	struct removal *removal; /* batch: results past their retention */
 	struct dispatch *dispatch; /* batch: dispatcher */
 	object_writer_t *writer;
 	limiter_t *limiter;
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -36,6 +36,8 @@
 	char *route_policy;
 	double hedge_share;
 	char *batch_policy; /* slot_policy_t by name */
+	int64_t result_retention_ms; /* results of a job after its end */
+	double removals_per_s; /* of results past their retention */
 	int64_t batch_slots; /* per runner under the policy fixed */
 	int64_t batch_reserve; /* slots per runner kept free for online load */
 	log_level_t log_level;
--- /dev/null
+++ b/src/entry/removal.c
@@ -0,0 +1,145 @@
+#include "entry/removal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "batch/retention.h"
+#include "entry/batch_id.h"
+
+#define STEP_MS 100
+/* Always past, whatever the clock says later; 0 would mean never. */
+#define EXPIRED_MS 1
+
+struct removal {
+	entry_t *entry;
+	retention_t *retention;
+	retention_stats_t stats;
+	struct event *timer;
+	int64_t *jobs;
+	int64_t *objects;
+	int64_t *failures;
+};
+
+typedef struct update_call {
+	removal_t *removal;
+	char *job;
+} update_call_t;
+
+static void follow_record(removal_t *removal, const record_t *record)
+{
+	job_t *job = job_decode(record->data, record->len, NULL);
+
+	/* The coordinator reports damaged records. */
+	if (job)
+		retention_follow(removal->retention, job, record->version);
+}
+
+static gboolean is_owned(const char *job, void *user_data)
+{
+	const removal_t *removal = user_data;
+	record_key_t key;
+
+	return batch_id_key(job, &key) &&
+	       records_is_owner(removal->entry->records, &key);
+}
+
+static void on_record(const record_t *record, void *user_data)
+{
+	removal_t *removal = user_data;
+
+	if (!record)
+		retention_drop_unless(removal->retention, is_owned, removal);
+	else if (record->expire_ms != EXPIRED_MS)
+		follow_record(removal, record);
+}
+
+static void on_updated(const record_t *record, const GError *error,
+		       void *user_data)
+{
+	update_call_t *call = user_data;
+	retention_t *retention = call->removal->retention;
+	bool forgotten = error ? error->code == WL_ERROR_NOT_FOUND :
+				 record->expire_ms == EXPIRED_MS;
+
+	if (forgotten)
+		retention_forgotten(retention, call->job);
+	else if (record)
+		follow_record(call->removal, record);
+	else
+		retention_failed(retention, call->job);
+	g_free(call->job);
+	g_free(call);
+}
+
+static void op_update(const job_t *job, uint64_t version, bool forget,
+		      void *user_data)
+{
+	removal_t *removal = user_data;
+	int64_t retention_ms = removal->entry->options.result_retention_ms;
+	update_call_t *call = g_new0(update_call_t, 1);
+	char *tag = g_strconcat(job->partner, "/", job->workspace, NULL);
+	size_t len;
+	char *data = job_encode(job, &len);
+	record_t record = {
+		.kind = RECORD_JOB,
+		.version = version,
+		.expire_ms = forget ? EXPIRED_MS :
+				      job_record_expire_ms(job, retention_ms),
+		.owner_tag = tag,
+		.data = data,
+		.len = len,
+	};
+
+	call->removal = removal;
+	call->job = g_strdup(job->id);
+	if (batch_id_key(job->id, &record.key))
+		records_update(removal->entry->records, &record, on_updated,
+			       call);
+	free(data);
+	g_free(tag);
+}
+
+static void op_removed(const char *job, uint32_t objects, void *user_data)
+{
+	log_info("job_results_removed", "job=%s objects=%u", job, objects);
+}
+
+static void on_step(evutil_socket_t fd, short events, void *arg)
+{
+	removal_t *removal = arg;
+	struct timeval period = { 0, STEP_MS * 1000 };
+
+	retention_step(removal->retention);
+	*removal->jobs = removal->stats.jobs;
+	*removal->objects = removal->stats.objects;
+	*removal->failures = removal->stats.failures;
+	evtimer_add(removal->timer, &period);
+}
+
+removal_t *removal_new(entry_t *entry)
+{
+	removal_t *removal = g_new0(removal_t, 1);
+	retention_options_t options = {
+		.ops = { op_update, op_removed, removal },
+		.store = entry->store,
+		.clock = entry->clock,
+		.result_ms = entry->options.result_retention_ms,
+		.removals_per_s = entry->options.removals_per_s,
+		.stats = &removal->stats,
+	};
+
+	removal->entry = entry;
+	removal->retention = retention_new(&options);
+	removal->jobs = counter_get(entry->counters, COUNTER_MONOTONIC,
+				    "batch_jobs_removed_total", NULL);
+	removal->objects = counter_get(entry->counters, COUNTER_MONOTONIC,
+				       "batch_results_removed_total", NULL);
+	removal->failures = counter_get(entry->counters, COUNTER_MONOTONIC,
+					"batch_removal_failures_total", NULL);
+	removal->timer = evtimer_new(entry->base, on_step, removal);
+	records_follow(entry->records, RECORD_JOB, on_record, removal);
+	on_step(-1, 0, removal);
+	return removal;
+}
--- a/tests/process/batch_case.py
+++ b/tests/process/batch_case.py
@@ -12,6 +12,8 @@
 
 
 class BatchCase(unittest.TestCase):
+    ENTRY_ARGS = ()
+
     def setUp(self):
         self.fleet = f.Fleet()
         self.fleet.start_platform()
@@ -26,7 +28,7 @@
         self.fleet.vms.pop()
         self.fleet.put_object("config/production",
                               f.json.dumps(f.sample_document()))
-        self.entries = [self.fleet.start_entry(f"entry-{d}", d)
+        self.entries = [self.fleet.start_entry(f"entry-{d}", d, *self.ENTRY_ARGS)
                         for d in DOMAINS]
         self.fleet.publish_vms()
 
--- /dev/null
+++ b/tests/test_retention.c
@@ -0,0 +1,357 @@
+#include "batch/retention.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "platform/object_memory.h"
+
+#include "unit.h"
+
+/*
+ * Seeded histories of jobs that end, of owners that crash, of a store that
+ * refuses calls and loses answers, of another node that removes objects and of
+ * a wall clock that steps back. Listings of the store are compared with a
+ * naive model: the results of a record that is not marked are all there, those
+ * of a forgotten one are all gone.
+ */
+#define JOBS 12
+#define RESULTS 15
+#define STEP_MS 50
+#define HOUR_MS 3600000LL
+#define RETENTION_MS (24 * HOUR_MS)
+#define RUN_MS 400000
+#define REMOVALS_PER_S 2
+#define HISTORIES 40
+#define T0 1700000000000LL
+
+typedef struct model {
+	job_t *job;
+	uint64_t version; /* 0: no record */
+	bool marked;
+	bool forgotten;
+	/* An update on its way. */
+	int64_t update_ms; /* 0: none */
+	bool forget;
+	uint64_t if_version;
+} model_t;
+
+typedef struct world {
+	clock_manual_t clock;
+	GRand *random;
+	object_memory_t *memory;
+	object_store_t *store;
+	object_store_t *other;
+	retention_t *retention;
+	retention_stats_t stats;
+	model_t models[JOBS];
+	GPtrArray *stores;
+	bool forgotten_at_list[JOBS];
+	bool listing;
+	int problems;
+	int checks;
+} world_t;
+
+static job_t *copy_job(const job_t *job)
+{
+	size_t len;
+	char *data = job_encode(job, &len);
+	job_t *copy = job_decode(data, len, NULL);
+
+	free(data);
+	return copy;
+}
+
+static int find_job(const world_t *w, const char *id)
+{
+	for (int i = 0; i < JOBS; i++)
+		if (strcmp(w->models[i].job->id, id) == 0)
+			return i;
+	return -1;
+}
+
+static void op_update(const job_t *job, uint64_t version, bool forget,
+		      void *user_data)
+{
+	world_t *w = user_data;
+	model_t *model = &w->models[find_job(w, job->id)];
+
+	model->forget = forget;
+	model->if_version = version;
+	model->update_ms = clock_now_ms(&w->clock.base) +
+			   g_rand_int_range(w->random, 1, 3000);
+	/* A mark before its time would take readable results away. */
+	if (!job->results_removed ||
+	    (!forget &&
+	     w->clock.wall_ms < job_readable_until_ms(job, RETENTION_MS)))
+		w->problems++;
+}
+
+static void op_removed(const char *job, uint32_t objects, void *user_data)
+{
+}
+
+static void node_start(world_t *w)
+{
+	retention_options_t options = {
+		.ops = { op_update, op_removed, w },
+		.store = w->store,
+		.clock = &w->clock.base,
+		.result_ms = RETENTION_MS,
+		.removals_per_s = REMOVALS_PER_S,
+		.stats = &w->stats,
+	};
+
+	w->retention = retention_new(&options);
+	for (int i = 0; i < JOBS; i++)
+		if (!w->models[i].forgotten)
+			retention_follow(w->retention,
+					 copy_job(w->models[i].job),
+					 w->models[i].version);
+}
+
+/* The new owner's store is another connection; the old one's calls on their
+ * way still take effect. */
+static void node_crash(world_t *w)
+{
+	for (int i = 0; i < JOBS; i++)
+		w->models[i].update_ms = 0;
+	retention_free(w->retention);
+	w->store = object_memory_open(w->memory);
+	g_ptr_array_add(w->stores, w->store);
+	node_start(w);
+}
+
+static void finish_update(world_t *w, model_t *model)
+{
+	bool lost_call = g_rand_int_range(w->random, 0, 4) == 0;
+	bool lost_answer = g_rand_int_range(w->random, 0, 4) == 0;
+	bool current = !model->forgotten && model->version == model->if_version;
+
+	if (!lost_call && current) {
+		model->version++;
+		model->marked = true;
+		model->job->results_removed = true;
+		model->forgotten = model->forget;
+	}
+	model->update_ms = 0;
+	if (lost_call || lost_answer)
+		retention_failed(w->retention, model->job->id);
+	else if (model->forgotten)
+		retention_forgotten(w->retention, model->job->id);
+	else
+		retention_follow(w->retention, copy_job(model->job),
+				 model->version);
+}
+
+static void check_listing(const object_listing_t *listing, const GError *error,
+			  void *user_data)
+{
+	world_t *w = user_data;
+	int found[JOBS] = { 0 };
+
+	w->listing = false;
+	if (error)
+		return;
+	for (guint i = 0; i < listing->entries->len; i++) {
+		const char *key =
+			g_array_index(listing->entries, object_entry_t, i).key;
+
+		found[atoi(key + strlen("result/job"))]++;
+	}
+	for (int i = 0; i < JOBS; i++) {
+		w->checks++;
+		if (!w->models[i].marked && found[i] != RESULTS)
+			w->problems++;
+		if (w->forgotten_at_list[i] && found[i] != 0)
+			w->problems++;
+	}
+}
+
+static void list_results(world_t *w)
+{
+	for (int i = 0; i < JOBS; i++)
+		w->forgotten_at_list[i] = w->models[i].forgotten;
+	w->listing = true;
+	object_list(w->other, "result/", NULL, JOBS * RESULTS + 1,
+		    check_listing, w);
+}
+
+static void on_ignored(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+}
+
+static void put_results(world_t *w, int number)
+{
+	char key[64];
+
+	for (int i = 0; i < RESULTS; i++) {
+		snprintf(key, sizeof(key), "result/job%02d/%08d", number, i);
+		object_put(w->other, key, "x", 1, OBJECT_ABSENT, "w",
+			   on_ignored, NULL);
+	}
+}
+
+/* Another node removes what it also owned for a while. */
+static void remove_elsewhere(world_t *w)
+{
+	int number = g_rand_int_range(w->random, 0, JOBS);
+	char key[64];
+
+	if (!w->models[number].marked)
+		return;
+	snprintf(key, sizeof(key), "result/job%02d/%08d", number,
+		 g_rand_int_range(w->random, 0, RESULTS));
+	object_remove(w->other, key,
+		      (uint64_t)g_rand_int_range(w->random, 1, 200), on_ignored,
+		      NULL);
+}
+
+static void make_job(world_t *w, int number)
+{
+	job_t *job = job_new();
+	/* Some end before, some after the middle of the history. */
+	int64_t end_ms = T0 - RETENTION_MS +
+			 g_rand_int_range(w->random, -RUN_MS / 4, RUN_MS);
+
+	job->id = g_strdup_printf("job%02d", number);
+	job->partner = g_strdup("guild");
+	job->workspace = g_strdup("workshop-1");
+	job->deployment = g_strdup("muse");
+	job->input_file_id = g_strdup("file-1");
+	job->endpoint = g_strdup("/v1/chat/completions");
+	job->window = g_strdup("24h");
+	job->metadata = g_strdup("{}");
+	job->digest = g_strdup("d");
+	job->state = number == 0 ? JOB_IN_PROGRESS : JOB_COMPLETED;
+	job->at_ms[job->state] = end_ms;
+	job->expires_ms = end_ms;
+	w->models[number] = (model_t){ .job = job, .version = 1 };
+	put_results(w, number);
+}
+
+static void step(world_t *w)
+{
+	clock_manual_advance_ms(&w->clock, STEP_MS);
+	object_memory_step(w->memory);
+	for (guint i = 0; i < w->stores->len; i++)
+		object_memory_deliver(w->stores->pdata[i]);
+	for (int i = 0; i < JOBS; i++)
+		if (w->models[i].update_ms &&
+		    clock_now_ms(&w->clock.base) >= w->models[i].update_ms)
+			finish_update(w, &w->models[i]);
+	retention_step(w->retention);
+	if (!w->listing)
+		list_results(w);
+}
+
+static void disturb(world_t *w)
+{
+	object_memory_faults_t *faults = object_memory_faults(w->memory);
+
+	if (g_rand_int_range(w->random, 0, 400) == 0) {
+		faults->lose_answers = g_rand_double(w->random) * 0.3;
+		faults->late_writes = g_rand_double(w->random) * 0.3;
+		faults->outage_until_ms = clock_now_ms(&w->clock.base) +
+					  g_rand_int_range(w->random, 0, 5000);
+	}
+	if (g_rand_int_range(w->random, 0, 600) == 0)
+		node_crash(w);
+	if (g_rand_int_range(w->random, 0, 2000) == 0)
+		w->clock.wall_ms -= g_rand_int_range(w->random, 0, 60000);
+	if (g_rand_int_range(w->random, 0, 20) == 0)
+		remove_elsewhere(w);
+}
+
+static void settle(world_t *w)
+{
+	object_memory_faults_t *faults = object_memory_faults(w->memory);
+
+	faults->lose_answers = faults->late_writes = 0;
+	faults->outage_until_ms = 0;
+	for (int t = 0; t < RUN_MS; t += STEP_MS)
+		step(w);
+	for (int i = 0; i < JOBS; i++) {
+		const model_t *model = &w->models[i];
+		bool due = i != 0 && w->clock.wall_ms - RUN_MS >=
+					     job_readable_until_ms(
+						     model->job, RETENTION_MS);
+
+		w->problems += due && !model->forgotten;
+	}
+	w->problems += w->models[0].marked;
+}
+
+static int run_history(uint32_t seed, retention_stats_t *total)
+{
+	world_t w = { .random = g_rand_new_with_seed(seed) };
+	int64_t start_ms;
+
+	clock_manual_init(&w.clock, T0);
+	w.memory = object_memory_new(&w.clock.base, seed);
+	object_memory_faults(w.memory)->delay_ms = 20;
+	w.other = object_memory_open(w.memory);
+	w.store = object_memory_open(w.memory);
+	w.stores = g_ptr_array_new();
+	g_ptr_array_add(w.stores, w.other);
+	g_ptr_array_add(w.stores, w.store);
+	for (int i = 0; i < JOBS; i++)
+		make_job(&w, i);
+	clock_manual_advance_ms(&w.clock, 1000);
+	object_memory_step(w.memory);
+	node_start(&w);
+	start_ms = clock_now_ms(&w.clock.base);
+	for (int t = 0; t < RUN_MS; t += STEP_MS) {
+		disturb(&w);
+		step(&w);
+	}
+	settle(&w);
+	w.problems += w.checks == 0;
+	w.problems += w.stats.objects * 1000 / REMOVALS_PER_S >
+		      clock_now_ms(&w.clock.base) - start_ms;
+	if (w.problems)
+		printf("seed %u: %d problems\n", seed, w.problems);
+	total->jobs += w.stats.jobs;
+	total->objects += w.stats.objects;
+	total->failures += w.stats.failures;
+	retention_free(w.retention);
+	clock_manual_advance_ms(&w.clock, 100000);
+	object_memory_step(w.memory);
+	for (guint i = 0; i < w.stores->len; i++) {
+		object_memory_deliver(w.stores->pdata[i]);
+		object_store_free(w.stores->pdata[i]);
+	}
+	g_ptr_array_free(w.stores, TRUE);
+	object_memory_free(w.memory);
+	for (int i = 0; i < JOBS; i++)
+		job_free(w.models[i].job);
+	g_rand_free(w.random);
+	return w.problems;
+}
+
+/* Results must not stay for ever, none may go while it is readable, and a
+ * record must not be forgotten before its results are gone. */
+static void test_histories(void)
+{
+	retention_stats_t total = { 0 };
+	int failures = 0;
+
+	for (uint32_t seed = 1; seed <= HISTORIES; seed++)
+		failures += run_history(seed, &total) != 0;
+	CU_ASSERT_EQUAL(failures, 0);
+	CU_ASSERT(total.failures > 0);
+	printf("%d histories, %d jobs, %d objects\n", HISTORIES,
+	       (int)total.jobs, (int)total.objects);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "results against a model", test_histories },
+		{ NULL, NULL },
+	};
+
+	return unit_run("retention", tests);
+}
