--- a/src/coord/ledger_index.c
+++ b/src/coord/ledger_index.c
@@ -76,7 +76,7 @@
 	return NULL;
 }
 
-static ledger_segment_ref segment_ref(const segment_t *segment)
+ledger_segment_ref ledger_index_ref(const segment_t *segment)
 {
 	ledger_segment_ref ref = {
 		.id = segment->id,
@@ -98,7 +98,7 @@
 		const segment_t *segment = ledger->segments->pdata[i];
 
 		if (segment->index_id == index_id) {
-			ledger_segment_ref ref = segment_ref(segment);
+			ledger_segment_ref ref = ledger_index_ref(segment);
 
 			g_array_append_val(refs, ref);
 		}
@@ -159,6 +159,19 @@
 	g_array_append_val(ledger->garbage, garbage);
 }
 
+bool ledger_names(const ledger_t *ledger, uint64_t id, bool is_index)
+{
+	for (guint i = 0; i < ledger->garbage->len; i++) {
+		const ledger_garbage_t *garbage =
+			&g_array_index(ledger->garbage, ledger_garbage_t, i);
+
+		if (garbage->id == id && garbage->is_index == is_index)
+			return true;
+	}
+	return is_index ? ledger_index_object(ledger, id) != NULL :
+			  ledger_index_segment(ledger, id) != NULL;
+}
+
 uint32_t ledger_segment_count(const ledger_t *ledger)
 {
 	return ledger->segments->len;
