Count a refusal by a limit as refused, not as failed

Cause: the counter of refusals took only answers with status 503, so a request above a limit of the document (429) counted as failed. With one caller at its limit online_failed_total rose by 400 for 400 refused requests while online_requests_total stayed at 2.

Ruled out: leaving 429 out of both, as an operator looks for refusals there.

Change: 429 counts in online_refused_total.

--- a/src/entry/chat_state.c
+++ b/src/entry/chat_state.c
@@ -100,7 +100,9 @@
 void chat_state_fail_with_retry(chat_t *chat, api_error_id_t error,
 				int retry_after_s, const char *message)
 {
-	if (api_error_get(error)->status == 503)
+	int status = api_error_get(error)->status;
+
+	if (status == 503 || status == 429)
 		++*chat->pool->refused;
 	else
 		++*chat->pool->failed;
