Hold calls of plain services to the document's limits

Ruled out: counting tokens for services, as they report none; checking the token bucket all the same, since a bucket that chat requests emptied would refuse calls that use no tokens.

Change: the limit check moves from chat.c into request_limit, which chat completions and service calls use. The limiter skips the bucket for a request without tokens.

--- a/src/coord/limiter.c
+++ b/src/coord/limiter.c
@@ -84,6 +84,8 @@
 	if (rule->max_concurrent > 0 &&
 	    scope->in_flight >= share_of(limiter, rule->max_concurrent))
 		return CONCURRENCY_RETRY_MS;
+	if (tokens == 0)
+		return 0;
 	if (per_minute == 0) {
 		scope->tokens_per_minute = 0;
 		scope->tokens = 0;
--- a/src/coord/limiter.h
+++ b/src/coord/limiter.h
@@ -38,7 +38,8 @@
 void limiter_set_nodes(limiter_t *limiter, uint32_t nodes);
 
 /*
- * Takes a place and the estimated tokens in every scope. Returns -1, or the
+ * Takes a place and the estimated tokens in every scope; a request without
+ * tokens (0) passes an overdrawn scope. Returns -1, or the
  * index of the first rule that denies it; *retry_after_ms tells when to come
  * again.
  */
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -8,6 +8,7 @@
 #include "entry/chat_state.h"
 #include "entry/chat_try.h"
 #include "entry/claim_reply.h"
+#include "entry/request_limit.h"
 
 static void on_admitted(void *owner)
 {
@@ -121,40 +122,15 @@
 /* Returns false when the request was refused. */
 static bool acquire_limits(chat_t *chat)
 {
-	const document_caller_t *caller = chat->caller;
-	char *keys[LIMITER_MAX_SCOPES] = {
-		g_strconcat("p/", caller->partner->name, NULL),
-		g_strconcat("c/", caller->partner->name, "/", caller->name,
-			    NULL),
-		g_strconcat("d/", caller->partner->name, "/",
-			    chat->deployment->name, NULL),
-	};
-	const document_limits_t *limits[LIMITER_MAX_SCOPES] = {
-		&caller->partner->limits, &caller->limits,
-		&chat->deployment->limits
-	};
-	static const char *const messages[LIMITER_MAX_SCOPES] = {
-		"the partner's limit is reached",
-		"the caller's limit is reached",
-		"the deployment's limit is reached"
-	};
-	limiter_rule_t rules[LIMITER_MAX_SCOPES];
-	int64_t retry_after_ms = 0;
-	int denied;
-
-	for (int i = 0; i < LIMITER_MAX_SCOPES; i++)
-		rules[i] = (limiter_rule_t){ keys[i], limits[i]->max_concurrent,
-					     limits[i]->tokens_per_minute };
-	denied = limiter_acquire(chat->entry->limiter, rules,
-				 LIMITER_MAX_SCOPES, chat->request.work,
-				 &chat->hold, &retry_after_ms);
-	for (int i = 0; i < LIMITER_MAX_SCOPES; i++)
-		g_free(keys[i]);
-	if (denied >= 0)
-		chat_state_fail_with_retry(chat, API_RATE_LIMITED,
-					   (int)((retry_after_ms + 999) / 1000),
-					   messages[denied]);
-	return denied < 0;
+	request_limit_denial_t denial;
+
+	if (request_limit_acquire(chat->entry->limiter, chat->caller,
+				  chat->deployment, chat->request.work,
+				  &chat->hold, &denial))
+		return true;
+	chat_state_fail_with_retry(chat, API_RATE_LIMITED, denial.retry_after_s,
+				   denial.message);
+	return false;
 }
 
 static void count_request(chat_t *chat)
--- a/src/entry/service_call.c
+++ b/src/entry/service_call.c
@@ -9,6 +9,7 @@
 #include "entry/claim.h"
 #include "entry/claim_reply.h"
 #include "entry/pool.h"
+#include "entry/request_limit.h"
 #include "entry/request_state.h"
 
 #define MAX_TRIES 3
@@ -22,6 +23,7 @@
 	document_t *document; /* keeps caller and route alive */
 	const document_caller_t *caller;
 	pool_t *pool;
+	limiter_hold_t hold;
 	char *target; /* path and query at the service */
 	char *method;
 	char *content_type;
@@ -66,6 +68,7 @@
 		http_call_cancel(call->call);
 		pool_finish(call->pool, &call->route, ROUTE_END_NEUTRAL, 0);
 	}
+	limiter_release(&call->hold, 0);
 	document_unref(call->document);
 	g_free(call->target);
 	g_free(call->method);
@@ -340,6 +343,21 @@
 		call_free(call);
 }
 
+/* Returns false when the call was refused. */
+static bool acquire_limits(service_call_t *call)
+{
+	request_limit_denial_t denial;
+
+	if (request_limit_acquire(call->entry->limiter, call->caller, NULL, 0,
+				  &call->hold, &denial))
+		return true;
+	++*call->pool->refused;
+	api_error_reply(call->exchange, API_RATE_LIMITED, WORK_NOT_RUN,
+			denial.retry_after_s, denial.message);
+	call_free(call);
+	return false;
+}
+
 static void start(service_call_t *call, const char *query)
 {
 	entry_t *entry = call->entry;
@@ -347,10 +365,13 @@
 					      entry->options.request_timeout_ms;
 	const char *body = http_body(call->exchange, &call->body_len);
 	const char *type = http_header(call->exchange, "Content-Type");
-	char *budget_key =
+	char *budget_key;
+
+	if (!acquire_limits(call))
+		return;
+	budget_key =
 		g_strconcat(call->caller->partner->name, "/",
 			    call->caller->name, "/s/", call->pool->name, NULL);
-
 	if (query) {
 		char *path = call->target;
 
