Measure fairness between workspaces and the cost of large documents

Cause: no run showed what fair queueing does between workspaces under load, or what thousands of workspaces cost an entry process.

--- a/src/coord/admission.c
+++ b/src/coord/admission.c
@@ -291,10 +291,16 @@
 	if (admission->queued == 0)
 		admission->empty_us = now_us;
 	ticket->work = MAX(ticket->work, 1);
-	ticket->lane = lane_of(ticket->work);
 	ticket->arrived_us = now_us;
-	ticket->flow = find_flow(class, ticket->priority, workspace, weight);
-	classify(admission, ticket);
+	if (admission->options.first_come) {
+		ticket->lane = 0;
+		ticket->flow = find_flow(class, ticket->priority, "", 1);
+	} else {
+		ticket->lane = lane_of(ticket->work);
+		ticket->flow =
+			find_flow(class, ticket->priority, workspace, weight);
+		classify(admission, ticket);
+	}
 	if (admission->queued == 0 && has_place(admission, ticket, now_us)) {
 		start_running(admission, ticket, now_us);
 		return ADMISSION_RUNNING;
--- a/src/coord/admission.h
+++ b/src/coord/admission.h
@@ -57,6 +57,7 @@
 	const clock_source_t *clock;
 	uint32_t max_queue;
 	int64_t max_wait_us;
+	bool first_come; /* one queue for all, for comparison */
 } admission_options_t;
 
 admission_t *admission_new(const admission_options_t *options);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -207,6 +207,7 @@
 		.policy = o->route_policy,
 		.hedge_share = o->hedge_share,
 		.max_queue = (uint32_t)o->max_queue,
+		.first_come = strcmp(o->queue_policy, "first-come") == 0,
 		.max_wait_ms = o->queue_ms,
 	};
 
--- a/src/entry/entry_options.c
+++ b/src/entry/entry_options.c
@@ -1,5 +1,7 @@
 #include "entry/entry_options.h"
 
+#include <string.h>
+
 #include "base/error.h"
 #include "base/setting.h"
 #include "batch/slot.h"
@@ -62,6 +64,10 @@
 		  "waiting requests per deployment", 0, 1000000, 0 },
 		{ "queue-ms", SETTING_INT, &o->queue_ms, "2000", "MS",
 		  "longest wait for a runner", 0, 3600000, 0 },
+		{ "queue-policy", SETTING_STRING, &o->queue_policy, "fair",
+		  "NAME",
+		  "fair between workspaces, or for measurements first-come", 0,
+		  0, 0 },
 		{ "route-policy", SETTING_STRING, &o->route_policy, "observed",
 		  "NAME",
 		  "observed, or for measurements random, round-robin or "
@@ -104,6 +110,12 @@
 			    "--batch-policy: bad value '%s'", o->batch_policy);
 		return FALSE;
 	}
+	if (strcmp(o->queue_policy, "fair") != 0 &&
+	    strcmp(o->queue_policy, "first-come") != 0) {
+		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
+			    "--queue-policy: bad value '%s'", o->queue_policy);
+		return FALSE;
+	}
 	if (!route_policy_exists(o->route_policy)) {
 		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
 			    "--route-policy: bad value '%s'", o->route_policy);
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -33,6 +33,7 @@
 	int64_t slow_caller_ms; /* longest pause of a caller's reading */
 	int64_t max_queue; /* waiting requests per deployment */
 	int64_t queue_ms; /* longest wait in the queue */
+	char *queue_policy; /* fair or first-come */
 	char *route_policy;
 	double hedge_share;
 	char *batch_policy; /* slot_policy_t by name */
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -147,6 +147,7 @@
 		.clock = options->clock,
 		.max_queue = options->max_queue,
 		.max_wait_us = options->max_wait_ms * 1000,
+		.first_come = options->first_come,
 	};
 	pool_t *pool = g_new0(pool_t, 1);
 
--- a/src/entry/pool.h
+++ b/src/entry/pool.h
@@ -73,6 +73,7 @@
 	double hedge_share;
 	uint32_t max_queue; /* per pool */
 	int64_t max_wait_ms; /* in the queue */
+	bool first_come; /* queue, for measurements */
 } pool_options_t;
 
 pool_table_t *pool_table_new(const pool_options_t *options);
