Test batch jobs that cannot finish before their deadline

at_risk and expired had unit tests only. The process test submits about twice the work that fits into a window of 20 s to three nodes and six engines: the risk is reported before the deadline and not for a job that is in time; after the expiry the state and the counts stay, each node reads the same results, and no engine runs anything more.

Wrong versions that it catches: grants and renewals without the check of the deadline (the job completes), and a risk that is only called when the deadline has passed (the wait ends without one).

--- /dev/null
+++ b/tests/process/test_batch_deadline.py
@@ -0,0 +1,70 @@
+#!/usr/bin/env python3
+"""Batch jobs that cannot finish before their deadline."""
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import batch as b  # noqa: E402
+from batch import f  # noqa: E402
+from batch_case import BatchCase  # noqa: E402
+
+ITEMS = 1600
+WINDOW_S = 20
+FINAL = ("completed", "failed", "expired", "cancelled")
+
+
+class BatchDeadlineTest(BatchCase):
+    def submit(self):
+        """Far more work than the engines do within the window."""
+        items = [b.item(n, max_tokens=100) for n in range(ITEMS)]
+        return items, b.submit(self.entries[0], items, window=f"{WINDOW_S}s")
+
+    def test_risk_is_reported_before_the_deadline(self):
+        """A job that is called at risk only once it is too late, or a job
+        that is in time and called at risk."""
+        easy = b.submit(self.entries[0], [b.item(n) for n in range(20)])
+        _, job = self.submit()
+        states = []
+
+        def seen():
+            states.append(b.get(self.entries[1], job).json())
+            return states[-1].get("at_risk") or \
+                states[-1].get("status") in FINAL
+        f.wait_for(seen, "the risk or the end")
+        self.assertEqual(states[-1]["status"], "in_progress")
+        self.assertLess(time.time(), states[-1]["expires_at"])
+        easy = b.wait_state(self.entries[1], easy)
+        self.assertFalse(easy["at_risk"])
+
+    def test_expired_job(self):
+        """Results that an expiry loses, counts that do not agree with them,
+        and items that start after it."""
+        items, job = self.submit()
+        job = b.wait_state(self.entries[1], job, FINAL, 3 * WINDOW_S)
+        self.assertEqual(job["status"], "expired")
+        self.assertGreaterEqual(job["expired_at"], job["expires_at"])
+        before = self.runs()
+        wanted = {i["custom_id"]: i for i in items}
+        for entry in self.entries:
+            output = b.lines(entry, job["output_file_id"])
+            ids = [line["custom_id"] for line in output]
+            self.assertEqual(len(ids), len(set(ids)))
+            self.assertEqual(len(ids), job["request_counts"]["completed"])
+            self.assertGreater(len(ids), 0)
+            self.assertLess(len(ids), ITEMS)
+        for line in output[::50]:
+            self.assertEqual(
+                line["response"]["body"]["choices"][0]["message"]["content"],
+                b.expected(self.oracle, wanted[line["custom_id"]]))
+        # Every part of the system has had time to start more.
+        time.sleep(4)
+        self.assertEqual(self.runs(), before)
+        again = b.get(self.entries[2], job).json()
+        self.assertEqual(again["status"], "expired")
+        self.assertEqual(again["request_counts"], job["request_counts"])
+
+
+if __name__ == "__main__":
+    unittest.main()
