Authenticate messages between nodes by a shared key

Cause: whoever reached a peer port could join the membership, fetch the document with its limits and digests, read claims and take chunks.

The file is read again when it changes, so that keys rotate without a restart. Without the setting messages are as before.

Ruled out: TLS with mutual certificates, IPsec, a key in the datagrams alone (docs/design.md); a stamp in RPC records instead of the server's nonce, since a server that has just started knows no earlier stamps; a rotation by restarts, which needs three rounds over all nodes.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -50,12 +50,29 @@
 	entry->document_version = version;
 }
 
+/* A wrong file must not cut the node off: the keys stay as they are. */
+static void reload_peer_key(entry_t *entry)
+{
+	GError *error = NULL;
+
+	if (!entry->peer_key)
+		return;
+	if (peer_key_reload(entry->peer_key, entry->options.peer_key_file,
+			    &error))
+		log_info("peer_key_changed", "file=%s",
+			 entry->options.peer_key_file);
+	if (error)
+		log_warn("peer_key_invalid", "error=%s", error->message);
+	g_clear_error(&error);
+}
+
 static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
 	struct timeval period = { TICK_MS / 1000, TICK_MS % 1000 * 1000 };
 
 	claims_step(timers->entry->claims);
+	reload_peer_key(timers->entry);
 	evtimer_add(timers->tick, &period);
 }
 
@@ -118,6 +135,21 @@
 	return http_server_new(&options, error);
 }
 
+static gboolean load_peer_key(entry_t *entry, GError **error)
+{
+	if (!entry->options.peer_key_file[0])
+		return TRUE;
+	entry->peer_key = peer_key_load(entry->options.peer_key_file, error);
+	if (!entry->peer_key) {
+		g_prefix_error(error, "--peer-key-file: ");
+		return FALSE;
+	}
+	peer_key_count_in(entry->peer_key,
+			  counter_get(entry->counters, COUNTER_MONOTONIC,
+				      "peer_auth_failures_total", NULL));
+	return TRUE;
+}
+
 static gboolean start_membership(entry_t *entry, GError **error)
 {
 	membership_options_t options = {
@@ -128,6 +160,7 @@
 		.members = entry->members,
 		.environment = entry->options.environment,
 		.seeds = entry->options.seeds,
+		.peer_key = entry->peer_key,
 	};
 
 	entry->membership = membership_new(&options, error);
@@ -247,14 +280,17 @@
 	entry->clock = clock_system();
 	entry->random = g_rand_new();
 	entry->counters = counter_set_new();
+	if (!load_peer_key(entry, error))
+		return FALSE;
 	entry->http = http_client_new(entry->base);
-	entry->rpc_client = rpc_client_new(entry->base);
+	entry->rpc_client = rpc_client_new(entry->base, entry->peer_key);
 	entry->runners = runner_set_new();
 	start_online(entry);
 	store_options.client = entry->http;
 	entry->store = object_http_new(&store_options);
 	entry->rpc_server = rpc_server_new(entry->base, entry->options.address,
-					   entry->options.peer_port, error);
+					   entry->options.peer_port,
+					   entry->peer_key, error);
 	if (!entry->rpc_server)
 		return FALSE;
 	own_address = g_strdup_printf("%s:%u", entry->options.address,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -46,6 +46,7 @@
 	http_client_t *http;
 	http_server_t *callers;
 	http_server_t *operators;
+	peer_key_t *peer_key; /* NULL: peers are not authenticated */
 	rpc_client_t *rpc_client;
 	rpc_server_t *rpc_server;
 	object_store_t *store;
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -18,6 +18,7 @@
 	uint16_t peer_port; /* internal RPC */
 	char *platform; /* IP:port of the object API */
 	char *seeds; /* IP:port,...; may be empty */
+	char *peer_key_file; /* empty: peers are not authenticated */
 	char *environment; /* trial or production */
 	int64_t platform_timeout_ms;
 	int64_t max_body_bytes;
--- a/src/entry/membership.c
+++ b/src/entry/membership.c
@@ -1,5 +1,6 @@
 #include "entry/membership.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/util.h>
 #include <inttypes.h>
@@ -13,6 +14,7 @@
 #include "coord/swim.h"
 #include "platform/object_store.h"
 #include "rpc/member_xdr.h"
+#include "rpc/peer_datagram.h"
 
 #define DATAGRAM_MAX_BYTES 2048
 /* A burst of arrivals must not keep the loop from callers. */
@@ -24,6 +26,8 @@
 	struct event *read_event;
 	struct event *tick_event;
 	evutil_socket_t fd;
+	peer_key_t *key; /* NULL: no authentication */
+	peer_datagram_t *datagram;
 	GPtrArray *seeds; /* of the settings */
 	int64_t *datagrams_sent;
 	int64_t *datagrams_received;
@@ -46,7 +50,8 @@
 	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&storage,
 				       &len) != 0)
 		return;
-	xdrmem_create(&xdrs, data, sizeof(data), XDR_ENCODE);
+	xdrmem_create(&xdrs, data, sizeof(data) - PEER_DATAGRAM_TRAILER_BYTES,
+		      XDR_ENCODE);
 	if (!xdr_member_message(&xdrs, (member_message *)message)) {
 		log_error("membership_encode_failed", "address=%s", address);
 		xdr_destroy(&xdrs);
@@ -54,6 +59,9 @@
 	}
 	used = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
+	if (membership->key)
+		used = (uint32_t)peer_datagram_seal(membership->datagram,
+						    address, data, used);
 	/* A datagram that cannot be sent is a lost one. */
 	if (sendto(membership->fd, data, used, 0, (struct sockaddr *)&storage,
 		   (socklen_t)len) < 0)
@@ -72,16 +80,40 @@
 		 member_state_name(member->state), member->incarnation);
 }
 
-static void receive(membership_t *membership, char *data, size_t len)
+static void refuse(membership_t *membership, const char *from)
 {
+	peer_key_refused(membership->key, "datagram", from);
+}
+
+static void deliver(membership_t *membership, const member_message *message,
+		    uint64_t stamp)
+{
+	if (membership->key &&
+	    !peer_datagram_is_new(membership->datagram, message->sender.address,
+				  stamp))
+		refuse(membership, message->sender.address);
+	else
+		swim_receive(membership->swim, message);
+}
+
+static void receive(membership_t *membership, char *data, size_t len,
+		    const char *from)
+{
+	const char *self = member_self(membership->members)->address;
 	member_message message = { 0 };
+	uint64_t stamp = 0;
 	XDR xdrs;
 
 	++*membership->datagrams_received;
 	*membership->bytes_received += (int64_t)len;
+	if (membership->key && !peer_datagram_open(membership->datagram, self,
+						   data, &len, &stamp)) {
+		refuse(membership, from);
+		return;
+	}
 	xdrmem_create(&xdrs, data, (u_int)len, XDR_DECODE);
 	if (xdr_member_message(&xdrs, &message))
-		swim_receive(membership->swim, &message);
+		deliver(membership, &message, stamp);
 	else
 		++*membership->malformed;
 	xdr_destroy(&xdrs);
@@ -93,11 +125,16 @@
 	char data[DATAGRAM_MAX_BYTES];
 
 	for (int i = 0; i < MAX_READS_PER_EVENT; i++) {
-		ssize_t len = recv(fd, data, sizeof(data), 0);
+		struct sockaddr_in sin = { 0 };
+		socklen_t sin_len = sizeof(sin);
+		ssize_t len = recvfrom(fd, data, sizeof(data), 0,
+				       (struct sockaddr *)&sin, &sin_len);
+		char from[INET_ADDRSTRLEN] = "";
 
 		if (len < 0)
 			return;
-		receive(arg, data, (size_t)len);
+		inet_ntop(AF_INET, &sin.sin_addr, from, sizeof(from));
+		receive(arg, data, (size_t)len, from);
 	}
 }
 
@@ -207,6 +244,7 @@
 	struct timeval tick = { 0, SWIM_TICK_MS * 1000 };
 
 	membership->members = options->members;
+	membership->key = options->peer_key;
 	membership->seeds = g_ptr_array_new_with_free_func(g_free);
 	membership->fd = -1;
 	if (parse_seeds(membership->seeds, options->seeds, error))
@@ -218,6 +256,9 @@
 		return NULL;
 	}
 	find_counters(membership, options->counters);
+	if (membership->key)
+		membership->datagram =
+			peer_datagram_new(membership->key, options->clock);
 	membership->swim = start_swim(membership, options);
 	swim_set_seeds(membership->swim, membership->seeds);
 	membership->read_event =
@@ -238,6 +279,7 @@
 	event_free(membership->tick_event);
 	close(membership->fd);
 	swim_free(membership->swim);
+	peer_datagram_free(membership->datagram);
 	g_ptr_array_free(membership->seeds, TRUE);
 	g_free(membership);
 }
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -7,12 +7,13 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "coord/member.h"
+#include "rpc/peer_key.h"
 
 /*
  * membership - runs the failure detector on UDP at the node's peer port.
  *
  * Messages are XDR (src/rpc/member.x). Nodes of another environment are not
- * members. Counters: membership_datagrams_{sent,received}_total,
+ * members, nor with a key those that do not have it. Counters: membership_datagrams_{sent,received}_total,
  * membership_bytes_{sent,received}_total (payload; IP and UDP add 28 bytes a
  * datagram), membership_malformed_total.
  */
@@ -26,6 +27,7 @@
 	member_table_t *members;
 	const char *environment;
 	const char *seeds; /* IP:port,...; may be NULL or empty */
+	peer_key_t *peer_key; /* borrowed; NULL: no authentication */
 } membership_options_t;
 
 /*
--- a/src/rpc/rpc_client.h
+++ b/src/rpc/rpc_client.h
@@ -6,6 +6,8 @@
 #include <rpc/rpc.h>
 #include <stdint.h>
 
+#include "rpc/peer_key.h"
+
 /*
  * rpc_client - asynchronous ONC RPC calls, one kept connection per address.
  *
@@ -35,7 +37,8 @@
 	void *user_data;
 } rpc_call_options_t;
 
-rpc_client_t *rpc_client_new(struct event_base *base);
+/* key signs calls and verifies replies; NULL: neither. It is borrowed. */
+rpc_client_t *rpc_client_new(struct event_base *base, peer_key_t *key);
 /* Drops pending calls without their completions. */
 void rpc_client_free(rpc_client_t *client);
 void rpc_client_call(rpc_client_t *client, const rpc_call_options_t *options);
--- a/src/rpc/rpc_message.c
+++ b/src/rpc/rpc_message.c
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "rpc/rpc_auth.h"
+
 #define LAST_FRAGMENT 0x80000000U
 #define HEADER_SPACE 128
 #define INITIAL_SPACE 4096
@@ -26,6 +28,14 @@
 	return 1;
 }
 
+void rpc_record_append(struct evbuffer *output, const char *record, size_t len)
+{
+	uint32_t mark = htonl((uint32_t)len | LAST_FRAGMENT);
+
+	evbuffer_add(output, &mark, sizeof(mark));
+	evbuffer_add(output, record, len);
+}
+
 /* XDR memory streams do not grow, so a failed encoding doubles the space. */
 static gboolean append_record(struct evbuffer *output, struct rpc_msg *message,
 			      gboolean is_call, xdrproc_t encode, void *body)
@@ -43,10 +53,8 @@
 			ok = xdr_replymsg(&xdrs, message);
 		if (ok) {
 			uint32_t used = xdr_getpos(&xdrs);
-			uint32_t mark = htonl(used | LAST_FRAGMENT);
 
-			evbuffer_add(output, &mark, sizeof(mark));
-			evbuffer_add(output, data, used);
+			rpc_record_append(output, data, used);
 		}
 		xdr_destroy(&xdrs);
 		g_free(data);
@@ -56,6 +64,17 @@
 	return FALSE;
 }
 
+static struct opaque_auth reserve_verifier(uint32_t bytes)
+{
+	static char space[MAX_AUTH_BYTES];
+
+	if (bytes == 0)
+		return _null_auth;
+	return (struct opaque_auth){ .oa_flavor = (enum_t)RPC_AUTH_FLAVOR,
+				     .oa_base = space,
+				     .oa_length = bytes };
+}
+
 gboolean rpc_call_append(struct evbuffer *output,
 			 const rpc_call_header_t *header, xdrproc_t encode,
 			 void *args)
@@ -69,7 +88,7 @@
 	message.rm_call.cb_vers = header->version;
 	message.rm_call.cb_proc = header->procedure;
 	message.rm_call.cb_cred = _null_auth;
-	message.rm_call.cb_verf = _null_auth;
+	message.rm_call.cb_verf = reserve_verifier(header->verifier_bytes);
 	return append_record(output, &message, TRUE, encode, args);
 }
 
@@ -82,7 +101,7 @@
 	message.rm_xid = header->xid;
 	message.rm_direction = REPLY;
 	message.rm_reply.rp_stat = MSG_ACCEPTED;
-	message.acpted_rply.ar_verf = _null_auth;
+	message.acpted_rply.ar_verf = reserve_verifier(header->verifier_bytes);
 	message.acpted_rply.ar_stat = (enum accept_stat)header->accept_status;
 	message.acpted_rply.ar_results.where = result;
 	message.acpted_rply.ar_results.proc = encode;
--- a/src/rpc/rpc_message.h
+++ b/src/rpc/rpc_message.h
@@ -20,12 +20,14 @@
 	uint32_t program;
 	uint32_t version;
 	uint32_t procedure;
+	uint32_t verifier_bytes; /* reserved for rpc_auth; 0: no verifier */
 } rpc_call_header_t;
 
 /* Status of an accepted reply, as on the wire. */
 typedef struct rpc_reply_header {
 	uint32_t xid;
 	uint32_t accept_status; /* SUCCESS, PROG_UNAVAIL, ... */
+	uint32_t verifier_bytes;
 } rpc_reply_header_t;
 
 /*
@@ -34,6 +36,9 @@
  */
 int rpc_record_take(struct evbuffer *input, char **record, size_t *len);
 
+/* Appends a whole record. */
+void rpc_record_append(struct evbuffer *output, const char *record, size_t len);
+
 /* Appends a call or a reply. FALSE when the arguments cannot be encoded. */
 gboolean rpc_call_append(struct evbuffer *output,
 			 const rpc_call_header_t *header, xdrproc_t encode,
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -8,12 +8,13 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "rpc/rpc_message.h"
+#include "rpc/rpc_auth.h"
 
 typedef struct peer {
 	rpc_server_t *server;
 	struct bufferevent *bev;
 	GHashTable *calls; /* set of unanswered rpc_call_t */
+	rpc_auth_t auth;
 } peer_t;
 
 struct rpc_server {
@@ -22,11 +23,14 @@
 	GArray *procedures; /* rpc_procedure_t */
 	GHashTable *peers; /* set of peer_t */
 	uint16_t port;
+	peer_key_t *key; /* NULL: no authentication */
+	char *name; /* IP:port, as clients call it */
 };
 
 struct rpc_call {
 	peer_t *peer; /* NULL when the connection is gone */
 	uint32_t xid;
+	uint8_t mac[PEER_KEY_MAC_BYTES]; /* the call's, which the reply needs */
 	xdrproc_t encode;
 };
 
@@ -64,15 +68,39 @@
 	return TRUE;
 }
 
-static void reply_status(peer_t *peer, uint32_t xid, uint32_t status)
+static gboolean send_reply(peer_t *peer, uint32_t xid, const uint8_t *mac,
+			   uint32_t status, xdrproc_t encode, void *result)
 {
-	rpc_reply_header_t header = { xid, status };
+	struct evbuffer *output = bufferevent_get_output(peer->bev);
+	rpc_reply_header_t header = { xid, status, 0 };
+	struct evbuffer *encoded;
+	char *record;
+	size_t len;
+	gboolean ok;
+
+	if (!peer->auth.key)
+		return rpc_reply_append(output, &header, encode, result);
+	header.verifier_bytes = RPC_AUTH_REPLY_BYTES;
+	encoded = evbuffer_new();
+	ok = rpc_reply_append(encoded, &header, encode, result) &&
+	     rpc_record_take(encoded, &record, &len) == 1;
+	if (ok) {
+		rpc_auth_sign_reply(&peer->auth, mac, record, len);
+		rpc_record_append(output, record, len);
+		g_free(record);
+	}
+	evbuffer_free(encoded);
+	return ok;
+}
 
-	rpc_reply_append(bufferevent_get_output(peer->bev), &header,
-			 (xdrproc_t)xdr_nothing, NULL);
+static void reply_status(peer_t *peer, uint32_t xid, const uint8_t *mac,
+			 uint32_t status)
+{
+	send_reply(peer, xid, mac, status, (xdrproc_t)xdr_nothing, NULL);
 }
 
-static void execute(peer_t *peer, const rpc_call_header_t *header, XDR *xdrs)
+static void execute(peer_t *peer, const rpc_call_header_t *header,
+		    const uint8_t *mac, XDR *xdrs)
 {
 	const rpc_procedure_t *found = find_procedure(peer->server, header);
 	rpc_procedure_t procedure;
@@ -80,17 +108,18 @@
 	void *args;
 
 	if (!found) {
-		reply_status(peer, header->xid, PROC_UNAVAIL);
+		reply_status(peer, header->xid, mac, PROC_UNAVAIL);
 		return;
 	}
 	procedure = *found;
 	args = g_malloc0(procedure.args_size);
 	if (!procedure.decode(xdrs, args)) {
-		reply_status(peer, header->xid, GARBAGE_ARGS);
+		reply_status(peer, header->xid, mac, GARBAGE_ARGS);
 	} else {
 		call = g_new0(rpc_call_t, 1);
 		call->peer = peer;
 		call->xid = header->xid;
+		memcpy(call->mac, mac, sizeof(call->mac));
 		call->encode = procedure.encode;
 		g_hash_table_add(peer->calls, call);
 		procedure.handler(call, args, procedure.user_data);
@@ -99,6 +128,23 @@
 	g_free(args);
 }
 
+static gboolean is_authentic(peer_t *peer, char *record, size_t len,
+			     uint8_t *mac)
+{
+	struct sockaddr_in sin = { 0 };
+	char address[INET_ADDRSTRLEN] = "";
+	socklen_t sin_len = sizeof(sin);
+
+	if (!peer->auth.key ||
+	    rpc_auth_verify_call(&peer->auth, record, len, mac))
+		return TRUE;
+	getpeername(bufferevent_getfd(peer->bev), (struct sockaddr *)&sin,
+		    &sin_len);
+	inet_ntop(AF_INET, &sin.sin_addr, address, sizeof(address));
+	peer_key_refused(peer->auth.key, "call", address);
+	return FALSE;
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	peer_t *peer = arg;
@@ -108,14 +154,15 @@
 	int taken;
 
 	while ((taken = rpc_record_take(input, &record, &len)) == 1) {
+		uint8_t mac[PEER_KEY_MAC_BYTES] = { 0 };
 		rpc_call_header_t header;
-		gboolean ok;
+		gboolean ok = is_authentic(peer, record, len, mac);
 		XDR xdrs;
 
 		xdrmem_create(&xdrs, record, len, XDR_DECODE);
-		ok = rpc_call_decode(&xdrs, &header);
+		ok = ok && rpc_call_decode(&xdrs, &header);
 		if (ok)
-			execute(peer, &header, &xdrs);
+			execute(peer, &header, mac, &xdrs);
 		xdr_destroy(&xdrs);
 		g_free(record);
 		if (!ok) {
@@ -149,11 +196,16 @@
 						   BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(peer->bev, on_read, NULL, on_event, peer);
 	bufferevent_enable(peer->bev, EV_READ | EV_WRITE);
+	peer->auth.key = server->key;
+	peer->auth.server = server->name;
+	if (server->key)
+		rpc_auth_hello_append(&peer->auth,
+				      bufferevent_get_output(peer->bev));
 	g_hash_table_add(server->peers, peer);
 }
 
 rpc_server_t *rpc_server_new(struct event_base *base, const char *address,
-			     uint16_t port, GError **error)
+			     uint16_t port, peer_key_t *key, GError **error)
 {
 	rpc_server_t *server = g_new0(rpc_server_t, 1);
 	struct sockaddr_in sin = { .sin_family = AF_INET };
@@ -182,6 +234,8 @@
 	getsockname(evconnlistener_get_fd(server->listener),
 		    (struct sockaddr *)&sin, &len);
 	server->port = ntohs(sin.sin_port);
+	server->key = key;
+	server->name = g_strdup_printf("%s:%u", address, server->port);
 	server->procedures = g_array_new(FALSE, FALSE, sizeof(rpc_procedure_t));
 	server->peers = g_hash_table_new_full(NULL, NULL, peer_free, NULL);
 	return server;
@@ -194,6 +248,7 @@
 	evconnlistener_free(server->listener);
 	g_hash_table_destroy(server->peers);
 	g_array_free(server->procedures, TRUE);
+	g_free(server->name);
 	g_free(server);
 }
 
@@ -219,11 +274,10 @@
 void rpc_reply(rpc_call_t *call, const void *result)
 {
 	peer_t *peer = call_detach(call);
-	rpc_reply_header_t header = { call->xid, SUCCESS };
 
-	if (peer && !rpc_reply_append(bufferevent_get_output(peer->bev),
-				      &header, call->encode, (void *)result))
-		reply_status(peer, call->xid, SYSTEM_ERR);
+	if (peer && !send_reply(peer, call->xid, call->mac, SUCCESS,
+				call->encode, (void *)result))
+		reply_status(peer, call->xid, call->mac, SYSTEM_ERR);
 	g_free(call);
 }
 
@@ -232,6 +286,6 @@
 	peer_t *peer = call_detach(call);
 
 	if (peer)
-		reply_status(peer, call->xid, PROC_UNAVAIL);
+		reply_status(peer, call->xid, call->mac, PROC_UNAVAIL);
 	g_free(call);
 }
--- a/src/rpc/rpc_server.h
+++ b/src/rpc/rpc_server.h
@@ -6,6 +6,8 @@
 #include <rpc/rpc.h>
 #include <stdint.h>
 
+#include "rpc/peer_key.h"
+
 /*
  * rpc_server - asynchronous ONC RPC server.
  *
@@ -29,8 +31,9 @@
 	void *user_data;
 } rpc_procedure_t;
 
+/* key verifies calls and signs replies; NULL: neither. It is borrowed. */
 rpc_server_t *rpc_server_new(struct event_base *base, const char *address,
-			     uint16_t port, GError **error);
+			     uint16_t port, peer_key_t *key, GError **error);
 void rpc_server_free(rpc_server_t *server);
 uint16_t rpc_server_port(const rpc_server_t *server);
 void rpc_server_register(rpc_server_t *server,
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -19,7 +19,8 @@
 #include "rpc/fleet_xdr.h"
 #include "rpc/ledger_xdr.h"
 #include "rpc/member_xdr.h"
-#include "rpc/rpc_message.h"
+#include "rpc/peer_datagram.h"
+#include "rpc/rpc_auth.h"
 
 #define MAX_DOCUMENT_BYTES (1024 * 1024)
 
@@ -97,6 +98,39 @@
 	evbuffer_free(input);
 }
 
+/* No bytes can be authentic, as nobody who made them knows the key. */
+static void run_auth(const uint8_t *data, size_t size)
+{
+	static const char secret[] = "a key that no input can know of at all";
+	peer_key_t *key = peer_key_new(secret, strlen(secret), NULL);
+	peer_datagram_t *datagram = peer_datagram_new(key, clock_system());
+	rpc_auth_t auth = { .key = key, .server = "192.0.2.1:8082" };
+	uint8_t mac[PEER_KEY_MAC_BYTES] = { 0 };
+	char *record = g_memdup2(data, size);
+	size_t len = size;
+	uint64_t stamp;
+
+	g_assert(!peer_datagram_open(datagram, "192.0.2.1:8082", record, &len,
+				     &stamp));
+	rpc_auth_hello_take(&auth, record, size);
+	g_assert(!rpc_auth_verify_call(&auth, record, size, mac));
+	g_assert(!rpc_auth_verify_reply(&auth, mac, record, size));
+	g_free(record);
+	peer_datagram_free(datagram);
+	peer_key_free(key);
+}
+
+/* A key file. */
+static void run_peer_key(const uint8_t *data, size_t size)
+{
+	GError *error = NULL;
+	peer_key_t *key = peer_key_new((const char *)data, size, &error);
+
+	g_assert((key == NULL) == (error != NULL));
+	peer_key_free(key);
+	g_clear_error(&error);
+}
+
 static void run_platform(const uint8_t *data, size_t size)
 {
 	object_listing_t listing = { 0 };
@@ -313,6 +347,8 @@
 	{ "document", run_document },
 	{ "xdr", run_xdr },
 	{ "rpc", run_rpc },
+	{ "auth", run_auth },
+	{ "peer_key", run_peer_key },
 	{ "platform", run_platform },
 	{ "sse", run_sse },
 	{ "completion", run_completion },
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -109,8 +109,8 @@
 		char *own;
 
 		node->server =
-			rpc_server_new(world->base, "127.0.0.1", 0, NULL);
-		node->client = rpc_client_new(world->base);
+			rpc_server_new(world->base, "127.0.0.1", 0, NULL, NULL);
+		node->client = rpc_client_new(world->base, NULL);
 		own = address_of(node);
 		node->members = member_table_new(own, "old-town");
 		g_free(own);
