Forget workspaces that have no request for the longest wait

Cause: the admission queue of each deployment kept a flow of 376 bytes for every workspace that it had ever seen, also for removed ones: 10,000 workspaces at 11 deployments are 41 MB by that size (computed, not measured).

Ruled out: removing a flow when its last request leaves the queue, since its virtual time would be forgotten between two requests; a timer, which nothing else in this module needs.

Change: when the table has doubled, flows without a queued request that were not used for the longest wait are removed. What such a flow owes is at most its last request's work.

Tests: 10,000 workspaces one after the other leave at most 130 flows in tests/test_admission.c (without the removal the test fails).

--- a/src/coord/admission.c
+++ b/src/coord/admission.c
@@ -17,6 +17,8 @@
  * delay", 2012). Then only this share of the wait is accepted.
  */
 #define STANDING_SHARE 0.25
+/* Flows are looked through for idle ones when there are this many. */
+#define MIN_SWEEP_FLOWS 64
 #define USUAL_WORK_GAIN 0.02
 #define SERVICE_GAIN 0.05
 
@@ -32,12 +34,14 @@
 	double weight;
 	double start; /* virtual time */
 	double lane_time;
+	int64_t used_us;
 	uint32_t queued;
 	admission_lane_t lanes[LANES];
 };
 
 typedef struct admission_class {
 	GHashTable *flows; /* workspace -> admission_flow_t */
+	guint sweep_flows;
 	GPtrArray *backlogged; /* flows with queued tickets */
 	double time; /* virtual */
 	double work; /* queued */
@@ -78,6 +82,7 @@
 
 		class->flows = g_hash_table_new_full(g_str_hash, g_str_equal,
 						     NULL, flow_free);
+		class->sweep_flows = MIN_SWEEP_FLOWS;
 		class->backlogged = g_ptr_array_new();
 	}
 	return admission;
@@ -104,23 +109,59 @@
 	return admission->running;
 }
 
+uint32_t admission_flows(const admission_t *admission)
+{
+	uint32_t count = 0;
+
+	for (int i = 0; i < ADMISSION_PRIORITIES; i++)
+		count += g_hash_table_size(admission->classes[i].flows);
+	return count;
+}
+
 uint32_t admission_queued(const admission_t *admission)
 {
 	return admission->queued;
 }
 
-static admission_flow_t *find_flow(admission_class_t *class,
+static gboolean is_idle(void *key, void *value, void *user_data)
+{
+	const admission_flow_t *flow = value;
+	const int64_t *before_us = user_data;
+
+	return flow->queued == 0 && flow->used_us < *before_us;
+}
+
+/* Forgets workspaces without a request for the longest wait: what they owe is
+ * less than the last request's work. The bound doubles with the flows that
+ * stay, so a new flow costs constant time on average. */
+static void sweep_flows(admission_t *admission, admission_class_t *class,
+			int64_t now_us)
+{
+	int64_t before_us = now_us - admission->options.max_wait_us;
+
+	if (g_hash_table_size(class->flows) < class->sweep_flows)
+		return;
+	g_hash_table_foreach_remove(class->flows, is_idle, &before_us);
+	class->sweep_flows =
+		MAX(MIN_SWEEP_FLOWS, 2 * g_hash_table_size(class->flows));
+}
+
+static admission_flow_t *find_flow(admission_t *admission,
 				   admission_priority_t priority,
-				   const char *workspace, double weight)
+				   const char *workspace, double weight,
+				   int64_t now_us)
 {
+	admission_class_t *class = &admission->classes[priority];
 	admission_flow_t *flow = g_hash_table_lookup(class->flows, workspace);
 
 	if (!flow) {
+		sweep_flows(admission, class, now_us);
 		flow = g_new0(admission_flow_t, 1);
 		flow->priority = priority;
 		flow->workspace = g_strdup(workspace);
 		g_hash_table_insert(class->flows, flow->workspace, flow);
 	}
+	flow->used_us = now_us;
 	flow->weight = weight > 0 ? weight : 1;
 	return flow;
 }
@@ -284,7 +325,6 @@
 				  const char *workspace, double weight,
 				  int64_t *retry_after_ms)
 {
-	admission_class_t *class = &admission->classes[ticket->priority];
 	int64_t now_us = clock_now_us(admission->options.clock);
 	int64_t wait_us;
 
@@ -294,11 +334,12 @@
 	ticket->arrived_us = now_us;
 	if (admission->options.first_come) {
 		ticket->lane = 0;
-		ticket->flow = find_flow(class, ticket->priority, "", 1);
+		ticket->flow =
+			find_flow(admission, ticket->priority, "", 1, now_us);
 	} else {
 		ticket->lane = lane_of(ticket->work);
-		ticket->flow =
-			find_flow(class, ticket->priority, workspace, weight);
+		ticket->flow = find_flow(admission, ticket->priority, workspace,
+					 weight, now_us);
 		classify(admission, ticket);
 	}
 	if (admission->queued == 0 && has_place(admission, ticket, now_us)) {
--- a/src/coord/admission.h
+++ b/src/coord/admission.h
@@ -68,6 +68,8 @@
 void admission_set_capacity(admission_t *admission, uint32_t capacity);
 uint32_t admission_running(const admission_t *admission);
 uint32_t admission_queued(const admission_t *admission);
+/* Workspaces that are remembered. */
+uint32_t admission_flows(const admission_t *admission);
 
 /*
  * Takes a request: RUNNING, QUEUED or REFUSED. After REFUSED *retry_after_ms
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,5 +1,6 @@
 #include "coord/admission.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "unit.h"
@@ -278,6 +279,56 @@
 	admission_free(admission);
 }
 
+/* Workspaces that come and go must not fill the memory, and those that wait
+ * must not be forgotten. */
+static void test_idle_workspaces(void)
+{
+	admission_t *admission = open_admission(1, 1000);
+	admission_ticket_t running;
+	admission_ticket_t waiting;
+	admission_ticket_t ticket;
+	char name[16];
+
+	offer(admission, &running, ADMISSION_ONLINE, "a", 16);
+	offer(admission, &waiting, ADMISSION_ONLINE, "b", 16);
+	for (int i = 0; i < 10000; i++) {
+		snprintf(name, sizeof(name), "w%d", i);
+		offer(admission, &ticket, ADMISSION_ONLINE, name, 16);
+		admission_release(admission, &ticket);
+		clock_manual_advance_ms(&clock_manual, 20);
+	}
+	/* 50 a second are remembered for a second. */
+	CU_ASSERT(admission_flows(admission) <= 130);
+	admission_release(admission, &running);
+	CU_ASSERT_PTR_EQUAL(admission_next(admission), &waiting);
+	admission_release(admission, &waiting);
+	admission_free(admission);
+}
+
+/* The baseline of tests/bench/fairness.py keeps the order of arrival. */
+static void test_first_come(void)
+{
+	admission_options_t options = { .clock = &clock_manual.base,
+					.max_queue = 10,
+					.max_wait_us = 1000000,
+					.first_come = true };
+	admission_t *admission = admission_new(&options);
+	admission_ticket_t tickets[4];
+	static const char *const names[] = { "a", "a", "a", "heavy" };
+
+	clock_manual_init(&clock_manual, 0);
+	admission_set_capacity(admission, 1);
+	for (int i = 0; i < 4; i++)
+		offer(admission, &tickets[i], ADMISSION_ONLINE, names[i],
+		      i == 1 ? 1600 : 16);
+	for (int i = 1; i < 4; i++) {
+		admission_release(admission, &tickets[i - 1]);
+		CU_ASSERT_PTR_EQUAL(admission_next(admission), &tickets[i]);
+	}
+	admission_release(admission, &tickets[3]);
+	admission_free(admission);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -290,6 +341,8 @@
 		{ "standing queue", test_standing_queue },
 		{ "full queue is shared", test_full_queue_is_shared },
 		{ "random sequence", test_random_sequence },
+		{ "idle workspaces", test_idle_workspaces },
+		{ "first come, first served", test_first_come },
 		{ NULL, NULL },
 	};
 
