--- a/src/coord/admission.h
+++ b/src/coord/admission.h
@@ -57,6 +57,7 @@
 	const clock_source_t *clock;
 	uint32_t max_queue;
 	int64_t max_wait_us;
+	bool first_come; /* one queue for all, for comparison */
 } admission_options_t;
 
 admission_t *admission_new(const admission_options_t *options);
@@ -67,6 +68,8 @@
 void admission_set_capacity(admission_t *admission, uint32_t capacity);
 uint32_t admission_running(const admission_t *admission);
 uint32_t admission_queued(const admission_t *admission);
+/* Workspaces that are remembered. */
+uint32_t admission_flows(const admission_t *admission);
 
 /*
  * Takes a request: RUNNING, QUEUED or REFUSED. After REFUSED *retry_after_ms
--- a/src/entry/entry_options.c
+++ b/src/entry/entry_options.c
@@ -1,5 +1,7 @@
 #include "entry/entry_options.h"
 
+#include <string.h>
+
 #include "base/error.h"
 #include "base/setting.h"
 #include "batch/slot.h"
@@ -26,6 +28,11 @@
 		  "IP:PORT", "object API of the platform", 0, 0, 0 },
 		{ "seeds", SETTING_STRING, &o->seeds, "", "IP:PORT,...",
 		  "peer addresses of nodes to join through", 0, 0, 0 },
+		{ "peer-key-file", SETTING_STRING, &o->peer_key_file, "",
+		  "FILE",
+		  "one or two keys, one a line, that nodes share; the first "
+		  "signs, both verify; none: nodes are not authenticated",
+		  0, 0, 0 },
 		{ "environment", SETTING_STRING, &o->environment, "production",
 		  "NAME", "name of the configuration document", 0, 0, 0 },
 		{ "platform-timeout-ms", SETTING_INT, &o->platform_timeout_ms,
@@ -62,6 +69,10 @@
 		  "waiting requests per deployment", 0, 1000000, 0 },
 		{ "queue-ms", SETTING_INT, &o->queue_ms, "2000", "MS",
 		  "longest wait for a runner", 0, 3600000, 0 },
+		{ "queue-policy", SETTING_STRING, &o->queue_policy, "fair",
+		  "NAME",
+		  "fair between workspaces, or for measurements first-come", 0,
+		  0, 0 },
 		{ "route-policy", SETTING_STRING, &o->route_policy, "observed",
 		  "NAME",
 		  "observed, or for measurements random, round-robin or "
@@ -112,6 +123,12 @@
 			    "--batch-policy: bad value '%s'", o->batch_policy);
 		return FALSE;
 	}
+	if (strcmp(o->queue_policy, "fair") != 0 &&
+	    strcmp(o->queue_policy, "first-come") != 0) {
+		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
+			    "--queue-policy: bad value '%s'", o->queue_policy);
+		return FALSE;
+	}
 	if (!route_policy_exists(o->route_policy)) {
 		g_set_error(error, WL_ERROR, WL_ERROR_INVALID,
 			    "--route-policy: bad value '%s'", o->route_policy);
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -18,6 +18,7 @@
 	uint16_t peer_port; /* internal RPC */
 	char *platform; /* IP:port of the object API */
 	char *seeds; /* IP:port,...; may be empty */
+	char *peer_key_file; /* empty: peers are not authenticated */
 	char *environment; /* trial or production */
 	int64_t platform_timeout_ms;
 	int64_t max_body_bytes;
@@ -33,6 +34,7 @@
 	int64_t slow_caller_ms; /* longest pause of a caller's reading */
 	int64_t max_queue; /* waiting requests per deployment */
 	int64_t queue_ms; /* longest wait in the queue */
+	char *queue_policy; /* fair or first-come */
 	char *route_policy;
 	double hedge_share;
 	char *batch_policy; /* slot_policy_t by name */
