Ask the successor when the last known owner gives no verdict

Cause: a node that once polled a shard's head keeps that owner as its first choice whenever no peer told it another. An owner that is cut off from the store alone stays alive as a member, does not learn of its successor and refuses every operation, so such a node never asked the successor: its claims, reads and cancels of the shard stayed unavailable for as long as the owner was cut off. Dead owners were never affected.

Ruled out: a slow takeover (the log shows the successor's shard_acquired 2 s after the first refusal) and the time of one call (25 s of repeated cancels were all refused with ledger_unavailable).

Change: the place of a shard remembers the peer that failed last, and the last known owner comes after the candidate while it is that peer. A hint by a peer and a verdict still go first.

--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -271,6 +271,7 @@
 		shard_free(records->places[i].shard);
 		g_free(records->places[i].key);
 		g_free(records->places[i].hint);
+		g_free(records->places[i].failed);
 	}
 	event_free(records->step_timer);
 	event_free(records->kick);
--- a/src/entry/records_call.c
+++ b/src/entry/records_call.c
@@ -70,6 +70,8 @@
 	if (code != WL_ERROR_UNAVAILABLE && code != WL_ERROR_REFUSED)
 		call->uncertain = true;
 	records_place_set_hint(call->place, hint);
+	if (!moved && call->target)
+		records_place_set_failed(call->place, call->target);
 	call_retry(call, moved ? 1 : RECORDS_RETRY_MS);
 }
 
@@ -133,6 +135,7 @@
 	}
 	verdict.code = (int)by_answer[result->answer].code;
 	records_place_set_hint(call->place, call->target);
+	records_place_set_failed(call->place, NULL);
 	call_finish(call,
 		    result->records.records_len ? result->records.records_val :
 						  NULL,
--- a/src/entry/records_place.c
+++ b/src/entry/records_place.c
@@ -27,6 +27,12 @@
 		hint && *hint && strcmp(hint, own) != 0 ? g_strdup(hint) : NULL;
 }
 
+void records_place_set_failed(place_t *place, const char *address)
+{
+	g_free(place->failed);
+	place->failed = g_strdup(address);
+}
+
 static bool records_place_usable(const records_t *records, const char *address)
 {
 	return address &&
@@ -37,18 +43,23 @@
 const char *records_place_target(const place_t *place)
 {
 	const records_t *records = place->records;
+	const char *owner = shard_owner(place->shard);
 	const member_t *candidate;
 
 	if (shard_is_owner(place->shard))
 		return NULL;
 	if (records_place_usable(records, place->hint))
 		return place->hint;
-	if (records_place_usable(records, shard_owner(place->shard)))
-		return shard_owner(place->shard);
+	if (!records_place_usable(records, owner))
+		owner = NULL;
+	/* An owner that is cut off from the store lives on as a member, and
+	 * does not know its successor. */
+	if (owner && g_strcmp0(owner, place->failed) != 0)
+		return owner;
 	candidate = member_owner(records->options.members, NULL, place->key);
 	if (candidate && records_place_usable(records, candidate->address))
 		return candidate->address;
-	return NULL;
+	return owner;
 }
 
 bool records_place_serves(const place_t *place)
--- a/src/entry/records_place.h
+++ b/src/entry/records_place.h
@@ -9,6 +9,8 @@
 
 /* The ledger's fingerprints use the first bytes of the key. */
 place_t *records_place_of(const records_t *records, const void *key);
+/* NULL after a verdict. */
+void records_place_set_failed(place_t *place, const char *address);
 void records_place_set_hint(place_t *place, const char *hint);
 /* Where to send an operation: NULL for this node. */
 const char *records_place_target(const place_t *place);
--- a/src/entry/records_state.h
+++ b/src/entry/records_state.h
@@ -18,6 +18,7 @@
 	shard_t *shard;
 	char *key; /* "shard/<n>" */
 	char *hint; /* owner as told by a peer; NULL if unknown */
+	char *failed; /* peer that gave no verdict last; NULL if none */
 	bool candidate;
 } place_t;
 
