Give no chunk leases when another node may own the job's shard

Cause: a batch coordinator that lost only its connection to the store went on granting and renewing until it learned of its successor. The successor waits 3.2 s from its takeover before it acknowledges a cancel, which covers leases given before the takeover, not later ones.

Ruled out: going on while the store is down for everybody. A coordinator with its holders cannot tell this from a partition in which a successor has the store, because nodes that it does not know may take over. Longer leases would need an equally longer wait of every successor.

Change: the coordinator grants and renews for 5 s after the start of its last successful head write (the read lease), and not while it writes a release. Then renewals are answered as paused: the holder stops the items when its lease ends and keeps the chunk. When the store is back, the coordinator grants after one lease, so that holders renew first. With W the start of the last head write, leases end before W + 8 s, and a successor acknowledges after W + 9.2 s. A pause between check and answer adds nothing: holders count from the time of their request. Price: batch pauses 5 to 8 s after the store has gone.

Tests: tests/test_dispatcher.c has two coordinators now, the former one cut off from the store; cancels come when both act.

--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -389,6 +389,14 @@
 	       remaining_ms(coordinator, entry) > 0;
 }
 
+static gboolean has_record(const coordinator_t *coordinator,
+			   const entry_t *entry)
+{
+	return !coordinator->ops.has_record ||
+	       coordinator->ops.has_record(entry->job->id,
+					   coordinator->ops.user_data);
+}
+
 /*
  * A predecessor's holders are given the time to renew. A chunk that they hold
  * would run twice otherwise, and a bad item in it end more runners.
@@ -397,7 +405,8 @@
 			  const entry_t *entry)
 {
 	return entry->waiting > 0 && runs(coordinator, entry) &&
-	       clock_now_ms(coordinator->clock) >= entry->grant_ms;
+	       clock_now_ms(coordinator->clock) >= entry->grant_ms &&
+	       has_record(coordinator, entry);
 }
 
 static char *service_key(const job_t *job)
@@ -564,6 +573,8 @@
 		return LEASE_ENDED;
 	if (chunk->holder && strcmp(chunk->holder, holder) != 0)
 		return LEASE_LOST;
+	if (!has_record(coordinator, entry))
+		return LEASE_PAUSED;
 	lease(coordinator, entry, chunk, holder);
 	return LEASE_VALID;
 }
@@ -698,6 +709,10 @@
 			coordinator->ops.learn(entry->job->id,
 					       coordinator->ops.user_data);
 		}
+	} else if (!has_record(coordinator, entry)) {
+		/* Once it has the record again, holders renew first. */
+		entry->grant_ms =
+			now_ms + COORDINATOR_LEASE_MS + LEASE_MARGIN_MS;
 	} else if (entry->job->state == JOB_IN_PROGRESS) {
 		expire_leases(coordinator, entry);
 		estimate(coordinator, entry);
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -16,7 +16,8 @@
  *
  * What it knows of leases is lost with it. A successor learns finished chunks
  * from the result objects and lets no cancel or expiry end before the leases
- * that its predecessor may have given have run out.
+ * that its predecessor may have given have run out: the predecessor gives none
+ * once there may be a successor, so one lease from the adoption is enough.
  */
 #define COORDINATOR_LEASE_MS 3000
 #define COORDINATOR_NAME_BYTES 128
@@ -26,7 +27,9 @@
 typedef enum lease_status {
 	LEASE_VALID, /* for COORDINATOR_LEASE_MS from the time of the call */
 	LEASE_LOST, /* another holder has it, or it is not known yet */
-	LEASE_ENDED /* the job ended, is to end, or the chunk is finished */
+	LEASE_ENDED, /* the job ended, is to end, or the chunk is finished */
+	LEASE_PAUSED /* the coordinator may have a successor that it does not
+		      * know yet; nothing runs, and the chunk is kept */
 } lease_status_t;
 
 typedef struct coordinator_grant {
@@ -60,6 +63,9 @@
 	/* Reads one result object; answer by coordinator_learned() or
 	 * coordinator_absent(). */
 	void (*check)(const char *job, uint32_t first, void *user_data);
+	/* FALSE when another node may own the job's record already; NULL:
+	 * never. */
+	gboolean (*has_record)(const char *job, void *user_data);
 	/* Weight of a workspace; NULL: all the same. */
 	double (*weight)(const char *partner, const char *workspace,
 			 void *user_data);
--- a/src/batch/dispatcher_chunk.c
+++ b/src/batch/dispatcher_chunk.c
@@ -209,6 +209,11 @@
 	chunk->renewing = false;
 	if (!answered || status == LEASE_LOST)
 		return;
+	if (status == LEASE_PAUSED) {
+		if (chunk->parked_ms)
+			chunk->parked_ms = dispatcher_now_ms(dispatcher);
+		return;
+	}
 	if (chunk->recording)
 		chunk->unrecorded = false;
 	if (status == LEASE_ENDED) {
--- a/src/coord/shard.c
+++ b/src/coord/shard.c
@@ -191,6 +191,12 @@
 	return shard->owner ? shard->epoch : 0;
 }
 
+bool shard_has_lease(const shard_t *shard)
+{
+	return shard->owner && !shard->write.releasing &&
+	       shard_state_reads_valid(shard, shard_state_now_ms(shard));
+}
+
 const ledger_t *shard_ledger(const shard_t *shard)
 {
 	return shard->ledger;
--- a/src/coord/shard.h
+++ b/src/coord/shard.h
@@ -114,6 +114,9 @@
 /* Address of the last known owner, NULL if unknown. */
 const char *shard_owner(const shard_t *shard);
 uint64_t shard_epoch(const shard_t *shard);
+/* True while no other node can have taken the shard over: 5/6 of the lease
+ * from the start of the last successful write, and no release is written. */
+bool shard_has_lease(const shard_t *shard);
 const ledger_t *shard_ledger(const shard_t *shard);
 uint32_t shard_waiting(const shard_t *shard);
 
--- a/src/entry/chunks.c
+++ b/src/entry/chunks.c
@@ -31,6 +31,7 @@
 	int64_t *jobs;
 	int64_t *granted;
 	int64_t *finished;
+	int64_t *paused;
 };
 
 /* One operation of the coordinator in progress. */
@@ -273,6 +274,15 @@
 	check(-1, 0, call);
 }
 
+static gboolean op_has_record(const char *job, void *user_data)
+{
+	const chunks_t *chunks = user_data;
+	record_key_t key;
+
+	return batch_id_key(job, &key) &&
+	       records_has_lease(chunks->entry->records, &key);
+}
+
 static double op_weight(const char *partner, const char *workspace,
 			void *user_data)
 {
@@ -430,6 +440,7 @@
 	suspects = suspects_from_wire(&args->suspects);
 	result.status = coordinator_renew(chunks->coordinator, args->holder,
 					  args->job, args->first, suspects);
+	*chunks->paused += result.status == LEASE_PAUSED;
 	g_array_free(suspects, TRUE);
 	rpc_reply(call, &result);
 }
@@ -505,6 +516,7 @@
 		.update = op_update,
 		.learn = op_learn,
 		.check = op_check,
+		.has_record = op_has_record,
 		.weight = op_weight,
 		.user_data = chunks,
 	};
@@ -517,6 +529,8 @@
 				      "batch_chunks_granted_total", NULL);
 	chunks->finished = counter_get(entry->counters, COUNTER_MONOTONIC,
 				       "batch_chunks_finished_total", NULL);
+	chunks->paused = counter_get(entry->counters, COUNTER_MONOTONIC,
+				     "batch_renewals_paused_total", NULL);
 	chunks->last_tick_ms = clock_now_ms(entry->clock);
 	chunks->tick = evtimer_new(entry->base, on_tick, chunks);
 	register_procedures(chunks);
--- a/src/entry/dispatch_grant.c
+++ b/src/entry/dispatch_grant.c
@@ -29,7 +29,8 @@
 	const chunk_renew_result *result = data;
 	chunk_call_t *call = user_data;
 
-	if (!result || result->status == LEASE_LOST)
+	if (!result || result->status == LEASE_LOST ||
+	    result->status == LEASE_PAUSED)
 		dispatch_coordinator_locate(call->dispatch, call->job);
 	dispatcher_renewed(call->dispatch->dispatcher, call->job, call->first,
 			   result != NULL,
--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -98,6 +98,11 @@
 	return shard_is_owner(records_place_of(records, key->bytes)->shard);
 }
 
+gboolean records_has_lease(const records_t *records, const record_key_t *key)
+{
+	return shard_has_lease(records_place_of(records, key->bytes)->shard);
+}
+
 const char *records_owner_address(const records_t *records,
 				  const record_key_t *key)
 {
--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -114,6 +114,9 @@
 /* Shard of a key, below the options' shards. */
 uint32_t records_shard(const records_t *records, const record_key_t *key);
 gboolean records_is_owner(const records_t *records, const record_key_t *key);
+/* Unlike records_is_owner() never true when another node may already be the
+ * owner. */
+gboolean records_has_lease(const records_t *records, const record_key_t *key);
 /* Peer address of the node that most likely owns the key; NULL if unknown. */
 const char *records_owner_address(const records_t *records,
 				  const record_key_t *key);
--- a/tests/test_coordinator.c
+++ b/tests/test_coordinator.c
@@ -4,6 +4,8 @@
 
 #define ITEMS 20
 
+static gboolean store_reached;
+
 static void op_update(const job_t *job, uint64_t version, void *user_data)
 {
 }
@@ -95,11 +97,62 @@
 	coordinator_free(coordinator);
 }
 
+static gboolean op_has_record(const char *job, void *user_data)
+{
+	return store_reached;
+}
+
+static void op_check(const char *job, uint32_t first, void *user_data)
+{
+	coordinator_absent(*(coordinator_t **)user_data, job, first);
+}
+
+/*
+ * Without the store a coordinator must give no lease, because a successor may
+ * acknowledge a cancel. With it again, the holder must get its chunk back
+ * before another node does, or its progress is lost.
+ */
+static void test_store_away(void)
+{
+	clock_manual_t clock;
+	coordinator_t *coordinator;
+	coordinator_ops_t ops = { .update = op_update,
+				  .learn = op_learn,
+				  .check = op_check,
+				  .has_record = op_has_record,
+				  .user_data = &coordinator };
+	coordinator_grant_t grant;
+
+	clock_manual_init(&clock, 1000000);
+	coordinator = coordinator_new(&ops, &clock.base);
+	coordinator_follow(coordinator, running_job(), 1);
+	coordinator_tick(coordinator);
+	clock_manual_advance_ms(&clock, 2 * COORDINATOR_LEASE_MS);
+	CU_ASSERT_FALSE(
+		coordinator_pull(coordinator, "a", "guild", "muse", &grant));
+	store_reached = TRUE;
+	CU_ASSERT_TRUE(
+		coordinator_pull(coordinator, "a", "guild", "muse", &grant));
+	store_reached = FALSE;
+	CU_ASSERT_EQUAL(coordinator_renew(coordinator, "a", "job", 0, NULL),
+			LEASE_PAUSED);
+	clock_manual_advance_ms(&clock, 2 * COORDINATOR_LEASE_MS);
+	coordinator_tick(coordinator);
+	store_reached = TRUE;
+	coordinator_tick(coordinator);
+	CU_ASSERT_FALSE(
+		coordinator_pull(coordinator, "b", "guild", "muse", &grant));
+	CU_ASSERT_EQUAL(coordinator_renew(coordinator, "a", "job", 0, NULL),
+			LEASE_VALID);
+	coordinator_free(coordinator);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "return_to_successor", test_return_to_successor },
 		{ "return_of_former_holder", test_return_of_former_holder },
+		{ "store_away", test_store_away },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -11,12 +11,15 @@
 /*
  * A whole job on simulated nodes, against a naive model: the list of results
  * that the items must have. Messages are delayed, lost and crossed; nodes are
- * lost and frozen; the coordinator moves; the job may be cancelled.
+ * lost and frozen; the coordinator moves, and the former one may go on for a
+ * while, cut off from the store alone; the job may be cancelled.
  */
 #define WORKERS 3
 #define RUNNERS 3
 #define STEP_MS 20
 #define TAKEOVER_MS 6000
+#define RENEW_MS 2000 /* of the shard's head */
+#define RECORD_LEASE_MS 5000
 #define HISTORIES 150
 #define MAX_ITEMS 120
 
@@ -32,6 +35,13 @@
 	char name[16];
 } worker_t;
 
+typedef struct owner {
+	world_t *world;
+	coordinator_t *coordinator;
+	uint32_t generation;
+	int64_t written_ms; /* start of its last successful head write */
+} owner_t;
+
 struct message {
 	int64_t due_ms;
 	void (*deliver)(world_t *world, message_t *message);
@@ -61,8 +71,10 @@
 	GHashTable *objects; /* key -> GBytes */
 	worker_t workers[WORKERS];
 	int64_t dead_until_ms[WORKERS][RUNNERS];
-	coordinator_t *coordinator; /* NULL between owners */
-	uint32_t coordinator_generation;
+	owner_t *owner; /* NULL between owners */
+	owner_t *former; /* cut off from the store; NULL when there is none */
+	uint32_t generation; /* of the last owner */
+	int64_t former_until_ms;
 	int64_t takeover_ms;
 	char *record;
 	size_t record_len;
@@ -75,10 +87,11 @@
 	uint32_t starts_after_cancel;
 	uint32_t told_deaths[MAX_ITEMS]; /* known to some coordinator */
 	uint32_t padding; /* bytes of a token */
+	int32_t pace; /* steps for a token */
 	bool calm; /* no more faults, so that the job ends */
 };
 
-static int64_t now(world_t *world)
+static int64_t now(const world_t *world)
 {
 	return clock_now_ms(&world->clock.base);
 }
@@ -165,15 +178,15 @@
 {
 	job_t *job;
 
-	if (!world->coordinator ||
-	    message->generation != world->coordinator_generation)
+	if (!world->owner || message->generation != world->owner->generation)
 		return;
 	if (message->text) {
 		job = job_decode(message->text, strlen(message->text), NULL);
-		coordinator_follow(world->coordinator, job, message->version);
+		coordinator_follow(world->owner->coordinator, job,
+				   message->version);
 	}
-	coordinator_updated(world->coordinator, message->job, message->status,
-			    message->version);
+	coordinator_updated(world->owner->coordinator, message->job,
+			    message->status, message->version);
 }
 
 static void commit(world_t *world, job_t *job)
@@ -188,7 +201,7 @@
 {
 	job_t *job = job_decode(message->text, strlen(message->text), NULL);
 	message_t *answer;
-	bool ok = message->generation == world->coordinator_generation &&
+	bool ok = message->generation == world->generation &&
 		  message->version == world->version;
 
 	answer = post(world, deliver_updated);
@@ -210,13 +223,14 @@
 
 static void op_update(const job_t *job, uint64_t version, void *user_data)
 {
-	world_t *world = user_data;
-	message_t *message = post(world, deliver_update);
+	const owner_t *owner = user_data;
+	message_t *message = post(owner->world, deliver_update);
 	size_t len;
 
 	message->text = job_encode(job, &len);
 	message->version = version;
-	message->generation = world->coordinator_generation;
+	message->generation =
+		owner == owner->world->owner ? owner->generation : 0;
 }
 
 static void tell_result(world_t *world, const char *job, GBytes *object)
@@ -229,7 +243,7 @@
 	CU_ASSERT_TRUE_FATAL(result_parse(data, len, &result, NULL));
 	told = (coordinator_result_t){ result.first, result.count,
 				       result.completed, result.failed };
-	coordinator_learned(world->coordinator, job, &told);
+	coordinator_learned(world->owner->coordinator, job, &told);
 }
 
 static int compare_text(const void *a, const void *b)
@@ -255,28 +269,27 @@
 	GPtrArray *keys;
 	bool ok = !chance(world, 0.3);
 
-	if (!world->coordinator ||
-	    message->generation != world->coordinator_generation)
+	if (!world->owner || message->generation != world->owner->generation)
 		return;
 	keys = sorted_keys(world);
 	for (guint i = 0; ok && i < keys->len; i++)
 		if (coordinator_needs(
-			    world->coordinator, message->job,
+			    world->owner->coordinator, message->job,
 			    (uint32_t)result_key_first(keys->pdata[i])))
 			tell_result(world, message->job,
 				    g_hash_table_lookup(world->objects,
 							keys->pdata[i]));
 	g_ptr_array_free(keys, TRUE);
-	coordinator_ready(world->coordinator, message->job, ok);
+	coordinator_ready(world->owner->coordinator, message->job, ok);
 }
 
 static void op_learn(const char *job, void *user_data)
 {
-	world_t *world = user_data;
-	message_t *message = post(world, deliver_learn);
+	const owner_t *owner = user_data;
+	message_t *message = post(owner->world, deliver_learn);
 
 	message->job = g_strdup(job);
-	message->generation = world->coordinator_generation;
+	message->generation = owner->generation;
 }
 
 static void deliver_check(world_t *world, message_t *message)
@@ -285,24 +298,30 @@
 	GBytes *object = g_hash_table_lookup(world->objects, key);
 
 	g_free(key);
-	if (!world->coordinator ||
-	    message->generation != world->coordinator_generation)
+	if (!world->owner || message->generation != world->owner->generation)
 		return;
 	if (object)
 		tell_result(world, message->job, object);
 	else
-		coordinator_absent(world->coordinator, message->job,
+		coordinator_absent(world->owner->coordinator, message->job,
 				   message->first);
 }
 
 static void op_check(const char *job, uint32_t first, void *user_data)
 {
-	world_t *world = user_data;
-	message_t *message = post(world, deliver_check);
+	const owner_t *owner = user_data;
+	message_t *message = post(owner->world, deliver_check);
 
 	message->job = g_strdup(job);
 	message->first = first;
-	message->generation = world->coordinator_generation;
+	message->generation = owner->generation;
+}
+
+static gboolean op_has_record(const char *job, void *user_data)
+{
+	const owner_t *owner = user_data;
+
+	return now(owner->world) - owner->written_ms < RECORD_LEASE_MS;
 }
 
 /* Messages between workers and the coordinator. */
@@ -316,10 +335,20 @@
 	return copy;
 }
 
-static bool reaches(world_t *world, const message_t *message)
+static bool follows_former(const world_t *world, const worker_t *worker)
+{
+	return (world->former->generation + worker->name[7]) % 2 == 0;
+}
+
+/* The coordinator that the message comes to: some workers go on calling a
+ * former one. NULL: it is lost. */
+static coordinator_t *reached(world_t *world, const message_t *message)
 {
-	return world->coordinator &&
-	       now(world) >= message->worker->cut_off_until_ms;
+	if (now(world) < message->worker->cut_off_until_ms)
+		return NULL;
+	if (world->former && follows_former(world, message->worker))
+		return world->former->coordinator;
+	return world->owner ? world->owner->coordinator : NULL;
 }
 
 static void deliver_granted(world_t *world, message_t *message)
@@ -347,13 +376,14 @@
 static void deliver_pull(world_t *world, message_t *message)
 {
 	message_t *answer = post_worker(message->worker, deliver_granted);
+	coordinator_t *coordinator = reached(world, message);
 	coordinator_grant_t grant;
 
 	answer->generation = message->generation;
 	answer->sent_ms = message->sent_ms;
-	if (!reaches(world, message) ||
-	    !coordinator_pull(world->coordinator, message->worker->name,
-			      "guild", "muse", &grant))
+	if (!coordinator ||
+	    !coordinator_pull(coordinator, message->worker->name, "guild",
+			      "muse", &grant))
 		return;
 	if (chance(world, 0.1))
 		return; /* the grant is lost */
@@ -406,18 +436,19 @@
 static void deliver_renew(world_t *world, message_t *message)
 {
 	message_t *answer = post_worker(message->worker, deliver_renewed);
+	coordinator_t *coordinator = reached(world, message);
 
 	answer->generation = message->generation;
 	answer->job = g_strdup(message->job);
 	answer->first = message->first;
 	answer->sent_ms = message->sent_ms;
 	answer->status = -1;
-	if (!reaches(world, message) || chance(world, 0.1))
+	if (!coordinator || chance(world, 0.1))
 		return;
 	note_deaths(world, message->suspects);
-	answer->status = coordinator_renew(world->coordinator,
-					   message->worker->name, message->job,
-					   message->first, message->suspects);
+	answer->status = coordinator_renew(coordinator, message->worker->name,
+					   message->job, message->first,
+					   message->suspects);
 	if (chance(world, 0.1))
 		answer->status = -1;
 }
@@ -472,8 +503,10 @@
 
 static void deliver_done(world_t *world, message_t *message)
 {
-	if (reaches(world, message) && !chance(world, 0.2))
-		coordinator_done(world->coordinator, message->worker->name,
+	coordinator_t *coordinator = reached(world, message);
+
+	if (coordinator && !chance(world, 0.2))
+		coordinator_done(coordinator, message->worker->name,
 				 message->job, &message->result);
 }
 
@@ -488,11 +521,13 @@
 
 static void deliver_hand_back(world_t *world, message_t *message)
 {
-	if (!reaches(world, message) || chance(world, 0.2))
+	coordinator_t *coordinator = reached(world, message);
+
+	if (!coordinator || chance(world, 0.2))
 		return;
 	note_deaths(world, message->suspects);
-	coordinator_hand_back(world->coordinator, message->worker->name,
-			      message->job, message->first, message->suspects);
+	coordinator_hand_back(coordinator, message->worker->name, message->job,
+			      message->first, message->suspects);
 }
 
 static void op_hand_back(const dispatch_chunk_t *chunk, const GArray *suspects,
@@ -619,7 +654,8 @@
 static void run_engines(world_t *world)
 {
 	for (guint i = world->streams->len; i-- > 0;)
-		if (i < world->streams->len && g_rand_boolean(world->random))
+		if (i < world->streams->len &&
+		    g_rand_int_range(world->random, 0, world->pace) == 0)
 			run_stream(world, world->streams->pdata[i]);
 }
 
@@ -666,16 +702,21 @@
 
 static void coordinator_start(world_t *world)
 {
+	owner_t *owner = g_new0(owner_t, 1);
 	coordinator_ops_t ops = {
 		.update = op_update,
 		.learn = op_learn,
 		.check = op_check,
-		.user_data = world,
+		.has_record = op_has_record,
+		.user_data = owner,
 	};
 
-	world->coordinator_generation++;
-	world->coordinator = coordinator_new(&ops, &world->clock.base);
-	coordinator_follow(world->coordinator,
+	owner->world = world;
+	owner->coordinator = coordinator_new(&ops, &world->clock.base);
+	owner->generation = ++world->generation;
+	owner->written_ms = now(world);
+	world->owner = owner;
+	coordinator_follow(world->owner->coordinator,
 			   job_decode(world->record, world->record_len, NULL),
 			   world->version);
 }
@@ -686,8 +727,8 @@
 
 	if (job_move(job, JOB_CANCELLING, 1)) {
 		commit(world, job);
-		if (world->coordinator)
-			coordinator_follow(world->coordinator,
+		if (world->owner)
+			coordinator_follow(world->owner->coordinator,
 					   job_decode(world->record,
 						      world->record_len, NULL),
 					   world->version);
@@ -695,6 +736,45 @@
 	job_free(job);
 }
 
+static void owner_free(owner_t *owner)
+{
+	if (!owner)
+		return;
+	coordinator_free(owner->coordinator);
+	g_free(owner);
+}
+
+/* The owner dies, or it is cut off from the store and still reaches nodes. */
+static void depose_owner(world_t *world)
+{
+	owner_t *owner = g_steal_pointer(&world->owner);
+
+	world->takeover_ms = owner->written_ms + TAKEOVER_MS;
+	if (g_rand_boolean(world->random)) {
+		owner_free(owner);
+		return;
+	}
+	owner_free(world->former);
+	world->former = owner;
+	world->former_until_ms =
+		now(world) + g_rand_int_range(world->random, 0, 25000);
+}
+
+static void run_owners(world_t *world)
+{
+	if (world->owner) {
+		if (now(world) - world->owner->written_ms >= RENEW_MS)
+			world->owner->written_ms = now(world);
+		coordinator_tick(world->owner->coordinator);
+	}
+	if (!world->former)
+		return;
+	if (now(world) < world->former_until_ms)
+		coordinator_tick(world->former->coordinator);
+	else
+		owner_free(g_steal_pointer(&world->former));
+}
+
 static void make_trouble(world_t *world)
 {
 	worker_t *worker =
@@ -716,12 +796,9 @@
 			(uint32_t)g_rand_int_range(world->random, 0, 3));
 	if (chance(world, 0.002))
 		dispatcher_drain(worker->dispatcher);
-	if (world->coordinator && chance(world, 0.003)) {
-		coordinator_free(world->coordinator);
-		world->coordinator = NULL;
-		world->takeover_ms = now(world) + TAKEOVER_MS;
-	}
-	if (!world->coordinator && now(world) >= world->takeover_ms)
+	if (world->owner && chance(world, 0.003))
+		depose_owner(world);
+	if (!world->owner && now(world) >= world->takeover_ms)
 		coordinator_start(world);
 }
 
@@ -754,8 +831,7 @@
 	for (int i = 0; i < WORKERS; i++)
 		if (now(world) >= world->workers[i].frozen_until_ms)
 			dispatcher_tick(world->workers[i].dispatcher);
-	if (world->coordinator)
-		coordinator_tick(world->coordinator);
+	run_owners(world);
 }
 
 static void world_init(world_t *world, uint32_t seed)
@@ -771,6 +847,8 @@
 	world->streams = g_ptr_array_new_with_free_func(g_free);
 	world->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
+	/* A cancelled job must still run when its coordinator has moved. */
+	world->pace = seed % 3 == 0 ? 30 : 2;
 	world->padding = seed % 10 == 0 ? 20000 : 1;
 	world->total = items =
 		(uint32_t)g_rand_int_range(world->random, 1, MAX_ITEMS);
@@ -814,7 +892,8 @@
 {
 	for (int i = 0; i < WORKERS; i++)
 		dispatcher_free(world->workers[i].dispatcher);
-	coordinator_free(world->coordinator);
+	owner_free(world->owner);
+	owner_free(world->former);
 	for (guint i = 0; i < world->messages->len; i++)
 		message_free(world->messages->pdata[i]);
 	g_ptr_array_free(world->messages, TRUE);
@@ -902,6 +981,13 @@
 	g_free(seen);
 }
 
+/* Late cancels come at once when a former coordinator goes on beside its
+ * successor, which acknowledges them. */
+static bool is_cancel_due(const world_t *world, int64_t cancel_ms)
+{
+	return now(world) >= cancel_ms || (world->owner && world->former);
+}
+
 static void run_history(uint32_t seed)
 {
 	world_t world;
@@ -910,10 +996,10 @@
 
 	world_init(&world, seed);
 	cancel_ms =
-		seed % 3 == 0 ? g_rand_int_range(world.random, 0, 20000) : -1;
+		seed % 3 == 0 ? g_rand_int_range(world.random, 0, 40000) : -1;
 	while (!job_state_is_final(world.state) && now(&world) < 600000) {
 		world.calm = now(&world) > 60000;
-		if (cancel_ms >= 0 && now(&world) >= cancel_ms) {
+		if (cancel_ms >= 0 && is_cancel_due(&world, cancel_ms)) {
 			cancel(&world);
 			cancel_ms = -1;
 		}
