--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -99,6 +99,11 @@
 	return shard_is_owner(records_place_of(records, key->bytes)->shard);
 }
 
+gboolean records_has_lease(const records_t *records, const record_key_t *key)
+{
+	return shard_has_lease(records_place_of(records, key->bytes)->shard);
+}
+
 const char *records_owner_address(const records_t *records,
 				  const record_key_t *key)
 {
@@ -277,6 +282,7 @@
 		shard_free(records->places[i].shard);
 		g_free(records->places[i].key);
 		g_free(records->places[i].hint);
+		g_free(records->places[i].failed);
 	}
 	event_free(records->step_timer);
 	event_free(records->kick);
