--- a/src/backend/engine_client.c
+++ b/src/backend/engine_client.c
@@ -31,6 +31,7 @@
 	bool paused;
 	bool first_token_seen;
 	bool mismatch;
+	bool not_run; /* the engine marked its error so */
 	bool cancelled;
 	bool in_callback;
 };
@@ -124,6 +125,20 @@
 	return strcmp(echo, call->request_id) == 0;
 }
 
+/*
+ * The mark counts only on a server error that echoes this call's id: the
+ * engine itself then speaks about this call, not something in front of it.
+ */
+static bool is_marked_not_run(const engine_call_t *call,
+			      const http_call_t *http, int status)
+{
+	const char *echo = http_answer_header(http, "X-Request-Id");
+	const char *mark = http_answer_header(http, "X-Not-Run");
+
+	return status >= 500 && echo && mark &&
+	       strcmp(echo, call->request_id) == 0 && strcmp(mark, "1") == 0;
+}
+
 static void on_headers(http_call_t *http, int status, void *user_data)
 {
 	engine_call_t *call = user_data;
@@ -131,6 +146,7 @@
 	call->status = status;
 	call->last_progress_ms = clock_now_ms(call->client->clock);
 	call->mismatch = !echo_matches(call, http);
+	call->not_run = is_marked_not_run(call, http, status);
 }
 
 static void on_events(const char *events, size_t len, void *user_data)
@@ -186,20 +202,6 @@
 	return ENGINE_FAULT_NONE;
 }
 
-/*
- * The mark counts only on a server error that echoes this call's id: the
- * engine itself then speaks about this call, not something in front of it.
- */
-static bool is_marked_not_run(const engine_call_t *call,
-			      const http_answer_t *answer)
-{
-	const char *echo = http_answer_header(answer->call, "X-Request-Id");
-	const char *mark = http_answer_header(answer->call, "X-Not-Run");
-
-	return answer->status >= 500 && echo && mark &&
-	       strcmp(echo, call->request_id) == 0 && strcmp(mark, "1") == 0;
-}
-
 static void judge_complete(engine_call_t *call, const http_answer_t *answer,
 			   engine_result_t *result)
 {
@@ -216,7 +218,7 @@
 	} else if (answer->status >= 400 && answer->status < 500) {
 		result->fault = ENGINE_FAULT_REJECTED;
 	} else if (answer->status != 200 || call->sse.error_seen) {
-		if (is_marked_not_run(call, answer))
+		if (call->not_run)
 			result->outcome = ENGINE_REFUSED;
 		result->fault = ENGINE_FAULT_ERROR;
 	} else if (!whole) {
