Remove old input files that no job names

Cause: input parts, and parts of uploads that did not end, stayed for ever. The store tells no age; the meta object tells it, but costs a read a file and does not exist for an upload that did not end.

Change: a file's id holds the time of its upload in its first 12 digits, so listed keys tell the age. As no job can take such a file any more, the list misses none. A crash or a new owner starts again; missing objects are no error. records_list() without a tag now lists all owners' records, as its users could not ask for them. Two counters, one log line a file.

Ruled out: reference counts (a write more per job that can be lost), removal by the uploading process (it may be gone).

Conclusion: files go after their retention unless a job needs them. A file id made before this change has no time; 0.6% of such ids look old, the others stay.

--- a/src/entry/batch_id.c
+++ b/src/entry/batch_id.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #define SCOPE_DIGITS 16
+/* Enough for 8,900 years. */
+#define CREATED_DIGITS 12
+#define CREATED_MASK 0xffffffffffffLL
 #define KEY_DIGITS (2 * RECORD_KEY_BYTES)
 
 static const char file_prefix[] = "file-";
@@ -51,13 +54,16 @@
 			   NULL);
 }
 
-char *batch_id_new_file(const document_caller_t *caller)
+char *batch_id_new_file(const document_caller_t *caller, int64_t created_ms)
 {
 	char *scope = scope_of(caller);
 	char *uuid = g_uuid_string_random();
 	record_key_t key = record_key_make(scope, uuid, NULL);
 	char *nonce = to_hex(key.bytes, RECORD_KEY_BYTES);
-	char *id = g_strconcat(file_prefix, scope, nonce, NULL);
+	char *id = g_strdup_printf("%s%s%0*" G_GINT64_MODIFIER "x%s",
+				   file_prefix, scope, CREATED_DIGITS,
+				   (gint64)(created_ms & CREATED_MASK),
+				   nonce + CREATED_DIGITS);
 
 	g_free(nonce);
 	g_free(uuid);
@@ -65,6 +71,18 @@
 	return id;
 }
 
+int64_t batch_id_file_created_ms(const char *id)
+{
+	const char *rest = id + strlen(file_prefix) + SCOPE_DIGITS;
+	char digits[CREATED_DIGITS + 1];
+
+	if (!g_str_has_prefix(id, file_prefix) ||
+	    !is_hex(id + strlen(file_prefix), SCOPE_DIGITS + KEY_DIGITS))
+		return -1;
+	g_strlcpy(digits, rest, sizeof(digits));
+	return g_ascii_strtoll(digits, NULL, 16);
+}
+
 char *batch_id_job(const char *scope, const record_key_t *key)
 {
 	char *hex = to_hex(key->bytes, RECORD_KEY_BYTES);
--- a/src/entry/batch_id.h
+++ b/src/entry/batch_id.h
@@ -11,7 +11,8 @@
  *
  * Each id holds its scope, a digest of partner and workspace, so a node knows
  * without a look-up that an id is another caller's:
- *   file-<scope><nonce>                  uploaded file
+ *   file-<scope><created><nonce>         uploaded file; created in ms since
+ *                                        the epoch, 12 digits, nonce 20
  *   batch_<scope><record key>            job; without the prefix it names the
  *                                        job in the object store
  *   file-<scope>out<record key>, ...err  a job's results
@@ -26,7 +27,9 @@
 /* All strings are newly allocated. */
 char *batch_id_scope(const char *partner, const char *workspace);
 char *batch_id_owner_tag(const document_caller_t *caller);
-char *batch_id_new_file(const document_caller_t *caller);
+char *batch_id_new_file(const document_caller_t *caller, int64_t created_ms);
+/* Wall clock time at which an uploaded file was created, -1 for another id. */
+int64_t batch_id_file_created_ms(const char *id);
 char *batch_id_job(const char *scope, const record_key_t *key);
 /* The id of the job's results as a file. */
 char *batch_id_results(const char *job, batch_id_kind_t kind);
--- a/src/entry/batches.c
+++ b/src/entry/batches.c
@@ -130,14 +130,49 @@
 
 /* Creation */
 
+/* No new job may name an old file, as it may be removed at any time
+ * (batch/file_sweep.h). A job that exists is still told. */
+static bool is_file_old(const batch_call_t *call)
+{
+	int64_t created_ms = batch_id_file_created_ms(call->job->input_file_id);
+
+	return clock_wall_ms(call->entry->clock) - created_ms >=
+	       call->entry->options.file_retention_ms;
+}
+
 static void create_record(batch_call_t *call);
 
+static void reply_existing(batch_call_t *call, const record_t *record)
+{
+	job_t *job = job_decode(record->data, record->len, NULL);
+	bool same = job && strcmp(job->digest, call->job->digest) == 0;
+
+	job_free(job);
+	if (same)
+		reply_record(call, record);
+	else
+		refuse(call, API_IDEMPOTENCY_CONFLICT, WORK_NOT_RUN,
+		       "the key was used for another job");
+}
+
+static void on_existing(const record_t *record, const GError *error,
+			void *user_data)
+{
+	batch_call_t *call = user_data;
+
+	if (!error)
+		reply_existing(call, record);
+	else if (error->code == WL_ERROR_NOT_FOUND)
+		refuse(call, API_NOT_FOUND, WORK_NOT_RUN,
+		       "the input file is past its retention");
+	else
+		refuse_record_error(call, error);
+}
+
 static void on_created(const record_t *record, const GError *error,
 		       void *user_data)
 {
 	batch_call_t *call = user_data;
-	job_t *job;
-	bool same;
 
 	if (!error) {
 		log_info("job_accepted", "job=%s items=%u owner=%s",
@@ -145,14 +180,7 @@
 			 log_quote(call->owner_tag));
 		reply_record(call, record);
 	} else if (error->code == WL_ERROR_CONFLICT && record) {
-		job = job_decode(record->data, record->len, NULL);
-		same = job && strcmp(job->digest, call->job->digest) == 0;
-		job_free(job);
-		if (same)
-			reply_record(call, record);
-		else
-			refuse(call, API_IDEMPOTENCY_CONFLICT, WORK_NOT_RUN,
-			       "the key was used for another job");
+		reply_existing(call, record);
 	} else if (error->code == WL_ERROR_TIMEOUT && ++call->tries < 2) {
 		/* A conflict with the own job then tells that it exists. */
 		create_record(call);
@@ -244,7 +272,12 @@
 		       "no such model as the file's items name");
 	} else {
 		fill_job(call, meta);
-		create_record(call);
+		if (is_file_old(call))
+			records_get_within(call->entry->records, &call->key,
+					   RECORD_TIMEOUT_MS, on_existing,
+					   call);
+		else
+			create_record(call);
 	}
 }
 
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -37,7 +37,8 @@
 	double hedge_share;
 	char *batch_policy; /* slot_policy_t by name */
 	int64_t result_retention_ms; /* results of a job after its end */
-	double removals_per_s; /* of results past their retention */
+	int64_t file_retention_ms; /* input files that no job names */
+	double removals_per_s; /* of objects past their retention */
 	int64_t batch_slots; /* per runner under the policy fixed */
 	int64_t batch_reserve; /* slots per runner kept free for online load */
 	log_level_t log_level;
--- a/src/entry/files.c
+++ b/src/entry/files.c
@@ -387,10 +387,10 @@
 	upload->timer = evtimer_new(entry->base, upload_step, upload);
 	upload->file = item_file_new();
 	upload->fields = fields;
-	upload->id = batch_id_new_file(caller);
 	upload->name = g_strdup(file->file_name);
 	upload->data = file->data;
 	upload->len = file->len;
+	upload->id = batch_id_new_file(caller, clock_wall_ms(entry->clock));
 	upload->created_s = clock_wall_ms(entry->clock) / 1000;
 	http_on_closed(exchange, on_caller_closed, upload);
 	evtimer_add(upload->timer, &now);
--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -98,7 +98,7 @@
 			int32_t timeout_ms, record_done_t done,
 			void *user_data);
 
-/* Records of a kind and owner tag over all shards. */
+/* Records of a kind and owner tag, or of all with NULL, over all shards. */
 void records_list(records_t *records, record_kind_t kind, const char *owner_tag,
 		  record_list_done_t done, void *user_data);
 
--- a/src/entry/records_state.c
+++ b/src/entry/records_state.c
@@ -49,5 +49,6 @@
 
 bool records_state_matches(const ledger_record *record, const char *owner_tag)
 {
-	return !owner_tag || strcmp(record->owner_tag, owner_tag) == 0;
+	return !owner_tag || !*owner_tag ||
+	       strcmp(record->owner_tag, owner_tag) == 0;
 }
--- a/src/entry/removal.c
+++ b/src/entry/removal.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "batch/file_sweep.h"
 #include "batch/retention.h"
 #include "entry/batch_id.h"
 
@@ -20,8 +21,18 @@
 	int64_t *jobs;
 	int64_t *objects;
 	int64_t *failures;
+	record_key_t sweep_key; /* the owner of its shard sweeps files */
+	file_sweep_t *files;
+	file_sweep_stats_t file_stats;
+	int64_t *files_removed;
+	int64_t *parts_removed;
 };
 
+typedef struct needed_call {
+	removal_t *removal;
+	uint64_t sweep;
+} needed_call_t;
+
 typedef struct update_call {
 	removal_t *removal;
 	char *job;
@@ -31,9 +42,13 @@
 {
 	job_t *job = job_decode(record->data, record->len, NULL);
 
+	record_key_t key;
+
 	/* The coordinator reports damaged records. */
-	if (job)
+	if (job && batch_id_key(job->id, &key))
 		retention_follow(removal->retention, job, record->version);
+	else
+		job_free(job);
 }
 
 static gboolean is_owned(const char *job, void *user_data)
@@ -94,9 +109,9 @@
 
 	call->removal = removal;
 	call->job = g_strdup(job->id);
-	if (batch_id_key(job->id, &record.key))
-		records_update(removal->entry->records, &record, on_updated,
-			       call);
+	/* follow_record() has checked the id. */
+	g_assert_true(batch_id_key(job->id, &record.key));
+	records_update(removal->entry->records, &record, on_updated, call);
 	free(data);
 	g_free(tag);
 }
@@ -106,15 +121,84 @@
 	log_info("job_results_removed", "job=%s objects=%u", job, objects);
 }
 
+/* Input files */
+
+static bool op_is_owner(void *user_data)
+{
+	const removal_t *removal = user_data;
+
+	return records_is_owner(removal->entry->records, &removal->sweep_key);
+}
+
+static void on_jobs(const GArray *records, gboolean complete, void *user_data)
+{
+	needed_call_t *call = user_data;
+	GHashTable *ids =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (guint i = 0; complete && i < records->len; i++) {
+		const record_t *record = &g_array_index(records, record_t, i);
+		job_t *job = job_decode(record->data, record->len, NULL);
+
+		if (job)
+			g_hash_table_add(ids, g_strdup(job->input_file_id));
+		/* What an unreadable job needs is not known. */
+		complete = job != NULL;
+		job_free(job);
+	}
+	if (complete) {
+		file_sweep_needed(call->removal->files, call->sweep, ids);
+	} else {
+		file_sweep_needed(call->removal->files, call->sweep, NULL);
+		g_hash_table_destroy(ids);
+	}
+	g_free(call);
+}
+
+static void op_ask_needed(uint64_t sweep, void *user_data)
+{
+	removal_t *removal = user_data;
+	needed_call_t *call = g_new0(needed_call_t, 1);
+
+	call->removal = removal;
+	call->sweep = sweep;
+	records_list(removal->entry->records, RECORD_JOB, NULL, on_jobs, call);
+}
+
+static void op_file_removed(const char *id, uint32_t objects, void *user_data)
+{
+	log_info("file_removed", "file=%s objects=%u", id, objects);
+}
+
+static file_sweep_t *new_file_sweep(removal_t *removal)
+{
+	const entry_options_t *o = &removal->entry->options;
+	file_sweep_options_t options = {
+		.ops = { op_is_owner, batch_id_file_created_ms, op_ask_needed,
+			 op_file_removed, removal },
+		.store = removal->entry->store,
+		.clock = removal->entry->clock,
+		.file_ms = o->file_retention_ms,
+		.removals_per_s = o->removals_per_s,
+		.stats = &removal->file_stats,
+	};
+
+	return file_sweep_new(&options);
+}
+
 static void on_step(evutil_socket_t fd, short events, void *arg)
 {
 	removal_t *removal = arg;
 	struct timeval period = { 0, STEP_MS * 1000 };
 
 	retention_step(removal->retention);
+	file_sweep_step(removal->files);
 	*removal->jobs = removal->stats.jobs;
 	*removal->objects = removal->stats.objects;
-	*removal->failures = removal->stats.failures;
+	*removal->failures =
+		removal->stats.failures + removal->file_stats.failures;
+	*removal->files_removed = removal->file_stats.files;
+	*removal->parts_removed = removal->file_stats.objects;
 	evtimer_add(removal->timer, &period);
 }
 
@@ -138,6 +222,13 @@
 				       "batch_results_removed_total", NULL);
 	removal->failures = counter_get(entry->counters, COUNTER_MONOTONIC,
 					"batch_removal_failures_total", NULL);
+	removal->files_removed = counter_get(entry->counters, COUNTER_MONOTONIC,
+					     "batch_files_removed_total", NULL);
+	removal->parts_removed =
+		counter_get(entry->counters, COUNTER_MONOTONIC,
+			    "batch_file_objects_removed_total", NULL);
+	removal->sweep_key = record_key_make("file sweep", NULL);
+	removal->files = new_file_sweep(removal);
 	removal->timer = evtimer_new(entry->base, on_step, removal);
 	records_follow(entry->records, RECORD_JOB, on_record, removal);
 	on_step(-1, 0, removal);
--- a/src/entry/removal.h
+++ b/src/entry/removal.h
@@ -5,7 +5,8 @@
 
 /*
  * removal - removes results past their retention for the jobs whose records
- * this node owns (batch/retention.h).
+ * this node owns (batch/retention.h), and old input files on one node
+ * (batch/file_sweep.h).
  */
 typedef struct removal removal_t;
 
--- a/tests/process/test_batch_retention.py
+++ b/tests/process/test_batch_retention.py
@@ -1,13 +1,14 @@
 #!/usr/bin/env python3
-"""Results of a batch job past their retention."""
+"""Results and input files of batch jobs past their retention."""
 import os
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import batch as b  # noqa: E402
 from batch import f  # noqa: E402
-from batch_case import TAKEOVER_S, BatchCase  # noqa: E402
+from batch_case import DOMAINS, TAKEOVER_S, BatchCase  # noqa: E402
 
 
 class RetentionTest(BatchCase):
@@ -17,6 +18,61 @@
         return f.request(self.fleet.platform.port, "GET",
                          "/v1/objects?prefix=result/").json()["objects"]
 
+    def put_old_file(self, number, age_s):
+        """As an upload of an earlier day would have left it."""
+        scope = b.upload(self.entries[0], [b.item(0)]).json()["id"][5:21]
+        created = int(time.time() - age_s)
+        file_id = f"file-{scope}{created * 1000:012x}{number:020x}"
+        lines = f.json.dumps(b.item(number)) + "\n"
+        meta = {"id": file_id, "name": "a", "model": b.MODEL,
+                "digest": f"{number}", "bytes": len(lines),
+                "created": created, "parts": [1]}
+        self.fleet.put_object(f"file/{file_id}/000000", lines)
+        self.fleet.put_object(f"file/{file_id}/meta", f.json.dumps(meta))
+        return file_id
+
+    def file_objects(self, file_id):
+        return f.request(self.fleet.platform.port, "GET",
+                         f"/v1/objects?prefix=file/{file_id}/"
+                         ).json()["objects"]
+
+    def test_old_files(self):
+        """A file that no job names must go, also when its upload did not end;
+        one that a job names must stay, as the resent job needs it."""
+        used = self.put_old_file(1, 4 * 86400)
+        unused = self.put_old_file(2, 4 * 86400)
+        young = b.upload(self.entries[0], [b.item(3)]).json()["id"]
+        for entry in self.entries:
+            entry.stop()
+        def start(days):
+            return [self.fleet.start_entry(
+                f"days-{days}-{d}", d, "--file-retention-ms",
+                str(days * 86400000), "--removals-per-s", "5")
+                for d in DOMAINS]
+        self.fleet.vms = [vm for vm in self.fleet.vms
+                          if vm["role"] != "entry"]
+        self.entries = start(30)
+        self.fleet.publish_vms()
+        job = b.wait_state(self.entries[0],
+                           b.create(self.entries[0], used).json())
+        for entry in self.entries:
+            entry.stop()
+        self.fleet.vms = [vm for vm in self.fleet.vms
+                          if vm["role"] != "entry"]
+        self.entries = start(2)
+        self.fleet.publish_vms()
+        f.wait_for(lambda: not self.file_objects(unused), "the removal",
+                   TAKEOVER_S)
+        f.wait_for(lambda: any(b.metric(
+            e, "wasabilink_batch_files_removed_total")
+            for e in self.entries), "the counter")
+        self.assertEqual(len(self.file_objects(used)), 2)
+        self.assertEqual(len(self.file_objects(young)), 2)
+        again = b.create(self.entries[1], used)
+        self.assertEqual(again.json()["id"], job["id"])
+        late = b.create(self.entries[1], used, metadata={"a": "b"})
+        self.assertEqual(late.status, 404)
+
     def test_results_go_and_the_job_runs_again(self):
         """Results must go after their retention, also when their owner dies
         before, and a job sent again later must not find a part of them."""
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -269,6 +269,9 @@
 	outcome = list(&w, 1, "guild/a");
 	CU_ASSERT_TRUE(outcome.complete);
 	CU_ASSERT_EQUAL(outcome.count, 15);
+	/* Without a tag the records of all owners count. */
+	outcome = list(&w, 1, NULL);
+	CU_ASSERT(outcome.count > 15);
 	world_close(&w);
 }
 
