--- a/tests/test_batch_id.c
+++ b/tests/test_batch_id.c
@@ -15,8 +15,8 @@
 /* A file must be found under its id by its owner and by nobody else. */
 static void test_file(void)
 {
-	char *id = batch_id_new_file(&painter);
-	char *other = batch_id_new_file(&painter);
+	char *id = batch_id_new_file(&painter, 1700000000000);
+	char *other = batch_id_new_file(&painter, 1700000000000);
 	batch_id_kind_t kind = BATCH_ID_ERRORS;
 	char *job;
 
