Give the unfinished items of an expired job an error line

Cause: the error file held result objects' lines only, and was not named at all without a failed item. Of 1,600 items of an expired job 750 had a result and 850 neither a result nor an error.

Ruled out: result objects for unfinished items, more than 2,000 writes for the largest job after its deadline; result lines in the job's record, which holds no ids of items.

Change: when an expired job's error file is read, the items that no result object covers get the error batch_expired, made from the input's parts one at a time. Reading error lines now needs the job's record as well.

Test: tests/process/test_batch_deadline.py asks each node that every item has exactly one result or error; it failed before (750 != 1600). Results of chunks that are not whole at the expiry are still dropped.

--- a/src/entry/batches.c
+++ b/src/entry/batches.c
@@ -71,9 +71,11 @@
 {
 	char *output = batch_id_results(job->id, BATCH_ID_OUTPUT);
 	char *errors = batch_id_results(job->id, BATCH_ID_ERRORS);
+	/* The unfinished items of an expired job are errors as well. */
+	bool has_errors = job->failed > 0 || job->state == JOB_EXPIRED;
 	json_t *root =
 		job_to_json(job, job->state == JOB_VALIDATING ? NULL : output,
-			    job->failed > 0 ? errors : NULL);
+			    has_errors ? errors : NULL);
 
 	g_free(output);
 	g_free(errors);
--- a/src/entry/content.c
+++ b/src/entry/content.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "batch/job.h"
 #include "batch/result.h"
+#include "batch/unfinished.h"
 #include "entry/api_error.h"
 #include "entry/files.h"
 
@@ -29,7 +30,10 @@
 	char *after; /* last listed key */
 	size_t last_pending;
 	int retries;
+	unfinished_t *unfinished; /* items without a result; error lines only */
+	GArray *part_firsts; /* uint32_t: first item of the part at each key */
 	bool listed_all;
+	bool asked; /* for the job's record */
 	bool started;
 	bool draining;
 	bool calling; /* the store has not answered yet */
@@ -42,6 +46,9 @@
 	if (content->exchange)
 		http_on_closed(content->exchange, NULL, NULL);
 	event_free(content->timer);
+	unfinished_free(content->unfinished);
+	if (content->part_firsts)
+		g_array_free(content->part_firsts, TRUE);
 	g_ptr_array_free(content->keys, TRUE);
 	g_free(content->after);
 	g_free(content->job);
@@ -148,6 +155,9 @@
 		return TRUE;
 	if (!result_parse(value->data, value->len, &result, NULL))
 		return FALSE;
+	if (content->unfinished)
+		unfinished_remove(content->unfinished, result.first,
+				  result.count);
 	*data = content->kind == BATCH_ID_OUTPUT ? result.output :
 						   result.errors;
 	*len = content->kind == BATCH_ID_OUTPUT ? result.output_len :
@@ -155,6 +165,16 @@
 	return TRUE;
 }
 
+static void write_unfinished(content_t *content, const object_value_t *value)
+{
+	GString *lines = unfinished_lines(
+		content->unfinished, content->job, value->data, value->len,
+		g_array_index(content->part_firsts, uint32_t, content->next));
+
+	http_stream_write(content->exchange, lines->str, lines->len);
+	g_string_free(lines, TRUE);
+}
+
 static void on_object(const object_value_t *value, const GError *error,
 		      void *user_data)
 {
@@ -165,13 +185,16 @@
 	if (handle_error(content, error))
 		return;
 	start_stream(content);
-	if (!select_lines(content, value, &data, &len)) {
+	if (content->part_firsts) {
+		write_unfinished(content, value);
+	} else if (select_lines(content, value, &data, &len)) {
+		http_stream_write(content->exchange, data, len);
+	} else {
 		http_stream_abort(content->exchange);
 		content_free(content);
 		return;
 	}
 	content->next++;
-	http_stream_write(content->exchange, data, len);
 	if (http_stream_pending(content->exchange) <= STREAM_BUFFER_BYTES) {
 		content_next(content);
 		return;
@@ -182,15 +205,39 @@
 	arm_timer(content, content->entry->options.slow_caller_ms);
 }
 
+/* The parts of the input that hold items without a result come next. */
+static void add_unfinished_parts(content_t *content, const job_t *job)
+{
+	uint32_t first = 0;
+
+	g_ptr_array_set_size(content->keys, 0);
+	content->next = 0;
+	content->part_firsts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (guint i = 0; i < job->part_items->len; i++) {
+		uint32_t count = g_array_index(job->part_items, uint32_t, i);
+
+		if (unfinished_any(content->unfinished, first, count)) {
+			g_ptr_array_add(content->keys,
+					files_part_key(job->input_file_id, i));
+			g_array_append_val(content->part_firsts, first);
+		}
+		first += count;
+	}
+}
+
 static void on_job(const record_t *record, const GError *error, void *user_data)
 {
 	content_t *content = user_data;
+	job_t *job;
 
 	if (handle_error(content, error))
 		return;
-	start_stream(content);
-	http_stream_end(content->exchange);
-	content_free(content);
+	content->asked = true;
+	job = job_decode(record->data, record->len, NULL);
+	if (job && job->state == JOB_EXPIRED && content->unfinished)
+		add_unfinished_parts(content, job);
+	job_free(job);
+	content_next(content);
 }
 
 static void on_listed(const object_listing_t *listing, const GError *error,
@@ -226,7 +273,8 @@
 	g_free(prefix);
 }
 
-/* Without any result yet, the job's record tells whether the job exists. */
+/* The job's record tells whether the job exists, when it has no result yet,
+ * and whether it has expired, so that items without a result are errors. */
 static void ask_for_job(content_t *content)
 {
 	record_key_t key;
@@ -245,7 +293,8 @@
 			   content);
 	} else if (!content->listed_all) {
 		list_results(content);
-	} else if (!content->started && content->job) {
+	} else if (content->job && !content->asked &&
+		   (!content->started || content->unfinished)) {
 		ask_for_job(content);
 	} else {
 		start_stream(content);
@@ -278,6 +327,8 @@
 	content->id = g_strdup(id);
 	content->job = g_strdup(job);
 	content->kind = kind;
+	if (kind == BATCH_ID_ERRORS)
+		content->unfinished = unfinished_new();
 	content->keys = g_ptr_array_new_with_free_func(g_free);
 	http_on_closed(exchange, on_caller_closed, content);
 	if (job) {
--- a/tests/process/test_batch_deadline.py
+++ b/tests/process/test_batch_deadline.py
@@ -40,7 +40,7 @@
 
     def test_expired_job(self):
         """Results that an expiry loses, counts that do not agree with them,
-        and items that start after it."""
+        items without a result or an error, and items that start after it."""
         items, job = self.submit()
         job = b.wait_state(self.entries[1], job, FINAL, 3 * WINDOW_S)
         self.assertEqual(job["status"], "expired")
@@ -54,6 +54,13 @@
             self.assertEqual(len(ids), job["request_counts"]["completed"])
             self.assertGreater(len(ids), 0)
             self.assertLess(len(ids), ITEMS)
+            errors = b.lines(entry, job["error_file_id"])
+            self.assertEqual(len(ids) + len(errors), ITEMS)
+            self.assertEqual(set(ids) | {e["custom_id"] for e in errors},
+                             set(wanted))
+            self.assertEqual({e["error"]["code"] for e in errors},
+                             {"batch_expired"})
+            self.assertEqual({e["response"] for e in errors}, {None})
         for line in output[::50]:
             self.assertEqual(
                 line["response"]["body"]["choices"][0]["message"]["content"],
