--- a/src/entry/batches.c
+++ b/src/entry/batches.c
@@ -71,7 +71,9 @@
 	char *output = batch_id_results(job->id, BATCH_ID_OUTPUT);
 	char *errors = batch_id_results(job->id, BATCH_ID_ERRORS);
 	bool has_output = job->state != JOB_VALIDATING && !job->results_removed;
-	bool has_errors = job->failed > 0 && !job->results_removed;
+	/* The unfinished items of an expired job are errors as well. */
+	bool has_errors = (job->failed > 0 || job->state == JOB_EXPIRED) &&
+			  !job->results_removed;
 	json_t *root = job_to_json(job, has_output ? output : NULL,
 				   has_errors ? errors : NULL);
 
--- a/tests/test_batch_id.c
+++ b/tests/test_batch_id.c
@@ -24,6 +24,7 @@
 	CU_ASSERT_TRUE(batch_id_parse_file(&painter, id, &kind, &job));
 	CU_ASSERT_EQUAL(kind, BATCH_ID_FILE);
 	CU_ASSERT_PTR_NULL(job);
+	CU_ASSERT_EQUAL(batch_id_file_created_ms(id), 1700000000000);
 	CU_ASSERT_FALSE(batch_id_parse_file(&clerk, id, &kind, &job));
 	g_free(id);
 	g_free(other);
