Let the entry processes of an experiment know each other

Cause: scripts/bench published the VM list before it started the entry processes, so they never joined. Each held itself for the dispatcher of every engine, and no load notice passed between them (none was sent in a run of 5 s with a log line at each).

Change: publish the list again after the start, and wait until each process counts all members.

--- a/scripts/bench_tools.py
+++ b/scripts/bench_tools.py
@@ -1,5 +1,6 @@
 """What the experiments of scripts/bench share."""
 import os
+import re
 import subprocess
 
 import fleet as f
@@ -69,13 +70,25 @@
     fleet.publish_vms()
     nodes = [fleet.start_entry(f"entry-{i}", "old-town", *entry_args)
              for i in range(entries)]
+    # Entry processes that do not know each other would both dispatch batch
+    # to every engine.
+    fleet.publish_vms()
     for node in nodes:
+        f.wait_for(lambda node=node: members(node) == entries,
+                   "the entry processes to know each other", 30)
         f.wait_for(lambda node=node: f.chat(
             node, "guild-key", "lantern-muse", "x", max_tokens=1).status == 200,
             "a first answer")
     return fleet, runners, nodes
 
 
+def members(node):
+    text = f.request(node.operator_port, "GET", "/metrics").body.decode()
+    found = re.search(r"^wasabilink_membership_alive_members\S* (\d+)$", text,
+                      re.M)
+    return int(found.group(1)) if found else 0
+
+
 def timed_engine_args():
     return ("--slots", str(ENGINE_SLOTS), "--first-token-us",
             str(FIRST_TOKEN_MS * 1000), "--token-us", str(TOKEN_MS * 1000),
