--- a/src/tool/load_run.c
+++ b/src/tool/load_run.c
@@ -356,6 +356,17 @@
 	evtimer_add(run->arrival, &delay);
 }
 
+/* Bursts come at the end of their period, so that a run starts calm. */
+static double rate_at(const load_run_t *run, int64_t at_us)
+{
+	const load_options_t *o = &run->options;
+	int64_t phase_ms = (at_us - run->start_us) / 1000 % o->burst_every_ms;
+
+	if (o->burst_per_s > 0 && phase_ms >= o->burst_every_ms - o->burst_ms)
+		return o->burst_per_s;
+	return o->rate_per_s;
+}
+
 static void open_arrivals(load_run_t *run)
 {
 	int64_t now = now_us();
@@ -365,7 +376,7 @@
 		/* Exponential gaps make a Poisson process. */
 		run->next_arrival_us +=
 			(int64_t)(-log(1 - g_rand_double(run->random)) * 1e6 /
-				  run->options.rate_per_s);
+				  rate_at(run, run->next_arrival_us));
 	}
 	if (!arrivals_over(run))
 		schedule_arrival(run, run->next_arrival_us - now_us());
--- a/src/tool/load_run.h
+++ b/src/tool/load_run.h
@@ -22,6 +22,9 @@
 	const char *path;
 	const char *model;
 	double rate_per_s; /* 0: closed loop */
+	double burst_per_s; /* rate of the open loop during bursts */
+	int64_t burst_ms; /* length of a burst, 0: no bursts */
+	int64_t burst_every_ms; /* from one burst's start to the next */
 	int64_t concurrency; /* of the closed loop */
 	int64_t max_in_flight; /* of the open loop; more are not started */
 	int64_t duration_ms;
--- a/tests/process/test_load.py
+++ b/tests/process/test_load.py
@@ -35,6 +35,15 @@
         return sum(sum(f.request(e.port, "GET", "/engine/runs?by=work")
                        .json().values()) for e in self.engines)
 
+    def test_bursts_change_the_rate(self):
+        """Guards against experiments whose bursts do not come."""
+        figures = self.load("--rate", "10", "--burst-rate", "400",
+                            "--burst-ms", "250", "--burst-every-ms", "500",
+                            "--duration-ms", "1000", "--seed", "3")
+        # 5 calm arrivals and 200 in two bursts are expected.
+        self.assertGreater(figures["started"], 140)
+        self.assertLess(figures["started"], 270)
+
     def test_closed_loop_is_bounded_by_count(self):
         figures = self.load("--requests", "200", "--concurrency", "8",
                             "--duration-ms", "30000", "--stream", "0.5",
