Test a partition in which both sides serve callers and run batch

Cause: the only process test of a partition paused the other domain, so answers of two sides that both work were never compared.

Change: a library that tests preload drops what a process sends to listed ports (membership, internal calls, runners, platform); each side has a list of its own. Weighed: a relay for peer ports (a node's address is its identity, so each node would need a second one), a fault setting in the daemon (production code for tests, for each kind of traffic).

The test sends the same keys to both sides for 25 s, cancels jobs on the connected side, checks that no item of them starts afterwards on either side, heals, and checks one result for each key and item.

--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,14 @@
 deps:
 	scripts/install-deps
 
-tests: $(BIN) $(TESTS) $(EXAMPLES)
+# Preloaded by process tests; without the sanitizers' runtime.
+CUT_TRAFFIC = build/tests/cut_traffic.so
+$(CUT_TRAFFIC): tests/process/cut_traffic.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -fPIC -shared \
+		-o $@ $< -ldl
+
+tests: $(BIN) $(TESTS) $(EXAMPLES) $(CUT_TRAFFIC)
 
 check: deps
 	$(MAKE) tests
