--- a/tests/process/batch_case.py
+++ b/tests/process/batch_case.py
@@ -26,10 +26,12 @@
         self.fleet.vms.pop()
         self.fleet.put_object("config/production",
                               f.json.dumps(f.sample_document()))
-        self.entries = [self.fleet.start_entry(f"entry-{d}", d)
-                        for d in DOMAINS]
+        self.entries = [self.start_entry(d) for d in DOMAINS]
         self.fleet.publish_vms()
 
+    def start_entry(self, domain):
+        return self.fleet.start_entry(f"entry-{domain}", domain)
+
     def tearDown(self):
         self.fleet.close()
 
