Store documents above one object's size as gzip

Cause: 10,000 workspaces with a key each, the size to design for, do not fit into the 1 MiB of an object: about 7,000 keys did.

Ruled out: an object per partner or for the callers, because a change of two objects is not one conditional write.

Change: config apply and promote store a text above 1 MiB as gzip (zlib), up to 3 MiB of text; nodes and commands unpack it with a bound. Digests, edits and the fetch between nodes stay those of the text.

--- a/src/config/document_change.c
+++ b/src/config/document_change.c
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "config/document_diff.h"
+#include "config/document_pack.h"
 #include "platform/object_store.h"
 #include "rpc/config_xdr.h"
 
@@ -68,7 +69,7 @@
 	memcpy(change.to.digest, to->digest, DOCUMENT_DIGEST_BYTES);
 	change.to.edits.edits_val = wire;
 	change.to.edits.edits_len = edits->len;
-	object = encode(&change, to_len / 2);
+	object = encode(&change, MIN(to_len / 2, OBJECT_MAX_BYTES));
 	g_free(wire);
 	g_array_free(edits, TRUE);
 	return object;
@@ -91,7 +92,7 @@
 		edits[i].insert = wire->insert.insert_val;
 		edits[i].insert_len = wire->insert.insert_len;
 	}
-	data = document_diff_apply(text, len, edits, count, OBJECT_MAX_BYTES,
+	data = document_diff_apply(text, len, edits, count, DOCUMENT_MAX_BYTES,
 				   error);
 	g_free(edits);
 	return data;
--- a/src/entry/config_follow.c
+++ b/src/entry/config_follow.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "config/document_diff.h"
 #include "config/document_change.h"
+#include "config/document_pack.h"
 #include "coord/follower.h"
 #include "rpc/config_xdr.h"
 
@@ -146,14 +147,26 @@
 		   void *user_data)
 {
 	config_follow_t *follow = user_data;
-	GBytes *data = value ? g_bytes_new(value->data, value->len) : NULL;
+	GBytes *stored = value ? g_bytes_new(value->data, value->len) : NULL;
+	GError *damage = NULL;
+	GBytes *data;
 
-	if (value)
-		*follow->store_bytes += (int64_t)value->len;
-	follower_got(follow->follower, outcome_of(error),
-		     value ? value->version : 0, data);
-	if (data)
-		g_bytes_unref(data);
+	if (!value) {
+		follower_got(follow->follower, outcome_of(error), 0, NULL);
+		return;
+	}
+	*follow->store_bytes += (int64_t)value->len;
+	data = document_unpack(stored, &damage);
+	if (!data) {
+		/* Refused with its version by the check that follows. */
+		log_error("document_damaged", "version=%" PRIu64 " message=%s",
+			  value->version, log_quote(damage->message));
+		g_error_free(damage);
+		data = g_bytes_ref(stored);
+	}
+	follower_got(follow->follower, FOLLOWER_OK, value->version, data);
+	g_bytes_unref(data);
+	g_bytes_unref(stored);
 }
 
 static void do_list(void *user_data)
@@ -260,7 +273,7 @@
 	}
 	if (!result->whole && base)
 		text = g_bytes_get_data(base->data, &len);
-	data = document_diff_apply(text, len, edits, count, OBJECT_MAX_BYTES,
+	data = document_diff_apply(text, len, edits, count, DOCUMENT_MAX_BYTES,
 				   NULL);
 	g_free(edits);
 	return data;
--- a/src/tool/config_tool.c
+++ b/src/tool/config_tool.c
@@ -11,6 +11,7 @@
 #include "config/document.h"
 #include "config/document_change.h"
 #include "config/document_diff.h"
+#include "config/document_pack.h"
 #include "platform/object_store.h"
 #include "tool/tool_client.h"
 
@@ -57,11 +58,11 @@
 		g_error_free(own);
 		return FALSE;
 	}
-	if (*len <= OBJECT_MAX_BYTES)
+	if (*len <= DOCUMENT_MAX_BYTES)
 		return TRUE;
 	g_set_error(error, WL_ERROR, WL_ERROR_TOO_LARGE,
 		    "%s: %zu bytes are above the limit of %d", path, *len,
-		    OBJECT_MAX_BYTES);
+		    DOCUMENT_MAX_BYTES);
 	g_free(*text);
 	*text = NULL;
 	return FALSE;
@@ -82,12 +83,24 @@
 	return document;
 }
 
+static gboolean unpack(tool_object_t *object, GError **error)
+{
+	GBytes *text = document_unpack(object->data, error);
+
+	if (!text)
+		return FALSE;
+	g_bytes_unref(object->data);
+	object->data = text;
+	return TRUE;
+}
+
 static gboolean get_config(config_tool_t *tool, const char *environment,
 			   tool_object_t *object, GError **error)
 {
 	char *key = config_key(environment);
 	GError *own = NULL;
-	gboolean ok = tool_client_get(tool->client, key, object, &own);
+	gboolean ok = tool_client_get(tool->client, key, object, &own) &&
+		      unpack(object, &own);
 
 	if (!ok)
 		g_set_error(error, own->domain, own->code, "%s: %s", key,
@@ -245,12 +258,16 @@
 	config_before_t before = { 0 };
 	tool_object_t object = { 0 };
 	GError *own = NULL;
-	gboolean ok;
-
-	read_before(tool, &before);
-	ok = tool_client_put(tool->client, key, data,
-			     (uint64_t)tool->if_version, tool->token,
-			     (int32_t)tool->wait_ms, &object, &own);
+	GBytes *stored = document_pack(data, &own);
+	gboolean ok = FALSE;
+
+	if (stored) {
+		read_before(tool, &before);
+		ok = tool_client_put(tool->client, key, stored,
+				     (uint64_t)tool->if_version, tool->token,
+				     (int32_t)tool->wait_ms, &object, &own);
+		g_bytes_unref(stored);
+	}
 	if (ok)
 		write_change(tool, &before, data, object.version);
 	if (ok)
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -82,6 +82,31 @@
                            for i in range(5000)})
         return document
 
+    def test_document_above_one_object(self):
+        """10,000 workspaces with a key each exceed the 1 MB of an object; the
+        document must come into force as the text that was applied."""
+        document = self.large(1)
+        guild = document["partners"]["guild"]
+        guild["workspaces"].update({f"workspace-{i}": {"weight": 1}
+                                    for i in range(10000)})
+        guild["callers"] += [
+            {"name": f"caller-{i}", "workspace": f"workspace-{i}",
+             "key_sha256": f.sha256_hex(f"key {i}")} for i in range(10000)]
+        version = self.accept("production", document, self.version)
+        entries = self.start_entries(3)
+        self.wait_in_force(entries, version)
+        answer = f.request(entries[1].port, "GET", "/v1/models", None,
+                           {"Authorization": "Bearer key 9999"})
+        self.assertEqual(answer.status, 200)
+        with open(os.path.join(self.fleet.log_dir, "document.json"),
+                  encoding="utf-8") as file:
+            text = file.read()
+        self.assertGreater(len(text), 1024 * 1024)
+        self.assertEqual(self.tool("config", "show").stdout, text)
+        document["partners"]["guild"]["limits"] = {"max_concurrent": 7}
+        newer = self.accept("production", document, version)
+        self.wait_in_force(entries, newer)
+
     def read_bytes(self, entries):
         total = 0
         for entry in entries:
