--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "batch/chunk_plan.h"
+
 /* A holder counts its lease from before its call, so this is on top. */
 #define LEASE_MARGIN_MS 200
 /* Progress is written to the record this often at most. */
@@ -12,33 +14,10 @@
 /* A job is judged by its rate after this share of its window. */
 #define RISK_SHARE 0.05
 
-typedef enum chunk_state {
-	CHUNK_WAITING,
-	CHUNK_LEASED,
-	CHUNK_CHECKING, /* lease ran out; its object may exist */
-	CHUNK_DONE
-} chunk_state_t;
-
-typedef struct chunk {
-	uint32_t first;
-	uint32_t count;
-	uint32_t part;
-	uint32_t line;
-	int32_t plan; /* index in the plan, -1 for the rest of a split chunk */
-	chunk_state_t state;
-	const char *holder; /* interned */
-	int64_t lease_until_ms;
-	GArray *suspects;
-} chunk_t;
-
 typedef struct entry {
 	job_t *job;
 	uint64_t version;
-	GPtrArray *chunks; /* chunk_t, in order of creation */
-	GHashTable *by_first;
-	guint next_waiting; /* no waiting chunk has a lower index */
-	uint32_t waiting;
-	uint32_t unfinished; /* chunks */
+	chunk_plan_t plan;
 	int64_t adopted_ms;
 	int64_t grant_ms; /* no grant before: holders renew first */
 	int64_t last_write_ms;
@@ -61,21 +40,11 @@
 	gboolean urgent_last;
 };
 
-static void chunk_free(void *data)
-{
-	chunk_t *chunk = data;
-
-	if (chunk->suspects)
-		g_array_free(chunk->suspects, TRUE);
-	g_free(chunk);
-}
-
 static void entry_free(void *data)
 {
 	entry_t *entry = data;
 
-	g_hash_table_destroy(entry->by_first);
-	g_ptr_array_free(entry->chunks, TRUE);
+	chunk_plan_clear(&entry->plan);
 	job_free(entry->job);
 	g_free(entry);
 }
@@ -110,129 +79,7 @@
 
 static chunk_t *find_chunk(const entry_t *entry, uint32_t first)
 {
-	return entry ? g_hash_table_lookup(entry->by_first,
-					   GUINT_TO_POINTER(first)) :
-		       NULL;
-}
-
-static void add_chunk(entry_t *entry, uint32_t first, uint32_t count,
-		      uint32_t part, uint32_t line, int32_t plan)
-{
-	chunk_t *chunk = g_new0(chunk_t, 1);
-
-	chunk->first = first;
-	chunk->count = count;
-	chunk->part = part;
-	chunk->line = line;
-	chunk->plan = plan;
-	g_ptr_array_add(entry->chunks, chunk);
-	g_hash_table_insert(entry->by_first, GUINT_TO_POINTER(first), chunk);
-	entry->waiting++;
-	entry->unfinished++;
-}
-
-/* The plan depends on the record alone, so every coordinator has the same. */
-static void make_plan(entry_t *entry)
-{
-	const job_t *job = entry->job;
-	uint32_t first = 0;
-
-	for (guint part = 0; part < job->part_items->len; part++) {
-		uint32_t items = g_array_index(job->part_items, uint32_t, part);
-
-		for (uint32_t line = 0; line < items;) {
-			uint32_t count = MIN(job->chunk_items, items - line);
-
-			add_chunk(entry, first, count, part, line,
-				  (int32_t)entry->chunks->len);
-			line += count;
-			first += count;
-		}
-	}
-}
-
-static void set_state(entry_t *entry, chunk_t *chunk, chunk_state_t state)
-{
-	guint index = entry->next_waiting;
-
-	entry->waiting -= chunk->state == CHUNK_WAITING;
-	entry->waiting += state == CHUNK_WAITING;
-	entry->unfinished -= state == CHUNK_DONE && chunk->state != CHUNK_DONE;
-	chunk->state = state;
-	if (state == CHUNK_WAITING) {
-		chunk->holder = NULL;
-		while (index > 0 && entry->chunks->pdata[index - 1] != chunk)
-			index--;
-		if (index > 0)
-			entry->next_waiting = index - 1;
-	}
-	if (state == CHUNK_DONE && chunk->suspects) {
-		g_array_free(chunk->suspects, TRUE);
-		chunk->suspects = NULL;
-	}
-}
-
-static void remember_finished(job_t *job, const chunk_t *chunk, uint32_t count)
-{
-	static const uint8_t zero;
-	job_split_t split = { chunk->first, count };
-	guint byte = (guint)chunk->plan / 8;
-
-	if (chunk->plan < 0 || count != chunk->count) {
-		g_array_append_val(job->splits, split);
-		return;
-	}
-	while (job->finished->len <= byte)
-		g_byte_array_append(job->finished, &zero, 1);
-	job->finished->data[byte] |= (uint8_t)(1U << (chunk->plan % 8));
-}
-
-/* Marks a chunk done and adds the rest of one that ended early. */
-static void close_chunk(entry_t *entry, chunk_t *chunk, uint32_t count)
-{
-	uint32_t rest = chunk->count - count;
-
-	set_state(entry, chunk, CHUNK_DONE);
-	chunk->count = count;
-	if (rest > 0)
-		add_chunk(entry, chunk->first + count, rest, chunk->part,
-			  chunk->line + count, -1);
-}
-
-static gboolean is_recorded(const job_t *job, int32_t plan)
-{
-	guint byte = (guint)plan / 8;
-
-	return byte < job->finished->len &&
-	       job->finished->data[byte] & (1U << (plan % 8));
-}
-
-static int compare_splits(const void *a, const void *b)
-{
-	const job_split_t *left = a;
-	const job_split_t *right = b;
-
-	return left->first < right->first ? -1 : left->first > right->first;
-}
-
-static void apply_record(entry_t *entry)
-{
-	job_t *job = entry->job;
-
-	for (guint i = 0; i < entry->chunks->len; i++) {
-		chunk_t *chunk = entry->chunks->pdata[i];
-
-		if (is_recorded(job, chunk->plan))
-			close_chunk(entry, chunk, chunk->count);
-	}
-	g_array_sort(job->splits, compare_splits);
-	for (guint i = 0; i < job->splits->len; i++) {
-		job_split_t split = g_array_index(job->splits, job_split_t, i);
-		chunk_t *chunk = find_chunk(entry, split.first);
-
-		if (chunk && split.count <= chunk->count)
-			close_chunk(entry, chunk, split.count);
-	}
+	return entry ? chunk_plan_find(&entry->plan, first) : NULL;
 }
 
 static uint32_t items_done(const job_t *job)
@@ -247,16 +94,13 @@
 
 	entry->job = job;
 	entry->version = version;
-	entry->chunks = g_ptr_array_new_with_free_func(chunk_free);
-	entry->by_first = g_hash_table_new(NULL, NULL);
 	entry->adopted_ms = now_ms;
 	if (job->state != JOB_VALIDATING)
 		entry->grant_ms =
 			now_ms + COORDINATOR_LEASE_MS + LEASE_MARGIN_MS;
 	entry->rate_ms = now_ms;
 	entry->rate_items = items_done(job);
-	make_plan(entry);
-	apply_record(entry);
+	chunk_plan_init(&entry->plan, job);
 	g_hash_table_insert(coordinator->jobs, job->id, entry);
 	return entry;
 }
@@ -338,8 +182,7 @@
 	if (!chunk || chunk->state == CHUNK_DONE || result->count == 0 ||
 	    result->count > chunk->count)
 		return;
-	remember_finished(entry->job, chunk, result->count);
-	close_chunk(entry, chunk, result->count);
+	chunk_plan_finish(&entry->plan, chunk, result->count, entry->job);
 	entry->job->completed += result->completed;
 	entry->job->failed += result->failed;
 	entry->dirty = TRUE;
@@ -352,7 +195,7 @@
 	chunk_t *chunk = find_chunk(entry, first);
 
 	if (chunk && chunk->state == CHUNK_CHECKING)
-		set_state(entry, chunk, CHUNK_WAITING);
+		chunk_plan_set(&entry->plan, chunk, CHUNK_WAITING);
 }
 
 void coordinator_ready(coordinator_t *coordinator, const char *job,
@@ -404,7 +247,7 @@
 static gboolean has_grant(const coordinator_t *coordinator,
 			  const entry_t *entry)
 {
-	return entry->waiting > 0 && runs(coordinator, entry) &&
+	return entry->plan.waiting > 0 && runs(coordinator, entry) &&
 	       clock_now_ms(coordinator->clock) >= entry->grant_ms &&
 	       has_record(coordinator, entry);
 }
@@ -485,22 +328,10 @@
 	return coordinator->urgent_last ? urgent : fair;
 }
 
-static chunk_t *next_chunk(entry_t *entry)
-{
-	for (; entry->next_waiting < entry->chunks->len;
-	     entry->next_waiting++) {
-		chunk_t *chunk = entry->chunks->pdata[entry->next_waiting];
-
-		if (chunk->state == CHUNK_WAITING)
-			return chunk;
-	}
-	return NULL;
-}
-
 static void lease(const coordinator_t *coordinator, entry_t *entry,
 		  chunk_t *chunk, const char *holder)
 {
-	set_state(entry, chunk, CHUNK_LEASED);
+	chunk_plan_set(&entry->plan, chunk, CHUNK_LEASED);
 	chunk->holder = g_intern_string(holder);
 	chunk->lease_until_ms = clock_now_ms(coordinator->clock) +
 				COORDINATOR_LEASE_MS + LEASE_MARGIN_MS;
@@ -511,7 +342,7 @@
 			  coordinator_grant_t *grant)
 {
 	entry_t *entry = choose_job(coordinator, partner, deployment);
-	chunk_t *chunk = entry ? next_chunk(entry) : NULL;
+	chunk_t *chunk = entry ? chunk_plan_next(&entry->plan) : NULL;
 
 	if (!chunk)
 		return FALSE;
@@ -528,33 +359,6 @@
 	return TRUE;
 }
 
-static void merge_suspects(chunk_t *chunk, const GArray *suspects)
-{
-	if (!suspects || suspects->len == 0)
-		return;
-	if (!chunk->suspects)
-		chunk->suspects = g_array_new(FALSE, FALSE, sizeof(suspect_t));
-	for (guint i = 0; i < suspects->len; i++) {
-		const suspect_t *new = &g_array_index(suspects, suspect_t, i);
-		suspect_t *known = NULL;
-
-		if (new->item < chunk->first ||
-		    new->item - chunk->first >= chunk->count)
-			continue;
-		for (guint k = 0; k < chunk->suspects->len && !known; k++) {
-			known = &g_array_index(chunk->suspects, suspect_t, k);
-			if (known->item != new->item)
-				known = NULL;
-		}
-		if (!known) {
-			g_array_append_val(chunk->suspects, *new);
-			continue;
-		}
-		known->tries = MAX(known->tries, new->tries);
-		known->deaths = MAX(known->deaths, new->deaths);
-	}
-}
-
 lease_status_t coordinator_renew(coordinator_t *coordinator, const char *holder,
 				 const char *job, uint32_t first,
 				 const GArray *suspects)
@@ -565,7 +369,7 @@
 	if (!entry)
 		return LEASE_LOST;
 	if (chunk && chunk->state != CHUNK_DONE)
-		merge_suspects(chunk, suspects);
+		chunk_merge_suspects(chunk, suspects);
 	if (entry->job->state == JOB_VALIDATING ||
 	    (entry->job->state == JOB_IN_PROGRESS && !entry->ready))
 		return LEASE_LOST;
@@ -595,9 +399,9 @@
 	if (!chunk || chunk->state == CHUNK_DONE)
 		return;
 	/* Also when the lease is not known here: it may be a predecessor's. */
-	merge_suspects(chunk, suspects);
+	chunk_merge_suspects(chunk, suspects);
 	if (chunk->holder && strcmp(chunk->holder, holder) == 0)
-		set_state(entry, chunk, CHUNK_WAITING);
+		chunk_plan_set(&entry->plan, chunk, CHUNK_WAITING);
 }
 
 static void write_record(coordinator_t *coordinator, entry_t *entry)
@@ -617,8 +421,8 @@
 
 	if (now_ms < entry->adopted_ms + COORDINATOR_LEASE_MS + LEASE_MARGIN_MS)
 		return TRUE;
-	for (guint i = 0; i < entry->chunks->len; i++) {
-		const chunk_t *chunk = entry->chunks->pdata[i];
+	for (guint i = 0; i < entry->plan.chunks->len; i++) {
+		const chunk_t *chunk = entry->plan.chunks->pdata[i];
 
 		if (chunk->state == CHUNK_LEASED &&
 		    chunk->lease_until_ms > now_ms)
@@ -631,13 +435,13 @@
 {
 	int64_t now_ms = clock_now_ms(coordinator->clock);
 
-	for (guint i = 0; i < entry->chunks->len; i++) {
-		chunk_t *chunk = entry->chunks->pdata[i];
+	for (guint i = 0; i < entry->plan.chunks->len; i++) {
+		chunk_t *chunk = entry->plan.chunks->pdata[i];
 
 		if (chunk->state != CHUNK_LEASED ||
 		    chunk->lease_until_ms > now_ms)
 			continue;
-		set_state(entry, chunk, CHUNK_CHECKING);
+		chunk_plan_set(&entry->plan, chunk, CHUNK_CHECKING);
 		chunk->holder = NULL;
 		coordinator->ops.check(entry->job->id, chunk->first,
 				       coordinator->ops.user_data);
@@ -688,7 +492,7 @@
 		       job_move(job, JOB_CANCELLED, wall_ms);
 	if (job->state != JOB_IN_PROGRESS && job->state != JOB_FINALIZING)
 		return FALSE;
-	if (entry->ready && entry->unfinished == 0) {
+	if (entry->ready && entry->plan.unfinished == 0) {
 		job->at_risk = false;
 		job_move(job, JOB_FINALIZING, wall_ms);
 		return job_move(job, JOB_COMPLETED, wall_ms);
@@ -767,7 +571,7 @@
 		if (!has_grant(coordinator, entry))
 			continue;
 		demand = find_demand(demands, entry->job);
-		demand->waiting += entry->waiting;
+		demand->waiting += entry->plan.waiting;
 		demand->slack_ms =
 			MIN(demand->slack_ms, slack_ms(coordinator, entry));
 	}
