Move shards away from nodes that do not reach the store

Cause: the owner of a shard that loses only its path to the object store lives on as a member, so no other node became the candidate. The shard stayed without a working owner until the path was back, for its own domain and for all others: a domain cut off from the platform stopped a fifth of the calls that need a claim everywhere.

Ruled out: takeover by a standby of any head that is not renewed; nodes would not agree where the shard is, and it would go back and forth while its owner lives.

The placement leaves them out while others reach the store. An owner without a lease that is not to own the shard any more forwards operations to the node that is.

Tests: test_store_cut.py cuts one of three domains off from the platform and runs calls that may run once through all three, 72 keys, and again after the path is back.

Conclusion: an outage that is the same for all nodes moves nothing.

--- a/src/coord/member.h
+++ b/src/coord/member.h
@@ -26,6 +26,7 @@
 	char *address;
 	char *domain;
 	member_state_t state;
+	bool no_store; /* says that it does not reach the object store */
 	uint64_t hash; /* ring_candidate_hash() of the address */
 	uint64_t incarnation;
 	uint64_t config_version; /* that it announced last, 0: none */
--- a/src/coord/placement.c
+++ b/src/coord/placement.c
@@ -21,6 +21,7 @@
 	place_t *places;
 	uint32_t count;
 	uint32_t *loads; /* by index in the member table */
+	bool any_store; /* some alive member reaches the store */
 };
 
 placement_t *placement_new(const member_table_t *members, const char *prefix,
@@ -60,7 +61,29 @@
 	return (uint32_t)((shares + 100ULL * alive - 1) / (100ULL * alive));
 }
 
-/* The alive member with the highest weight and a load below the bound, other
+/* While some member reaches the store, those that do not get nothing. */
+static bool is_usable(const placement_t *placement, const member_t *member)
+{
+	return member->state == MEMBER_ALIVE &&
+	       !(member->no_store && placement->any_store);
+}
+
+static uint32_t count_usable(placement_t *placement)
+{
+	const GPtrArray *all = member_all(placement->members);
+	uint32_t alive = member_count(placement->members, MEMBER_ALIVE);
+	uint32_t reaching = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const member_t *member = all->pdata[i];
+
+		reaching += member->state == MEMBER_ALIVE && !member->no_store;
+	}
+	placement->any_store = reaching > 0;
+	return reaching > 0 ? reaching : alive;
+}
+
+/* The usable member with the highest weight and a load below the bound, other
  * than the one at index without and outside of without_domain (NULL: any). */
 static int32_t best_member(const placement_t *placement, uint64_t key_hash,
 			   uint32_t bound, int32_t without,
@@ -74,7 +97,7 @@
 		const member_t *member = all->pdata[i];
 		uint64_t weight = ring_weight_of(member->hash, key_hash);
 
-		if (member->state != MEMBER_ALIVE || (int32_t)i == without ||
+		if (!is_usable(placement, member) || (int32_t)i == without ||
 		    placement->loads[i] >= bound ||
 		    (best >= 0 && weight <= best_weight) ||
 		    (without_domain &&
@@ -114,8 +137,7 @@
 {
 	guint members = member_all(placement->members)->len;
 	uint32_t bound =
-		placement_bound(placement->count,
-				member_count(placement->members, MEMBER_ALIVE));
+		placement_bound(placement->count, count_usable(placement));
 
 	g_free(placement->loads);
 	placement->loads = g_new0(uint32_t, members);
--- a/src/coord/placement.h
+++ b/src/coord/placement.h
@@ -14,7 +14,8 @@
  * Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2016): in the order
  * of the keys, each goes to the member with the highest weight that has fewer
  * than the bound. Nodes with the same table agree; while tables differ, two
- * nodes may both think that a key is theirs, so a lease has to decide.
+ * nodes may both think that a key is theirs, so a lease has to decide. Members
+ * that say that they do not reach the store get nothing while others do.
  */
 typedef struct placement placement_t;
 
--- a/src/coord/swim.c
+++ b/src/coord/swim.c
@@ -183,6 +183,16 @@
 	swim_message_gossip(swim, SWIM_GOSSIP_FANOUT);
 }
 
+void swim_announce_store(swim_t *swim, bool reached)
+{
+	member_t *self = member_self(swim->members);
+
+	if (self->no_store == !reached || swim->left)
+		return;
+	self->no_store = !reached;
+	swim_update_self(swim, self->state, self->incarnation + 1);
+}
+
 void swim_set_seeds(swim_t *swim, const GPtrArray *addresses)
 {
 	g_ptr_array_set_size(swim->seeds, 0);
--- a/src/coord/swim.h
+++ b/src/coord/swim.h
@@ -60,6 +60,8 @@
 /* Announces the adopted configuration at once and with each message. */
 void swim_announce_config(swim_t *swim, uint64_t version,
 			  const uint8_t *digest);
+/* Tells the others whether this node reaches the object store. */
+void swim_announce_store(swim_t *swim, bool reached);
 /* 0 when healthy; slows down this node's probes and suspicions. */
 uint32_t swim_local_health(const swim_t *swim);
 
--- a/src/coord/swim_message.c
+++ b/src/coord/swim_message.c
@@ -36,7 +36,8 @@
 {
 	update->address = member->address;
 	update->domain = member->domain;
-	update->state = member->state;
+	update->state =
+		member->state | (member->no_store ? MEMBER_NO_STORE_FLAG : 0);
 	update->incarnation = member->incarnation;
 }
 
--- a/src/coord/swim_update.c
+++ b/src/coord/swim_update.c
@@ -90,10 +90,12 @@
 
 void swim_update_apply(swim_t *swim, const member_update *update)
 {
-	member_state_t state = (member_state_t)update->state;
+	bool no_store = update->state & MEMBER_NO_STORE_FLAG;
+	u_int number = update->state & ~(u_int)MEMBER_NO_STORE_FLAG;
+	member_state_t state = (member_state_t)number;
 	member_t *member;
 
-	if (update->state > MEMBER_DEAD || !update->address[0])
+	if (number > MEMBER_DEAD || !update->address[0])
 		return;
 	if (swim_state_is_self(swim, update->address)) {
 		apply_own(swim, state, update->incarnation);
@@ -101,15 +103,18 @@
 	}
 	member = member_find(swim->members, update->address);
 	if (member) {
-		if (is_news(member, state, update->incarnation))
-			swim_update_set_state(swim, member, state,
-					      update->incarnation);
+		if (!is_news(member, state, update->incarnation))
+			return;
+		if (update->incarnation > member->incarnation)
+			member->no_store = no_store;
+		swim_update_set_state(swim, member, state, update->incarnation);
 		return;
 	}
 	/* A dead member may be known longer elsewhere than here. */
 	if (state == MEMBER_DEAD)
 		return;
 	member = member_add(swim->members, update->address, update->domain);
+	member->no_store = no_store;
 	swim_update_set_state(swim, member, state, update->incarnation);
 	if (state == MEMBER_ALIVE && swim->options.changed)
 		swim->options.changed(member, swim->options.user_data);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,7 @@
 #include "entry/front.h"
 #include "entry/reconciler.h"
 #include "entry/removal.h"
+#include "entry/store_reach.h"
 #include "platform/object_http.h"
 
 #define VM_LIST_PERIOD_MS 1000
@@ -301,6 +302,7 @@
 	if (!start_membership(entry, error))
 		return FALSE;
 	start_ledger(entry);
+	store_reach_new(entry);
 	start_config(entry);
 	entry->reconciler =
 		reconciler_new(entry, entry->options.weight_loads_per_minute);
--- a/src/entry/membership.c
+++ b/src/entry/membership.c
@@ -316,3 +316,8 @@
 {
 	swim_announce_config(membership->swim, version, digest);
 }
+
+void membership_announce_store(membership_t *membership, bool reached)
+{
+	swim_announce_store(membership->swim, reached);
+}
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -45,5 +45,6 @@
 /* digest has MEMBER_CONFIG_DIGEST_BYTES. */
 void membership_announce_config(membership_t *membership, uint64_t version,
 				const uint8_t *digest);
+void membership_announce_store(membership_t *membership, bool reached);
 
 #endif
--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -136,6 +136,16 @@
 	}
 }
 
+bool records_has_shards(const records_t *records)
+{
+	for (uint32_t i = 0; i < records->shard_count; i++)
+		if (shard_is_owner(records->places[i].shard) ||
+		    placement_is_own(records->placement, i) ||
+		    placement_is_standby(records->placement, i))
+			return true;
+	return false;
+}
+
 static void publish_counters(records_t *records)
 {
 	const int64_t *values = (const int64_t *)(const void *)&records->stats;
--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -120,6 +120,8 @@
 /* Peer address of the node that most likely owns the key; NULL if unknown. */
 const char *records_owner_address(const records_t *records,
 				  const record_key_t *key);
+/* Whether this node owns, is to own or watches any shard. */
+bool records_has_shards(const records_t *records);
 /* Epoch of the shard, a fencing token that grows with each new owner. */
 uint64_t records_epoch(const records_t *records, const record_key_t *key);
 
--- a/src/entry/records_place.c
+++ b/src/entry/records_place.c
@@ -40,14 +40,30 @@
 	       !is_dead(records, address);
 }
 
+/*
+ * An owner that is cut off from the store does not learn of its successor.
+ * Without a lease, and when it is not to own the shard, it counts as replaced.
+ */
+static bool is_replaced(const place_t *place)
+{
+	return !place->candidate && !shard_has_lease(place->shard);
+}
+
 const char *records_place_target(const place_t *place)
 {
 	const records_t *records = place->records;
 	const char *owner = shard_owner(place->shard);
 	const char *candidate;
 
-	if (shard_is_owner(place->shard))
-		return NULL;
+	if (shard_is_owner(place->shard)) {
+		candidate =
+			is_replaced(place) ?
+				placement_owner(records->placement,
+						shard_number(place->shard)) :
+				NULL;
+		return records_place_usable(records, candidate) ? candidate :
+								  NULL;
+	}
 	if (records_place_usable(records, place->hint))
 		return place->hint;
 	if (!records_place_usable(records, owner))
@@ -64,7 +80,7 @@
 bool records_place_serves(const place_t *place)
 {
 	if (shard_is_owner(place->shard))
-		return true;
+		return !is_replaced(place);
 	return place->candidate &&
 	       !records_place_usable(place->records, shard_owner(place->shard));
 }
--- a/src/rpc/member.x
+++ b/src/rpc/member.x
@@ -3,6 +3,9 @@
 const MEMBER_DIGEST_BYTES = 32;
 const MEMBER_UPDATES_MAX = 256;
 
+/* Beside the state of an update: the member does not reach the store. */
+const MEMBER_NO_STORE_FLAG = 256;
+
 enum member_kind {
 	MEMBER_PING = 1,
 	MEMBER_ACK = 2,
--- a/src/rpc/member_xdr.h
+++ b/src/rpc/member_xdr.h
@@ -16,6 +16,7 @@
 #define MEMBER_NAME_MAX 64
 #define MEMBER_DIGEST_BYTES 32
 #define MEMBER_UPDATES_MAX 256
+#define MEMBER_NO_STORE_FLAG 256
 
 enum member_kind {
 	MEMBER_PING = 1,
--- /dev/null
+++ b/tests/process/test_store_cut.py
@@ -0,0 +1,69 @@
+#!/usr/bin/env python3
+"""A failure domain that reaches the other domains, but not the platform."""
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "..", "scripts"))
+import fleet as f  # noqa: E402
+
+DOMAINS = ("old-town", "thu-bon", "cam-kim")
+KEYS = 24
+SETTLE_S = 40
+
+
+class StoreCutTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = f.Fleet()
+        self.platform = self.fleet.start_platform(domains=DOMAINS)
+        self.fleet.put_object("config/production",
+                              f.json.dumps(f.sample_document()))
+        for domain in DOMAINS:
+            self.fleet.start_engine(f"muse-{domain}", "guild", "lantern-muse",
+                                    domain)
+        self.entries = [self.fleet.start_entry(f"entry-{d}", d)
+                        for d in DOMAINS]
+        self.fleet.publish_vms()
+        f.wait_for(lambda: all(self.owned(e) for e in self.entries),
+                   "each to own shards", SETTLE_S)
+
+    def tearDown(self):
+        self.fleet.close()
+
+    @staticmethod
+    def owned(entry):
+        text = f.request(entry.operator_port, "GET", "/metrics").body.decode()
+        return next(int(line.split()[1]) for line in text.splitlines()
+                    if line.startswith("wasabilink_ledger_shards_owned "))
+
+    def once(self, entry, key):
+        return f.chat(entry, "guild-key", "lantern-muse", key, headers={
+            "Idempotency-Key": key, "X-Wasabilink-Idempotent": "false"})
+
+    def run_all(self, entry, name):
+        """Calls that may run once only, over all shards."""
+        for number in range(KEYS):
+            f.wait_for(lambda n=number: self.once(
+                entry, f"{name} {n}").status == 200, f"{name} {number}",
+                SETTLE_S)
+
+    def test_shards_leave_the_domain_and_come_back(self):
+        """Its shards must not wait for the platform's path: the owner lives on
+        as a member, so membership alone never gives them to another node."""
+        cut, *others = self.entries
+        self.fleet.fault(self.platform,
+                         block=[self.platform.info[DOMAINS[0]]])
+        for entry in self.entries:
+            self.run_all(entry, "cut " + entry.name)
+        self.assertTrue(all(e.alive() for e in self.entries))
+        self.fleet.fault(self.platform, block=[])
+        f.wait_for(lambda: self.owned(cut) > 0 and sum(
+            self.owned(e) for e in self.entries) == 8,
+            "shards to come back", SETTLE_S)
+        for entry in others:
+            self.run_all(entry, "healed " + entry.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -172,6 +172,30 @@
 	CU_ASSERT(standbys <= 2 * KEYS);
 }
 
+/* A member that does not reach the store can own nothing, but when none
+ * reaches it, moving shards would not help. */
+static void test_no_store(void)
+{
+	member_table_t *table = table_of(20, 0);
+	placement_t *before = placement_new(table, "shard/", KEYS);
+	placement_t *after = placement_new(table, "shard/", KEYS);
+	const GPtrArray *all = member_all(table);
+
+	for (guint m = 0; m < 4; m++)
+		((member_t *)all->pdata[m])->no_store = true;
+	placement_update(after);
+	for (uint32_t i = 0; i < KEYS; i++)
+		CU_ASSERT_FALSE(member_find(table, placement_owner(after, i))
+					->no_store);
+	for (guint m = 0; m < all->len; m++)
+		((member_t *)all->pdata[m])->no_store = true;
+	placement_update(after);
+	CU_ASSERT_EQUAL(count_moved(before, after), 0);
+	placement_free(before);
+	placement_free(after);
+	member_table_free(table);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -179,6 +203,7 @@
 		{ "nodes_agree", test_nodes_agree },
 		{ "few_moves", test_few_moves },
 		{ "standby", test_standby },
+		{ "no_store", test_no_store },
 		{ NULL, NULL },
 	};
 
