Refuse to test partitions without the library that cuts

Cause: test_partition_both_sides.py failed in a run of scripts/check without make tests before it: the preloaded library was not built, the loader only warned, and no traffic was cut.

Change: the harness names the missing file.

--- a/tests/process/cut.py
+++ b/tests/process/cut.py
@@ -19,6 +19,9 @@
 
     @contextlib.contextmanager
     def started(self):
+        # The loader only warns when a library to preload is missing.
+        if not os.path.exists(LIBRARY):
+            raise FileNotFoundError(f"{LIBRARY}: build it by 'make tests'")
         before = dict(os.environ)
         # A sanitizer's runtime wants to be the first library.
         options = before.get("ASAN_OPTIONS", "")
