--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Each build has an archive of its own.
 LIB = $(if $(filter build,$(BUILD)),libwasabilink.a,$(BUILD)/libwasabilink.a)
 PKGS = libevent evhtp libtirpc glib-2.0 jansson libcrypto zlib
-CPPFLAGS += -D_GNU_SOURCE -Isrc -Isrc/rpc $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -D_GNU_SOURCE -I. -Isrc -Isrc/rpc $(shell pkg-config --cflags $(PKGS))
 CFLAGS ?= -O2 -g
 # override: a CFLAGS given on the command line must not drop these.
 override CFLAGS += -std=gnu11 -Wall -Wextra -Wno-unused-parameter -Werror -MMD -MP \
@@ -16,7 +16,7 @@
 CLANG_FORMAT ?= clang-format
 
 GENERATED := $(wildcard src/rpc/*_xdr.c src/rpc/*_xdr.h)
-SRCS := $(wildcard src/*/*.c)
+SRCS := $(wildcard src/*/*.c platform/*.c)
 OBJS := $(SRCS:%.c=$(BUILD)/%.o)
 # The library: coordination parts and what they need of base and rpc.
 COORD_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/coord/*.c) \
@@ -26,7 +26,7 @@
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 OWN := $(filter-out $(GENERATED),$(wildcard src/*.c src/*.h src/*/*.c \
-	src/*/*.h tests/*.c tests/*.h tests/*/*.c tests/*/*.h examples/*.c))
+	src/*/*.h platform/*.c platform/*.h tests/*.c tests/*.h tests/*/*.c tests/*/*.h examples/*.c))
 
 all: $(BIN)
 
@@ -121,15 +121,15 @@
 		-D'json_object_foreach(o,k,v)=for(;(k)&&(v);)' \
 		-D'json_array_foreach(a,i,v)=for(;(i)&&(v);)' \
 		--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
-		-Isrc $(filter %.c,$(filter src/%,$(OWN)))
-	@printf '%s\n' $(filter %.c,$(filter src/%,$(OWN))) | xargs -P 6 -n 4 \
+		-I. -Isrc $(filter %.c,$(filter src/% platform/%,$(OWN)))
+	@printf '%s\n' $(filter %.c,$(filter src/% platform/%,$(OWN))) | xargs -P 6 -n 4 \
 		sh -c '$(CLANG_TIDY) --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
 
 PREFIX ?= /usr/local
 install: $(BIN) $(LIB)
 	install -D -m 755 $(BIN) $(DESTDIR)$(PREFIX)/bin/wasabilink
 	install -D -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib/libwasabilink.a
-	for header in src/coord/*.h src/base/*.h src/platform/*.h src/rpc/*_xdr.h; do \
+	for header in src/coord/*.h src/base/*.h src/object/*.h src/rpc/*_xdr.h; do \
 		install -D -m 644 $$header \
 			$(DESTDIR)$(PREFIX)/include/wasabilink/$${header#src/}; \
 	done
--- a/src/backend/runner.c
+++ b/src/backend/runner.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 struct runner_set {
 	GHashTable *by_address; /* address -> runner_t */
--- a/src/backend/sse.c
+++ b/src/backend/sse.c
@@ -19,8 +19,7 @@
 	sse->partial = NULL;
 }
 
-/* Length of the first event with its blank line, 0 when it is incomplete. */
-static size_t event_length(const char *data, size_t len)
+size_t sse_event_length(const char *data, size_t len)
 {
 	const char *end = data + len;
 	const char *line = data;
@@ -40,7 +39,7 @@
 bool sse_next_payload(const char *events, size_t len, const char **payload,
 		      size_t *payload_len, size_t *consumed)
 {
-	size_t event_len = event_length(events, len);
+	size_t event_len = sse_event_length(events, len);
 	const char *start = events;
 	const char *end = events + event_len;
 
@@ -113,7 +112,7 @@
 	size_t event_len;
 
 	while (!sse->done_seen &&
-	       (event_len = event_length(data + offset, len - offset)) > 0) {
+	       (event_len = sse_event_length(data + offset, len - offset)) > 0) {
 		if (inspect(sse, data + offset, event_len))
 			wanted = offset + event_len;
 		offset += event_len;
--- a/src/backend/sse.h
+++ b/src/backend/sse.h
@@ -36,6 +36,9 @@
 	      void *user_data);
 bool sse_is_whole(const sse_t *sse);
 
+/* Length of the first event with its blank line, 0 when it is incomplete. */
+size_t sse_event_length(const char *data, size_t len);
+
 /*
  * The JSON payload of the first event in a block of whole events, and the
  * event's length. Returns false at the end or when it carries no data.
--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -10,7 +10,7 @@
 #include "batch/coordinator.h"
 #include "batch/slot.h"
 #include "batch/suspect.h"
-#include "platform/object_writer.h"
+#include "object/object_writer.h"
 
 /*
  * dispatcher - runs the items of granted chunks on the runners that this node
--- a/src/batch/remover.h
+++ b/src/batch/remover.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 /*
  * remover - removes all objects below a prefix, at a bounded rate.
--- a/src/config/document_change.c
+++ b/src/config/document_change.c
@@ -5,7 +5,7 @@
 #include "base/error.h"
 #include "config/document_diff.h"
 #include "config/document_pack.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "rpc/config_xdr.h"
 
 G_STATIC_ASSERT(DOCUMENT_DIGEST_BYTES == CONFIG_DIGEST_BYTES);
--- a/src/config/document_pack.c
+++ b/src/config/document_pack.c
@@ -3,7 +3,7 @@
 #include <zlib.h>
 
 #include "base/error.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 #define GZIP_WINDOW_BITS (15 + 16)
 #define MEMORY_LEVEL 8
--- a/src/coord/shard.h
+++ b/src/coord/shard.h
@@ -7,7 +7,7 @@
 
 #include "base/clock.h"
 #include "coord/ledger.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 /*
  * shard - one node's view of a ledger shard: ownership and group commit.
--- a/src/coord/vm_view.h
+++ b/src/coord/vm_view.h
@@ -5,7 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 /*
  * vm_view - a copy of the platform's VM list with a sequence of changes, so
--- a/src/emulator/platform_standin.c
+++ b/src/emulator/platform_standin.c
@@ -15,8 +15,8 @@
 #include "emulator/standin_stats.h"
 #include "emulator/standin_watch.h"
 #include "http/http_server.h"
-#include "platform/object_store.h"
-#include "platform/object_table.h"
+#include "object/object_store.h"
+#include "object/object_table.h"
 
 #define DEFAULT_LIST_LIMIT 1000
 
--- a/src/emulator/standin_answer.h
+++ b/src/emulator/standin_answer.h
@@ -6,7 +6,7 @@
 
 #include "emulator/standin_fault.h"
 #include "http/http_server.h"
-#include "platform/object_table.h"
+#include "object/object_table.h"
 
 /*
  * standin_answer - answers of the platform stand-in, which its faults delay,
--- a/src/emulator/standin_watch.h
+++ b/src/emulator/standin_watch.h
@@ -6,7 +6,7 @@
 #include "emulator/standin_answer.h"
 #include "emulator/standin_fault.h"
 #include "http/http_server.h"
-#include "platform/object_table.h"
+#include "object/object_table.h"
 
 /*
  * standin_watch - waiting watches (long polls) of the platform stand-in.
--- a/src/entry/config_follow.h
+++ b/src/entry/config_follow.h
@@ -9,7 +9,7 @@
 #include "config/document.h"
 #include "coord/member.h"
 #include "entry/membership.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
--- a/src/entry/dispatch_grant.c
+++ b/src/entry/dispatch_grant.c
@@ -8,7 +8,7 @@
 #include "batch/result.h"
 #include "entry/dispatch_coordinator.h"
 #include "entry/dispatch_return.h"
-#include "platform/object_writer.h"
+#include "object/object_writer.h"
 #include "rpc/batch_xdr.h"
 
 #define OFFER_TTL_MS 3000
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,7 +13,7 @@
 #include "entry/reconciler.h"
 #include "entry/removal.h"
 #include "entry/store_reach.h"
-#include "platform/object_http.h"
+#include "object/object_http.h"
 
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_MS 50
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -24,8 +24,8 @@
 #include "entry/vm_follow.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
-#include "platform/object_store.h"
-#include "platform/object_writer.h"
+#include "object/object_store.h"
+#include "object/object_writer.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
--- a/src/entry/membership.c
+++ b/src/entry/membership.c
@@ -12,7 +12,7 @@
 #include "base/log.h"
 #include "coord/ring.h"
 #include "coord/swim.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "rpc/member_xdr.h"
 #include "rpc/peer_datagram.h"
 
--- a/src/entry/records.h
+++ b/src/entry/records.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "coord/member.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
--- a/src/entry/vm_follow.h
+++ b/src/entry/vm_follow.h
@@ -8,7 +8,7 @@
 
 #include "base/counter.h"
 #include "coord/member.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
--- /dev/null
+++ b/src/gateway/fleet.c
@@ -0,0 +1,358 @@
+#include "gateway/fleet.h"
+
+#include <string.h>
+
+#define FNV_OFFSET 14695981039346656037ULL
+#define FNV_PRIME 1099511628211ULL
+/* A runner is avoided this long after a failure, doubled for each further one
+ * in a row. */
+#define AVOID_FIRST_MS 400
+#define AVOID_MAX_MS 6400
+/* The machines' load changes within some hundred ms; an older report says
+ * little about the present. */
+#define SLOWNESS_FRESH_MS 400
+/* Work time of a usual online request; sets how long a waiting one waits. */
+#define USUAL_WORK_MS 700
+/* Cost of a request at a runner in another domain, in places. */
+#define FAR_COST 0.6
+/* Random part of the cost, so that nodes do not all choose the same runner. */
+#define TIE_COST 1.0
+
+struct fleet {
+	const clock_source_t *clock;
+	GRand *random;
+	char *domain;
+	GHashTable *by_key; /* uint64_t -> fleet_runner_t, listed */
+	GPtrArray *listed; /* the same, for iteration */
+};
+
+static void runner_unref(void *data)
+{
+	fleet_runner_t *runner = data;
+
+	if (--runner->refs > 0)
+		return;
+	g_free(runner->id);
+	g_free(runner->address);
+	g_free(runner->service);
+	g_free(runner->domain);
+	g_free(runner);
+}
+
+uint64_t fleet_key(const char *id)
+{
+	uint64_t hash = FNV_OFFSET;
+
+	for (const char *c = id; *c; c++)
+		hash = (hash ^ (uint8_t)*c) * FNV_PRIME;
+	return hash;
+}
+
+fleet_t *fleet_new(const fleet_options_t *options)
+{
+	fleet_t *fleet = g_new0(fleet_t, 1);
+
+	fleet->clock = options->clock;
+	fleet->random = options->random;
+	fleet->domain = g_strdup(options->domain);
+	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
+	return fleet;
+}
+
+void fleet_free(fleet_t *fleet)
+{
+	if (!fleet)
+		return;
+	g_hash_table_destroy(fleet->by_key);
+	g_ptr_array_free(fleet->listed, TRUE);
+	g_free(fleet->domain);
+	g_free(fleet);
+}
+
+fleet_runner_t *fleet_find(fleet_t *fleet, uint64_t key)
+{
+	return g_hash_table_lookup(fleet->by_key, &key);
+}
+
+static void unlist(fleet_t *fleet, fleet_runner_t *runner)
+{
+	runner->listed = false;
+	runner->leaving = true;
+	g_hash_table_remove(fleet->by_key, &runner->key);
+	g_ptr_array_remove_fast(fleet->listed, runner);
+}
+
+static void replace_string(char **target, const char *value)
+{
+	if (g_strcmp0(*target, value) == 0)
+		return;
+	g_free(*target);
+	*target = g_strdup(value);
+}
+
+static fleet_runner_t *runner_add(fleet_t *fleet, const fleet_entry_t *entry)
+{
+	fleet_runner_t *runner = g_new0(fleet_runner_t, 1);
+
+	runner->id = g_strdup(entry->id);
+	runner->key = fleet_key(entry->id);
+	runner->started_ms = entry->started_ms;
+	runner->slowness_percent = 100;
+	runner->listed = true;
+	runner->refs = 1;
+	g_hash_table_insert(fleet->by_key, &runner->key, runner);
+	g_ptr_array_add(fleet->listed, runner);
+	return runner;
+}
+
+void fleet_update(fleet_t *fleet, const fleet_entry_t *entry)
+{
+	fleet_runner_t *runner = fleet_find(fleet, fleet_key(entry->id));
+
+	/* A new start under the same id knows nothing of the requests before. */
+	if (runner && runner->started_ms < entry->started_ms) {
+		unlist(fleet, runner);
+		runner = NULL;
+	}
+	if (!runner)
+		runner = runner_add(fleet, entry);
+	replace_string(&runner->address, entry->address);
+	replace_string(&runner->service, entry->service);
+	replace_string(&runner->domain, entry->domain);
+	runner->slots = entry->slots;
+	runner->leaving = entry->leaving;
+	runner->gone_at_us = 0;
+}
+
+void fleet_lapse(fleet_t *fleet, const char *id, int64_t until_us)
+{
+	fleet_runner_t *runner = fleet_find(fleet, fleet_key(id));
+
+	if (!runner)
+		return;
+	if (runner->leaving)
+		unlist(fleet, runner);
+	else
+		runner->gone_at_us = until_us;
+}
+
+void fleet_expire(fleet_t *fleet)
+{
+	int64_t now_us = clock_now_us(fleet->clock);
+
+	for (guint i = fleet->listed->len; i-- > 0;) {
+		fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (runner->gone_at_us && now_us >= runner->gone_at_us)
+			unlist(fleet, runner);
+	}
+}
+
+static uint32_t load_of(const fleet_runner_t *runner)
+{
+	return runner->own.online + runner->own.batch + runner->peers.online +
+	       runner->peers.batch;
+}
+
+static uint32_t online_of(const fleet_runner_t *runner)
+{
+	return runner->own.online + runner->peers.online;
+}
+
+static double slowness_of(const fleet_t *fleet, const fleet_runner_t *runner)
+{
+	int64_t age_us = clock_now_us(fleet->clock) - runner->slowness_us;
+
+	if (!runner->slowness_us || age_us > SLOWNESS_FRESH_MS * 1000 ||
+	    runner->slowness_percent <= 100)
+		return 1.0;
+	return runner->slowness_percent / 100.0;
+}
+
+static bool is_avoided(const fleet_t *fleet, const fleet_runner_t *runner)
+{
+	return runner->gone_at_us ||
+	       clock_now_us(fleet->clock) < runner->avoid_until_us;
+}
+
+static bool is_usable(const fleet_runner_t *runner, const char *service)
+{
+	return !runner->leaving && strcmp(runner->service, service) == 0;
+}
+
+/*
+ * Cost of one more request in units of places: what is in front of it, more
+ * where it would wait, all the more at a slow runner. Batch requests count
+ * little for an online one, as they give way.
+ */
+static double cost_of(fleet_t *fleet, const fleet_runner_t *runner,
+		      const fleet_wish_t *wish)
+{
+	double slots = MAX(runner->slots, 1);
+	double load = load_of(runner);
+	double online = online_of(runner);
+	double cost = load;
+
+	if (load >= slots && !wish->batch)
+		cost += slots + 2 * MAX(online - slots + 1, 0);
+	cost = (cost + 2) * slowness_of(fleet, runner);
+	if (g_strcmp0(runner->domain, fleet->domain) != 0)
+		cost += FAR_COST;
+	return cost + g_rand_double(fleet->random) * TIE_COST;
+}
+
+static bool has_place(const fleet_runner_t *runner, const fleet_wish_t *wish)
+{
+	return load_of(runner) + wish->reserve < runner->slots;
+}
+
+static fleet_runner_t *choose(fleet_t *fleet, const fleet_wish_t *wish,
+			      bool take_avoided)
+{
+	fleet_runner_t *best = NULL;
+	double best_cost = 0;
+
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		fleet_runner_t *runner = fleet->listed->pdata[i];
+		double cost;
+
+		if (!is_usable(runner, wish->service) || runner == wish->except)
+			continue;
+		if (!take_avoided && is_avoided(fleet, runner))
+			continue;
+		if (wish->batch && !has_place(runner, wish))
+			continue;
+		cost = cost_of(fleet, runner, wish);
+		if (!best || cost < best_cost) {
+			best = runner;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish)
+{
+	fleet_runner_t *runner = choose(fleet, wish, false);
+
+	if (!runner && !wish->batch)
+		runner = choose(fleet, wish, true);
+	if (!runner)
+		return NULL;
+	runner->refs++;
+	if (wish->batch)
+		runner->own.batch++;
+	else
+		runner->own.online++;
+	return runner;
+}
+
+void fleet_done(fleet_t *fleet, fleet_runner_t *runner, bool batch)
+{
+	uint32_t *count = batch ? &runner->own.batch : &runner->own.online;
+
+	if (*count > 0)
+		(*count)--;
+	runner_unref(runner);
+}
+
+static int32_t wait_ms_among(fleet_t *fleet, const char *service, bool avoided)
+{
+	int32_t best_ms = INT32_MAX;
+
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+		uint32_t online = online_of(runner);
+		uint32_t slots = MAX(runner->slots, 1);
+		uint32_t ahead = online >= slots ? online - slots + 1 : 0;
+		int32_t wait_ms = (int32_t)(ahead * USUAL_WORK_MS / slots);
+
+		if (is_usable(runner, service) &&
+		    is_avoided(fleet, runner) == avoided)
+			best_ms = MIN(best_ms, wait_ms);
+	}
+	return best_ms;
+}
+
+int32_t fleet_wait_ms(fleet_t *fleet, const char *service)
+{
+	int32_t wait_ms = wait_ms_among(fleet, service, false);
+
+	return wait_ms != INT32_MAX ? wait_ms :
+				      wait_ms_among(fleet, service, true);
+}
+
+int32_t fleet_free_places(fleet_t *fleet, const char *service)
+{
+	int32_t places = 0;
+
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+		uint32_t load = load_of(runner);
+
+		if (is_usable(runner, service) && !is_avoided(fleet, runner) &&
+		    load < runner->slots)
+			places += (int32_t)(runner->slots - load);
+	}
+	return places;
+}
+
+void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner)
+{
+	runner->failures = 0;
+	runner->avoid_until_us = 0;
+}
+
+void fleet_failed(fleet_t *fleet, fleet_runner_t *runner)
+{
+	int64_t avoid_ms = AVOID_FIRST_MS;
+
+	for (uint32_t i = 0; i < runner->failures && avoid_ms < AVOID_MAX_MS;
+	     i++)
+		avoid_ms *= 2;
+	runner->failures++;
+	runner->avoid_until_us = clock_now_us(fleet->clock) + avoid_ms * 1000;
+}
+
+void fleet_leaving(fleet_t *fleet, fleet_runner_t *runner)
+{
+	runner->leaving = true;
+}
+
+void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
+			   uint32_t percent)
+{
+	runner->slowness_percent = percent;
+	runner->slowness_us = clock_now_us(fleet->clock);
+}
+
+uint32_t fleet_batch_excess(const fleet_runner_t *runner, double draw)
+{
+	uint32_t load = load_of(runner);
+	uint32_t batch = runner->own.batch + runner->peers.batch;
+	double share;
+	uint32_t whole;
+
+	if (load <= runner->slots || runner->own.batch == 0)
+		return 0;
+	/* Each node gives up its share of the excess; the part below one is
+	 * given up by chance, so that the sum fits on average. */
+	share = (double)MIN(load - runner->slots, batch) * runner->own.batch /
+		batch;
+	whole = (uint32_t)share;
+	if (draw < share - whole)
+		whole++;
+	return MIN(whole, runner->own.batch);
+}
+
+void fleet_each(fleet_t *fleet, fleet_each_t each, void *user_data)
+{
+	for (guint i = 0; i < fleet->listed->len; i++)
+		each(fleet->listed->pdata[i], user_data);
+}
+
+uint32_t fleet_size(const fleet_t *fleet)
+{
+	return fleet->listed->len;
+}
--- /dev/null
+++ b/src/gateway/fleet.h
@@ -0,0 +1,117 @@
+#ifndef WASABILINK_GATEWAY_FLEET_H
+#define WASABILINK_GATEWAY_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+
+/*
+ * fleet - what this node believes about each runner, and the choice of one.
+ *
+ * The load of a runner is the sum of this node's own requests there and of
+ * what the other nodes report to have there. Reports of the runner itself tell
+ * its speed of the moment. A runner that has failed is avoided for a while,
+ * unless no other can take the request.
+ */
+typedef struct fleet fleet_t;
+
+/* Requests that one node has at a runner. */
+typedef struct fleet_load {
+	uint32_t online;
+	uint32_t batch;
+} fleet_load_t;
+
+typedef struct fleet_runner {
+	char *id; /* of this start of the runner */
+	char *address; /* IP:port */
+	char *service;
+	char *domain;
+	uint64_t key; /* hash of the id, names the runner between nodes */
+	uint32_t slots;
+	int64_t started_ms; /* wall clock of the runner */
+	bool leaving; /* gets no new requests */
+	bool listed; /* known to the fleet; false: only requests refer to it */
+	int64_t gone_at_us; /* to be forgotten then; 0: in the runner list */
+	fleet_load_t own;
+	fleet_load_t peers; /* sum over the other nodes */
+	uint32_t slowness_percent; /* of usual work time, 100: as usual */
+	int64_t slowness_us; /* when that was reported, 0: never */
+	int64_t avoid_until_us;
+	uint32_t failures; /* in a row */
+	int refs;
+} fleet_runner_t;
+
+/* What the runner list says of a runner. */
+typedef struct fleet_entry {
+	const char *id;
+	const char *address;
+	const char *service;
+	const char *domain;
+	uint32_t slots;
+	int64_t started_ms;
+	bool leaving;
+} fleet_entry_t;
+
+typedef struct fleet_options {
+	const clock_source_t *clock;
+	GRand *random;
+	const char *domain; /* of this node; near runners win a tie */
+} fleet_options_t;
+
+typedef struct fleet_wish {
+	const char *service;
+	const fleet_runner_t *except; /* the last runner that failed */
+	bool batch;
+	uint32_t reserve; /* places to leave free, for batch */
+} fleet_wish_t;
+
+fleet_t *fleet_new(const fleet_options_t *options);
+void fleet_free(fleet_t *fleet);
+
+/* Adds or changes a runner by id. */
+void fleet_update(fleet_t *fleet, const fleet_entry_t *entry);
+/*
+ * The runner has left the list. Until the given time it is used where no other
+ * can be: an entry may have expired only because the store was away.
+ */
+void fleet_lapse(fleet_t *fleet, const char *id, int64_t until_us);
+/* Forgets runners whose time after leaving the list is over. */
+void fleet_expire(fleet_t *fleet);
+/* The listed runner, or NULL. */
+fleet_runner_t *fleet_find(fleet_t *fleet, uint64_t key);
+/* Hash that names a runner between nodes. */
+uint64_t fleet_key(const char *id);
+
+/*
+ * Chooses a runner and counts the request there until fleet_done(). NULL: no
+ * runner may take it now. The pointer is valid until fleet_done().
+ */
+fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish);
+void fleet_done(fleet_t *fleet, fleet_runner_t *runner, bool batch);
+
+/* Milliseconds that a new online request would wait for a place at the best
+ * runner of the service; INT32_MAX without a runner. */
+int32_t fleet_wait_ms(fleet_t *fleet, const char *service);
+/* Free places over all usable runners of a service. */
+int32_t fleet_free_places(fleet_t *fleet, const char *service);
+
+/* A request there was answered; forgets earlier failures. */
+void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner);
+/* A request there failed or was refused; the runner is avoided for a while. */
+void fleet_failed(fleet_t *fleet, fleet_runner_t *runner);
+/* The runner said itself that it leaves, or another one has its address. */
+void fleet_leaving(fleet_t *fleet, fleet_runner_t *runner);
+void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
+			   uint32_t percent);
+
+/* Own batch requests at the runner to cancel, so that online ones find a
+ * place there. draw is uniform in [0, 1). */
+uint32_t fleet_batch_excess(const fleet_runner_t *runner, double draw);
+
+typedef void (*fleet_each_t)(fleet_runner_t *runner, void *user_data);
+void fleet_each(fleet_t *fleet, fleet_each_t each, void *user_data);
+uint32_t fleet_size(const fleet_t *fleet);
+
+#endif
--- /dev/null
+++ b/src/gateway/follow.c
@@ -0,0 +1,191 @@
+#include "gateway/follow.h"
+
+#include <inttypes.h>
+
+#include "base/error.h"
+#include "base/log.h"
+
+#define FIRST_RETRY_MS 50
+/* Some tries a second find the store soon after its return without loading
+ * it. */
+#define MAX_RETRY_MS 400
+#define LIST_LIMIT 500
+
+struct follow {
+	follow_options_t options;
+	char *prefix;
+	struct event *timer;
+	GHashTable
+		*keys; /* of the listing that is being read; NULL: watching */
+	char *after; /* last key of the page before */
+	uint64_t revision; /* to watch from */
+	uint64_t list_revision; /* of the first page */
+	int64_t answered_us;
+	int64_t steady_since_us;
+	int32_t retry_ms;
+	bool synced;
+	bool lost;
+};
+
+static void call_store(follow_t *follow);
+
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	call_store(arg);
+}
+
+static void call_later(follow_t *follow, int32_t pause_ms)
+{
+	struct timeval pause = { pause_ms / 1000, pause_ms % 1000 * 1000 };
+
+	evtimer_add(follow->timer, &pause);
+}
+
+static void on_failure(follow_t *follow, const GError *error)
+{
+	if (!follow->lost)
+		log_warn("store_lost",
+			 "prefix=%s error=%s revision=%" PRIu64 " message=%s",
+			 follow->prefix, error_name(error->code),
+			 follow->revision, log_quote(error->message));
+	follow->lost = true;
+	follow->steady_since_us = 0;
+	follow->retry_ms =
+		MIN(MAX(follow->retry_ms * 2, FIRST_RETRY_MS), MAX_RETRY_MS);
+	call_later(follow, follow->retry_ms);
+}
+
+static void on_answer(follow_t *follow)
+{
+	int64_t now_us = clock_now_us(follow->options.clock);
+
+	if (follow->lost)
+		log_info("store_back", "prefix=%s silent_ms=%" PRId64,
+			 follow->prefix, (now_us - follow->answered_us) / 1000);
+	follow->lost = false;
+	follow->retry_ms = 0;
+	follow->answered_us = now_us;
+	if (!follow->steady_since_us)
+		follow->steady_since_us = now_us;
+}
+
+static void relist(follow_t *follow)
+{
+	if (!follow->keys)
+		follow->keys = g_hash_table_new_full(g_str_hash, g_str_equal,
+						     g_free, NULL);
+	g_hash_table_remove_all(follow->keys);
+	g_clear_pointer(&follow->after, g_free);
+}
+
+static void apply(follow_t *follow, const object_listing_t *listing)
+{
+	for (guint i = 0; i < listing->entries->len; i++) {
+		const object_entry_t *entry =
+			&g_array_index(listing->entries, object_entry_t, i);
+
+		if (follow->keys)
+			g_hash_table_add(follow->keys, g_strdup(entry->key));
+		if (entry->deleted)
+			follow->options.removed(entry->key,
+						follow->options.user_data);
+		else
+			follow->options.changed(entry,
+						follow->options.user_data);
+	}
+}
+
+static void on_watched(const object_listing_t *listing, const GError *error,
+		       void *user_data)
+{
+	follow_t *follow = user_data;
+
+	if (error && error->code == WL_ERROR_NOT_FOUND) {
+		log_info("history_gone", "prefix=%s revision=%" PRIu64,
+			 follow->prefix, follow->revision);
+		on_answer(follow);
+		relist(follow);
+		call_store(follow);
+		return;
+	}
+	if (error) {
+		on_failure(follow, error);
+		return;
+	}
+	on_answer(follow);
+	apply(follow, listing);
+	follow->revision = MAX(follow->revision, listing->revision);
+	if (follow->options.pause_ms)
+		call_later(follow, follow->options.pause_ms);
+	else
+		call_store(follow);
+}
+
+static void on_listed(const object_listing_t *listing, const GError *error,
+		      void *user_data)
+{
+	follow_t *follow = user_data;
+
+	if (error) {
+		on_failure(follow, error);
+		return;
+	}
+	on_answer(follow);
+	if (!follow->after)
+		follow->list_revision = listing->revision;
+	apply(follow, listing);
+	if (listing->more && listing->entries->len > 0) {
+		g_free(follow->after);
+		follow->after =
+			g_strdup(g_array_index(listing->entries, object_entry_t,
+					       listing->entries->len - 1)
+					 .key);
+		call_store(follow);
+		return;
+	}
+	follow->revision = follow->list_revision;
+	follow->synced = true;
+	if (follow->options.listed)
+		follow->options.listed(follow->keys, follow->options.user_data);
+	g_clear_pointer(&follow->keys, g_hash_table_destroy);
+	g_clear_pointer(&follow->after, g_free);
+	call_store(follow);
+}
+
+static void call_store(follow_t *follow)
+{
+	if (follow->keys)
+		object_list(follow->options.store, follow->prefix,
+			    follow->after, LIST_LIMIT, on_listed, follow);
+	else
+		object_watch(follow->options.store, follow->prefix,
+			     follow->revision, follow->options.wait_ms,
+			     on_watched, follow);
+}
+
+follow_t *follow_new(const follow_options_t *options)
+{
+	follow_t *follow = g_new0(follow_t, 1);
+
+	follow->options = *options;
+	follow->prefix = g_strdup(options->prefix);
+	follow->timer = evtimer_new(options->base, on_timer, follow);
+	relist(follow);
+	call_store(follow);
+	return follow;
+}
+
+bool follow_is_synced(const follow_t *follow)
+{
+	return follow->synced;
+}
+
+int64_t follow_answered_us(const follow_t *follow)
+{
+	return follow->answered_us;
+}
+
+int64_t follow_steady_since_us(const follow_t *follow)
+{
+	return follow->steady_since_us;
+}
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,244 @@
+#include "gateway/gateway.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+
+/* Upper bound of how late a time limit of a request is noticed. */
+#define TICK_MS 50
+/* A silent connection to the store must not hide a change for longer than
+ * a VM may be out of contact, 3 s, together with the call's own grace. */
+#define WATCH_WAIT_MS 2500
+/* The balancer needs two probes, a second apart, to take a node out. */
+#define LINGER_MS 3000
+/* Left for the end of the process itself. */
+#define EXIT_RESERVE_MS 400
+
+static void adopt(gateway_t *gateway, const object_entry_t *entry)
+{
+	GError *error = NULL;
+	path_table_t *paths = gateway->codec->decode_paths(entry->data, &error);
+
+	if (!paths) {
+		log_error("config_unreadable",
+			  "revision=%" PRIu64 " message=%s", entry->version,
+			  log_quote(error->message));
+		g_error_free(error);
+		return;
+	}
+	if (gateway->paths && paths->version <= gateway->paths->version) {
+		if (paths->version < gateway->paths->version)
+			log_warn("config_older",
+				 "version=%" PRIu64 " known=%" PRIu64,
+				 paths->version, gateway->paths->version);
+		path_table_unref(paths);
+		return;
+	}
+	log_info("config_adopted",
+		 "version=%" PRIu64 " revision=%" PRIu64 " routes=%u",
+		 paths->version, entry->version, paths->routes->len);
+	path_table_unref(gateway->paths);
+	gateway->paths = paths;
+}
+
+static void on_config_changed(const object_entry_t *entry, void *user_data)
+{
+	gateway_t *gateway = user_data;
+
+	if (strcmp(entry->key, gateway->codec->config_key) == 0)
+		adopt(gateway, entry);
+}
+
+static void on_config_removed(const char *key, void *user_data)
+{
+	log_warn("config_removed", "key=%s", key);
+}
+
+static const char *runner_id(const gateway_t *gateway, const char *key)
+{
+	return key + strlen(gateway->codec->runner_prefix);
+}
+
+static void on_runner_changed(const object_entry_t *entry, void *user_data)
+{
+	gateway_t *gateway = user_data;
+	const char *id = runner_id(gateway, entry->key);
+
+	if (!gateway->codec->decode_runner(id, entry->data, gateway->fleet))
+		log_warn("runner_entry_unusable", "runner=%s revision=%" PRIu64,
+			 id, entry->version);
+	else
+		log_info("runner_entry",
+			 "runner=%s revision=%" PRIu64 " runners=%u", id,
+			 entry->version, fleet_size(gateway->fleet));
+}
+
+static void hold_runner(gateway_t *gateway, const char *id)
+{
+	int64_t until_us =
+		clock_now_us(gateway->clock) + gateway->runner_hold_ms * 1000;
+
+	log_info("runner_gone", "runner=%s hold_ms=%" PRId64, id,
+		 gateway->runner_hold_ms);
+	fleet_lapse(gateway->fleet, id, until_us);
+}
+
+static void on_runner_removed(const char *key, void *user_data)
+{
+	gateway_t *gateway = user_data;
+
+	hold_runner(gateway, runner_id(gateway, key));
+}
+
+typedef struct lapse_check {
+	gateway_t *gateway;
+	GHashTable *keys;
+	GPtrArray *missing; /* ids */
+} lapse_check_t;
+
+static void collect_missing(fleet_runner_t *runner, void *user_data)
+{
+	lapse_check_t *check = user_data;
+	char *key = g_strconcat(check->gateway->codec->runner_prefix,
+				runner->id, NULL);
+
+	if (!g_hash_table_contains(check->keys, key) && !runner->gone_at_us)
+		g_ptr_array_add(check->missing, g_strdup(runner->id));
+	g_free(key);
+}
+
+static void on_runners_listed(GHashTable *keys, void *user_data)
+{
+	lapse_check_t check = {
+		.gateway = user_data,
+		.keys = keys,
+		.missing = g_ptr_array_new_with_free_func(g_free),
+	};
+
+	fleet_each(check.gateway->fleet, collect_missing, &check);
+	for (guint i = 0; i < check.missing->len; i++)
+		hold_runner(check.gateway, check.missing->pdata[i]);
+	g_ptr_array_free(check.missing, TRUE);
+}
+
+static bool may_exit(const gateway_t *gateway)
+{
+	int64_t since_ms =
+		(clock_now_us(gateway->clock) - gateway->stopping_since_us) /
+		1000;
+
+	if (since_ms >= gateway->grace_ms - EXIT_RESERVE_MS)
+		return true;
+	return since_ms >= LINGER_MS && relay_active(gateway->relay) == 0;
+}
+
+static void on_tick(evutil_socket_t fd, short events, void *arg)
+{
+	gateway_t *gateway = arg;
+
+	fleet_expire(gateway->fleet);
+	run_sweep(&gateway->runs);
+	relay_sweep(gateway->relay);
+	if (gateway->stopping_since_us && may_exit(gateway))
+		event_base_loopbreak(gateway->base);
+}
+
+static void start_follows(gateway_t *gateway)
+{
+	follow_options_t options = {
+		.base = gateway->base,
+		.clock = gateway->clock,
+		.store = gateway->store,
+		.prefix = gateway->codec->config_prefix,
+		.wait_ms = WATCH_WAIT_MS,
+		.changed = on_config_changed,
+		.removed = on_config_removed,
+		.user_data = gateway,
+	};
+
+	gateway->config = follow_new(&options);
+	options.prefix = gateway->codec->runner_prefix;
+	options.changed = on_runner_changed;
+	options.removed = on_runner_removed;
+	options.listed = on_runners_listed;
+	gateway->runners = follow_new(&options);
+}
+
+static void start_runs(gateway_t *gateway, const gateway_options_t *options)
+{
+	gateway->runs.base = gateway->base;
+	gateway->runs.clock = gateway->clock;
+	gateway->runs.fleet = gateway->fleet;
+	gateway->runs.protocol = options->protocol;
+	g_queue_init(&gateway->runs.runs);
+	gateway->runs.tries_total = counter_get(
+		gateway->counters, COUNTER_MONOTONIC, "tries_total", NULL);
+	gateway->runs.resumes_total = counter_get(
+		gateway->counters, COUNTER_MONOTONIC, "resumes_total", NULL);
+}
+
+gateway_t *gateway_new(const gateway_options_t *options)
+{
+	const struct timeval period = { 0, TICK_MS * 1000 };
+	gateway_t *gateway = g_new0(gateway_t, 1);
+	fleet_options_t fleet;
+	relay_options_t relay;
+
+	gateway->base = options->base;
+	gateway->clock = options->clock;
+	gateway->random = g_rand_new();
+	gateway->counters = counter_set_new();
+	gateway->store = options->store;
+	gateway->codec = options->codec;
+	gateway->grace_ms = options->grace_ms;
+	gateway->runner_hold_ms = options->runner_hold_ms;
+	fleet = (fleet_options_t){ gateway->clock, gateway->random,
+				   options->domain };
+	gateway->fleet = fleet_new(&fleet);
+	start_runs(gateway, options);
+	relay = (relay_options_t){ &gateway->runs, gateway->random,
+				   gateway->counters };
+	gateway->relay = relay_new(&relay);
+	start_follows(gateway);
+	gateway->tick =
+		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
+	event_add(gateway->tick, &period);
+	return gateway;
+}
+
+bool gateway_is_ready(const gateway_t *gateway)
+{
+	return gateway->paths && follow_is_synced(gateway->runners) &&
+	       !gateway->stopping_since_us;
+}
+
+void gateway_stop(gateway_t *gateway)
+{
+	if (gateway->stopping_since_us)
+		return;
+	log_info("stopping", "active=%u grace_ms=%" PRId64,
+		 relay_active(gateway->relay), gateway->grace_ms);
+	gateway->stopping_since_us = clock_now_us(gateway->clock);
+	relay_stop(gateway->relay);
+}
+
+void gateway_write_metrics(const gateway_t *gateway, GString *out)
+{
+	static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
+	const histogram_t *latency = relay_latency(gateway->relay);
+
+	counter_set_write(gateway->counters, out);
+	g_string_append(out,
+			"# TYPE wasabilink_first_answer_seconds summary\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+		g_string_append_printf(
+			out,
+			"wasabilink_first_answer_seconds{quantile=\"%g\"} %.6f\n",
+			quantiles[i],
+			(double)histogram_quantile(latency, quantiles[i]) /
+				1e6);
+	g_string_append_printf(
+		out, "wasabilink_first_answer_seconds_count %" PRIu64 "\n",
+		latency->total);
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,73 @@
+#ifndef WASABILINK_GATEWAY_GATEWAY_H
+#define WASABILINK_GATEWAY_GATEWAY_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/counter.h"
+#include "gateway/fleet.h"
+#include "gateway/follow.h"
+#include "gateway/path_table.h"
+#include "gateway/relay.h"
+#include "gateway/run.h"
+#include "gateway/runner_protocol.h"
+#include "object/object_store.h"
+
+/*
+ * gateway - the parts of a process that serves callers by routes: routes,
+ * fleet, online requests and their life cycle.
+ *
+ * The adapter of a deployment fills in the store, the runners' protocol and
+ * how the store's foreign objects are read.
+ */
+typedef struct gateway_codec {
+	const char *config_prefix;
+	const char *config_key; /* the object that holds the configuration */
+	const char *runner_prefix;
+	path_table_t *(*decode_paths)(const char *text, GError **error);
+	bool (*decode_runner)(const char *id, const char *text, fleet_t *fleet);
+} gateway_codec_t;
+
+typedef struct gateway_options {
+	struct event_base *base;
+	const clock_source_t *clock;
+	object_store_t *store;
+	const char *node;
+	const char *domain;
+	int64_t grace_ms; /* until the process is killed after SIGTERM */
+	int64_t runner_hold_ms; /* requests may still go to a runner that has
+				 * left the list */
+	const gateway_codec_t *codec;
+	const runner_protocol_t *protocol;
+} gateway_options_t;
+
+typedef struct gateway {
+	struct event_base *base;
+	const clock_source_t *clock;
+	GRand *random;
+	counter_set_t *counters;
+	object_store_t *store;
+	const gateway_codec_t *codec;
+	fleet_t *fleet;
+	run_context_t runs;
+	relay_t *relay;
+	path_table_t *paths; /* NULL until a configuration is known */
+	follow_t *config;
+	follow_t *runners;
+	struct event *tick;
+	int64_t grace_ms;
+	int64_t runner_hold_ms;
+	int64_t stopping_since_us; /* 0: not stopping */
+} gateway_t;
+
+gateway_t *gateway_new(const gateway_options_t *options);
+/* Whether new connections may be sent here. */
+bool gateway_is_ready(const gateway_t *gateway);
+/* Begins a graceful shutdown; the event loop ends when all is served. */
+void gateway_stop(gateway_t *gateway);
+/* Counters, gauges and latencies in the Prometheus text format. */
+void gateway_write_metrics(const gateway_t *gateway, GString *out);
+
+#endif
--- /dev/null
+++ b/src/gateway/relay.c
@@ -0,0 +1,322 @@
+#include "gateway/relay.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gateway/admission_rule.h"
+
+/* More unread bytes than this end a stream: the caller does not read. */
+#define MAX_PENDING_BYTES (1024 * 1024)
+
+struct relay {
+	run_context_t *runs;
+	GRand *random;
+	GQueue requests; /* relayed_t */
+	histogram_t latency;
+	bool stopping;
+	int64_t *accepted_total;
+	int64_t *refused_total;
+	int64_t *completed_total;
+	int64_t *failed_total;
+	int64_t *abandoned_total;
+};
+
+/* One request on its way. */
+typedef struct relayed {
+	relay_t *relay;
+	path_table_t *paths;
+	const path_route_t *route;
+	http_exchange_t *exchange; /* NULL once answered or closed */
+	run_t *run;
+	char *id;
+	int64_t received_us;
+	int64_t expires_us; /* monotonic */
+	bool streaming;
+	GList link;
+} relayed_t;
+
+static void relayed_free(relayed_t *request)
+{
+	g_queue_unlink(&request->relay->requests, &request->link);
+	path_table_unref(request->paths);
+	g_free(request->id);
+	g_free(request);
+}
+
+static int32_t age_ms(const relayed_t *request)
+{
+	const clock_source_t *clock = request->relay->runs->clock;
+
+	return (int32_t)((clock_now_us(clock) - request->received_us) / 1000);
+}
+
+static void add_headers(http_exchange_t *exchange, const GPtrArray *headers)
+{
+	for (guint i = 0; i + 1 < headers->len; i += 2)
+		http_reply_header(exchange, headers->pdata[i],
+				  headers->pdata[i + 1]);
+}
+
+void relay_refuse(http_exchange_t *exchange, int32_t retry_after_ms)
+{
+	char seconds[16];
+
+	snprintf(seconds, sizeof(seconds), "%d.%03d", retry_after_ms / 1000,
+		 retry_after_ms % 1000);
+	http_reply_header(exchange, "Retry-After", seconds);
+	http_reply(exchange, 503, NULL, "", 0);
+}
+
+static void log_end(const relayed_t *request, const char *outcome, int status)
+{
+	const fleet_runner_t *runner =
+		request->run ? run_runner(request->run) : NULL;
+
+	log_info("request_end",
+		 "request=%s route=%s config=%" G_GUINT64_FORMAT
+		 " runner=%s outcome=%s status=%d age_ms=%d",
+		 request->id, request->route->name, request->paths->version,
+		 runner ? runner->id : "-", outcome, status, age_ms(request));
+}
+
+static void on_start(const runner_answer_t *answer, void *user_data)
+{
+	relayed_t *request = user_data;
+
+	request->streaming = true;
+	histogram_add(&request->relay->latency,
+		      (int64_t)age_ms(request) * 1000);
+	add_headers(request->exchange, answer->headers);
+	http_stream_start(request->exchange, answer->status, NULL);
+}
+
+static void on_event(const char *raw, size_t raw_len, const char *data,
+		     size_t data_len, void *user_data)
+{
+	relayed_t *request = user_data;
+
+	http_stream_write(request->exchange, raw, raw_len);
+}
+
+static void on_whole(const runner_answer_t *answer, const char *body,
+		     size_t len, void *user_data)
+{
+	relayed_t *request = user_data;
+
+	histogram_add(&request->relay->latency,
+		      (int64_t)age_ms(request) * 1000);
+	add_headers(request->exchange, answer->headers);
+	http_reply(request->exchange, answer->status, NULL, body, len);
+}
+
+static void on_end(run_end_t end, void *user_data)
+{
+	static const struct {
+		const char *name;
+		int status;
+	} outcomes[] = {
+		[RUN_DONE] = { "done", 200 },
+		[RUN_NOT_RUN] = { "not_run", 503 },
+		[RUN_UNKNOWN] = { "unknown", 502 },
+		[RUN_CUT] = { "cut", 200 },
+	};
+	relayed_t *request = user_data;
+	relay_t *relay = request->relay;
+	http_exchange_t *exchange = request->exchange;
+
+	request->run = NULL;
+	log_end(request, outcomes[end].name, outcomes[end].status);
+	http_on_closed(exchange, NULL, NULL);
+	if (end == RUN_DONE)
+		(*relay->completed_total)++;
+	else
+		(*relay->failed_total)++;
+	if (end == RUN_DONE && request->streaming)
+		http_stream_end(exchange);
+	else if (end == RUN_CUT)
+		http_stream_abort(exchange);
+	else if (end == RUN_NOT_RUN)
+		relay_refuse(exchange, admission_retry_after_ms(
+					       relay->random,
+					       request->route->objective_ms));
+	else if (end == RUN_UNKNOWN)
+		http_reply(exchange, 502, NULL, "", 0);
+	relayed_free(request);
+}
+
+static const run_sink_t sink = {
+	.start = on_start,
+	.event = on_event,
+	.whole = on_whole,
+	.end = on_end,
+};
+
+static void on_closed(http_exchange_t *exchange, void *user_data)
+{
+	relayed_t *request = user_data;
+
+	log_end(request, "caller_left", 0);
+	(*request->relay->abandoned_total)++;
+	run_cancel(request->run);
+	relayed_free(request);
+}
+
+relay_t *relay_new(const relay_options_t *options)
+{
+	relay_t *relay = g_new0(relay_t, 1);
+	counter_set_t *counters = options->counters;
+
+	relay->runs = options->runs;
+	relay->random = options->random;
+	g_queue_init(&relay->requests);
+	relay->accepted_total = counter_get(counters, COUNTER_MONOTONIC,
+					    "requests_accepted_total", NULL);
+	relay->refused_total = counter_get(counters, COUNTER_MONOTONIC,
+					   "requests_refused_total", NULL);
+	relay->completed_total = counter_get(counters, COUNTER_MONOTONIC,
+					     "requests_completed_total", NULL);
+	relay->failed_total = counter_get(counters, COUNTER_MONOTONIC,
+					  "requests_failed_total", NULL);
+	relay->abandoned_total = counter_get(counters, COUNTER_MONOTONIC,
+					     "requests_abandoned_total", NULL);
+	return relay;
+}
+
+/* The shorter of the caller's and the route's time. */
+static int64_t expiry_us(const path_route_t *route,
+			 const relay_request_t *request)
+{
+	int64_t limit_ms = route->timeout_ms;
+
+	if (request->deadline_ms &&
+	    (!limit_ms || request->deadline_ms < limit_ms))
+		limit_ms = request->deadline_ms;
+	return limit_ms ? request->received_us + limit_ms * 1000 : 0;
+}
+
+static void refuse(relay_t *relay, const path_route_t *route,
+		   http_exchange_t *exchange, const relay_request_t *request,
+		   int32_t wait_ms)
+{
+	int32_t retry_after_ms =
+		admission_retry_after_ms(relay->random, route->objective_ms);
+
+	(*relay->refused_total)++;
+	log_info("request_refused",
+		 "request=%s route=%s wait_ms=%d objective_ms=%d runners=%u "
+		 "retry_after_ms=%d",
+		 request->id, route->name, wait_ms, route->objective_ms,
+		 fleet_size(relay->runs->fleet), retry_after_ms);
+	relay_refuse(exchange, retry_after_ms);
+}
+
+void relay_handle(relay_t *relay, path_table_t *paths,
+		  const path_route_t *route, http_exchange_t *exchange,
+		  const relay_request_t *request)
+{
+	const char *service =
+		path_route_service(route, g_rand_double(relay->random));
+	int32_t wait_ms = service ? fleet_wait_ms(relay->runs->fleet, service) :
+				    INT32_MAX;
+	const admission_input_t input = {
+		.wait_ms = wait_ms,
+		.objective_ms = route->objective_ms,
+		.deadline_ms = request->deadline_ms,
+	};
+	run_options_t options = {
+		.id = request->id,
+		.method = request->method,
+		.target = request->target,
+		.host = request->host,
+		.service = service,
+		.headers = request->headers,
+		.body = request->body,
+		.stream = route->kind == PATH_STREAM,
+		.idempotent = route->kind == PATH_IDEMPOTENT,
+		.resumable = route->kind == PATH_STREAM && route->resumable,
+		.max_runners = route->max_runners,
+		.expires_us = expiry_us(route, request),
+		.resume_after = request->resume_after,
+		.sink = &sink,
+	};
+	relayed_t *relayed;
+
+	if (relay->stopping)
+		http_close_after(exchange);
+	if (!admission_accepts(&input)) {
+		refuse(relay, route, exchange, request, wait_ms);
+		return;
+	}
+	relayed = g_new0(relayed_t, 1);
+	options.user_data = relayed;
+	relayed->relay = relay;
+	relayed->paths = path_table_ref(paths);
+	relayed->route = route;
+	relayed->exchange = exchange;
+	relayed->id = g_strdup(request->id);
+	relayed->received_us = request->received_us;
+	relayed->expires_us = options.expires_us;
+	relayed->link.data = relayed;
+	g_queue_push_tail_link(&relay->requests, &relayed->link);
+	relayed->run = run_start(relay->runs, &options);
+	if (!relayed->run) {
+		relayed_free(relayed);
+		refuse(relay, route, exchange, request, wait_ms);
+		return;
+	}
+	(*relay->accepted_total)++;
+	http_on_closed(exchange, on_closed, relayed);
+	http_release_request(exchange);
+}
+
+static void expire(relayed_t *request)
+{
+	http_exchange_t *exchange = request->exchange;
+	bool may_have_run = run_may_have_run(request->run);
+
+	log_end(request, "expired", may_have_run ? 504 : 503);
+	(*request->relay->failed_total)++;
+	http_on_closed(exchange, NULL, NULL);
+	run_cancel(request->run);
+	if (request->streaming)
+		http_stream_abort(exchange);
+	else if (may_have_run)
+		http_reply(exchange, 504, NULL, "", 0);
+	else
+		relay_refuse(exchange, request->route->objective_ms);
+	relayed_free(request);
+}
+
+void relay_sweep(relay_t *relay)
+{
+	int64_t now_us = clock_now_us(relay->runs->clock);
+	GList *link = relay->requests.head;
+
+	while (link) {
+		relayed_t *request = link->data;
+
+		link = link->next;
+		if (request->expires_us && now_us >= request->expires_us)
+			expire(request);
+		else if (request->streaming &&
+			 http_stream_pending(request->exchange) >
+				 MAX_PENDING_BYTES)
+			expire(request);
+	}
+}
+
+uint32_t relay_active(const relay_t *relay)
+{
+	return relay->requests.length;
+}
+
+void relay_stop(relay_t *relay)
+{
+	relay->stopping = true;
+}
+
+const histogram_t *relay_latency(const relay_t *relay)
+{
+	return &relay->latency;
+}
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -5,11 +5,20 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http/http_send.h"
 
 #define MAX_IDLE_PER_ADDRESS 256
+/* A peer that vanishes without a reset is noticed within about 3 s, the
+ * shortest time for which a VM may count as out of contact. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_PROBE_S 1
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_MS 3000
 #define MAX_ANSWER_BYTES (64 * 1024 * 1024)
 
 typedef struct pooled_connection {
@@ -42,6 +51,8 @@
 	bool transport_error; /* evhttp reported a failure after connecting */
 	bool headers_dropped;
 	bool cancelled;
+	bool single_use;
+	int32_t after_connect_ms; /* of the timeout; 0: no connect timeout */
 	bool starting; /* inside evhttp_make_request() */
 	bool failed_to_start;
 };
@@ -137,7 +148,8 @@
 {
 	GQueue *queue = g_hash_table_lookup(client->idle, options->address);
 
-	if (!options->fresh_connection && queue && !g_queue_is_empty(queue))
+	if (!options->fresh_connection && !options->single_use && queue &&
+	    !g_queue_is_empty(queue))
 		return g_queue_pop_tail(queue);
 	return connection_open(client, options->address);
 }
@@ -237,7 +249,10 @@
 	call->connection = NULL;
 	if (request && status != 0 && !call->transport_error) {
 		call->status = status;
-		connection_return(client, connection);
+		if (call->single_use)
+			discard_connection(client, connection);
+		else
+			connection_return(client, connection);
 		call_finish(call, HTTP_COMPLETE);
 		return;
 	}
@@ -303,23 +318,55 @@
 	g_string_append_len(call->body, data, (gssize)len);
 }
 
+static bool is_connected(const http_call_t *call)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(call->connection->evcon);
+	struct sockaddr_storage peer;
+	socklen_t len = sizeof(peer);
+
+	return getpeername(bufferevent_getfd(bev), (struct sockaddr *)&peer,
+			   &len) == 0;
+}
+
+static struct timeval timeval_of_ms(int32_t ms)
+{
+	return (struct timeval){ ms / 1000, ms % 1000 * 1000 };
+}
+
+/* Returns true when the call goes on after its connect timeout. */
+static bool passes_connect_timeout(http_call_t *call)
+{
+	struct timeval rest = timeval_of_ms(call->after_connect_ms);
+
+	if (call->after_connect_ms == 0 || call->cancelled ||
+	    !is_connected(call))
+		return false;
+	call->after_connect_ms = 0;
+	evtimer_add(call->timer, &rest);
+	return true;
+}
+
 static void on_timer(evutil_socket_t fd, short events, void *arg)
 {
 	http_call_t *call = arg;
 	http_client_t *client = call->client;
 	bool cancelled = call->cancelled;
+	bool connecting = call->after_connect_ms != 0;
 
 	if (call->failed_to_start) {
 		discard_connection(client, call->connection);
 		call_finish(call, HTTP_NOT_SENT);
 		return;
 	}
+	if (passes_connect_timeout(call))
+		return;
 	call->cancelled = true;
 	if (call->request)
 		evhttp_cancel_request(call->request);
 	discard_connection(client, call->connection);
 	call->cancelled = cancelled;
-	call_finish(call, HTTP_TIMED_OUT);
+	call_finish(call, connecting ? HTTP_NOT_SENT : HTTP_TIMED_OUT);
 }
 
 static void add_headers(struct evhttp_request *request,
@@ -327,7 +374,8 @@
 {
 	struct evkeyvalq *out = evhttp_request_get_output_headers(request);
 
-	evhttp_add_header(out, "Host", options->address);
+	evhttp_add_header(out, "Host",
+			  options->host ? options->host : options->address);
 	for (const char *const *h = options->headers; h && *h; h += 2)
 		evhttp_add_header(out, h[0], h[1]);
 	if (options->body_len)
@@ -345,6 +393,9 @@
 		{ "POST", EVHTTP_REQ_POST },
 		{ "PUT", EVHTTP_REQ_PUT },
 		{ "DELETE", EVHTTP_REQ_DELETE },
+		{ "HEAD", EVHTTP_REQ_HEAD },
+		{ "PATCH", EVHTTP_REQ_PATCH },
+		{ "OPTIONS", EVHTTP_REQ_OPTIONS },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
@@ -353,12 +404,34 @@
 	return EVHTTP_REQ_GET;
 }
 
+/* Failures are not fatal: the calls' own timeouts still end them. */
+static void detect_lost_peer(evutil_socket_t fd)
+{
+	static const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {
+		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
+		{ IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
+		{ IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PROBE_S },
+		{ IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES },
+		{ IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS },
+		{ IPPROTO_TCP, TCP_NODELAY, 1 },
+	};
+
+	if (fd < 0)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++)
+		setsockopt(fd, options[i].level, options[i].name,
+			   &options[i].value, sizeof(options[i].value));
+}
+
 http_call_t *http_call_start(http_client_t *client,
 			     const http_request_options_t *options)
 {
 	http_call_t *call = g_new0(http_call_t, 1);
-	struct timeval timeout = { options->timeout_ms / 1000,
-				   options->timeout_ms % 1000 * 1000 };
+	struct timeval timeout = timeval_of_ms(options->timeout_ms);
 	struct bufferevent *bev;
 	bool kept;
 
@@ -367,6 +440,7 @@
 	call->on_data = options->on_data;
 	call->on_done = options->on_done;
 	call->user_data = options->user_data;
+	call->single_use = options->single_use;
 	if (!options->on_data)
 		call->body = g_string_new(NULL);
 	g_hash_table_add(client->calls, call);
@@ -389,6 +463,14 @@
 	call->starting = false;
 	if (kept && !call->failed_to_start)
 		http_send_now(bev);
+	if (!kept && !call->failed_to_start)
+		detect_lost_peer(bufferevent_getfd(bev));
+	if (options->connect_timeout_ms && !kept &&
+	    options->connect_timeout_ms < options->timeout_ms) {
+		call->after_connect_ms =
+			options->timeout_ms - options->connect_timeout_ms;
+		timeout = timeval_of_ms(options->connect_timeout_ms);
+	}
 	if (call->failed_to_start)
 		timeout = (struct timeval){ 0, 0 };
 	if (options->timeout_ms || call->failed_to_start)
@@ -428,6 +510,17 @@
 		evhttp_request_get_input_headers(call->request), name);
 }
 
+void http_answer_each_header(const http_call_t *call, http_header_each_t each,
+			     void *user_data)
+{
+	struct evkeyvalq *headers =
+		evhttp_request_get_input_headers(call->request);
+
+	for (struct evkeyval *header = headers->tqh_first; header;
+	     header = header->next.tqe_next)
+		each(header->key, header->value, user_data);
+}
+
 void http_client_free(http_client_t *client)
 {
 	GHashTableIter iter;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -45,8 +45,11 @@
 	const char *const *headers; /* name, value, ..., NULL; may be NULL */
 	const void *body;
 	size_t body_len;
+	const char *host; /* Host header; NULL: the address */
 	int32_t timeout_ms; /* whole call; 0: none */
+	int32_t connect_timeout_ms; /* then HTTP_NOT_SENT; 0: none */
 	bool fresh_connection; /* do not reuse a kept connection */
+	bool single_use; /* a fresh connection, closed after the answer */
 	http_headers_t on_headers;
 	http_data_t on_data;
 	http_done_t on_done;
@@ -67,5 +70,10 @@
 /* Answer header, valid during callbacks after the headers arrived; with a data
  * callback all but Retry-After end with the headers callback. */
 const char *http_answer_header(const http_call_t *call, const char *name);
+typedef void (*http_header_each_t)(const char *name, const char *value,
+				   void *user_data);
+/* Calls each for all answer headers; within the headers callback only. */
+void http_answer_each_header(const http_call_t *call, http_header_each_t each,
+			     void *user_data);
 
 #endif
--- a/src/http/http_exchange.c
+++ b/src/http/http_exchange.c
@@ -63,6 +63,35 @@
 	return evhtp_header_find(exchange->request->headers_in, name);
 }
 
+typedef struct header_visit {
+	void (*each)(const char *name, const char *value, void *user_data);
+	void *user_data;
+} header_visit_t;
+
+static int visit_header(evhtp_kv_t *header, void *arg)
+{
+	const header_visit_t *visit = arg;
+
+	visit->each(header->key, header->val, visit->user_data);
+	return 0;
+}
+
+void http_each_header(const http_exchange_t *exchange,
+		      void (*each)(const char *name, const char *value,
+				   void *user_data),
+		      void *user_data)
+{
+	header_visit_t visit = { each, user_data };
+
+	evhtp_headers_for_each(exchange->request->headers_in, visit_header,
+			       &visit);
+}
+
+void http_close_after(http_exchange_t *exchange)
+{
+	evhtp_request_set_keepalive(exchange->request, 0);
+}
+
 const char *http_body(http_exchange_t *exchange, size_t *len)
 {
 	struct evbuffer *input = exchange->request->buffer_in;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -63,6 +63,13 @@
 /* The query as sent, without the question mark; NULL when there is none. */
 const char *http_raw_query(const http_exchange_t *exchange);
 const char *http_header(const http_exchange_t *exchange, const char *name);
+/* Calls each for all headers of the request. */
+void http_each_header(const http_exchange_t *exchange,
+		      void (*each)(const char *name, const char *value,
+				   void *user_data),
+		      void *user_data);
+/* The connection is closed after this answer, which says so. */
+void http_close_after(http_exchange_t *exchange);
 /* The body as one block, NUL-terminated beyond *len. Never NULL. */
 const char *http_body(http_exchange_t *exchange, size_t *len);
 /* The body as a block of the caller's, to be freed with g_free(). */
--- a/src/main.c
+++ b/src/main.c
@@ -6,6 +6,7 @@
 #include "emulator/platform_standin.h"
 #include "emulator/service.h"
 #include "entry/entry.h"
+#include "platform/platform.h"
 #include "tool/config_tool.h"
 #include "tool/jobs_tool.h"
 #include "tool/load.h"
@@ -22,6 +23,7 @@
 
 static const subcommand_t subcommands[] = {
 	{ "entry", entry_main, "serve callers and coordinate the fleet" },
+	{ "gateway", platform_main, "serve callers by routes on a platform" },
 	{ "platform", platform_standin_main, "stand-in for the object API" },
 	{ "engine", engine_main, "model engine emulator" },
 	{ "service", service_main, "plain service emulator" },
--- a/src/platform/object_answer.c
+++ b/src/object/object_answer.c
@@ -1,4 +1,4 @@
-#include "platform/object_answer.h"
+#include "object/object_answer.h"
 
 #include <jansson.h>
 
@@ -57,10 +57,49 @@
 	return TRUE;
 }
 
+GError *object_answer_error(const http_answer_t *answer)
+{
+	static const struct {
+		int status;
+		error_code_t code;
+	} by_status[] = {
+		{ 404, WL_ERROR_NOT_FOUND },   { 410, WL_ERROR_NOT_FOUND },
+		{ 409, WL_ERROR_CONFLICT },    { 412, WL_ERROR_CONFLICT },
+		{ 413, WL_ERROR_TOO_LARGE },   { 429, WL_ERROR_RATE_LIMITED },
+		{ 503, WL_ERROR_UNAVAILABLE },
+	};
+
+	switch (answer->outcome) {
+	case HTTP_NOT_SENT:
+		return g_error_new(WL_ERROR, WL_ERROR_REFUSED,
+				   "the platform is not reachable");
+	case HTTP_TIMED_OUT:
+		return g_error_new(WL_ERROR, WL_ERROR_TIMEOUT,
+				   "the platform did not answer in time");
+	case HTTP_CUT:
+		return g_error_new(WL_ERROR, WL_ERROR_TRUNCATED,
+				   "the platform's answer was cut off");
+	case HTTP_COMPLETE:
+		break;
+	}
+	if (answer->status == 200 || answer->status == 201)
+		return NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(by_status); i++)
+		if (by_status[i].status == answer->status)
+			return g_error_new(WL_ERROR, by_status[i].code,
+					   "the platform answered %d",
+					   answer->status);
+	return g_error_new(WL_ERROR, WL_ERROR_PROTOCOL,
+			   "unexpected status %d from the platform",
+			   answer->status);
+}
+
 void object_entries_free(GArray *entries)
 {
-	for (guint i = 0; i < entries->len; i++)
+	for (guint i = 0; i < entries->len; i++) {
 		g_free(g_array_index(entries, object_entry_t, i).key);
+		g_free(g_array_index(entries, object_entry_t, i).data);
+	}
 	g_array_free(entries, TRUE);
 }
 
--- a/src/platform/object_answer.h
+++ b/src/object/object_answer.h
@@ -4,7 +4,8 @@
 #include <glib.h>
 #include <stddef.h>
 
-#include "platform/object_store.h"
+#include "http/http_client.h"
+#include "object/object_store.h"
 
 /*
  * object_answer - bodies of the platform's answers, read from JSON.
@@ -13,6 +14,10 @@
  * missing or of another type read as empty.
  */
 
+/* NULL for success; WL_ERROR_TIMEOUT and WL_ERROR_TRUNCATED leave open whether
+ * the call took effect. */
+GError *object_answer_error(const http_answer_t *answer);
+
 /* entries is to be freed by object_entries_free(). */
 gboolean object_answer_listing(const char *body, size_t len,
 			       object_listing_t *listing, GError **error);
--- a/src/platform/object_http.c
+++ b/src/object/object_http.c
@@ -1,11 +1,11 @@
-#include "platform/object_http.h"
+#include "object/object_http.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/error.h"
-#include "platform/object_answer.h"
+#include "object/object_answer.h"
 
 /* Slack on top of a watch's own time for the answer to arrive. */
 #define WATCH_GRACE_MS 2000
@@ -31,42 +31,6 @@
 	g_free(pending);
 }
 
-static GError *outcome_error(const http_answer_t *answer)
-{
-	static const struct {
-		int status;
-		error_code_t code;
-	} by_status[] = {
-		{ 404, WL_ERROR_NOT_FOUND },	{ 410, WL_ERROR_NOT_FOUND },
-		{ 412, WL_ERROR_CONFLICT },	{ 413, WL_ERROR_TOO_LARGE },
-		{ 429, WL_ERROR_RATE_LIMITED }, { 503, WL_ERROR_UNAVAILABLE },
-	};
-
-	switch (answer->outcome) {
-	case HTTP_NOT_SENT:
-		return g_error_new(WL_ERROR, WL_ERROR_REFUSED,
-				   "the platform is not reachable");
-	case HTTP_TIMED_OUT:
-		return g_error_new(WL_ERROR, WL_ERROR_TIMEOUT,
-				   "the platform did not answer in time");
-	case HTTP_CUT:
-		return g_error_new(WL_ERROR, WL_ERROR_TRUNCATED,
-				   "the platform's answer was cut off");
-	case HTTP_COMPLETE:
-		break;
-	}
-	if (answer->status == 200)
-		return NULL;
-	for (size_t i = 0; i < G_N_ELEMENTS(by_status); i++)
-		if (by_status[i].status == answer->status)
-			return g_error_new(WL_ERROR, by_status[i].code,
-					   "the platform answered %d",
-					   answer->status);
-	return g_error_new(WL_ERROR, WL_ERROR_PROTOCOL,
-			   "unexpected status %d from the platform",
-			   answer->status);
-}
-
 static uint64_t version_header(const http_answer_t *answer)
 {
 	const char *text = http_answer_header(answer->call, "X-Object-Version");
@@ -77,7 +41,7 @@
 static void on_object_done(const http_answer_t *answer, void *user_data)
 {
 	pending_t *pending = user_data;
-	GError *error = outcome_error(answer);
+	GError *error = object_answer_error(answer);
 	object_value_t value = { .key = pending->key };
 	gboolean has_value =
 		!error || g_error_matches(error, WL_ERROR, WL_ERROR_CONFLICT);
@@ -97,7 +61,7 @@
 static void on_list_done(const http_answer_t *answer, void *user_data)
 {
 	pending_t *pending = user_data;
-	GError *error = outcome_error(answer);
+	GError *error = object_answer_error(answer);
 	object_listing_t listing = { 0 };
 
 	if (!error && object_answer_listing(answer->body, answer->body_len,
@@ -114,7 +78,7 @@
 static void on_vms_done(const http_answer_t *answer, void *user_data)
 {
 	pending_t *pending = user_data;
-	GError *error = outcome_error(answer);
+	GError *error = object_answer_error(answer);
 	GArray *vms = error ? NULL :
 			      object_answer_vms(answer->body, answer->body_len,
 						&error);
--- a/src/platform/object_http.h
+++ b/src/object/object_http.h
@@ -2,7 +2,7 @@
 #define WASABILINK_PLATFORM_OBJECT_HTTP_H
 
 #include "http/http_client.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 /* object_http - object_store over the platform's HTTP API (docs/design.md 4).
  * The client is borrowed. */
--- a/src/platform/object_memory.c
+++ b/src/object/object_memory.c
@@ -1,9 +1,9 @@
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 
 #include <string.h>
 
 #include "base/error.h"
-#include "platform/object_table.h"
+#include "object/object_table.h"
 
 #define DEFAULT_TIMEOUT_MS 2000
 
@@ -200,7 +200,10 @@
 static void append_entry(const char *key, const table_object_t *object,
 			 void *user_data)
 {
-	object_entry_t entry = { g_strdup(key), object->version, FALSE };
+	gsize len;
+	const char *data = g_bytes_get_data(object->data, &len);
+	object_entry_t entry = { g_strdup(key), object->version, FALSE,
+				 g_strndup(data, len) };
 
 	g_array_append_val((GArray *)user_data, entry);
 }
--- a/src/platform/object_memory.h
+++ b/src/object/object_memory.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 /*
  * object_memory - object store in process with seeded faults, for tests.
--- a/src/platform/object_store.h
+++ b/src/object/object_store.h
@@ -37,12 +37,14 @@
 	char *key;
 	uint64_t version;
 	gboolean deleted; /* in watch results */
+	char *data; /* NULL: this store lists keys only, use get */
 } object_entry_t;
 
 typedef struct object_listing {
 	uint64_t revision; /* store-wide, of the listing */
 	GArray *entries; /* object_entry_t in key order, owned by the caller
 			  * of the completion */
+	gboolean more; /* the listing goes on after the last entry */
 } object_listing_t;
 
 typedef struct platform_vm {
--- a/src/platform/object_writer.c
+++ b/src/object/object_writer.c
@@ -1,4 +1,4 @@
-#include "platform/object_writer.h"
+#include "object/object_writer.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/platform/object_writer.h
+++ b/src/object/object_writer.h
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 
 /*
  * object_writer - creates objects that are written once.
--- a/src/tool/config_tool.c
+++ b/src/tool/config_tool.c
@@ -12,7 +12,7 @@
 #include "config/document_change.h"
 #include "config/document_diff.h"
 #include "config/document_pack.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "tool/tool_client.h"
 
 #define NO_VERSION (-1)
--- a/src/tool/tool_client.c
+++ b/src/tool/tool_client.c
@@ -9,7 +9,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "http/http_client.h"
-#include "platform/object_http.h"
+#include "object/object_http.h"
 
 #define RETRY_MS 200
 
--- a/tests/bench/ledger_cost.c
+++ b/tests/bench/ledger_cost.c
@@ -14,7 +14,7 @@
 #include <time.h>
 
 #include "coord/shard.h"
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 
 #define T0 1700000000000ULL
 #define DATA_BYTES 200
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -14,7 +14,7 @@
 #include "coord/ledger.h"
 #include "entry/completion.h"
 #include "http/multipart.h"
-#include "platform/object_answer.h"
+#include "object/object_answer.h"
 #include "rpc/config_xdr.h"
 #include "rpc/fleet_xdr.h"
 #include "rpc/ledger_xdr.h"
--- a/tests/test_document_pack.c
+++ b/tests/test_document_pack.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "platform/object_store.h"
+#include "object/object_store.h"
 #include "unit.h"
 
 /* Lines that compress about as well as keys and names do. */
--- a/tests/test_ledger_history.c
+++ b/tests/test_ledger_history.c
@@ -6,7 +6,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "coord/shard.h"
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 
 #include "unit.h"
 
--- a/tests/test_object_memory.c
+++ b/tests/test_object_memory.c
@@ -1,4 +1,4 @@
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 
 #include "base/error.h"
 
--- a/tests/test_object_table.c
+++ b/tests/test_object_table.c
@@ -1,4 +1,4 @@
-#include "platform/object_table.h"
+#include "object/object_table.h"
 
 #include "unit.h"
 
--- a/tests/test_object_writer.c
+++ b/tests/test_object_writer.c
@@ -1,9 +1,9 @@
-#include "platform/object_writer.h"
+#include "object/object_writer.h"
 
 #include <string.h>
 
 #include "base/error.h"
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 #include "unit.h"
 
 #define STEP_MS 5
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
--- a/tests/test_shard_orphan.c
+++ b/tests/test_shard_orphan.c
@@ -6,7 +6,7 @@
 
 #include "base/error.h"
 #include "coord/ledger_record.h"
-#include "platform/object_memory.h"
+#include "object/object_memory.h"
 
 #include "unit.h"
 
