--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,6 +14,10 @@
 #define LINGER_MS 3000
 /* Left for the end of the process itself. */
 #define EXIT_RESERVE_MS 400
+/* Batch items that have not finished by then are handed back. */
+#define BATCH_RELEASE_MS 4000
+/* Results kept in memory; others are read from the store again. */
+#define SEGMENT_CACHE_BYTES (8 * 1024 * 1024)
 
 static void adopt(gateway_t *gateway, const object_entry_t *entry)
 {
@@ -130,7 +134,17 @@
 
 	if (since_ms >= gateway->grace_ms - EXIT_RESERVE_MS)
 		return true;
-	return since_ms >= LINGER_MS && relay_active(gateway->relay) == 0;
+	return since_ms >= LINGER_MS && relay_active(gateway->relay) == 0 &&
+	       job_owner_count(gateway->job_owner) == 0;
+}
+
+static void release_batch(gateway_t *gateway)
+{
+	int64_t since_us =
+		clock_now_us(gateway->clock) - gateway->stopping_since_us;
+
+	if (since_us >= BATCH_RELEASE_MS * 1000)
+		job_owner_release_all(gateway->job_owner);
 }
 
 static void on_tick(evutil_socket_t fd, short events, void *arg)
@@ -140,6 +154,10 @@
 	fleet_expire(gateway->fleet);
 	run_sweep(&gateway->runs);
 	relay_sweep(gateway->relay);
+	if (gateway->stopping_since_us)
+		release_batch(gateway);
+	job_owner_tick(gateway->job_owner);
+	job_table_tick(gateway->job_table);
 	if (gateway->stopping_since_us && may_exit(gateway))
 		event_base_loopbreak(gateway->base);
 }
@@ -178,6 +196,30 @@
 		gateway->counters, COUNTER_MONOTONIC, "resumes_total", NULL);
 }
 
+static void start_jobs(gateway_t *gateway, const gateway_options_t *options)
+{
+	segment_cache_t *cache = segment_cache_new(SEGMENT_CACHE_BYTES);
+
+	gateway->jobs = (job_context_t){
+		.base = gateway->base,
+		.clock = gateway->clock,
+		.random = gateway->random,
+		.store = gateway->store,
+		.stale_store = options->stale_store,
+		.runs = &gateway->runs,
+		.counters = gateway->counters,
+		.node = options->node,
+		.writer = g_strdup_printf("%s-%08x", options->node,
+					  g_rand_int(gateway->random)),
+		.paths = &gateway->paths,
+		.quota_slack = options->quota_slack,
+	};
+	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
+	gateway->job_table = job_table_new(&gateway->jobs, gateway->job_owner);
+	gateway->job_reader =
+		job_reader_new(&gateway->jobs, gateway->job_owner, cache);
+}
+
 gateway_t *gateway_new(const gateway_options_t *options)
 {
 	const struct timeval period = { 0, TICK_MS * 1000 };
@@ -200,6 +242,7 @@
 	relay = (relay_options_t){ &gateway->runs, gateway->random,
 				   gateway->counters };
 	gateway->relay = relay_new(&relay);
+	start_jobs(gateway, options);
 	start_follows(gateway);
 	gateway->tick =
 		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
@@ -221,6 +264,8 @@
 		 relay_active(gateway->relay), gateway->grace_ms);
 	gateway->stopping_since_us = clock_now_us(gateway->clock);
 	relay_stop(gateway->relay);
+	job_table_stop(gateway->job_table);
+	job_owner_stop(gateway->job_owner);
 }
 
 void gateway_write_metrics(const gateway_t *gateway, GString *out)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,11 @@
 #include "base/counter.h"
 #include "gateway/fleet.h"
 #include "gateway/follow.h"
+#include "gateway/job_context.h"
+#include "gateway/job_owner.h"
+#include "gateway/job_read.h"
+#include "gateway/job_submit.h"
+#include "gateway/job_table.h"
 #include "gateway/path_table.h"
 #include "gateway/relay.h"
 #include "gateway/run.h"
@@ -17,7 +22,7 @@
 
 /*
  * gateway - the parts of a process that serves callers by routes: routes,
- * fleet, online requests and their life cycle.
+ * fleet, online requests, batch jobs and their life cycle.
  *
  * The adapter of a deployment fills in the store, the runners' protocol and
  * how the store's foreign objects are read.
@@ -34,8 +39,10 @@
 	struct event_base *base;
 	const clock_source_t *clock;
 	object_store_t *store;
+	object_store_t *stale_store; /* cheap reads, seconds old */
 	const char *node;
 	const char *domain;
+	double quota_slack;
 	int64_t grace_ms; /* until the process is killed after SIGTERM */
 	int64_t runner_hold_ms; /* requests may still go to a runner that has
 				 * left the list */
@@ -54,6 +61,10 @@
 	run_context_t runs;
 	relay_t *relay;
 	path_table_t *paths; /* NULL until a configuration is known */
+	job_context_t jobs;
+	job_owner_t *job_owner;
+	job_table_t *job_table;
+	job_reader_t *job_reader;
 	follow_t *config;
 	follow_t *runners;
 	struct event *tick;
--- /dev/null
+++ b/src/gateway/job_context.h
@@ -0,0 +1,26 @@
+#ifndef WASABILINK_GATEWAY_JOB_CONTEXT_H
+#define WASABILINK_GATEWAY_JOB_CONTEXT_H
+
+#include <event2/event.h>
+
+#include "base/counter.h"
+#include "gateway/path_table.h"
+#include "gateway/run.h"
+#include "object/object_store.h"
+
+/* job_context - what the modules of batch jobs share in one process. */
+typedef struct job_context {
+	struct event_base *base;
+	const clock_source_t *clock;
+	GRand *random;
+	object_store_t *store;
+	object_store_t *stale_store; /* cheap reads that may be seconds old */
+	run_context_t *runs;
+	counter_set_t *counters;
+	const char *node; /* name of this node */
+	char *writer; /* unique to this process */
+	path_table_t **paths; /* the present routes; points to NULL before */
+	double quota_slack;
+} job_context_t;
+
+#endif
--- /dev/null
+++ b/src/gateway/job_load.c
@@ -0,0 +1,73 @@
+#include "gateway/job_load.h"
+
+#include "base/error.h"
+#include "base/log.h"
+
+typedef struct load {
+	job_context_t *context;
+	char *id;
+	GPtrArray *items;
+	uint32_t parts;
+	uint32_t next;
+	job_loaded_t loaded;
+	void *user_data;
+} load_t;
+
+char *job_load_key(const char *id, uint32_t part)
+{
+	return g_strdup_printf(JOB_PAYLOAD_PREFIX "%s.%u", id, part);
+}
+
+static void finish(load_t *load, bool complete)
+{
+	if (!complete)
+		g_ptr_array_unref(load->items);
+	load->loaded(complete ? load->items : NULL, load->user_data);
+	g_free(load->id);
+	g_free(load);
+}
+
+static void read_next(load_t *load);
+
+static void on_part(const object_value_t *value, const GError *error,
+		    void *user_data)
+{
+	load_t *load = user_data;
+
+	if (error || !job_items_decode(value->data, load->items)) {
+		log_warn("payload_unread", "job=%s part=%u error=%s", load->id,
+			 load->next,
+			 error ? error_name(error->code) : "unreadable");
+		finish(load, false);
+		return;
+	}
+	load->next++;
+	read_next(load);
+}
+
+static void read_next(load_t *load)
+{
+	char *key;
+
+	if (load->next == load->parts) {
+		finish(load, true);
+		return;
+	}
+	key = job_load_key(load->id, load->next);
+	object_get(load->context->store, key, on_part, load);
+	g_free(key);
+}
+
+void job_load_items(job_context_t *context, const char *id, uint32_t parts,
+		    job_loaded_t loaded, void *user_data)
+{
+	load_t *load = g_new0(load_t, 1);
+
+	load->context = context;
+	load->id = g_strdup(id);
+	load->items = g_ptr_array_new_with_free_func(job_item_free);
+	load->parts = parts;
+	load->loaded = loaded;
+	load->user_data = user_data;
+	read_next(load);
+}
--- /dev/null
+++ b/src/gateway/job_owner.c
@@ -0,0 +1,528 @@
+#include "gateway/job_owner.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "gateway/job_owner_item.h"
+
+/* Well below the time after which other nodes take the job over, and below the
+ * time within which an ended job must stop. */
+#define RENEW_MS 1500
+/* Results that finish close together are written together. */
+#define GATHER_MS 250
+#define RETRY_MS 200
+
+struct owned_job {
+	job_owner_t *owner;
+	char *id;
+	job_record_t *record; /* as last seen in the store */
+	uint64_t version;
+	GPtrArray *items; /* job_item_t */
+	job_item_run_t *runs; /* one an item */
+	GPtrArray *fresh; /* job_result_t, not in a segment yet */
+	GPtrArray *segment; /* job_result_t, being written */
+	char *segment_key;
+	bool segment_stored; /* only the record does not name it yet */
+	bool writing; /* a call to the store is under way */
+	bool refresh; /* read the record before the next write */
+	bool release; /* the next record names no owner */
+	bool gone; /* free once the call has returned */
+	uint32_t segments; /* written by this owner */
+	int64_t fresh_since_us;
+	int64_t written_us; /* of the last successful write */
+	int64_t write_not_before_us;
+	int64_t due_us;
+};
+
+struct job_owner {
+	job_context_t *context;
+	segment_cache_t *cache;
+	GPtrArray *jobs; /* owned_job_t, by due time */
+	bool stopping;
+	int64_t *items_completed_total;
+	int64_t *items_given_up_total;
+	int64_t *items_yielded_total;
+	int64_t *jobs_lost_total;
+};
+
+static int64_t now_us(const job_owner_t *owner)
+{
+	return clock_now_us(owner->context->clock);
+}
+
+job_owner_t *job_owner_new(job_context_t *context, segment_cache_t *cache)
+{
+	job_owner_t *owner = g_new0(job_owner_t, 1);
+	counter_set_t *counters = context->counters;
+
+	owner->context = context;
+	owner->cache = cache;
+	owner->jobs = g_ptr_array_new();
+	owner->items_completed_total =
+		counter_get(counters, COUNTER_MONOTONIC,
+			    "batch_items_completed_total", NULL);
+	owner->items_given_up_total =
+		counter_get(counters, COUNTER_MONOTONIC,
+			    "batch_items_given_up_total", NULL);
+	owner->items_yielded_total = counter_get(
+		counters, COUNTER_MONOTONIC, "batch_items_yielded_total", NULL);
+	owner->jobs_lost_total = counter_get(counters, COUNTER_MONOTONIC,
+					     "batch_jobs_lost_total", NULL);
+	return owner;
+}
+
+static owned_job_t *find(const job_owner_t *owner, const char *id)
+{
+	for (guint i = 0; i < owner->jobs->len; i++) {
+		owned_job_t *job = owner->jobs->pdata[i];
+
+		if (!job->gone && strcmp(job->id, id) == 0)
+			return job;
+	}
+	return NULL;
+}
+
+static void job_free(owned_job_t *job)
+{
+	for (guint i = 0; i < job->items->len; i++)
+		job_item_run_clear(&job->runs[i]);
+	g_free(job->runs);
+	g_ptr_array_unref(job->items);
+	g_ptr_array_unref(job->fresh);
+	if (job->segment)
+		g_ptr_array_unref(job->segment);
+	g_free(job->segment_key);
+	job_record_free(job->record);
+	g_free(job->id);
+	g_free(job);
+}
+
+/* The node has nothing to do with the job any more. */
+static void drop(owned_job_t *job, const char *reason)
+{
+	log_info("job_dropped",
+		 "job=%s reason=%s owner=%s epoch=%u results=%u items=%u",
+		 job->id, reason, job->record->owner, job->record->epoch,
+		 job_record_results(job->record), job->record->items);
+	for (guint i = 0; i < job->items->len; i++)
+		job_item_run_cancel(&job->runs[i]);
+	job->gone = true;
+}
+
+static void reap(job_owner_t *owner)
+{
+	for (guint i = owner->jobs->len; i-- > 0;) {
+		owned_job_t *job = owner->jobs->pdata[i];
+
+		if (!job->gone || job->writing)
+			continue;
+		g_ptr_array_remove_index(owner->jobs, i);
+		job_free(job);
+	}
+}
+
+static gint by_due(gconstpointer a, gconstpointer b)
+{
+	const owned_job_t *x = *(owned_job_t *const *)a;
+	const owned_job_t *y = *(owned_job_t *const *)b;
+
+	return x->due_us < y->due_us ? -1 : x->due_us > y->due_us;
+}
+
+static const path_route_t *route_of(const owned_job_t *job)
+{
+	const path_table_t *paths = *job->owner->context->paths;
+
+	if (!paths)
+		return NULL;
+	return path_table_find(paths, job->record->host, job->record->path);
+}
+
+static void item_finished(void *user_data, uint32_t index,
+			  job_result_state_t state, char *text)
+{
+	owned_job_t *job = user_data;
+	const job_item_t *item = job->items->pdata[index];
+	job_result_t *result = g_new0(job_result_t, 1);
+
+	if (state == JOB_COMPLETED)
+		(*job->owner->items_completed_total)++;
+	else
+		(*job->owner->items_given_up_total)++;
+	log_info("item_finished", "job=%s item=%s state=%s failures=%u",
+		 job->id, item->id,
+		 state == JOB_COMPLETED ? "completed" : "given_up",
+		 job->runs[index].failures);
+	result->item = index;
+	result->id = g_strdup(item->id);
+	result->state = state;
+	result->text = text;
+	if (job->fresh->len == 0)
+		job->fresh_since_us = now_us(job->owner);
+	g_ptr_array_add(job->fresh, result);
+}
+
+void job_owner_adopt(job_owner_t *owner, const char *id, job_record_t *record,
+		     uint64_t version, GPtrArray *items)
+{
+	owned_job_t *job = g_new0(owned_job_t, 1);
+	const path_route_t *route;
+	int64_t age_ms =
+		clock_wall_ms(owner->context->clock) - record->submitted_ms;
+
+	job->owner = owner;
+	job->id = g_strdup(id);
+	job->record = record;
+	job->version = version;
+	job->items = items;
+	job->runs = g_new0(job_item_run_t, items->len);
+	job->fresh = g_ptr_array_new_with_free_func(job_result_free);
+	job->written_us = now_us(owner);
+	route = route_of(job);
+	/* Wall clocks may be some seconds apart; that only changes the order
+	 * of jobs. */
+	age_ms = CLAMP(age_ms, 0, route ? route->due_ms : 0);
+	job->due_us =
+		now_us(owner) + ((route ? route->due_ms : 0) - age_ms) * 1000;
+	for (guint i = 0; i < items->len; i++) {
+		job_item_run_init(&job->runs[i], owner->context,
+				  items->pdata[i], i, item_finished, job);
+		if (job_record_has_item(record, i))
+			job->runs[i].state = JOB_ITEM_FINISHED;
+	}
+	g_ptr_array_add(owner->jobs, job);
+	g_ptr_array_sort(owner->jobs, by_due);
+	log_info("job_adopted",
+		 "job=%s epoch=%u version=%" PRIu64 " results=%u items=%u "
+		 "due_ms=%" PRId64,
+		 id, record->epoch, version, job_record_results(record),
+		 record->items, (job->due_us - now_us(owner)) / 1000);
+}
+
+static void write_record(owned_job_t *job);
+
+static void retry_later(owned_job_t *job, const GError *error)
+{
+	log_warn("job_write_failed", "job=%s version=%" PRIu64 " error=%s",
+		 job->id, job->version, error_name(error->code));
+	job->write_not_before_us = now_us(job->owner) + RETRY_MS * 1000;
+}
+
+static bool names_segment(const job_record_t *record, const char *key)
+{
+	for (guint i = 0; i < record->segments->len; i++)
+		if (strcmp(((job_segment_t *)record->segments->pdata[i])->key,
+			   key) == 0)
+			return true;
+	return false;
+}
+
+/* The record in the store names the segment that was being written. */
+static void segment_listed(owned_job_t *job)
+{
+	segment_cache_put(job->owner->cache, job->segment_key, job->segment);
+	job->segment = NULL;
+	job->segment_stored = false;
+	g_clear_pointer(&job->segment_key, g_free);
+}
+
+static void adopt_record(owned_job_t *job, job_record_t *record,
+			 uint64_t version)
+{
+	bool still_owner =
+		strcmp(record->owner, job->owner->context->node) == 0 &&
+		record->epoch == job->record->epoch;
+
+	job_record_free(job->record);
+	job->record = record;
+	job->version = version;
+	job->refresh = false;
+	job->written_us = now_us(job->owner);
+	if (job->segment && names_segment(record, job->segment_key))
+		segment_listed(job);
+	if (record->ended) {
+		drop(job, "ended");
+	} else if (!still_owner) {
+		(*job->owner->jobs_lost_total)++;
+		drop(job, job->release ? "handed_back" : "other_owner");
+	} else if (job_record_is_closed(record)) {
+		drop(job, "complete");
+	}
+}
+
+static void on_read(const object_value_t *value, const GError *error,
+		    void *user_data)
+{
+	owned_job_t *job = user_data;
+	job_record_t *record;
+
+	job->writing = false;
+	if (error) {
+		retry_later(job, error);
+		return;
+	}
+	record = job_record_decode(value->data);
+	if (record)
+		adopt_record(job, record, value->version);
+	else
+		log_error("job_unreadable", "job=%s version=%" PRIu64, job->id,
+			  value->version);
+}
+
+static void read_record(owned_job_t *job)
+{
+	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
+
+	job->writing = true;
+	object_get(job->owner->context->store, key, on_read, job);
+	g_free(key);
+}
+
+static void on_record_written(const object_value_t *value, const GError *error,
+			      void *user_data)
+{
+	owned_job_t *job = user_data;
+	job_record_t *record = value ? job_record_decode(value->data) : NULL;
+
+	job->writing = false;
+	if (error && error->code != WL_ERROR_CONFLICT) {
+		retry_later(job, error);
+	} else if (record) {
+		adopt_record(job, record, value->version);
+	} else {
+		/* The store did not tell what it holds. */
+		job->refresh = true;
+	}
+}
+
+static int64_t tokens_of(const owned_job_t *job, const GPtrArray *results)
+{
+	int64_t tokens = 0;
+
+	for (guint i = 0; i < results->len; i++) {
+		const job_result_t *result = results->pdata[i];
+
+		tokens +=
+			((job_item_t *)job->items->pdata[result->item])->tokens;
+	}
+	return tokens;
+}
+
+static void add_segment(owned_job_t *job, job_record_t *record)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	for (guint i = 0; i < job->segment->len; i++)
+		g_array_append_val(
+			items, ((job_result_t *)job->segment->pdata[i])->item);
+	job_record_add_segment(record, job->segment_key,
+			       (uint32_t *)items->data, items->len);
+	record->waiting_tokens =
+		MAX(record->waiting_tokens - tokens_of(job, job->segment), 0);
+	g_array_free(items, TRUE);
+}
+
+/* Writes the record with what is new: a segment, a renewal, or no owner. */
+static void write_record(owned_job_t *job)
+{
+	const job_context_t *context = job->owner->context;
+	job_record_t *record = job_record_copy(job->record);
+	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
+	char *text;
+
+	record->beat++;
+	if (job->segment_stored)
+		add_segment(job, record);
+	if (job->release) {
+		g_free(record->owner);
+		record->owner = g_strdup("");
+	}
+	text = job_record_encode(record);
+	job->writing = true;
+	object_put(context->store, key, text, strlen(text), job->version,
+		   context->writer, on_record_written, job);
+	job_record_free(record);
+	g_free(text);
+	g_free(key);
+}
+
+static void on_segment_written(const object_value_t *value, const GError *error,
+			       void *user_data)
+{
+	owned_job_t *job = user_data;
+
+	job->writing = false;
+	/* Keys are unique to this owner, so a conflict is its own write whose
+	 * answer was lost. */
+	if (error && error->code != WL_ERROR_CONFLICT) {
+		retry_later(job, error);
+		return;
+	}
+	job->segment_stored = true;
+	if (!job->gone)
+		write_record(job);
+}
+
+static void write_segment(owned_job_t *job)
+{
+	const job_context_t *context = job->owner->context;
+	char *text = job_results_encode(job->segment);
+
+	job->writing = true;
+	object_put(context->store, job->segment_key, text, strlen(text),
+		   OBJECT_ABSENT, context->writer, on_segment_written, job);
+	g_free(text);
+}
+
+static void begin_segment(owned_job_t *job)
+{
+	job->segment = job->fresh;
+	job->fresh = g_ptr_array_new_with_free_func(job_result_free);
+	job->segment_key = g_strdup_printf(
+		JOB_SEGMENT_PREFIX "%s.%u.%u.%s", job->id, job->record->epoch,
+		job->segments++, job->owner->context->node);
+}
+
+static bool has_unfinished(const owned_job_t *job)
+{
+	for (guint i = 0; i < job->items->len; i++)
+		if (job->runs[i].state != JOB_ITEM_FINISHED)
+			return true;
+	return false;
+}
+
+static bool has_running(const owned_job_t *job)
+{
+	for (guint i = 0; i < job->items->len; i++)
+		if (job->runs[i].state == JOB_ITEM_RUNNING)
+			return true;
+	return false;
+}
+
+static bool is_segment_due(const owned_job_t *job, int64_t now)
+{
+	if (job->fresh->len == 0)
+		return false;
+	return job->release || !has_unfinished(job) ||
+	       now - job->fresh_since_us >= GATHER_MS * 1000;
+}
+
+static void write_due(owned_job_t *job, int64_t now)
+{
+	if (job->writing || job->gone || now < job->write_not_before_us)
+		return;
+	if (job->refresh) {
+		read_record(job);
+		return;
+	}
+	if (!job->segment && is_segment_due(job, now))
+		begin_segment(job);
+	if (job->segment && !job->segment_stored)
+		write_segment(job);
+	else if (job->segment_stored || job->release ||
+		 now - job->written_us >= RENEW_MS * 1000)
+		write_record(job);
+}
+
+static void start_items(owned_job_t *job)
+{
+	const path_route_t *route = route_of(job);
+
+	for (guint i = 0; i < job->items->len; i++)
+		if (job->runs[i].state == JOB_ITEM_WAITING &&
+		    !job_item_run_start(&job->runs[i], route, job->due_us))
+			return;
+}
+
+/* The jobs that are due last give way first. */
+static void yield_at(fleet_runner_t *runner, void *user_data)
+{
+	job_owner_t *owner = user_data;
+	uint32_t excess = fleet_batch_excess(
+		runner, g_rand_double(owner->context->random));
+
+	for (guint i = owner->jobs->len; i-- > 0 && excess > 0;) {
+		owned_job_t *job = owner->jobs->pdata[i];
+
+		for (guint j = 0; j < job->items->len && excess > 0; j++) {
+			if (job_item_run_runner(&job->runs[j]) != runner)
+				continue;
+			log_info("item_yielded",
+				 "job=%s item=%u runner=%s online=%u batch=%u "
+				 "slots=%u last_event=%" PRId64,
+				 job->id, j, runner->id,
+				 runner->own.online + runner->peers.online,
+				 runner->own.batch + runner->peers.batch,
+				 runner->slots, job->runs[j].last_event);
+			job_item_run_cancel(&job->runs[j]);
+			(*owner->items_yielded_total)++;
+			excess--;
+		}
+	}
+}
+
+void job_owner_tick(job_owner_t *owner)
+{
+	int64_t now = now_us(owner);
+
+	fleet_each(owner->context->runs->fleet, yield_at, owner);
+	for (guint i = 0; i < owner->jobs->len; i++) {
+		owned_job_t *job = owner->jobs->pdata[i];
+
+		if (job->gone)
+			continue;
+		if (owner->stopping && !has_running(job))
+			job->release = true;
+		if (!owner->stopping && !job->release)
+			start_items(job);
+		write_due(job, now);
+	}
+	reap(owner);
+}
+
+void job_owner_refresh(job_owner_t *owner, const char *id)
+{
+	owned_job_t *job = find(owner, id);
+
+	if (job)
+		job->refresh = true;
+}
+
+const job_record_t *job_owner_record(job_owner_t *owner, const char *id)
+{
+	const owned_job_t *job = find(owner, id);
+
+	return job ? job->record : NULL;
+}
+
+const GPtrArray *job_owner_items(job_owner_t *owner, const char *id)
+{
+	const owned_job_t *job = find(owner, id);
+
+	return job ? job->items : NULL;
+}
+
+void job_owner_stop(job_owner_t *owner)
+{
+	owner->stopping = true;
+}
+
+void job_owner_release_all(job_owner_t *owner)
+{
+	owner->stopping = true;
+	for (guint i = 0; i < owner->jobs->len; i++) {
+		owned_job_t *job = owner->jobs->pdata[i];
+
+		for (guint j = 0; j < job->items->len; j++)
+			job_item_run_cancel(&job->runs[j]);
+		job->release = true;
+	}
+}
+
+uint32_t job_owner_count(const job_owner_t *owner)
+{
+	return owner->jobs->len;
+}
--- /dev/null
+++ b/src/gateway/job_read.c
@@ -0,0 +1,377 @@
+#include "gateway/job_read.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "gateway/job_load.h"
+
+/* Closed records are small; the bound keeps a long life from filling memory. */
+#define MAX_CLOSED 2000
+#define END_TRIES 8
+#define END_RETRY_MS 100
+
+struct job_reader {
+	job_context_t *context;
+	job_owner_t *owner;
+	segment_cache_t *cache;
+	GHashTable *closed; /* id -> job_record_t */
+};
+
+/* One read or end on its way. */
+typedef struct query {
+	job_reader_t *reader;
+	char *id;
+	job_record_t *record;
+	void (*with_record)(struct query *query);
+	void (*without_record)(struct query *query, job_found_t found);
+	uint64_t version;
+	/* results */
+	uint32_t after;
+	size_t max_bytes;
+	guint segment; /* being read */
+	job_page_done_t page_done;
+	/* body */
+	char *item;
+	job_body_done_t body_done;
+	/* end */
+	struct event *timer;
+	uint32_t tries;
+	job_end_done_t end_done;
+	void *user_data;
+} query_t;
+
+static void record_free(void *record)
+{
+	job_record_free(record);
+}
+
+job_reader_t *job_reader_new(job_context_t *context, job_owner_t *owner,
+			     segment_cache_t *cache)
+{
+	job_reader_t *reader = g_new0(job_reader_t, 1);
+
+	reader->context = context;
+	reader->owner = owner;
+	reader->cache = cache;
+	reader->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       record_free);
+	return reader;
+}
+
+static query_t *query_new(job_reader_t *reader, const char *id, void *user_data)
+{
+	query_t *query = g_new0(query_t, 1);
+
+	query->reader = reader;
+	query->id = g_strdup(id);
+	query->user_data = user_data;
+	return query;
+}
+
+static void query_free(query_t *query)
+{
+	if (query->timer)
+		event_free(query->timer);
+	job_record_free(query->record);
+	g_free(query->item);
+	g_free(query->id);
+	g_free(query);
+}
+
+static void remember_closed(job_reader_t *reader, const query_t *query)
+{
+	if (!job_record_is_closed(query->record))
+		return;
+	if (g_hash_table_size(reader->closed) >= MAX_CLOSED)
+		g_hash_table_remove_all(reader->closed);
+	g_hash_table_insert(reader->closed, g_strdup(query->id),
+			    job_record_copy(query->record));
+}
+
+static void on_record(const object_value_t *value, const GError *error,
+		      void *user_data)
+{
+	query_t *query = user_data;
+
+	if (error) {
+		query->without_record(query, error->code == WL_ERROR_NOT_FOUND ?
+						     JOB_MISSING :
+						     JOB_UNSURE);
+		return;
+	}
+	job_record_free(query->record);
+	query->record = job_record_decode(value->data);
+	query->version = value->version;
+	if (!query->record) {
+		log_error("job_unreadable", "job=%s", query->id);
+		query->without_record(query, JOB_UNSURE);
+		return;
+	}
+	remember_closed(query->reader, query);
+	query->with_record(query);
+}
+
+static void read_record(query_t *query)
+{
+	char *key = g_strconcat(JOB_RECORD_PREFIX, query->id, NULL);
+
+	object_get(query->reader->context->store, key, on_record, query);
+	g_free(key);
+}
+
+static void find_record(query_t *query)
+{
+	const job_record_t *record =
+		job_owner_record(query->reader->owner, query->id);
+
+	if (!record)
+		record = g_hash_table_lookup(query->reader->closed, query->id);
+	if (!record) {
+		read_record(query);
+		return;
+	}
+	query->record = job_record_copy(record);
+	query->with_record(query);
+}
+
+static void finish_page(query_t *query, job_found_t found)
+{
+	job_page_t page = {
+		.found = found,
+		.next = query->after,
+		.results = g_ptr_array_new(),
+	};
+	const GPtrArray *segments =
+		query->record ? query->record->segments : NULL;
+	uint32_t position = 0;
+	size_t bytes = 0;
+	bool full = false;
+
+	if (found == JOB_FOUND)
+		page.total = query->record->items;
+	for (guint i = 0; found == JOB_FOUND && i < segments->len && !full;
+	     i++) {
+		const job_segment_t *segment = segments->pdata[i];
+		const GPtrArray *results;
+
+		if (position + segment->items->len <= query->after) {
+			position += segment->items->len;
+			continue;
+		}
+		results = segment_cache_get(query->reader->cache, segment->key);
+		if (!results)
+			break;
+		for (guint j = 0; j < results->len && !full; j++, position++) {
+			const job_result_t *result = results->pdata[j];
+
+			if (position < query->after)
+				continue;
+			bytes += strlen(result->text);
+			full = page.results->len > 0 &&
+			       bytes > query->max_bytes;
+			if (full)
+				break;
+			g_ptr_array_add(page.results, (void *)result);
+			page.next++;
+		}
+	}
+	query->page_done(&page, query->user_data);
+	g_ptr_array_free(page.results, TRUE);
+	query_free(query);
+}
+
+static void read_segments(query_t *query);
+
+static void on_segment(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	query_t *query = user_data;
+	const job_segment_t *segment =
+		query->record->segments->pdata[query->segment];
+	GPtrArray *results = error ? NULL : job_results_decode(value->data);
+
+	if (!results) {
+		log_warn("segment_unread", "job=%s segment=%s error=%s",
+			 query->id, segment->key,
+			 error ? error_name(error->code) : "unreadable");
+		finish_page(query, JOB_UNSURE);
+		return;
+	}
+	segment_cache_put(query->reader->cache, segment->key, results);
+	query->segment++;
+	read_segments(query);
+}
+
+/* Reads the segments that the page needs, one after the other. */
+static void read_segments(query_t *query)
+{
+	const GPtrArray *segments = query->record->segments;
+	uint32_t position = 0;
+	size_t bytes = 0;
+
+	for (guint i = 0; i < segments->len; i++) {
+		const job_segment_t *segment = segments->pdata[i];
+		const GPtrArray *held;
+
+		position += segment->items->len;
+		if (position <= query->after)
+			continue;
+		held = segment_cache_get(query->reader->cache, segment->key);
+		if (!held) {
+			query->segment = i;
+			object_get(query->reader->context->store, segment->key,
+				   on_segment, query);
+			return;
+		}
+		for (guint j = 0; j < held->len; j++)
+			bytes += strlen(((job_result_t *)held->pdata[j])->text);
+		if (bytes >= query->max_bytes)
+			break;
+	}
+	finish_page(query, JOB_FOUND);
+}
+
+void job_read_results(job_reader_t *reader, const char *id, uint32_t after,
+		      size_t max_bytes, job_page_done_t done, void *user_data)
+{
+	query_t *query = query_new(reader, id, user_data);
+
+	query->after = after;
+	query->max_bytes = max_bytes;
+	query->page_done = done;
+	query->with_record = read_segments;
+	query->without_record = finish_page;
+	find_record(query);
+}
+
+static void finish_body(query_t *query, job_found_t found)
+{
+	query->body_done(found, NULL, query->user_data);
+	query_free(query);
+}
+
+static void find_body(query_t *query, const GPtrArray *items)
+{
+	for (guint i = 0; i < items->len; i++) {
+		const job_item_t *item = items->pdata[i];
+
+		if (strcmp(item->id, query->item) != 0)
+			continue;
+		if (job_record_has_item(query->record, i))
+			break;
+		query->body_done(JOB_FOUND, item->body, query->user_data);
+		query_free(query);
+		return;
+	}
+	finish_body(query, JOB_MISSING);
+}
+
+static void on_items(GPtrArray *items, void *user_data)
+{
+	query_t *query = user_data;
+
+	if (!items) {
+		finish_body(query, JOB_UNSURE);
+		return;
+	}
+	find_body(query, items);
+	g_ptr_array_unref(items);
+}
+
+static void read_items(query_t *query)
+{
+	const GPtrArray *items =
+		job_owner_items(query->reader->owner, query->id);
+
+	if (query->record->ended)
+		finish_body(query, JOB_MISSING);
+	else if (items)
+		find_body(query, items);
+	else
+		job_load_items(query->reader->context, query->id,
+			       query->record->payload_parts, on_items, query);
+}
+
+void job_read_body(job_reader_t *reader, const char *id, const char *item,
+		   job_body_done_t done, void *user_data)
+{
+	query_t *query = query_new(reader, id, user_data);
+
+	query->item = g_strdup(item);
+	query->body_done = done;
+	query->with_record = read_items;
+	query->without_record = finish_body;
+	find_record(query);
+}
+
+static void finish_end(query_t *query, job_found_t found)
+{
+	log_info("job_end", "job=%s found=%d tries=%u", query->id, found,
+		 query->tries);
+	query->end_done(found, query->user_data);
+	query_free(query);
+}
+
+static void on_end_timer(evutil_socket_t fd, short events, void *arg)
+{
+	read_record(arg);
+}
+
+/* Whether the write took effect is seen by reading the record again. */
+static void end_again(query_t *query, job_found_t found)
+{
+	const struct timeval pause = { 0, END_RETRY_MS * 1000 };
+
+	if (found == JOB_MISSING || ++query->tries >= END_TRIES) {
+		finish_end(query, found);
+		return;
+	}
+	evtimer_add(query->timer, &pause);
+}
+
+static void on_ended(const object_value_t *value, const GError *error,
+		     void *user_data)
+{
+	query_t *query = user_data;
+
+	job_owner_refresh(query->reader->owner, query->id);
+	if (!error)
+		finish_end(query, JOB_FOUND);
+	else if (error->code == WL_ERROR_CONFLICT)
+		on_record(value, value ? NULL : error, query);
+	else
+		end_again(query, JOB_UNSURE);
+}
+
+static void write_end(query_t *query)
+{
+	const job_context_t *context = query->reader->context;
+	char *key;
+	char *text;
+
+	if (query->record->ended) {
+		job_owner_refresh(query->reader->owner, query->id);
+		finish_end(query, JOB_FOUND);
+		return;
+	}
+	query->record->ended = true;
+	key = g_strconcat(JOB_RECORD_PREFIX, query->id, NULL);
+	text = job_record_encode(query->record);
+	object_put(context->store, key, text, strlen(text), query->version,
+		   context->writer, on_ended, query);
+	g_free(text);
+	g_free(key);
+}
+
+void job_end(job_reader_t *reader, const char *id, job_end_done_t done,
+	     void *user_data)
+{
+	query_t *query = query_new(reader, id, user_data);
+
+	query->timer = evtimer_new(reader->context->base, on_end_timer, query);
+	query->end_done = done;
+	query->with_record = write_end;
+	query->without_record = end_again;
+	read_record(query);
+}
--- /dev/null
+++ b/src/gateway/job_read.h
@@ -0,0 +1,49 @@
+#ifndef WASABILINK_GATEWAY_JOB_READ_H
+#define WASABILINK_GATEWAY_JOB_READ_H
+
+#include "gateway/job_context.h"
+#include "gateway/job_owner.h"
+#include "gateway/segment_cache.h"
+
+/*
+ * job_read - results, bodies and the end of batch jobs, at any node.
+ *
+ * The owner answers from memory; other nodes read the record anew, so that a
+ * result that a caller has seen anywhere is never missing here. Records of
+ * closed jobs no longer change and are kept.
+ */
+typedef struct job_reader job_reader_t;
+
+typedef enum job_found {
+	JOB_FOUND,
+	JOB_MISSING, /* certainly no such job or item */
+	JOB_UNSURE /* the store did not answer */
+} job_found_t;
+
+typedef struct job_page {
+	job_found_t found;
+	uint32_t total; /* items of the job */
+	uint32_t next; /* position after the last result of the page */
+	GPtrArray *results; /* job_result_t, borrowed */
+} job_page_t;
+
+typedef void (*job_page_done_t)(const job_page_t *page, void *user_data);
+/* body is borrowed, NULL unless found. */
+typedef void (*job_body_done_t)(job_found_t found, GBytes *body,
+				void *user_data);
+typedef void (*job_end_done_t)(job_found_t found, void *user_data);
+
+job_reader_t *job_reader_new(job_context_t *context, job_owner_t *owner,
+			     segment_cache_t *cache);
+
+/* Results from a position on, max_bytes of text at most but at least one. */
+void job_read_results(job_reader_t *reader, const char *id, uint32_t after,
+		      size_t max_bytes, job_page_done_t done, void *user_data);
+/* The body of an item that has no result yet. */
+void job_read_body(job_reader_t *reader, const char *id, const char *item,
+		   job_body_done_t done, void *user_data);
+/* Ends a job: nothing more of it starts. Repeating is no error. */
+void job_end(job_reader_t *reader, const char *id, job_end_done_t done,
+	     void *user_data);
+
+#endif
--- /dev/null
+++ b/src/gateway/job_submit.c
@@ -0,0 +1,252 @@
+#include "gateway/job_submit.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "gateway/job_load.h"
+#include "gateway/job_quota.h"
+
+/* Payload parts stay below the store's limit of 1 MB, with the text around
+ * them. */
+#define PART_MAX_BYTES (600 * 1024)
+#define ITEM_OVERHEAD_BYTES 1024
+#define RETRY_MS 100
+
+typedef struct submit {
+	job_context_t *context;
+	job_owner_t *owner;
+	job_table_t *table;
+	char *id;
+	job_record_t *record;
+	GPtrArray *items;
+	GArray *part_starts; /* uint32_t, index of each part's first item */
+	uint32_t next_part;
+	int64_t quota;
+	struct event *timer; /* of a retry */
+	int64_t deadline_us;
+	bool may_exist; /* a creation of the record may have had an effect */
+	job_submitted_done_t done;
+	void *user_data;
+} submit_t;
+
+static void finish(submit_t *submit, job_submitted_t outcome)
+{
+	static const char *const names[] = { "accepted", "over_quota",
+					     "refused", "unknown",
+					     "too_large" };
+
+	log_info("job_submitted",
+		 "job=%s outcome=%s items=%u tokens=%" PRId64 " quota=%" PRId64,
+		 submit->id, names[outcome], submit->record->items,
+		 submit->record->waiting_tokens, submit->quota);
+	submit->done(outcome, submit->user_data);
+	event_free(submit->timer);
+	job_record_free(submit->record);
+	if (submit->items)
+		g_ptr_array_unref(submit->items);
+	g_array_free(submit->part_starts, TRUE);
+	g_free(submit->id);
+	g_free(submit);
+}
+
+static void give_up(submit_t *submit)
+{
+	finish(submit, submit->may_exist ? JOB_UNKNOWN : JOB_REFUSED);
+}
+
+/* Tries the present step again while there is time. */
+static void try_again(submit_t *submit)
+{
+	const struct timeval pause = { 0, RETRY_MS * 1000 };
+
+	if (clock_now_us(submit->context->clock) + RETRY_MS * 1000 >=
+	    submit->deadline_us)
+		give_up(submit);
+	else
+		evtimer_add(submit->timer, &pause);
+}
+
+static bool is_own(const submit_t *submit, const object_value_t *value)
+{
+	return value && value->writer &&
+	       strcmp(value->writer, submit->context->writer) == 0;
+}
+
+static void accept_job(submit_t *submit, uint64_t version)
+{
+	job_owner_adopt(submit->owner, submit->id,
+			job_record_copy(submit->record), version,
+			g_steal_pointer(&submit->items));
+	finish(submit, JOB_ACCEPTED);
+}
+
+/* The record exists; whose it is tells who runs the job. */
+static void on_existing(const object_value_t *value, const GError *error,
+			void *user_data)
+{
+	submit_t *submit = user_data;
+	job_record_t *record = value ? job_record_decode(value->data) : NULL;
+
+	if (record && is_own(submit, value) &&
+	    !job_owner_record(submit->owner, submit->id) &&
+	    strcmp(record->owner, submit->context->node) == 0 &&
+	    submit->may_exist)
+		accept_job(submit, value->version);
+	else if (record)
+		finish(submit, JOB_ACCEPTED);
+	else
+		try_again(submit);
+	job_record_free(record);
+}
+
+static void on_created(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	submit_t *submit = user_data;
+	char *key;
+
+	if (!error) {
+		accept_job(submit, value->version);
+		return;
+	}
+	switch (error->code) {
+	case WL_ERROR_CONFLICT:
+		key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
+		object_get(submit->context->store, key, on_existing, submit);
+		g_free(key);
+		return;
+	case WL_ERROR_TIMEOUT:
+	case WL_ERROR_TRUNCATED:
+	case WL_ERROR_PROTOCOL:
+		submit->may_exist = true;
+		break;
+	default:
+		break;
+	}
+	try_again(submit);
+}
+
+static void create_record(submit_t *submit)
+{
+	char *key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
+	char *text = job_record_encode(submit->record);
+
+	object_put(submit->context->store, key, text, strlen(text),
+		   OBJECT_ABSENT, submit->context->writer, on_created, submit);
+	g_free(text);
+	g_free(key);
+}
+
+static void write_part(submit_t *submit);
+
+static void on_part(const object_value_t *value, const GError *error,
+		    void *user_data)
+{
+	submit_t *submit = user_data;
+
+	/* The same job's part of an earlier submission has the same items. */
+	if (error && error->code != WL_ERROR_CONFLICT) {
+		if (error->code == WL_ERROR_TOO_LARGE)
+			finish(submit, JOB_TOO_LARGE);
+		else
+			try_again(submit);
+		return;
+	}
+	submit->next_part++;
+	write_part(submit);
+}
+
+static void write_part(submit_t *submit)
+{
+	uint32_t first;
+	uint32_t end = submit->items->len;
+	char *key;
+	char *text;
+
+	if (submit->next_part == submit->part_starts->len) {
+		create_record(submit);
+		return;
+	}
+	first = g_array_index(submit->part_starts, uint32_t, submit->next_part);
+	if (submit->next_part + 1 < submit->part_starts->len)
+		end = g_array_index(submit->part_starts, uint32_t,
+				    submit->next_part + 1);
+	key = job_load_key(submit->id, submit->next_part);
+	text = job_items_encode(submit->items, first, end - first);
+	object_put(submit->context->store, key, text, strlen(text),
+		   OBJECT_ABSENT, submit->context->writer, on_part, submit);
+	g_free(text);
+	g_free(key);
+}
+
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	write_part(arg);
+}
+
+static void split_parts(submit_t *submit)
+{
+	uint64_t bytes = 0;
+
+	submit->part_starts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (uint32_t i = 0; i < submit->items->len; i++) {
+		const job_item_t *item = submit->items->pdata[i];
+		uint64_t size = g_bytes_get_size(item->body) * 4 / 3 +
+				ITEM_OVERHEAD_BYTES;
+
+		if (i == 0 || bytes + size > PART_MAX_BYTES) {
+			g_array_append_val(submit->part_starts, i);
+			bytes = 0;
+		}
+		bytes += size;
+	}
+}
+
+static void on_quota(bool fits, void *user_data)
+{
+	submit_t *submit = user_data;
+
+	if (fits)
+		write_part(submit);
+	else
+		finish(submit, JOB_OVER_QUOTA);
+}
+
+void job_submit(job_context_t *context, job_owner_t *owner, job_table_t *table,
+		const job_submission_t *submission)
+{
+	submit_t *submit = g_new0(submit_t, 1);
+	job_record_t *record = job_record_new();
+
+	submit->context = context;
+	submit->owner = owner;
+	submit->table = table;
+	submit->id = g_strdup(submission->id);
+	submit->record = record;
+	submit->items = submission->items;
+	submit->quota = submission->route->max_waiting_tokens;
+	submit->timer = evtimer_new(context->base, on_timer, submit);
+	submit->deadline_us =
+		clock_now_us(context->clock) + submission->timeout_ms * 1000LL;
+	submit->done = submission->done;
+	submit->user_data = submission->user_data;
+	split_parts(submit);
+	record->host = g_strdup(submission->host);
+	record->path = g_strdup(submission->path);
+	record->owner = g_strdup(context->node);
+	record->epoch = 1;
+	record->items = submit->items->len;
+	record->payload_parts = submit->part_starts->len;
+	record->submitted_ms = clock_wall_ms(context->clock);
+	for (guint i = 0; i < submit->items->len; i++)
+		record->waiting_tokens +=
+			((job_item_t *)submit->items->pdata[i])->tokens;
+	if (job_owner_record(owner, submit->id)) {
+		finish(submit, JOB_ACCEPTED);
+		return;
+	}
+	job_quota_check(context, table, submission->route, submit->id,
+			record->waiting_tokens, on_quota, submit);
+}
--- /dev/null
+++ b/src/gateway/job_table.c
@@ -0,0 +1,251 @@
+#include "gateway/job_table.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "gateway/follow.h"
+#include "gateway/job_load.h"
+
+/* Stale reads cost little; a view a second late is enough for takeovers. */
+#define WAIT_MS 2500
+#define PAUSE_MS 1000
+/* An owner renews every 1.5 s, and stale reads may be 3 s late. */
+#define LEASE_MS 6000
+/* Nodes that see the same orphan do not all write at once. */
+#define TAKEOVER_SPREAD_MS 400
+#define RETRY_MS 1000
+
+typedef struct seen_job {
+	job_table_t *table;
+	char *id;
+	job_record_t *record;
+	uint64_t version;
+	int64_t changed_us; /* when this node saw the version first */
+	int64_t try_at_us; /* 0: no takeover is planned */
+	bool taking;
+} seen_job_t;
+
+struct job_table {
+	job_context_t *context;
+	job_owner_t *owner;
+	follow_t *follow;
+	GHashTable *jobs; /* id -> seen_job_t */
+	bool stopping;
+	int64_t *takeovers_total;
+};
+
+static void seen_free(void *data)
+{
+	seen_job_t *job = data;
+
+	job_record_free(job->record);
+	g_free(job->id);
+	g_free(job);
+}
+
+static int64_t now_us(const job_table_t *table)
+{
+	return clock_now_us(table->context->clock);
+}
+
+static void see(job_table_t *table, const char *id, job_record_t *record,
+		uint64_t version)
+{
+	seen_job_t *job = g_hash_table_lookup(table->jobs, id);
+
+	if (job && job->version >= version) {
+		job_record_free(record);
+		return;
+	}
+	if (!job) {
+		job = g_new0(seen_job_t, 1);
+		job->table = table;
+		job->id = g_strdup(id);
+		g_hash_table_insert(table->jobs, job->id, job);
+	}
+	job_record_free(job->record);
+	job->record = record;
+	job->version = version;
+	job->changed_us = now_us(table);
+	job->try_at_us = 0;
+	if (strcmp(record->owner, table->context->node) != 0 || record->ended)
+		job_owner_refresh(table->owner, id);
+}
+
+static void on_changed(const object_entry_t *entry, void *user_data)
+{
+	job_record_t *record = job_record_decode(entry->data);
+
+	if (!record) {
+		log_error("job_unreadable", "key=%s version=%" PRIu64,
+			  entry->key, entry->version);
+		return;
+	}
+	see(user_data, entry->key + strlen(JOB_RECORD_PREFIX), record,
+	    entry->version);
+}
+
+static void on_removed(const char *key, void *user_data)
+{
+	job_table_t *table = user_data;
+	seen_job_t *job = g_hash_table_lookup(table->jobs,
+					      key + strlen(JOB_RECORD_PREFIX));
+
+	if (job && !job->taking)
+		g_hash_table_remove(table->jobs, job->id);
+}
+
+job_table_t *job_table_new(job_context_t *context, job_owner_t *owner)
+{
+	job_table_t *table = g_new0(job_table_t, 1);
+	const follow_options_t options = {
+		.base = context->base,
+		.clock = context->clock,
+		.store = context->stale_store,
+		.prefix = JOB_RECORD_PREFIX,
+		.wait_ms = WAIT_MS,
+		.pause_ms = PAUSE_MS,
+		.changed = on_changed,
+		.removed = on_removed,
+		.user_data = table,
+	};
+
+	table->context = context;
+	table->owner = owner;
+	table->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, seen_free);
+	table->takeovers_total =
+		counter_get(context->counters, COUNTER_MONOTONIC,
+			    "batch_takeovers_total", NULL);
+	table->follow = follow_new(&options);
+	return table;
+}
+
+/* In contact with the store for the whole lease time, so that an unchanged
+ * record is not just one that this node could not read. */
+static bool is_steady(const job_table_t *table)
+{
+	int64_t since_us = follow_steady_since_us(table->follow);
+
+	return since_us && now_us(table) - since_us >= LEASE_MS * 1000;
+}
+
+static bool is_orphan(const job_table_t *table, const seen_job_t *job)
+{
+	if (job_record_is_closed(job->record) ||
+	    job_owner_record(table->owner, job->id))
+		return false;
+	if (!*job->record->owner)
+		return true;
+	return is_steady(table) &&
+	       now_us(table) - job->changed_us >= LEASE_MS * 1000;
+}
+
+static void on_loaded(GPtrArray *items, void *user_data)
+{
+	seen_job_t *job = user_data;
+
+	job->taking = false;
+	if (!items) {
+		job->try_at_us = now_us(job->table) + RETRY_MS * 1000;
+		return;
+	}
+	(*job->table->takeovers_total)++;
+	job_owner_adopt(job->table->owner, job->id,
+			job_record_copy(job->record), job->version, items);
+}
+
+static void on_taken(const object_value_t *value, const GError *error,
+		     void *user_data)
+{
+	seen_job_t *job = user_data;
+	job_table_t *table = job->table;
+	job_record_t *record = value ? job_record_decode(value->data) : NULL;
+	bool mine = record && strcmp(record->owner, table->context->node) == 0;
+
+	log_info("job_takeover",
+		 "job=%s seen_version=%" PRIu64 " version=%" PRIu64
+		 " owner=%s error=%s",
+		 job->id, job->version, value ? value->version : 0,
+		 record ? record->owner : "-",
+		 error ? error_name(error->code) : "-");
+	if (record)
+		see(table, job->id, record, value->version);
+	if (!mine || job_record_is_closed(job->record)) {
+		job->taking = false;
+		job->try_at_us = now_us(table) + RETRY_MS * 1000;
+		return;
+	}
+	job_load_items(table->context, job->id, job->record->payload_parts,
+		       on_loaded, job);
+}
+
+static void take_over(seen_job_t *job)
+{
+	const job_context_t *context = job->table->context;
+	job_record_t *record = job_record_copy(job->record);
+	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
+	char *text;
+
+	job->taking = true;
+	g_free(record->owner);
+	record->owner = g_strdup(context->node);
+	record->epoch++;
+	text = job_record_encode(record);
+	object_put(context->store, key, text, strlen(text), job->version,
+		   context->writer, on_taken, job);
+	job_record_free(record);
+	g_free(text);
+	g_free(key);
+}
+
+/* Jobs that name this node without running here were its own before a restart;
+ * an earlier write may also have taken effect late. */
+void job_table_tick(job_table_t *table)
+{
+	GHashTableIter iter;
+	void *value;
+	int64_t now = now_us(table);
+
+	if (table->stopping)
+		return;
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		seen_job_t *job = value;
+
+		if (job->taking || !is_orphan(table, job))
+			continue;
+		if (!job->try_at_us)
+			job->try_at_us =
+				now + g_rand_int_range(table->context->random,
+						       0, TAKEOVER_SPREAD_MS) *
+					      1000;
+		if (now >= job->try_at_us)
+			take_over(job);
+	}
+}
+
+int64_t job_table_waiting_tokens(const job_table_t *table,
+				 const path_route_t *route)
+{
+	GHashTableIter iter;
+	void *value;
+	int64_t tokens = 0;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const job_record_t *record = ((seen_job_t *)value)->record;
+
+		if (!record->ended && strcmp(record->host, route->host) == 0 &&
+		    g_str_has_prefix(record->path, route->prefix))
+			tokens += record->waiting_tokens;
+	}
+	return tokens;
+}
+
+void job_table_stop(job_table_t *table)
+{
+	table->stopping = true;
+}
--- /dev/null
+++ b/src/gateway/job_table.h
@@ -0,0 +1,30 @@
+#ifndef WASABILINK_GATEWAY_JOB_TABLE_H
+#define WASABILINK_GATEWAY_JOB_TABLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "gateway/job_context.h"
+#include "gateway/job_owner.h"
+#include "gateway/job_record.h"
+
+/*
+ * job_table - this node's view of all batch jobs, some seconds late.
+ *
+ * Jobs that nobody runs are taken over: those that were handed back at once,
+ * those whose record has not changed for the lease time while this node was
+ * in steady contact with the store. A takeover is a conditional write of the
+ * record that was seen.
+ */
+typedef struct job_table job_table_t;
+
+job_table_t *job_table_new(job_context_t *context, job_owner_t *owner);
+/* Looks for jobs to take over. Some times a second. */
+void job_table_tick(job_table_t *table);
+/* Tokens of items without a result over the open jobs of a route. */
+int64_t job_table_waiting_tokens(const job_table_t *table,
+				 const path_route_t *route);
+/* Takes nothing over from now on. */
+void job_table_stop(job_table_t *table);
+
+#endif
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -58,14 +58,20 @@
 				  headers->pdata[i + 1]);
 }
 
-void relay_refuse(http_exchange_t *exchange, int32_t retry_after_ms)
+void relay_refuse_as(http_exchange_t *exchange, int status,
+		     int32_t retry_after_ms)
 {
 	char seconds[16];
 
 	snprintf(seconds, sizeof(seconds), "%d.%03d", retry_after_ms / 1000,
 		 retry_after_ms % 1000);
 	http_reply_header(exchange, "Retry-After", seconds);
-	http_reply(exchange, 503, NULL, "", 0);
+	http_reply(exchange, status, NULL, "", 0);
+}
+
+void relay_refuse(http_exchange_t *exchange, int32_t retry_after_ms)
+{
+	relay_refuse_as(exchange, 503, retry_after_ms);
 }
 
 static void log_end(const relayed_t *request, const char *outcome, int status)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -56,5 +56,8 @@
  * milliseconds to come back.
  */
 void relay_refuse(http_exchange_t *exchange, int32_t retry_after_ms);
+/* The same with another status that promises it, such as 429. */
+void relay_refuse_as(http_exchange_t *exchange, int status,
+		     int32_t retry_after_ms);
 
 #endif
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -344,6 +344,11 @@
 	return run->runner;
 }
 
+int64_t run_last_event(const run_t *run)
+{
+	return run->events.last_id;
+}
+
 /* Only what may go on elsewhere is taken from a silent runner. */
 static bool is_stalled(const run_t *run, int64_t now_us)
 {
--- a/src/gateway/run.h
+++ b/src/gateway/run.h
@@ -80,6 +80,8 @@
 /* True when a runner may have begun to work on it. */
 bool run_may_have_run(const run_t *run);
 const fleet_runner_t *run_runner(const run_t *run);
+/* Number of the last whole event, or -1. */
+int64_t run_last_event(const run_t *run);
 /* Ends tries whose stream has stalled. To be called some times a second. */
 void run_sweep(run_context_t *context);
 
