Tell the other nodes what this node has at each runner

Change: nodes register an address in the store and send each other XDR load reports over UDP, 30 ms after a change; the fleet counts them.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -24,6 +24,8 @@
 	char *domain;
 	GHashTable *by_key; /* uint64_t -> fleet_runner_t, listed */
 	GPtrArray *listed; /* the same, for iteration */
+	void (*load_changed)(void *user_data);
+	void *user_data;
 };
 
 static void runner_unref(void *data)
@@ -55,6 +57,8 @@
 	fleet->clock = options->clock;
 	fleet->random = options->random;
 	fleet->domain = g_strdup(options->domain);
+	fleet->load_changed = options->load_changed;
+	fleet->user_data = options->user_data;
 	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
 	return fleet;
@@ -232,6 +236,12 @@
 	return best;
 }
 
+static void load_changed(const fleet_t *fleet)
+{
+	if (fleet->load_changed)
+		fleet->load_changed(fleet->user_data);
+}
+
 fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish)
 {
 	fleet_runner_t *runner = choose(fleet, wish, false);
@@ -245,6 +255,7 @@
 		runner->own.batch++;
 	else
 		runner->own.online++;
+	load_changed(fleet);
 	return runner;
 }
 
@@ -254,6 +265,7 @@
 
 	if (*count > 0)
 		(*count)--;
+	load_changed(fleet);
 	runner_unref(runner);
 }
 
@@ -325,6 +337,7 @@
 {
 	runner->slowness_percent = percent;
 	runner->slowness_us = clock_now_us(fleet->clock);
+	runner->speed_is_own = true;
 }
 
 uint32_t fleet_batch_excess(const fleet_runner_t *runner, double draw)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -38,6 +38,7 @@
 	fleet_load_t peers; /* sum over the other nodes */
 	uint32_t slowness_percent; /* of usual work time, 100: as usual */
 	int64_t slowness_us; /* when that was reported, 0: never */
+	bool speed_is_own; /* the runner told this node */
 	int64_t avoid_until_us;
 	uint32_t failures; /* in a row */
 	int refs;
@@ -58,6 +59,8 @@
 	const clock_source_t *clock;
 	GRand *random;
 	const char *domain; /* of this node; near runners win a tie */
+	void (*load_changed)(void *user_data); /* own load; may be NULL */
+	void *user_data;
 } fleet_options_t;
 
 typedef struct fleet_wish {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -152,6 +152,7 @@
 	gateway_t *gateway = arg;
 
 	fleet_expire(gateway->fleet);
+	peer_load_tick(gateway->peer_load);
 	run_sweep(&gateway->runs);
 	relay_sweep(gateway->relay);
 	if (gateway->stopping_since_us)
@@ -220,7 +221,35 @@
 		job_reader_new(&gateway->jobs, gateway->job_owner, cache);
 }
 
-gateway_t *gateway_new(const gateway_options_t *options)
+static void on_load_changed(void *user_data)
+{
+	gateway_t *gateway = user_data;
+
+	peer_load_changed(gateway->peer_load);
+}
+
+static gboolean start_peer_load(gateway_t *gateway,
+				const gateway_options_t *options,
+				GError **error)
+{
+	const peer_load_options_t load = {
+		.base = gateway->base,
+		.clock = gateway->clock,
+		.random = gateway->random,
+		.fleet = gateway->fleet,
+		.store = gateway->store,
+		.stale_store = options->stale_store,
+		.node = options->node,
+		.address = options->address,
+		.port = options->peer_port,
+		.writer = gateway->jobs.writer,
+	};
+
+	gateway->peer_load = peer_load_new(&load, error);
+	return gateway->peer_load != NULL;
+}
+
+gateway_t *gateway_new(const gateway_options_t *options, GError **error)
 {
 	const struct timeval period = { 0, TICK_MS * 1000 };
 	gateway_t *gateway = g_new0(gateway_t, 1);
@@ -236,13 +265,15 @@
 	gateway->grace_ms = options->grace_ms;
 	gateway->runner_hold_ms = options->runner_hold_ms;
 	fleet = (fleet_options_t){ gateway->clock, gateway->random,
-				   options->domain };
+				   options->domain, on_load_changed, gateway };
 	gateway->fleet = fleet_new(&fleet);
 	start_runs(gateway, options);
 	relay = (relay_options_t){ &gateway->runs, gateway->random,
 				   gateway->counters };
 	gateway->relay = relay_new(&relay);
 	start_jobs(gateway, options);
+	if (!start_peer_load(gateway, options, error))
+		return NULL;
 	start_follows(gateway);
 	gateway->tick =
 		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/job_submit.h"
 #include "gateway/job_table.h"
 #include "gateway/path_table.h"
+#include "gateway/peer_load.h"
 #include "gateway/relay.h"
 #include "gateway/run.h"
 #include "gateway/runner_protocol.h"
@@ -42,6 +43,8 @@
 	object_store_t *stale_store; /* cheap reads, seconds old */
 	const char *node;
 	const char *domain;
+	const char *address; /* IP number */
+	uint16_t peer_port;
 	double quota_slack;
 	int64_t grace_ms; /* until the process is killed after SIGTERM */
 	int64_t runner_hold_ms; /* requests may still go to a runner that has
@@ -58,6 +61,7 @@
 	object_store_t *store;
 	const gateway_codec_t *codec;
 	fleet_t *fleet;
+	peer_load_t *peer_load;
 	run_context_t runs;
 	relay_t *relay;
 	path_table_t *paths; /* NULL until a configuration is known */
@@ -73,7 +77,8 @@
 	int64_t stopping_since_us; /* 0: not stopping */
 } gateway_t;
 
-gateway_t *gateway_new(const gateway_options_t *options);
+/* NULL when the peer port cannot be bound. */
+gateway_t *gateway_new(const gateway_options_t *options, GError **error);
 /* Whether new connections may be sent here. */
 bool gateway_is_ready(const gateway_t *gateway);
 /* Begins a graceful shutdown; the event loop ends when all is served. */
--- /dev/null
+++ b/src/gateway/load_view.c
@@ -0,0 +1,224 @@
+#include "gateway/load_view.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "rpc/load_xdr.h"
+
+/* Several lost reports in a row, at the rate of an idle node. */
+#define SILENT_MS 2000
+/* Beyond this age a speed says nothing, see fleet. */
+#define SLOWNESS_AGE_MAX_MS 400
+
+typedef struct peer {
+	char *node;
+	uint64_t incarnation;
+	uint64_t sequence;
+	int64_t heard_us;
+	GArray *entries; /* load_entry */
+} peer_t;
+
+struct load_view {
+	const clock_source_t *clock;
+	fleet_t *fleet;
+	char *node;
+	uint64_t incarnation;
+	uint64_t sequence;
+	GHashTable *peers; /* node -> peer_t */
+	GHashTable *sums; /* runner key -> fleet_load_t */
+};
+
+static void peer_free(void *data)
+{
+	peer_t *peer = data;
+
+	g_array_free(peer->entries, TRUE);
+	g_free(peer->node);
+	g_free(peer);
+}
+
+load_view_t *load_view_new(const clock_source_t *clock, fleet_t *fleet,
+			   const char *node, uint64_t incarnation)
+{
+	load_view_t *view = g_new0(load_view_t, 1);
+
+	view->clock = clock;
+	view->fleet = fleet;
+	view->node = g_strdup(node);
+	view->incarnation = incarnation;
+	view->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	view->sums = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
+	return view;
+}
+
+void load_view_free(load_view_t *view)
+{
+	g_hash_table_destroy(view->peers);
+	g_hash_table_destroy(view->sums);
+	g_free(view->node);
+	g_free(view);
+}
+
+typedef struct report {
+	load_entry entries[LOAD_ENTRIES_MAX];
+	u_int count;
+	int64_t now_us;
+} report_t;
+
+static void add_runner(fleet_runner_t *runner, void *user_data)
+{
+	report_t *report = user_data;
+	int64_t age_ms = (report->now_us - runner->slowness_us) / 1000;
+	bool knows_speed = runner->slowness_us && runner->speed_is_own &&
+			   age_ms < SLOWNESS_AGE_MAX_MS;
+	load_entry *entry = &report->entries[report->count];
+
+	if (report->count == LOAD_ENTRIES_MAX ||
+	    (!runner->own.online && !runner->own.batch && !knows_speed))
+		return;
+	entry->runner = runner->key;
+	entry->online = runner->own.online;
+	entry->batch = runner->own.batch;
+	entry->slowness_percent = knows_speed ? runner->slowness_percent : 0;
+	entry->slowness_age_ms = knows_speed ? (u_int)age_ms : 0;
+	report->count++;
+}
+
+size_t load_view_encode(load_view_t *view, char *data, size_t size)
+{
+	report_t collected = { .now_us = clock_now_us(view->clock) };
+	load_report report;
+	size_t len = 0;
+	XDR xdrs;
+
+	fleet_each(view->fleet, add_runner, &collected);
+	report.node = view->node;
+	report.incarnation = view->incarnation;
+	report.sequence = ++view->sequence;
+	report.entries.entries_len = collected.count;
+	report.entries.entries_val = collected.entries;
+	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
+	if (xdr_load_report(&xdrs, &report))
+		len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return len;
+}
+
+static void count(load_view_t *view, const GArray *entries, bool add)
+{
+	for (guint i = 0; i < entries->len; i++) {
+		const load_entry *entry =
+			&g_array_index(entries, load_entry, i);
+		uint64_t key = entry->runner;
+		fleet_load_t *sum = g_hash_table_lookup(view->sums, &key);
+		fleet_runner_t *runner = fleet_find(view->fleet, key);
+
+		if (!sum) {
+			sum = g_new0(fleet_load_t, 1);
+			g_hash_table_insert(view->sums,
+					    g_memdup2(&key, sizeof(key)), sum);
+		}
+		sum->online += add ? entry->online : -entry->online;
+		sum->batch += add ? entry->batch : -entry->batch;
+		if (runner)
+			runner->peers = *sum;
+		if (!sum->online && !sum->batch)
+			g_hash_table_remove(view->sums, &key);
+	}
+}
+
+static void take_speeds(load_view_t *view, const GArray *entries)
+{
+	int64_t now_us = clock_now_us(view->clock);
+
+	for (guint i = 0; i < entries->len; i++) {
+		const load_entry *entry =
+			&g_array_index(entries, load_entry, i);
+		fleet_runner_t *runner = fleet_find(view->fleet, entry->runner);
+		int64_t at_us = now_us - entry->slowness_age_ms * 1000LL;
+
+		if (!runner || !entry->slowness_percent ||
+		    at_us <= runner->slowness_us)
+			continue;
+		runner->slowness_percent = entry->slowness_percent;
+		runner->slowness_us = at_us;
+		runner->speed_is_own = false;
+	}
+}
+
+static peer_t *find_peer(load_view_t *view, const char *node)
+{
+	peer_t *peer = g_hash_table_lookup(view->peers, node);
+
+	if (peer)
+		return peer;
+	peer = g_new0(peer_t, 1);
+	peer->node = g_strdup(node);
+	peer->entries = g_array_new(FALSE, FALSE, sizeof(load_entry));
+	g_hash_table_insert(view->peers, peer->node, peer);
+	log_info("peer_heard", "peer=%s peers=%u", node,
+		 g_hash_table_size(view->peers));
+	return peer;
+}
+
+static bool is_older(const peer_t *peer, const load_report *report)
+{
+	if (report->incarnation != peer->incarnation)
+		return report->incarnation < peer->incarnation;
+	return report->sequence <= peer->sequence;
+}
+
+const char *load_view_apply(load_view_t *view, char *data, size_t len)
+{
+	load_report report = { 0 };
+	peer_t *peer = NULL;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, data, (u_int)len, XDR_DECODE);
+	if (xdr_load_report(&xdrs, &report) && report.node &&
+	    strcmp(report.node, view->node) != 0) {
+		peer = find_peer(view, report.node);
+		if (is_older(peer, &report))
+			peer = NULL;
+	}
+	if (peer) {
+		count(view, peer->entries, false);
+		g_array_set_size(peer->entries, 0);
+		g_array_append_vals(peer->entries, report.entries.entries_val,
+				    report.entries.entries_len);
+		count(view, peer->entries, true);
+		take_speeds(view, peer->entries);
+		peer->incarnation = report.incarnation;
+		peer->sequence = report.sequence;
+		peer->heard_us = clock_now_us(view->clock);
+	}
+	xdr_destroy(&xdrs);
+	xdr_free((xdrproc_t)xdr_load_report, &report);
+	return peer ? peer->node : NULL;
+}
+
+void load_view_expire(load_view_t *view)
+{
+	int64_t now_us = clock_now_us(view->clock);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		peer_t *peer = value;
+
+		if (now_us - peer->heard_us <= SILENT_MS * 1000LL)
+			continue;
+		log_info("peer_silent", "peer=%s silent_ms=%" G_GINT64_FORMAT,
+			 peer->node, (now_us - peer->heard_us) / 1000);
+		count(view, peer->entries, false);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+uint32_t load_view_peers(const load_view_t *view)
+{
+	return g_hash_table_size(view->peers);
+}
--- /dev/null
+++ b/src/gateway/peer_load.c
@@ -0,0 +1,256 @@
+#include "gateway/peer_load.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "gateway/follow.h"
+
+#define NODE_PREFIX "gateway-nodes/"
+#define NODE_WAIT_MS 2500
+/* New nodes are heard by their reports; the store is asked for the others. */
+#define NODE_PAUSE_MS 5000
+#define REGISTER_RETRY_MS 1000
+/* Changes within this time share a report. */
+#define GATHER_MS 30
+/* Repeats make up for lost reports. */
+#define REPEAT_MS 400
+#define DATAGRAM_MAX_BYTES 2048
+
+struct peer_load {
+	peer_load_options_t options;
+	load_view_t *view;
+	follow_t *follow;
+	int socket;
+	struct event *readable;
+	struct event *send; /* a gathered report */
+	struct event *again; /* next try to register */
+	GHashTable *addresses; /* node -> struct sockaddr_in */
+	char *own_text;
+	int64_t sent_us;
+	bool send_pending;
+};
+
+static bool parse_address(const char *text, struct sockaddr_in *address)
+{
+	char **parts = g_strsplit(text, ":", 2);
+	bool valid = parts[0] && parts[1] &&
+		     inet_pton(AF_INET, parts[0], &address->sin_addr) == 1;
+
+	address->sin_family = AF_INET;
+	if (valid)
+		address->sin_port =
+			htons((uint16_t)g_ascii_strtoull(parts[1], NULL, 10));
+	g_strfreev(parts);
+	return valid;
+}
+
+static void learn(peer_load_t *load, const char *node,
+		  const struct sockaddr_in *address)
+{
+	if (strcmp(node, load->options.node) == 0)
+		return;
+	g_hash_table_insert(load->addresses, g_strdup(node),
+			    g_memdup2(address, sizeof(*address)));
+}
+
+static void on_node_changed(const object_entry_t *entry, void *user_data)
+{
+	json_t *value = json_loads(entry->data, JSON_DECODE_ANY, NULL);
+	const char *text = json_string_value(value);
+	struct sockaddr_in address = { 0 };
+
+	if (text && parse_address(text, &address))
+		learn(user_data, entry->key + strlen(NODE_PREFIX), &address);
+	else
+		log_warn("node_unreadable", "key=%s", entry->key);
+	json_decref(value);
+}
+
+static void on_node_removed(const char *key, void *user_data)
+{
+	peer_load_t *load = user_data;
+
+	g_hash_table_remove(load->addresses, key + strlen(NODE_PREFIX));
+}
+
+static void register_node(peer_load_t *load, uint64_t version);
+
+static void on_registered(const object_value_t *value, const GError *error,
+			  void *user_data)
+{
+	const struct timeval pause = { REGISTER_RETRY_MS / 1000, 0 };
+	peer_load_t *load = user_data;
+
+	if (!error)
+		return;
+	if (error->code == WL_ERROR_CONFLICT && value && value->data) {
+		if (strcmp(value->data, load->own_text) != 0)
+			register_node(load, value->version);
+		return;
+	}
+	evtimer_add(load->again, &pause);
+}
+
+/* After a conflict whose answer did not tell the version. */
+static void on_found(const object_value_t *value, const GError *error,
+		     void *user_data)
+{
+	peer_load_t *load = user_data;
+
+	if (!error && strcmp(value->data, load->own_text) == 0)
+		return;
+	register_node(load, error ? OBJECT_ABSENT : value->version);
+}
+
+static void on_register_again(evutil_socket_t fd, short events, void *arg)
+{
+	peer_load_t *load = arg;
+	char *key = g_strconcat(NODE_PREFIX, load->options.node, NULL);
+
+	object_get(load->options.store, key, on_found, load);
+	g_free(key);
+}
+
+static void register_node(peer_load_t *load, uint64_t version)
+{
+	char *key = g_strconcat(NODE_PREFIX, load->options.node, NULL);
+
+	object_put(load->options.store, key, load->own_text,
+		   strlen(load->own_text), version, load->options.writer,
+		   on_registered, load);
+	g_free(key);
+}
+
+static void send_report(peer_load_t *load)
+{
+	char data[DATAGRAM_MAX_BYTES];
+	size_t len = load_view_encode(load->view, data, sizeof(data));
+	GHashTableIter iter;
+	void *address;
+
+	load->sent_us = clock_now_us(load->options.clock);
+	g_hash_table_iter_init(&iter, load->addresses);
+	while (len && g_hash_table_iter_next(&iter, NULL, &address))
+		/* Lost reports are made up for by the next. */
+		if (sendto(load->socket, data, len, MSG_DONTWAIT, address,
+			   sizeof(struct sockaddr_in)) < 0)
+			continue;
+}
+
+static void on_send(evutil_socket_t fd, short events, void *arg)
+{
+	peer_load_t *load = arg;
+
+	load->send_pending = false;
+	send_report(load);
+}
+
+static void on_readable(evutil_socket_t fd, short events, void *arg)
+{
+	peer_load_t *load = arg;
+	char data[DATAGRAM_MAX_BYTES];
+	struct sockaddr_in from;
+	socklen_t from_len = sizeof(from);
+	ssize_t len;
+
+	while ((len = recvfrom(fd, data, sizeof(data), MSG_DONTWAIT,
+			       (struct sockaddr *)&from, &from_len)) > 0) {
+		const char *node =
+			load_view_apply(load->view, data, (size_t)len);
+
+		if (node && !g_hash_table_contains(load->addresses, node))
+			learn(load, node, &from);
+		from_len = sizeof(from);
+	}
+}
+
+static gboolean bind_socket(peer_load_t *load, GError **error)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(load->options.port),
+	};
+
+	load->socket =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (load->socket >= 0 &&
+	    inet_pton(AF_INET, load->options.address, &address.sin_addr) == 1 &&
+	    bind(load->socket, (struct sockaddr *)&address, sizeof(address)) ==
+		    0)
+		return TRUE;
+	g_set_error(error, WL_ERROR, WL_ERROR_UNAVAILABLE,
+		    "cannot bind the peer port %u: %s", load->options.port,
+		    g_strerror(errno));
+	if (load->socket >= 0)
+		close(load->socket);
+	return FALSE;
+}
+
+static void follow_nodes(peer_load_t *load)
+{
+	const follow_options_t options = {
+		.base = load->options.base,
+		.clock = load->options.clock,
+		.store = load->options.stale_store,
+		.prefix = NODE_PREFIX,
+		.wait_ms = NODE_WAIT_MS,
+		.pause_ms = NODE_PAUSE_MS,
+		.changed = on_node_changed,
+		.removed = on_node_removed,
+		.user_data = load,
+	};
+
+	load->follow = follow_new(&options);
+}
+
+peer_load_t *peer_load_new(const peer_load_options_t *options, GError **error)
+{
+	peer_load_t *load = g_new0(peer_load_t, 1);
+	struct event_base *base = options->base;
+
+	load->options = *options;
+	if (!bind_socket(load, error)) {
+		g_free(load);
+		return NULL;
+	}
+	load->view =
+		load_view_new(options->clock, options->fleet, options->node,
+			      (uint64_t)clock_wall_ms(options->clock));
+	load->addresses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	load->own_text =
+		g_strdup_printf("\"%s:%u\"", options->address, options->port);
+	load->send = evtimer_new(base, on_send, load);
+	load->again = evtimer_new(base, on_register_again, load);
+	load->readable = event_new(base, load->socket, EV_READ | EV_PERSIST,
+				   on_readable, load);
+	event_add(load->readable, NULL);
+	register_node(load, OBJECT_ABSENT);
+	follow_nodes(load);
+	return load;
+}
+
+void peer_load_changed(peer_load_t *load)
+{
+	const struct timeval gather = { 0, GATHER_MS * 1000 };
+
+	if (load->send_pending)
+		return;
+	load->send_pending = true;
+	evtimer_add(load->send, &gather);
+}
+
+void peer_load_tick(peer_load_t *load)
+{
+	load_view_expire(load->view);
+	if (clock_now_us(load->options.clock) - load->sent_us >=
+	    REPEAT_MS * 1000)
+		send_report(load);
+}
--- /dev/null
+++ b/src/gateway/peer_load.h
@@ -0,0 +1,38 @@
+#ifndef WASABILINK_GATEWAY_PEER_LOAD_H
+#define WASABILINK_GATEWAY_PEER_LOAD_H
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "gateway/load_view.h"
+#include "object/object_store.h"
+
+/*
+ * peer_load - exchanges load reports with the other nodes over UDP.
+ *
+ * Nodes find each other by objects that each keeps in the store, and by the
+ * reports that reach them. A report is sent soon after a change, so that nodes
+ * do not all send work to the same runner.
+ */
+typedef struct peer_load peer_load_t;
+
+typedef struct peer_load_options {
+	struct event_base *base;
+	const clock_source_t *clock;
+	GRand *random;
+	fleet_t *fleet;
+	object_store_t *store;
+	object_store_t *stale_store;
+	const char *node;
+	const char *address; /* IP number to bind */
+	uint16_t port;
+	const char *writer;
+} peer_load_options_t;
+
+/* NULL when the port cannot be bound: WL_ERROR_UNAVAILABLE. */
+peer_load_t *peer_load_new(const peer_load_options_t *options, GError **error);
+/* This node's load has changed. */
+void peer_load_changed(peer_load_t *load);
+void peer_load_tick(peer_load_t *load);
+
+#endif
