Close kept connections and the listener during a graceful shutdown

Change: a stopping node closes connections that wait for a next request, stops listening after two readiness probes can have failed, and refuses what comes in the last seconds.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,7 +11,11 @@
  * a VM may be out of contact, 3 s, together with the call's own grace. */
 #define WATCH_WAIT_MS 2500
 /* The balancer needs two probes, a second apart, to take a node out. */
-#define LINGER_MS 3000
+#define LINGER_MS 2600
+/* For requests on connections that were accepted last. */
+#define LAST_REQUEST_MS 300
+/* A request that starts later might not end before the process is killed. */
+#define LAST_START_MS 3000
 /* Left for the end of the process itself. */
 #define EXIT_RESERVE_MS 400
 /* Batch items that have not finished by then are handed back. */
@@ -126,24 +130,40 @@
 	g_ptr_array_free(check.missing, TRUE);
 }
 
+static int64_t stopping_ms(const gateway_t *gateway)
+{
+	if (!gateway->stopping_since_us)
+		return 0;
+	return (clock_now_us(gateway->clock) - gateway->stopping_since_us) /
+	       1000;
+}
+
 static bool may_exit(const gateway_t *gateway)
 {
-	int64_t since_ms =
-		(clock_now_us(gateway->clock) - gateway->stopping_since_us) /
-		1000;
+	int64_t since_ms = stopping_ms(gateway);
 
 	if (since_ms >= gateway->grace_ms - EXIT_RESERVE_MS)
 		return true;
-	return since_ms >= LINGER_MS && relay_active(gateway->relay) == 0 &&
+	return since_ms >= LINGER_MS + LAST_REQUEST_MS &&
+	       relay_active(gateway->relay) == 0 &&
+	       http_server_active(gateway->callers) == 0 &&
 	       job_owner_count(gateway->job_owner) == 0;
 }
 
-static void release_batch(gateway_t *gateway)
+bool gateway_is_closing(const gateway_t *gateway)
+{
+	return stopping_ms(gateway) >= gateway->grace_ms - LAST_START_MS;
+}
+
+/* Callers keep connections open and would go on using them. */
+static void close_down(gateway_t *gateway)
 {
-	int64_t since_us =
-		clock_now_us(gateway->clock) - gateway->stopping_since_us;
+	int64_t since_ms = stopping_ms(gateway);
 
-	if (since_us >= BATCH_RELEASE_MS * 1000)
+	http_server_close_idle(gateway->callers);
+	if (since_ms >= LINGER_MS)
+		http_server_stop_listening(gateway->callers);
+	if (since_ms >= BATCH_RELEASE_MS)
 		job_owner_release_all(gateway->job_owner);
 }
 
@@ -156,7 +176,7 @@
 	run_sweep(&gateway->runs);
 	relay_sweep(gateway->relay);
 	if (gateway->stopping_since_us)
-		release_batch(gateway);
+		close_down(gateway);
 	job_owner_tick(gateway->job_owner);
 	job_table_tick(gateway->job_table);
 	if (gateway->stopping_since_us && may_exit(gateway))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -75,12 +75,15 @@
 	int64_t grace_ms;
 	int64_t runner_hold_ms;
 	int64_t stopping_since_us; /* 0: not stopping */
+	http_server_t *callers; /* set by the adapter */
 } gateway_t;
 
 /* NULL when the peer port cannot be bound. */
 gateway_t *gateway_new(const gateway_options_t *options, GError **error);
 /* Whether new connections may be sent here. */
 bool gateway_is_ready(const gateway_t *gateway);
+/* During a graceful shutdown, whether a new request would end too late. */
+bool gateway_is_closing(const gateway_t *gateway);
 /* Begins a graceful shutdown; the event loop ends when all is served. */
 void gateway_stop(gateway_t *gateway);
 /* Counters, gauges and latencies in the Prometheus text format. */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -38,6 +38,7 @@
 	int32_t read_timeout_ms;
 	uint16_t port;
 	uint32_t active;
+	bool listening;
 };
 
 /* Lives as long as the evhtp connection. */
@@ -570,6 +571,7 @@
 		return NULL;
 	}
 	server->port = bound_port(server->htp);
+	server->listening = true;
 	g_queue_init(&server->released);
 	server->release = event_new(options->base, -1, 0, on_release, server);
 	for (unsigned char minor = 0; minor < 2; minor++)
@@ -586,7 +588,7 @@
 		return;
 	event_free(server->sweep);
 	event_free(server->release);
-	evhtp_unbind_socket(server->htp);
+	http_server_stop_listening(server);
 	evhtp_free(server->htp);
 	http_gather_free(server->gather);
 	for (size_t i = 0; i < G_N_ELEMENTS(server->answering); i++)
@@ -594,6 +596,34 @@
 	g_free(server);
 }
 
+void http_server_stop_listening(http_server_t *server)
+{
+	if (server->listening)
+		evhtp_unbind_socket(server->htp);
+	server->listening = false;
+}
+
+void http_server_close_idle(http_server_t *server)
+{
+	GList *link = server->connections.head;
+
+	while (link) {
+		http_connection_t *connection = link->data;
+		struct evbuffer *input =
+			bufferevent_get_input(connection->evhtp->bev);
+
+		link = link->next;
+		if (!connection->handling && is_idle(connection) &&
+		    evbuffer_get_length(input) == 0)
+			evhtp_connection_free(connection->evhtp);
+	}
+}
+
+uint32_t http_server_connections(const http_server_t *server)
+{
+	return server->connections.length;
+}
+
 uint16_t http_server_port(const http_server_t *server)
 {
 	return server->port;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -56,6 +56,13 @@
 /* Exchanges that have not been answered completely. */
 uint32_t http_server_active(const http_server_t *server);
 
+/* For a graceful shutdown: takes no new connections, or closes kept ones that
+ * wait for their next request. */
+void http_server_stop_listening(http_server_t *server);
+void http_server_close_idle(http_server_t *server);
+/* Open connections, with or without a request. */
+uint32_t http_server_connections(const http_server_t *server);
+
 const char *http_method(const http_exchange_t *exchange);
 const char *http_path(const http_exchange_t *exchange);
 /* Value of a query parameter, percent-decoded; NULL when absent. */
