--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -146,7 +146,7 @@
 		return true;
 	return since_ms >= LINGER_MS + LAST_REQUEST_MS &&
 	       relay_active(gateway->relay) == 0 &&
-	       http_server_active(gateway->callers) == 0 &&
+	       http_server_is_quiet(gateway->callers) &&
 	       job_owner_count(gateway->job_owner) == 0;
 }
 
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -619,9 +619,17 @@
 	}
 }
 
-uint32_t http_server_connections(const http_server_t *server)
+bool http_server_is_quiet(const http_server_t *server)
 {
-	return server->connections.length;
+	for (GList *link = server->connections.head; link; link = link->next) {
+		const http_connection_t *connection = link->data;
+		struct evbuffer *output =
+			bufferevent_get_output(connection->evhtp->bev);
+
+		if (connection->handling || evbuffer_get_length(output) > 0)
+			return false;
+	}
+	return server->active == 0;
 }
 
 uint16_t http_server_port(const http_server_t *server)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -60,8 +60,8 @@
  * wait for their next request. */
 void http_server_stop_listening(http_server_t *server);
 void http_server_close_idle(http_server_t *server);
-/* Open connections, with or without a request. */
-uint32_t http_server_connections(const http_server_t *server);
+/* True when every answer has been handed to the system, to the last byte. */
+bool http_server_is_quiet(const http_server_t *server);
 
 const char *http_method(const http_exchange_t *exchange);
 const char *http_path(const http_exchange_t *exchange);
