--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -3,10 +3,28 @@
 
 #include <stdint.h>
 
+#include <glib.h>
+#include <stdbool.h>
+
 /*
- * batch_rule - how many places at a runner batch work leaves free for online
- * requests, by the time that is left until the work is due.
+ * batch_rule - when batch work may take places that online requests leave.
+ *
+ * Nodes know each other's load some ten milliseconds late, and online load
+ * rises within that time. So some places stay free, at each runner and over
+ * the fleet, unless the work is about to miss its due time.
  */
-uint32_t batch_reserve(int64_t now_us, int64_t due_us);
+typedef struct batch_input {
+	int64_t now_us;
+	int64_t due_us;
+	int32_t free_places; /* of the service, over all runners */
+	int32_t places;
+} batch_input_t;
+
+/* Places to leave free at the runner that takes the work. */
+uint32_t batch_reserve(const batch_input_t *input);
+bool batch_may_start(const batch_input_t *input);
+/* Pause of work that gave way, before it looks for a place again: the load
+ * that took its place is likely still there. */
+int32_t batch_yield_pause_ms(GRand *random);
 
 #endif
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -295,19 +295,22 @@
 				      wait_ms_among(fleet, service, true);
 }
 
-int32_t fleet_free_places(fleet_t *fleet, const char *service)
+int32_t fleet_free_places(fleet_t *fleet, const char *service, int32_t *places)
 {
-	int32_t places = 0;
+	int32_t free_places = 0;
 
+	*places = 0;
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
 		uint32_t load = load_of(runner);
 
-		if (is_usable(runner, service) && !is_avoided(fleet, runner) &&
-		    load < runner->slots)
-			places += (int32_t)(runner->slots - load);
+		if (!is_usable(runner, service) || is_avoided(fleet, runner))
+			continue;
+		*places += (int32_t)runner->slots;
+		if (load < runner->slots)
+			free_places += (int32_t)(runner->slots - load);
 	}
-	return places;
+	return free_places;
 }
 
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -97,8 +97,8 @@
 /* Milliseconds that a new online request would wait for a place at the best
  * runner of the service; INT32_MAX without a runner. */
 int32_t fleet_wait_ms(fleet_t *fleet, const char *service);
-/* Free places over all usable runners of a service. */
-int32_t fleet_free_places(fleet_t *fleet, const char *service);
+/* Free places over all usable runners of a service, and all their places. */
+int32_t fleet_free_places(fleet_t *fleet, const char *service, int32_t *places);
 
 /* A request there was answered; forgets earlier failures. */
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner);
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -457,7 +457,7 @@
 				 runner->own.online + runner->peers.online,
 				 runner->own.batch + runner->peers.batch,
 				 runner->slots, job->runs[j].last_event);
-			job_item_run_cancel(&job->runs[j]);
+			job_item_run_yield(&job->runs[j]);
 			(*owner->items_yielded_total)++;
 			excess--;
 		}
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -109,6 +109,7 @@
 {
 	job_context_t *context = run->context;
 	int64_t now_us = clock_now_us(context->clock);
+	batch_input_t input = { .now_us = now_us, .due_us = due_us };
 	run_options_t options = {
 		.id = run->item->id,
 		.method = "POST",
@@ -118,7 +119,6 @@
 		.stream = true,
 		.resumable = true,
 		.batch = true,
-		.batch_reserve = batch_reserve(now_us, due_us),
 		.max_runners = UINT32_MAX,
 		.resume_after = run->last_event,
 		.sink = &sink,
@@ -134,6 +134,11 @@
 		path_route_service(route, g_rand_double(context->random));
 	if (!options.service)
 		return false;
+	input.free_places = fleet_free_places(context->runs->fleet,
+					      options.service, &input.places);
+	if (!batch_may_start(&input))
+		return false;
+	options.batch_reserve = batch_reserve(&input);
 	run->max_failures = route->max_runners;
 	if (!run->text)
 		run->text = g_string_new(NULL);
@@ -153,6 +158,14 @@
 	run->state = JOB_ITEM_WAITING;
 }
 
+void job_item_run_yield(job_item_run_t *run)
+{
+	job_item_run_cancel(run);
+	run->not_before_us =
+		clock_now_us(run->context->clock) +
+		batch_yield_pause_ms(run->context->random) * 1000LL;
+}
+
 const fleet_runner_t *job_item_run_runner(const job_item_run_t *run)
 {
 	return run->state == JOB_ITEM_RUNNING ? run_runner(run->run) : NULL;
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -51,6 +51,8 @@
 			int64_t due_us);
 /* Stops a run that is under way; the item waits again. */
 void job_item_run_cancel(job_item_run_t *run);
+/* The same, to make room for online requests. */
+void job_item_run_yield(job_item_run_t *run);
 /* The runner that works on the item, or NULL. */
 const fleet_runner_t *job_item_run_runner(const job_item_run_t *run);
 
