Let batch work fill free places and yield on load reports

Change: batch work may fill all but 5% of the places, and gives a place up as soon as a load report shows online load there, not at the next tick.

--- a/src/gateway/batch_rule.c
+++ b/src/gateway/batch_rule.c
@@ -1,10 +1,8 @@
 #include "gateway/batch_rule.h"
 
-/* One place at each runner takes the online requests that arrive before
- * batch work has given way. */
-#define RESERVE 1
-/* Part of all places that stays free for a step in the online load. */
-#define FREE_SHARE 0.14
+/* Part of all places that stays free, so that batch work that just gave way
+ * does not start again at the next place that online load takes. */
+#define FREE_SHARE 0.05
 /* About the time that one item takes; later starts would miss the due time. */
 #define URGENT_MS 7000
 #define YIELD_PAUSE_LEAST_MS 150
@@ -15,11 +13,6 @@
 	return input->due_us - input->now_us < URGENT_MS * 1000LL;
 }
 
-uint32_t batch_reserve(const batch_input_t *input)
-{
-	return is_urgent(input) ? 0 : RESERVE;
-}
-
 bool batch_may_start(const batch_input_t *input)
 {
 	return is_urgent(input) ||
--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -9,9 +9,8 @@
 /*
  * batch_rule - when batch work may take places that online requests leave.
  *
- * Nodes know each other's load some ten milliseconds late, and online load
- * rises within that time. So some places stay free, at each runner and over
- * the fleet, unless the work is about to miss its due time.
+ * Batch work gives its place up within some ten milliseconds, well before an
+ * online request misses its objective, so it may fill nearly all places.
  */
 typedef struct batch_input {
 	int64_t now_us;
@@ -20,8 +19,6 @@
 	int32_t places;
 } batch_input_t;
 
-/* Places to leave free at the runner that takes the work. */
-uint32_t batch_reserve(const batch_input_t *input);
 bool batch_may_start(const batch_input_t *input);
 /* Pause of work that gave way, before it looks for a place again: the load
  * that took its place is likely still there. */
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -206,9 +206,9 @@
 	return cost + g_rand_double(fleet->random) * TIE_COST;
 }
 
-static bool has_place(const fleet_runner_t *runner, const fleet_wish_t *wish)
+static bool has_place(const fleet_runner_t *runner)
 {
-	return load_of(runner) + wish->reserve < runner->slots;
+	return load_of(runner) < runner->slots;
 }
 
 static fleet_runner_t *choose(fleet_t *fleet, const fleet_wish_t *wish,
@@ -225,7 +225,7 @@
 			continue;
 		if (!take_avoided && is_avoided(fleet, runner))
 			continue;
-		if (wish->batch && !has_place(runner, wish))
+		if (wish->batch && !has_place(runner))
 			continue;
 		cost = cost_of(fleet, runner, wish);
 		if (!best || cost < best_cost) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -67,7 +67,6 @@
 	const char *service;
 	const fleet_runner_t *except; /* the last runner that failed */
 	bool batch;
-	uint32_t reserve; /* places to leave free, for batch */
 } fleet_wish_t;
 
 fleet_t *fleet_new(const fleet_options_t *options);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -248,6 +248,13 @@
 	peer_load_changed(gateway->peer_load);
 }
 
+static void on_load_heard(void *user_data)
+{
+	gateway_t *gateway = user_data;
+
+	job_owner_yield(gateway->job_owner);
+}
+
 static gboolean start_peer_load(gateway_t *gateway,
 				const gateway_options_t *options,
 				GError **error)
@@ -263,6 +270,8 @@
 		.address = options->address,
 		.port = options->peer_port,
 		.writer = gateway->jobs.writer,
+		.heard = on_load_heard,
+		.user_data = gateway,
 	};
 
 	gateway->peer_load = peer_load_new(&load, error);
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -464,11 +464,17 @@
 	}
 }
 
+void job_owner_yield(job_owner_t *owner)
+{
+	if (owner->jobs->len > 0)
+		fleet_each(owner->context->runs->fleet, yield_at, owner);
+}
+
 void job_owner_tick(job_owner_t *owner)
 {
 	int64_t now = now_us(owner);
 
-	fleet_each(owner->context->runs->fleet, yield_at, owner);
+	job_owner_yield(owner);
 	for (guint i = 0; i < owner->jobs->len; i++) {
 		owned_job_t *job = owner->jobs->pdata[i];
 
--- a/src/gateway/job_owner.h
+++ b/src/gateway/job_owner.h
@@ -25,6 +25,8 @@
 		     uint64_t version, GPtrArray *items);
 /* Starts, yields and writes what is due. Some times a second. */
 void job_owner_tick(job_owner_t *owner);
+/* Gives places up to online requests, as soon as the load has changed. */
+void job_owner_yield(job_owner_t *owner);
 /* The store has a newer record of a job than this node may know. */
 void job_owner_refresh(job_owner_t *owner, const char *id);
 /* The record as last written, or NULL when this node does not own the job. */
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -138,7 +138,6 @@
 					      options.service, &input.places);
 	if (!batch_may_start(&input))
 		return false;
-	options.batch_reserve = batch_reserve(&input);
 	run->max_failures = route->max_runners;
 	if (!run->text)
 		run->text = g_string_new(NULL);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -158,6 +158,7 @@
 	char data[DATAGRAM_MAX_BYTES];
 	struct sockaddr_in from;
 	socklen_t from_len = sizeof(from);
+	bool heard = false;
 	ssize_t len;
 
 	while ((len = recvfrom(fd, data, sizeof(data), MSG_DONTWAIT,
@@ -167,8 +168,11 @@
 
 		if (node && !g_hash_table_contains(load->addresses, node))
 			learn(load, node, &from);
+		heard |= node != NULL;
 		from_len = sizeof(from);
 	}
+	if (heard)
+		load->options.heard(load->options.user_data);
 }
 
 static gboolean bind_socket(peer_load_t *load, GError **error)
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -27,6 +27,8 @@
 	const char *address; /* IP number to bind */
 	uint16_t port;
 	const char *writer;
+	void (*heard)(void *user_data); /* another node's load has changed */
+	void *user_data;
 } peer_load_options_t;
 
 /* NULL when the port cannot be bound: WL_ERROR_UNAVAILABLE. */
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -37,7 +37,6 @@
 	uint32_t max_runners;
 	uint32_t tries;
 	uint32_t runs; /* tries that may have run */
-	uint32_t batch_reserve;
 	bool stream;
 	bool idempotent;
 	bool resumable;
@@ -241,7 +240,6 @@
 		.service = run->service,
 		.except = except,
 		.batch = run->batch,
-		.reserve = run->batch_reserve,
 	};
 	size_t len;
 	const void *body = g_bytes_get_data(run->body, &len);
@@ -315,7 +313,6 @@
 	run->idempotent = options->idempotent;
 	run->resumable = options->resumable;
 	run->batch = options->batch;
-	run->batch_reserve = options->batch_reserve;
 	event_reader_init(&run->events, options->resume_after);
 	run->again = evtimer_new(context->base, on_again, run);
 	run->link.data = run;
