Share free places for batch work among the nodes

Jobs of a killed process waited for its lease.

Change: load reports carry the number of waiting items, and a node takes its part of the free places in each round. A restarted node resumes its own jobs at once, and the lease is 4 s, as a takeover is checked by its version.

--- a/src/gateway/batch_rule.c
+++ b/src/gateway/batch_rule.c
@@ -19,6 +19,18 @@
 	       input->free_places > (int32_t)(input->places * FREE_SHARE);
 }
 
+uint32_t batch_share(int32_t free_places, uint32_t own_waiting,
+		     uint32_t peers_waiting, double draw)
+{
+	double share;
+
+	if (free_places <= 0 || own_waiting == 0)
+		return 0;
+	share = (double)free_places * own_waiting /
+		(own_waiting + peers_waiting);
+	return (uint32_t)share + (draw < share - (uint32_t)share ? 1 : 0);
+}
+
 int32_t batch_yield_pause_ms(GRand *random)
 {
 	return YIELD_PAUSE_LEAST_MS +
--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -20,6 +20,14 @@
 } batch_input_t;
 
 bool batch_may_start(const batch_input_t *input);
+/*
+ * The part of the free places that this node may take in one round, by its
+ * part of all waiting items; draw is uniform in [0, 1) and decides on the part
+ * below one. Nodes that all see the same places free would otherwise all take
+ * them.
+ */
+uint32_t batch_share(int32_t free_places, uint32_t own_waiting,
+		     uint32_t peers_waiting, double draw);
 /* Pause of work that gave way, before it looks for a place again: the load
  * that took its place is likely still there. */
 int32_t batch_yield_pause_ms(GRand *random);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -217,6 +217,13 @@
 		gateway->counters, COUNTER_MONOTONIC, "resumes_total", NULL);
 }
 
+static uint32_t exchange_batch_waiting(void *user_data, uint32_t own)
+{
+	gateway_t *gateway = user_data;
+
+	return peer_load_batch_waiting(gateway->peer_load, own);
+}
+
 static void start_jobs(gateway_t *gateway, const gateway_options_t *options)
 {
 	segment_cache_t *cache = segment_cache_new(SEGMENT_CACHE_BYTES);
@@ -234,6 +241,8 @@
 					  g_rand_int(gateway->random)),
 		.paths = &gateway->paths,
 		.quota_slack = options->quota_slack,
+		.batch_waiting = exchange_batch_waiting,
+		.user_data = gateway,
 	};
 	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
 	gateway->job_table = job_table_new(&gateway->jobs, gateway->job_owner);
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "gateway/batch_rule.h"
 #include "gateway/job_owner_item.h"
 
 /* Well below the time after which other nodes take the job over, and below the
@@ -427,14 +428,54 @@
 		write_record(job);
 }
 
-static void start_items(owned_job_t *job)
+/* Returns how many of the allowed starts are left. */
+static uint32_t start_items(owned_job_t *job, uint32_t starts)
 {
 	const path_route_t *route = route_of(job);
 
-	for (guint i = 0; i < job->items->len; i++)
-		if (job->runs[i].state == JOB_ITEM_WAITING &&
-		    !job_item_run_start(&job->runs[i], route, job->due_us))
-			return;
+	for (guint i = 0; i < job->items->len && starts > 0; i++) {
+		if (!job_item_run_wants_place(&job->runs[i]))
+			continue;
+		if (!job_item_run_start(&job->runs[i], route, job->due_us))
+			return starts;
+		starts--;
+	}
+	return starts;
+}
+
+static uint32_t count_waiting(const job_owner_t *owner, const char **service)
+{
+	uint32_t waiting = 0;
+
+	for (guint i = 0; i < owner->jobs->len; i++) {
+		const owned_job_t *job = owner->jobs->pdata[i];
+		const path_route_t *route = route_of(job);
+
+		if (job->gone || job->release || !route)
+			continue;
+		*service = path_route_service(
+			route, g_rand_double(owner->context->random));
+		for (guint j = 0; j < job->items->len; j++)
+			if (job_item_run_wants_place(&job->runs[j]))
+				waiting++;
+	}
+	return waiting;
+}
+
+/* Starts that this node may make in this round. */
+static uint32_t allowed_starts(job_owner_t *owner)
+{
+	job_context_t *context = owner->context;
+	const char *service = NULL;
+	uint32_t waiting = owner->stopping ? 0 : count_waiting(owner, &service);
+	uint32_t peers = context->batch_waiting(context->user_data, waiting);
+	int32_t places;
+
+	if (!service)
+		return 0;
+	return batch_share(
+		fleet_free_places(context->runs->fleet, service, &places),
+		waiting, peers, g_rand_double(context->random));
 }
 
 /* The jobs that are due last give way first. */
@@ -473,8 +514,10 @@
 void job_owner_tick(job_owner_t *owner)
 {
 	int64_t now = now_us(owner);
+	uint32_t starts;
 
 	job_owner_yield(owner);
+	starts = allowed_starts(owner);
 	for (guint i = 0; i < owner->jobs->len; i++) {
 		owned_job_t *job = owner->jobs->pdata[i];
 
@@ -483,7 +526,7 @@
 		if (owner->stopping && !has_running(job))
 			job->release = true;
 		if (!owner->stopping && !job->release)
-			start_items(job);
+			starts = start_items(job, starts);
 		write_due(job, now);
 	}
 	reap(owner);
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -104,6 +104,12 @@
 	.end = on_end,
 };
 
+bool job_item_run_wants_place(const job_item_run_t *run)
+{
+	return run->state == JOB_ITEM_WAITING &&
+	       clock_now_us(run->context->clock) >= run->not_before_us;
+}
+
 bool job_item_run_start(job_item_run_t *run, const path_route_t *route,
 			int64_t due_us)
 {
@@ -125,8 +131,6 @@
 		.user_data = run,
 	};
 
-	if (now_us < run->not_before_us)
-		return true;
 	if (!route)
 		return false;
 	options.host = route->host;
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -45,6 +45,8 @@
 		       const job_item_t *item, uint32_t index,
 		       job_item_finished_t finished, void *user_data);
 void job_item_run_clear(job_item_run_t *run);
+/* Whether the item looks for a place now. */
+bool job_item_run_wants_place(const job_item_run_t *run);
 /* Returns false when no runner has a place for it, so that trying the next
  * item is of no use. route is that of the job, NULL when it was removed. */
 bool job_item_run_start(job_item_run_t *run, const path_route_t *route,
--- a/src/gateway/job_record.c
+++ b/src/gateway/job_record.c
@@ -50,6 +50,7 @@
 	g_free(record->host);
 	g_free(record->path);
 	g_free(record->owner);
+	g_free(record->instance);
 	g_free(record);
 }
 
@@ -62,6 +63,7 @@
 	copy->host = g_strdup(record->host);
 	copy->path = g_strdup(record->path);
 	copy->owner = g_strdup(record->owner);
+	copy->instance = g_strdup(record->instance);
 	copy->segments = segments;
 	for (guint i = 0; i < record->segments->len; i++) {
 		const job_segment_t *segment = record->segments->pdata[i];
@@ -103,14 +105,14 @@
 		json_array_append_new(
 			segments, encode_segment(record->segments->pdata[i]));
 	return dump(json_pack(
-		"{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:b, s:o}",
+		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:b, s:o}",
 		"host", record->host, "path", record->path, "owner",
-		record->owner, "epoch", (int)record->epoch, "beat",
-		(int)record->beat, "items", (int)record->items, "parts",
-		(int)record->payload_parts, "submitted_ms",
-		(json_int_t)record->submitted_ms, "waiting_tokens",
-		(json_int_t)record->waiting_tokens, "ended", (int)record->ended,
-		"segments", segments));
+		record->owner, "instance", record->instance, "epoch",
+		(int)record->epoch, "beat", (int)record->beat, "items",
+		(int)record->items, "parts", (int)record->payload_parts,
+		"submitted_ms", (json_int_t)record->submitted_ms,
+		"waiting_tokens", (json_int_t)record->waiting_tokens, "ended",
+		(int)record->ended, "segments", segments));
 }
 
 static void decode_segment(job_record_t *record, const json_t *item)
@@ -144,6 +146,7 @@
 		record->host = string_member(root, "host");
 		record->path = string_member(root, "path");
 		record->owner = string_member(root, "owner");
+		record->instance = string_member(root, "instance");
 		record->epoch = (uint32_t)integer_member(root, "epoch");
 		record->beat = (uint32_t)integer_member(root, "beat");
 		record->items = (uint32_t)integer_member(root, "items");
--- a/src/gateway/job_record.h
+++ b/src/gateway/job_record.h
@@ -52,6 +52,7 @@
 	char *host;
 	char *path; /* that the job was submitted to; selects the route */
 	char *owner; /* node that runs the items; empty: nobody */
+	char *instance; /* process of the owner */
 	uint32_t epoch; /* of ownership */
 	uint32_t beat; /* changed by each renewal */
 	uint32_t items;
--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -236,6 +236,7 @@
 	record->host = g_strdup(submission->host);
 	record->path = g_strdup(submission->path);
 	record->owner = g_strdup(context->node);
+	record->instance = g_strdup(context->writer);
 	record->epoch = 1;
 	record->items = submit->items->len;
 	record->payload_parts = submit->part_starts->len;
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -11,8 +11,9 @@
 /* Stale reads cost little; a view a second late is enough for takeovers. */
 #define WAIT_MS 2500
 #define PAUSE_MS 1000
-/* An owner renews every 1.5 s, and stale reads may be 3 s late. */
-#define LEASE_MS 6000
+/* An owner renews every 1.5 s. That reads may be stale does no harm: a takeover
+ * only succeeds if the version that was seen first then is still current. */
+#define LEASE_MS 4000
 /* Nodes that see the same orphan do not all write at once. */
 #define TAKEOVER_SPREAD_MS 400
 #define RETRY_MS 1000
@@ -137,7 +138,10 @@
 	if (job_record_is_closed(job->record) ||
 	    job_owner_record(table->owner, job->id))
 		return false;
-	if (!*job->record->owner)
+	/* Handed back, or left over from this node's process before. */
+	if (!*job->record->owner ||
+	    (strcmp(job->record->owner, table->context->node) == 0 &&
+	     strcmp(job->record->instance, table->context->writer) != 0))
 		return true;
 	return is_steady(table) &&
 	       now_us(table) - job->changed_us >= LEASE_MS * 1000;
@@ -192,6 +196,8 @@
 	job->taking = true;
 	g_free(record->owner);
 	record->owner = g_strdup(context->node);
+	g_free(record->instance);
+	record->instance = g_strdup(context->writer);
 	record->epoch++;
 	text = job_record_encode(record);
 	object_put(context->store, key, text, strlen(text), job->version,
@@ -201,8 +207,6 @@
 	g_free(key);
 }
 
-/* Jobs that name this node without running here were its own before a restart;
- * an earlier write may also have taken effect late. */
 void job_table_tick(job_table_t *table)
 {
 	GHashTableIter iter;
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -15,6 +15,7 @@
 	uint64_t incarnation;
 	uint64_t sequence;
 	int64_t heard_us;
+	uint32_t batch_waiting;
 	GArray *entries; /* load_entry */
 } peer_t;
 
@@ -86,7 +87,8 @@
 	report->count++;
 }
 
-size_t load_view_encode(load_view_t *view, char *data, size_t size)
+size_t load_view_encode(load_view_t *view, uint32_t batch_waiting, char *data,
+			size_t size)
 {
 	report_t collected = { .now_us = clock_now_us(view->clock) };
 	load_report report;
@@ -97,6 +99,7 @@
 	report.node = view->node;
 	report.incarnation = view->incarnation;
 	report.sequence = ++view->sequence;
+	report.batch_waiting = batch_waiting;
 	report.entries.entries_len = collected.count;
 	report.entries.entries_val = collected.entries;
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
@@ -192,6 +195,7 @@
 		take_speeds(view, peer->entries);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
+		peer->batch_waiting = report.batch_waiting;
 		peer->heard_us = clock_now_us(view->clock);
 	}
 	xdr_destroy(&xdrs);
@@ -218,6 +222,18 @@
 	}
 }
 
+uint32_t load_view_batch_waiting(const load_view_t *view)
+{
+	GHashTableIter iter;
+	void *value;
+	uint32_t waiting = 0;
+
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		waiting += ((peer_t *)value)->batch_waiting;
+	return waiting;
+}
+
 uint32_t load_view_peers(const load_view_t *view)
 {
 	return g_hash_table_size(view->peers);
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -22,8 +22,12 @@
 			   const char *node, uint64_t incarnation);
 void load_view_free(load_view_t *view);
 
-/* Writes this node's report; returns its length, 0 when it has no room. */
-size_t load_view_encode(load_view_t *view, char *data, size_t size);
+/* Writes this node's report; returns its length, 0 when it has no room.
+ * batch_waiting is the number of batch items that look for a place. */
+size_t load_view_encode(load_view_t *view, uint32_t batch_waiting, char *data,
+			size_t size);
+/* Batch items that look for a place at the other nodes. */
+uint32_t load_view_batch_waiting(const load_view_t *view);
 /* Takes another node's report; returns its name, or NULL for one that cannot
  * be read, is this node's own or is older than the last. */
 const char *load_view_apply(load_view_t *view, char *data, size_t len);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -34,6 +34,7 @@
 	GHashTable *addresses; /* node -> struct sockaddr_in */
 	char *own_text;
 	int64_t sent_us;
+	uint32_t batch_waiting; /* of this node */
 	bool send_pending;
 };
 
@@ -131,7 +132,8 @@
 static void send_report(peer_load_t *load)
 {
 	char data[DATAGRAM_MAX_BYTES];
-	size_t len = load_view_encode(load->view, data, sizeof(data));
+	size_t len = load_view_encode(load->view, load->batch_waiting, data,
+				      sizeof(data));
 	GHashTableIter iter;
 	void *address;
 
@@ -251,6 +253,14 @@
 	evtimer_add(load->send, &gather);
 }
 
+uint32_t peer_load_batch_waiting(peer_load_t *load, uint32_t own)
+{
+	if (own != load->batch_waiting)
+		peer_load_changed(load);
+	load->batch_waiting = own;
+	return load_view_batch_waiting(load->view);
+}
+
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -35,6 +35,9 @@
 peer_load_t *peer_load_new(const peer_load_options_t *options, GError **error);
 /* This node's load has changed. */
 void peer_load_changed(peer_load_t *load);
+/* The number of this node's batch items that look for a place; returns that of
+ * the other nodes. */
+uint32_t peer_load_batch_waiting(peer_load_t *load, uint32_t own);
 void peer_load_tick(peer_load_t *load);
 
 #endif
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -15,5 +15,6 @@
 	string node<LOAD_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
+	unsigned int batch_waiting;
 	load_entry entries<LOAD_ENTRIES_MAX>;
 };
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -29,6 +29,7 @@
 	char *node;
 	u_quad_t incarnation;
 	u_quad_t sequence;
+	u_int batch_waiting;
 	struct {
 		u_int entries_len;
 		load_entry *entries_val;
