Call the store through other nodes when it turns this node away

Cause: a node that the store refuses for some seconds could not accept jobs, write results or see changes, and others ran its items again after the lease.

Change: after two failures in a row store calls go by ONC RPC to a node whose load reports say that it reaches the store; every half second one call tries the store itself.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -172,6 +172,8 @@
 	gateway_t *gateway = arg;
 
 	fleet_expire(gateway->fleet);
+	peer_load_set_store(gateway->peer_load,
+			    store_relay_is_direct(gateway->store_relay));
 	peer_load_tick(gateway->peer_load);
 	run_sweep(&gateway->runs);
 	relay_sweep(gateway->relay);
@@ -224,6 +226,40 @@
 	return peer_load_batch_waiting(gateway->peer_load, own);
 }
 
+static bool find_store_peer(void *user_data, char *address, size_t size)
+{
+	const gateway_t *gateway = user_data;
+
+	return gateway->peer_load &&
+	       peer_load_store_peer(gateway->peer_load, address, size);
+}
+
+static gboolean start_store(gateway_t *gateway,
+			    const gateway_options_t *options, GError **error)
+{
+	store_relay_options_t relay = {
+		.base = gateway->base,
+		.clock = gateway->clock,
+		.store = options->store,
+		.stale_store = options->stale_store,
+		.counters = gateway->counters,
+		.find_peer = find_store_peer,
+		.user_data = gateway,
+	};
+
+	gateway->rpc_client = rpc_client_new(gateway->base, NULL);
+	gateway->rpc_server = rpc_server_new(gateway->base, options->address,
+					     options->peer_port, NULL, error);
+	if (!gateway->rpc_server)
+		return FALSE;
+	relay.client = gateway->rpc_client;
+	relay.server = gateway->rpc_server;
+	gateway->store_relay = store_relay_new(&relay);
+	gateway->store = store_relay_store(gateway->store_relay);
+	gateway->stale_store = store_relay_stale_store(gateway->store_relay);
+	return TRUE;
+}
+
 static void start_jobs(gateway_t *gateway, const gateway_options_t *options)
 {
 	segment_cache_t *cache = segment_cache_new(SEGMENT_CACHE_BYTES);
@@ -233,7 +269,7 @@
 		.clock = gateway->clock,
 		.random = gateway->random,
 		.store = gateway->store,
-		.stale_store = options->stale_store,
+		.stale_store = gateway->stale_store,
 		.runs = &gateway->runs,
 		.counters = gateway->counters,
 		.node = options->node,
@@ -274,7 +310,7 @@
 		.random = gateway->random,
 		.fleet = gateway->fleet,
 		.store = gateway->store,
-		.stale_store = options->stale_store,
+		.stale_store = gateway->stale_store,
 		.node = options->node,
 		.address = options->address,
 		.port = options->peer_port,
@@ -298,7 +334,6 @@
 	gateway->clock = options->clock;
 	gateway->random = g_rand_new();
 	gateway->counters = counter_set_new();
-	gateway->store = options->store;
 	gateway->codec = options->codec;
 	gateway->grace_ms = options->grace_ms;
 	gateway->runner_hold_ms = options->runner_hold_ms;
@@ -306,6 +341,8 @@
 				   options->domain, on_load_changed, gateway };
 	gateway->fleet = fleet_new(&fleet);
 	start_runs(gateway, options);
+	if (!start_store(gateway, options, error))
+		return NULL;
 	relay = (relay_options_t){ &gateway->runs, gateway->random,
 				   gateway->counters };
 	gateway->relay = relay_new(&relay);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/relay.h"
 #include "gateway/run.h"
 #include "gateway/runner_protocol.h"
+#include "gateway/store_relay.h"
 #include "object/object_store.h"
 
 /*
@@ -58,7 +59,11 @@
 	const clock_source_t *clock;
 	GRand *random;
 	counter_set_t *counters;
-	object_store_t *store;
+	object_store_t *store; /* by way of the store relay */
+	object_store_t *stale_store;
+	store_relay_t *store_relay;
+	rpc_client_t *rpc_client;
+	rpc_server_t *rpc_server;
 	const gateway_codec_t *codec;
 	fleet_t *fleet;
 	peer_load_t *peer_load;
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -16,6 +16,7 @@
 	uint64_t sequence;
 	int64_t heard_us;
 	uint32_t batch_waiting;
+	bool reaches_store;
 	GArray *entries; /* load_entry */
 } peer_t;
 
@@ -87,7 +88,7 @@
 	report->count++;
 }
 
-size_t load_view_encode(load_view_t *view, uint32_t batch_waiting, char *data,
+size_t load_view_encode(load_view_t *view, const load_own_t *own, char *data,
 			size_t size)
 {
 	report_t collected = { .now_us = clock_now_us(view->clock) };
@@ -99,7 +100,8 @@
 	report.node = view->node;
 	report.incarnation = view->incarnation;
 	report.sequence = ++view->sequence;
-	report.batch_waiting = batch_waiting;
+	report.batch_waiting = own->batch_waiting;
+	report.reaches_store = own->reaches_store;
 	report.entries.entries_len = collected.count;
 	report.entries.entries_val = collected.entries;
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
@@ -196,6 +198,7 @@
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
 		peer->batch_waiting = report.batch_waiting;
+		peer->reaches_store = report.reaches_store;
 		peer->heard_us = clock_now_us(view->clock);
 	}
 	xdr_destroy(&xdrs);
@@ -234,6 +237,29 @@
 	return waiting;
 }
 
+const char *load_view_store_peer(const load_view_t *view, double draw)
+{
+	GHashTableIter iter;
+	void *value;
+	uint32_t count = 0;
+	uint32_t chosen;
+
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((peer_t *)value)->reaches_store;
+	if (count == 0)
+		return NULL;
+	chosen = (uint32_t)(draw * count);
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+
+		if (peer->reaches_store && chosen-- == 0)
+			return peer->node;
+	}
+	return NULL;
+}
+
 uint32_t load_view_peers(const load_view_t *view)
 {
 	return g_hash_table_size(view->peers);
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -22,10 +22,16 @@
 			   const char *node, uint64_t incarnation);
 void load_view_free(load_view_t *view);
 
-/* Writes this node's report; returns its length, 0 when it has no room.
- * batch_waiting is the number of batch items that look for a place. */
-size_t load_view_encode(load_view_t *view, uint32_t batch_waiting, char *data,
+typedef struct load_own {
+	uint32_t batch_waiting; /* batch items that look for a place */
+	bool reaches_store;
+} load_own_t;
+
+/* Writes this node's report; returns its length, 0 when it has no room. */
+size_t load_view_encode(load_view_t *view, const load_own_t *own, char *data,
 			size_t size);
+/* A node that reaches the store, chosen by a draw in [0, 1); NULL: none. */
+const char *load_view_store_peer(const load_view_t *view, double draw);
 /* Batch items that look for a place at the other nodes. */
 uint32_t load_view_batch_waiting(const load_view_t *view);
 /* Takes another node's report; returns its name, or NULL for one that cannot
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -34,7 +34,7 @@
 	GHashTable *addresses; /* node -> struct sockaddr_in */
 	char *own_text;
 	int64_t sent_us;
-	uint32_t batch_waiting; /* of this node */
+	load_own_t own;
 	bool send_pending;
 };
 
@@ -132,8 +132,8 @@
 static void send_report(peer_load_t *load)
 {
 	char data[DATAGRAM_MAX_BYTES];
-	size_t len = load_view_encode(load->view, load->batch_waiting, data,
-				      sizeof(data));
+	size_t len =
+		load_view_encode(load->view, &load->own, data, sizeof(data));
 	GHashTableIter iter;
 	void *address;
 
@@ -255,12 +255,40 @@
 
 uint32_t peer_load_batch_waiting(peer_load_t *load, uint32_t own)
 {
-	if (own != load->batch_waiting)
+	if (own != load->own.batch_waiting)
 		peer_load_changed(load);
-	load->batch_waiting = own;
+	load->own.batch_waiting = own;
 	return load_view_batch_waiting(load->view);
 }
 
+void peer_load_set_store(peer_load_t *load, bool reaches_store)
+{
+	if (reaches_store != load->own.reaches_store)
+		peer_load_changed(load);
+	load->own.reaches_store = reaches_store;
+}
+
+bool peer_load_address(const peer_load_t *load, const char *node, char *address,
+		       size_t size)
+{
+	const struct sockaddr_in *found =
+		g_hash_table_lookup(load->addresses, node);
+	char ip[INET_ADDRSTRLEN];
+
+	if (!found || !inet_ntop(AF_INET, &found->sin_addr, ip, sizeof(ip)))
+		return false;
+	g_snprintf(address, size, "%s:%u", ip, ntohs(found->sin_port));
+	return true;
+}
+
+bool peer_load_store_peer(const peer_load_t *load, char *address, size_t size)
+{
+	const char *node = load_view_store_peer(
+		load->view, g_rand_double(load->options.random));
+
+	return node && peer_load_address(load, node, address, size);
+}
+
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -38,6 +38,14 @@
 /* The number of this node's batch items that look for a place; returns that of
  * the other nodes. */
 uint32_t peer_load_batch_waiting(peer_load_t *load, uint32_t own);
+/* Whether the store answers this node, for the reports. */
+void peer_load_set_store(peer_load_t *load, bool reaches_store);
 void peer_load_tick(peer_load_t *load);
 
+/* Address of a node by name, or of one that reaches the store, as IP:port in
+ * the buffer; false: none is known. The port is the same for UDP and TCP. */
+bool peer_load_address(const peer_load_t *load, const char *node, char *address,
+		       size_t size);
+bool peer_load_store_peer(const peer_load_t *load, char *address, size_t size);
+
 #endif
--- /dev/null
+++ b/src/gateway/store_relay.c
@@ -0,0 +1,438 @@
+#include "gateway/store_relay.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "rpc/store_xdr.h"
+
+/* A single lost answer or refusal says little. */
+#define FAILURES_BEFORE_RELAY 2
+#define PROBE_MS 500
+#define CALL_TIMEOUT_MS 1200
+#define WATCH_GRACE_MS 1500
+#define ADDRESS_BYTES 64
+
+/* One of the two stores that this module offers. */
+typedef struct relay_store {
+	object_store_t base; /* first member */
+	store_relay_t *relay;
+	object_store_t *direct;
+	bool stale;
+} relay_store_t;
+
+struct store_relay {
+	store_relay_options_t options;
+	relay_store_t store;
+	relay_store_t stale_store;
+	uint32_t failures; /* in a row */
+	int64_t probed_us;
+	int64_t *relayed_total;
+	int64_t *served_total;
+};
+
+/* A call of this node, on either way. */
+typedef struct own_call {
+	store_relay_t *relay;
+	char *key;
+	object_done_t done;
+	object_list_done_t list_done;
+	void *user_data;
+} own_call_t;
+
+static own_call_t *own_call_new(store_relay_t *relay, const char *key,
+				void *user_data)
+{
+	own_call_t *call = g_new0(own_call_t, 1);
+
+	call->relay = relay;
+	call->key = g_strdup(key);
+	call->user_data = user_data;
+	return call;
+}
+
+static void own_call_free(own_call_t *call)
+{
+	g_free(call->key);
+	g_free(call);
+}
+
+bool store_relay_is_direct(const store_relay_t *relay)
+{
+	return relay->failures < FAILURES_BEFORE_RELAY;
+}
+
+/* Errors that say that the store does not serve this node now. */
+static bool is_out_of_contact(const GError *error)
+{
+	if (!error)
+		return false;
+	return error->code == WL_ERROR_UNAVAILABLE ||
+	       error->code == WL_ERROR_RATE_LIMITED ||
+	       error->code == WL_ERROR_REFUSED ||
+	       error->code == WL_ERROR_TIMEOUT ||
+	       error->code == WL_ERROR_TRUNCATED;
+}
+
+static void note_direct(store_relay_t *relay, const GError *error)
+{
+	bool was_direct = store_relay_is_direct(relay);
+
+	relay->failures = is_out_of_contact(error) ? relay->failures + 1 : 0;
+	if (was_direct != store_relay_is_direct(relay))
+		log_info("store_contact", "direct=%d failures=%u error=%s",
+			 !was_direct, relay->failures,
+			 error ? error_name(error->code) : "-");
+}
+
+static void on_direct(const object_value_t *value, const GError *error,
+		      void *user_data)
+{
+	own_call_t *call = user_data;
+
+	note_direct(call->relay, error);
+	call->done(value, error, call->user_data);
+	own_call_free(call);
+}
+
+static void on_direct_list(const object_listing_t *listing, const GError *error,
+			   void *user_data)
+{
+	own_call_t *call = user_data;
+
+	note_direct(call->relay, error);
+	call->list_done(listing, error, call->user_data);
+	own_call_free(call);
+}
+
+static GError *error_of(const store_call_result *result)
+{
+	if (result->error == 0)
+		return NULL;
+	return g_error_new(WL_ERROR, (int)result->error - 1,
+			   "the store answered another node so");
+}
+
+static void on_relayed(const void *data, const GError *error, void *user_data)
+{
+	const store_call_result *result = data;
+	own_call_t *call = user_data;
+	GError *answer = error ? NULL : error_of(result);
+	object_value_t value = { .key = call->key };
+
+	if (!error && result->has_value) {
+		value.version = result->revision;
+		value.writer = result->writer;
+		value.data = result->data;
+		value.len = strlen(result->data);
+	}
+	call->done(!error && result->has_value ? &value : NULL,
+		   error ? error : answer, call->user_data);
+	g_clear_error(&answer);
+	own_call_free(call);
+}
+
+static void on_relayed_list(const void *data, const GError *error,
+			    void *user_data)
+{
+	const store_call_result *result = data;
+	own_call_t *call = user_data;
+	GError *answer = error ? NULL : error_of(result);
+	object_listing_t listing = { 0 };
+
+	if (error || answer) {
+		call->list_done(NULL, error ? error : answer, call->user_data);
+		g_clear_error(&answer);
+		own_call_free(call);
+		return;
+	}
+	listing.revision = result->revision;
+	listing.more = result->more;
+	listing.entries = g_array_new(FALSE, TRUE, sizeof(object_entry_t));
+	for (u_int i = 0; i < result->entries.entries_len; i++) {
+		const store_call_entry *from = &result->entries.entries_val[i];
+		/* Borrowed from the result. */
+		const object_entry_t entry = { from->key, from->revision,
+					       from->deleted, from->data };
+
+		g_array_append_val(listing.entries, entry);
+	}
+	call->list_done(&listing, NULL, call->user_data);
+	g_array_free(listing.entries, TRUE);
+	own_call_free(call);
+}
+
+/* Whether this call goes to another node, whose address is then filled in. */
+static bool takes_relay(store_relay_t *relay, char *address)
+{
+	int64_t now_us = clock_now_us(relay->options.clock);
+
+	if (store_relay_is_direct(relay))
+		return false;
+	if (now_us - relay->probed_us >= PROBE_MS * 1000) {
+		relay->probed_us = now_us;
+		return false;
+	}
+	return relay->options.find_peer(relay->options.user_data, address,
+					ADDRESS_BYTES);
+}
+
+static void send_call(store_relay_t *relay, const char *address,
+		      store_call_args *args, rpc_done_t done, own_call_t *call)
+{
+	const rpc_call_options_t options = {
+		.address = address,
+		.program = PEER_PROGRAM,
+		.procedure = PEER_STORE_CALL,
+		.encode = (xdrproc_t)xdr_store_call_args,
+		.args = args,
+		.decode = (xdrproc_t)xdr_store_call_result,
+		.result_size = sizeof(store_call_result),
+		.timeout_ms = args->operation == STORE_WATCH ?
+				      args->timeout_ms + WATCH_GRACE_MS :
+				      CALL_TIMEOUT_MS,
+		.done = done,
+		.user_data = call,
+	};
+
+	(*relay->relayed_total)++;
+	rpc_client_call(relay->options.client, &options);
+}
+
+static store_call_args args_of(const relay_store_t *store,
+			       store_operation operation, const char *key)
+{
+	return (store_call_args){
+		.operation = operation,
+		.stale = store->stale,
+		.key = (char *)key,
+		.after = (char *)"",
+		.writer = (char *)"",
+	};
+}
+
+static void relay_get(object_store_t *base, const char *key, object_done_t done,
+		      void *user_data)
+{
+	relay_store_t *store = (relay_store_t *)base;
+	own_call_t *call = own_call_new(store->relay, key, user_data);
+	store_call_args args = args_of(store, STORE_GET, key);
+	char address[ADDRESS_BYTES];
+
+	call->done = done;
+	if (takes_relay(store->relay, address))
+		send_call(store->relay, address, &args, on_relayed, call);
+	else
+		object_get(store->direct, key, on_direct, call);
+}
+
+static void relay_put(object_store_t *base, const char *key, const void *data,
+		      size_t len, uint64_t if_version, const char *writer,
+		      object_done_t done, void *user_data)
+{
+	relay_store_t *store = (relay_store_t *)base;
+	own_call_t *call = own_call_new(store->relay, key, user_data);
+	store_call_args args = args_of(store, STORE_PUT, key);
+	char address[ADDRESS_BYTES];
+
+	call->done = done;
+	args.revision = if_version;
+	args.writer = (char *)(writer ? writer : "");
+	args.data.data_val = (char *)data;
+	args.data.data_len = (u_int)len;
+	if (takes_relay(store->relay, address))
+		send_call(store->relay, address, &args, on_relayed, call);
+	else
+		object_put(store->direct, key, data, len, if_version, writer,
+			   on_direct, call);
+}
+
+static void relay_remove(object_store_t *base, const char *key,
+			 uint64_t if_version, object_done_t done,
+			 void *user_data)
+{
+	relay_store_t *store = (relay_store_t *)base;
+	own_call_t *call = own_call_new(store->relay, key, user_data);
+	store_call_args args = args_of(store, STORE_REMOVE, key);
+	char address[ADDRESS_BYTES];
+
+	call->done = done;
+	args.revision = if_version;
+	if (takes_relay(store->relay, address))
+		send_call(store->relay, address, &args, on_relayed, call);
+	else
+		object_remove(store->direct, key, if_version, on_direct, call);
+}
+
+static void relay_list(object_store_t *base, const char *prefix,
+		       const char *after, uint32_t limit,
+		       object_list_done_t done, void *user_data)
+{
+	relay_store_t *store = (relay_store_t *)base;
+	own_call_t *call = own_call_new(store->relay, prefix, user_data);
+	store_call_args args = args_of(store, STORE_LIST, prefix);
+	char address[ADDRESS_BYTES];
+
+	call->list_done = done;
+	args.after = (char *)(after ? after : "");
+	args.limit = limit;
+	if (takes_relay(store->relay, address))
+		send_call(store->relay, address, &args, on_relayed_list, call);
+	else
+		object_list(store->direct, prefix, after, limit, on_direct_list,
+			    call);
+}
+
+static void relay_watch(object_store_t *base, const char *prefix,
+			uint64_t since, int32_t timeout_ms,
+			object_list_done_t done, void *user_data)
+{
+	relay_store_t *store = (relay_store_t *)base;
+	own_call_t *call = own_call_new(store->relay, prefix, user_data);
+	store_call_args args = args_of(store, STORE_WATCH, prefix);
+	char address[ADDRESS_BYTES];
+
+	call->list_done = done;
+	args.revision = since;
+	args.timeout_ms = timeout_ms;
+	if (takes_relay(store->relay, address))
+		send_call(store->relay, address, &args, on_relayed_list, call);
+	else
+		object_watch(store->direct, prefix, since, timeout_ms,
+			     on_direct_list, call);
+}
+
+static const object_store_ops_t relay_ops = {
+	.get = relay_get,
+	.put = relay_put,
+	.remove = relay_remove,
+	.list = relay_list,
+	.watch = relay_watch,
+};
+
+static unsigned int code_of(const GError *error)
+{
+	return error ? (unsigned int)error->code + 1 : 0;
+}
+
+/* Answers to calls that are made for other nodes. */
+static void on_served(const object_value_t *value, const GError *error,
+		      void *user_data)
+{
+	store_call_result result = {
+		.error = code_of(error),
+		.has_value = value != NULL,
+		.writer = (char *)(value && value->writer ? value->writer : ""),
+		.data = (char *)(value && value->data ? value->data : ""),
+		.revision = value ? value->version : 0,
+	};
+
+	rpc_reply(user_data, &result);
+}
+
+static void on_served_list(const object_listing_t *listing, const GError *error,
+			   void *user_data)
+{
+	guint count = error ? 0 : MIN(listing->entries->len, STORE_ENTRIES_MAX);
+	store_call_result result = {
+		.error = code_of(error),
+		.writer = (char *)"",
+		.data = (char *)"",
+	};
+	store_call_entry *entries = g_new0(store_call_entry, count + 1);
+
+	for (guint i = 0; i < count; i++) {
+		const object_entry_t *entry =
+			&g_array_index(listing->entries, object_entry_t, i);
+
+		entries[i].key = entry->key;
+		entries[i].revision = entry->version;
+		entries[i].deleted = entry->deleted;
+		entries[i].data = entry->data ? entry->data : (char *)"";
+	}
+	if (!error) {
+		result.revision = listing->revision;
+		result.more = listing->more || count < listing->entries->len;
+	}
+	result.entries.entries_len = count;
+	result.entries.entries_val = entries;
+	rpc_reply(user_data, &result);
+	g_free(entries);
+}
+
+static void handle_call(rpc_call_t *call, const void *data, void *user_data)
+{
+	const store_call_args *args = data;
+	store_relay_t *relay = user_data;
+	object_store_t *store =
+		args->stale ? relay->options.stale_store : relay->options.store;
+
+	(*relay->served_total)++;
+	switch (args->operation) {
+	case STORE_GET:
+		object_get(store, args->key, on_served, call);
+		return;
+	case STORE_PUT:
+		object_put(store, args->key, args->data.data_val,
+			   args->data.data_len, args->revision,
+			   *args->writer ? args->writer : NULL, on_served,
+			   call);
+		return;
+	case STORE_REMOVE:
+		object_remove(store, args->key, args->revision, on_served,
+			      call);
+		return;
+	case STORE_LIST:
+		object_list(store, args->key, *args->after ? args->after : NULL,
+			    args->limit, on_served_list, call);
+		return;
+	case STORE_WATCH:
+		object_watch(store, args->key, args->revision, args->timeout_ms,
+			     on_served_list, call);
+		return;
+	}
+	rpc_reply_unavailable(call);
+}
+
+static void init_store(relay_store_t *store, store_relay_t *relay,
+		       object_store_t *direct, bool stale)
+{
+	store->base.ops = &relay_ops;
+	store->relay = relay;
+	store->direct = direct;
+	store->stale = stale;
+}
+
+store_relay_t *store_relay_new(const store_relay_options_t *options)
+{
+	store_relay_t *relay = g_new0(store_relay_t, 1);
+	const rpc_procedure_t procedure = {
+		.program = PEER_PROGRAM,
+		.procedure = PEER_STORE_CALL,
+		.decode = (xdrproc_t)xdr_store_call_args,
+		.args_size = sizeof(store_call_args),
+		.encode = (xdrproc_t)xdr_store_call_result,
+		.handler = handle_call,
+		.user_data = relay,
+	};
+
+	relay->options = *options;
+	relay->relayed_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					   "store_calls_relayed_total", NULL);
+	relay->served_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					  "store_calls_served_total", NULL);
+	init_store(&relay->store, relay, options->store, false);
+	init_store(&relay->stale_store, relay, options->stale_store, true);
+	rpc_server_register(options->server, &procedure);
+	return relay;
+}
+
+object_store_t *store_relay_store(store_relay_t *relay)
+{
+	return &relay->store.base;
+}
+
+object_store_t *store_relay_stale_store(store_relay_t *relay)
+{
+	return &relay->stale_store.base;
+}
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -16,5 +16,6 @@
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
 	unsigned int batch_waiting;
+	bool reaches_store;
 	load_entry entries<LOAD_ENTRIES_MAX>;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -79,6 +79,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->batch_waiting))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reaches_store))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_ENTRIES_MAX,
 		sizeof (load_entry), (xdrproc_t) xdr_load_entry))
 		 return FALSE;
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -30,6 +30,7 @@
 	u_quad_t incarnation;
 	u_quad_t sequence;
 	u_int batch_waiting;
+	bool_t reaches_store;
 	struct {
 		u_int entries_len;
 		load_entry *entries_val;
