Ask the owner for the record of an open batch job

Change: such a read asks the owner by ONC RPC. The owner answers only while the store has confirmed the record within half a lease, counting suspended time; else the record is read from the store.

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -22,6 +22,12 @@
 	return read_clock_us(CLOCK_REALTIME) / 1000;
 }
 
+static int64_t system_elapsed_us(const clock_source_t *clock)
+{
+	(void)clock;
+	return read_clock_us(CLOCK_BOOTTIME);
+}
+
 static int64_t manual_monotonic_us(const clock_source_t *clock)
 {
 	return ((const clock_manual_t *)clock)->monotonic_us;
@@ -32,8 +38,17 @@
 	return ((const clock_manual_t *)clock)->wall_ms;
 }
 
-static const clock_ops_t system_ops = { system_monotonic_us, system_wall_ms };
-static const clock_ops_t manual_ops = { manual_monotonic_us, manual_wall_ms };
+static int64_t manual_elapsed_us(const clock_source_t *clock)
+{
+	const clock_manual_t *manual = (const clock_manual_t *)clock;
+
+	return manual->monotonic_us + manual->suspended_us;
+}
+
+static const clock_ops_t system_ops = { system_monotonic_us, system_wall_ms,
+					system_elapsed_us };
+static const clock_ops_t manual_ops = { manual_monotonic_us, manual_wall_ms,
+					manual_elapsed_us };
 static const clock_source_t system_clock = { &system_ops };
 
 const clock_source_t *clock_system(void)
@@ -45,6 +60,7 @@
 {
 	manual->base.ops = &manual_ops;
 	manual->monotonic_us = 0;
+	manual->suspended_us = 0;
 	manual->wall_ms = wall_ms;
 }
 
@@ -64,6 +80,11 @@
 	return clock->ops->monotonic_us(clock) / 1000;
 }
 
+int64_t clock_elapsed_us(const clock_source_t *clock)
+{
+	return clock->ops->elapsed_us(clock);
+}
+
 int64_t clock_wall_ms(const clock_source_t *clock)
 {
 	return clock->ops->wall_ms(clock);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -234,6 +234,15 @@
 	       peer_load_store_peer(gateway->peer_load, address, size);
 }
 
+static bool find_node(void *user_data, const char *node, char *address,
+		      size_t size)
+{
+	const gateway_t *gateway = user_data;
+
+	return gateway->peer_load &&
+	       peer_load_address(gateway->peer_load, node, address, size);
+}
+
 static gboolean start_store(gateway_t *gateway,
 			    const gateway_options_t *options, GError **error)
 {
@@ -263,6 +272,14 @@
 static void start_jobs(gateway_t *gateway, const gateway_options_t *options)
 {
 	segment_cache_t *cache = segment_cache_new(SEGMENT_CACHE_BYTES);
+	job_reader_options_t reader = {
+		.context = &gateway->jobs,
+		.cache = cache,
+		.client = gateway->rpc_client,
+		.server = gateway->rpc_server,
+		.find_node = find_node,
+		.user_data = gateway,
+	};
 
 	gateway->jobs = (job_context_t){
 		.base = gateway->base,
@@ -282,8 +299,9 @@
 	};
 	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
 	gateway->job_table = job_table_new(&gateway->jobs, gateway->job_owner);
-	gateway->job_reader =
-		job_reader_new(&gateway->jobs, gateway->job_owner, cache);
+	reader.table = gateway->job_table;
+	reader.owner = gateway->job_owner;
+	gateway->job_reader = job_reader_new(&reader);
 }
 
 static void on_load_changed(void *user_data)
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -15,6 +15,8 @@
 /* Results that finish close together are written together. */
 #define GATHER_MS 250
 #define RETRY_MS 200
+/* Half of the lease, which other nodes count from their first sight. */
+#define FRESH_MS 2000
 
 struct owned_job {
 	job_owner_t *owner;
@@ -34,6 +36,8 @@
 	uint32_t segments; /* written by this owner */
 	int64_t fresh_since_us;
 	int64_t written_us; /* of the last successful write */
+	int64_t called_us; /* start of the present call, elapsed time */
+	int64_t confirmed_us; /* start of the last successful one */
 	int64_t write_not_before_us;
 	int64_t due_us;
 };
@@ -182,6 +186,7 @@
 	job->runs = g_new0(job_item_run_t, items->len);
 	job->fresh = g_ptr_array_new_with_free_func(job_result_free);
 	job->written_us = now_us(owner);
+	job->confirmed_us = clock_elapsed_us(owner->context->clock);
 	route = route_of(job);
 	/* Wall clocks may be some seconds apart; that only changes the order
 	 * of jobs. */
@@ -205,6 +210,12 @@
 
 static void write_record(owned_job_t *job);
 
+static void begin_call(owned_job_t *job)
+{
+	job->writing = true;
+	job->called_us = clock_elapsed_us(job->owner->context->clock);
+}
+
 static void retry_later(owned_job_t *job, const GError *error)
 {
 	log_warn("job_write_failed", "job=%s version=%" PRIu64 " error=%s",
@@ -242,6 +253,7 @@
 	job->version = version;
 	job->refresh = false;
 	job->written_us = now_us(job->owner);
+	job->confirmed_us = job->called_us;
 	if (job->segment && names_segment(record, job->segment_key))
 		segment_listed(job);
 	if (record->ended) {
@@ -277,7 +289,7 @@
 {
 	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
 
-	job->writing = true;
+	begin_call(job);
 	object_get(job->owner->context->store, key, on_read, job);
 	g_free(key);
 }
@@ -342,7 +354,7 @@
 		record->owner = g_strdup("");
 	}
 	text = job_record_encode(record);
-	job->writing = true;
+	begin_call(job);
 	object_put(context->store, key, text, strlen(text), job->version,
 		   context->writer, on_record_written, job);
 	job_record_free(record);
@@ -372,7 +384,7 @@
 	const job_context_t *context = job->owner->context;
 	char *text = job_results_encode(job->segment);
 
-	job->writing = true;
+	begin_call(job);
 	object_put(context->store, job->segment_key, text, strlen(text),
 		   OBJECT_ABSENT, context->writer, on_segment_written, job);
 	g_free(text);
@@ -547,6 +559,17 @@
 	return job ? job->record : NULL;
 }
 
+const job_record_t *job_owner_fresh_record(job_owner_t *owner, const char *id)
+{
+	const owned_job_t *job = find(owner, id);
+	int64_t age_us;
+
+	if (!job)
+		return NULL;
+	age_us = clock_elapsed_us(owner->context->clock) - job->confirmed_us;
+	return age_us <= FRESH_MS * 1000 ? job->record : NULL;
+}
+
 const GPtrArray *job_owner_items(job_owner_t *owner, const char *id)
 {
 	const owned_job_t *job = find(owner, id);
--- a/src/gateway/job_owner.h
+++ b/src/gateway/job_owner.h
@@ -31,6 +31,12 @@
 void job_owner_refresh(job_owner_t *owner, const char *id);
 /* The record as last written, or NULL when this node does not own the job. */
 const job_record_t *job_owner_record(job_owner_t *owner, const char *id);
+/*
+ * The same, but NULL also when the store has not confirmed it for so long that
+ * another node may have taken the job over. Time in which the machine was
+ * suspended counts.
+ */
+const job_record_t *job_owner_fresh_record(job_owner_t *owner, const char *id);
 /* Items of an owned job, or NULL. */
 const GPtrArray *job_owner_items(job_owner_t *owner, const char *id);
 /* Gives all jobs away, once their running items are done. */
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -5,13 +5,18 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "gateway/job_load.h"
+#include "rpc/store_xdr.h"
 
 /* Closed records are small; the bound keeps a long life from filling memory. */
 #define MAX_CLOSED 2000
+/* Some round trips; then the store is asked. */
+#define OWNER_TIMEOUT_MS 150
+#define ADDRESS_BYTES 64
 #define END_TRIES 8
 #define END_RETRY_MS 100
 
 struct job_reader {
+	job_reader_options_t options;
 	job_context_t *context;
 	job_owner_t *owner;
 	segment_cache_t *cache;
@@ -46,14 +51,38 @@
 	job_record_free(record);
 }
 
-job_reader_t *job_reader_new(job_context_t *context, job_owner_t *owner,
-			     segment_cache_t *cache)
+static void handle_job_record(rpc_call_t *call, const void *data,
+			      void *user_data)
+{
+	const store_job_args *args = data;
+	job_reader_t *reader = user_data;
+	const job_record_t *record =
+		job_owner_fresh_record(reader->owner, args->job);
+	char *text = record ? job_record_encode(record) : g_strdup("");
+	store_job_result result = { .record = text };
+
+	rpc_reply(call, &result);
+	g_free(text);
+}
+
+job_reader_t *job_reader_new(const job_reader_options_t *options)
 {
 	job_reader_t *reader = g_new0(job_reader_t, 1);
+	const rpc_procedure_t procedure = {
+		.program = PEER_PROGRAM,
+		.procedure = PEER_JOB_RECORD,
+		.decode = (xdrproc_t)xdr_store_job_args,
+		.args_size = sizeof(store_job_args),
+		.encode = (xdrproc_t)xdr_store_job_result,
+		.handler = handle_job_record,
+		.user_data = reader,
+	};
 
-	reader->context = context;
-	reader->owner = owner;
-	reader->cache = cache;
+	reader->options = *options;
+	reader->context = options->context;
+	reader->owner = options->owner;
+	reader->cache = options->cache;
+	rpc_server_register(options->server, &procedure);
 	reader->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       record_free);
 	return reader;
@@ -120,15 +149,57 @@
 	g_free(key);
 }
 
+static void on_owner_record(const void *data, const GError *error,
+			    void *user_data)
+{
+	const store_job_result *result = data;
+	query_t *query = user_data;
+
+	if (!error)
+		query->record = job_record_decode(result->record);
+	if (query->record)
+		query->with_record(query);
+	else
+		read_record(query);
+}
+
+/* Returns false when the owner is not known. */
+static bool ask_owner(query_t *query)
+{
+	const job_reader_options_t *options = &query->reader->options;
+	const char *owner = job_table_owner(options->table, query->id);
+	store_job_args args = { .job = query->id };
+	char address[ADDRESS_BYTES];
+	rpc_call_options_t call = {
+		.address = address,
+		.program = PEER_PROGRAM,
+		.procedure = PEER_JOB_RECORD,
+		.encode = (xdrproc_t)xdr_store_job_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_store_job_result,
+		.result_size = sizeof(store_job_result),
+		.timeout_ms = OWNER_TIMEOUT_MS,
+		.done = on_owner_record,
+		.user_data = query,
+	};
+
+	if (!owner || !options->find_node(options->user_data, owner, address,
+					  sizeof(address)))
+		return false;
+	rpc_client_call(options->client, &call);
+	return true;
+}
+
 static void find_record(query_t *query)
 {
 	const job_record_t *record =
-		job_owner_record(query->reader->owner, query->id);
+		job_owner_fresh_record(query->reader->owner, query->id);
 
 	if (!record)
 		record = g_hash_table_lookup(query->reader->closed, query->id);
 	if (!record) {
-		read_record(query);
+		if (!ask_owner(query))
+			read_record(query);
 		return;
 	}
 	query->record = job_record_copy(record);
--- a/src/gateway/job_read.h
+++ b/src/gateway/job_read.h
@@ -3,14 +3,17 @@
 
 #include "gateway/job_context.h"
 #include "gateway/job_owner.h"
+#include "gateway/job_table.h"
 #include "gateway/segment_cache.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
 
 /*
  * job_read - results, bodies and the end of batch jobs, at any node.
  *
- * The owner answers from memory; other nodes read the record anew, so that a
- * result that a caller has seen anywhere is never missing here. Records of
- * closed jobs no longer change and are kept.
+ * The owner answers from memory; other nodes ask the owner or read the record
+ * anew, so that a result that a caller has seen anywhere is never missing
+ * here. Records of closed jobs no longer change and are kept.
  */
 typedef struct job_reader job_reader_t;
 
@@ -33,8 +36,20 @@
 				void *user_data);
 typedef void (*job_end_done_t)(job_found_t found, void *user_data);
 
-job_reader_t *job_reader_new(job_context_t *context, job_owner_t *owner,
-			     segment_cache_t *cache);
+typedef struct job_reader_options {
+	job_context_t *context;
+	job_owner_t *owner;
+	job_table_t *table;
+	segment_cache_t *cache;
+	rpc_client_t *client;
+	rpc_server_t *server;
+	/* Address of a node by name, into the buffer; false: not known. */
+	bool (*find_node)(void *user_data, const char *node, char *address,
+			  size_t size);
+	void *user_data;
+} job_reader_options_t;
+
+job_reader_t *job_reader_new(const job_reader_options_t *options);
 
 /* Results from a position on, max_bytes of text at most but at least one. */
 void job_read_results(job_reader_t *reader, const char *id, uint32_t after,
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -249,6 +249,15 @@
 	return tokens;
 }
 
+const char *job_table_owner(const job_table_t *table, const char *id)
+{
+	const seen_job_t *job = g_hash_table_lookup(table->jobs, id);
+
+	if (!job || job_record_is_closed(job->record) || !*job->record->owner)
+		return NULL;
+	return job->record->owner;
+}
+
 void job_table_stop(job_table_t *table)
 {
 	table->stopping = true;
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -24,6 +24,9 @@
 /* Tokens of items without a result over the open jobs of a route. */
 int64_t job_table_waiting_tokens(const job_table_t *table,
 				 const path_route_t *route);
+/* The node that runs an open job, by a view that is some seconds late; NULL:
+ * not known, or nobody. */
+const char *job_table_owner(const job_table_t *table, const char *id);
 /* Takes nothing over from now on. */
 void job_table_stop(job_table_t *table);
 
