--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -41,6 +41,15 @@
 	evtimer_add(follow->timer, &pause);
 }
 
+static void relist(follow_t *follow)
+{
+	if (!follow->keys)
+		follow->keys = g_hash_table_new_full(g_str_hash, g_str_equal,
+						     g_free, NULL);
+	g_hash_table_remove_all(follow->keys);
+	g_clear_pointer(&follow->after, g_free);
+}
+
 static void on_failure(follow_t *follow, const GError *error)
 {
 	if (!follow->lost)
@@ -50,6 +59,9 @@
 			 follow->revision, log_quote(error->message));
 	follow->lost = true;
 	follow->steady_since_us = 0;
+	/* A watch that was cut may have missed changes, and one from the same
+	 * revision need not tell that they are gone. */
+	relist(follow);
 	follow->retry_ms =
 		MIN(MAX(follow->retry_ms * 2, FIRST_RETRY_MS), MAX_RETRY_MS);
 	call_later(follow, follow->retry_ms);
@@ -69,15 +81,6 @@
 		follow->steady_since_us = now_us;
 }
 
-static void relist(follow_t *follow)
-{
-	if (!follow->keys)
-		follow->keys = g_hash_table_new_full(g_str_hash, g_str_equal,
-						     g_free, NULL);
-	g_hash_table_remove_all(follow->keys);
-	g_clear_pointer(&follow->after, g_free);
-}
-
 static void apply(follow_t *follow, const object_listing_t *listing)
 {
 	for (guint i = 0; i < listing->entries->len; i++) {
@@ -105,7 +108,9 @@
 			 follow->prefix, follow->revision);
 		on_answer(follow);
 		relist(follow);
-		call_store(follow);
+		/* A stale listing may be older than the history, again and
+		 * again. */
+		call_later(follow, follow->options.pause_ms);
 		return;
 	}
 	if (error) {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,9 +7,6 @@
 
 /* Upper bound of how late a time limit of a request is noticed. */
 #define TICK_MS 50
-/* A silent connection to the store must not hide a change for longer than
- * a VM may be out of contact, 3 s, together with the call's own grace. */
-#define WATCH_WAIT_MS 2500
 /* The balancer needs two probes, a second apart, to take a node out. */
 #define LINGER_MS 2600
 /* For requests on connections that were accepted last. */
@@ -185,14 +182,14 @@
 		event_base_loopbreak(gateway->base);
 }
 
-static void start_follows(gateway_t *gateway)
+static void start_follows(gateway_t *gateway, int32_t wait_ms)
 {
 	follow_options_t options = {
 		.base = gateway->base,
 		.clock = gateway->clock,
 		.store = gateway->store,
 		.prefix = gateway->codec->config_prefix,
-		.wait_ms = WATCH_WAIT_MS,
+		.wait_ms = wait_ms,
 		.changed = on_config_changed,
 		.removed = on_config_removed,
 		.user_data = gateway,
@@ -367,7 +364,7 @@
 	start_jobs(gateway, options);
 	if (!start_peer_load(gateway, options, error))
 		return NULL;
-	start_follows(gateway);
+	start_follows(gateway, options->watch_wait_ms);
 	gateway->tick =
 		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
 	event_add(gateway->tick, &period);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,6 +50,7 @@
 	int64_t grace_ms; /* until the process is killed after SIGTERM */
 	int64_t runner_hold_ms; /* requests may still go to a runner that has
 				 * left the list */
+	int32_t watch_wait_ms; /* longest wait of a watch on the store */
 	const gateway_codec_t *codec;
 	const runner_protocol_t *protocol;
 } gateway_options_t;
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -13,7 +13,7 @@
  * time within which an ended job must stop. */
 #define RENEW_MS 1500
 /* Results that finish close together are written together. */
-#define GATHER_MS 250
+#define GATHER_MS 500
 #define RETRY_MS 200
 /* Half of the lease, which other nodes count from their first sight. */
 #define FRESH_MS 2000
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -57,32 +57,53 @@
 	const store_job_args *args = data;
 	job_reader_t *reader = user_data;
 	const job_record_t *record =
-		job_owner_fresh_record(reader->owner, args->job);
+		job_owner_fresh_record(reader->owner, args->name);
 	char *text = record ? job_record_encode(record) : g_strdup("");
-	store_job_result result = { .record = text };
+	store_job_result result = { .text = text };
 
 	rpc_reply(call, &result);
 	g_free(text);
 }
 
-job_reader_t *job_reader_new(const job_reader_options_t *options)
+static void handle_job_segment(rpc_call_t *call, const void *data,
+			       void *user_data)
+{
+	const store_job_args *args = data;
+	job_reader_t *reader = user_data;
+	const GPtrArray *results = segment_cache_get(reader->cache, args->name);
+	char *text = results ? job_results_encode(results) : g_strdup("");
+	store_job_result result = { .text = text };
+
+	rpc_reply(call, &result);
+	g_free(text);
+}
+
+static void register_procedure(job_reader_t *reader, uint32_t number,
+			       rpc_handler_t handler)
 {
-	job_reader_t *reader = g_new0(job_reader_t, 1);
 	const rpc_procedure_t procedure = {
 		.program = PEER_PROGRAM,
-		.procedure = PEER_JOB_RECORD,
+		.procedure = number,
 		.decode = (xdrproc_t)xdr_store_job_args,
 		.args_size = sizeof(store_job_args),
 		.encode = (xdrproc_t)xdr_store_job_result,
-		.handler = handle_job_record,
+		.handler = handler,
 		.user_data = reader,
 	};
 
+	rpc_server_register(reader->options.server, &procedure);
+}
+
+job_reader_t *job_reader_new(const job_reader_options_t *options)
+{
+	job_reader_t *reader = g_new0(job_reader_t, 1);
+
 	reader->options = *options;
 	reader->context = options->context;
 	reader->owner = options->owner;
 	reader->cache = options->cache;
-	rpc_server_register(options->server, &procedure);
+	register_procedure(reader, PEER_JOB_RECORD, handle_job_record);
+	register_procedure(reader, PEER_JOB_SEGMENT, handle_job_segment);
 	reader->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       record_free);
 	return reader;
@@ -156,35 +177,35 @@
 	query_t *query = user_data;
 
 	if (!error)
-		query->record = job_record_decode(result->record);
+		query->record = job_record_decode(result->text);
 	if (query->record)
 		query->with_record(query);
 	else
 		read_record(query);
 }
 
-/* Returns false when the owner is not known. */
-static bool ask_owner(query_t *query)
+/* Returns false when the node is not known. */
+static bool ask_node(query_t *query, const char *node, uint32_t procedure,
+		     const char *name, rpc_done_t done)
 {
 	const job_reader_options_t *options = &query->reader->options;
-	const char *owner = job_table_owner(options->table, query->id);
-	store_job_args args = { .job = query->id };
+	const store_job_args args = { .name = (char *)name };
 	char address[ADDRESS_BYTES];
-	rpc_call_options_t call = {
+	const rpc_call_options_t call = {
 		.address = address,
 		.program = PEER_PROGRAM,
-		.procedure = PEER_JOB_RECORD,
+		.procedure = procedure,
 		.encode = (xdrproc_t)xdr_store_job_args,
 		.args = &args,
 		.decode = (xdrproc_t)xdr_store_job_result,
 		.result_size = sizeof(store_job_result),
 		.timeout_ms = OWNER_TIMEOUT_MS,
-		.done = on_owner_record,
+		.done = done,
 		.user_data = query,
 	};
 
-	if (!owner || !options->find_node(options->user_data, owner, address,
-					  sizeof(address)))
+	if (!node || !options->find_node(options->user_data, node, address,
+					 sizeof(address)))
 		return false;
 	rpc_client_call(options->client, &call);
 	return true;
@@ -198,7 +219,10 @@
 	if (!record)
 		record = g_hash_table_lookup(query->reader->closed, query->id);
 	if (!record) {
-		if (!ask_owner(query))
+		if (!ask_node(query,
+			      job_table_owner(query->reader->options.table,
+					      query->id),
+			      PEER_JOB_RECORD, query->id, on_owner_record))
 			read_record(query);
 		return;
 	}
@@ -270,7 +294,32 @@
 		return;
 	}
 	segment_cache_put(query->reader->cache, segment->key, results);
-	query->segment++;
+	read_segments(query);
+}
+
+static void read_segment(query_t *query)
+{
+	const job_segment_t *segment =
+		query->record->segments->pdata[query->segment];
+
+	object_get(query->reader->context->store, segment->key, on_segment,
+		   query);
+}
+
+static void on_owner_segment(const void *data, const GError *error,
+			     void *user_data)
+{
+	const store_job_result *result = data;
+	query_t *query = user_data;
+	const job_segment_t *segment =
+		query->record->segments->pdata[query->segment];
+	GPtrArray *results = error ? NULL : job_results_decode(result->text);
+
+	if (!results) {
+		read_segment(query);
+		return;
+	}
+	segment_cache_put(query->reader->cache, segment->key, results);
 	read_segments(query);
 }
 
@@ -291,8 +340,10 @@
 		held = segment_cache_get(query->reader->cache, segment->key);
 		if (!held) {
 			query->segment = i;
-			object_get(query->reader->context->store, segment->key,
-				   on_segment, query);
+			if (!ask_node(query, query->record->owner,
+				      PEER_JOB_SEGMENT, segment->key,
+				      on_owner_segment))
+				read_segment(query);
 			return;
 		}
 		for (guint j = 0; j < held->len; j++)
--- a/src/rpc/store.x
+++ b/src/rpc/store.x
@@ -3,6 +3,7 @@
 const PEER_PROGRAM = 0x20000778;
 const PEER_STORE_CALL = 1;
 const PEER_JOB_RECORD = 2;
+const PEER_JOB_SEGMENT = 3;
 
 const STORE_KEY_MAX = 1024;
 const STORE_WRITER_MAX = 256;
@@ -49,11 +50,12 @@
 	store_call_entry entries<STORE_ENTRIES_MAX>;
 };
 
+/* The id of a job, or the key of a segment. */
 struct store_job_args {
-	string job<STORE_KEY_MAX>;
+	string name<STORE_KEY_MAX>;
 };
 
-/* record is empty when the receiver does not own the job. */
+/* The object's text; empty when the receiver does not have it. */
 struct store_job_result {
-	string record<STORE_DATA_MAX>;
+	string text<STORE_DATA_MAX>;
 };
--- a/src/rpc/store_xdr.c
+++ b/src/rpc/store_xdr.c
@@ -85,7 +85,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->job, STORE_KEY_MAX))
+	 if (!xdr_string (xdrs, &objp->name, STORE_KEY_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -95,7 +95,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->record, STORE_DATA_MAX))
+	 if (!xdr_string (xdrs, &objp->text, STORE_DATA_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/rpc/store_xdr.h
+++ b/src/rpc/store_xdr.h
@@ -16,6 +16,7 @@
 #define PEER_PROGRAM 0x20000778
 #define PEER_STORE_CALL 1
 #define PEER_JOB_RECORD 2
+#define PEER_JOB_SEGMENT 3
 #define STORE_KEY_MAX 1024
 #define STORE_WRITER_MAX 256
 #define STORE_DATA_MAX 2097152
@@ -69,12 +70,12 @@
 typedef struct store_call_result store_call_result;
 
 struct store_job_args {
-	char *job;
+	char *name;
 };
 typedef struct store_job_args store_job_args;
 
 struct store_job_result {
-	char *record;
+	char *text;
 };
 typedef struct store_job_result store_job_result;
 
