--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,7 +1,9 @@
 #include "base/log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -11,13 +13,21 @@
 #define LINE_MAX_BYTES 2048
 #define QUOTE_MAX_BYTES 512
 #define QUOTE_BUFFERS 4
+#define DROPPED_PERIOD_US 1000000
 
 static struct {
 	char node_id[64];
 	log_level_t min_level;
 	log_sink_t sink;
 	void *sink_data;
-} logger = { .node_id = "-", .min_level = LOG_LEVEL_INFO };
+	int fd;
+	uint32_t lines_per_s; /* 0: unlimited */
+	double tokens;
+	int64_t refilled_us;
+	int64_t told_us; /* when dropped lines were last logged */
+	uint64_t dropped;
+	uint64_t dropped_told;
+} logger = { .node_id = "-", .min_level = LOG_LEVEL_INFO, .fd = STDERR_FILENO };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
 
@@ -27,6 +37,54 @@
 	logger.min_level = min_level;
 }
 
+void log_to_output(uint32_t lines_per_s)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	logger.fd = STDOUT_FILENO;
+	logger.lines_per_s = lines_per_s;
+	logger.tokens = lines_per_s;
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+uint64_t log_dropped(void)
+{
+	return logger.dropped;
+}
+
+/* A token bucket; what matters most is not limited. */
+static bool takes_token(log_level_t level, int64_t now_us)
+{
+	double refill;
+
+	if (!logger.lines_per_s || level >= LOG_LEVEL_WARN)
+		return true;
+	refill = (double)(now_us - logger.refilled_us) * logger.lines_per_s /
+		 1e6;
+	logger.tokens = logger.tokens + refill < logger.lines_per_s ?
+				logger.tokens + refill :
+				logger.lines_per_s;
+	logger.refilled_us = now_us;
+	if (logger.tokens < 1)
+		return false;
+	logger.tokens -= 1;
+	return true;
+}
+
+static void tell_dropped(int64_t now_us)
+{
+	uint64_t dropped = logger.dropped;
+
+	if (dropped == logger.dropped_told ||
+	    now_us - logger.told_us < DROPPED_PERIOD_US)
+		return;
+	logger.told_us = now_us;
+	log_write(LOG_LEVEL_WARN, "log_dropped", "lines=%" PRIu64,
+		  dropped - logger.dropped_told);
+	logger.dropped_told = dropped;
+}
+
 void log_set_sink(log_sink_t sink, void *user_data)
 {
 	logger.sink = sink;
@@ -48,10 +106,17 @@
 {
 	char line[LINE_MAX_BYTES];
 	va_list args;
+	int64_t now_us;
 	int used, added;
 
 	if (level < logger.min_level)
 		return;
+	now_us = clock_now_us(clock_system());
+	if (!takes_token(level, now_us)) {
+		logger.dropped++;
+		return;
+	}
+	tell_dropped(now_us);
 	used = snprintf(line, sizeof(line),
 			"ts=%" PRId64 " level=%s node=%s event=%s ",
 			clock_wall_ms(clock_system()), level_names[level],
@@ -71,8 +136,8 @@
 		logger.sink(line, logger.sink_data);
 	line[used++] = '\n';
 	/* One write per line keeps lines of several processes whole. */
-	if (write(STDERR_FILENO, line, used) < 0)
-		return;
+	if (write(logger.fd, line, used) < 0)
+		logger.dropped++;
 }
 
 const char *log_quote(const char *value)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -4,7 +4,8 @@
 #include <stdint.h>
 
 /*
- * log - one key=value line per event on standard error.
+ * log - one key=value line per event, on standard error unless log_to_output()
+ * is called.
  *
  * A line starts with ts (wall clock, ms since the epoch), level, node and
  * event; the printf-style pairs follow. Values that may hold blanks or quotes
@@ -25,6 +26,15 @@
 void log_init(const char *node_id, log_level_t min_level);
 void log_set_sink(log_sink_t sink, void *user_data);
 
+/*
+ * Writes to standard output without ever waiting for its reader, and at most
+ * lines_per_s lines a second with a burst of as many. Warnings and errors go
+ * before the limit. The number of lines left out is logged once a second at
+ * most, and is counted by log_dropped().
+ */
+void log_to_output(uint32_t lines_per_s);
+uint64_t log_dropped(void);
+
 /* Parses debug, info, warn or error; returns false for any other name. */
 int log_parse_level(const char *name, log_level_t *level);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -395,6 +395,19 @@
 	const histogram_t *latency = relay_latency(gateway->relay);
 
 	counter_set_write(gateway->counters, out);
+	g_string_append_printf(
+		out,
+		"# TYPE wasabilink_runners gauge\n"
+		"wasabilink_runners %u\n"
+		"# TYPE wasabilink_requests_active gauge\n"
+		"wasabilink_requests_active %u\n"
+		"# TYPE wasabilink_batch_jobs_owned gauge\n"
+		"wasabilink_batch_jobs_owned %u\n"
+		"# TYPE wasabilink_log_lines_dropped_total "
+		"counter\n"
+		"wasabilink_log_lines_dropped_total %" PRIu64 "\n",
+		fleet_size(gateway->fleet), relay_active(gateway->relay),
+		job_owner_count(gateway->job_owner), log_dropped());
 	g_string_append(out,
 			"# TYPE wasabilink_first_answer_seconds summary\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
