--- a/src/gateway/job_load.c
+++ b/src/gateway/job_load.c
@@ -34,7 +34,7 @@
 {
 	load_t *load = user_data;
 
-	if (error || !job_items_decode(value->data, load->items)) {
+	if (error || !job_items_decode(value->data, value->len, load->items)) {
 		log_warn("payload_unread", "job=%s part=%u error=%s", load->id,
 			 load->next,
 			 error ? error_name(error->code) : "unreadable");
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -277,7 +277,7 @@
 		retry_later(job, error);
 		return;
 	}
-	record = job_record_decode(value->data);
+	record = job_record_decode(value->data, value->len);
 	if (record)
 		adopt_record(job, record, value->version);
 	else
@@ -298,7 +298,8 @@
 			      void *user_data)
 {
 	owned_job_t *job = user_data;
-	job_record_t *record = value ? job_record_decode(value->data) : NULL;
+	job_record_t *record =
+		value ? job_record_decode(value->data, value->len) : NULL;
 
 	job->writing = false;
 	if (error && error->code != WL_ERROR_CONFLICT) {
--- a/src/gateway/job_quota.c
+++ b/src/gateway/job_quota.c
@@ -40,7 +40,8 @@
 
 static void add(check_t *check, const object_entry_t *entry)
 {
-	job_record_t *record = job_record_decode(entry->data);
+	job_record_t *record =
+		job_record_decode(entry->data, strlen(entry->data));
 
 	if (!record)
 		return;
@@ -93,11 +94,14 @@
 		     job_quota_done_t done, void *user_data)
 {
 	int64_t quota = route->max_waiting_tokens;
-	int64_t waiting = job_table_waiting_tokens(table, route);
 	check_t *check;
 
-	if (quota == 0 ||
-	    (double)(waiting + tokens) <= (double)quota * SAFE_SHARE) {
+	if (quota == 0) {
+		done(true, user_data);
+		return;
+	}
+	if ((double)(job_table_waiting_tokens(table, route) + tokens) <=
+	    (double)quota * SAFE_SHARE) {
 		done(true, user_data);
 		return;
 	}
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -151,7 +151,7 @@
 		return;
 	}
 	job_record_free(query->record);
-	query->record = job_record_decode(value->data);
+	query->record = job_record_decode(value->data, value->len);
 	query->version = value->version;
 	if (!query->record) {
 		log_error("job_unreadable", "job=%s", query->id);
@@ -177,7 +177,8 @@
 	query_t *query = user_data;
 
 	if (!error)
-		query->record = job_record_decode(result->text);
+		query->record =
+			job_record_decode(result->text, strlen(result->text));
 	if (query->record)
 		query->with_record(query);
 	else
@@ -284,7 +285,8 @@
 	query_t *query = user_data;
 	const job_segment_t *segment =
 		query->record->segments->pdata[query->segment];
-	GPtrArray *results = error ? NULL : job_results_decode(value->data);
+	GPtrArray *results =
+		error ? NULL : job_results_decode(value->data, value->len);
 
 	if (!results) {
 		log_warn("segment_unread", "job=%s segment=%s error=%s",
@@ -313,7 +315,9 @@
 	query_t *query = user_data;
 	const job_segment_t *segment =
 		query->record->segments->pdata[query->segment];
-	GPtrArray *results = error ? NULL : job_results_decode(result->text);
+	GPtrArray *results =
+		error ? NULL :
+			job_results_decode(result->text, strlen(result->text));
 
 	if (!results) {
 		read_segment(query);
--- a/src/gateway/job_record.c
+++ b/src/gateway/job_record.c
@@ -133,9 +133,9 @@
 	g_free(key);
 }
 
-job_record_t *job_record_decode(const char *text)
+job_record_t *job_record_decode(const char *text, size_t len)
 {
-	json_t *root = text ? json_loads(text, 0, NULL) : NULL;
+	json_t *root = text ? json_loadb(text, len, 0, NULL) : NULL;
 	job_record_t *record = NULL;
 	size_t index;
 	json_t *item;
@@ -256,9 +256,9 @@
 	return item;
 }
 
-bool job_items_decode(const char *text, GPtrArray *items)
+bool job_items_decode(const char *text, size_t len, GPtrArray *items)
 {
-	json_t *root = text ? json_loads(text, 0, NULL) : NULL;
+	json_t *root = text ? json_loadb(text, len, 0, NULL) : NULL;
 	bool readable = json_is_array(root);
 	size_t index;
 	json_t *value;
@@ -294,9 +294,9 @@
 	return dump(array);
 }
 
-GPtrArray *job_results_decode(const char *text)
+GPtrArray *job_results_decode(const char *text, size_t len)
 {
-	json_t *root = text ? json_loads(text, 0, NULL) : NULL;
+	json_t *root = text ? json_loadb(text, len, 0, NULL) : NULL;
 	GPtrArray *results = NULL;
 	size_t index;
 	json_t *value;
--- a/src/gateway/job_record.h
+++ b/src/gateway/job_record.h
@@ -68,8 +68,8 @@
 void job_record_free(job_record_t *record);
 /* Freed by g_free(). */
 char *job_record_encode(const job_record_t *record);
-/* NULL for a text that is no record. */
-job_record_t *job_record_decode(const char *text);
+/* NULL for a text that is no record; text may be NULL. */
+job_record_t *job_record_decode(const char *text, size_t len);
 
 void job_record_add_segment(job_record_t *record, const char *key,
 			    const uint32_t *items, uint32_t count);
@@ -82,13 +82,13 @@
 /* Items of one payload part, or of a submission; bodies are in base64. */
 char *job_items_encode(const GPtrArray *items, guint first, guint count);
 /* An array of job_item_t to which the items are added; false: unreadable. */
-bool job_items_decode(const char *text, GPtrArray *items);
+bool job_items_decode(const char *text, size_t len, GPtrArray *items);
 job_item_t *job_item_new(void);
 void job_item_free(void *item);
 
 char *job_results_encode(const GPtrArray *results);
 /* An array of job_result_t, or NULL. */
-GPtrArray *job_results_decode(const char *text);
+GPtrArray *job_results_decode(const char *text, size_t len);
 void job_result_free(void *result);
 
 #endif
--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -87,7 +87,8 @@
 			void *user_data)
 {
 	submit_t *submit = user_data;
-	job_record_t *record = value ? job_record_decode(value->data) : NULL;
+	job_record_t *record =
+		value ? job_record_decode(value->data, value->len) : NULL;
 
 	if (record && is_own(submit, value) &&
 	    !job_owner_record(submit->owner, submit->id) &&
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -77,7 +77,8 @@
 
 static void on_changed(const object_entry_t *entry, void *user_data)
 {
-	job_record_t *record = job_record_decode(entry->data);
+	job_record_t *record =
+		job_record_decode(entry->data, strlen(entry->data));
 
 	if (!record) {
 		log_error("job_unreadable", "key=%s version=%" PRIu64,
@@ -166,7 +167,8 @@
 {
 	seen_job_t *job = user_data;
 	job_table_t *table = job->table;
-	job_record_t *record = value ? job_record_decode(value->data) : NULL;
+	job_record_t *record =
+		value ? job_record_decode(value->data, value->len) : NULL;
 	bool mine = record && strcmp(record->owner, table->context->node) == 0;
 
 	log_info("job_takeover",
--- a/tests/test_job_record.c
+++ b/tests/test_job_record.c
@@ -26,7 +26,7 @@
 {
 	job_record_t *record = sample();
 	char *text = job_record_encode(record);
-	job_record_t *read = job_record_decode(text);
+	job_record_t *read = job_record_decode(text, strlen(text));
 	char *again = job_record_encode(read);
 
 	CU_ASSERT_STRING_EQUAL(text, again);
@@ -68,10 +68,11 @@
 					     "{\"owner\":1,\"items\":2}",
 					     "{\"owner\":\"a\"}" };
 
-	CU_ASSERT_PTR_NULL(job_record_decode(NULL));
+	CU_ASSERT_PTR_NULL(job_record_decode(NULL, 0));
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
-		CU_ASSERT_PTR_NULL(job_record_decode(texts[i]));
-	CU_ASSERT_PTR_NULL(job_results_decode("{}"));
+		CU_ASSERT_PTR_NULL(
+			job_record_decode(texts[i], strlen(texts[i])));
+	CU_ASSERT_PTR_NULL(job_results_decode("{}", 2));
 }
 
 /* Bodies may hold any bytes, and none of them may change. */
@@ -92,13 +93,13 @@
 	g_ptr_array_add(item->headers, g_strdup("m"));
 	g_ptr_array_add(items, item);
 	text = job_items_encode(items, 0, 1);
-	CU_ASSERT(job_items_decode(text, read));
+	CU_ASSERT(job_items_decode(text, strlen(text), read));
 	CU_ASSERT_EQUAL(read->len, 1);
 	copy = read->pdata[0];
 	CU_ASSERT(g_bytes_equal(copy->body, item->body));
 	CU_ASSERT_STRING_EQUAL(copy->headers->pdata[1], "m");
 	CU_ASSERT_EQUAL(copy->tokens, 940);
-	CU_ASSERT_FALSE(job_items_decode("{\"a\":1}", read));
+	CU_ASSERT_FALSE(job_items_decode("{\"a\":1}", 7, read));
 	g_free(text);
 	g_ptr_array_unref(items);
 	g_ptr_array_unref(read);
