Test the gateway as a process and fuzz its decoders

A request id of blanks was passed to a runner (test_gateway.py: 502 in place of 400).

Change: stand-ins of the store and the runners, a process test of refusals, cut streams, leaving runners, configuration, outages, batch jobs over two nodes, lost answers and a planned stop; fuzz targets for settings, store objects, event streams and load reports.

--- a/src/backend/sse.c
+++ b/src/backend/sse.c
@@ -111,8 +111,8 @@
 	size_t wanted = 0;
 	size_t event_len;
 
-	while (!sse->done_seen &&
-	       (event_len = sse_event_length(data + offset, len - offset)) > 0) {
+	while (!sse->done_seen && (event_len = sse_event_length(
+					   data + offset, len - offset)) > 0) {
 		if (inspect(sse, data + offset, event_len))
 			wanted = offset + event_len;
 		offset += event_len;
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -152,7 +152,8 @@
 	follow->synced = true;
 	if (follow->options.listed)
 		follow->options.listed(follow->keys, follow->options.user_data);
-	g_clear_pointer(&follow->keys, g_hash_table_destroy);
+	g_hash_table_destroy(follow->keys);
+	follow->keys = NULL;
 	g_clear_pointer(&follow->after, g_free);
 	call_store(follow);
 }
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -153,13 +153,13 @@
 	const job_item_t *item = job->items->pdata[index];
 	job_result_t *result = g_new0(job_result_t, 1);
 
-	if (state == JOB_COMPLETED)
+	if (state == JOB_RESULT_COMPLETED)
 		(*job->owner->items_completed_total)++;
 	else
 		(*job->owner->items_given_up_total)++;
 	log_info("item_finished", "job=%s item=%s state=%s failures=%u",
 		 job->id, item->id,
-		 state == JOB_COMPLETED ? "completed" : "given_up",
+		 state == JOB_RESULT_COMPLETED ? "completed" : "given_up",
 		 job->runs[index].failures);
 	result->item = index;
 	result->id = g_strdup(item->id);
@@ -348,7 +348,7 @@
 	char *text;
 
 	record->beat++;
-	if (job->segment_stored)
+	if (job->segment && job->segment_stored)
 		add_segment(job, record);
 	if (job->release) {
 		g_free(record->owner);
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -37,7 +37,7 @@
 
 	run->text = NULL;
 	run->state = JOB_ITEM_FINISHED;
-	if (state == JOB_GIVEN_UP)
+	if (state == JOB_RESULT_GIVEN_UP)
 		text[0] = '\0';
 	run->finished(run->user_data, run->index, state, text);
 }
@@ -78,7 +78,7 @@
 		 run->max_failures);
 	if (answer->status == STATUS_NEVER ||
 	    (answer->status == 500 && run->failures >= run->max_failures))
-		finish(run, JOB_GIVEN_UP);
+		finish(run, JOB_RESULT_GIVEN_UP);
 }
 
 static void on_end(run_end_t end, void *user_data)
@@ -92,7 +92,7 @@
 		return;
 	run->state = JOB_ITEM_WAITING;
 	if (streamed)
-		finish(run, JOB_COMPLETED);
+		finish(run, JOB_RESULT_COMPLETED);
 	else
 		back_off(run);
 }
--- a/src/gateway/job_record.h
+++ b/src/gateway/job_record.h
@@ -23,8 +23,8 @@
 #define JOB_SEGMENT_PREFIX "batch-results/"
 
 typedef enum job_result_state {
-	JOB_COMPLETED,
-	JOB_GIVEN_UP /* can never be done, or failed too often */
+	JOB_RESULT_COMPLETED,
+	JOB_RESULT_GIVEN_UP /* can never be done, or failed too often */
 } job_result_state_t;
 
 typedef struct job_item {
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -1,3 +1,8 @@
+#include "backend/event_reader.h"
+#include "gateway/job_record.h"
+#include "gateway/load_view.h"
+#include "platform/settings.h"
+#include "platform/store_decode.h"
 #include "fuzz/fuzz_target.h"
 
 #include <event2/buffer.h>
@@ -345,7 +350,77 @@
 	xdr_destroy(&xdrs);
 }
 
+static void run_settings(const uint8_t *data, size_t size)
+{
+	settings_t settings;
+
+	if (settings_parse((const char *)data, size, &settings, NULL))
+		settings_clear(&settings);
+}
+
+/* The configuration, a runner's entry and a batch job's objects. */
+static void run_store_object(const uint8_t *data, size_t size)
+{
+	char *text = g_strndup((const char *)data, size);
+	GRand *random = g_rand_new_with_seed(1);
+	const fleet_options_t options = { .clock = clock_system(),
+					  .random = random,
+					  .domain = "d" };
+	fleet_t *fleet = fleet_new(&options);
+	GPtrArray *items = g_ptr_array_new_with_free_func(job_item_free);
+	GPtrArray *results = job_results_decode(text, strlen(text));
+
+	path_table_unref(store_decode_paths(text, NULL));
+	store_decode_runner("r", text, fleet);
+	job_record_free(job_record_decode(text, strlen(text)));
+	job_items_decode(text, strlen(text), items);
+	if (results)
+		g_ptr_array_unref(results);
+	g_ptr_array_unref(items);
+	fleet_free(fleet);
+	g_rand_free(random);
+	g_free(text);
+}
+
+static void ignore_event(const char *raw, size_t raw_len, const char *data,
+			 size_t data_len, void *user_data)
+{
+	g_assert(data_len <= raw_len);
+}
+
+static void run_event_reader(const uint8_t *data, size_t size)
+{
+	event_reader_t reader;
+	size_t half = size / 2;
+
+	event_reader_init(&reader, EVENT_READER_NONE);
+	event_reader_feed(&reader, (const char *)data, half, ignore_event,
+			  NULL);
+	event_reader_feed(&reader, (const char *)data + half, size - half,
+			  ignore_event, NULL);
+	event_reader_clear(&reader);
+}
+
+static void run_load_report(const uint8_t *data, size_t size)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	const fleet_options_t options = { .clock = clock_system(),
+					  .random = random,
+					  .domain = "d" };
+	fleet_t *fleet = fleet_new(&options);
+	load_view_t *view = load_view_new(clock_system(), fleet, "n", 1);
+
+	load_view_apply(view, (char *)data, size);
+	load_view_free(view);
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 const fuzz_target_t fuzz_targets[] = {
+	{ "settings", run_settings },
+	{ "store_object", run_store_object },
+	{ "event_reader", run_event_reader },
+	{ "load_report", run_load_report },
 	{ "document", run_document },
 	{ "xdr", run_xdr },
 	{ "rpc", run_rpc },
--- /dev/null
+++ b/tests/process/gateway_standin.py
@@ -0,0 +1,285 @@
+"""Stand-ins for what surrounds a gateway: the metadata store and the runners
+of the users' platform, on loopback, with faults that a test sets."""
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "..", "scripts"))
+import fleet as f  # noqa: E402
+
+HOST = "site.example"
+SERVICE = "svc"
+
+
+class QuietHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+
+class QuietServer(ThreadingHTTPServer):
+    def handle_error(self, request, client_address):
+        """Gateways close connections at any time; that is no error here."""
+
+
+class Server:
+    """An HTTP server in threads; handler is a class with .owner set to self."""
+
+    def __init__(self, handler):
+        self.port = f.free_ports(1)[0]
+        kind = type("Handler", (handler,), {"owner": self})
+        self.http = QuietServer(("127.0.0.1", self.port), kind)
+        self.http.daemon_threads = True
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class StoreHandler(QuietHandler):
+    def answer(self, status, value):
+        text = json.dumps(value).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(text)))
+        self.end_headers()
+        self.wfile.write(text)
+
+    def handle_call(self):
+        url = urlparse(self.path)
+        parts = url.path.split("/")[3:]
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        body = self.body()
+        store = self.owner
+        with store.lock:
+            store.calls += 1
+            if store.down:
+                self.close_connection = True
+                self.connection.close()
+                return
+        if self.command == "GET" and "watch" in query:
+            self.answer(*store.watch(parts[0], int(query["watch"]),
+                                     int(query["wait_ms"])))
+        elif self.command == "GET" and len(parts) == 1:
+            self.answer(200, store.listing(parts[0]))
+        else:
+            status, value = store.change(self.command, parts, query,
+                                         json.loads(body) if body else {})
+            with store.lock:
+                lost = (store.lose_answers > 0 and self.command != "GET" and
+                        parts[0] == store.lose_kind)
+                if lost:
+                    store.lose_answers -= 1
+            if lost:
+                self.close_connection = True
+                self.connection.close()
+                return
+            self.answer(status, value)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_call
+
+
+class Store(Server):
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.objects = {}  # (kind, name) -> object
+        self.events = []  # (rev, kind, object, tombstone)
+        self.rev = 1
+        self.calls = 0
+        self.down = False
+        self.lose_answers = 0
+        self.lose_kind = ""
+        super().__init__(StoreHandler)
+
+    def listing(self, kind):
+        with self.lock:
+            items = [o for (k, _), o in sorted(self.objects.items())
+                     if k == kind]
+            return {"items": items, "has_more": False, "as_of": self.rev}
+
+    def watch(self, kind, since, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        with self.lock:
+            while True:
+                found = [e for e in self.events if e[0] > since and
+                         e[1] == kind]
+                left = end - time.monotonic()
+                if found or left <= 0:
+                    return 200, {"as_of": self.rev, "events": [
+                        {"object": o, "tombstone": t}
+                        for _, _, o, t in found]}
+                self.lock.wait(left)
+
+    def note(self, kind, obj, tombstone=False):
+        self.events.append((self.rev, kind, json.loads(json.dumps(obj)),
+                            tombstone))
+        self.lock.notify_all()
+
+    def change(self, method, parts, query, body):
+        kind = parts[0]
+        name = parts[1] if len(parts) > 1 else body["metadata"]["name"]
+        with self.lock:
+            old = self.objects.get((kind, name))
+            if method == "GET":
+                return (200, old) if old else (404, {})
+            if method == "POST" and old:
+                return 409, {}
+            if method != "POST" and not old:
+                return 404, {}
+            rev = body.get("metadata", {}).get("rev") or query.get("rev")
+            if old and rev and int(rev) != old["metadata"]["rev"]:
+                return 409, old
+            self.rev += 1
+            if method == "DELETE":
+                del self.objects[(kind, name)]
+                self.note(kind, old, True)
+                return 200, old
+            new = json.loads(json.dumps(old)) if old else {
+                "metadata": {"name": name, "finalizers": [],
+                             "deleting": False}, "status": None}
+            new["metadata"]["rev"] = self.rev
+            if parts[2:] == ["status"]:
+                new["status"] = body["status"]
+            else:
+                new["spec"] = body["spec"]
+            self.objects[(kind, name)] = new
+            self.note(kind, new)
+            return 200, new
+
+    def put(self, kind, name, spec):
+        """What the operator or a runner writes."""
+        method = "PUT" if (kind, name) in self.objects else "POST"
+        self.change(method, [kind, name], {}, {"metadata": {"name": name},
+                                               "spec": spec})
+
+    def remove(self, kind, name):
+        self.change("DELETE", [kind, name], {}, {})
+
+
+class RunnerHandler(QuietHandler):
+    def start_answer(self, status, *headers):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.end_headers()
+
+    def chunk(self, text):
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+        self.wfile.flush()
+
+    def do_POST(self):
+        runner = self.owner
+        self.body()
+        after = int(self.headers.get("Last-Event-Id", 0))
+        runner.seen.append((self.headers["Request-Id"], after))
+        if self.headers.get("Expect-Instance") != runner.id:
+            self.start_answer(421, ("Content-Length", "0"))
+            return
+        if runner.refuse:
+            self.start_answer(503, ("Not-Run", "1"), ("Content-Length", "0"))
+            return
+        if runner.status != 200:
+            self.start_answer(runner.status, ("Content-Length", "0"),
+                              ("Request-Id", self.headers["Request-Id"]))
+            return
+        self.start_answer(200, ("Request-Id", self.headers["Request-Id"]),
+                          ("Response-Stamp", f"stamp-{runner.id}"),
+                          ("Content-Type", "text/event-stream"),
+                          ("Server-Load", "1,0,8,100"),
+                          ("Transfer-Encoding", "chunked"))
+        for number in range(after + 1, runner.events + 1):
+            if number == runner.cut_at:
+                self.close_connection = True
+                self.connection.close()
+                return
+            time.sleep(runner.gap_s)
+            self.chunk(b"id: %d\ndata: e%d\n\n" % (number, number))
+        self.wfile.write(b"0\r\n\r\n")
+
+
+class Runner(Server):
+    def __init__(self, store, name, events=4):
+        self.id = name
+        self.store = store
+        self.events = events
+        self.gap_s = 0.005
+        self.refuse = False
+        self.status = 200
+        self.cut_at = 0
+        self.seen = []  # (request id, last event id)
+        super().__init__(RunnerHandler)
+        self.register("ready")
+
+    def register(self, state):
+        self.store.put("servers", self.id, {
+            "service": SERVICE, "address": f"127.0.0.1:{self.port}",
+            "zone": "z", "slots": 8, "state": state, "born": 1})
+
+
+def route(prefix, kind, **more):
+    return {"name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 5000, "target_latency_ms": 300, "priority": 0,
+            "service": SERVICE, "max_attempts": 2, **more}
+
+
+def config(version, *more_routes):
+    return {"version": version, "routes": [
+        route("/once/", "streaming"),
+        route("/again/", "streaming", resumable=True),
+        route("/batch/", "batch", completion_target_ms=18000, retention_s=60,
+              max_attempts=3),
+        *more_routes],
+        "services": [], "limits": {"idle_timeout_ms": 15000}}
+
+
+class Gateway:
+    """One `wasabilink gateway` process."""
+    logs = tempfile.mkdtemp()
+
+    def __init__(self, store, name, grace_s=8):
+        front, ready, peer = f.free_ports(3)
+        self.name = name
+        self.port, self.ready_port = front, ready
+        settings = os.path.join(self.logs, f"{name}.json")
+        with open(settings, "w", encoding="utf-8") as out:
+            json.dump({
+                "node_name": name, "ip": "127.0.0.1", "zone": "z",
+                "serves": ["edge", "storage"],
+                "listen": {"front": f"127.0.0.1:{front}",
+                           "ready": f"127.0.0.1:{ready}"},
+                "port_range": [peer, peer + 9], "limits": {"memory_mb": 100},
+                "bounds": {"grace_s": grace_s, "drain_ms": 2000,
+                           "cancel_ms": 3000, "quota_overage": 0.1},
+                "platform": {"address": f"127.0.0.1:{store.port}"}}, out)
+        self.log_path = os.path.join(self.logs, f"{name}.log")
+        with open(self.log_path, "wb") as log:
+            self.process = subprocess.Popen(
+                [f.BINARY, "gateway"], stdout=log, stderr=log,
+                env={**os.environ, "WASABILINK_CONFIG": settings})
+
+    def is_ready(self):
+        try:
+            return f.request(self.ready_port, "GET",
+                             "/api/readiness").status == 200
+        except OSError:
+            return False
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as log:
+            return log.read()
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
--- /dev/null
+++ b/tests/process/test_gateway.py
@@ -0,0 +1,233 @@
+#!/usr/bin/env python3
+"""The gateway as a process, between a store and runners that misbehave."""
+import base64
+import http.client
+import json
+import os
+import signal
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import gateway_standin as s  # noqa: E402
+from gateway_standin import f  # noqa: E402
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        self.store = s.Store()
+        self.store.put("config", "main", s.config(1))
+        self.runners = [s.Runner(self.store, f"r{i}") for i in range(2)]
+        self.gateways = []
+        self.number = 0
+        self.gateway = self.start("g1")
+
+    def tearDown(self):
+        for each in self.gateways + self.runners + [self.store]:
+            each.close()
+
+    def start(self, name):
+        gateway = s.Gateway(self.store, name)
+        self.gateways.append(gateway)
+        f.wait_for(gateway.is_ready, f"{name} ready")
+        return gateway
+
+    def call(self, method, path, body=b"", headers=None, gateway=None):
+        self.number += 1
+        sent = {"Host": s.HOST, "Request-Id": f"q{self.number}",
+                "Deadline-Ms": "4000", **(headers or {})}
+        return f.request((gateway or self.gateway).port, method, path, body,
+                         sent)
+
+    def runs(self, request=None):
+        return [x for r in self.runners for x in r.seen
+                if request is None or x[0] == request]
+
+    def submit(self, job, gateway=None, items=3):
+        body = {"items": [
+            {"id": f"{job}-{i}", "path": "/batch/x", "headers": {"Model": "m"},
+             "body": base64.b64encode(b"b%d" % i).decode(), "tokens": 10}
+            for i in range(items)]}
+        return self.call("POST", "/batch/" + job, json.dumps(body).encode(),
+                         {"Request-Id": job}, gateway).status
+
+    def results(self, job, gateway=None, after=0):
+        answer = self.call("GET", f"/api/lots/{job}?after={after}",
+                           gateway=gateway)
+        return answer.status, (answer.json() if answer.status == 200 else {})
+
+    def wait_results(self, job, count, gateway=None):
+        f.wait_for(lambda: self.results(job, gateway)[1].get("next_token") ==
+                   count, f"{count} results of {job}")
+        return self.results(job, gateway)[1]
+
+    def test_stream_and_errors(self):
+        """An answer must be the runner's, and only on a known route."""
+        answer = self.call("POST", "/once/a")
+        self.assertEqual(answer.status, 200)
+        self.assertIn("stamp-r", answer.headers["response-stamp"])
+        self.assertEqual(answer.body.count(b"data: e"), 4)
+        self.assertEqual(self.call("POST", "/other/a").status, 404)
+        self.assertEqual(
+            self.call("POST", "/once/a", headers={"Request-Id": ""}).status,
+            400)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_refusals(self):
+        """'Has not run' is only said of what did not run."""
+        for runner in self.runners:
+            runner.refuse = True
+        answer = self.call("POST", "/once/a")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.runners[0].refuse = False
+        time.sleep(0.5)
+        self.assertEqual(self.call("POST", "/once/a").status, 200)
+
+    def test_cut_streams(self):
+        """A stream that may run once is cut, one that may be resumed goes on
+        without an event missing or doubled."""
+        self.runners[0].cut_at = 3
+        while not self.runners[0].seen:
+            answer = self.call("POST", "/again/a")
+            self.assertEqual(answer.body.replace(b"\r", b""), b"".join(
+                b"id: %d\ndata: e%d\n\n" % (i, i) for i in range(1, 5)))
+        self.assertIn(2, [after for _, after in self.runs()])
+        self.runners[1].cut_at = 3
+        with self.assertRaises((http.client.IncompleteRead, OSError)):
+            self.call("POST", "/once/a")
+        self.assertEqual(len(self.runs(f"q{self.number}")), 1)
+
+    def test_leaving_runner(self):
+        """A runner that says that it leaves gets nothing more."""
+        self.runners[0].register("draining")
+        time.sleep(0.3)
+        self.runners[0].seen.clear()
+        for _ in range(10):
+            self.assertEqual(self.call("POST", "/once/a").status, 200)
+        self.assertEqual(self.runners[0].seen, [])
+
+    def test_configuration(self):
+        """A change applies soon, and an older version never again."""
+        self.store.put("config", "main", s.config(5, s.route("/new/", "safe")))
+        f.wait_for(lambda: self.call("POST", "/new/a").status == 200,
+                   "the new route")
+        self.store.put("config", "main", s.config(4))
+        time.sleep(0.3)
+        self.assertEqual(self.call("POST", "/new/a").status, 200)
+
+    def test_unreadable_entries(self):
+        """What another writer left in the store harms no other runner."""
+        self.store.put("servers", "odd", {"slots": "x"})
+        self.store.put("servers", "odder", ["?"])
+        time.sleep(0.2)
+        self.assertEqual(self.call("POST", "/once/a").status, 200)
+        self.assertIn("event=runner_entry_unusable", self.gateway.log())
+
+    def test_store_outage(self):
+        """Online requests are served without the store; jobs are refused."""
+        self.store.down = True
+        self.assertEqual(self.call("POST", "/again/a").status, 200)
+        self.assertIn(self.submit("j1"), (503, 504))
+        self.assertTrue(self.gateway.is_ready())
+        self.store.down = False
+        f.wait_for(lambda: self.submit("j2") == 202, "a job after the outage")
+
+    def test_batch_at_two_nodes(self):
+        """Every node tells the same results at the same positions."""
+        other = self.start("g2")
+        self.assertEqual(self.submit("j1"), 202)
+        self.assertEqual(self.submit("j1", other), 202)
+        page = self.wait_results("j1", 3, other)
+        self.assertEqual(page, self.results("j1")[1])
+        self.assertEqual(sorted(r["id"] for r in page["results"]),
+                         ["j1-0", "j1-1", "j1-2"])
+        self.assertEqual({r["output"] for r in page["results"]},
+                         {"e1\ne2\ne3\ne4"})
+        self.assertEqual(len(self.runs()), 3)
+        self.assertEqual(self.results("nothing", other)[0], 404)
+        self.assertEqual(self.results("j1", other, 2)[1]["results"],
+                         page["results"][2:])
+
+    def test_lost_answer_at_acceptance(self):
+        """A job whose record was written without an answer is accepted once
+        and runs."""
+        self.store.lose_kind = "batch-jobs"
+        self.store.lose_answers = 1
+        self.assertEqual(self.submit("j1"), 202)
+        self.wait_results("j1", 3)
+        self.assertEqual(len(self.runs()), 3)
+
+    def test_end_and_body(self):
+        """An ended job stops; a body is given while there is no result."""
+        for runner in self.runners:
+            runner.gap_s = 1
+        other = self.start("g2")
+        self.assertEqual(self.submit("j1"), 202)
+        answer = self.call("GET", "/api/items/j1?id=j1-1", gateway=other)
+        self.assertEqual((answer.status, answer.body), (200, b"b1"))
+        for _ in range(2):
+            self.assertEqual(self.call("DELETE", "/api/lots/j1",
+                                       gateway=other).status, 200)
+        time.sleep(3)
+        runs = len(self.runs())
+        time.sleep(2)
+        self.assertEqual(len(self.runs()), runs)
+        self.assertEqual(self.results("j1")[0], 200)
+
+    def test_items_that_fail(self):
+        """An item is given up after its failures, or at once when it can
+        never be done."""
+        for runner in self.runners:
+            runner.status = 422
+        self.assertEqual(self.submit("j1", items=1), 202)
+        page = self.wait_results("j1", 1)
+        self.assertEqual(page["results"][0]["state"], "dead_letter")
+        for runner in self.runners:
+            runner.status = 500
+        self.assertEqual(self.submit("j2", items=1), 202)
+        page = self.wait_results("j2", 1)
+        self.assertEqual(page["results"][0]["state"], "dead_letter")
+        self.assertEqual(len(self.runs("j2-0")), 3)
+
+    def test_owner_killed(self):
+        """Another node finishes the job of a node that was killed."""
+        for runner in self.runners:
+            runner.gap_s = 0.4
+        other = self.start("g2")
+        time.sleep(1)
+        self.assertEqual(self.submit("j1"), 202)
+        self.gateway.process.kill()
+        page = self.wait_results("j1", 3, other)
+        self.assertEqual(len(page["results"]), 3)
+
+    def test_stop(self):
+        """A planned stop cuts no request and closes idle connections."""
+        for runner in self.runners:
+            runner.gap_s = 0.3
+        kept = http.client.HTTPConnection("127.0.0.1", self.gateway.port)
+        kept.request("GET", "/api/lots/x", headers={"Host": s.HOST})
+        kept.getresponse().read()
+        running = http.client.HTTPConnection("127.0.0.1", self.gateway.port)
+        running.request("POST", "/once/a", headers={
+            "Host": s.HOST, "Request-Id": "q", "Deadline-Ms": "4000"})
+        time.sleep(0.2)
+        self.gateway.process.send_signal(signal.SIGTERM)
+        f.wait_for(lambda: not self.gateway.is_ready(), "readiness fails")
+        self.assertEqual(self.call("POST", "/again/a").status, 200)
+        self.assertEqual(running.getresponse().read().count(b"data: "), 4)
+        time.sleep(0.5)
+        self.assertEqual(kept.sock.recv(1), b"")
+        self.assertEqual(self.gateway.process.wait(10), 0)
+
+    def test_retirement(self):
+        """A VM with a disk is empty at once, as nothing is kept there."""
+        self.store.put("retirements", "storage-1", {"interval_s": 5})
+        f.wait_for(lambda: (self.store.objects[("retirements", "storage-1")]
+                            ["status"] or {}).get("state") == "completed",
+                   "the answer of a process with a disk")
+
+
+if __name__ == "__main__":
+    unittest.main()
