Report load to other domains less often in a large system

Change: above 16 nodes other domains get a report every 250 ms at most, online requests prefer their own domain more, and batch work keeps to it while it has runners.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -15,6 +15,7 @@
 #define USUAL_WORK_MS 700
 /* Cost of a request at a runner in another domain, in places. */
 #define FAR_COST 0.6
+#define FAR_LATE_COST 3.0
 /* Random part of the cost, so that nodes do not all choose the same runner. */
 #define TIE_COST 2.0
 
@@ -26,6 +27,7 @@
 	GPtrArray *listed; /* the same, for iteration */
 	void (*load_changed)(void *user_data);
 	void *user_data;
+	bool far_late;
 };
 
 static void runner_unref(void *data)
@@ -153,6 +155,11 @@
 	}
 }
 
+void fleet_set_far_late(fleet_t *fleet, bool far_late)
+{
+	fleet->far_late = far_late;
+}
+
 static uint32_t load_of(const fleet_runner_t *runner)
 {
 	return runner->own.online + runner->own.batch + runner->peers.online +
@@ -185,6 +192,25 @@
 	return !runner->leaving && strcmp(runner->service, service) == 0;
 }
 
+static bool is_far(const fleet_t *fleet, const fleet_runner_t *runner)
+{
+	return g_strcmp0(runner->domain, fleet->domain) != 0;
+}
+
+/* Whether batch work of this node keeps to its domain. */
+static bool keeps_near(const fleet_t *fleet, const char *service)
+{
+	if (!fleet->far_late)
+		return false;
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (is_usable(runner, service) && !is_far(fleet, runner))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Cost of one more request in units of places: what is in front of it, more
  * where it would wait, all the more at a slow runner. Batch requests count
@@ -201,8 +227,8 @@
 	if (load >= slots && !wish->batch)
 		cost += slots + 2 * MAX(online - slots + 1, 0);
 	cost = (cost + 2) * slowness_of(fleet, runner);
-	if (g_strcmp0(runner->domain, fleet->domain) != 0)
-		cost += FAR_COST;
+	if (is_far(fleet, runner))
+		cost += fleet->far_late ? FAR_LATE_COST : FAR_COST;
 	return cost + g_rand_double(fleet->random) * TIE_COST;
 }
 
@@ -214,6 +240,7 @@
 static fleet_runner_t *choose(fleet_t *fleet, const fleet_wish_t *wish,
 			      bool take_avoided)
 {
+	bool near_only = wish->batch && keeps_near(fleet, wish->service);
 	fleet_runner_t *best = NULL;
 	double best_cost = 0;
 
@@ -225,6 +252,8 @@
 			continue;
 		if (!take_avoided && is_avoided(fleet, runner))
 			continue;
+		if (near_only && is_far(fleet, runner))
+			continue;
 		if (wish->batch && !has_place(runner))
 			continue;
 		cost = cost_of(fleet, runner, wish);
@@ -297,6 +326,7 @@
 
 int32_t fleet_free_places(fleet_t *fleet, const char *service, int32_t *places)
 {
+	bool near_only = keeps_near(fleet, service);
 	int32_t free_places = 0;
 
 	*places = 0;
@@ -304,7 +334,8 @@
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
 		uint32_t load = load_of(runner);
 
-		if (!is_usable(runner, service) || is_avoided(fleet, runner))
+		if (!is_usable(runner, service) || is_avoided(fleet, runner) ||
+		    (near_only && is_far(fleet, runner)))
 			continue;
 		*places += (int32_t)runner->slots;
 		if (load < runner->slots)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -81,6 +81,11 @@
 void fleet_lapse(fleet_t *fleet, const char *id, int64_t until_us);
 /* Forgets runners whose time after leaving the list is over. */
 void fleet_expire(fleet_t *fleet);
+/*
+ * Load in other domains is known late, as in a large system: online requests
+ * prefer their own domain more, and batch work keeps to it if it has runners.
+ */
+void fleet_set_far_late(fleet_t *fleet, bool far_late);
 /* The listed runner, or NULL. */
 fleet_runner_t *fleet_find(fleet_t *fleet, uint64_t key);
 /* Hash that names a runner between nodes. */
@@ -96,7 +101,8 @@
 /* Milliseconds that a new online request would wait for a place at the best
  * runner of the service; INT32_MAX without a runner. */
 int32_t fleet_wait_ms(fleet_t *fleet, const char *service);
-/* Free places over all usable runners of a service, and all their places. */
+/* Free places for batch work over usable runners of a service, and all their
+ * places. */
 int32_t fleet_free_places(fleet_t *fleet, const char *service, int32_t *places);
 
 /* A request there was answered; forgets earlier failures. */
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -12,6 +12,7 @@
 
 typedef struct peer {
 	char *node;
+	char *domain;
 	uint64_t incarnation;
 	uint64_t sequence;
 	int64_t heard_us;
@@ -24,6 +25,7 @@
 	const clock_source_t *clock;
 	fleet_t *fleet;
 	char *node;
+	char *domain;
 	uint64_t incarnation;
 	uint64_t sequence;
 	GHashTable *peers; /* node -> peer_t */
@@ -36,17 +38,20 @@
 
 	g_array_free(peer->entries, TRUE);
 	g_free(peer->node);
+	g_free(peer->domain);
 	g_free(peer);
 }
 
 load_view_t *load_view_new(const clock_source_t *clock, fleet_t *fleet,
-			   const char *node, uint64_t incarnation)
+			   const char *node, const char *domain,
+			   uint64_t incarnation)
 {
 	load_view_t *view = g_new0(load_view_t, 1);
 
 	view->clock = clock;
 	view->fleet = fleet;
 	view->node = g_strdup(node);
+	view->domain = g_strdup(domain);
 	view->incarnation = incarnation;
 	view->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
@@ -60,6 +65,7 @@
 	g_hash_table_destroy(view->peers);
 	g_hash_table_destroy(view->sums);
 	g_free(view->node);
+	g_free(view->domain);
 	g_free(view);
 }
 
@@ -98,6 +104,7 @@
 
 	fleet_each(view->fleet, add_runner, &collected);
 	report.node = view->node;
+	report.domain = view->domain;
 	report.incarnation = view->incarnation;
 	report.sequence = ++view->sequence;
 	report.batch_waiting = own->batch_waiting;
@@ -197,6 +204,8 @@
 		take_speeds(view, peer->entries);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
+		g_free(peer->domain);
+		peer->domain = g_strdup(report.domain);
 		peer->batch_waiting = report.batch_waiting;
 		peer->reaches_store = report.reaches_store;
 		peer->heard_us = clock_now_us(view->clock);
@@ -225,7 +234,14 @@
 	}
 }
 
-uint32_t load_view_batch_waiting(const load_view_t *view)
+const char *load_view_domain(const load_view_t *view, const char *node)
+{
+	const peer_t *peer = g_hash_table_lookup(view->peers, node);
+
+	return peer ? peer->domain : NULL;
+}
+
+uint32_t load_view_batch_waiting(const load_view_t *view, bool near_only)
 {
 	GHashTableIter iter;
 	void *value;
@@ -233,7 +249,9 @@
 
 	g_hash_table_iter_init(&iter, view->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		waiting += ((peer_t *)value)->batch_waiting;
+		if (!near_only ||
+		    g_strcmp0(((peer_t *)value)->domain, view->domain) == 0)
+			waiting += ((peer_t *)value)->batch_waiting;
 	return waiting;
 }
 
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -19,7 +19,8 @@
 typedef struct load_view load_view_t;
 
 load_view_t *load_view_new(const clock_source_t *clock, fleet_t *fleet,
-			   const char *node, uint64_t incarnation);
+			   const char *node, const char *domain,
+			   uint64_t incarnation);
 void load_view_free(load_view_t *view);
 
 typedef struct load_own {
@@ -32,8 +33,11 @@
 			size_t size);
 /* A node that reaches the store, chosen by a draw in [0, 1); NULL: none. */
 const char *load_view_store_peer(const load_view_t *view, double draw);
-/* Batch items that look for a place at the other nodes. */
-uint32_t load_view_batch_waiting(const load_view_t *view);
+/* Batch items that look for a place at the other nodes, or at those of this
+ * node's domain. */
+uint32_t load_view_batch_waiting(const load_view_t *view, bool near_only);
+/* Domain of a node that was heard; NULL: not heard. */
+const char *load_view_domain(const load_view_t *view, const char *node);
 /* Takes another node's report; returns its name, or NULL for one that cannot
  * be read, is this node's own or is older than the last. */
 const char *load_view_apply(load_view_t *view, char *data, size_t len);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -22,6 +22,15 @@
 /* Repeats make up for lost reports. */
 #define REPEAT_MS 400
 #define DATAGRAM_MAX_BYTES 2048
+/* Up to this many nodes all get every report; the bytes between domains grow
+ * with the square of their number. */
+#define SMALL_SYSTEM_NODES 16
+#define FAR_GATHER_MS 250
+
+typedef struct node_address {
+	struct sockaddr_in socket;
+	char *domain;
+} node_address_t;
 
 struct peer_load {
 	peer_load_options_t options;
@@ -31,9 +40,10 @@
 	struct event *readable;
 	struct event *send; /* a gathered report */
 	struct event *again; /* next try to register */
-	GHashTable *addresses; /* node -> struct sockaddr_in */
+	GHashTable *addresses; /* node -> node_address_t */
 	char *own_text;
 	int64_t sent_us;
+	int64_t far_sent_us;
 	load_own_t own;
 	bool send_pending;
 };
@@ -52,23 +62,44 @@
 	return valid;
 }
 
-static void learn(peer_load_t *load, const char *node,
-		  const struct sockaddr_in *address)
+static void address_free(void *data)
+{
+	node_address_t *address = data;
+
+	g_free(address->domain);
+	g_free(address);
+}
+
+static bool is_large(const peer_load_t *load)
+{
+	return g_hash_table_size(load->addresses) > SMALL_SYSTEM_NODES;
+}
+
+static void learn(peer_load_t *load, const char *node, const char *domain,
+		  const struct sockaddr_in *socket)
 {
+	node_address_t *address;
+
 	if (strcmp(node, load->options.node) == 0)
 		return;
-	g_hash_table_insert(load->addresses, g_strdup(node),
-			    g_memdup2(address, sizeof(*address)));
+	address = g_new0(node_address_t, 1);
+	address->socket = *socket;
+	address->domain = g_strdup(domain);
+	g_hash_table_insert(load->addresses, g_strdup(node), address);
+	fleet_set_far_late(load->options.fleet, is_large(load));
 }
 
 static void on_node_changed(const object_entry_t *entry, void *user_data)
 {
 	json_t *value = json_loads(entry->data, JSON_DECODE_ANY, NULL);
-	const char *text = json_string_value(value);
+	const char *text = json_string_value(json_object_get(value, "address"));
+	const char *domain =
+		json_string_value(json_object_get(value, "domain"));
 	struct sockaddr_in address = { 0 };
 
-	if (text && parse_address(text, &address))
-		learn(user_data, entry->key + strlen(NODE_PREFIX), &address);
+	if (text && domain && parse_address(text, &address))
+		learn(user_data, entry->key + strlen(NODE_PREFIX), domain,
+		      &address);
 	else
 		log_warn("node_unreadable", "key=%s", entry->key);
 	json_decref(value);
@@ -134,16 +165,27 @@
 	char data[DATAGRAM_MAX_BYTES];
 	size_t len =
 		load_view_encode(load->view, &load->own, data, sizeof(data));
+	int64_t now_us = clock_now_us(load->options.clock);
+	bool to_far = !is_large(load) ||
+		      now_us - load->far_sent_us >= FAR_GATHER_MS * 1000;
 	GHashTableIter iter;
-	void *address;
+	void *value;
 
-	load->sent_us = clock_now_us(load->options.clock);
+	load->sent_us = now_us;
+	if (to_far)
+		load->far_sent_us = now_us;
 	g_hash_table_iter_init(&iter, load->addresses);
-	while (len && g_hash_table_iter_next(&iter, NULL, &address))
+	while (len && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const node_address_t *address = value;
+
+		if (!to_far && strcmp(address->domain, load->options.domain))
+			continue;
 		/* Lost reports are made up for by the next. */
-		if (sendto(load->socket, data, len, MSG_DONTWAIT, address,
-			   sizeof(struct sockaddr_in)) < 0)
+		if (sendto(load->socket, data, len, MSG_DONTWAIT,
+			   (const struct sockaddr *)&address->socket,
+			   sizeof(address->socket)) < 0)
 			continue;
+	}
 }
 
 static void on_send(evutil_socket_t fd, short events, void *arg)
@@ -169,7 +211,8 @@
 			load_view_apply(load->view, data, (size_t)len);
 
 		if (node && !g_hash_table_contains(load->addresses, node))
-			learn(load, node, &from);
+			learn(load, node, load_view_domain(load->view, node),
+			      &from);
 		heard |= node != NULL;
 		from_len = sizeof(from);
 	}
@@ -226,13 +269,14 @@
 		g_free(load);
 		return NULL;
 	}
-	load->view =
-		load_view_new(options->clock, options->fleet, options->node,
-			      (uint64_t)clock_wall_ms(options->clock));
-	load->addresses =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	load->own_text =
-		g_strdup_printf("\"%s:%u\"", options->address, options->port);
+	load->view = load_view_new(options->clock, options->fleet,
+				   options->node, options->domain,
+				   (uint64_t)clock_wall_ms(options->clock));
+	load->addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						address_free);
+	load->own_text = g_strdup_printf(
+		"{\"address\":\"%s:%u\",\"domain\":\"%s\"}", options->address,
+		options->port, options->domain);
 	load->send = evtimer_new(base, on_send, load);
 	load->again = evtimer_new(base, on_register_again, load);
 	load->readable = event_new(base, load->socket, EV_READ | EV_PERSIST,
@@ -258,7 +302,7 @@
 	if (own != load->own.batch_waiting)
 		peer_load_changed(load);
 	load->own.batch_waiting = own;
-	return load_view_batch_waiting(load->view);
+	return load_view_batch_waiting(load->view, is_large(load));
 }
 
 void peer_load_set_store(peer_load_t *load, bool reaches_store)
@@ -271,13 +315,14 @@
 bool peer_load_address(const peer_load_t *load, const char *node, char *address,
 		       size_t size)
 {
-	const struct sockaddr_in *found =
+	const node_address_t *found =
 		g_hash_table_lookup(load->addresses, node);
 	char ip[INET_ADDRSTRLEN];
 
-	if (!found || !inet_ntop(AF_INET, &found->sin_addr, ip, sizeof(ip)))
+	if (!found ||
+	    !inet_ntop(AF_INET, &found->socket.sin_addr, ip, sizeof(ip)))
 		return false;
-	g_snprintf(address, size, "%s:%u", ip, ntohs(found->sin_port));
+	g_snprintf(address, size, "%s:%u", ip, ntohs(found->socket.sin_port));
 	return true;
 }
 
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -12,7 +12,8 @@
  *
  * Nodes find each other by objects that each keeps in the store, and by the
  * reports that reach them. A report is sent soon after a change, so that nodes
- * do not all send work to the same runner.
+ * do not all send work to the same runner. In a large system other domains get
+ * reports less often, and nodes keep to the runners of their own.
  */
 typedef struct peer_load peer_load_t;
 
@@ -24,6 +25,7 @@
 	object_store_t *store;
 	object_store_t *stale_store;
 	const char *node;
+	const char *domain;
 	const char *address; /* IP number to bind */
 	uint16_t port;
 	const char *writer;
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -13,6 +13,7 @@
 
 struct load_report {
 	string node<LOAD_NAME_MAX>;
+	string domain<LOAD_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
 	unsigned int batch_waiting;
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -73,6 +73,8 @@
 
 	 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, LOAD_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -27,6 +27,7 @@
 
 struct load_report {
 	char *node;
+	char *domain;
 	u_quad_t incarnation;
 	u_quad_t sequence;
 	u_int batch_waiting;
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -408,7 +408,7 @@
 					  .random = random,
 					  .domain = "d" };
 	fleet_t *fleet = fleet_new(&options);
-	load_view_t *view = load_view_new(clock_system(), fleet, "n", 1);
+	load_view_t *view = load_view_new(clock_system(), fleet, "n", "d", 1);
 
 	load_view_apply(view, (char *)data, size);
 	load_view_free(view);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -149,6 +149,37 @@
 	g_rand_free(random);
 }
 
+/* In a large system, batch work of all domains must not meet at the same far
+ * runners, whose load is known late; without near runners it goes there. */
+static void test_late_load_of_other_domains(void)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	const fleet_entry_t far = {
+		"far", "10.0.0.2:1", "s", "e", 8, 1, false
+	};
+	fleet_t *fleet;
+	fleet_runner_t *runner;
+	int32_t places;
+
+	clock_manual_init(&manual, 0);
+	fleet = fleet_of(random, "d");
+	add(fleet, "near", 1, 1, false);
+	fleet_update(fleet, &far);
+	fleet_set_far_late(fleet, true);
+	CU_ASSERT_EQUAL(fleet_free_places(fleet, "s", &places), 1);
+	CU_ASSERT_EQUAL(places, 1);
+	runner = take(fleet, true);
+	CU_ASSERT_STRING_EQUAL(runner->id, "near");
+	CU_ASSERT_PTR_NULL(take(fleet, true));
+	CU_ASSERT_PTR_NOT_NULL(take(fleet, false));
+	add(fleet, "near", 1, 1, true);
+	/* The online request took one. */
+	CU_ASSERT_EQUAL(fleet_free_places(fleet, "s", &places), 7);
+	CU_ASSERT_STRING_EQUAL(take(fleet, true)->id, "far");
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 /*
  * Load in steps between 0.38 and 1.84 times the mean over several nodes, with
  * runners that are slow by moments: the fleet is nearly full at the peaks.
@@ -346,8 +377,8 @@
 		for (int j = 0; j < RUNNERS; j++)
 			add(sim->fleets[i], (char[]){ (char)('a' + j), 0 },
 			    SLOTS, 1, false);
-		sim->views[i] =
-			load_view_new(&manual.base, sim->fleets[i], name, 1);
+		sim->views[i] = load_view_new(&manual.base, sim->fleets[i],
+					      name, "d", 1);
 		g_free(name);
 	}
 	for (int now_ms = 0; now_ms < RUN_MS; now_ms++) {
@@ -399,6 +430,8 @@
 		{ "restart", test_restart },
 		{ "avoid", test_avoid },
 		{ "batch excess", test_batch_excess },
+		{ "late load of other domains",
+		  test_late_load_of_other_domains },
 		{ "steps over several nodes", test_steps_over_several_nodes },
 		{ NULL, NULL },
 	};
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -26,7 +26,8 @@
 
 	node.fleet = fleet_new(&options);
 	fleet_update(node.fleet, &entry);
-	node.view = load_view_new(&clock->base, node.fleet, name, incarnation);
+	node.view =
+		load_view_new(&clock->base, node.fleet, name, "d", incarnation);
 	return node;
 }
 
@@ -70,7 +71,7 @@
 	CU_ASSERT_PTR_NULL(load_view_apply(b.view, new_report, new_len));
 	CU_ASSERT_EQUAL(runner(&b)->peers.online, 1);
 	CU_ASSERT_EQUAL(runner(&b)->peers.batch, 2);
-	CU_ASSERT_EQUAL(load_view_batch_waiting(b.view), 5);
+	CU_ASSERT_EQUAL(load_view_batch_waiting(b.view, true), 5);
 	node_free(&a);
 	node_free(&b);
 }
