Remove settings that nothing reads and split the page of results

Cause: settings, options and a getter had no user; finish_page did three things.

Change: they are gone; filling a page is a function of its own.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -186,11 +186,6 @@
 	return follow->synced;
 }
 
-int64_t follow_answered_us(const follow_t *follow)
-{
-	return follow->answered_us;
-}
-
 int64_t follow_steady_since_us(const follow_t *follow)
 {
 	return follow->steady_since_us;
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -36,8 +36,6 @@
 follow_t *follow_new(const follow_options_t *options);
 /* True once a listing has been read. */
 bool follow_is_synced(const follow_t *follow);
-/* Time of the last answer of the store, monotonic; 0: none yet. */
-int64_t follow_answered_us(const follow_t *follow);
 /* Start of the present run of answers without a failure between them. */
 int64_t follow_steady_since_us(const follow_t *follow);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -244,7 +244,6 @@
 			    const gateway_options_t *options, GError **error)
 {
 	store_relay_options_t relay = {
-		.base = gateway->base,
 		.clock = gateway->clock,
 		.store = options->store,
 		.stale_store = options->stale_store,
@@ -290,7 +289,6 @@
 		.writer = g_strdup_printf("%s-%08x", options->node,
 					  g_rand_int(gateway->random)),
 		.paths = &gateway->paths,
-		.quota_slack = options->quota_slack,
 		.batch_waiting = exchange_batch_waiting,
 		.user_data = gateway,
 	};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,7 +46,6 @@
 	const char *domain;
 	const char *address; /* IP number */
 	uint16_t peer_port;
-	double quota_slack;
 	int64_t grace_ms; /* until the process is killed after SIGTERM */
 	int64_t runner_hold_ms; /* requests may still go to a runner that has
 				 * left the list */
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -20,7 +20,6 @@
 	const char *node; /* name of this node */
 	char *writer; /* unique to this process */
 	path_table_t **paths; /* the present routes; points to NULL before */
-	double quota_slack;
 	/* Tells the other nodes how many items wait here; returns theirs. */
 	uint32_t (*batch_waiting)(void *user_data, uint32_t own);
 	void *user_data;
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -231,6 +231,48 @@
 	query->with_record(query);
 }
 
+/* Adds results from one segment on; returns false when the page is full. */
+static bool add_results(const query_t *query, job_page_t *page,
+			const GPtrArray *results, uint32_t first, size_t *bytes)
+{
+	uint32_t skip = query->after > first ? query->after - first : 0;
+
+	for (guint i = skip; i < results->len; i++) {
+		job_result_t *result = results->pdata[i];
+
+		*bytes += strlen(result->text);
+		if (page->results->len > 0 && *bytes > query->max_bytes)
+			return false;
+		g_ptr_array_add(page->results, result);
+		page->next++;
+	}
+	return true;
+}
+
+/* Takes the segments that are held, in order. */
+static void fill_page(query_t *query, job_page_t *page)
+{
+	const GPtrArray *segments = query->record->segments;
+	uint32_t first = 0;
+	size_t bytes = 0;
+
+	page->total = query->record->items;
+	for (guint i = 0; i < segments->len; i++) {
+		const job_segment_t *segment = segments->pdata[i];
+		const GPtrArray *results;
+		uint32_t end = first + segment->items->len;
+
+		if (end > query->after) {
+			results = segment_cache_get(query->reader->cache,
+						    segment->key);
+			if (!results ||
+			    !add_results(query, page, results, first, &bytes))
+				return;
+		}
+		first = end;
+	}
+}
+
 static void finish_page(query_t *query, job_found_t found)
 {
 	job_page_t page = {
@@ -238,40 +280,9 @@
 		.next = query->after,
 		.results = g_ptr_array_new(),
 	};
-	const GPtrArray *segments =
-		query->record ? query->record->segments : NULL;
-	uint32_t position = 0;
-	size_t bytes = 0;
-	bool full = false;
 
 	if (found == JOB_FOUND)
-		page.total = query->record->items;
-	for (guint i = 0; found == JOB_FOUND && i < segments->len && !full;
-	     i++) {
-		const job_segment_t *segment = segments->pdata[i];
-		const GPtrArray *results;
-
-		if (position + segment->items->len <= query->after) {
-			position += segment->items->len;
-			continue;
-		}
-		results = segment_cache_get(query->reader->cache, segment->key);
-		if (!results)
-			break;
-		for (guint j = 0; j < results->len && !full; j++, position++) {
-			const job_result_t *result = results->pdata[j];
-
-			if (position < query->after)
-				continue;
-			bytes += strlen(result->text);
-			full = page.results->len > 0 &&
-			       bytes > query->max_bytes;
-			if (full)
-				break;
-			g_ptr_array_add(page.results, (void *)result);
-			page.next++;
-		}
-	}
+		fill_page(query, &page);
 	query->page_done(&page, query->user_data);
 	g_ptr_array_free(page.results, TRUE);
 	query_free(query);
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -1,7 +1,6 @@
 #ifndef WASABILINK_GATEWAY_STORE_RELAY_H
 #define WASABILINK_GATEWAY_STORE_RELAY_H
 
-#include <event2/event.h>
 #include <glib.h>
 #include <stdbool.h>
 
@@ -22,7 +21,6 @@
 typedef struct store_relay store_relay_t;
 
 typedef struct store_relay_options {
-	struct event_base *base;
 	const clock_source_t *clock;
 	object_store_t *store;
 	object_store_t *stale_store;
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -31,7 +31,7 @@
 	CU_ASSERT_PTR_NULL(settings.readiness);
 	CU_ASSERT_EQUAL(settings.grace_ms, 8000);
 	CU_ASSERT_EQUAL(settings.peer_port, 7720);
-	CU_ASSERT_EQUAL(settings.memory_bytes, 110 * 1024 * 1024);
+	CU_ASSERT_EQUAL(settings.runner_hold_ms, 2000);
 	CU_ASSERT(settings.keeps_disk);
 	settings_clear(&settings);
 }
