--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -178,7 +178,8 @@
 	while (len && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const node_address_t *address = value;
 
-		if (!to_far && strcmp(address->domain, load->options.domain))
+		if (!to_far &&
+		    strcmp(address->domain, load->options.domain) != 0)
 			continue;
 		/* Lost reports are made up for by the next. */
 		if (sendto(load->socket, data, len, MSG_DONTWAIT,
