Hand only whole first lines of requests to the HTTP parser

Cause: libevhtp's parser puts a stray character into the target of a request whose first line comes in two reads. Ruled out: the copies of the path in the gateway and in the runners' client.

Change: the server waits for the end of the first line before the parser sees it; other first bytes are left to the parser, which refuses them.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -19,6 +19,8 @@
 #define LARGE_BODY_BYTES (64 * 1024)
 #define SWEEP_MS 500
 #define MIN_LONG_LINE 2048
+/* A longer first line is left to the parser, which refuses it. */
+#define MAX_FIRST_LINE 8192
 
 struct http_server {
 	evhtp_t *htp;
@@ -52,10 +54,12 @@
 	uint64_t body_bytes; /* received */
 	char *body; /* of a large request; NULL: evhtp holds it */
 	size_t body_size; /* allocated */
-	bufferevent_data_cb evhtp_write; /* evhtp's own callback */
+	bufferevent_data_cb evhtp_write; /* evhtp's own callbacks */
+	bufferevent_data_cb evhtp_read;
 	uint32_t header_bytes;
 	uint16_t lengths; /* Content-Length headers seen */
 	bool chunked;
+	bool line_seen; /* the first line of the request is whole */
 	bool headers_complete;
 	bool handling; /* the request is whole */
 	bool shares_parser; /* see release_parser() */
@@ -78,6 +82,7 @@
 	connection->header_bytes = 0;
 	connection->lengths = 0;
 	connection->chunked = false;
+	connection->line_seen = false;
 	connection->headers_complete = false;
 	connection->handling = false;
 }
@@ -500,6 +505,39 @@
 	request->status = EVHTP_RES_PAUSE;
 }
 
+/*
+ * evhtp's parser puts a stray character into the target of a request whose
+ * first line comes in several reads, so it only sees whole first lines.
+ */
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	evhtp_connection_t *evhtp = arg;
+	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
+	struct evbuffer *input = bufferevent_get_input(bev);
+	size_t len = evbuffer_get_length(input);
+	bool at_start = !connection->handling && !connection->line_seen;
+
+	if (at_start && len < MAX_FIRST_LINE) {
+		struct evbuffer_ptr end = evbuffer_search(input, "\n", 1, NULL);
+
+		if (end.pos < 0)
+			return;
+	}
+	connection->line_seen = true;
+	connection->evhtp_read(bev, arg);
+}
+
+static void watch_input(http_connection_t *connection)
+{
+	struct bufferevent *bev = connection->evhtp->bev;
+	bufferevent_data_cb write;
+	bufferevent_event_cb event;
+	void *arg;
+
+	bufferevent_getcb(bev, &connection->evhtp_read, &write, &event, &arg);
+	bufferevent_setcb(bev, on_read, write, event, arg);
+}
+
 static evhtp_res on_accept(evhtp_connection_t *evhtp, void *arg)
 {
 	http_server_t *server = arg;
@@ -519,6 +557,7 @@
 				  (evhtp_hook)on_body, connection);
 	evhtp_connection_set_hook(evhtp, evhtp_hook_on_connection_fini,
 				  (evhtp_hook)on_connection_fini, connection);
+	watch_input(connection);
 	g_queue_push_tail_link(&server->connections, &connection->link);
 	if (server->max_connections &&
 	    server->connections.length > server->max_connections)
