--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -505,6 +505,17 @@
 	request->status = EVHTP_RES_PAUSE;
 }
 
+/* The start of a method without the end of its line. Anything else is left to
+ * the parser, which refuses it. */
+static bool is_part_of_line(struct evbuffer *input)
+{
+	char first;
+
+	return evbuffer_copyout(input, &first, 1) == 1 &&
+	       g_ascii_isupper(first) &&
+	       evbuffer_search(input, "\n", 1, NULL).pos < 0;
+}
+
 /*
  * evhtp's parser puts a stray character into the target of a request whose
  * first line comes in several reads, so it only sees whole first lines.
@@ -515,14 +526,10 @@
 	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
 	struct evbuffer *input = bufferevent_get_input(bev);
 	size_t len = evbuffer_get_length(input);
-	bool at_start = !connection->handling && !connection->line_seen;
 
-	if (at_start && len < MAX_FIRST_LINE) {
-		struct evbuffer_ptr end = evbuffer_search(input, "\n", 1, NULL);
-
-		if (end.pos < 0)
-			return;
-	}
+	if (!connection->handling && !connection->line_seen &&
+	    len < MAX_FIRST_LINE && is_part_of_line(input))
+		return;
 	connection->line_seen = true;
 	connection->evhtp_read(bev, arg);
 }
