Try another runner before one that has refused the request

Cause: a run never said which runners had failed it, so while all runners were avoided it could go back to the one that had just refused, up to four times, and end as not run although another runner was free.

Change: a run keeps the runners of its tries, and the fleet chooses one of them again only when there is no other.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -237,8 +237,22 @@
 	return load_of(runner) < runner->slots;
 }
 
+static bool was_tried(const fleet_wish_t *wish, const fleet_runner_t *runner)
+{
+	for (uint32_t i = 0; i < wish->tried_count; i++)
+		if (wish->tried[i] == runner->key)
+			return true;
+	return false;
+}
+
+/* Runners that a choice looks at beside those that are sound. */
+typedef struct choice_scope {
+	bool avoided;
+	bool tried;
+} choice_scope_t;
+
 static fleet_runner_t *choose(fleet_t *fleet, const fleet_wish_t *wish,
-			      bool take_avoided)
+			      const choice_scope_t *scope)
 {
 	bool near_only = wish->batch && keeps_near(fleet, wish->service);
 	fleet_runner_t *best = NULL;
@@ -248,9 +262,11 @@
 		fleet_runner_t *runner = fleet->listed->pdata[i];
 		double cost;
 
-		if (!is_usable(runner, wish->service) || runner == wish->except)
+		if (!is_usable(runner, wish->service))
 			continue;
-		if (!take_avoided && is_avoided(fleet, runner))
+		if (!scope->avoided && is_avoided(fleet, runner))
+			continue;
+		if (!scope->tried && was_tried(wish, runner))
 			continue;
 		if (near_only && is_far(fleet, runner))
 			continue;
@@ -273,10 +289,17 @@
 
 fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish)
 {
-	fleet_runner_t *runner = choose(fleet, wish, false);
-
-	if (!runner && !wish->batch)
-		runner = choose(fleet, wish, true);
+	static const choice_scope_t scopes[] = {
+		{ .avoided = false, .tried = false },
+		{ .avoided = true, .tried = false },
+		{ .avoided = true, .tried = true },
+	};
+	/* Batch work waits for a sound runner. */
+	size_t count = wish->batch ? 1 : G_N_ELEMENTS(scopes);
+	fleet_runner_t *runner = NULL;
+
+	for (size_t i = 0; i < count && !runner; i++)
+		runner = choose(fleet, wish, &scopes[i]);
 	if (!runner)
 		return NULL;
 	runner->refs++;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -65,7 +65,8 @@
 
 typedef struct fleet_wish {
 	const char *service;
-	const fleet_runner_t *except; /* the last runner that failed */
+	const uint64_t *tried; /* keys of runners that failed this request */
+	uint32_t tried_count;
 	bool batch;
 } fleet_wish_t;
 
@@ -92,7 +93,8 @@
 uint64_t fleet_key(const char *id);
 
 /*
- * Chooses a runner and counts the request there until fleet_done(). NULL: no
+ * Chooses a runner and counts the request there until fleet_done(). One that
+ * failed the request before is chosen again only if there is no other. NULL: no
  * runner may take it now. The pointer is valid until fleet_done().
  */
 fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish);
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -34,6 +34,7 @@
 	event_reader_t events;
 	int64_t expires_us;
 	int64_t progress_us; /* last event or start of the try */
+	uint64_t tried[MAX_TRIES]; /* key of each try's runner */
 	uint32_t max_runners;
 	uint32_t tries;
 	uint32_t runs; /* tries that may have run */
@@ -234,11 +235,12 @@
 		try_failed(run, end == RUNNER_CUT);
 }
 
-static bool start_try(run_t *run, const fleet_runner_t *except)
+static bool start_try(run_t *run)
 {
 	const fleet_wish_t wish = {
 		.service = run->service,
-		.except = except,
+		.tried = run->tried,
+		.tried_count = run->tries,
 		.batch = run->batch,
 	};
 	size_t len;
@@ -262,7 +264,7 @@
 	run->runner = fleet_take(run->context->fleet, &wish);
 	if (!run->runner)
 		return false;
-	run->tries++;
+	run->tried[run->tries++] = run->runner->key;
 	run->runs++;
 	run->answered = false;
 	run->progress_us = clock_now_us(run->context->clock);
@@ -279,7 +281,7 @@
 
 static void next_try(run_t *run)
 {
-	if (start_try(run, NULL))
+	if (start_try(run))
 		return;
 	if (run->started)
 		finish(run, RUN_CUT);
@@ -317,7 +319,7 @@
 	run->again = evtimer_new(context->base, on_again, run);
 	run->link.data = run;
 	g_queue_push_tail_link(&context->runs, &run->link);
-	if (start_try(run, NULL))
+	if (start_try(run))
 		return run;
 	run_free(run);
 	return NULL;
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -219,6 +219,28 @@
 	world_free(world);
 }
 
+/* While all runners are avoided, a request must not go to the one that has just
+ * refused it as long as there is another. */
+static void test_refusal_at_avoided_runners(void)
+{
+	for (guint32 seed = 1; seed <= 50; seed++) {
+		world_t *world = world_new();
+
+		g_rand_set_seed(world->random, seed);
+		fleet_failed(world->fleet,
+			     fleet_find(world->fleet, fleet_key("a")));
+		fleet_failed(world->fleet,
+			     fleet_find(world->fleet, fleet_key("b")));
+		run_of(world, true, false, false);
+		answer(world, 0, 503, true);
+		done(world, 0, RUNNER_COMPLETE);
+		CU_ASSERT_STRING_NOT_EQUAL(world->calls[0].instance,
+					   world->calls[1].instance);
+		done(world, 1, RUNNER_CUT);
+		world_free(world);
+	}
+}
+
 /* When every runner refuses, the caller may be told that it has not run. */
 static void test_all_refuse(void)
 {
@@ -330,6 +352,8 @@
 	static const unit_test_t tests[] = {
 		{ "once is not repeated", test_once_is_not_repeated },
 		{ "refused is repeated", test_refused_is_repeated },
+		{ "refusal at avoided runners",
+		  test_refusal_at_avoided_runners },
 		{ "all refuse", test_all_refuse },
 		{ "resumption", test_resumption },
 		{ "end inside event", test_end_inside_event },
