Count calls to the store by operation and kind

Cause: calls to the store are the largest price on the grown sites, and the metrics did not tell what they were made for.

Change: store_calls_total{operation,kind,stale}.

--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -199,6 +199,19 @@
 	rpc_client_call(relay->options.client, &options);
 }
 
+/* Counts a call to the store itself: each one is paid for. */
+static void count_direct(const relay_store_t *store, const char *operation,
+			 const char *key)
+{
+	char *labels = g_strdup_printf(
+		"operation=\"%s\",kind=\"%.*s\",stale=\"%d\"", operation,
+		(int)strcspn(key, "/"), key, store->stale);
+
+	(*counter_get(store->relay->options.counters, COUNTER_MONOTONIC,
+		      "store_calls_total", labels))++;
+	g_free(labels);
+}
+
 static store_call_args args_of(const relay_store_t *store,
 			       store_operation operation, const char *key)
 {
@@ -220,10 +233,12 @@
 	char address[ADDRESS_BYTES];
 
 	call->done = done;
-	if (takes_relay(store->relay, address))
+	if (takes_relay(store->relay, address)) {
 		send_call(store->relay, address, &args, on_relayed, call);
-	else
-		object_get(store->direct, key, on_direct, call);
+		return;
+	}
+	count_direct(store, "get", key);
+	object_get(store->direct, key, on_direct, call);
 }
 
 static void relay_put(object_store_t *base, const char *key, const void *data,
@@ -240,11 +255,13 @@
 	args.writer = (char *)(writer ? writer : "");
 	args.data.data_val = (char *)data;
 	args.data.data_len = (u_int)len;
-	if (takes_relay(store->relay, address))
+	if (takes_relay(store->relay, address)) {
 		send_call(store->relay, address, &args, on_relayed, call);
-	else
-		object_put(store->direct, key, data, len, if_version, writer,
-			   on_direct, call);
+		return;
+	}
+	count_direct(store, "put", key);
+	object_put(store->direct, key, data, len, if_version, writer, on_direct,
+		   call);
 }
 
 static void relay_remove(object_store_t *base, const char *key,
@@ -258,10 +275,12 @@
 
 	call->done = done;
 	args.revision = if_version;
-	if (takes_relay(store->relay, address))
+	if (takes_relay(store->relay, address)) {
 		send_call(store->relay, address, &args, on_relayed, call);
-	else
-		object_remove(store->direct, key, if_version, on_direct, call);
+		return;
+	}
+	count_direct(store, "remove", key);
+	object_remove(store->direct, key, if_version, on_direct, call);
 }
 
 static void relay_list(object_store_t *base, const char *prefix,
@@ -276,11 +295,12 @@
 	call->list_done = done;
 	args.after = (char *)(after ? after : "");
 	args.limit = limit;
-	if (takes_relay(store->relay, address))
+	if (takes_relay(store->relay, address)) {
 		send_call(store->relay, address, &args, on_relayed_list, call);
-	else
-		object_list(store->direct, prefix, after, limit, on_direct_list,
-			    call);
+		return;
+	}
+	count_direct(store, "list", prefix);
+	object_list(store->direct, prefix, after, limit, on_direct_list, call);
 }
 
 static void relay_watch(object_store_t *base, const char *prefix,
@@ -295,11 +315,13 @@
 	call->list_done = done;
 	args.revision = since;
 	args.timeout_ms = timeout_ms;
-	if (takes_relay(store->relay, address))
+	if (takes_relay(store->relay, address)) {
 		send_call(store->relay, address, &args, on_relayed_list, call);
-	else
-		object_watch(store->direct, prefix, since, timeout_ms,
-			     on_direct_list, call);
+		return;
+	}
+	count_direct(store, "watch", prefix);
+	object_watch(store->direct, prefix, since, timeout_ms, on_direct_list,
+		     call);
 }
 
 static const object_store_ops_t relay_ops = {
