Gather changes of the runner list between watches

Change: follow waits 500 ms after a watch that brought changes of the runner list. A leaving runner is still known within a quarter of the least time that a deployment allows.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -102,6 +102,7 @@
 		       void *user_data)
 {
 	follow_t *follow = user_data;
+	int32_t pause_ms = follow->options.pause_ms;
 
 	if (error && error->code == WL_ERROR_NOT_FOUND) {
 		log_info("history_gone", "prefix=%s revision=%" PRIu64,
@@ -110,7 +111,7 @@
 		relist(follow);
 		/* A stale listing may be older than the history, again and
 		 * again. */
-		call_later(follow, follow->options.pause_ms);
+		call_later(follow, pause_ms);
 		return;
 	}
 	if (error) {
@@ -120,8 +121,10 @@
 	on_answer(follow);
 	apply(follow, listing);
 	follow->revision = MAX(follow->revision, listing->revision);
-	if (follow->options.pause_ms)
-		call_later(follow, follow->options.pause_ms);
+	if (listing->entries->len > 0)
+		pause_ms = MAX(pause_ms, follow->options.gather_ms);
+	if (pause_ms)
+		call_later(follow, pause_ms);
 	else
 		call_store(follow);
 }
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -25,6 +25,7 @@
 	const char *prefix;
 	int32_t wait_ms; /* of a watch */
 	int32_t pause_ms; /* between watches, so that changes gather; 0: none */
+	int32_t gather_ms; /* the same, only after a watch with changes */
 	/* An object was created or changed. */
 	void (*changed)(const object_entry_t *entry, void *user_data);
 	void (*removed)(const char *key, void *user_data);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -17,6 +17,9 @@
 #define EXIT_RESERVE_MS 400
 /* Batch items that have not finished by then are handed back. */
 #define BATCH_RELEASE_MS 4000
+/* Runners register one after the other, and each return of a watch is a call
+ * to the store. A leaving runner must be known within two seconds. */
+#define RUNNER_GATHER_MS 500
 /* Results kept in memory; others are read from the store again. */
 #define SEGMENT_CACHE_BYTES (8 * 1024 * 1024)
 
@@ -197,6 +200,7 @@
 
 	gateway->config = follow_new(&options);
 	options.prefix = gateway->codec->runner_prefix;
+	options.gather_ms = RUNNER_GATHER_MS;
 	options.changed = on_runner_changed;
 	options.removed = on_runner_removed;
 	options.listed = on_runners_listed;
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -79,7 +79,8 @@
 	g_error_free(error);
 }
 
-static follow_t *follow_script(script_t *script, struct event_base *base)
+static follow_t *follow_gathering(script_t *script, struct event_base *base,
+				  int32_t gather_ms)
 {
 	const follow_options_t options = {
 		.base = base,
@@ -87,6 +88,7 @@
 		.store = &script->base,
 		.prefix = "k/",
 		.wait_ms = 1000,
+		.gather_ms = gather_ms,
 		.changed = on_changed,
 		.removed = on_removed,
 		.listed = on_listed,
@@ -98,6 +100,34 @@
 	return follow_new(&options);
 }
 
+static follow_t *follow_script(script_t *script, struct event_base *base)
+{
+	return follow_gathering(script, base, 0);
+}
+
+/* Runners that register one after the other must not cost a call to the store
+ * each; a watch that brought nothing is followed by the next at once. */
+static void test_changes_gather(void)
+{
+	struct event_base *base = event_base_new();
+	script_t script = { 0 };
+	int64_t begin_us;
+
+	follow_gathering(&script, base, 100);
+	give(&script, 5, NULL, false);
+	CU_ASSERT_EQUAL(script.watches, 1);
+	give(&script, 6, NULL, false);
+	CU_ASSERT_EQUAL(script.watches, 2);
+	begin_us = clock_now_us(clock_system());
+	give(&script, 7, "k/a", false);
+	CU_ASSERT_EQUAL(script.watches, 2);
+	event_base_loop(base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(script.watches, 3);
+	CU_ASSERT_EQUAL(script.since, 7);
+	CU_ASSERT(clock_now_us(clock_system()) - begin_us >= 90000);
+	event_base_free(base);
+}
+
 static void test_changes(void)
 {
 	struct event_base *base = event_base_new();
@@ -154,6 +184,7 @@
 {
 	static const unit_test_t tests[] = {
 		{ "changes", test_changes },
+		{ "changes gather", test_changes_gather },
 		{ "cut watch lists again", test_cut_watch_lists_again },
 		{ "history gone", test_history_gone },
 		{ NULL, NULL },
