Avoid a failure domain whose runners cannot be connected to

Change: domain_contact. Two different runners of another domain that cannot be connected to, one after the other, stand for their domain: it is avoided and tried again by single requests after 0.5, 1 and 2 s.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/log.h"
+
 #define FNV_OFFSET 14695981039346656037ULL
 #define FNV_PRIME 1099511628211ULL
 /* A runner is avoided this long after a failure, doubled for each further one
@@ -25,6 +27,7 @@
 	char *domain;
 	GHashTable *by_key; /* uint64_t -> fleet_runner_t, listed */
 	GPtrArray *listed; /* the same, for iteration */
+	GHashTable *contacts; /* domain -> domain_contact_t */
 	void (*load_changed)(void *user_data);
 	void *user_data;
 	bool far_late;
@@ -63,6 +66,8 @@
 	fleet->user_data = options->user_data;
 	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
+	fleet->contacts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
@@ -72,6 +77,7 @@
 		return;
 	g_hash_table_destroy(fleet->by_key);
 	g_ptr_array_free(fleet->listed, TRUE);
+	g_hash_table_destroy(fleet->contacts);
 	g_free(fleet->domain);
 	g_free(fleet);
 }
@@ -112,6 +118,18 @@
 	return runner;
 }
 
+static domain_contact_t *contact_of(fleet_t *fleet, const char *domain)
+{
+	domain_contact_t *contact =
+		g_hash_table_lookup(fleet->contacts, domain);
+
+	if (!contact) {
+		contact = g_new0(domain_contact_t, 1);
+		g_hash_table_insert(fleet->contacts, g_strdup(domain), contact);
+	}
+	return contact;
+}
+
 void fleet_update(fleet_t *fleet, const fleet_entry_t *entry)
 {
 	fleet_runner_t *runner = fleet_find(fleet, fleet_key(entry->id));
@@ -126,6 +144,7 @@
 	replace_string(&runner->address, entry->address);
 	replace_string(&runner->service, entry->service);
 	replace_string(&runner->domain, entry->domain);
+	runner->contact = contact_of(fleet, runner->domain);
 	runner->slots = entry->slots;
 	runner->leaving = entry->leaving;
 	runner->gone_at_us = 0;
@@ -183,8 +202,10 @@
 
 static bool is_avoided(const fleet_t *fleet, const fleet_runner_t *runner)
 {
-	return runner->gone_at_us ||
-	       clock_now_us(fleet->clock) < runner->avoid_until_us;
+	int64_t now_us = clock_now_us(fleet->clock);
+
+	return runner->gone_at_us || now_us < runner->avoid_until_us ||
+	       domain_contact_is_avoided(runner->contact, now_us);
 }
 
 static bool is_usable(const fleet_runner_t *runner, const char *service)
@@ -303,6 +324,7 @@
 	if (!runner)
 		return NULL;
 	runner->refs++;
+	domain_contact_tried(runner->contact, clock_now_us(fleet->clock));
 	if (wish->batch)
 		runner->own.batch++;
 	else
@@ -367,6 +389,13 @@
 	return free_places;
 }
 
+void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
+{
+	if (domain_contact_answered(runner->contact))
+		log_info("domain_back", "domain=%s runner=%s", runner->domain,
+			 runner->id);
+}
+
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner)
 {
 	runner->failures = 0;
@@ -384,6 +413,19 @@
 	runner->avoid_until_us = clock_now_us(fleet->clock) + avoid_ms * 1000;
 }
 
+void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
+{
+	fleet_failed(fleet, runner);
+	/* Without its own domain a node could serve nothing. */
+	if (!is_far(fleet, runner))
+		return;
+	if (domain_contact_failed(runner->contact, runner->key,
+				  clock_now_us(fleet->clock)))
+		log_warn("domain_lost",
+			 "domain=%s runner=%s pause_ms=%" G_GINT64_FORMAT,
+			 runner->domain, runner->id, runner->contact->pause_ms);
+}
+
 void fleet_leaving(fleet_t *fleet, fleet_runner_t *runner)
 {
 	runner->leaving = true;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "gateway/domain_contact.h"
 
 /*
  * fleet - what this node believes about each runner, and the choice of one.
@@ -41,6 +42,7 @@
 	bool speed_is_own; /* the runner told this node */
 	int64_t avoid_until_us;
 	uint32_t failures; /* in a row */
+	domain_contact_t *contact; /* of its domain, owned by the fleet */
 	int refs;
 } fleet_runner_t;
 
@@ -107,10 +109,14 @@
  * places. */
 int32_t fleet_free_places(fleet_t *fleet, const char *service, int32_t *places);
 
-/* A request there was answered; forgets earlier failures. */
+/* The runner answered, so its domain can be reached. */
+void fleet_answered(fleet_t *fleet, fleet_runner_t *runner);
+/* A request there was served; forgets earlier failures. */
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner);
 /* A request there failed or was refused; the runner is avoided for a while. */
 void fleet_failed(fleet_t *fleet, fleet_runner_t *runner);
+/* The same, and no connection to the runner could be made. */
+void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner);
 /* The runner said itself that it leaves, or another one has its address. */
 void fleet_leaving(fleet_t *fleet, fleet_runner_t *runner);
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -111,6 +111,7 @@
 	fleet_t *fleet = run->context->fleet;
 
 	run->answered = true;
+	fleet_answered(fleet, run->runner);
 	run->progress_us = clock_now_us(run->context->clock);
 	if (run->answer.headers)
 		g_ptr_array_unref(run->answer.headers);
@@ -131,16 +132,19 @@
 static void next_try(run_t *run);
 
 /* The try has ended without a whole answer. */
-static void try_failed(run_t *run, bool may_have_run)
+static void try_failed(run_t *run, bool may_have_run, bool connected)
 {
 	bool again = !may_have_run || run->idempotent ||
 		     (run->stream && run->resumable);
 
-	fleet_failed(run->context->fleet, run->runner);
+	if (connected)
+		fleet_failed(run->context->fleet, run->runner);
+	else
+		fleet_unreachable(run->context->fleet, run->runner);
 	log_info("try_failed",
-		 "request=%s runner=%s try=%u may_have_run=%d status=%d "
-		 "last_event=%" G_GINT64_FORMAT " left_ms=%d",
-		 run->id, run->runner->id, run->tries, may_have_run,
+		 "request=%s runner=%s try=%u connected=%d may_have_run=%d "
+		 "status=%d last_event=%" G_GINT64_FORMAT " left_ms=%d",
+		 run->id, run->runner->id, run->tries, connected, may_have_run,
 		 run->answered ? run->answer.status : 0, run->events.last_id,
 		 left_ms(run));
 	if (!may_have_run)
@@ -176,7 +180,7 @@
 		 run->runner->id, run->events.last_id);
 	run->call = NULL;
 	run->context->protocol->cancel(call);
-	try_failed(run, true);
+	try_failed(run, true, true);
 }
 
 static void deliver_whole(run_t *run)
@@ -198,12 +202,12 @@
 static void on_complete(run_t *run)
 {
 	if (run->answer.not_run || run->answer.other_instance) {
-		try_failed(run, false);
+		try_failed(run, false, true);
 		return;
 	}
 	if (is_live_stream(run)) {
 		if (!event_reader_at_boundary(&run->events)) {
-			try_failed(run, true);
+			try_failed(run, true, true);
 			return;
 		}
 		fleet_succeeded(run->context->fleet, run->runner);
@@ -211,12 +215,12 @@
 		return;
 	}
 	if (is_worth_repeating(run)) {
-		try_failed(run, true);
+		try_failed(run, true, true);
 		return;
 	}
 	if (run->started) {
 		/* A resumption was answered with an error. */
-		try_failed(run, true);
+		try_failed(run, true, true);
 		return;
 	}
 	if (run->answer.status < 500)
@@ -232,7 +236,7 @@
 	if (end == RUNNER_COMPLETE)
 		on_complete(run);
 	else
-		try_failed(run, end == RUNNER_CUT);
+		try_failed(run, end == RUNNER_CUT, end != RUNNER_NOT_SENT);
 }
 
 static bool start_try(run_t *run)
@@ -369,6 +373,6 @@
 			continue;
 		run->call = NULL;
 		context->protocol->cancel(call);
-		try_failed(run, true);
+		try_failed(run, true, true);
 	}
 }
