Start batch items by due time over all nodes, those too late last

Cause: each node has about one open job, and every job got its share of the free places whatever its due time.

Change: nodes report their waiting items by urgency. The free places go to the most urgent of all nodes; an item that cannot be done in time any more goes after all that can. The time an item needs is learned from those that finish (item_estimate). Items that are late anyway also give way first. The report between nodes has a new layout; nodes of the version before do not read it.

--- a/src/gateway/batch_rule.c
+++ b/src/gateway/batch_rule.c
@@ -3,32 +3,48 @@
 /* Part of all places that stays free, so that batch work that just gave way
  * does not start again at the next place that online load takes. */
 #define FREE_SHARE 0.05
-/* About the time that one item takes; later starts would miss the due time. */
-#define URGENT_MS 7000
+/* Width of a class of urgency, so that all classes span some 20 s, the time
+ * that jobs are given on the users' sheets. */
+#define URGENCY_MS 2500
+/* These may take the last places. */
+#define URGENT_CLASSES 3
 #define YIELD_PAUSE_LEAST_MS 150
 #define YIELD_PAUSE_SPREAD_MS 300
 
-static bool is_urgent(const batch_input_t *input)
+uint32_t batch_urgency(int64_t left_ms, int64_t needed_ms)
 {
-	return input->due_us - input->now_us < URGENT_MS * 1000LL;
+	if (left_ms < needed_ms)
+		return BATCH_HOPELESS;
+	return (uint32_t)MIN(left_ms / URGENCY_MS, BATCH_HOPELESS - 1);
 }
 
 bool batch_may_start(const batch_input_t *input)
 {
-	return is_urgent(input) ||
+	return input->urgency < URGENT_CLASSES ||
 	       input->free_places > (int32_t)(input->places * FREE_SHARE);
 }
 
-uint32_t batch_share(int32_t free_places, uint32_t own_waiting,
-		     uint32_t peers_waiting, double draw)
+void batch_share(int32_t free_places, const batch_waiting_t *own,
+		 const batch_waiting_t *peers, double draw,
+		 batch_waiting_t *starts)
 {
-	double share;
+	uint32_t left = (uint32_t)MAX(free_places, 0);
 
-	if (free_places <= 0 || own_waiting == 0)
-		return 0;
-	share = (double)free_places * own_waiting /
-		(own_waiting + peers_waiting);
-	return (uint32_t)share + (draw < share - (uint32_t)share ? 1 : 0);
+	*starts = (batch_waiting_t){ 0 };
+	for (int i = 0; i < BATCH_URGENCIES && left > 0; i++) {
+		uint32_t all = own->items[i] + peers->items[i];
+		double share;
+
+		if (all <= left) {
+			starts->items[i] = own->items[i];
+			left -= all;
+			continue;
+		}
+		share = (double)left * own->items[i] / all;
+		starts->items[i] = (uint32_t)share +
+				   (draw < share - (uint32_t)share ? 1 : 0);
+		left = 0;
+	}
 }
 
 int32_t batch_yield_pause_ms(GRand *random)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -220,11 +220,12 @@
 		gateway->counters, COUNTER_MONOTONIC, "resumes_total", NULL);
 }
 
-static uint32_t exchange_batch_waiting(void *user_data, uint32_t own)
+static void exchange_batch_waiting(void *user_data, const batch_waiting_t *own,
+				   batch_waiting_t *peers)
 {
 	gateway_t *gateway = user_data;
 
-	return peer_load_batch_waiting(gateway->peer_load, own);
+	peer_load_batch_waiting(gateway->peer_load, own, peers);
 }
 
 static bool find_store_peer(void *user_data, char *address, size_t size)
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 
 #include "base/counter.h"
+#include "gateway/batch_rule.h"
 #include "gateway/path_table.h"
 #include "gateway/run.h"
 #include "object/object_store.h"
@@ -20,8 +21,9 @@
 	const char *node; /* name of this node */
 	char *writer; /* unique to this process */
 	path_table_t **paths; /* the present routes; points to NULL before */
-	/* Tells the other nodes how many items wait here; returns theirs. */
-	uint32_t (*batch_waiting)(void *user_data, uint32_t own);
+	/* Tells the other nodes how many items wait here; gets theirs. */
+	void (*batch_waiting)(void *user_data, const batch_waiting_t *own,
+			      batch_waiting_t *peers);
 	void *user_data;
 } job_context_t;
 
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -47,6 +47,7 @@
 	segment_cache_t *cache;
 	GPtrArray *jobs; /* owned_job_t, by due time */
 	bool stopping;
+	item_estimate_t estimate;
 	int64_t *items_completed_total;
 	int64_t *items_given_up_total;
 	int64_t *items_yielded_total;
@@ -146,6 +147,18 @@
 	return path_table_find(paths, job->record->host, job->record->path);
 }
 
+/* Items that had to wait for all others, or that failed, are not usual ones. */
+static void learn_time(job_owner_t *owner, const job_item_run_t *run,
+		       job_result_state_t state)
+{
+	if (state != JOB_RESULT_COMPLETED || run->was_hopeless ||
+	    run->failures > 0)
+		return;
+	item_estimate_add(&owner->estimate,
+			  (now_us(owner) - run->started_us) / 1000,
+			  job_item_run_events(run));
+}
+
 static void item_finished(void *user_data, uint32_t index,
 			  job_result_state_t state, char *text)
 {
@@ -157,10 +170,15 @@
 		(*job->owner->items_completed_total)++;
 	else
 		(*job->owner->items_given_up_total)++;
-	log_info("item_finished", "job=%s item=%s state=%s failures=%u",
+	learn_time(job->owner, &job->runs[index], state);
+	log_info("item_finished",
+		 "job=%s item=%s state=%s failures=%u urgency=%u "
+		 "estimate_ms=%.0f left_ms=%" PRId64,
 		 job->id, item->id,
 		 state == JOB_RESULT_COMPLETED ? "completed" : "given_up",
-		 job->runs[index].failures);
+		 job->runs[index].failures, job->runs[index].urgency,
+		 job->owner->estimate.item_ms,
+		 (job->due_us - now_us(job->owner)) / 1000);
 	result->item = index;
 	result->id = g_strdup(item->id);
 	result->state = state;
@@ -441,25 +459,27 @@
 		write_record(job);
 }
 
-/* Returns how many of the allowed starts are left. */
-static uint32_t start_items(owned_job_t *job, uint32_t starts)
+/* Starts what may start of one urgency. */
+static void start_items(owned_job_t *job, uint32_t urgency, uint32_t *starts)
 {
 	const path_route_t *route = route_of(job);
 
-	for (guint i = 0; i < job->items->len && starts > 0; i++) {
-		if (!job_item_run_wants_place(&job->runs[i]))
+	if (job->gone || job->release)
+		return;
+	for (guint i = 0; i<job->items->len && * starts> 0; i++) {
+		if (job->runs[i].urgency != urgency ||
+		    !job_item_run_wants_place(&job->runs[i]))
 			continue;
-		if (!job_item_run_start(&job->runs[i], route, job->due_us))
-			return starts;
-		starts--;
+		if (!job_item_run_start(&job->runs[i], route))
+			return;
+		(*starts)--;
 	}
-	return starts;
 }
 
-static uint32_t count_waiting(const job_owner_t *owner, const char **service)
+/* Ranks the items that look for a place and counts them. */
+static void count_waiting(const job_owner_t *owner, const char **service,
+			  batch_waiting_t *waiting)
 {
-	uint32_t waiting = 0;
-
 	for (guint i = 0; i < owner->jobs->len; i++) {
 		const owned_job_t *job = owner->jobs->pdata[i];
 		const path_route_t *route = route_of(job);
@@ -468,41 +488,50 @@
 			continue;
 		*service = path_route_service(
 			route, g_rand_double(owner->context->random));
-		for (guint j = 0; j < job->items->len; j++)
-			if (job_item_run_wants_place(&job->runs[j]))
-				waiting++;
+		for (guint j = 0; j < job->items->len; j++) {
+			job_item_run_t *run = &job->runs[j];
+
+			if (!job_item_run_wants_place(run))
+				continue;
+			job_item_run_rank(run, job->due_us, &owner->estimate);
+			waiting->items[run->urgency]++;
+		}
 	}
-	return waiting;
 }
 
-/* Starts that this node may make in this round. */
-static uint32_t allowed_starts(job_owner_t *owner)
+/* Starts this node's share of what the nodes may start together. */
+static void start_share(job_owner_t *owner)
 {
 	job_context_t *context = owner->context;
 	const char *service = NULL;
-	uint32_t waiting = owner->stopping ? 0 : count_waiting(owner, &service);
-	uint32_t peers = context->batch_waiting(context->user_data, waiting);
+	batch_waiting_t waiting = { 0 };
+	batch_waiting_t peers;
+	batch_waiting_t starts;
 	int32_t places;
 
+	if (!owner->stopping)
+		count_waiting(owner, &service, &waiting);
+	context->batch_waiting(context->user_data, &waiting, &peers);
 	if (!service)
-		return 0;
-	return batch_share(
-		fleet_free_places(context->runs->fleet, service, &places),
-		waiting, peers, g_rand_double(context->random));
+		return;
+	batch_share(fleet_free_places(context->runs->fleet, service, &places),
+		    &waiting, &peers, g_rand_double(context->random), &starts);
+	for (uint32_t i = 0; i < BATCH_URGENCIES; i++)
+		for (guint j = 0; j < owner->jobs->len; j++)
+			start_items(owner->jobs->pdata[j], i, &starts.items[i]);
 }
 
-/* The jobs that are due last give way first. */
-static void yield_at(fleet_runner_t *runner, void *user_data)
+/* Returns how many items of the excess are left. */
+static uint32_t yield_items(job_owner_t *owner, const fleet_runner_t *runner,
+			    uint32_t excess, bool hopeless)
 {
-	job_owner_t *owner = user_data;
-	uint32_t excess = fleet_batch_excess(
-		runner, g_rand_double(owner->context->random));
-
 	for (guint i = owner->jobs->len; i-- > 0 && excess > 0;) {
 		owned_job_t *job = owner->jobs->pdata[i];
 
 		for (guint j = 0; j < job->items->len && excess > 0; j++) {
-			if (job_item_run_runner(&job->runs[j]) != runner)
+			if (job_item_run_runner(&job->runs[j]) != runner ||
+			    (job->runs[j].urgency == BATCH_HOPELESS) !=
+				    hopeless)
 				continue;
 			log_info("item_yielded",
 				 "job=%s item=%u runner=%s online=%u batch=%u "
@@ -516,6 +545,18 @@
 			excess--;
 		}
 	}
+	return excess;
+}
+
+/* Items that are late anyway give way first, then the jobs that are due last. */
+static void yield_at(fleet_runner_t *runner, void *user_data)
+{
+	job_owner_t *owner = user_data;
+	uint32_t excess = fleet_batch_excess(
+		runner, g_rand_double(owner->context->random));
+
+	excess = yield_items(owner, runner, excess, true);
+	yield_items(owner, runner, excess, false);
 }
 
 void job_owner_yield(job_owner_t *owner)
@@ -527,10 +568,9 @@
 void job_owner_tick(job_owner_t *owner)
 {
 	int64_t now = now_us(owner);
-	uint32_t starts;
 
 	job_owner_yield(owner);
-	starts = allowed_starts(owner);
+	start_share(owner);
 	for (guint i = 0; i < owner->jobs->len; i++) {
 		owned_job_t *job = owner->jobs->pdata[i];
 
@@ -538,8 +578,6 @@
 			continue;
 		if (owner->stopping && !has_running(job))
 			job->release = true;
-		if (!owner->stopping && !job->release)
-			starts = start_items(job, starts);
 		write_due(job, now);
 	}
 	reap(owner);
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -110,12 +110,26 @@
 	       clock_now_us(run->context->clock) >= run->not_before_us;
 }
 
-bool job_item_run_start(job_item_run_t *run, const path_route_t *route,
-			int64_t due_us)
+int64_t job_item_run_events(const job_item_run_t *run)
+{
+	return run->last_event + 1;
+}
+
+void job_item_run_rank(job_item_run_t *run, int64_t due_us,
+		       const item_estimate_t *estimate)
+{
+	int64_t left_us = due_us - clock_now_us(run->context->clock);
+	int64_t needed_ms =
+		item_estimate_needed_ms(estimate, job_item_run_events(run));
+
+	run->urgency = batch_urgency(left_us / 1000, needed_ms);
+	run->was_hopeless |= run->urgency == BATCH_HOPELESS;
+}
+
+bool job_item_run_start(job_item_run_t *run, const path_route_t *route)
 {
 	job_context_t *context = run->context;
-	int64_t now_us = clock_now_us(context->clock);
-	batch_input_t input = { .now_us = now_us, .due_us = due_us };
+	batch_input_t input = { .urgency = run->urgency };
 	run_options_t options = {
 		.id = run->item->id,
 		.method = "POST",
@@ -147,9 +161,12 @@
 		run->text = g_string_new(NULL);
 	run->failures_at_start = run->failures;
 	run->run = run_start(context->runs, &options);
-	if (run->run)
-		run->state = JOB_ITEM_RUNNING;
-	return run->run != NULL;
+	if (!run->run)
+		return false;
+	run->state = JOB_ITEM_RUNNING;
+	if (!run->started_us)
+		run->started_us = clock_now_us(context->clock);
+	return true;
 }
 
 void job_item_run_cancel(job_item_run_t *run)
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/item_estimate.h"
 #include "gateway/job_context.h"
 #include "gateway/job_record.h"
 
@@ -37,6 +38,9 @@
 	uint32_t failures_at_start; /* of the present run */
 	uint32_t max_failures;
 	int64_t not_before_us;
+	int64_t started_us; /* of its first run; 0: none yet */
+	uint32_t urgency; /* see batch_rule; as of the last look */
+	bool was_hopeless; /* its time says nothing about usual items */
 	job_item_finished_t finished;
 	void *user_data;
 } job_item_run_t;
@@ -45,12 +49,16 @@
 		       const job_item_t *item, uint32_t index,
 		       job_item_finished_t finished, void *user_data);
 void job_item_run_clear(job_item_run_t *run);
+/* Looks at the urgency of the item anew. */
+void job_item_run_rank(job_item_run_t *run, int64_t due_us,
+		       const item_estimate_t *estimate);
+/* Events that the item has delivered. */
+int64_t job_item_run_events(const job_item_run_t *run);
 /* Whether the item looks for a place now. */
 bool job_item_run_wants_place(const job_item_run_t *run);
 /* Returns false when no runner has a place for it, so that trying the next
  * item is of no use. route is that of the job, NULL when it was removed. */
-bool job_item_run_start(job_item_run_t *run, const path_route_t *route,
-			int64_t due_us);
+bool job_item_run_start(job_item_run_t *run, const path_route_t *route);
 /* Stops a run that is under way; the item waits again. */
 void job_item_run_cancel(job_item_run_t *run);
 /* The same, to make room for online requests. */
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -5,6 +5,8 @@
 #include "base/log.h"
 #include "rpc/load_xdr.h"
 
+G_STATIC_ASSERT(BATCH_URGENCIES == LOAD_URGENCIES);
+
 /* Several lost reports in a row, at the rate of an idle node. */
 #define SILENT_MS 2000
 /* Beyond this age a speed says nothing, see fleet. */
@@ -16,7 +18,7 @@
 	uint64_t incarnation;
 	uint64_t sequence;
 	int64_t heard_us;
-	uint32_t batch_waiting;
+	batch_waiting_t batch_waiting;
 	bool reaches_store;
 	GArray *entries; /* load_entry */
 } peer_t;
@@ -107,7 +109,8 @@
 	report.domain = view->domain;
 	report.incarnation = view->incarnation;
 	report.sequence = ++view->sequence;
-	report.batch_waiting = own->batch_waiting;
+	memcpy(report.batch_waiting, own->batch_waiting.items,
+	       sizeof(report.batch_waiting));
 	report.reaches_store = own->reaches_store;
 	report.entries.entries_len = collected.count;
 	report.entries.entries_val = collected.entries;
@@ -206,7 +209,8 @@
 		peer->sequence = report.sequence;
 		g_free(peer->domain);
 		peer->domain = g_strdup(report.domain);
-		peer->batch_waiting = report.batch_waiting;
+		memcpy(peer->batch_waiting.items, report.batch_waiting,
+		       sizeof(report.batch_waiting));
 		peer->reaches_store = report.reaches_store;
 		peer->heard_us = clock_now_us(view->clock);
 	}
@@ -241,18 +245,22 @@
 	return peer ? peer->domain : NULL;
 }
 
-uint32_t load_view_batch_waiting(const load_view_t *view, bool near_only)
+void load_view_batch_waiting(const load_view_t *view, bool near_only,
+			     batch_waiting_t *waiting)
 {
 	GHashTableIter iter;
 	void *value;
-	uint32_t waiting = 0;
 
+	*waiting = (batch_waiting_t){ 0 };
 	g_hash_table_iter_init(&iter, view->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (!near_only ||
-		    g_strcmp0(((peer_t *)value)->domain, view->domain) == 0)
-			waiting += ((peer_t *)value)->batch_waiting;
-	return waiting;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+
+		if (near_only && g_strcmp0(peer->domain, view->domain) != 0)
+			continue;
+		for (int i = 0; i < BATCH_URGENCIES; i++)
+			waiting->items[i] += peer->batch_waiting.items[i];
+	}
 }
 
 const char *load_view_store_peer(const load_view_t *view, double draw)
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "gateway/batch_rule.h"
 #include "gateway/fleet.h"
 
 /*
@@ -24,7 +25,7 @@
 void load_view_free(load_view_t *view);
 
 typedef struct load_own {
-	uint32_t batch_waiting; /* batch items that look for a place */
+	batch_waiting_t batch_waiting;
 	bool reaches_store;
 } load_own_t;
 
@@ -35,7 +36,8 @@
 const char *load_view_store_peer(const load_view_t *view, double draw);
 /* Batch items that look for a place at the other nodes, or at those of this
  * node's domain. */
-uint32_t load_view_batch_waiting(const load_view_t *view, bool near_only);
+void load_view_batch_waiting(const load_view_t *view, bool near_only,
+			     batch_waiting_t *waiting);
 /* Domain of a node that was heard; NULL: not heard. */
 const char *load_view_domain(const load_view_t *view, const char *node);
 /* Takes another node's report; returns its name, or NULL for one that cannot
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -298,12 +298,13 @@
 	evtimer_add(load->send, &gather);
 }
 
-uint32_t peer_load_batch_waiting(peer_load_t *load, uint32_t own)
+void peer_load_batch_waiting(peer_load_t *load, const batch_waiting_t *own,
+			     batch_waiting_t *peers)
 {
-	if (own != load->own.batch_waiting)
+	if (memcmp(own, &load->own.batch_waiting, sizeof(*own)) != 0)
 		peer_load_changed(load);
-	load->own.batch_waiting = own;
-	return load_view_batch_waiting(load->view, is_large(load));
+	load->own.batch_waiting = *own;
+	load_view_batch_waiting(load->view, is_large(load), peers);
 }
 
 void peer_load_set_store(peer_load_t *load, bool reaches_store)
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -37,9 +37,9 @@
 peer_load_t *peer_load_new(const peer_load_options_t *options, GError **error);
 /* This node's load has changed. */
 void peer_load_changed(peer_load_t *load);
-/* The number of this node's batch items that look for a place; returns that of
- * the other nodes. */
-uint32_t peer_load_batch_waiting(peer_load_t *load, uint32_t own);
+/* Tells the other nodes which batch items look for a place here; gets theirs. */
+void peer_load_batch_waiting(peer_load_t *load, const batch_waiting_t *own,
+			     batch_waiting_t *peers);
 /* Whether the store answers this node, for the reports. */
 void peer_load_set_store(peer_load_t *load, bool reaches_store);
 void peer_load_tick(peer_load_t *load);
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -1,6 +1,7 @@
 /* Load datagrams between nodes (docs/platform.md). */
 const LOAD_NAME_MAX = 64;
 const LOAD_ENTRIES_MAX = 64;
+const LOAD_URGENCIES = 9;
 
 /* Requests that the sender has at one runner. */
 struct load_entry {
@@ -16,7 +17,8 @@
 	string domain<LOAD_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
-	unsigned int batch_waiting;
+	/* Batch items that look for a place, the most urgent first. */
+	unsigned int batch_waiting[LOAD_URGENCIES];
 	bool reaches_store;
 	load_entry entries<LOAD_ENTRIES_MAX>;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -71,6 +71,74 @@
 {
 	register int32_t *buf;
 
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->domain, LOAD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (1 + ( LOAD_URGENCIES )) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->batch_waiting, LOAD_URGENCIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reaches_store))
+				 return FALSE;
+
+		} else {
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->batch_waiting;
+				i < LOAD_URGENCIES; ++i) {
+				IXDR_PUT_U_LONG(buf, *genp++);
+			}
+		}
+		IXDR_PUT_BOOL(buf, objp->reaches_store);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_ENTRIES_MAX,
+			sizeof (load_entry), (xdrproc_t) xdr_load_entry))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->domain, LOAD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (1 + ( LOAD_URGENCIES )) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->batch_waiting, LOAD_URGENCIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reaches_store))
+				 return FALSE;
+
+		} else {
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->batch_waiting;
+				i < LOAD_URGENCIES; ++i) {
+				*genp++ = IXDR_GET_U_LONG(buf);
+			}
+		}
+		objp->reaches_store = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_ENTRIES_MAX,
+			sizeof (load_entry), (xdrproc_t) xdr_load_entry))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->domain, LOAD_NAME_MAX))
@@ -79,7 +147,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->batch_waiting))
+	 if (!xdr_vector (xdrs, (char *)objp->batch_waiting, LOAD_URGENCIES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->reaches_store))
 		 return FALSE;
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -15,6 +15,7 @@
 
 #define LOAD_NAME_MAX 64
 #define LOAD_ENTRIES_MAX 64
+#define LOAD_URGENCIES 9
 
 struct load_entry {
 	u_quad_t runner;
@@ -30,7 +31,7 @@
 	char *domain;
 	u_quad_t incarnation;
 	u_quad_t sequence;
-	u_int batch_waiting;
+	u_int batch_waiting[LOAD_URGENCIES];
 	bool_t reaches_store;
 	struct {
 		u_int entries_len;
