Refuse requests that arrive late in a graceful shutdown

New requests were taken until 5 s after SIGTERM.

Change: from 2.9 s on, when the balancer sends nothing new, requests are refused as not run, and the caller can go to another node at once. request_end now names the runner also for requests that ended well, and tells the estimated wait, the runner's known load and the time of the first answer.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -9,10 +9,10 @@
 #define TICK_MS 50
 /* The balancer needs two probes, a second apart, to take a node out. */
 #define LINGER_MS 2600
-/* For requests on connections that were accepted last. */
+/* For requests on connections that were accepted last. Later ones come on
+ * connections that were busy until then, and after a wait for a place at a
+ * runner they might not end before the process is killed. */
 #define LAST_REQUEST_MS 300
-/* A request that starts later might not end before the process is killed. */
-#define LAST_START_MS 3000
 /* Left for the end of the process itself. */
 #define EXIT_RESERVE_MS 400
 /* Batch items that have not finished by then are handed back. */
@@ -152,7 +152,7 @@
 
 bool gateway_is_closing(const gateway_t *gateway)
 {
-	return stopping_ms(gateway) >= gateway->grace_ms - LAST_START_MS;
+	return stopping_ms(gateway) >= LINGER_MS + LAST_REQUEST_MS;
 }
 
 /* Callers keep connections open and would go on using them. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -30,8 +30,12 @@
 	http_exchange_t *exchange; /* NULL once answered or closed */
 	run_t *run;
 	char *id;
+	char *runner; /* id of the one that answered or was tried last */
 	int64_t received_us;
 	int64_t expires_us; /* monotonic */
+	int32_t wait_ms; /* for a place, as estimated */
+	int32_t first_ms; /* until the answer began; -1: not yet */
+	fleet_load_t load; /* of the first runner, with this request */
 	bool streaming;
 	GList link;
 } relayed_t;
@@ -41,6 +45,7 @@
 	g_queue_unlink(&request->relay->requests, &request->link);
 	path_table_unref(request->paths);
 	g_free(request->id);
+	g_free(request->runner);
 	g_free(request);
 }
 
@@ -74,16 +79,26 @@
 	relay_refuse_as(exchange, 503, retry_after_ms);
 }
 
-static void log_end(const relayed_t *request, const char *outcome, int status)
+static void note_runner(relayed_t *request)
 {
-	const fleet_runner_t *runner =
-		request->run ? run_runner(request->run) : NULL;
+	const fleet_runner_t *runner = run_runner(request->run);
+
+	if (!runner)
+		return;
+	g_free(request->runner);
+	request->runner = g_strdup(runner->id);
+}
 
+static void log_end(const relayed_t *request, const char *outcome, int status)
+{
 	log_info("request_end",
 		 "request=%s route=%s config=%" G_GUINT64_FORMAT
-		 " runner=%s outcome=%s status=%d age_ms=%d",
+		 " runner=%s outcome=%s status=%d age_ms=%d first_ms=%d "
+		 "wait_ms=%d online=%u batch=%u",
 		 request->id, request->route->name, request->paths->version,
-		 runner ? runner->id : "-", outcome, status, age_ms(request));
+		 request->runner, outcome, status, age_ms(request),
+		 request->first_ms, request->wait_ms, request->load.online,
+		 request->load.batch);
 }
 
 static void on_start(const runner_answer_t *answer, void *user_data)
@@ -91,6 +106,8 @@
 	relayed_t *request = user_data;
 
 	request->streaming = true;
+	request->first_ms = age_ms(request);
+	note_runner(request);
 	histogram_add(&request->relay->latency,
 		      (int64_t)age_ms(request) * 1000);
 	add_headers(request->exchange, answer->headers);
@@ -110,6 +127,8 @@
 {
 	relayed_t *request = user_data;
 
+	request->first_ms = age_ms(request);
+	note_runner(request);
 	histogram_add(&request->relay->latency,
 		      (int64_t)age_ms(request) * 1000);
 	add_headers(request->exchange, answer->headers);
@@ -263,6 +282,8 @@
 	relayed->id = g_strdup(request->id);
 	relayed->received_us = request->received_us;
 	relayed->expires_us = options.expires_us;
+	relayed->wait_ms = wait_ms;
+	relayed->first_ms = -1;
 	relayed->link.data = relayed;
 	g_queue_push_tail_link(&relay->requests, &relayed->link);
 	relayed->run = run_start(relay->runs, &options);
@@ -271,6 +292,8 @@
 		refuse(relay, route, exchange, request, wait_ms);
 		return;
 	}
+	relayed->load = fleet_runner_load(run_runner(relayed->run));
+	note_runner(relayed);
 	(*relay->accepted_total)++;
 	http_on_closed(exchange, on_closed, relayed);
 	http_release_request(exchange);
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -221,6 +221,26 @@
         self.assertEqual(kept.sock.recv(1), b"")
         self.assertEqual(self.gateway.process.wait(10), 0)
 
+    def test_late_request_during_stop(self):
+        """A request on a kept connection that arrives when the balancer sends
+        nothing new is refused as not run: one that waits for a place at a
+        runner would be cut by the end of the process."""
+        for runner in self.runners:
+            runner.gap_s = 0.85
+        kept = http.client.HTTPConnection("127.0.0.1", self.gateway.port)
+        headers = {"Host": s.HOST, "Request-Id": "q", "Deadline-Ms": "5000"}
+        kept.request("POST", "/once/a", headers=headers)
+        time.sleep(0.1)
+        self.gateway.process.send_signal(signal.SIGTERM)
+        answer = kept.getresponse()
+        self.assertEqual(answer.read().count(b"data: "), 4)
+        kept.request("POST", "/once/a", headers={**headers,
+                                                 "Request-Id": "late"})
+        answer = kept.getresponse()
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(self.runs("late"), [])
+
     def test_retirement(self):
         """A VM with a disk is empty at once, as nothing is kept there."""
         self.store.put("retirements", "storage-1", {"interval_s": 5})
