Keep online requests in their domain unless another has clearly less load

Cause: in a large system the load in other domains is known 250 ms late. All nodes sent to what had been free a quarter of a second before, although all domains were equally full.

Change: an online request leaves its domain only if its runners have two requests more on average than the other's, or after a failure. The estimated wait is that of the runner that would be chosen, not of the best of all.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -1,5 +1,6 @@
 #include "gateway/fleet.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -18,6 +19,10 @@
 /* Cost of a request at a runner in another domain, in places. */
 #define FAR_COST 0.6
 #define FAR_LATE_COST 3.0
+/* With load of other domains known late, online requests leave their domain
+ * only if its runners have this many more than the other's, on average. Below,
+ * all nodes would send to what was free a quarter of a second ago. */
+#define FAR_LATE_MARGIN 2.0
 /* Random part of the cost, so that nodes do not all choose the same runner. */
 #define TIE_COST 2.0
 
@@ -27,7 +32,8 @@
 	char *domain;
 	GHashTable *by_key; /* uint64_t -> fleet_runner_t, listed */
 	GPtrArray *listed; /* the same, for iteration */
-	GHashTable *contacts; /* domain -> domain_contact_t */
+	GHashTable *domains; /* name -> fleet_domain_t */
+	fleet_domain_t *near; /* of this node */
 	void (*load_changed)(void *user_data);
 	void *user_data;
 	bool far_late;
@@ -55,6 +61,17 @@
 	return hash;
 }
 
+static fleet_domain_t *domain_of(fleet_t *fleet, const char *name)
+{
+	fleet_domain_t *domain = g_hash_table_lookup(fleet->domains, name);
+
+	if (!domain) {
+		domain = g_new0(fleet_domain_t, 1);
+		g_hash_table_insert(fleet->domains, g_strdup(name), domain);
+	}
+	return domain;
+}
+
 fleet_t *fleet_new(const fleet_options_t *options)
 {
 	fleet_t *fleet = g_new0(fleet_t, 1);
@@ -66,8 +83,9 @@
 	fleet->user_data = options->user_data;
 	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
-	fleet->contacts =
+	fleet->domains =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->near = domain_of(fleet, fleet->domain);
 	return fleet;
 }
 
@@ -77,7 +95,7 @@
 		return;
 	g_hash_table_destroy(fleet->by_key);
 	g_ptr_array_free(fleet->listed, TRUE);
-	g_hash_table_destroy(fleet->contacts);
+	g_hash_table_destroy(fleet->domains);
 	g_free(fleet->domain);
 	g_free(fleet);
 }
@@ -118,18 +136,6 @@
 	return runner;
 }
 
-static domain_contact_t *contact_of(fleet_t *fleet, const char *domain)
-{
-	domain_contact_t *contact =
-		g_hash_table_lookup(fleet->contacts, domain);
-
-	if (!contact) {
-		contact = g_new0(domain_contact_t, 1);
-		g_hash_table_insert(fleet->contacts, g_strdup(domain), contact);
-	}
-	return contact;
-}
-
 void fleet_update(fleet_t *fleet, const fleet_entry_t *entry)
 {
 	fleet_runner_t *runner = fleet_find(fleet, fleet_key(entry->id));
@@ -144,7 +150,7 @@
 	replace_string(&runner->address, entry->address);
 	replace_string(&runner->service, entry->service);
 	replace_string(&runner->domain, entry->domain);
-	runner->contact = contact_of(fleet, runner->domain);
+	runner->home = domain_of(fleet, runner->domain);
 	runner->slots = entry->slots;
 	runner->leaving = entry->leaving;
 	runner->gone_at_us = 0;
@@ -205,7 +211,7 @@
 	int64_t now_us = clock_now_us(fleet->clock);
 
 	return runner->gone_at_us || now_us < runner->avoid_until_us ||
-	       domain_contact_is_avoided(runner->contact, now_us);
+	       domain_contact_is_avoided(&runner->home->contact, now_us);
 }
 
 static bool is_usable(const fleet_runner_t *runner, const char *service)
@@ -253,6 +259,43 @@
 	return cost + g_rand_double(fleet->random) * TIE_COST;
 }
 
+/* Sums up the load of each domain's sound runners. */
+static void survey(fleet_t *fleet, const char *service)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, fleet->domains);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		fleet_domain_t *domain = value;
+
+		domain->runners = 0;
+		domain->online = 0;
+	}
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (!is_usable(runner, service) || is_avoided(fleet, runner))
+			continue;
+		runner->home->runners++;
+		runner->home->online += online_of(runner);
+	}
+}
+
+/* Online requests at a domain's mean runner; HUGE_VAL without any. */
+static double mean_load(const fleet_domain_t *domain)
+{
+	return domain->runners ? (double)domain->online / domain->runners :
+				 HUGE_VAL;
+}
+
+/* Whether an online request may leave its domain for the runner. */
+static bool is_worth_leaving(const fleet_t *fleet, const fleet_runner_t *runner)
+{
+	return mean_load(runner->home) + FAR_LATE_MARGIN <=
+	       mean_load(fleet->near);
+}
+
 static bool has_place(const fleet_runner_t *runner)
 {
 	return load_of(runner) < runner->slots;
@@ -276,9 +319,13 @@
 			      const choice_scope_t *scope)
 {
 	bool near_only = wish->batch && keeps_near(fleet, wish->service);
+	/* After a failure, any sound runner is better than the same again. */
+	bool stay = fleet->far_late && !wish->batch && wish->tried_count == 0;
 	fleet_runner_t *best = NULL;
 	double best_cost = 0;
 
+	if (stay)
+		survey(fleet, wish->service);
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		fleet_runner_t *runner = fleet->listed->pdata[i];
 		double cost;
@@ -293,6 +340,9 @@
 			continue;
 		if (wish->batch && !has_place(runner))
 			continue;
+		if (stay && is_far(fleet, runner) &&
+		    !is_worth_leaving(fleet, runner))
+			continue;
 		cost = cost_of(fleet, runner, wish);
 		if (!best || cost < best_cost) {
 			best = runner;
@@ -308,7 +358,8 @@
 		fleet->load_changed(fleet->user_data);
 }
 
-fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish)
+/* The best runner of the soundest scope that has any. */
+static fleet_runner_t *choose_any(fleet_t *fleet, const fleet_wish_t *wish)
 {
 	static const choice_scope_t scopes[] = {
 		{ .avoided = false, .tried = false },
@@ -321,10 +372,18 @@
 
 	for (size_t i = 0; i < count && !runner; i++)
 		runner = choose(fleet, wish, &scopes[i]);
+	return runner;
+}
+
+fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish)
+{
+	fleet_runner_t *runner = choose_any(fleet, wish);
+
 	if (!runner)
 		return NULL;
 	runner->refs++;
-	domain_contact_tried(runner->contact, clock_now_us(fleet->clock));
+	domain_contact_tried(&runner->home->contact,
+			     clock_now_us(fleet->clock));
 	if (wish->batch)
 		runner->own.batch++;
 	else
@@ -343,30 +402,19 @@
 	runner_unref(runner);
 }
 
-static int32_t wait_ms_among(fleet_t *fleet, const char *service, bool avoided)
-{
-	int32_t best_ms = INT32_MAX;
-
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *runner = fleet->listed->pdata[i];
-		uint32_t online = online_of(runner);
-		uint32_t slots = MAX(runner->slots, 1);
-		uint32_t ahead = online >= slots ? online - slots + 1 : 0;
-		int32_t wait_ms = (int32_t)(ahead * USUAL_WORK_MS / slots);
-
-		if (is_usable(runner, service) &&
-		    is_avoided(fleet, runner) == avoided)
-			best_ms = MIN(best_ms, wait_ms);
-	}
-	return best_ms;
-}
-
 int32_t fleet_wait_ms(fleet_t *fleet, const char *service)
 {
-	int32_t wait_ms = wait_ms_among(fleet, service, false);
+	const fleet_wish_t wish = { .service = service };
+	const fleet_runner_t *runner = choose_any(fleet, &wish);
+	uint32_t slots;
+	uint32_t ahead;
 
-	return wait_ms != INT32_MAX ? wait_ms :
-				      wait_ms_among(fleet, service, true);
+	if (!runner)
+		return INT32_MAX;
+	slots = MAX(runner->slots, 1);
+	ahead = online_of(runner) >= slots ? online_of(runner) - slots + 1 : 0;
+	return (int32_t)(ahead * USUAL_WORK_MS / slots *
+			 slowness_of(fleet, runner));
 }
 
 int32_t fleet_free_places(fleet_t *fleet, const char *service, int32_t *places)
@@ -391,7 +439,7 @@
 
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
 {
-	if (domain_contact_answered(runner->contact))
+	if (domain_contact_answered(&runner->home->contact))
 		log_info("domain_back", "domain=%s runner=%s", runner->domain,
 			 runner->id);
 }
@@ -419,11 +467,12 @@
 	/* Without its own domain a node could serve nothing. */
 	if (!is_far(fleet, runner))
 		return;
-	if (domain_contact_failed(runner->contact, runner->key,
+	if (domain_contact_failed(&runner->home->contact, runner->key,
 				  clock_now_us(fleet->clock)))
 		log_warn("domain_lost",
 			 "domain=%s runner=%s pause_ms=%" G_GINT64_FORMAT,
-			 runner->domain, runner->id, runner->contact->pause_ms);
+			 runner->domain, runner->id,
+			 runner->home->contact.pause_ms);
 }
 
 void fleet_leaving(fleet_t *fleet, fleet_runner_t *runner)
@@ -439,6 +488,14 @@
 	runner->speed_is_own = true;
 }
 
+fleet_load_t fleet_runner_load(const fleet_runner_t *runner)
+{
+	return (fleet_load_t){
+		.online = runner->own.online + runner->peers.online,
+		.batch = runner->own.batch + runner->peers.batch,
+	};
+}
+
 uint32_t fleet_batch_excess(const fleet_runner_t *runner, double draw)
 {
 	uint32_t load = load_of(runner);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -24,6 +24,14 @@
 	uint32_t batch;
 } fleet_load_t;
 
+/* A failure domain with runners. */
+typedef struct fleet_domain {
+	domain_contact_t contact;
+	/* Of the present choice: sound runners and what is online there. */
+	uint32_t runners;
+	uint32_t online;
+} fleet_domain_t;
+
 typedef struct fleet_runner {
 	char *id; /* of this start of the runner */
 	char *address; /* IP:port */
@@ -42,7 +50,7 @@
 	bool speed_is_own; /* the runner told this node */
 	int64_t avoid_until_us;
 	uint32_t failures; /* in a row */
-	domain_contact_t *contact; /* of its domain, owned by the fleet */
+	fleet_domain_t *home; /* its domain, owned by the fleet */
 	int refs;
 } fleet_runner_t;
 
@@ -102,8 +110,8 @@
 fleet_runner_t *fleet_take(fleet_t *fleet, const fleet_wish_t *wish);
 void fleet_done(fleet_t *fleet, fleet_runner_t *runner, bool batch);
 
-/* Milliseconds that a new online request would wait for a place at the best
- * runner of the service; INT32_MAX without a runner. */
+/* Milliseconds that a new online request would wait for a place at the runner
+ * that it would be sent to; INT32_MAX without a runner. */
 int32_t fleet_wait_ms(fleet_t *fleet, const char *service);
 /* Free places for batch work over usable runners of a service, and all their
  * places. */
@@ -122,6 +130,8 @@
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
 			   uint32_t percent);
 
+/* What all nodes have at a runner, as far as this node knows. */
+fleet_load_t fleet_runner_load(const fleet_runner_t *runner);
 /* Own batch requests at the runner to cancel, so that online ones find a
  * place there. draw is uniform in [0, 1). */
 uint32_t fleet_batch_excess(const fleet_runner_t *runner, double draw);
