Refuse what would wait past its objective, serve what returns

One whose deadline is shorter than others of its route was likely refused before, and is served also late. Retry-After is spread over 0.3 of the deadline, so that most callers return when a peak ends.

--- a/src/gateway/admission_rule.c
+++ b/src/gateway/admission_rule.c
@@ -1,10 +1,14 @@
 #include "gateway/admission_rule.h"
 
-/* A caller that comes back sooner finds the same burst, and one that comes
- * later has too little of its deadline left: callers follow Retry-After up to
- * a third of the time that they have. */
+/* A caller that comes back sooner finds the same burst. */
 #define RETRY_AFTER_LEAST_MS 200
-#define RETRY_AFTER_SPREAD 3
+/* Callers follow Retry-After up to a third of the time that they have; a later
+ * return also leaves too little of it. */
+#define RETRY_AFTER_DEADLINE_SHARE 0.3
+/* Without a known deadline, in latency objectives. */
+#define RETRY_AFTER_OBJECTIVES 3
+/* Callers on the way do not differ by more than the delays of the network. */
+#define RETURN_SLACK_MS 100
 
 bool admission_accepts(const admission_input_t *input)
 {
@@ -12,12 +16,24 @@
 		return false;
 	if (input->deadline_ms && input->wait_ms >= input->deadline_ms)
 		return false;
-	return input->wait_ms <= input->objective_ms;
+	return input->returning || input->wait_ms <= input->objective_ms;
 }
 
-int32_t admission_retry_after_ms(GRand *random, int32_t objective_ms)
+bool admission_is_return(int32_t longest_deadline_ms, int32_t deadline_ms)
 {
-	return RETRY_AFTER_LEAST_MS +
-	       (int32_t)(g_rand_double(random) * RETRY_AFTER_SPREAD *
-			 objective_ms);
+	return deadline_ms &&
+	       deadline_ms < longest_deadline_ms - RETURN_SLACK_MS;
+}
+
+int32_t admission_retry_after_ms(GRand *random, int32_t objective_ms,
+				 int32_t deadline_ms)
+{
+	int32_t longest_ms =
+		deadline_ms ?
+			(int32_t)(deadline_ms * RETRY_AFTER_DEADLINE_SHARE) :
+			RETRY_AFTER_OBJECTIVES * objective_ms;
+
+	if (longest_ms <= RETRY_AFTER_LEAST_MS)
+		return RETRY_AFTER_LEAST_MS;
+	return g_rand_int_range(random, RETRY_AFTER_LEAST_MS, longest_ms);
 }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -13,6 +13,8 @@
 	run_context_t *runs;
 	GRand *random;
 	GQueue requests; /* relayed_t */
+	/* Route name -> longest deadline of its callers so far, in ms. */
+	GHashTable *longest_deadlines;
 	histogram_t latency;
 	bool stopping;
 	int64_t *accepted_total;
@@ -33,6 +35,7 @@
 	char *runner; /* id of the one that answered or was tried last */
 	int64_t received_us;
 	int64_t expires_us; /* monotonic */
+	int32_t deadline_ms; /* of the caller; 0: not told */
 	int32_t wait_ms; /* for a place, as estimated */
 	int32_t first_ms; /* until the answer began; -1: not yet */
 	fleet_load_t load; /* of the first runner, with this request */
@@ -164,7 +167,8 @@
 	else if (end == RUN_NOT_RUN)
 		relay_refuse(exchange, admission_retry_after_ms(
 					       relay->random,
-					       request->route->objective_ms));
+					       request->route->objective_ms,
+					       request->deadline_ms));
 	else if (end == RUN_UNKNOWN)
 		http_reply(exchange, 502, NULL, "", 0);
 	relayed_free(request);
@@ -195,6 +199,8 @@
 	relay->runs = options->runs;
 	relay->random = options->random;
 	g_queue_init(&relay->requests);
+	relay->longest_deadlines =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	relay->accepted_total = counter_get(counters, COUNTER_MONOTONIC,
 					    "requests_accepted_total", NULL);
 	relay->refused_total = counter_get(counters, COUNTER_MONOTONIC,
@@ -220,18 +226,32 @@
 	return limit_ms ? request->received_us + limit_ms * 1000 : 0;
 }
 
+static bool is_return(relay_t *relay, const path_route_t *route,
+		      int32_t deadline_ms)
+{
+	int32_t longest_ms = GPOINTER_TO_INT(
+		g_hash_table_lookup(relay->longest_deadlines, route->name));
+
+	if (deadline_ms > longest_ms)
+		g_hash_table_insert(relay->longest_deadlines,
+				    g_strdup(route->name),
+				    GINT_TO_POINTER(deadline_ms));
+	return admission_is_return(longest_ms, deadline_ms);
+}
+
 static void refuse(relay_t *relay, const path_route_t *route,
 		   http_exchange_t *exchange, const relay_request_t *request,
-		   int32_t wait_ms)
+		   const admission_input_t *input)
 {
-	int32_t retry_after_ms =
-		admission_retry_after_ms(relay->random, route->objective_ms);
+	int32_t retry_after_ms = admission_retry_after_ms(
+		relay->random, input->objective_ms, input->deadline_ms);
 
 	(*relay->refused_total)++;
 	log_info("request_refused",
-		 "request=%s route=%s wait_ms=%d objective_ms=%d runners=%u "
-		 "retry_after_ms=%d",
-		 request->id, route->name, wait_ms, route->objective_ms,
+		 "request=%s route=%s wait_ms=%d objective_ms=%d "
+		 "deadline_ms=%d returning=%d runners=%u retry_after_ms=%d",
+		 request->id, route->name, input->wait_ms, input->objective_ms,
+		 input->deadline_ms, input->returning,
 		 fleet_size(relay->runs->fleet), retry_after_ms);
 	relay_refuse(exchange, retry_after_ms);
 }
@@ -242,12 +262,13 @@
 {
 	const char *service =
 		path_route_service(route, g_rand_double(relay->random));
-	int32_t wait_ms = service ? fleet_wait_ms(relay->runs->fleet, service) :
-				    INT32_MAX;
 	const admission_input_t input = {
-		.wait_ms = wait_ms,
+		.wait_ms = service ?
+				   fleet_wait_ms(relay->runs->fleet, service) :
+				   INT32_MAX,
 		.objective_ms = route->objective_ms,
 		.deadline_ms = request->deadline_ms,
+		.returning = is_return(relay, route, request->deadline_ms),
 	};
 	run_options_t options = {
 		.id = request->id,
@@ -270,7 +291,7 @@
 	if (relay->stopping)
 		http_close_after(exchange);
 	if (!admission_accepts(&input)) {
-		refuse(relay, route, exchange, request, wait_ms);
+		refuse(relay, route, exchange, request, &input);
 		return;
 	}
 	relayed = g_new0(relayed_t, 1);
@@ -282,14 +303,15 @@
 	relayed->id = g_strdup(request->id);
 	relayed->received_us = request->received_us;
 	relayed->expires_us = options.expires_us;
-	relayed->wait_ms = wait_ms;
+	relayed->wait_ms = input.wait_ms;
+	relayed->deadline_ms = request->deadline_ms;
 	relayed->first_ms = -1;
 	relayed->link.data = relayed;
 	g_queue_push_tail_link(&relay->requests, &relayed->link);
 	relayed->run = run_start(relay->runs, &options);
 	if (!relayed->run) {
 		relayed_free(relayed);
-		refuse(relay, route, exchange, request, wait_ms);
+		refuse(relay, route, exchange, request, &input);
 		return;
 	}
 	relayed->load = fleet_runner_load(run_runner(relayed->run));
--- a/tests/test_admission_rule.c
+++ b/tests/test_admission_rule.c
@@ -16,6 +16,39 @@
 	CU_ASSERT_FALSE(admission_accepts(&input));
 }
 
+/* A caller that was refused once may have no further try, and must not be
+ * refused for a wait that it can bear. */
+static void test_returning(void)
+{
+	admission_input_t input = { .wait_ms = 1000,
+				    .objective_ms = 300,
+				    .deadline_ms = 4000 };
+
+	CU_ASSERT_FALSE(admission_accepts(&input));
+	input.returning = admission_is_return(5000, 4000);
+	CU_ASSERT(admission_accepts(&input));
+	input.wait_ms = 4000;
+	CU_ASSERT_FALSE(admission_accepts(&input));
+	CU_ASSERT_FALSE(admission_is_return(5000, 4990));
+	CU_ASSERT_FALSE(admission_is_return(5000, 5000));
+	CU_ASSERT_FALSE(admission_is_return(0, 5000));
+	CU_ASSERT_FALSE(admission_is_return(5000, 0));
+}
+
+/* A time that callers do not follow, or after which too little is left, is no
+ * help to them. */
+static void test_return_within_deadline(void)
+{
+	GRand *random = g_rand_new_with_seed(3);
+
+	for (int i = 0; i < 1000; i++) {
+		CU_ASSERT(admission_retry_after_ms(random, 300, 5000) <= 1666);
+		CU_ASSERT(admission_retry_after_ms(random, 300, 1000) <= 333);
+	}
+	CU_ASSERT(admission_retry_after_ms(random, 300, 100) > 0);
+	g_rand_free(random);
+}
+
 /* Callers that are refused in one burst must not return in one burst. */
 static void test_burst_returns_spread(void)
 {
@@ -23,7 +56,7 @@
 	int buckets[20] = { 0 };
 
 	for (int i = 0; i < 1000; i++) {
-		int32_t ms = admission_retry_after_ms(random, 300);
+		int32_t ms = admission_retry_after_ms(random, 300, 0);
 
 		CU_ASSERT(ms > 0 && ms < 2000);
 		buckets[ms / 100]++;
@@ -37,6 +70,8 @@
 {
 	static const unit_test_t tests[] = {
 		{ "accepts", test_accepts },
+		{ "returning", test_returning },
+		{ "return within deadline", test_return_within_deadline },
 		{ "burst returns spread", test_burst_returns_spread },
 		{ NULL, NULL },
 	};
