Run batch items in other domains when the own one has no place

Cause: in a large system items ran only in the domain of the node that accepted their job.

Change: items that find no place near may take what another domain has free beyond its own waiting items and a reserve of 15%. Nodes share that by their part of all items without a place.

--- a/src/gateway/batch_rule.c
+++ b/src/gateway/batch_rule.c
@@ -8,6 +8,9 @@
 #define URGENCY_MS 2500
 /* These may take the last places. */
 #define URGENT_CLASSES 3
+/* Part of another domain's places that stays free: its nodes hear late of the
+ * items there, and these of its online load. */
+#define FAR_RESERVE_SHARE 0.15
 #define YIELD_PAUSE_LEAST_MS 150
 #define YIELD_PAUSE_SPREAD_MS 300
 
@@ -47,6 +50,42 @@
 	}
 }
 
+static uint32_t surplus_of(const batch_domain_t *domain)
+{
+	uint32_t kept = domain->waiting +
+			(uint32_t)(domain->places * FAR_RESERVE_SHARE);
+
+	if (domain->near || domain->free_places <= kept)
+		return 0;
+	return domain->free_places - kept;
+}
+
+uint32_t batch_far_share(const batch_domain_t *domains, guint count,
+			 uint32_t own_unplaced, const double draws[2],
+			 guint *domain)
+{
+	uint32_t unplaced = 0;
+	uint32_t surplus = 0;
+	uint32_t chosen;
+	double share;
+
+	for (guint i = 0; i < count; i++) {
+		surplus += surplus_of(&domains[i]);
+		if (domains[i].waiting > domains[i].free_places)
+			unplaced += domains[i].waiting - domains[i].free_places;
+	}
+	if (surplus == 0 || own_unplaced == 0)
+		return 0;
+	/* Nodes of one domain do not all turn to the same other one. */
+	chosen = (uint32_t)(draws[0] * surplus);
+	for (*domain = 0; chosen >= surplus_of(&domains[*domain]); (*domain)++)
+		chosen -= surplus_of(&domains[*domain]);
+	share = (double)surplus_of(&domains[*domain]) * own_unplaced /
+		MAX(unplaced, own_unplaced);
+	share = MIN(share, own_unplaced);
+	return (uint32_t)share + (draws[1] < share - (uint32_t)share ? 1 : 0);
+}
+
 int32_t batch_yield_pause_ms(GRand *random)
 {
 	return YIELD_PAUSE_LEAST_MS +
--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -48,6 +48,25 @@
 void batch_share(int32_t free_places, const batch_waiting_t *own,
 		 const batch_waiting_t *peers, double draw,
 		 batch_waiting_t *starts);
+/* What a node knows of a failure domain. */
+typedef struct batch_domain {
+	const char *name;
+	bool near; /* this node's own */
+	uint32_t waiting; /* items that look for a place at its nodes */
+	uint32_t free_places;
+	uint32_t places;
+} batch_domain_t;
+
+/*
+ * In a large system items run in their own domain, as load elsewhere is known
+ * late. Items that find no place there may take what another domain has beyond
+ * its own waiting items and a reserve. Returns how many this node may start in
+ * that domain now; *domain is its index. The draws are uniform in [0, 1).
+ */
+uint32_t batch_far_share(const batch_domain_t *domains, guint count,
+			 uint32_t own_unplaced, const double draws[2],
+			 guint *domain);
+
 /* Pause of work that gave way, before it looks for a place again: the load
  * that took its place is likely still there. */
 int32_t batch_yield_pause_ms(GRand *random);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -271,14 +271,20 @@
 
 		domain->runners = 0;
 		domain->online = 0;
+		domain->places = 0;
+		domain->free_places = 0;
 	}
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
+		fleet_domain_t *domain = runner->home;
 
 		if (!is_usable(runner, service) || is_avoided(fleet, runner))
 			continue;
-		runner->home->runners++;
-		runner->home->online += online_of(runner);
+		domain->runners++;
+		domain->online += online_of(runner);
+		domain->places += runner->slots;
+		if (load_of(runner) < runner->slots)
+			domain->free_places += runner->slots - load_of(runner);
 	}
 }
 
@@ -318,7 +324,8 @@
 static fleet_runner_t *choose(fleet_t *fleet, const fleet_wish_t *wish,
 			      const choice_scope_t *scope)
 {
-	bool near_only = wish->batch && keeps_near(fleet, wish->service);
+	bool near_only = wish->batch && !wish->domain &&
+			 keeps_near(fleet, wish->service);
 	/* After a failure, any sound runner is better than the same again. */
 	bool stay = fleet->far_late && !wish->batch && wish->tried_count == 0;
 	fleet_runner_t *best = NULL;
@@ -338,6 +345,8 @@
 			continue;
 		if (near_only && is_far(fleet, runner))
 			continue;
+		if (wish->domain && strcmp(runner->domain, wish->domain) != 0)
+			continue;
 		if (wish->batch && !has_place(runner))
 			continue;
 		if (stay && is_far(fleet, runner) &&
@@ -515,6 +524,19 @@
 	return MIN(whole, runner->own.batch);
 }
 
+void fleet_each_domain(fleet_t *fleet, const char *service,
+		       fleet_each_domain_t each, void *user_data)
+{
+	GHashTableIter iter;
+	void *name;
+	void *domain;
+
+	survey(fleet, service);
+	g_hash_table_iter_init(&iter, fleet->domains);
+	while (g_hash_table_iter_next(&iter, &name, &domain))
+		each(name, domain, user_data);
+}
+
 void fleet_each(fleet_t *fleet, fleet_each_t each, void *user_data)
 {
 	for (guint i = 0; i < fleet->listed->len; i++)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -27,9 +27,11 @@
 /* A failure domain with runners. */
 typedef struct fleet_domain {
 	domain_contact_t contact;
-	/* Of the present choice: sound runners and what is online there. */
+	/* Sums over the sound runners of one service, as last surveyed. */
 	uint32_t runners;
 	uint32_t online;
+	uint32_t places;
+	uint32_t free_places;
 } fleet_domain_t;
 
 typedef struct fleet_runner {
@@ -77,6 +79,7 @@
 	const char *service;
 	const uint64_t *tried; /* keys of runners that failed this request */
 	uint32_t tried_count;
+	const char *domain; /* only runners there; NULL: the fleet chooses */
 	bool batch;
 } fleet_wish_t;
 
@@ -136,6 +139,13 @@
  * place there. draw is uniform in [0, 1). */
 uint32_t fleet_batch_excess(const fleet_runner_t *runner, double draw);
 
+typedef void (*fleet_each_domain_t)(const char *name,
+				    const fleet_domain_t *domain,
+				    void *user_data);
+/* Calls each with the domains and their sums for the service. */
+void fleet_each_domain(fleet_t *fleet, const char *service,
+		       fleet_each_domain_t each, void *user_data);
+
 typedef void (*fleet_each_t)(fleet_runner_t *runner, void *user_data);
 void fleet_each(fleet_t *fleet, fleet_each_t each, void *user_data);
 uint32_t fleet_size(const fleet_t *fleet);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -228,6 +228,14 @@
 	peer_load_batch_waiting(gateway->peer_load, own, peers);
 }
 
+static void list_batch_domains(void *user_data, const char *service,
+			       GArray *domains)
+{
+	gateway_t *gateway = user_data;
+
+	peer_load_domains(gateway->peer_load, service, domains);
+}
+
 static bool find_store_peer(void *user_data, char *address, size_t size)
 {
 	const gateway_t *gateway = user_data;
@@ -295,6 +303,7 @@
 					  g_rand_int(gateway->random)),
 		.paths = &gateway->paths,
 		.batch_waiting = exchange_batch_waiting,
+		.batch_domains = list_batch_domains,
 		.user_data = gateway,
 	};
 	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -460,7 +460,8 @@
 }
 
 /* Starts what may start of one urgency. */
-static void start_items(owned_job_t *job, uint32_t urgency, uint32_t *starts)
+static void start_items(owned_job_t *job, uint32_t urgency, const char *domain,
+			uint32_t *starts)
 {
 	const path_route_t *route = route_of(job);
 
@@ -470,7 +471,7 @@
 		if (job->runs[i].urgency != urgency ||
 		    !job_item_run_wants_place(&job->runs[i]))
 			continue;
-		if (!job_item_run_start(&job->runs[i], route))
+		if (!job_item_run_start(&job->runs[i], route, domain))
 			return;
 		(*starts)--;
 	}
@@ -499,6 +500,46 @@
 	}
 }
 
+static uint32_t count_unplaced(const job_owner_t *owner)
+{
+	uint32_t unplaced = 0;
+
+	for (guint i = 0; i < owner->jobs->len; i++) {
+		const owned_job_t *job = owner->jobs->pdata[i];
+
+		if (job->gone || job->release)
+			continue;
+		for (guint j = 0; j < job->items->len; j++)
+			unplaced += job_item_run_wants_place(&job->runs[j]);
+	}
+	return unplaced;
+}
+
+/* Starts items that find no place here in a domain that has places left. */
+static void start_far(job_owner_t *owner, const char *service)
+{
+	job_context_t *context = owner->context;
+	GArray *domains = g_array_new(FALSE, FALSE, sizeof(batch_domain_t));
+	const double draws[2] = { g_rand_double(context->random),
+				  g_rand_double(context->random) };
+	guint chosen = 0;
+	uint32_t starts = 0;
+
+	context->batch_domains(context->user_data, service, domains);
+	if (domains->len > 0)
+		starts = batch_far_share((const batch_domain_t *)domains->data,
+					 domains->len, count_unplaced(owner),
+					 draws, &chosen);
+	for (uint32_t i = 0; i < BATCH_URGENCIES && starts > 0; i++)
+		for (guint j = 0; j < owner->jobs->len; j++)
+			start_items(
+				owner->jobs->pdata[j], i,
+				g_array_index(domains, batch_domain_t, chosen)
+					.name,
+				&starts);
+	g_array_free(domains, TRUE);
+}
+
 /* Starts this node's share of what the nodes may start together. */
 static void start_share(job_owner_t *owner)
 {
@@ -518,7 +559,9 @@
 		    &waiting, &peers, g_rand_double(context->random), &starts);
 	for (uint32_t i = 0; i < BATCH_URGENCIES; i++)
 		for (guint j = 0; j < owner->jobs->len; j++)
-			start_items(owner->jobs->pdata[j], i, &starts.items[i]);
+			start_items(owner->jobs->pdata[j], i, NULL,
+				    &starts.items[i]);
+	start_far(owner, service);
 }
 
 /* Returns how many items of the excess are left. */
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -126,7 +126,8 @@
 	run->was_hopeless |= run->urgency == BATCH_HOPELESS;
 }
 
-bool job_item_run_start(job_item_run_t *run, const path_route_t *route)
+bool job_item_run_start(job_item_run_t *run, const path_route_t *route,
+			const char *domain)
 {
 	job_context_t *context = run->context;
 	batch_input_t input = { .urgency = run->urgency };
@@ -148,13 +149,14 @@
 	if (!route)
 		return false;
 	options.host = route->host;
+	options.domain = domain;
 	options.service =
 		path_route_service(route, g_rand_double(context->random));
 	if (!options.service)
 		return false;
 	input.free_places = fleet_free_places(context->runs->fleet,
 					      options.service, &input.places);
-	if (!batch_may_start(&input))
+	if (!domain && !batch_may_start(&input))
 		return false;
 	run->max_failures = route->max_runners;
 	if (!run->text)
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -57,8 +57,10 @@
 /* Whether the item looks for a place now. */
 bool job_item_run_wants_place(const job_item_run_t *run);
 /* Returns false when no runner has a place for it, so that trying the next
- * item is of no use. route is that of the job, NULL when it was removed. */
-bool job_item_run_start(job_item_run_t *run, const path_route_t *route);
+ * item is of no use. route is that of the job, NULL when it was removed; domain
+ * is where to run it, NULL: wherever the fleet chooses. */
+bool job_item_run_start(job_item_run_t *run, const path_route_t *route,
+			const char *domain);
 /* Stops a run that is under way; the item waits again. */
 void job_item_run_cancel(job_item_run_t *run);
 /* The same, to make room for online requests. */
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -263,6 +263,24 @@
 	}
 }
 
+uint32_t load_view_waiting_in(const load_view_t *view, const char *domain)
+{
+	GHashTableIter iter;
+	void *value;
+	uint32_t waiting = 0;
+
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+
+		if (g_strcmp0(peer->domain, domain) != 0)
+			continue;
+		for (int i = 0; i < BATCH_URGENCIES; i++)
+			waiting += peer->batch_waiting.items[i];
+	}
+	return waiting;
+}
+
 const char *load_view_store_peer(const load_view_t *view, double draw)
 {
 	GHashTableIter iter;
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -38,6 +38,8 @@
  * node's domain. */
 void load_view_batch_waiting(const load_view_t *view, bool near_only,
 			     batch_waiting_t *waiting);
+/* Batch items that look for a place at the other nodes of a domain. */
+uint32_t load_view_waiting_in(const load_view_t *view, const char *domain);
 /* Domain of a node that was heard; NULL: not heard. */
 const char *load_view_domain(const load_view_t *view, const char *node);
 /* Takes another node's report; returns its name, or NULL for one that cannot
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -307,6 +307,39 @@
 	load_view_batch_waiting(load->view, is_large(load), peers);
 }
 
+typedef struct domain_list {
+	const peer_load_t *load;
+	GArray *domains; /* batch_domain_t */
+} domain_list_t;
+
+static void add_domain(const char *name, const fleet_domain_t *domain,
+		       void *user_data)
+{
+	const domain_list_t *list = user_data;
+	const peer_load_t *load = list->load;
+	batch_domain_t entry = {
+		.name = name,
+		.near = strcmp(name, load->options.domain) == 0,
+		.waiting = load_view_waiting_in(load->view, name),
+		.free_places = domain->free_places,
+		.places = domain->places,
+	};
+
+	if (entry.near)
+		for (int i = 0; i < BATCH_URGENCIES; i++)
+			entry.waiting += load->own.batch_waiting.items[i];
+	g_array_append_val(list->domains, entry);
+}
+
+void peer_load_domains(peer_load_t *load, const char *service, GArray *domains)
+{
+	domain_list_t list = { load, domains };
+
+	if (is_large(load))
+		fleet_each_domain(load->options.fleet, service, add_domain,
+				  &list);
+}
+
 void peer_load_set_store(peer_load_t *load, bool reaches_store)
 {
 	if (reaches_store != load->own.reaches_store)
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -40,6 +40,9 @@
 /* Tells the other nodes which batch items look for a place here; gets theirs. */
 void peer_load_batch_waiting(peer_load_t *load, const batch_waiting_t *own,
 			     batch_waiting_t *peers);
+/* Appends what is known of the domains; nothing in a small system, in which
+ * load is known everywhere. */
+void peer_load_domains(peer_load_t *load, const char *service, GArray *domains);
 /* Whether the store answers this node, for the reports. */
 void peer_load_set_store(peer_load_t *load, bool reaches_store);
 void peer_load_tick(peer_load_t *load);
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -27,6 +27,7 @@
 	char *target;
 	char *host;
 	char *service;
+	char *domain; /* NULL: any */
 	GPtrArray *headers;
 	GBytes *body;
 	runner_answer_t answer; /* headers are owned */
@@ -62,6 +63,7 @@
 	g_free(run->target);
 	g_free(run->host);
 	g_free(run->service);
+	g_free(run->domain);
 	g_free(run);
 }
 
@@ -243,6 +245,7 @@
 {
 	const fleet_wish_t wish = {
 		.service = run->service,
+		.domain = run->domain,
 		.tried = run->tried,
 		.tried_count = run->tries,
 		.batch = run->batch,
@@ -310,6 +313,7 @@
 	run->target = g_strdup(options->target);
 	run->host = g_strdup(options->host);
 	run->service = g_strdup(options->service);
+	run->domain = g_strdup(options->domain);
 	run->headers = g_ptr_array_ref(options->headers);
 	run->body = g_bytes_ref(options->body);
 	run->whole_body = g_string_new(NULL);
--- a/src/gateway/run.h
+++ b/src/gateway/run.h
@@ -56,6 +56,7 @@
 	const char *target;
 	const char *host;
 	const char *service;
+	const char *domain; /* of the runners; NULL: any */
 	GPtrArray *headers; /* a reference is taken */
 	GBytes *body; /* a reference is taken */
 	bool stream; /* a success is a stream of events */
--- a/tests/test_batch_rule.c
+++ b/tests/test_batch_rule.c
@@ -61,6 +61,58 @@
 	CU_ASSERT_EQUAL(share_of(6, hopeless, later, BATCH_HOPELESS), 3);
 }
 
+/* Items that find no place in their domain must not wait while another domain
+ * has places that its own items do not need; together the nodes must not start
+ * more there than that. */
+static void test_far_places(void)
+{
+	const batch_domain_t domains[] = {
+		{ .name = "full", .near = true, .waiting = 30, .places = 100 },
+		{ .name = "idle",
+		  .waiting = 5,
+		  .free_places = 60,
+		  .places = 100 },
+		{ .name = "other", .waiting = 10, .places = 100 },
+	};
+	GRand *random = g_rand_new_with_seed(5);
+	uint32_t started = 0;
+	guint chosen;
+
+	for (int round = 0; round < 1000; round++) {
+		const double draws[2] = { g_rand_double(random),
+					  g_rand_double(random) };
+
+		started += batch_far_share(domains, 3, 10, draws, &chosen);
+		CU_ASSERT_EQUAL(chosen, 1);
+	}
+	/* A quarter of the 40 unplaced items is here, so a quarter of 40
+	 * places: 60 less 5 that wait there and 15 in reserve. */
+	CU_ASSERT(started > 9500 && started < 10500);
+	g_rand_free(random);
+}
+
+/* A domain whose own items need its places lends none. */
+static void test_no_far_places(void)
+{
+	static const double draws[2] = { 0.99, 0.0 };
+	batch_domain_t domains[] = {
+		{ .name = "full", .near = true, .waiting = 30, .places = 100 },
+		{ .name = "busy",
+		  .waiting = 50,
+		  .free_places = 60,
+		  .places = 100 },
+	};
+	guint chosen;
+
+	CU_ASSERT_EQUAL(batch_far_share(domains, 2, 10, draws, &chosen), 0);
+	domains[1].waiting = 0;
+	CU_ASSERT_EQUAL(batch_far_share(domains, 2, 0, draws, &chosen), 0);
+	CU_ASSERT_EQUAL(batch_far_share(domains, 1, 10, draws, &chosen), 0);
+	/* This node alone has items that wait. */
+	domains[0].waiting = 10;
+	CU_ASSERT_EQUAL(batch_far_share(domains, 2, 10, draws, &chosen), 10);
+}
+
 /* Work that is nearly due takes the last places; other work, and work that is
  * late anyway, leaves some. */
 static void test_due(void)
@@ -293,6 +345,8 @@
 	static const unit_test_t tests[] = {
 		{ "wave over several nodes", test_wave_over_several_nodes },
 		{ "urgent first", test_urgent_first },
+		{ "far places", test_far_places },
+		{ "no far places", test_no_far_places },
 		{ "due", test_due },
 		{ "overload", test_overload },
 		{ "pauses differ", test_pauses_differ },
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -92,6 +92,10 @@
 	*peers = (batch_waiting_t){ 0 };
 }
 
+static void no_domains(void *user_data, const char *service, GArray *domains)
+{
+}
+
 static void node_init(node_t *node, cluster_t *cluster, int index)
 {
 	const fleet_options_t fleet = { .clock = &cluster->clock.base,
@@ -136,6 +140,7 @@
 		.writer = g_strdup_printf("%s-1", node->name),
 		.paths = &node->paths,
 		.batch_waiting = no_waiting,
+		.batch_domains = no_domains,
 	};
 	node->cache = segment_cache_new(1024 * 1024);
 	node->owner = job_owner_new(&node->context, node->cache);
