Spread takeovers of a job over the nodes that are heard

Change: the pause before a node's try is drawn from a time that grows with the number of nodes, so that the first comes after 0.25 s on average.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -236,6 +236,13 @@
 	peer_load_domains(gateway->peer_load, service, domains);
 }
 
+static uint32_t count_peers(void *user_data)
+{
+	const gateway_t *gateway = user_data;
+
+	return peer_load_peers(gateway->peer_load);
+}
+
 static bool find_store_peer(void *user_data, char *address, size_t size)
 {
 	const gateway_t *gateway = user_data;
@@ -304,6 +311,7 @@
 		.paths = &gateway->paths,
 		.batch_waiting = exchange_batch_waiting,
 		.batch_domains = list_batch_domains,
+		.peers = count_peers,
 		.user_data = gateway,
 	};
 	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -24,6 +24,8 @@
 	/* Tells the other nodes how many items wait here; gets theirs. */
 	void (*batch_waiting)(void *user_data, const batch_waiting_t *own,
 			      batch_waiting_t *peers);
+	/* Number of other nodes that are heard. */
+	uint32_t (*peers)(void *user_data);
 	/* Appends what is known of the domains; nothing in a small system. */
 	void (*batch_domains)(void *user_data, const char *service,
 			      GArray *domains);
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -14,8 +14,9 @@
 /* An owner renews every 1.5 s. That reads may be stale does no harm: a takeover
  * only succeeds if the version that was seen first then is still current. */
 #define LEASE_MS 4000
-/* Nodes that see the same orphan do not all write at once. */
-#define TAKEOVER_SPREAD_MS 400
+/* Mean time until the first node tries to take an orphan over. Other nodes see
+ * that only with their next view, a second or two later. */
+#define TAKEOVER_FIRST_MS 250
 #define RETRY_MS 1000
 
 typedef struct seen_job {
@@ -188,6 +189,12 @@
 		       on_loaded, job);
 }
 
+int32_t job_table_takeover_delay_ms(GRand *random, uint32_t nodes)
+{
+	return g_rand_int_range(random, 0,
+				TAKEOVER_FIRST_MS * ((int32_t)nodes + 1));
+}
+
 static void take_over(seen_job_t *job)
 {
 	const job_context_t *context = job->table->context;
@@ -211,6 +218,7 @@
 
 void job_table_tick(job_table_t *table)
 {
+	const job_context_t *context = table->context;
 	GHashTableIter iter;
 	void *value;
 	int64_t now = now_us(table);
@@ -225,9 +233,11 @@
 			continue;
 		if (!job->try_at_us)
 			job->try_at_us =
-				now + g_rand_int_range(table->context->random,
-						       0, TAKEOVER_SPREAD_MS) *
-					      1000;
+				now +
+				job_table_takeover_delay_ms(
+					context->random,
+					context->peers(context->user_data)) *
+					1000LL;
 		if (now >= job->try_at_us)
 			take_over(job);
 	}
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -369,6 +369,11 @@
 	return node && peer_load_address(load, node, address, size);
 }
 
+uint32_t peer_load_peers(const peer_load_t *load)
+{
+	return load_view_peers(load->view);
+}
+
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -45,6 +45,8 @@
 void peer_load_domains(peer_load_t *load, const char *service, GArray *domains);
 /* Whether the store answers this node, for the reports. */
 void peer_load_set_store(peer_load_t *load, bool reaches_store);
+/* Number of other nodes that are heard. */
+uint32_t peer_load_peers(const peer_load_t *load);
 void peer_load_tick(peer_load_t *load);
 
 /* Address of a node by name, or of one that reaches the store, as IP:port in
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -92,6 +92,11 @@
 	*peers = (batch_waiting_t){ 0 };
 }
 
+static uint32_t two_peers(void *user_data)
+{
+	return 2;
+}
+
 static void no_domains(void *user_data, const char *service, GArray *domains)
 {
 }
@@ -141,6 +146,7 @@
 		.paths = &node->paths,
 		.batch_waiting = no_waiting,
 		.batch_domains = no_domains,
+		.peers = two_peers,
 	};
 	node->cache = segment_cache_new(1024 * 1024);
 	node->owner = job_owner_new(&node->context, node->cache);
--- /dev/null
+++ b/tests/test_job_table.c
@@ -0,0 +1,63 @@
+#include <glib.h>
+
+#include "gateway/job_table.h"
+#include "unit.h"
+
+#define ROUNDS 200
+/* Until the other nodes see a takeover: a pause and a stale read. */
+#define VIEW_MS 1500
+
+typedef struct orphan_cost {
+	double first_ms; /* until the first try */
+	double tries; /* before the others see that one has succeeded */
+} orphan_cost_t;
+
+static orphan_cost_t cost_with(uint32_t nodes)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	orphan_cost_t cost = { 0 };
+
+	for (int round = 0; round < ROUNDS; round++) {
+		int32_t *delays_ms = g_new(int32_t, nodes);
+		int32_t first_ms = INT32_MAX;
+
+		for (uint32_t i = 0; i < nodes; i++) {
+			delays_ms[i] =
+				job_table_takeover_delay_ms(random, nodes - 1);
+			first_ms = MIN(first_ms, delays_ms[i]);
+		}
+		cost.first_ms += (double)first_ms / ROUNDS;
+		for (uint32_t i = 0; i < nodes; i++)
+			cost.tries += (delays_ms[i] <= first_ms + VIEW_MS) /
+				      (double)ROUNDS;
+		g_free(delays_ms);
+	}
+	g_rand_free(random);
+	return cost;
+}
+
+/* A killed node's jobs must find an owner soon, and one orphan must not cost a
+ * write by every node of a large system. */
+static void test_orphan_in_large_system(void)
+{
+	static const uint32_t nodes[] = { 2, 7, 77, 380 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++) {
+		orphan_cost_t cost = cost_with(nodes[i]);
+
+		printf("%u nodes: first try after %.0f ms, %.1f tries\n",
+		       nodes[i], cost.first_ms, cost.tries);
+		CU_ASSERT(cost.first_ms <= 500);
+		CU_ASSERT(cost.tries <= 10);
+	}
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "orphan in large system", test_orphan_in_large_system },
+		{ NULL, NULL },
+	};
+
+	return unit_run("job_table", tests);
+}
