Tell the other nodes which runners lose requests

Change: load reports tell how many online requests a runner has lost lately (failure_record). A runner that loses most of them gets no online requests as long as another can take them. Batch items still go there: they lose nothing.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -206,6 +206,15 @@
 	return runner->slowness_percent / 100.0;
 }
 
+static bool loses_requests(const fleet_runner_t *runner, int64_t now_us)
+{
+	uint32_t percent =
+		failure_record_percent(&runner->failures_here, now_us) +
+		runner->peers_failures_percent;
+
+	return failure_record_is_bad(percent, online_of(runner));
+}
+
 static bool is_avoided(const fleet_t *fleet, const fleet_runner_t *runner)
 {
 	int64_t now_us = clock_now_us(fleet->clock);
@@ -262,6 +271,7 @@
 /* Sums up the load of each domain's sound runners. */
 static void survey(fleet_t *fleet, const char *service)
 {
+	int64_t now_us = clock_now_us(fleet->clock);
 	GHashTableIter iter;
 	void *value;
 
@@ -280,8 +290,10 @@
 
 		if (!is_usable(runner, service) || is_avoided(fleet, runner))
 			continue;
-		domain->runners++;
-		domain->online += online_of(runner);
+		if (!loses_requests(runner, now_us)) {
+			domain->runners++;
+			domain->online += online_of(runner);
+		}
 		domain->places += runner->slots;
 		if (load_of(runner) < runner->slots)
 			domain->free_places += runner->slots - load_of(runner);
@@ -328,6 +340,7 @@
 			 keeps_near(fleet, wish->service);
 	/* After a failure, any sound runner is better than the same again. */
 	bool stay = fleet->far_late && !wish->batch && wish->tried_count == 0;
+	int64_t now_us = clock_now_us(fleet->clock);
 	fleet_runner_t *best = NULL;
 	double best_cost = 0;
 
@@ -341,6 +354,11 @@
 			continue;
 		if (!scope->avoided && is_avoided(fleet, runner))
 			continue;
+		/* Batch items lose no more than a moment there, and leave the
+		 * places of sound runners to online requests. */
+		if (!scope->avoided && !wish->batch &&
+		    loses_requests(runner, now_us))
+			continue;
 		if (!scope->tried && was_tried(wish, runner))
 			continue;
 		if (near_only && is_far(fleet, runner))
@@ -470,6 +488,23 @@
 	runner->avoid_until_us = clock_now_us(fleet->clock) + avoid_ms * 1000;
 }
 
+void fleet_lost_request(fleet_t *fleet, fleet_runner_t *runner)
+{
+	int64_t now_us = clock_now_us(fleet->clock);
+	bool was_bad = loses_requests(runner, now_us);
+
+	fleet_failed(fleet, runner);
+	failure_record_add(&runner->failures_here, now_us);
+	if (!was_bad && loses_requests(runner, now_us))
+		log_warn("runner_loses_requests",
+			 "runner=%s failures_percent=%u peers_percent=%u "
+			 "online=%u",
+			 runner->id,
+			 failure_record_percent(&runner->failures_here, now_us),
+			 runner->peers_failures_percent, online_of(runner));
+	load_changed(fleet);
+}
+
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
 {
 	fleet_failed(fleet, runner);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "gateway/domain_contact.h"
+#include "gateway/failure_record.h"
 
 /*
  * fleet - what this node believes about each runner, and the choice of one.
@@ -27,7 +28,8 @@
 /* A failure domain with runners. */
 typedef struct fleet_domain {
 	domain_contact_t contact;
-	/* Sums over the sound runners of one service, as last surveyed. */
+	/* Sums over the runners of one service that are not avoided, as last
+	 * surveyed; the first two without those that lose most requests. */
 	uint32_t runners;
 	uint32_t online;
 	uint32_t places;
@@ -47,6 +49,8 @@
 	int64_t gone_at_us; /* to be forgotten then; 0: in the runner list */
 	fleet_load_t own;
 	fleet_load_t peers; /* sum over the other nodes */
+	failure_record_t failures_here; /* seen by this node */
+	uint32_t peers_failures_percent; /* sum over the other nodes */
 	uint32_t slowness_percent; /* of usual work time, 100: as usual */
 	int64_t slowness_us; /* when that was reported, 0: never */
 	bool speed_is_own; /* the runner told this node */
@@ -126,6 +130,8 @@
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner);
 /* A request there failed or was refused; the runner is avoided for a while. */
 void fleet_failed(fleet_t *fleet, fleet_runner_t *runner);
+/* The same, and the runner lost the request after it had got it. */
+void fleet_lost_request(fleet_t *fleet, fleet_runner_t *runner);
 /* The same, and no connection to the runner could be made. */
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner);
 /* The runner said itself that it leaves, or another one has its address. */
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -11,6 +11,8 @@
 #define SILENT_MS 2000
 /* Beyond this age a speed says nothing, see fleet. */
 #define SLOWNESS_AGE_MAX_MS 400
+/* Less is not worth its place in a report. */
+#define FAILURES_LEAST_PERCENT 10
 
 typedef struct peer {
 	char *node;
@@ -21,8 +23,15 @@
 	batch_waiting_t batch_waiting;
 	bool reaches_store;
 	GArray *entries; /* load_entry */
+	GArray *failures; /* load_failure */
 } peer_t;
 
+/* Over all peers, of one runner. */
+typedef struct peer_sum {
+	fleet_load_t load;
+	uint32_t failures_percent;
+} peer_sum_t;
+
 struct load_view {
 	const clock_source_t *clock;
 	fleet_t *fleet;
@@ -31,7 +40,7 @@
 	uint64_t incarnation;
 	uint64_t sequence;
 	GHashTable *peers; /* node -> peer_t */
-	GHashTable *sums; /* runner key -> fleet_load_t */
+	GHashTable *sums; /* runner key -> peer_sum_t */
 };
 
 static void peer_free(void *data)
@@ -39,6 +48,7 @@
 	peer_t *peer = data;
 
 	g_array_free(peer->entries, TRUE);
+	g_array_free(peer->failures, TRUE);
 	g_free(peer->node);
 	g_free(peer->domain);
 	g_free(peer);
@@ -73,10 +83,26 @@
 
 typedef struct report {
 	load_entry entries[LOAD_ENTRIES_MAX];
+	load_failure failures[LOAD_ENTRIES_MAX];
 	u_int count;
+	u_int failures_count;
 	int64_t now_us;
 } report_t;
 
+static void add_failures(const fleet_runner_t *runner, report_t *report)
+{
+	load_failure *failure = &report->failures[report->failures_count];
+	uint32_t percent =
+		failure_record_percent(&runner->failures_here, report->now_us);
+
+	if (report->failures_count == LOAD_ENTRIES_MAX ||
+	    percent < FAILURES_LEAST_PERCENT)
+		return;
+	failure->runner = runner->key;
+	failure->percent = percent;
+	report->failures_count++;
+}
+
 static void add_runner(fleet_runner_t *runner, void *user_data)
 {
 	report_t *report = user_data;
@@ -85,6 +111,7 @@
 			   age_ms < SLOWNESS_AGE_MAX_MS;
 	load_entry *entry = &report->entries[report->count];
 
+	add_failures(runner, report);
 	if (report->count == LOAD_ENTRIES_MAX ||
 	    (!runner->own.online && !runner->own.batch && !knows_speed))
 		return;
@@ -114,6 +141,8 @@
 	report.reaches_store = own->reaches_store;
 	report.entries.entries_len = collected.count;
 	report.entries.entries_val = collected.entries;
+	report.failures.failures_len = collected.failures_count;
+	report.failures.failures_val = collected.failures;
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
 	if (xdr_load_report(&xdrs, &report))
 		len = xdr_getpos(&xdrs);
@@ -121,26 +150,51 @@
 	return len;
 }
 
-static void count(load_view_t *view, const GArray *entries, bool add)
+static peer_sum_t *sum_of(load_view_t *view, uint64_t key)
 {
-	for (guint i = 0; i < entries->len; i++) {
+	peer_sum_t *sum = g_hash_table_lookup(view->sums, &key);
+
+	if (!sum) {
+		sum = g_new0(peer_sum_t, 1);
+		g_hash_table_insert(view->sums, g_memdup2(&key, sizeof(key)),
+				    sum);
+	}
+	return sum;
+}
+
+/* Hands a changed sum on to the fleet. */
+static void apply_sum(load_view_t *view, uint64_t key, const peer_sum_t *sum)
+{
+	fleet_runner_t *runner = fleet_find(view->fleet, key);
+
+	if (runner) {
+		runner->peers = sum->load;
+		runner->peers_failures_percent = sum->failures_percent;
+	}
+	if (!sum->load.online && !sum->load.batch && !sum->failures_percent)
+		g_hash_table_remove(view->sums, &key);
+}
+
+/* Adds what a peer has reported to the sums, or takes it out. */
+static void count(load_view_t *view, const peer_t *peer, bool add)
+{
+	for (guint i = 0; i < peer->entries->len; i++) {
 		const load_entry *entry =
-			&g_array_index(entries, load_entry, i);
-		uint64_t key = entry->runner;
-		fleet_load_t *sum = g_hash_table_lookup(view->sums, &key);
-		fleet_runner_t *runner = fleet_find(view->fleet, key);
-
-		if (!sum) {
-			sum = g_new0(fleet_load_t, 1);
-			g_hash_table_insert(view->sums,
-					    g_memdup2(&key, sizeof(key)), sum);
-		}
-		sum->online += add ? entry->online : -entry->online;
-		sum->batch += add ? entry->batch : -entry->batch;
-		if (runner)
-			runner->peers = *sum;
-		if (!sum->online && !sum->batch)
-			g_hash_table_remove(view->sums, &key);
+			&g_array_index(peer->entries, load_entry, i);
+		peer_sum_t *sum = sum_of(view, entry->runner);
+
+		sum->load.online += add ? entry->online : -entry->online;
+		sum->load.batch += add ? entry->batch : -entry->batch;
+		apply_sum(view, entry->runner, sum);
+	}
+	for (guint i = 0; i < peer->failures->len; i++) {
+		const load_failure *failure =
+			&g_array_index(peer->failures, load_failure, i);
+		peer_sum_t *sum = sum_of(view, failure->runner);
+
+		sum->failures_percent +=
+			add ? failure->percent : -failure->percent;
+		apply_sum(view, failure->runner, sum);
 	}
 }
 
@@ -172,6 +226,7 @@
 	peer = g_new0(peer_t, 1);
 	peer->node = g_strdup(node);
 	peer->entries = g_array_new(FALSE, FALSE, sizeof(load_entry));
+	peer->failures = g_array_new(FALSE, FALSE, sizeof(load_failure));
 	g_hash_table_insert(view->peers, peer->node, peer);
 	log_info("peer_heard", "peer=%s peers=%u", node,
 		 g_hash_table_size(view->peers));
@@ -199,11 +254,15 @@
 			peer = NULL;
 	}
 	if (peer) {
-		count(view, peer->entries, false);
+		count(view, peer, false);
 		g_array_set_size(peer->entries, 0);
 		g_array_append_vals(peer->entries, report.entries.entries_val,
 				    report.entries.entries_len);
-		count(view, peer->entries, true);
+		g_array_set_size(peer->failures, 0);
+		g_array_append_vals(peer->failures,
+				    report.failures.failures_val,
+				    report.failures.failures_len);
+		count(view, peer, true);
 		take_speeds(view, peer->entries);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
@@ -233,7 +292,7 @@
 			continue;
 		log_info("peer_silent", "peer=%s silent_ms=%" G_GINT64_FORMAT,
 			 peer->node, (now_us - peer->heard_us) / 1000);
-		count(view, peer->entries, false);
+		count(view, peer, false);
 		g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -21,7 +21,7 @@
 #define GATHER_MS 5
 /* Repeats make up for lost reports. */
 #define REPEAT_MS 400
-#define DATAGRAM_MAX_BYTES 2048
+#define DATAGRAM_MAX_BYTES 3072
 /* Up to this many nodes all get every report; the bytes between domains grow
  * with the square of their number. */
 #define SMALL_SYSTEM_NODES 16
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -10,6 +10,9 @@
 /* A stream without an event for this long goes on at another runner. Callers
  * give a silent stream up after two seconds. */
 #define STALL_MS 900
+/* A runner that has not begun to answer by then has lost the request, most
+ * likely; its queue is not that long. */
+#define NO_ANSWER_MS 2000
 /* Least time that is worth another try. */
 #define MIN_TRY_MS 50
 /* Deadline of work that has none. */
@@ -45,6 +48,7 @@
 	bool batch;
 	bool started; /* the sink has the start of the stream */
 	bool answered; /* the present try has an answer */
+	bool counted_lost; /* the present try, while it still waits */
 	GList link;
 };
 
@@ -139,7 +143,10 @@
 	bool again = !may_have_run || run->idempotent ||
 		     (run->stream && run->resumable);
 
-	if (connected)
+	/* A batch item may be at fault itself. */
+	if (may_have_run && !run->batch)
+		fleet_lost_request(run->context->fleet, run->runner);
+	else if (connected)
 		fleet_failed(run->context->fleet, run->runner);
 	else
 		fleet_unreachable(run->context->fleet, run->runner);
@@ -227,6 +234,8 @@
 	}
 	if (run->answer.status < 500)
 		fleet_succeeded(run->context->fleet, run->runner);
+	else if (!run->batch)
+		fleet_lost_request(run->context->fleet, run->runner);
 	deliver_whole(run);
 }
 
@@ -274,6 +283,7 @@
 	run->tried[run->tries++] = run->runner->key;
 	run->runs++;
 	run->answered = false;
+	run->counted_lost = false;
 	run->progress_us = clock_now_us(run->context->clock);
 	event_reader_restart(&run->events);
 	(*run->context->tries_total)++;
@@ -363,6 +373,16 @@
 	       now_us - run->progress_us > STALL_MS * 1000;
 }
 
+/* Work that may run only once waits on, but others need not go there. */
+static void count_unanswered(run_t *run, int64_t now_us)
+{
+	if (!run->call || run->batch || run->answered || run->counted_lost ||
+	    now_us - run->progress_us <= NO_ANSWER_MS * 1000)
+		return;
+	run->counted_lost = true;
+	fleet_lost_request(run->context->fleet, run->runner);
+}
+
 void run_sweep(run_context_t *context)
 {
 	int64_t now_us = clock_now_us(context->clock);
@@ -373,6 +393,7 @@
 		runner_call_t *call = run->call;
 
 		link = link->next;
+		count_unanswered(run, now_us);
 		if (!is_stalled(run, now_us))
 			continue;
 		run->call = NULL;
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -12,6 +12,12 @@
 	unsigned int slowness_age_ms;
 };
 
+/* Requests that a runner has lost lately, in hundredths. */
+struct load_failure {
+	unsigned hyper runner;
+	unsigned int percent;
+};
+
 struct load_report {
 	string node<LOAD_NAME_MAX>;
 	string domain<LOAD_NAME_MAX>;
@@ -21,4 +27,5 @@
 	unsigned int batch_waiting[LOAD_URGENCIES];
 	bool reaches_store;
 	load_entry entries<LOAD_ENTRIES_MAX>;
+	load_failure failures<LOAD_ENTRIES_MAX>;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -66,6 +66,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_load_failure (XDR *xdrs, load_failure *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->percent))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_load_report (XDR *xdrs, load_report *objp)
 {
@@ -104,6 +116,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_ENTRIES_MAX,
 			sizeof (load_entry), (xdrproc_t) xdr_load_entry))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LOAD_ENTRIES_MAX,
+			sizeof (load_failure), (xdrproc_t) xdr_load_failure))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
@@ -136,6 +151,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_ENTRIES_MAX,
 			sizeof (load_entry), (xdrproc_t) xdr_load_entry))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LOAD_ENTRIES_MAX,
+			sizeof (load_failure), (xdrproc_t) xdr_load_failure))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -155,5 +173,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_ENTRIES_MAX,
 		sizeof (load_entry), (xdrproc_t) xdr_load_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LOAD_ENTRIES_MAX,
+		sizeof (load_failure), (xdrproc_t) xdr_load_failure))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -26,6 +26,12 @@
 };
 typedef struct load_entry load_entry;
 
+struct load_failure {
+	u_quad_t runner;
+	u_int percent;
+};
+typedef struct load_failure load_failure;
+
 struct load_report {
 	char *node;
 	char *domain;
@@ -37,6 +43,10 @@
 		u_int entries_len;
 		load_entry *entries_val;
 	} entries;
+	struct {
+		u_int failures_len;
+		load_failure *failures_val;
+	} failures;
 };
 typedef struct load_report load_report;
 
@@ -44,10 +54,12 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_load_entry (XDR *, load_entry*);
+extern  bool_t xdr_load_failure (XDR *, load_failure*);
 extern  bool_t xdr_load_report (XDR *, load_report*);
 
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
+extern bool_t xdr_load_failure ();
 extern bool_t xdr_load_report ();
 
 #endif /* K&R C */
