Compute the expected wait in floating point

The division also rounded the wait down to whole places.

Change: the wait is computed in floating point.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -433,14 +433,14 @@
 {
 	const fleet_wish_t wish = { .service = service };
 	const fleet_runner_t *runner = choose_any(fleet, &wish);
-	uint32_t slots;
-	uint32_t ahead;
+	double ahead;
 
 	if (!runner)
 		return INT32_MAX;
-	slots = MAX(runner->slots, 1);
-	ahead = online_of(runner) >= slots ? online_of(runner) - slots + 1 : 0;
-	return (int32_t)(ahead * USUAL_WORK_MS / slots *
+	ahead = (double)online_of(runner) - runner->slots + 1;
+	if (ahead <= 0)
+		return 0;
+	return (int32_t)(ahead * USUAL_WORK_MS / MAX(runner->slots, 1) *
 			 slowness_of(fleet, runner));
 }
 
