Never take a request that has gone out as not sent

When the connect timeout is due, the HTTP client asks the socket whether it is connected. If the peer has reset the connection a moment before, the socket says no, and a request that was already worked on counted as not sent and was sent again.

Change: the client notes when bytes of a call go to the socket; such a call is never not sent.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -24,6 +24,7 @@
 typedef struct pooled_connection {
 	struct evhttp_connection *evcon;
 	char *address;
+	bool wrote; /* bytes of the present call went to the socket */
 } pooled_connection_t;
 
 struct http_client {
@@ -124,6 +125,15 @@
 	return client;
 }
 
+static void on_output(struct evbuffer *output,
+		      const struct evbuffer_cb_info *info, void *arg)
+{
+	pooled_connection_t *connection = arg;
+
+	if (info->n_deleted > 0)
+		connection->wrote = true;
+}
+
 static pooled_connection_t *connection_open(http_client_t *client,
 					    const char *address)
 {
@@ -139,6 +149,10 @@
 		client->base, NULL, NULL, host, port);
 	evhttp_connection_set_max_body_size(connection->evcon,
 					    MAX_ANSWER_BYTES);
+	evbuffer_add_cb(
+		bufferevent_get_output(
+			evhttp_connection_get_bufferevent(connection->evcon)),
+		on_output, connection);
 	g_free(host);
 	return connection;
 }
@@ -229,6 +243,7 @@
 	http_call_t *call = arg;
 	http_client_t *client = call->client;
 	pooled_connection_t *connection = call->connection;
+	bool wrote = connection && connection->wrote;
 	int status = request ? evhttp_request_get_response_code(request) : 0;
 
 	if (call->starting) {
@@ -258,8 +273,9 @@
 	}
 	discard_connection(client, connection);
 	/* A failed connect gives an answer without a status and no error. */
-	call_finish(call, request && !call->transport_error ? HTTP_NOT_SENT :
-							      HTTP_CUT);
+	call_finish(call, request && !call->transport_error && !wrote ?
+				  HTTP_NOT_SENT :
+				  HTTP_CUT);
 }
 
 static int on_evhttp_headers(struct evhttp_request *request, void *arg)
@@ -318,14 +334,16 @@
 	g_string_append_len(call->body, data, (gssize)len);
 }
 
-static bool is_connected(const http_call_t *call)
+/* Also true after the peer has reset a connection that was used. */
+static bool was_connected(const http_call_t *call)
 {
 	struct bufferevent *bev =
 		evhttp_connection_get_bufferevent(call->connection->evcon);
 	struct sockaddr_storage peer;
 	socklen_t len = sizeof(peer);
 
-	return getpeername(bufferevent_getfd(bev), (struct sockaddr *)&peer,
+	return call->connection->wrote ||
+	       getpeername(bufferevent_getfd(bev), (struct sockaddr *)&peer,
 			   &len) == 0;
 }
 
@@ -340,7 +358,7 @@
 	struct timeval rest = timeval_of_ms(call->after_connect_ms);
 
 	if (call->after_connect_ms == 0 || call->cancelled ||
-	    !is_connected(call))
+	    !was_connected(call))
 		return false;
 	call->after_connect_ms = 0;
 	evtimer_add(call->timer, &rest);
@@ -445,6 +463,7 @@
 		call->body = g_string_new(NULL);
 	g_hash_table_add(client->calls, call);
 	call->connection = connection_take(client, options);
+	call->connection->wrote = false;
 	call->request = evhttp_request_new(on_evhttp_done, call);
 	evhttp_request_set_error_cb(call->request, on_evhttp_error);
 	evhttp_request_set_header_cb(call->request, on_evhttp_headers);
