--- a/Makefile
+++ b/Makefile
@@ -103,6 +103,12 @@
 		build-fuzz/fuzzer
 	scripts/fuzz $(FUZZ_SECONDS)
 
+# Fault soak of gateway processes; SOAK_SEEDS is one seed or FIRST-LAST.
+SOAK_SEEDS ?= 1-50
+soak: deps
+	$(MAKE) all
+	tests/soak/soak.py --seeds $(SOAK_SEEDS)
+
 demo: deps
 	$(MAKE) all
 	scripts/demo
@@ -137,7 +143,7 @@
 clean:
 	rm -rf $(BUILD) $(BIN) libwasabilink.a
 
-.PHONY: all install tests check check-asan fuzz demo bench format lint clean deps xdr
+.PHONY: all install tests check check-asan fuzz soak demo bench format lint clean deps xdr
 .SECONDARY:
 -include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d) \
 	$(FUZZ_TARGET_OBJ:.o=.d)
