Name the ways in which a try ends

Cause: try_failed() took two booleans that had to be read together, and a loop condition was formatted so that it could not be read.

Change: try_end_t and note_failure() in run.c; try_failed tells end=unreachable, refused or broken. No change of behaviour.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -467,7 +467,7 @@
 
 	if (job->gone || job->release)
 		return;
-	for (guint i = 0; i<job->items->len && * starts> 0; i++) {
+	for (guint i = 0; *starts > 0 && i < job->items->len; i++) {
 		if (job->runs[i].urgency != urgency ||
 		    !job_item_run_wants_place(&job->runs[i]))
 			continue;
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -137,26 +137,40 @@
 
 static void next_try(run_t *run);
 
-/* The try has ended without a whole answer. */
-static void try_failed(run_t *run, bool may_have_run, bool connected)
+/* How a try ended without a whole answer. */
+typedef enum try_end {
+	TRY_UNREACHABLE, /* no connection to the runner */
+	TRY_REFUSED, /* the runner says that it did not run it */
+	TRY_BROKEN /* it may have run */
+} try_end_t;
+
+static void note_failure(run_t *run, try_end_t end)
 {
-	bool again = !may_have_run || run->idempotent ||
-		     (run->stream && run->resumable);
+	static const char *const names[] = { "unreachable", "refused",
+					     "broken" };
+	fleet_t *fleet = run->context->fleet;
 
-	/* A batch item may be at fault itself. */
-	if (may_have_run && !run->batch)
-		fleet_lost_request(run->context->fleet, run->runner);
-	else if (connected)
-		fleet_failed(run->context->fleet, run->runner);
-	else
-		fleet_unreachable(run->context->fleet, run->runner);
 	log_info("try_failed",
-		 "request=%s runner=%s try=%u connected=%d may_have_run=%d "
+		 "request=%s runner=%s try=%u end=%s may_have_run=%d "
 		 "status=%d last_event=%" G_GINT64_FORMAT " left_ms=%d",
-		 run->id, run->runner->id, run->tries, connected, may_have_run,
-		 run->answered ? run->answer.status : 0, run->events.last_id,
-		 left_ms(run));
-	if (!may_have_run)
+		 run->id, run->runner->id, run->tries, names[end],
+		 end == TRY_BROKEN, run->answered ? run->answer.status : 0,
+		 run->events.last_id, left_ms(run));
+	if (end == TRY_UNREACHABLE)
+		fleet_unreachable(fleet, run->runner);
+	else if (end == TRY_BROKEN && !run->batch)
+		fleet_lost_request(fleet, run->runner);
+	else /* A batch item that broke off may be at fault itself. */
+		fleet_failed(fleet, run->runner);
+}
+
+static void try_failed(run_t *run, try_end_t end)
+{
+	bool again = end != TRY_BROKEN || run->idempotent ||
+		     (run->stream && run->resumable);
+
+	note_failure(run, end);
+	if (end != TRY_BROKEN)
 		run->runs--;
 	if (again && run->tries < MAX_TRIES && run->runs < run->max_runners &&
 	    left_ms(run) >= MIN_TRY_MS) {
@@ -189,7 +203,7 @@
 		 run->runner->id, run->events.last_id);
 	run->call = NULL;
 	run->context->protocol->cancel(call);
-	try_failed(run, true, true);
+	try_failed(run, TRY_BROKEN);
 }
 
 static void deliver_whole(run_t *run)
@@ -211,12 +225,12 @@
 static void on_complete(run_t *run)
 {
 	if (run->answer.not_run || run->answer.other_instance) {
-		try_failed(run, false, true);
+		try_failed(run, TRY_REFUSED);
 		return;
 	}
 	if (is_live_stream(run)) {
 		if (!event_reader_at_boundary(&run->events)) {
-			try_failed(run, true, true);
+			try_failed(run, TRY_BROKEN);
 			return;
 		}
 		fleet_succeeded(run->context->fleet, run->runner);
@@ -224,12 +238,12 @@
 		return;
 	}
 	if (is_worth_repeating(run)) {
-		try_failed(run, true, true);
+		try_failed(run, TRY_BROKEN);
 		return;
 	}
 	if (run->started) {
 		/* A resumption was answered with an error. */
-		try_failed(run, true, true);
+		try_failed(run, TRY_BROKEN);
 		return;
 	}
 	if (run->answer.status < 500)
@@ -247,7 +261,8 @@
 	if (end == RUNNER_COMPLETE)
 		on_complete(run);
 	else
-		try_failed(run, end == RUNNER_CUT, end != RUNNER_NOT_SENT);
+		try_failed(run,
+			   end == RUNNER_CUT ? TRY_BROKEN : TRY_UNREACHABLE);
 }
 
 static bool start_try(run_t *run)
@@ -398,6 +413,6 @@
 			continue;
 		run->call = NULL;
 		context->protocol->cancel(call);
-		try_failed(run, true, true);
+		try_failed(run, TRY_BROKEN);
 	}
 }
