--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -243,8 +243,8 @@
 	http_call_t *call = arg;
 	http_client_t *client = call->client;
 	pooled_connection_t *connection = call->connection;
-	bool wrote = connection && connection->wrote;
 	int status = request ? evhttp_request_get_response_code(request) : 0;
+	bool wrote;
 
 	if (call->starting) {
 		/*
@@ -262,6 +262,7 @@
 		return;
 	}
 	call->connection = NULL;
+	wrote = connection->wrote;
 	if (request && status != 0 && !call->transport_error) {
 		call->status = status;
 		if (call->single_use)
