Refuse a chat request at once when no runner is known

A run of eight tests at once under AddressSanitizer showed it again: the second entry process of the domain had not read the VM list when the platform was cut off, so it knew no runner, and each request waited the whole two seconds of the queue before it was refused. The first process alone had been waited for.

Change: without a runner a chat request is answered no_runner at once (test_path.py, failed before: 'overloaded' after 2 s). The partition test now waits until each process serves, as the time after that is what it checks; its assertions are unchanged. A changed VM list leaves a log line, whose absence made the cause hard to see.

--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -30,6 +30,11 @@
 	int64_t retry_after_ms = 0;
 	admission_state_t admitted;
 
+	if (route_runners(chat->pool->route)->len == 0) {
+		chat_state_fail(chat, API_NO_RUNNER,
+				"no runner of the deployment is known");
+		return;
+	}
 	chat_state_set(chat, REQUEST_QUEUED);
 	chat->waiter.owner = chat;
 	chat->waiter.admitted = on_admitted;
--- a/src/entry/vm_follow.c
+++ b/src/entry/vm_follow.c
@@ -1,5 +1,6 @@
 #include "entry/vm_follow.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/error.h"
@@ -76,7 +77,13 @@
 
 static void publish(vm_follow_t *follow, vm_view_t *view)
 {
-	follow->options.changed(vm_view_vms(view), follow->options.user_data);
+	const GArray *vms = vm_view_vms(view);
+
+	log_info("vm_list_changed",
+		 "view=%016" PRIx64 " sequence=%" PRIu64 " vms=%u watcher=%d",
+		 vm_view_id(view), vm_view_sequence(view), vms->len,
+		 follow->is_watcher);
+	follow->options.changed(vms, follow->options.user_data);
 }
 
 static void on_list(const GArray *vms, const GError *error, void *user_data)
--- a/tests/process/test_partition.py
+++ b/tests/process/test_partition.py
@@ -37,10 +37,12 @@
                 f"127.0.0.1:{self.platform.info[d]}") for i in range(2)]
             for d in DOMAINS}
         self.fleet.publish_vms()
-        for domain in DOMAINS:
-            f.wait_for(lambda d=domain: self.chat(
-                self.entries[d][0], "warm up", once("warm up " + d)).status
-                == 200, "the ledger in " + domain)
+        # A process that has not read the VM list before the partition knows
+        # no runner.
+        for entry in self.entries["old-town"] + self.entries["thu-bon"]:
+            f.wait_for(lambda e=entry: self.chat(
+                e, "warm up", once("warm up " + e.name)).status == 200,
+                "the ledger and a runner at " + entry.name)
 
     def tearDown(self):
         self.fleet.close()
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -3,6 +3,7 @@
 import os
 import socket
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
@@ -67,6 +68,18 @@
         self.assertEqual(answer.status, 404)
         self.assertEqual(answer.json()["error"]["work"], "not_run")
 
+    def test_no_known_runner_is_refused_at_once(self):
+        """A request for a deployment without any runner must not wait in the
+        queue, whose longest wait is two seconds."""
+        start = time.monotonic()
+        answer = f.chat(self.entry, "shannonside-key", "permit-assist", "koi")
+        took_s = time.monotonic() - start
+        self.assertEqual(answer.status, 503, answer.body)
+        self.assertEqual(answer.json()["error"]["code"], "no_runner")
+        self.assertEqual(answer.json()["error"]["work"], "not_run")
+        self.assertIn("retry-after", answer.headers)
+        self.assertLess(took_s, 1)
+
     def test_wrong_key(self):
         answer = f.chat(self.entry, "wrong", "lantern-muse", "x")
         self.assertEqual(answer.status, 401)
