Save what batch items have delivered

Cause: an item in flight started again from its first event when its job got another owner. A stopping node also kept a job for up to 4 s, in which its waiting items started nowhere.

Ruled out: the size of items as the cause of lateness.

Change: the owner writes what unfinished items have delivered to an object of its own every 3 s while there is something new, and when the node is stopped. Jobs are handed back at the start of a stop. The next owner's runs go on after the last event saved. test_planned_stop_in_series failed without the write at the stop, test_killed_owner covers the one every 3 s.

The line of a finished item now tells its tokens, events and time.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,8 +15,6 @@
 #define LAST_REQUEST_MS 300
 /* Left for the end of the process itself. */
 #define EXIT_RESERVE_MS 400
-/* Batch items that have not finished by then are handed back. */
-#define BATCH_RELEASE_MS 4000
 /* Runners register one after the other, and each return of a watch is a call
  * to the store. A leaving runner must be known within two seconds. */
 #define RUNNER_GATHER_MS 500
@@ -158,13 +156,9 @@
 /* Callers keep connections open and would go on using them. */
 static void close_down(gateway_t *gateway)
 {
-	int64_t since_ms = stopping_ms(gateway);
-
 	http_server_close_idle(gateway->callers);
-	if (since_ms >= LINGER_MS)
+	if (stopping_ms(gateway) >= LINGER_MS)
 		http_server_stop_listening(gateway->callers);
-	if (since_ms >= BATCH_RELEASE_MS)
-		job_owner_release_all(gateway->job_owner);
 }
 
 static void on_tick(evutil_socket_t fd, short events, void *arg)
--- a/src/gateway/job_load.c
+++ b/src/gateway/job_load.c
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "gateway/job_progress.h"
 
 typedef struct load {
 	job_context_t *context;
@@ -71,3 +72,43 @@
 	load->user_data = user_data;
 	read_next(load);
 }
+
+typedef struct progress_load {
+	char *key;
+	job_progress_loaded_t loaded;
+	void *user_data;
+} progress_load_t;
+
+static void on_progress(const object_value_t *value, const GError *error,
+			void *user_data)
+{
+	progress_load_t *load = user_data;
+	GPtrArray *progress =
+		error ? NULL : job_progress_decode(value->data, value->len);
+
+	if (!progress) {
+		log_warn("progress_unread", "key=%s error=%s", load->key,
+			 error ? error_name(error->code) : "unreadable");
+		progress = g_ptr_array_new_with_free_func(job_progress_free);
+	}
+	load->loaded(progress, load->user_data);
+	g_free(load->key);
+	g_free(load);
+}
+
+void job_load_progress(job_context_t *context, const char *key,
+		       job_progress_loaded_t loaded, void *user_data)
+{
+	progress_load_t *load;
+
+	if (!key || !*key) {
+		loaded(g_ptr_array_new_with_free_func(job_progress_free),
+		       user_data);
+		return;
+	}
+	load = g_new0(progress_load_t, 1);
+	load->key = g_strdup(key);
+	load->loaded = loaded;
+	load->user_data = user_data;
+	object_get(context->store, key, on_progress, load);
+}
--- a/src/gateway/job_load.h
+++ b/src/gateway/job_load.h
@@ -4,7 +4,7 @@
 #include "gateway/job_context.h"
 #include "gateway/job_record.h"
 
-/* job_load - reads the items of a batch job from the store. */
+/* job_load - reads from the store what a node needs to run a batch job. */
 
 /* items is an array of job_item_t that the receiver owns, or NULL when the
  * store did not give all parts. */
@@ -12,6 +12,12 @@
 
 void job_load_items(job_context_t *context, const char *id, uint32_t parts,
 		    job_loaded_t loaded, void *user_data);
+/* progress is an array of job_progress_t that the receiver owns, empty when
+ * there is none or the store did not give it. */
+typedef void (*job_progress_loaded_t)(GPtrArray *progress, void *user_data);
+
+void job_load_progress(job_context_t *context, const char *key,
+		       job_progress_loaded_t loaded, void *user_data);
 /* The key of a payload part; freed by g_free(). */
 char *job_load_key(const char *id, uint32_t part);
 
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -4,10 +4,12 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "backend/event_reader.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "gateway/batch_rule.h"
 #include "gateway/job_owner_item.h"
+#include "gateway/job_progress.h"
 
 /* Well below the time after which other nodes take the job over, and below the
  * time within which an ended job must stop. */
@@ -15,6 +17,11 @@
 /* Results that finish close together are written together. */
 #define GATHER_MS 500
 #define RETRY_MS 200
+/* Twice the renewal: a takeover costs some seconds of each item's work anyway,
+ * and each call to the store has its price. */
+#define SAVE_MS 3000
+/* As for payload parts, below the store's limit of a value. */
+#define PROGRESS_MAX_BYTES (600 * 1024)
 /* Half of the lease, which other nodes count from their first sight. */
 #define FRESH_MS 2000
 
@@ -32,6 +39,10 @@
 	bool writing; /* a call to the store is under way */
 	bool refresh; /* read the record before the next write */
 	bool release; /* the next record names no owner */
+	char *progress_key; /* NULL: the next one is to be made */
+	uint64_t progress_version; /* OBJECT_ABSENT: not stored yet */
+	uint32_t progress_objects; /* of this owner */
+	int64_t saved_us; /* start of the last write of progress */
 	bool gone; /* free once the call has returned */
 	uint32_t segments; /* written by this owner */
 	int64_t fresh_since_us;
@@ -101,6 +112,7 @@
 	if (job->segment)
 		g_ptr_array_unref(job->segment);
 	g_free(job->segment_key);
+	g_free(job->progress_key);
 	job_record_free(job->record);
 	g_free(job->id);
 	g_free(job);
@@ -147,12 +159,13 @@
 	return path_table_find(paths, job->record->host, job->record->path);
 }
 
-/* Items that had to wait for all others, or that failed, are not usual ones. */
+/* Items that had to wait for all others, that failed or that began elsewhere
+ * are not usual ones. */
 static void learn_time(job_owner_t *owner, const job_item_run_t *run,
 		       job_result_state_t state)
 {
 	if (state != JOB_RESULT_COMPLETED || run->was_hopeless ||
-	    run->failures > 0)
+	    run->failures > 0 || run->resumed)
 		return;
 	item_estimate_add(&owner->estimate,
 			  (now_us(owner) - run->started_us) / 1000,
@@ -173,10 +186,13 @@
 	learn_time(job->owner, &job->runs[index], state);
 	log_info("item_finished",
 		 "job=%s item=%s state=%s failures=%u urgency=%u "
-		 "estimate_ms=%.0f left_ms=%" PRId64,
+		 "tokens=%" PRId64 " events=%" PRId64 " took_ms=%" PRId64
+		 " estimate_ms=%.0f left_ms=%" PRId64,
 		 job->id, item->id,
 		 state == JOB_RESULT_COMPLETED ? "completed" : "given_up",
 		 job->runs[index].failures, job->runs[index].urgency,
+		 item->tokens, job_item_run_events(&job->runs[index]),
+		 (now_us(job->owner) - job->runs[index].started_us) / 1000,
 		 job->owner->estimate.item_ms,
 		 (job->due_us - now_us(job->owner)) / 1000);
 	result->item = index;
@@ -188,11 +204,33 @@
 	g_ptr_array_add(job->fresh, result);
 }
 
+/* What a former owner delivered of items that are still open. */
+static uint32_t resume_items(owned_job_t *job, const GPtrArray *progress)
+{
+	uint32_t resumed = 0;
+
+	for (guint i = 0; progress && i < progress->len; i++) {
+		const job_progress_t *entry = progress->pdata[i];
+		job_item_run_t *run;
+
+		if (entry->item >= job->items->len)
+			continue;
+		run = &job->runs[entry->item];
+		if (run->state == JOB_ITEM_FINISHED || run->text)
+			continue;
+		job_item_run_resume(run, entry->last_event, entry->text);
+		resumed++;
+	}
+	return resumed;
+}
+
 void job_owner_adopt(job_owner_t *owner, const char *id, job_record_t *record,
-		     uint64_t version, GPtrArray *items)
+		     uint64_t version, GPtrArray *items,
+		     const GPtrArray *progress)
 {
 	owned_job_t *job = g_new0(owned_job_t, 1);
 	const path_route_t *route;
+	uint32_t resumed;
 	int64_t age_ms =
 		clock_wall_ms(owner->context->clock) - record->submitted_ms;
 
@@ -204,6 +242,7 @@
 	job->runs = g_new0(job_item_run_t, items->len);
 	job->fresh = g_ptr_array_new_with_free_func(job_result_free);
 	job->written_us = now_us(owner);
+	job->saved_us = job->written_us;
 	job->confirmed_us = clock_elapsed_us(owner->context->clock);
 	route = route_of(job);
 	/* Wall clocks may be some seconds apart; that only changes the order
@@ -217,13 +256,14 @@
 		if (job_record_has_item(record, i))
 			job->runs[i].state = JOB_ITEM_FINISHED;
 	}
+	resumed = resume_items(job, progress);
 	g_ptr_array_add(owner->jobs, job);
 	g_ptr_array_sort(owner->jobs, by_due);
 	log_info("job_adopted",
-		 "job=%s epoch=%u version=%" PRIu64 " results=%u items=%u "
-		 "due_ms=%" PRId64,
+		 "job=%s epoch=%u version=%" PRIu64 " results=%u resumed=%u "
+		 "items=%u due_ms=%" PRId64,
 		 id, record->epoch, version, job_record_results(record),
-		 record->items, (job->due_us - now_us(owner)) / 1000);
+		 resumed, record->items, (job->due_us - now_us(owner)) / 1000);
 }
 
 static void write_record(owned_job_t *job);
@@ -372,6 +412,10 @@
 		g_free(record->owner);
 		record->owner = g_strdup("");
 	}
+	if (job->progress_version != OBJECT_ABSENT) {
+		g_free(record->progress);
+		record->progress = g_strdup(job->progress_key);
+	}
 	text = job_record_encode(record);
 	begin_call(job);
 	object_put(context->store, key, text, strlen(text), job->version,
@@ -381,6 +425,85 @@
 	g_free(key);
 }
 
+static bool has_unsaved(const owned_job_t *job)
+{
+	for (guint i = 0; i < job->items->len; i++) {
+		const job_item_run_t *run = &job->runs[i];
+
+		if (run->state != JOB_ITEM_FINISHED &&
+		    run->last_event > run->saved_event)
+			return true;
+	}
+	return false;
+}
+
+static GPtrArray *collect_progress(owned_job_t *job)
+{
+	GPtrArray *entries = g_ptr_array_new_with_free_func(job_progress_free);
+
+	for (guint i = 0; i < job->items->len; i++) {
+		job_item_run_t *run = &job->runs[i];
+		job_progress_t *entry;
+
+		if (run->state == JOB_ITEM_FINISHED ||
+		    job_item_run_events(run) == 0)
+			continue;
+		run->saved_event = run->last_event;
+		entry = g_new0(job_progress_t, 1);
+		entry->item = i;
+		entry->last_event = run->last_event;
+		entry->text = g_strdup(run->text->str);
+		g_ptr_array_add(entries, entry);
+	}
+	return entries;
+}
+
+/* Whether the object was written is not known, so the next try takes a new
+ * one; the record names the last that is known to exist. */
+static void progress_failed(owned_job_t *job)
+{
+	g_clear_pointer(&job->progress_key, g_free);
+	job->progress_version = OBJECT_ABSENT;
+	for (guint i = 0; i < job->items->len; i++)
+		job->runs[i].saved_event = EVENT_READER_NONE;
+}
+
+static void on_progress_written(const object_value_t *value,
+				const GError *error, void *user_data)
+{
+	owned_job_t *job = user_data;
+
+	job->writing = false;
+	if (error) {
+		progress_failed(job);
+		retry_later(job, error);
+		return;
+	}
+	job->progress_version = value->version;
+	if (job->release && !job->gone)
+		write_record(job);
+}
+
+static void write_progress(owned_job_t *job)
+{
+	const job_context_t *context = job->owner->context;
+	GPtrArray *entries = collect_progress(job);
+	char *text = job_progress_encode(entries, PROGRESS_MAX_BYTES);
+
+	if (!job->progress_key)
+		job->progress_key =
+			g_strdup_printf(JOB_PROGRESS_PREFIX "%s.%u.%u.%s",
+					job->id, job->record->epoch,
+					job->progress_objects++, context->node);
+	job->saved_us = now_us(job->owner);
+	begin_call(job);
+	object_put(context->store, job->progress_key, text, strlen(text),
+		   job->progress_version, context->writer, on_progress_written,
+		   job);
+	g_ptr_array_unref(entries);
+	g_free(text);
+}
+
 static void on_segment_written(const object_value_t *value, const GError *error,
 			       void *user_data)
 {
@@ -394,7 +517,11 @@
 		return;
 	}
 	job->segment_stored = true;
-	if (!job->gone)
+	if (job->gone)
+		return;
+	if (job->release && has_unsaved(job))
+		write_progress(job);
+	else
 		write_record(job);
 }
 
@@ -426,14 +553,6 @@
 	return false;
 }
 
-static bool has_running(const owned_job_t *job)
-{
-	for (guint i = 0; i < job->items->len; i++)
-		if (job->runs[i].state == JOB_ITEM_RUNNING)
-			return true;
-	return false;
-}
-
 static bool is_segment_due(const owned_job_t *job, int64_t now)
 {
 	if (job->fresh->len == 0)
@@ -454,9 +573,13 @@
 		begin_segment(job);
 	if (job->segment && !job->segment_stored)
 		write_segment(job);
+	else if (job->release && has_unsaved(job))
+		write_progress(job);
 	else if (job->segment_stored || job->release ||
 		 now - job->written_us >= RENEW_MS * 1000)
 		write_record(job);
+	else if (now - job->saved_us >= SAVE_MS * 1000 && has_unsaved(job))
+		write_progress(job);
 }
 
 /* Starts what may start of one urgency. */
@@ -619,8 +742,8 @@
 
 		if (job->gone)
 			continue;
-		if (owner->stopping && !has_running(job))
-			job->release = true;
+		/* A job may be accepted here while the node stops. */
+		job->release |= owner->stopping;
 		write_due(job, now);
 	}
 	reap(owner);
@@ -660,11 +783,6 @@
 }
 
 void job_owner_stop(job_owner_t *owner)
-{
-	owner->stopping = true;
-}
-
-void job_owner_release_all(job_owner_t *owner)
 {
 	owner->stopping = true;
 	for (guint i = 0; i < owner->jobs->len; i++) {
--- a/src/gateway/job_owner.h
+++ b/src/gateway/job_owner.h
@@ -20,9 +20,11 @@
 job_owner_t *job_owner_new(job_context_t *context, segment_cache_t *cache);
 
 /* Begins to run a job that the store names this node the owner of. Takes the
- * record and the items over. */
+ * record and the items over. progress is what a former owner has handed over,
+ * job_progress_t; NULL: nothing. */
 void job_owner_adopt(job_owner_t *owner, const char *id, job_record_t *record,
-		     uint64_t version, GPtrArray *items);
+		     uint64_t version, GPtrArray *items,
+		     const GPtrArray *progress);
 /* Starts, yields and writes what is due. Some times a second. */
 void job_owner_tick(job_owner_t *owner);
 /* Gives places up to online requests, as soon as the load has changed. */
@@ -39,10 +41,8 @@
 const job_record_t *job_owner_fresh_record(job_owner_t *owner, const char *id);
 /* Items of an owned job, or NULL. */
 const GPtrArray *job_owner_items(job_owner_t *owner, const char *id);
-/* Gives all jobs away, once their running items are done. */
+/* Gives all jobs away, with what their items have delivered. */
 void job_owner_stop(job_owner_t *owner);
-/* Gives all jobs away now. */
-void job_owner_release_all(job_owner_t *owner);
 uint32_t job_owner_count(const job_owner_t *owner);
 
 #endif
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -18,6 +18,7 @@
 	run->item = item;
 	run->index = index;
 	run->last_event = EVENT_READER_NONE;
+	run->saved_event = EVENT_READER_NONE;
 	run->finished = finished;
 	run->user_data = user_data;
 	run->max_failures = 1;
@@ -31,6 +32,15 @@
 	run->text = NULL;
 }
 
+void job_item_run_resume(job_item_run_t *run, int64_t last_event,
+			 const char *text)
+{
+	run->last_event = last_event;
+	run->saved_event = last_event;
+	run->text = g_string_new(text);
+	run->resumed = true;
+}
+
 static void finish(job_item_run_t *run, job_result_state_t state)
 {
 	char *text = g_string_free(run->text, FALSE);
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -34,12 +34,14 @@
 	run_t *run;
 	GString *text; /* of the events so far; NULL before the first start */
 	int64_t last_event; /* -1: none */
+	int64_t saved_event; /* the last one that the store has; -1: none */
 	uint32_t failures; /* that the runner answered */
 	uint32_t failures_at_start; /* of the present run */
 	uint32_t max_failures;
 	int64_t not_before_us;
 	int64_t started_us; /* of its first run; 0: none yet */
 	uint32_t urgency; /* see batch_rule; as of the last look */
+	bool resumed; /* began at another owner */
 	bool was_hopeless; /* its time says nothing about usual items */
 	job_item_finished_t finished;
 	void *user_data;
@@ -49,6 +51,9 @@
 		       const job_item_t *item, uint32_t index,
 		       job_item_finished_t finished, void *user_data);
 void job_item_run_clear(job_item_run_t *run);
+/* Goes on after an event that another owner has seen. */
+void job_item_run_resume(job_item_run_t *run, int64_t last_event,
+			 const char *text);
 /* Looks at the urgency of the item anew. */
 void job_item_run_rank(job_item_run_t *run, int64_t due_us,
 		       const item_estimate_t *estimate);
--- a/src/gateway/job_record.c
+++ b/src/gateway/job_record.c
@@ -51,6 +51,7 @@
 	g_free(record->path);
 	g_free(record->owner);
 	g_free(record->instance);
+	g_free(record->progress);
 	g_free(record);
 }
 
@@ -64,6 +65,7 @@
 	copy->path = g_strdup(record->path);
 	copy->owner = g_strdup(record->owner);
 	copy->instance = g_strdup(record->instance);
+	copy->progress = g_strdup(record->progress);
 	copy->segments = segments;
 	for (guint i = 0; i < record->segments->len; i++) {
 		const job_segment_t *segment = record->segments->pdata[i];
@@ -105,14 +107,17 @@
 		json_array_append_new(
 			segments, encode_segment(record->segments->pdata[i]));
 	return dump(json_pack(
-		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:b, s:o}",
+		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:b, s:s, "
+		"s:o}",
 		"host", record->host, "path", record->path, "owner",
 		record->owner, "instance", record->instance, "epoch",
 		(int)record->epoch, "beat", (int)record->beat, "items",
 		(int)record->items, "parts", (int)record->payload_parts,
 		"submitted_ms", (json_int_t)record->submitted_ms,
 		"waiting_tokens", (json_int_t)record->waiting_tokens, "ended",
-		(int)record->ended, "segments", segments));
+		(int)record->ended, "progress",
+		record->progress ? record->progress : "", "segments",
+		segments));
 }
 
 static void decode_segment(job_record_t *record, const json_t *item)
@@ -154,6 +159,7 @@
 		record->submitted_ms = integer_member(root, "submitted_ms");
 		record->waiting_tokens = integer_member(root, "waiting_tokens");
 		record->ended = json_is_true(json_object_get(root, "ended"));
+		record->progress = string_member(root, "progress");
 		json_array_foreach(json_object_get(root, "segments"), index,
 				   item)
 			decode_segment(record, item);
--- a/src/gateway/job_record.h
+++ b/src/gateway/job_record.h
@@ -60,6 +60,7 @@
 	int64_t submitted_ms; /* wall clock of the node that accepted it */
 	int64_t waiting_tokens; /* of items without a result */
 	bool ended; /* by its caller; no further item is to start */
+	char *progress; /* key of the last job_progress object; empty: none */
 	GPtrArray *segments; /* job_segment_t */
 } job_record_t;
 
--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -78,7 +78,7 @@
 {
 	job_owner_adopt(submit->owner, submit->id,
 			job_record_copy(submit->record), version,
-			g_steal_pointer(&submit->items));
+			g_steal_pointer(&submit->items), NULL);
 	finish(submit, JOB_ACCEPTED);
 }
 
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -27,6 +27,7 @@
 	int64_t changed_us; /* when this node saw the version first */
 	int64_t try_at_us; /* 0: no takeover is planned */
 	bool taking;
+	GPtrArray *items; /* read during a takeover */
 } seen_job_t;
 
 struct job_table {
@@ -149,18 +150,32 @@
 	       now_us(table) - job->changed_us >= LEASE_MS * 1000;
 }
 
-static void on_loaded(GPtrArray *items, void *user_data)
+static void on_progress(GPtrArray *progress, void *user_data)
 {
 	seen_job_t *job = user_data;
+	GPtrArray *items = job->items;
 
 	job->taking = false;
+	job->items = NULL;
+	(*job->table->takeovers_total)++;
+	job_owner_adopt(job->table->owner, job->id,
+			job_record_copy(job->record), job->version, items,
+			progress);
+	g_ptr_array_unref(progress);
+}
+
+static void on_loaded(GPtrArray *items, void *user_data)
+{
+	seen_job_t *job = user_data;
+
 	if (!items) {
+		job->taking = false;
 		job->try_at_us = now_us(job->table) + RETRY_MS * 1000;
 		return;
 	}
-	(*job->table->takeovers_total)++;
-	job_owner_adopt(job->table->owner, job->id,
-			job_record_copy(job->record), job->version, items);
+	job->items = items;
+	job_load_progress(job->table->context, job->record->progress,
+			  on_progress, job);
 }
 
 static void on_taken(const object_value_t *value, const GError *error,
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -2,7 +2,9 @@
 #include <unistd.h>
 
 #include "base/counter.h"
+#include "gateway/job_load.h"
 #include "gateway/job_owner.h"
+#include "gateway/job_progress.h"
 #include "gateway/job_read.h"
 #include "gateway/job_submit.h"
 #include "object/object_memory.h"
@@ -17,14 +19,22 @@
 #define STEP_MS 10
 #define STEP_SLEEP_US 300
 #define SEEDS 12
+/* Of a streamed item, one a step. */
+#define STREAM_EVENTS 60
+#define LONG_STREAM_EVENTS 1500
+/* A killed owner's work may be lost since it was last saved: it saves every 3 s,
+ * and names the object with its next renewal, every 1.5 s. */
+#define MOST_LOST_EVENTS (4500 / STEP_MS)
 
 typedef struct cluster cluster_t;
 
-/* Completes each request with one event, some steps after its start. */
+/* Completes each request with one event some steps after its start, or streams
+ * an event a step. */
 struct runner_call {
 	cluster_t *cluster;
 	runner_request_t request;
 	int steps;
+	int64_t next_event; /* of a stream */
 	bool over;
 };
 
@@ -39,6 +49,7 @@
 	path_table_t *paths;
 	char name[8];
 	int outcome; /* job_submitted_t, -1: none yet */
+	bool killed;
 } node_t;
 
 struct cluster {
@@ -53,8 +64,16 @@
 	object_store_t *observer; /* without faults of its own */
 	int starts; /* of items */
 	int steps_per_item;
+	int stream_events; /* 0: items are no streams */
+	bool resumes_at_once; /* every request has asked for what is missing */
+	int64_t delivered[ITEMS]; /* last event that each item has got, or -1 */
 };
 
+static int item_index(const runner_request_t *request)
+{
+	return request->id[1] - '0';
+}
+
 static runner_call_t *start(void *context, const runner_request_t *request)
 {
 	cluster_t *cluster = context;
@@ -63,6 +82,10 @@
 	call->cluster = cluster;
 	call->request = *request;
 	call->steps = cluster->steps_per_item;
+	call->next_event = request->resume_after + 1;
+	if (cluster->stream_events &&
+	    request->resume_after != cluster->delivered[item_index(request)])
+		cluster->resumes_at_once = false;
 	cluster->starts++;
 	g_ptr_array_add(cluster->calls, call);
 	return call;
@@ -86,6 +109,34 @@
 	call->request.done(RUNNER_COMPLETE, call->request.user_data);
 }
 
+static void answer_stream(runner_call_t *call)
+{
+	runner_answer_t answer = { .status = 200 };
+
+	answer.headers = g_ptr_array_new();
+	call->request.answer(&answer, call->request.user_data);
+	g_ptr_array_unref(answer.headers);
+}
+
+static void stream(runner_call_t *call)
+{
+	const runner_request_t *request = &call->request;
+	int64_t event = call->next_event++;
+	char *text;
+
+	if (event == call->cluster->stream_events) {
+		call->over = true;
+		request->done(RUNNER_COMPLETE, request->user_data);
+		return;
+	}
+	if (event == request->resume_after + 1)
+		answer_stream(call);
+	text = g_strdup_printf("id: %d\ndata: e%d\n\n", (int)event, (int)event);
+	call->cluster->delivered[item_index(request)] = event;
+	request->data(text, strlen(text), request->user_data);
+	g_free(text);
+}
+
 static void no_waiting(void *user_data, const batch_waiting_t *own,
 		       batch_waiting_t *peers)
 {
@@ -178,13 +229,19 @@
 	object_memory_step(cluster->memory);
 	object_memory_deliver(cluster->observer);
 	for (int i = 0; i < NODES; i++) {
+		if (cluster->nodes[i].killed)
+			continue;
 		object_memory_deliver(cluster->nodes[i].store);
 		job_owner_tick(cluster->nodes[i].owner);
 	}
 	for (guint i = 0; i < cluster->calls->len; i++) {
 		runner_call_t *call = cluster->calls->pdata[i];
 
-		if (!call->over && --call->steps <= 0)
+		if (call->over)
+			continue;
+		if (cluster->stream_events)
+			stream(call);
+		else if (--call->steps <= 0)
 			complete(call);
 	}
 	usleep(STEP_SLEEP_US);
@@ -461,6 +518,148 @@
 	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
 }
 
+static void release(job_record_t *record)
+{
+	g_free(record->owner);
+	record->owner = g_strdup("n1");
+	record->epoch++;
+}
+
+static void on_progress(GPtrArray *progress, void *user_data)
+{
+	*(GPtrArray **)user_data = progress;
+}
+
+/* Does what a node does that takes a job over. */
+static void adopt_released(cluster_t *cluster, node_t *node)
+{
+	GPtrArray *progress = NULL;
+	peek_t peek;
+
+	change_record(cluster, release);
+	peek = peek_record(cluster);
+	job_load_progress(&node->context, peek.record->progress, on_progress,
+			  &progress);
+	while (!progress)
+		step(cluster);
+	CU_ASSERT_EQUAL(progress->len, ITEMS);
+	job_owner_adopt(node->owner, "j", peek.record, peek.version,
+			items_new(), progress);
+	g_ptr_array_unref(progress);
+}
+
+static bool is_whole(const char *text)
+{
+	GString *expected = g_string_new("e0");
+	bool whole;
+
+	for (int i = 1; i < STREAM_EVENTS; i++)
+		g_string_append_printf(expected, "\ne%d", i);
+	whole = strcmp(text, expected->str) == 0;
+	g_string_free(expected, TRUE);
+	return whole;
+}
+
+static void begin_streams(cluster_t *cluster, int events)
+{
+	cluster->stream_events = events;
+	cluster->resumes_at_once = true;
+	memset(cluster->delivered, -1, sizeof(cluster->delivered));
+}
+
+/* Nodes are stopped one after the other. Items in flight must go on at the next
+ * owner after their last event: if they start again, each stop makes them later,
+ * and items longer than the time between two stops are never done. */
+static void test_planned_stop_in_series(void)
+{
+	cluster_t *cluster = cluster_new(4);
+	node_t *next = &cluster->nodes[1];
+	uint32_t results = 0;
+	peek_t peek;
+
+	begin_streams(cluster, STREAM_EVENTS);
+	submit(&cluster->nodes[0]);
+	run_ms(cluster, STREAM_EVENTS / 2 * STEP_MS);
+	CU_ASSERT(cluster->delivered[0] >= 0);
+	job_owner_stop(cluster->nodes[0].owner);
+	run_ms(cluster, 200);
+	CU_ASSERT_EQUAL(job_owner_count(cluster->nodes[0].owner), 0);
+	adopt_released(cluster, next);
+	run_ms(cluster, 2 * STREAM_EVENTS * STEP_MS);
+	CU_ASSERT_EQUAL(cluster->starts, 2 * ITEMS);
+	CU_ASSERT(cluster->resumes_at_once);
+	peek = peek_record(cluster);
+	CU_ASSERT(has_each_item_once(peek.record));
+	for (guint i = 0; i < peek.record->segments->len; i++) {
+		const job_segment_t *segment = peek.record->segments->pdata[i];
+		const GPtrArray *segment_results =
+			segment_cache_get(next->cache, segment->key);
+
+		for (guint j = 0; j < segment_results->len; j++) {
+			const job_result_t *result = segment_results->pdata[j];
+
+			CU_ASSERT(is_whole(result->text));
+			results++;
+		}
+	}
+	CU_ASSERT_EQUAL(results, ITEMS);
+	job_record_free(peek.record);
+}
+
+static void kill_node(node_t *node)
+{
+	node->killed = true;
+	for (guint i = 0; i < node->cluster->calls->len; i++)
+		cancel(node->cluster->calls->pdata[i]);
+}
+
+/* A node is killed, or its domain cut off for longer than the lease, while it
+ * runs long items. The next owner must not start them from their first event:
+ * late in their time, they would all miss their due time. */
+static void test_killed_owner(void)
+{
+	cluster_t *cluster = cluster_new(5);
+	runner_call_t *call;
+
+	begin_streams(cluster, LONG_STREAM_EVENTS);
+	submit(&cluster->nodes[0]);
+	run_ms(cluster, 10000);
+	kill_node(&cluster->nodes[0]);
+	CU_ASSERT(cluster->delivered[0] > 2 * MOST_LOST_EVENTS);
+	adopt_released(cluster, &cluster->nodes[1]);
+	run_ms(cluster, 100);
+	CU_ASSERT_EQUAL_FATAL(cluster->starts, 2 * ITEMS);
+	for (guint i = ITEMS; i < cluster->calls->len; i++) {
+		call = cluster->calls->pdata[i];
+		CU_ASSERT(call->request.resume_after >=
+			  10000 / STEP_MS - MOST_LOST_EVENTS);
+	}
+}
+
+/* The store is away when progress is to be saved, and writes come late: the
+ * next save must succeed, and the job go on. */
+static void test_progress_not_saved(void)
+{
+	cluster_t *cluster = cluster_new(6);
+	object_memory_faults_t *faults = object_memory_faults(cluster->memory);
+	peek_t peek;
+
+	begin_streams(cluster, LONG_STREAM_EVENTS);
+	submit(&cluster->nodes[0]);
+	run_ms(cluster, 2900);
+	faults->lose_answers = 0.6;
+	faults->late_writes = 0.5;
+	run_ms(cluster, 4000);
+	*faults = (object_memory_faults_t){ .timeout_ms = 1000 };
+	run_ms(cluster, 5000);
+	kill_node(&cluster->nodes[0]);
+	adopt_released(cluster, &cluster->nodes[1]);
+	run_ms(cluster, LONG_STREAM_EVENTS * STEP_MS);
+	peek = peek_record(cluster);
+	CU_ASSERT(has_each_item_once(peek.record));
+	job_record_free(peek.record);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -468,6 +667,9 @@
 		{ "deposed owner", test_deposed_owner },
 		{ "end at another node", test_end_at_another_node },
 		{ "record grows old", test_record_grows_old },
+		{ "planned stop in series", test_planned_stop_in_series },
+		{ "killed owner", test_killed_owner },
+		{ "progress not saved", test_progress_not_saved },
 		{ NULL, NULL },
 	};
 
