Notice a caller that resets its connection

Cause: a caller that leaves with a part of the answer unread sends a reset. epoll reports an error, which libevent passes on as readable; a paused connection waited only for the end of its stream. So the loop spun, and the leaving was seen with the runner's next event at the earliest.

Change: the server waits for readability as well and asks the socket. If it is a next request that made it readable, the socket is asked every 200 ms. test_caller_resets failed before.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -178,6 +178,7 @@
 
 	follow->options = *options;
 	follow->prefix = g_strdup(options->prefix);
+	follow->answered_us = clock_now_us(options->clock);
 	follow->timer = evtimer_new(options->base, on_timer, follow);
 	relist(follow);
 	call_store(follow);
--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -28,7 +28,7 @@
 	GList release_link; /* data is NULL outside the queue */
 	evhtp_request_t *request;
 	struct bufferevent *bev; /* of the connection */
-	struct event *peer_closed_event;
+	struct event *peer_event;
 	http_closed_t closed;
 	void *closed_data;
 	http_drained_t drained;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <evhtp.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -18,6 +19,9 @@
 #define LISTEN_BACKLOG 1024
 #define LARGE_BODY_BYTES (64 * 1024)
 #define SWEEP_MS 500
+/* How late the leaving of a caller may be seen that has sent a next request;
+ * well below the half second in which work for it is to end. */
+#define PEER_CHECK_MS 200
 #define MIN_LONG_LINE 2048
 /* A longer first line is left to the parser, which refuses it. */
 #define MAX_FIRST_LINE 8192
@@ -149,11 +153,38 @@
 	exchange_resume(exchange);
 }
 
-static void on_peer_closed(evutil_socket_t fd, short events, void *arg)
+static bool has_peer_closed(const http_exchange_t *exchange)
+{
+	struct pollfd peer = { .fd = bufferevent_getfd(exchange->bev),
+			       .events = POLLRDHUP };
+
+	return poll(&peer, 1, 0) > 0;
+}
+
+static void on_peer_event(evutil_socket_t fd, short events, void *arg);
+
+/* The peer has sent a next request, so its socket stays readable, and a reset
+ * cannot be told from that by waiting for events. */
+static void check_peer_by_time(http_exchange_t *exchange)
+{
+	const struct timeval period = { 0, PEER_CHECK_MS * 1000 };
+
+	event_free(exchange->peer_event);
+	exchange->peer_event = event_new(exchange->base, -1, EV_PERSIST,
+					 on_peer_event, exchange);
+	event_add(exchange->peer_event, &period);
+}
+
+static void on_peer_event(evutil_socket_t fd, short events, void *arg)
 {
 	http_exchange_t *exchange = arg;
 
-	event_del(exchange->peer_closed_event);
+	if (!has_peer_closed(exchange)) {
+		if (events & EV_READ)
+			check_peer_by_time(exchange);
+		return;
+	}
+	event_del(exchange->peer_event);
 	if (exchange->state == EXCHANGE_FINISHED)
 		return;
 	notify_closed(exchange);
@@ -219,8 +250,8 @@
 		exchange->connection->exchange = NULL;
 		connection_reset(exchange->connection);
 	}
-	if (exchange->peer_closed_event)
-		event_free(exchange->peer_closed_event);
+	if (exchange->peer_event)
+		event_free(exchange->peer_event);
 	if (exchange->query_parsed)
 		evhttp_clear_headers(&exchange->query);
 	g_free(exchange->body);
@@ -695,11 +726,14 @@
 
 	exchange->closed = closed;
 	exchange->closed_data = user_data;
-	if (exchange->peer_closed_event || !closed)
+	if (exchange->peer_event || !closed)
 		return;
-	/* A paused connection does not read, so a close needs its own event. */
-	exchange->peer_closed_event =
-		event_new(exchange->base, bufferevent_getfd(bev),
-			  EV_CLOSED | EV_PERSIST, on_peer_closed, exchange);
-	event_add(exchange->peer_closed_event, NULL);
+	/*
+	 * A paused connection does not read, so a close needs its own event. A
+	 * reset is reported as EV_READ alone: without it the loop would spin.
+	 */
+	exchange->peer_event = event_new(exchange->base, bufferevent_getfd(bev),
+					 EV_READ | EV_CLOSED | EV_PERSIST,
+					 on_peer_event, exchange);
+	event_add(exchange->peer_event, NULL);
 }
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -286,6 +286,12 @@
         except OSError:
             return False
 
+    def processor_s(self):
+        """Processor time that the process has used."""
+        with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as stat:
+            user, system = stat.read().rsplit(")", 1)[1].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def log(self):
         with open(self.log_path, encoding="utf-8") as log:
             return log.read()
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 import unittest
@@ -241,6 +242,30 @@
         self.assertIn("retry-after", answer.headers)
         self.assertEqual(self.runs("late"), [])
 
+    def test_caller_resets(self):
+        """A caller that resets its connection while a runner is silent must be
+        noticed at once, and must not keep the process busy until then."""
+        for runner in self.runners:
+            runner.gap_s = 3
+        for next_request in (b"", b"POST /once/b HTTP/1.1\r\n"):
+            self.number += 1
+            request = f"q{self.number}"
+            caller = socket.create_connection(("127.0.0.1", self.gateway.port))
+            caller.sendall(
+                f"POST /once/a HTTP/1.1\r\nHost: {s.HOST}\r\n"
+                f"Request-Id: {request}\r\nDeadline-Ms: 4000\r\n"
+                "Content-Length: 0\r\n\r\n".encode())
+            f.wait_for(lambda r=request: self.runs(r), "a run")
+            caller.sendall(next_request)
+            time.sleep(0.1)
+            # With the answer's start unread, close() sends a reset.
+            caller.close()
+            before_s = self.gateway.processor_s()
+            f.wait_for(lambda r=request: f"request_end request={r} " in
+                       self.gateway.log(), "the end of the request", 1)
+            time.sleep(1)
+            self.assertLess(self.gateway.processor_s() - before_s, 0.2)
+
     def test_retirement(self):
         """A VM with a disk is empty at once, as nothing is kept there."""
         self.store.put("retirements", "storage-1", {"interval_s": 5})
