--- a/src/gateway/batch_rule.c
+++ b/src/gateway/batch_rule.c
@@ -11,6 +11,9 @@
 /* Part of another domain's places that stays free: its nodes hear late of the
  * items there, and these of its online load. */
 #define FAR_RESERVE_SHARE 0.15
+/* A job moves for this difference of waiting items a place at least: it costs
+ * three calls to the store and about a second without an owner. */
+#define JOB_MOVE_MARGIN 0.2
 #define YIELD_PAUSE_LEAST_MS 150
 #define YIELD_PAUSE_SPREAD_MS 300
 
@@ -86,6 +89,38 @@
 	return (uint32_t)share + (draws[1] < share - (uint32_t)share ? 1 : 0);
 }
 
+/* Items that cannot be done in time go last and are in nobody's way. */
+static double backlog_of(const batch_domain_t *domain)
+{
+	return (double)(domain->waiting - domain->hopeless) /
+	       MAX(domain->places, 1);
+}
+
+guint batch_job_domain(const batch_domain_t *domains, guint count, double draw)
+{
+	guint near = count;
+	guint least = count;
+	double excess;
+
+	for (guint i = 0; i < count; i++) {
+		if (domains[i].near)
+			near = i;
+		if (domains[i].places > 0 &&
+		    (least == count ||
+		     backlog_of(&domains[i]) < backlog_of(&domains[least])))
+			least = i;
+	}
+	if (least == count)
+		return near < count ? near : 0;
+	if (near == count || domains[near].places == 0)
+		return least;
+	excess = backlog_of(&domains[near]) - backlog_of(&domains[least]);
+	if (excess < JOB_MOVE_MARGIN)
+		return near;
+	/* Jobs that move do not count there yet, so not all of them move. */
+	return draw < excess / backlog_of(&domains[near]) ? least : near;
+}
+
 int32_t batch_yield_pause_ms(GRand *random)
 {
 	return YIELD_PAUSE_LEAST_MS +
--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -53,6 +53,7 @@
 	const char *name;
 	bool near; /* this node's own */
 	uint32_t waiting; /* items that look for a place at its nodes */
+	uint32_t hopeless; /* of these, items that cannot be done in time */
 	uint32_t free_places;
 	uint32_t places;
 } batch_domain_t;
@@ -67,6 +68,13 @@
 			 uint32_t own_unplaced, const double draws[2],
 			 guint *domain);
 
+/*
+ * Index of the domain in which a job that was submitted in the near one is to
+ * run: its items stay in that domain, so jobs go where fewer wait for each
+ * place. The draw is uniform in [0, 1).
+ */
+guint batch_job_domain(const batch_domain_t *domains, guint count, double draw);
+
 /* Pause of work that gave way, before it looks for a place again: the load
  * that took its place is likely still there. */
 int32_t batch_yield_pause_ms(GRand *random);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -230,6 +230,28 @@
 	peer_load_domains(gateway->peer_load, service, domains);
 }
 
+static const char *choose_job_node(void *user_data, const char *service)
+{
+	gateway_t *gateway = user_data;
+	GArray *domains = g_array_new(FALSE, FALSE, sizeof(batch_domain_t));
+	const batch_domain_t *chosen;
+	const char *node = NULL;
+
+	list_batch_domains(gateway, service, domains);
+	if (domains->len > 0) {
+		chosen = &g_array_index(
+			domains, batch_domain_t,
+			batch_job_domain((const batch_domain_t *)domains->data,
+					 domains->len,
+					 g_rand_double(gateway->random)));
+		if (!chosen->near)
+			node = peer_load_node_in(gateway->peer_load,
+						 chosen->name);
+	}
+	g_array_free(domains, TRUE);
+	return node;
+}
+
 static uint32_t count_peers(void *user_data)
 {
 	const gateway_t *gateway = user_data;
@@ -306,6 +328,7 @@
 		.batch_waiting = exchange_batch_waiting,
 		.batch_domains = list_batch_domains,
 		.peers = count_peers,
+		.job_node = choose_job_node,
 		.user_data = gateway,
 	};
 	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -29,6 +29,8 @@
 	/* Appends what is known of the domains; nothing in a small system. */
 	void (*batch_domains)(void *user_data, const char *service,
 			      GArray *domains);
+	/* The node that is to run a job submitted here; NULL: this one. */
+	const char *(*job_node)(void *user_data, const char *service);
 	void *user_data;
 } job_context_t;
 
--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -74,8 +74,19 @@
 	       strcmp(value->writer, submit->context->writer) == 0;
 }
 
+static bool is_for_this_node(const submit_t *submit, const job_record_t *record)
+{
+	return strcmp(record->owner, submit->context->node) == 0;
+}
+
 static void accept_job(submit_t *submit, uint64_t version)
 {
+	if (!is_for_this_node(submit, submit->record)) {
+		log_info("job_assigned", "job=%s owner=%s version=%" PRIu64,
+			 submit->id, submit->record->owner, version);
+		finish(submit, JOB_ACCEPTED);
+		return;
+	}
 	job_owner_adopt(submit->owner, submit->id,
 			job_record_copy(submit->record), version,
 			g_steal_pointer(&submit->items), NULL);
@@ -92,8 +103,7 @@
 
 	if (record && is_own(submit, value) &&
 	    !job_owner_record(submit->owner, submit->id) &&
-	    strcmp(record->owner, submit->context->node) == 0 &&
-	    submit->may_exist)
+	    is_for_this_node(submit, record) && submit->may_exist)
 		accept_job(submit, value->version);
 	else if (record)
 		finish(submit, JOB_ACCEPTED);
@@ -215,6 +225,19 @@
 		finish(submit, JOB_OVER_QUOTA);
 }
 
+/* Another node takes the job when it sees that the record names it. */
+static void set_owner(submit_t *submit, const path_route_t *route)
+{
+	const job_context_t *context = submit->context;
+	const char *service =
+		path_route_service(route, g_rand_double(context->random));
+	const char *node =
+		service ? context->job_node(context->user_data, service) : NULL;
+
+	submit->record->owner = g_strdup(node ? node : context->node);
+	submit->record->instance = g_strdup(node ? "" : context->writer);
+}
+
 void job_submit(job_context_t *context, job_owner_t *owner, job_table_t *table,
 		const job_submission_t *submission)
 {
@@ -236,8 +259,7 @@
 	split_parts(submit);
 	record->host = g_strdup(submission->host);
 	record->path = g_strdup(submission->path);
-	record->owner = g_strdup(context->node);
-	record->instance = g_strdup(context->writer);
+	set_owner(submit, submission->route);
 	record->epoch = 1;
 	record->items = submit->items->len;
 	record->payload_parts = submit->part_starts->len;
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -136,15 +136,21 @@
 	return since_us && now_us(table) - since_us >= LEASE_MS * 1000;
 }
 
+/* But not this process of the node. */
+static bool names_this_node(const job_table_t *table,
+			    const job_record_t *record)
+{
+	return strcmp(record->owner, table->context->node) == 0 &&
+	       strcmp(record->instance, table->context->writer) != 0;
+}
+
 static bool is_orphan(const job_table_t *table, const seen_job_t *job)
 {
 	if (job_record_is_closed(job->record) ||
 	    job_owner_record(table->owner, job->id))
 		return false;
-	/* Handed back, or left over from this node's process before. */
-	if (!*job->record->owner ||
-	    (strcmp(job->record->owner, table->context->node) == 0 &&
-	     strcmp(job->record->instance, table->context->writer) != 0))
+	/* Handed back, given to this node, or its former process's. */
+	if (!*job->record->owner || names_this_node(table, job->record))
 		return true;
 	return is_steady(table) &&
 	       now_us(table) - job->changed_us >= LEASE_MS * 1000;
@@ -204,8 +210,10 @@
 		       on_loaded, job);
 }
 
-int32_t job_table_takeover_delay_ms(GRand *random, uint32_t nodes)
+int32_t job_table_takeover_delay_ms(GRand *random, uint32_t nodes, bool named)
 {
+	if (named)
+		return 0;
 	return g_rand_int_range(random, 0,
 				TAKEOVER_FIRST_MS * ((int32_t)nodes + 1));
 }
@@ -251,7 +259,8 @@
 				now +
 				job_table_takeover_delay_ms(
 					context->random,
-					context->peers(context->user_data)) *
+					context->peers(context->user_data),
+					names_this_node(table, job->record)) *
 					1000LL;
 		if (now >= job->try_at_us)
 			take_over(job);
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -19,13 +19,14 @@
 typedef struct job_table job_table_t;
 
 job_table_t *job_table_new(job_context_t *context, job_owner_t *owner);
-/* Looks for jobs to take over. Some times a second. */
 /*
  * Pause before this node tries to take over a job that nobody runs, with that
  * many other nodes about. The more nodes, the more the tries are spread, so
- * that one orphan does not cost a write by each of them.
+ * that one orphan does not cost a write by each of them. named: its record
+ * names this node.
  */
-int32_t job_table_takeover_delay_ms(GRand *random, uint32_t nodes);
+int32_t job_table_takeover_delay_ms(GRand *random, uint32_t nodes, bool named);
+/* Looks for jobs to take over. Some times a second. */
 void job_table_tick(job_table_t *table);
 /* Tokens of items without a result over the open jobs of a route. */
 int64_t job_table_waiting_tokens(const job_table_t *table,
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -322,12 +322,13 @@
 	}
 }
 
-uint32_t load_view_waiting_in(const load_view_t *view, const char *domain)
+void load_view_waiting_in(const load_view_t *view, const char *domain,
+			  batch_waiting_t *waiting)
 {
 	GHashTableIter iter;
 	void *value;
-	uint32_t waiting = 0;
 
+	*waiting = (batch_waiting_t){ 0 };
 	g_hash_table_iter_init(&iter, view->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const peer_t *peer = value;
@@ -335,12 +336,18 @@
 		if (g_strcmp0(peer->domain, domain) != 0)
 			continue;
 		for (int i = 0; i < BATCH_URGENCIES; i++)
-			waiting += peer->batch_waiting.items[i];
+			waiting->items[i] += peer->batch_waiting.items[i];
 	}
-	return waiting;
 }
 
-const char *load_view_store_peer(const load_view_t *view, double draw)
+static bool is_store_peer(const peer_t *peer, const char *domain)
+{
+	return peer->reaches_store &&
+	       (!domain || g_strcmp0(peer->domain, domain) == 0);
+}
+
+const char *load_view_store_peer(const load_view_t *view, const char *domain,
+				 double draw)
 {
 	GHashTableIter iter;
 	void *value;
@@ -349,7 +356,7 @@
 
 	g_hash_table_iter_init(&iter, view->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += ((peer_t *)value)->reaches_store;
+		count += is_store_peer(value, domain);
 	if (count == 0)
 		return NULL;
 	chosen = (uint32_t)(draw * count);
@@ -357,7 +364,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const peer_t *peer = value;
 
-		if (peer->reaches_store && chosen-- == 0)
+		if (is_store_peer(peer, domain) && chosen-- == 0)
 			return peer->node;
 	}
 	return NULL;
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -32,14 +32,17 @@
 /* Writes this node's report; returns its length, 0 when it has no room. */
 size_t load_view_encode(load_view_t *view, const load_own_t *own, char *data,
 			size_t size);
-/* A node that reaches the store, chosen by a draw in [0, 1); NULL: none. */
-const char *load_view_store_peer(const load_view_t *view, double draw);
 /* Batch items that look for a place at the other nodes, or at those of this
  * node's domain. */
 void load_view_batch_waiting(const load_view_t *view, bool near_only,
 			     batch_waiting_t *waiting);
 /* Batch items that look for a place at the other nodes of a domain. */
-uint32_t load_view_waiting_in(const load_view_t *view, const char *domain);
+void load_view_waiting_in(const load_view_t *view, const char *domain,
+			  batch_waiting_t *waiting);
+/* A node of a domain that reaches the store, chosen by a draw in [0, 1); NULL:
+ * none. domain NULL: any. */
+const char *load_view_store_peer(const load_view_t *view, const char *domain,
+				 double draw);
 /* Domain of a node that was heard; NULL: not heard. */
 const char *load_view_domain(const load_view_t *view, const char *node);
 /* Takes another node's report; returns its name, or NULL for one that cannot
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -317,17 +317,21 @@
 {
 	const domain_list_t *list = user_data;
 	const peer_load_t *load = list->load;
+	batch_waiting_t waiting;
 	batch_domain_t entry = {
 		.name = name,
 		.near = strcmp(name, load->options.domain) == 0,
-		.waiting = load_view_waiting_in(load->view, name),
 		.free_places = domain->free_places,
 		.places = domain->places,
 	};
 
-	if (entry.near)
-		for (int i = 0; i < BATCH_URGENCIES; i++)
-			entry.waiting += load->own.batch_waiting.items[i];
+	load_view_waiting_in(load->view, name, &waiting);
+	for (int i = 0; i < BATCH_URGENCIES; i++) {
+		if (entry.near)
+			waiting.items[i] += load->own.batch_waiting.items[i];
+		entry.waiting += waiting.items[i];
+	}
+	entry.hopeless = waiting.items[BATCH_HOPELESS];
 	g_array_append_val(list->domains, entry);
 }
 
@@ -364,11 +368,17 @@
 bool peer_load_store_peer(const peer_load_t *load, char *address, size_t size)
 {
 	const char *node = load_view_store_peer(
-		load->view, g_rand_double(load->options.random));
+		load->view, NULL, g_rand_double(load->options.random));
 
 	return node && peer_load_address(load, node, address, size);
 }
 
+const char *peer_load_node_in(const peer_load_t *load, const char *domain)
+{
+	return load_view_store_peer(load->view, domain,
+				    g_rand_double(load->options.random));
+}
+
 uint32_t peer_load_peers(const peer_load_t *load)
 {
 	return load_view_peers(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -53,6 +53,8 @@
  * the buffer; false: none is known. The port is the same for UDP and TCP. */
 bool peer_load_address(const peer_load_t *load, const char *node, char *address,
 		       size_t size);
+/* Name of a node of a domain that reaches the store; NULL: none is known. */
+const char *peer_load_node_in(const peer_load_t *load, const char *domain);
 bool peer_load_store_peer(const peer_load_t *load, char *address, size_t size);
 
 #endif
--- a/tests/test_batch_rule.c
+++ b/tests/test_batch_rule.c
@@ -340,6 +340,175 @@
 	CU_ASSERT(share[POLICY_RULE] >= 0.75);
 }
 
+/* A domain without places gets no job, and one without a list runs its own. */
+static void test_job_domain(void)
+{
+	batch_domain_t domains[] = {
+		{ .name = "here", .near = true, .waiting = 80, .places = 100 },
+		{ .name = "gone", .places = 0 },
+		{ .name = "there", .waiting = 10, .places = 100 },
+	};
+
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 0, 0), 0);
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 3, 0), 2);
+	/* Seven eighths of the jobs go. */
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 3, 0.87), 2);
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 3, 0.88), 0);
+	/* What cannot be done in time is in nobody's way. */
+	domains[0].hopeless = 70;
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 3, 0), 0);
+	domains[0].hopeless = 0;
+	domains[0].places = 0;
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 3, 0.5), 2);
+	domains[2].places = 0;
+	CU_ASSERT_EQUAL(batch_job_domain(domains, 3, 0.5), 0);
+}
+
+/*
+ * Batch jobs come unevenly: one of three domains with the same places gets most
+ * of them, more than it can do, while all together can do nearly all.
+ */
+#define DOMAINS 3
+#define DOMAIN_PLACES 40
+#define DOMAIN_JOBS_PER_S 2.2 /* of 2.4 that all the places can do */
+#define MOST_OF_JOBS 0.6
+/* A job that moves is not seen by others, and not run, for that long. */
+#define MOVE_MS 1000
+
+typedef struct uneven {
+	GRand *random;
+	sim_item_t items[MAX_ITEMS]; /* node is the domain */
+	int from[MAX_ITEMS]; /* domain of the caller */
+	int ready_ms[MAX_ITEMS];
+	int count;
+} uneven_t;
+
+static void describe(const uneven_t *sim, int now_ms, int near,
+		     batch_domain_t *domains)
+{
+	for (int i = 0; i < DOMAINS; i++)
+		domains[i] = (batch_domain_t){ .near = i == near,
+					       .places = DOMAIN_PLACES };
+	for (int i = 0; i < sim->count; i++) {
+		const sim_item_t *item = &sim->items[i];
+		batch_domain_t *domain = &domains[item->node];
+
+		if (item->running || item->finished ||
+		    now_ms < sim->ready_ms[i])
+			continue;
+		domain->waiting++;
+		domain->hopeless += item->due_ms - now_ms < WORK_MS;
+	}
+}
+
+static void submit_unevenly(uneven_t *sim, int now_ms, bool move)
+{
+	int near = g_rand_double(sim->random) < MOST_OF_JOBS ?
+			   0 :
+			   g_rand_int_range(sim->random, 1, DOMAINS);
+	int domain = near;
+	batch_domain_t domains[DOMAINS];
+
+	describe(sim, now_ms, near, domains);
+	if (move)
+		domain = (int)batch_job_domain(domains, DOMAINS,
+					       g_rand_double(sim->random));
+	for (int i = 0; i < JOB_ITEMS && sim->count < MAX_ITEMS; i++) {
+		sim->from[sim->count] = near;
+		sim->ready_ms[sim->count] =
+			now_ms + (domain == near ? 0 : MOVE_MS);
+		sim->items[sim->count++] = (sim_item_t){
+			.node = domain,
+			.due_ms = now_ms + DUE_MS,
+		};
+	}
+}
+
+/* The earliest due item that can be done in time; else the first one. */
+static sim_item_t *next_in(uneven_t *sim, int domain, int now_ms)
+{
+	sim_item_t *late = NULL;
+
+	for (int i = 0; i < sim->count; i++) {
+		sim_item_t *item = &sim->items[i];
+
+		if (item->node != domain || item->running || item->finished ||
+		    now_ms < sim->ready_ms[i])
+			continue;
+		if (item->due_ms - now_ms >= WORK_MS)
+			return item;
+		late = late ? late : item;
+	}
+	return late;
+}
+
+static void work_in(uneven_t *sim, int domain, int now_ms)
+{
+	int free_places = DOMAIN_PLACES;
+	sim_item_t *item;
+
+	for (int i = 0; i < sim->count; i++) {
+		item = &sim->items[i];
+		if (item->node != domain || !item->running)
+			continue;
+		item->done_ms += TICK_MS;
+		item->finished = item->done_ms >= WORK_MS;
+		item->was_hopeless = item->finished && now_ms > item->due_ms;
+		item->running = !item->finished;
+		free_places -= item->running;
+	}
+	while (free_places-- > 0 && (item = next_in(sim, domain, now_ms)))
+		item->running = true;
+}
+
+/* Share of items done in time, of the callers' domain that has least. */
+static double worst_in_time(bool move, uint32_t seed)
+{
+	uneven_t *sim = g_new0(uneven_t, 1);
+	double worst = 1;
+
+	sim->random = g_rand_new_with_seed(seed);
+	for (int now_ms = 0; now_ms < RUN_MS; now_ms += TICK_MS) {
+		if (g_rand_double(sim->random) <
+		    DOMAIN_JOBS_PER_S * TICK_MS / 1000)
+			submit_unevenly(sim, now_ms, move);
+		for (int i = 0; i < DOMAINS; i++)
+			work_in(sim, i, now_ms);
+	}
+	for (int domain = 0; domain < DOMAINS; domain++) {
+		double due = 0;
+		double in_time = 0;
+
+		for (int i = 0; i < sim->count; i++) {
+			const sim_item_t *item = &sim->items[i];
+
+			if (sim->from[i] != domain || item->due_ms >= RUN_MS)
+				continue;
+			due++;
+			in_time += item->finished && !item->was_hopeless;
+		}
+		worst = MIN(worst, in_time / MAX(due, 1));
+	}
+	g_rand_free(sim->random);
+	g_free(sim);
+	return worst;
+}
+
+/* The callers of the domain that gets most jobs must not be served worse while
+ * other domains have places. */
+static void test_jobs_come_unevenly(void)
+{
+	for (uint32_t seed = 1; seed <= 3; seed++) {
+		double stay = worst_in_time(false, seed);
+		double move = worst_in_time(true, seed);
+
+		printf("worst domain, jobs stay: %.3f, move: %.3f\n", stay,
+		       move);
+		CU_ASSERT(move > stay);
+		CU_ASSERT(move >= 0.9);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -350,6 +519,8 @@
 		{ "due", test_due },
 		{ "overload", test_overload },
 		{ "pauses differ", test_pauses_differ },
+		{ "job domain", test_job_domain },
+		{ "jobs come unevenly", test_jobs_come_unevenly },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -148,6 +148,16 @@
 	return 2;
 }
 
+static const char *this_node(void *user_data, const char *service)
+{
+	return NULL;
+}
+
+static const char *other_node(void *user_data, const char *service)
+{
+	return "n1";
+}
+
 static void no_domains(void *user_data, const char *service, GArray *domains)
 {
 }
@@ -198,6 +208,7 @@
 		.batch_waiting = no_waiting,
 		.batch_domains = no_domains,
 		.peers = two_peers,
+		.job_node = this_node,
 	};
 	node->cache = segment_cache_new(1024 * 1024);
 	node->owner = job_owner_new(&node->context, node->cache);
@@ -443,6 +454,24 @@
 	}
 }
 
+/* A job that is to run at another node is accepted, names that node, and is not
+ * run here as well. */
+static void test_job_for_other_node(void)
+{
+	cluster_t *cluster = cluster_new(7);
+	peek_t peek;
+
+	cluster->nodes[0].context.job_node = other_node;
+	submit(&cluster->nodes[0]);
+	run_ms(cluster, 1000);
+	CU_ASSERT_EQUAL(cluster->nodes[0].outcome, JOB_ACCEPTED);
+	CU_ASSERT_EQUAL(cluster->starts, 0);
+	peek = peek_record(cluster);
+	CU_ASSERT_STRING_EQUAL(peek.record->owner, "n1");
+	CU_ASSERT_STRING_EQUAL(peek.record->instance, "");
+	job_record_free(peek.record);
+}
+
 static void take_over(job_record_t *record)
 {
 	g_free(record->owner);
@@ -664,6 +693,7 @@
 {
 	static const unit_test_t tests[] = {
 		{ "same job at two nodes", test_same_job_at_two_nodes },
+		{ "job for other node", test_job_for_other_node },
 		{ "deposed owner", test_deposed_owner },
 		{ "end at another node", test_end_at_another_node },
 		{ "record grows old", test_record_grows_old },
--- a/tests/test_job_table.c
+++ b/tests/test_job_table.c
@@ -22,8 +22,8 @@
 		int32_t first_ms = INT32_MAX;
 
 		for (uint32_t i = 0; i < nodes; i++) {
-			delays_ms[i] =
-				job_table_takeover_delay_ms(random, nodes - 1);
+			delays_ms[i] = job_table_takeover_delay_ms(
+				random, nodes - 1, false);
 			first_ms = MIN(first_ms, delays_ms[i]);
 		}
 		cost.first_ms += (double)first_ms / ROUNDS;
@@ -52,10 +52,21 @@
 	}
 }
 
+/* A job that was given to this node, or that its former process ran, must not
+ * wait for a turn among all nodes. */
+static void test_named_node_does_not_wait(void)
+{
+	GRand *random = g_rand_new_with_seed(1);
+
+	CU_ASSERT_EQUAL(job_table_takeover_delay_ms(random, 380, true), 0);
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "orphan in large system", test_orphan_in_large_system },
+		{ "named node does not wait", test_named_node_does_not_wait },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -99,12 +99,13 @@
 	CU_ASSERT_EQUAL(runner(&b)->peers.online, 0);
 	runner(&restarted)->own.online = 2;
 	load_view_apply(b.view, data, report(&restarted, data));
-	CU_ASSERT_STRING_EQUAL(load_view_store_peer(b.view, 0.9), "a");
+	CU_ASSERT_STRING_EQUAL(load_view_store_peer(b.view, NULL, 0.9), "a");
+	CU_ASSERT_PTR_NULL(load_view_store_peer(b.view, "elsewhere", 0.9));
 	clock_manual_advance_ms(&clock, 2500);
 	load_view_expire(b.view);
 	CU_ASSERT_EQUAL(runner(&b)->peers.online, 0);
 	CU_ASSERT_EQUAL(load_view_peers(b.view), 0);
-	CU_ASSERT_PTR_NULL(load_view_store_peer(b.view, 0.9));
+	CU_ASSERT_PTR_NULL(load_view_store_peer(b.view, NULL, 0.9));
 	node_free(&a);
 	node_free(&restarted);
 	node_free(&b);
