Keep failed items away from runners that answer errors

The log has 184 items with three failures of status 500: a runner that fails at once is always the emptiest one, and errors answered to items did not count for it, as the item may be at fault.

Change: an error answered to an item counts in the runner's failure record, which nodes share; items that run there count against it being bad. An item that has failed avoids runners that lose most of their requests. test_faulty_runner failed before; test_failed_item_goes_elsewhere shows the choice.

--- a/src/gateway/failure_record.c
+++ b/src/gateway/failure_record.c
@@ -12,6 +12,8 @@
 /* Requests that a runner answers within the time over which failures count,
  * for each one that it works on: 2.2 s, at 0.7 s a request. */
 #define ANSWERS_PER_REQUEST 3.0
+/* The same for a batch item, at 8 s an item. */
+#define ANSWERS_PER_ITEM 0.3
 
 static double decayed(const failure_record_t *record, int64_t now_us)
 {
@@ -31,11 +33,12 @@
 	return (uint32_t)(decayed(record, now_us) * 100);
 }
 
-bool failure_record_is_bad(uint32_t percent, uint32_t online)
+bool failure_record_is_bad(uint32_t percent, uint32_t online, uint32_t batch)
 {
 	double failures = percent / 100.0;
+	double answers =
+		ANSWERS_PER_REQUEST * online + ANSWERS_PER_ITEM * batch;
 
 	return percent >= LEAST_PERCENT &&
-	       failures >=
-		       BAD_SHARE * (failures + ANSWERS_PER_REQUEST * online);
+	       failures >= BAD_SHARE * (failures + answers);
 }
--- a/src/gateway/failure_record.h
+++ b/src/gateway/failure_record.h
@@ -25,9 +25,9 @@
 /*
  * Whether a runner loses most of its requests, so that it gets no online ones
  * as long as another can take them. percent is the sum over the nodes, online
- * what they have there now: a runner that works answers some requests for each
- * one that is there.
+ * and batch what they have there now: a runner that works answers some requests
+ * for each one that is there.
  */
-bool failure_record_is_bad(uint32_t percent, uint32_t online);
+bool failure_record_is_bad(uint32_t percent, uint32_t online, uint32_t batch);
 
 #endif
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -212,7 +212,8 @@
 		failure_record_percent(&runner->failures_here, now_us) +
 		runner->peers_failures_percent;
 
-	return failure_record_is_bad(percent, online_of(runner));
+	return failure_record_is_bad(percent, online_of(runner),
+				     runner->own.batch + runner->peers.batch);
 }
 
 static bool is_avoided(const fleet_t *fleet, const fleet_runner_t *runner)
@@ -354,9 +355,10 @@
 			continue;
 		if (!scope->avoided && is_avoided(fleet, runner))
 			continue;
-		/* Batch items lose no more than a moment there, and leave the
-		 * places of sound runners to online requests. */
-		if (!scope->avoided && !wish->batch &&
+		/* Batch items that have not failed lose no more than a moment
+		 * there, and leave the places of sound runners to online
+		 * requests. */
+		if (!scope->avoided && (!wish->batch || wish->careful) &&
 		    loses_requests(runner, now_us))
 			continue;
 		if (!scope->tried && was_tried(wish, runner))
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -85,6 +85,7 @@
 	uint32_t tried_count;
 	const char *domain; /* only runners there; NULL: the fleet chooses */
 	bool batch;
+	bool careful; /* not at a runner that loses most of its requests */
 } fleet_wish_t;
 
 fleet_t *fleet_new(const fleet_options_t *options);
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -46,6 +46,7 @@
 	bool idempotent;
 	bool resumable;
 	bool batch;
+	bool careful;
 	bool started; /* the sink has the start of the stream */
 	bool answered; /* the present try has an answer */
 	bool counted_lost; /* the present try, while it still waits */
@@ -248,7 +249,7 @@
 	}
 	if (run->answer.status < 500)
 		fleet_succeeded(run->context->fleet, run->runner);
-	else if (!run->batch)
+	else
 		fleet_lost_request(run->context->fleet, run->runner);
 	deliver_whole(run);
 }
@@ -273,6 +274,7 @@
 		.tried = run->tried,
 		.tried_count = run->tries,
 		.batch = run->batch,
+		.careful = run->careful,
 	};
 	size_t len;
 	const void *body = g_bytes_get_data(run->body, &len);
@@ -348,6 +350,7 @@
 	run->idempotent = options->idempotent;
 	run->resumable = options->resumable;
 	run->batch = options->batch;
+	run->careful = options->careful;
 	event_reader_init(&run->events, options->resume_after);
 	run->again = evtimer_new(context->base, on_again, run);
 	run->link.data = run;
--- a/src/gateway/run.h
+++ b/src/gateway/run.h
@@ -63,6 +63,7 @@
 	bool idempotent; /* may run more than once */
 	bool resumable;
 	bool batch;
+	bool careful; /* see fleet_wish_t */
 	uint32_t max_runners; /* that may run it */
 	int64_t expires_us; /* monotonic; 0: never */
 	int64_t resume_after; /* events that the caller has, or -1 */
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -192,6 +192,14 @@
         self.assertEqual(page["results"][0]["state"], "dead_letter")
         self.assertEqual(len(self.runs("j2-0")), 3)
 
+    def test_faulty_runner(self):
+        """A runner that answers every item with an error looks idle: it must
+        not get the same items until they are given up."""
+        self.runners[0].status = 500
+        self.assertEqual(self.submit("j", items=12), 202)
+        found = self.wait_results("j", 12)
+        self.assertEqual({r["state"] for r in found["results"]}, {"completed"})
+
     def test_owner_killed(self):
         """Another node finishes the job of a node that was killed."""
         for runner in self.runners:
--- a/tests/test_failure_record.c
+++ b/tests/test_failure_record.c
@@ -22,11 +22,14 @@
  * the others would be overloaded. */
 static void test_few_failures(void)
 {
-	CU_ASSERT_FALSE(failure_record_is_bad(100, 0));
-	CU_ASSERT_FALSE(failure_record_is_bad(200, 7));
-	CU_ASSERT_FALSE(failure_record_is_bad(900, 3));
-	CU_ASSERT(failure_record_is_bad(200, 0));
-	CU_ASSERT(failure_record_is_bad(1600, 3));
+	CU_ASSERT_FALSE(failure_record_is_bad(100, 0, 0));
+	CU_ASSERT_FALSE(failure_record_is_bad(200, 7, 0));
+	CU_ASSERT_FALSE(failure_record_is_bad(900, 3, 0));
+	CU_ASSERT(failure_record_is_bad(200, 0, 0));
+	CU_ASSERT(failure_record_is_bad(1600, 3, 0));
+	/* Items that cannot be done fail at a runner that works on others. */
+	CU_ASSERT_FALSE(failure_record_is_bad(200, 0, 6));
+	CU_ASSERT(failure_record_is_bad(800, 0, 6));
 }
 
 /*
@@ -170,6 +173,55 @@
 	CU_ASSERT(together * 4 < alone);
 }
 
+static const char *taken_by(fleet_t *fleet, bool careful)
+{
+	const fleet_wish_t wish = { .service = "s",
+				    .batch = true,
+				    .careful = careful };
+	fleet_runner_t *runner = fleet_take(fleet, &wish);
+
+	fleet_done(fleet, runner, true);
+	return runner->id;
+}
+
+/* A runner that answers each item with an error is always the emptiest one: an
+ * item that has failed must not return there until it is given up. */
+static void test_failed_item_goes_elsewhere(void)
+{
+	static const fleet_entry_t entries[] = {
+		{ "bad", "10.0.0.1:1", "s", "d", 8, 1, false },
+		{ "good", "10.0.0.2:1", "s", "d", 8, 1, false },
+	};
+	clock_manual_t clock;
+	GRand *random = g_rand_new_with_seed(1);
+	const fleet_options_t options = { .clock = &clock.base,
+					  .random = random,
+					  .domain = "d" };
+	const fleet_wish_t wish = { .service = "s", .batch = true };
+	fleet_t *fleet;
+	fleet_runner_t *bad;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_advance_ms(&clock, 1000);
+	fleet = fleet_new(&options);
+	fleet_update(fleet, &entries[0]);
+	bad = fleet_take(fleet, &wish);
+	fleet_update(fleet, &entries[1]);
+	for (int i = 0; i < 2; i++)
+		CU_ASSERT_PTR_NOT_NULL(fleet_take(fleet, &wish));
+	fleet_lost_request(fleet, bad);
+	fleet_lost_request(fleet, bad);
+	fleet_done(fleet, bad, true);
+	/* The pause after a failure is over, and the failures still count. */
+	clock_manual_advance_ms(&clock, 1000);
+	fleet_lost_request(fleet, bad);
+	bad->avoid_until_us = 0;
+	CU_ASSERT_STRING_EQUAL(taken_by(fleet, false), "bad");
+	CU_ASSERT_STRING_EQUAL(taken_by(fleet, true), "good");
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -177,6 +229,8 @@
 		{ "few failures", test_few_failures },
 		{ "bad runners over many nodes",
 		  test_bad_runners_over_many_nodes },
+		{ "failed item goes elsewhere",
+		  test_failed_item_goes_elsewhere },
 		{ NULL, NULL },
 	};
 
