Count an item's output that is not UTF-8 as a failed run

Cause: found while reading the code. JSON holds only UTF-8, and an output with other bytes was left out of its segment without a line, while the record listed it, so that later results would have had other positions.

Change: the run counts as failed and the next one starts from the first event, up to the route's attempts. test_unreadable_output failed before. A job whose saved progress is too large for the store is handed back without it. The fuzz target of store objects covers saved progress.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -430,7 +430,7 @@
 	for (guint i = 0; i < job->items->len; i++) {
 		const job_item_run_t *run = &job->runs[i];
 
-		if (run->state != JOB_ITEM_FINISHED &&
+		if (run->state != JOB_ITEM_FINISHED && !run->unreadable &&
 		    run->last_event > run->saved_event)
 			return true;
 	}
@@ -445,7 +445,7 @@
 		job_item_run_t *run = &job->runs[i];
 		job_progress_t *entry;
 
-		if (run->state == JOB_ITEM_FINISHED ||
+		if (run->state == JOB_ITEM_FINISHED || run->unreadable ||
 		    job_item_run_events(run) == 0)
 			continue;
 		run->saved_event = run->last_event;
@@ -460,10 +460,13 @@
 
 /* Whether the object was written is not known, so the next try takes a new
  * one; the record names the last that is known to exist. */
-static void progress_failed(owned_job_t *job)
+static void progress_failed(owned_job_t *job, const GError *error)
 {
 	g_clear_pointer(&job->progress_key, g_free);
 	job->progress_version = OBJECT_ABSENT;
+	/* The job is then handed back without it. */
+	if (error->code == WL_ERROR_TOO_LARGE)
+		return;
 	for (guint i = 0; i < job->items->len; i++)
 		job->runs[i].saved_event = EVENT_READER_NONE;
 }
@@ -475,7 +478,7 @@
 
 	job->writing = false;
 	if (error) {
-		progress_failed(job);
+		progress_failed(job, error);
 		retry_later(job, error);
 		return;
 	}
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -1,5 +1,6 @@
 #include "gateway/job_owner_item.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "backend/event_reader.h"
@@ -61,6 +62,9 @@
 {
 	job_item_run_t *run = user_data;
 
+	/* This also refuses zero bytes. */
+	if (!g_utf8_validate(data, (gssize)data_len, NULL))
+		run->unreadable = true;
 	if (run->last_event != EVENT_READER_NONE)
 		g_string_append_c(run->text, '\n');
 	g_string_append_len(run->text, data, (gssize)data_len);
@@ -91,6 +95,24 @@
 		finish(run, JOB_RESULT_GIVEN_UP);
 }
 
+/* An output that cannot be stored counts as a failed run; the next one starts
+ * from the first event. */
+static void restart_unreadable(job_item_run_t *run)
+{
+	run->failures++;
+	log_warn("item_output_unreadable",
+		 "item=%s events=%" PRId64 " failures=%u max=%u", run->item->id,
+		 job_item_run_events(run), run->failures, run->max_failures);
+	run->unreadable = false;
+	run->last_event = EVENT_READER_NONE;
+	run->saved_event = EVENT_READER_NONE;
+	g_string_truncate(run->text, 0);
+	if (run->failures >= run->max_failures)
+		finish(run, JOB_RESULT_GIVEN_UP);
+	else
+		back_off(run);
+}
+
 static void on_end(run_end_t end, void *user_data)
 {
 	job_item_run_t *run = user_data;
@@ -101,7 +123,9 @@
 	if (run->state == JOB_ITEM_FINISHED)
 		return;
 	run->state = JOB_ITEM_WAITING;
-	if (streamed)
+	if (run->unreadable)
+		restart_unreadable(run);
+	else if (streamed)
 		finish(run, JOB_RESULT_COMPLETED);
 	else
 		back_off(run);
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -41,6 +41,7 @@
 	int64_t not_before_us;
 	int64_t started_us; /* of its first run; 0: none yet */
 	uint32_t urgency; /* see batch_rule; as of the last look */
+	bool unreadable; /* the text is not UTF-8, as JSON needs it */
 	bool resumed; /* began at another owner */
 	bool was_hopeless; /* its time says nothing about usual items */
 	job_item_finished_t finished;
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -1,4 +1,5 @@
 #include "backend/event_reader.h"
+#include "gateway/job_progress.h"
 #include "gateway/job_record.h"
 #include "gateway/load_view.h"
 #include "platform/settings.h"
@@ -369,6 +370,7 @@
 	fleet_t *fleet = fleet_new(&options);
 	GPtrArray *items = g_ptr_array_new_with_free_func(job_item_free);
 	GPtrArray *results = job_results_decode(text, strlen(text));
+	GPtrArray *progress = job_progress_decode(text, strlen(text));
 
 	path_table_unref(store_decode_paths(text, NULL));
 	store_decode_runner("r", text, fleet);
@@ -376,6 +378,8 @@
 	job_items_decode(text, strlen(text), items);
 	if (results)
 		g_ptr_array_unref(results);
+	if (progress)
+		g_ptr_array_unref(progress);
 	g_ptr_array_unref(items);
 	fleet_free(fleet);
 	g_rand_free(random);
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -35,6 +35,7 @@
 	runner_request_t request;
 	int steps;
 	int64_t next_event; /* of a stream */
+	bool bad;
 	bool over;
 };
 
@@ -65,6 +66,7 @@
 	int starts; /* of items */
 	int steps_per_item;
 	int stream_events; /* 0: items are no streams */
+	int bad_starts; /* so many first tries send bytes that are no UTF-8 */
 	bool resumes_at_once; /* every request has asked for what is missing */
 	int64_t delivered[ITEMS]; /* last event that each item has got, or -1 */
 };
@@ -86,6 +88,7 @@
 	if (cluster->stream_events &&
 	    request->resume_after != cluster->delivered[item_index(request)])
 		cluster->resumes_at_once = false;
+	call->bad = cluster->starts < cluster->bad_starts;
 	cluster->starts++;
 	g_ptr_array_add(cluster->calls, call);
 	return call;
@@ -131,7 +134,9 @@
 	}
 	if (event == request->resume_after + 1)
 		answer_stream(call);
-	text = g_strdup_printf("id: %d\ndata: e%d\n\n", (int)event, (int)event);
+	text = g_strdup_printf("id: %d\ndata: e%d%s\n\n", (int)event,
+			       (int)event,
+			       call->bad && event == 3 ? "\xff" : "");
 	call->cluster->delivered[item_index(request)] = event;
 	request->data(text, strlen(text), request->user_data);
 	g_free(text);
@@ -635,6 +640,38 @@
 	job_record_free(peek.record);
 }
 
+/* Bytes that JSON cannot hold must cost the run, not the result: a segment that
+ * lacks a result that the record lists would move the positions of others. */
+static void test_unreadable_output(void)
+{
+	cluster_t *cluster = cluster_new(8);
+	node_t *node = &cluster->nodes[0];
+	uint32_t results = 0;
+	peek_t peek;
+
+	begin_streams(cluster, STREAM_EVENTS);
+	cluster->bad_starts = 2;
+	submit(node);
+	run_ms(cluster, 4 * STREAM_EVENTS * STEP_MS);
+	peek = peek_record(cluster);
+	CU_ASSERT(has_each_item_once(peek.record));
+	for (guint i = 0; i < peek.record->segments->len; i++) {
+		const job_segment_t *segment = peek.record->segments->pdata[i];
+		const GPtrArray *stored =
+			segment_cache_get(node->cache, segment->key);
+		char *text = job_results_encode(stored);
+		GPtrArray *decoded = job_results_decode(text, strlen(text));
+
+		for (guint j = 0; j < decoded->len; j++)
+			results += is_whole(
+				((job_result_t *)decoded->pdata[j])->text);
+		g_ptr_array_unref(decoded);
+		g_free(text);
+	}
+	CU_ASSERT_EQUAL(results, ITEMS);
+	job_record_free(peek.record);
+}
+
 static void kill_node(node_t *node)
 {
 	node->killed = true;
@@ -698,6 +735,7 @@
 		{ "end at another node", test_end_at_another_node },
 		{ "record grows old", test_record_grows_old },
 		{ "planned stop in series", test_planned_stop_in_series },
+		{ "unreadable output", test_unreadable_output },
 		{ "killed owner", test_killed_owner },
 		{ "progress not saved", test_progress_not_saved },
 		{ NULL, NULL },
