--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -24,13 +24,21 @@
 			"the request has waited too long");
 }
 
+/* A process that knows no runner at all has likely just started, and reads the
+ * VM list soon. */
+static bool is_known_to_have_none(const chat_t *chat)
+{
+	return route_runners(chat->pool->route)->len == 0 &&
+	       runner_set_size(chat->entry->runners) > 0;
+}
+
 static void enter_queue(chat_t *chat)
 {
 	const document_workspace_t *workspace = chat->caller->workspace;
 	int64_t retry_after_ms = 0;
 	admission_state_t admitted;
 
-	if (route_runners(chat->pool->route)->len == 0) {
+	if (is_known_to_have_none(chat)) {
 		chat_state_fail(chat, API_NO_RUNNER,
 				"no runner of the deployment is known");
 		return;
