Adopt a job only under a record that names this process

A restarted node with an old view of the store lost its takeover by a conflict, and took the present record for its own because it names the node. It went on under its killed process's epoch, so its segment keys existed, their conflicts passed for own writes, and the record named old segments a second time.

Ruled out: two live owners (the former process had been killed at 10.2 s, the adoption is at 10.9 s).

Change: the record must name the process. test_record_of_former_process failed before.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -184,6 +184,13 @@
 			  on_progress, job);
 }
 
+bool job_table_names_process(const job_record_t *record, const char *node,
+			     const char *instance)
+{
+	return strcmp(record->owner, node) == 0 &&
+	       strcmp(record->instance, instance) == 0;
+}
+
 static void on_taken(const object_value_t *value, const GError *error,
 		     void *user_data)
 {
@@ -191,7 +198,9 @@
 	job_table_t *table = job->table;
 	job_record_t *record =
 		value ? job_record_decode(value->data, value->len) : NULL;
-	bool mine = record && strcmp(record->owner, table->context->node) == 0;
+	bool mine =
+		record && job_table_names_process(record, table->context->node,
+						  table->context->writer);
 
 	log_info("job_takeover",
 		 "job=%s seen_version=%" PRIu64 " version=%" PRIu64
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -26,6 +26,9 @@
  * names this node.
  */
 int32_t job_table_takeover_delay_ms(GRand *random, uint32_t nodes, bool named);
+/* Whether the record names this process, not a former one of the same node. */
+bool job_table_names_process(const job_record_t *record, const char *node,
+			     const char *instance);
 /* Looks for jobs to take over. Some times a second. */
 void job_table_tick(job_table_t *table);
 /* Tokens of items without a result over the open jobs of a route. */
--- a/tests/test_job_table.c
+++ b/tests/test_job_table.c
@@ -62,11 +62,27 @@
 	g_rand_free(random);
 }
 
+/* A process that restarts with an old view of the store loses its takeover to
+ * what its former process wrote last. It must not go on under that epoch: its
+ * segments would have the keys of those that exist already. */
+static void test_record_of_former_process(void)
+{
+	job_record_t *record = job_record_new();
+
+	record->owner = g_strdup("n1");
+	record->instance = g_strdup("n1-1");
+	CU_ASSERT_FALSE(job_table_names_process(record, "n1", "n1-2"));
+	CU_ASSERT_FALSE(job_table_names_process(record, "n2", "n1-1"));
+	CU_ASSERT(job_table_names_process(record, "n1", "n1-1"));
+	job_record_free(record);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "orphan in large system", test_orphan_in_large_system },
 		{ "named node does not wait", test_named_node_does_not_wait },
+		{ "record of former process", test_record_of_former_process },
 		{ NULL, NULL },
 	};
 
