--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -82,11 +82,15 @@
                         parts[0] == store.lose_kind)
                 if lost:
                     store.lose_answers -= 1
+                malformed = (store.malform_answers > 0 and status < 300 and
+                             parts[0] == store.malform_kind)
+                if malformed:
+                    store.malform_answers -= 1
             if lost:
                 self.close_connection = True
                 self.connection.close()
                 return
-            self.answer(status, value)
+            self.answer(status, "no object" if malformed else value)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_call
 
@@ -101,6 +105,8 @@
         self.down = False
         self.lose_answers = 0
         self.lose_kind = ""
+        self.malform_answers = 0  # of successful calls of a kind
+        self.malform_kind = ""
         super().__init__(StoreHandler)
 
     def listing(self, kind):
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -163,6 +163,21 @@
         self.wait_results("j1", 3)
         self.assertEqual(len(self.attempts()), 3)
 
+    def test_malformed_answers_of_the_store(self):
+        """Successful answers of the store without an object must not end the
+        process: the record, a segment of results and a read of the record. The
+        writes have taken effect, so the job is accepted and run once."""
+        for number, kind in enumerate(("batch-payloads", "batch-jobs",
+                                       "batch-results")):
+            self.store.malform_kind = kind
+            self.store.malform_answers = 3
+            job = f"m{number}"
+            self.assertEqual(self.submit(job), 202, kind)
+            self.wait_results(job, 3)
+            self.store.malform_answers = 0
+            self.assertIsNone(self.gateway.process.poll(), kind)
+        self.assertEqual(len(self.attempts()), 9)
+
     def test_end_and_body(self):
         """An ended job must start no more items. The body of an item must be
         readable while the item has no result."""
