Read closed batch jobs from the node's view of the jobs

Change: a node that has seen that a job is closed answers from its view; a closed record no longer changes.

--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -221,6 +221,9 @@
 
 	if (!record)
 		record = g_hash_table_lookup(query->reader->closed, query->id);
+	if (!record)
+		record = job_table_closed_record(query->reader->options.table,
+						 query->id);
 	if (!record) {
 		if (!call_node(query,
 			       job_table_owner(query->reader->options.table,
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -307,6 +307,14 @@
 	return job->record->owner;
 }
 
+const job_record_t *job_table_closed_record(const job_table_t *table,
+					    const char *id)
+{
+	const table_entry_t *job = g_hash_table_lookup(table->jobs, id);
+
+	return job && job_record_is_closed(job->record) ? job->record : NULL;
+}
+
 void job_table_stop(job_table_t *table)
 {
 	table->stopping = true;
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -38,6 +38,10 @@
 /* The owner of an open job, up to some seconds stale. NULL when the job is not
  * known or has no owner. */
 const char *job_table_owner(const job_table_t *table, const char *id);
+/* The record of a closed job, which no longer changes. NULL when this node does
+ * not know that the job is closed. Borrowed until the next job_table_tick(). */
+const job_record_t *job_table_closed_record(const job_table_t *table,
+					    const char *id);
 /* Starts no more takeovers. */
 void job_table_stop(job_table_t *table);
 
