--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,8 +5,11 @@
 
 #include "base/log.h"
 
-/* Expired requests are noticed at most this late. */
-#define TICK_MS 50
+/* The time between ticks is random, so that nodes that were started together do
+ * not all start batch items in the same free slots. Expired requests are noticed
+ * at most this late. */
+#define TICK_MIN_MS 30
+#define TICK_MAX_MS 50
 /* The load balancer removes a node after two failed probes, one second
  * apart. */
 #define BALANCER_REMOVAL_MS 2600
@@ -165,10 +168,21 @@
 		http_server_stop_listening(gateway->callers);
 }
 
+static void schedule_tick(gateway_t *gateway)
+{
+	const struct timeval pause = {
+		0, g_rand_int_range(gateway->random, TICK_MIN_MS * 1000,
+				    TICK_MAX_MS * 1000)
+	};
+
+	evtimer_add(gateway->tick, &pause);
+}
+
 static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	gateway_t *gateway = arg;
 
+	schedule_tick(gateway);
 	fleet_remove_expired(gateway->fleet);
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
@@ -383,7 +397,6 @@
 
 gateway_t *gateway_new(const gateway_options_t *options, GError **error)
 {
-	const struct timeval period = { 0, TICK_MS * 1000 };
 	gateway_t *gateway = g_new0(gateway_t, 1);
 	fleet_options_t fleet;
 	relay_options_t relay;
@@ -408,9 +421,8 @@
 	if (!start_peer_load(gateway, options, error))
 		return NULL;
 	start_follows(gateway, options->watch_wait_ms);
-	gateway->tick =
-		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
-	event_add(gateway->tick, &period);
+	gateway->tick = evtimer_new(gateway->base, on_tick, gateway);
+	schedule_tick(gateway);
 	return gateway;
 }
 
