Divide the free slots for batch items among the nodes

Cause: nodes that look for slots within the few milliseconds until they have each other's load reports start items at the same, emptiest runners, and preempt the excess.

Change: nodes list the free slots in the same order, and each takes the part that its place among the nodes with waiting items gives it. The reserve for online load is taken off before the division.

--- a/src/gateway/batch_rule.c
+++ b/src/gateway/batch_rule.c
@@ -27,33 +27,35 @@
 			     BATCH_INFEASIBLE - 1);
 }
 
-bool batch_may_start(const batch_candidate_t *candidate)
+void batch_share(const batch_slots_t *slots, const batch_waiting_t *before,
+		 const batch_waiting_t *own, const batch_waiting_t *after,
+		 batch_starts_t *starts)
 {
-	return candidate->urgency < URGENT_CLASSES ||
-	       candidate->free_slots >
-		       (int32_t)(candidate->service_slots * RESERVE_SHARE);
-}
-
-void batch_share(int32_t free_slots, const batch_waiting_t *own,
-		 const batch_waiting_t *peers, double draw,
-		 batch_waiting_t *starts)
-{
-	uint32_t remaining = (uint32_t)MAX(free_slots, 0);
+	uint32_t reserve = (uint32_t)(slots->total * RESERVE_SHARE);
+	uint32_t used = 0;
 
-	*starts = (batch_waiting_t){ 0 };
-	for (int i = 0; i < BATCH_URGENCIES && remaining > 0; i++) {
-		uint32_t all = own->items[i] + peers->items[i];
-		double share;
+	*starts = (batch_starts_t){ 0 };
+	for (int i = 0; i < BATCH_URGENCIES; i++) {
+		uint32_t limit = slots->free;
+		uint32_t all =
+			before->items[i] + own->items[i] + after->items[i];
+		uint32_t taken;
+		double per_item;
+		uint32_t first;
+		uint32_t end;
 
-		if (all <= remaining) {
-			starts->items[i] = own->items[i];
-			remaining -= all;
+		if (i >= URGENT_CLASSES)
+			limit = limit > reserve ? limit - reserve : 0;
+		if (all == 0 || used >= limit)
 			continue;
-		}
-		share = (double)remaining * own->items[i] / all;
-		starts->items[i] = (uint32_t)share +
-				   (draw < share - (uint32_t)share ? 1 : 0);
-		remaining = 0;
+		taken = MIN(all, limit - used);
+		per_item = (double)taken / all;
+		first = (uint32_t)(before->items[i] * per_item + slots->phase);
+		end = (uint32_t)((before->items[i] + own->items[i]) * per_item +
+				 slots->phase);
+		starts->items[i] = end - first;
+		starts->first_slot[i] = used + first;
+		used += taken;
 	}
 }
 
--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -33,24 +33,36 @@
  * needed_ms. */
 uint32_t batch_urgency(int64_t remaining_ms, int64_t needed_ms);
 
-typedef struct batch_candidate {
-	uint32_t urgency;
-	int32_t free_slots; /* of the service, over all runners */
-	int32_t service_slots; /* of the service, over all runners */
-} batch_candidate_t;
+/* The slots that are free for batch work, as all nodes see them. */
+typedef struct batch_slots {
+	uint32_t free;
+	uint32_t total; /* of the service */
+	/* In [0, 1), the same at all nodes that see the same slots; decides
+	 * which node gets a slot that is not a whole share. */
+	double phase;
+} batch_slots_t;
+
+/* Items of each urgency that this node may start in one round. */
+typedef struct batch_starts {
+	uint32_t items[BATCH_URGENCIES];
+	/* Index of the first one's slot; the others have the next ones, modulo
+	 * the number of free slots. */
+	uint32_t first_slot[BATCH_URGENCIES];
+} batch_starts_t;
 
-/* Whether the item may start, given the service's free slots. */
-bool batch_may_start(const batch_candidate_t *candidate);
 /*
- * Number of items of each urgency that this node may start in one round. The
- * free slots go to the most urgent items of all nodes. When a class has more
- * items than there are slots, each node gets slots in proportion to its items
- * of that class: nodes that all see the same free slots would otherwise all
- * take them. draw is uniform in [0, 1) and rounds the share up or down.
+ * Divides the free slots among the nodes with waiting items, the most urgent
+ * items first. The nodes are in one order, and before and after have the items
+ * of those before and after this one. When a class has more items than there are
+ * slots, each node gets slots in proportion to its items. Nodes with the same
+ * view get different slots: with a choice of their own, all would start items at
+ * the emptiest runners, and preempt them at once. A reserve of the slots is left
+ * free of items that are not urgent.
  */
-void batch_share(int32_t free_slots, const batch_waiting_t *own,
-		 const batch_waiting_t *peers, double draw,
-		 batch_waiting_t *starts);
+void batch_share(const batch_slots_t *slots, const batch_waiting_t *before,
+		 const batch_waiting_t *own, const batch_waiting_t *after,
+		 batch_starts_t *starts);
+
 /* The load of a failure domain as this node knows it. */
 typedef struct batch_domain {
 	const char *name;
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -40,6 +40,7 @@
 	int64_t expires_us;
 	int64_t progress_us; /* time of the last data or of the attempt's start */
 	uint64_t tried[MAX_ATTEMPTS]; /* key of each attempt's runner */
+	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	uint32_t max_runners;
 	uint32_t attempts;
 	uint32_t runs; /* attempts that may have run */
@@ -289,6 +290,7 @@
 		.tried_count = execution->attempts,
 		.batch = execution->batch,
 		.require_healthy = execution->require_healthy,
+		.preferred = execution->preferred_runner,
 	};
 	size_t len;
 	const void *body = g_bytes_get_data(execution->body, &len);
@@ -311,6 +313,7 @@
 	execution->runner = fleet_acquire(execution->context->fleet, &pick);
 	if (!execution->runner)
 		return false;
+	execution->preferred_runner = 0;
 	execution->tried[execution->attempts++] = execution->runner->key;
 	execution->runs++;
 	execution->answered = false;
@@ -361,6 +364,7 @@
 	execution->body = g_bytes_ref(options->body);
 	execution->response_body = g_string_new(NULL);
 	execution->expires_us = options->expires_us;
+	execution->preferred_runner = options->preferred_runner;
 	execution->max_runners = MAX(options->max_runners, 1);
 	execution->stream = options->stream;
 	execution->idempotent = options->idempotent;
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -65,6 +65,7 @@
 	bool idempotent; /* more than one runner may run it */
 	bool resumable;
 	bool batch;
+	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	bool require_healthy; /* see fleet_pick_options_t */
 	uint32_t max_runners; /* limit of the runners that may have run it */
 	int64_t expires_us; /* deadline, monotonic; 0: none */
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -393,6 +393,22 @@
 	return best;
 }
 
+/* The preferred runner, or NULL when it may not take the request. */
+static fleet_runner_t *preferred_runner(fleet_t *fleet,
+					const fleet_pick_options_t *pick)
+{
+	fleet_runner_t *runner =
+		pick->preferred ? fleet_find(fleet, pick->preferred) : NULL;
+
+	if (!runner || !is_usable(runner, pick->service) ||
+	    is_ejected(fleet, runner) || !has_free_slot(runner) ||
+	    has_failed_attempt(pick, runner) ||
+	    (pick->require_healthy &&
+	     is_failing(runner, clock_now_us(fleet->clock))))
+		return NULL;
+	return runner;
+}
+
 static void load_changed(const fleet_t *fleet)
 {
 	if (fleet->load_changed)
@@ -420,8 +436,10 @@
 
 fleet_runner_t *fleet_acquire(fleet_t *fleet, const fleet_pick_options_t *pick)
 {
-	fleet_runner_t *runner = pick_runner(fleet, pick);
+	fleet_runner_t *runner = preferred_runner(fleet, pick);
 
+	if (!runner)
+		runner = pick_runner(fleet, pick);
 	if (!runner)
 		return NULL;
 	runner->refs++;
@@ -460,25 +478,51 @@
 			 slowness_of(fleet, runner));
 }
 
-int32_t fleet_free_slots(fleet_t *fleet, const char *service,
-			 int32_t *total_slots)
+/* A free slot of a runner. */
+typedef struct free_slot {
+	double cost; /* of the runner with the slots before it in use */
+	uint64_t runner;
+} free_slot_t;
+
+static gint by_cost(gconstpointer a, gconstpointer b)
+{
+	const free_slot_t *x = a;
+	const free_slot_t *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost < y->cost ? -1 : 1;
+	return x->runner < y->runner ? -1 : x->runner > y->runner;
+}
+
+uint32_t fleet_list_free_slots(fleet_t *fleet, const char *service,
+			       GArray *keys)
 {
 	bool local_only = keeps_batch_local(fleet, service);
-	int32_t free_slots = 0;
+	GArray *slots = g_array_new(FALSE, FALSE, sizeof(free_slot_t));
+	uint32_t total_slots = 0;
 
-	*total_slots = 0;
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
-		uint32_t load = load_of(runner);
+		double slowness = slowness_of(fleet, runner);
 
 		if (!is_usable(runner, service) || is_ejected(fleet, runner) ||
 		    (local_only && is_remote(fleet, runner)))
 			continue;
-		*total_slots += (int32_t)runner->slots;
-		if (load < runner->slots)
-			free_slots += (int32_t)(runner->slots - load);
+		total_slots += runner->slots;
+		for (uint32_t load = load_of(runner); load < runner->slots;
+		     load++) {
+			const free_slot_t slot = { (load + 1) * slowness,
+						   runner->key };
+
+			g_array_append_val(slots, slot);
+		}
 	}
-	return free_slots;
+	g_array_sort(slots, by_cost);
+	for (guint i = 0; i < slots->len; i++)
+		g_array_append_val(keys,
+				   g_array_index(slots, free_slot_t, i).runner);
+	g_array_free(slots, TRUE);
+	return total_slots;
 }
 
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -88,6 +88,8 @@
 	const char *domain; /* only runners there; NULL: any */
 	bool batch;
 	bool require_healthy; /* no runner that loses most of its requests */
+	uint64_t preferred; /* key of the runner to take if it has a free slot;
+			       0: none */
 } fleet_pick_options_t;
 
 fleet_t *fleet_new(const fleet_options_t *options);
@@ -126,10 +128,13 @@
 /* Estimates the milliseconds that a new online request would wait for a slot of
  * the runner selected for it; INT32_MAX without a runner. */
 int32_t fleet_wait_ms(fleet_t *fleet, const char *service);
-/* Returns the slots that are free for batch work at the usable runners of a
- * service, and stores their total number of slots in *total_slots. */
-int32_t fleet_free_slots(fleet_t *fleet, const char *service,
-			 int32_t *total_slots);
+/*
+ * Appends the key of the runner of each slot that is free for batch work, those
+ * of the emptiest runners first. Nodes that know the same load get the same
+ * order. Returns the number of all slots of the usable runners.
+ */
+uint32_t fleet_list_free_slots(fleet_t *fleet, const char *service,
+			       GArray *keys);
 
 /* The runner answered, so its domain is reachable. */
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner);
@@ -145,7 +150,6 @@
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner);
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
 			   uint32_t percent);
-
 /* Load of a runner over all nodes, as far as this node knows. */
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner);
 /* Number of this node's batch requests at the runner to preempt, so that online
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -234,11 +234,12 @@
 }
 
 static void exchange_batch_waiting(void *user_data, const batch_waiting_t *own,
-				   batch_waiting_t *peers)
+				   batch_waiting_t *before,
+				   batch_waiting_t *after)
 {
 	gateway_t *gateway = user_data;
 
-	peer_load_batch_waiting(gateway->peer_load, own, peers);
+	peer_load_batch_waiting(gateway->peer_load, own, before, after);
 }
 
 static void list_batch_domains(void *user_data, const char *service,
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -23,9 +23,10 @@
 	char *writer; /* unique to this process */
 	path_table_t **paths; /* current routes; points to NULL at first */
 	/* Reports to the other nodes how many items wait at this node, and
-	 * returns how many wait at them. */
+	 * returns how many wait at the nodes before and after it, in an order
+	 * that is the same at all nodes. */
 	void (*batch_waiting)(void *user_data, const batch_waiting_t *own,
-			      batch_waiting_t *peers);
+			      batch_waiting_t *before, batch_waiting_t *after);
 	/* Number of other nodes that this node receives messages from. */
 	uint32_t (*peers)(void *user_data);
 	/* Appends the known load of each domain, batch_domain_t; nothing in a
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -26,6 +26,9 @@
  * version. */
 #define RECORD_MAX_AGE_MS 2000
 
+/* Resolution of phase_of(). */
+#define PHASE_STEPS 1024
+
 struct owned_job {
 	job_owner_t *owner;
 	char *id;
@@ -598,21 +601,41 @@
 		write_progress(job);
 }
 
-/* Starts up to *starts items of one urgency and decrements it. */
-static void start_items(owned_job_t *job, uint32_t urgency, const char *domain,
-			uint32_t *starts)
+/* Slots for items of one urgency. */
+typedef struct slot_range {
+	const char *domain; /* only runners there; NULL: the fleet selects */
+	const GArray *slots; /* keys of the runners; NULL: any runner */
+	uint32_t next; /* index of the next slot, modulo their number */
+	uint32_t count; /* remaining */
+} slot_range_t;
+
+static job_item_place_t place_of(const slot_range_t *range)
+{
+	job_item_place_t place = { .domain = range->domain };
+
+	if (range->slots)
+		place.runner = g_array_index(range->slots, uint64_t,
+					     range->next % range->slots->len);
+	return place;
+}
+
+/* Starts items of one urgency in the slots, which it removes from the range. */
+static void start_items(owned_job_t *job, uint32_t urgency, slot_range_t *range)
 {
 	const path_route_t *route = route_of(job);
 
 	if (job->removed || job->release)
 		return;
-	for (guint i = 0; *starts > 0 && i < job->items->len; i++) {
+	for (guint i = 0; range->count > 0 && i < job->items->len; i++) {
+		const job_item_place_t place = place_of(range);
+
 		if (job->owned_items[i].urgency != urgency ||
 		    !job_owner_item_wants_slot(&job->owned_items[i]))
 			continue;
-		if (!job_owner_item_start(&job->owned_items[i], route, domain))
+		if (!job_owner_item_start(&job->owned_items[i], route, &place))
 			return;
-		(*starts)--;
+		range->next++;
+		range->count--;
 	}
 }
 
@@ -664,46 +687,64 @@
 	GArray *domains = g_array_new(FALSE, FALSE, sizeof(batch_domain_t));
 	const double draws[2] = { g_rand_double(context->random),
 				  g_rand_double(context->random) };
+	slot_range_t range = { 0 };
 	guint chosen = 0;
-	uint32_t starts = 0;
 
 	context->batch_domains(context->user_data, service, domains);
-	if (domains->len > 0)
-		starts = batch_remote_share(
+	if (domains->len > 0) {
+		range.count = batch_remote_share(
 			(const batch_domain_t *)domains->data, domains->len,
 			count_without_slot(owner), draws, &chosen);
-	for (uint32_t i = 0; i < BATCH_URGENCIES && starts > 0; i++)
+		range.domain =
+			g_array_index(domains, batch_domain_t, chosen).name;
+	}
+	for (uint32_t i = 0; i < BATCH_URGENCIES && range.count > 0; i++)
 		for (guint j = 0; j < owner->jobs->len; j++)
-			start_items(
-				owner->jobs->pdata[j], i,
-				g_array_index(domains, batch_domain_t, chosen)
-					.name,
-				&starts);
+			start_items(owner->jobs->pdata[j], i, &range);
 	g_array_free(domains, TRUE);
 }
 
+/* A number in [0, 1) that nodes with the same free slots agree on. */
+static double phase_of(const GArray *slots)
+{
+	return slots->len > 0 ?
+		       (g_array_index(slots, uint64_t, 0) % PHASE_STEPS) /
+			       (double)PHASE_STEPS :
+		       0;
+}
+
 /* Starts this node's share of the items that all nodes may start together. */
 static void start_share(job_owner_t *owner)
 {
 	job_context_t *context = owner->context;
 	const char *service = NULL;
 	batch_waiting_t waiting = { 0 };
-	batch_waiting_t peers;
-	batch_waiting_t starts;
-	int32_t service_slots;
+	batch_waiting_t before;
+	batch_waiting_t after;
+	batch_starts_t starts;
+	batch_slots_t slots;
+	GArray *keys;
 
 	if (!owner->stopping)
 		count_waiting(owner, &service, &waiting);
-	context->batch_waiting(context->user_data, &waiting, &peers);
+	context->batch_waiting(context->user_data, &waiting, &before, &after);
 	if (!service)
 		return;
-	batch_share(fleet_free_slots(context->executions->fleet, service,
-				     &service_slots),
-		    &waiting, &peers, g_rand_double(context->random), &starts);
-	for (uint32_t i = 0; i < BATCH_URGENCIES; i++)
+	keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	slots.total = fleet_list_free_slots(context->executions->fleet, service,
+					    keys);
+	slots.free = keys->len;
+	slots.phase = phase_of(keys);
+	batch_share(&slots, &before, &waiting, &after, &starts);
+	for (uint32_t i = 0; i < BATCH_URGENCIES; i++) {
+		slot_range_t range = { .slots = keys,
+				       .next = starts.first_slot[i],
+				       .count = starts.items[i] };
+
 		for (guint j = 0; j < owner->jobs->len; j++)
-			start_items(owner->jobs->pdata[j], i, NULL,
-				    &starts.items[i]);
+			start_items(owner->jobs->pdata[j], i, &range);
+	}
+	g_array_free(keys, TRUE);
 	start_remote(owner, service);
 }
 
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -164,10 +164,9 @@
 }
 
 bool job_owner_item_start(owned_item_t *owned, const path_route_t *route,
-			  const char *domain)
+			  const job_item_place_t *place)
 {
 	job_context_t *context = owned->context;
-	batch_candidate_t candidate = { .urgency = owned->urgency };
 	execution_options_t options = {
 		.id = owned->item->id,
 		.method = "POST",
@@ -177,6 +176,8 @@
 		.stream = true,
 		.resumable = true,
 		.batch = true,
+		.domain = place->domain,
+		.preferred_runner = place->runner,
 		.require_healthy = owned->failures > 0,
 		.max_runners = UINT32_MAX,
 		.resume_after = owned->last_event,
@@ -187,16 +188,10 @@
 	if (!route)
 		return false;
 	options.host = route->host;
-	options.domain = domain;
 	options.service =
 		path_route_service(route, g_rand_double(context->random));
 	if (!options.service)
 		return false;
-	candidate.free_slots =
-		fleet_free_slots(context->executions->fleet, options.service,
-				 &candidate.service_slots);
-	if (!domain && !batch_may_start(&candidate))
-		return false;
 	owned->max_failures = route->max_runners;
 	if (!owned->text)
 		owned->text = g_string_new(NULL);
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -63,11 +63,16 @@
 int64_t job_owner_item_events(const owned_item_t *owned);
 /* Whether the item waits for a slot and its backoff is over. */
 bool job_owner_item_wants_slot(const owned_item_t *owned);
+/* Where to start an item. */
+typedef struct job_item_place {
+	const char *domain; /* only runners there; NULL: the fleet selects */
+	uint64_t runner; /* key of the preferred runner; 0: none */
+} job_item_place_t;
+
 /* Returns false when no runner has a slot for the item, so that the caller need
- * not try the next one. route is that of the job, NULL when it was removed.
- * domain is the failure domain of the runner; NULL: the fleet selects it. */
+ * not try the next one. route is that of the job, NULL when it was removed. */
 bool job_owner_item_start(owned_item_t *owned, const path_route_t *route,
-			  const char *domain);
+			  const job_item_place_t *place);
 /* Cancels the current attempt, if any; the item waits for a slot again. */
 void job_owner_item_cancel(owned_item_t *owned);
 /* Cancels the current attempt to free its slot for an online request. The item
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -306,21 +306,28 @@
 	return peer ? peer->domain : NULL;
 }
 
+static void add_waiting(batch_waiting_t *sum, const batch_waiting_t *waiting)
+{
+	for (int i = 0; i < BATCH_URGENCIES; i++)
+		sum->items[i] += waiting->items[i];
+}
+
 void load_view_batch_waiting(const load_view_t *view, bool local_only,
-			     batch_waiting_t *waiting)
+			     batch_waiting_t *before, batch_waiting_t *after)
 {
 	GHashTableIter iter;
 	void *value;
 
-	*waiting = (batch_waiting_t){ 0 };
+	*before = (batch_waiting_t){ 0 };
+	*after = (batch_waiting_t){ 0 };
 	g_hash_table_iter_init(&iter, view->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const peer_t *peer = value;
 
 		if (local_only && g_strcmp0(peer->domain, view->domain) != 0)
 			continue;
-		for (int i = 0; i < BATCH_URGENCIES; i++)
-			waiting->items[i] += peer->batch_waiting.items[i];
+		add_waiting(strcmp(peer->node, view->node) < 0 ? before : after,
+			    &peer->batch_waiting);
 	}
 }
 
@@ -335,10 +342,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const peer_t *peer = value;
 
-		if (g_strcmp0(peer->domain, domain) != 0)
-			continue;
-		for (int i = 0; i < BATCH_URGENCIES; i++)
-			waiting->items[i] += peer->batch_waiting.items[i];
+		if (g_strcmp0(peer->domain, domain) == 0)
+			add_waiting(waiting, &peer->batch_waiting);
 	}
 }
 
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -34,9 +34,10 @@
 size_t load_view_encode(load_view_t *view, const load_own_t *own, char *data,
 			size_t size);
 /* Sums up the batch items that wait for a slot at the other nodes, or only at
- * those in this node's domain. */
+ * those in this node's domain, separately for the nodes whose names sort before
+ * and after this node's. */
 void load_view_batch_waiting(const load_view_t *view, bool local_only,
-			     batch_waiting_t *waiting);
+			     batch_waiting_t *before, batch_waiting_t *after);
 /* Sums up the batch items that wait for a slot at the other nodes in a
  * domain. */
 void load_view_domain_waiting(const load_view_t *view, const char *domain,
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -302,12 +302,12 @@
 }
 
 void peer_load_batch_waiting(peer_load_t *load, const batch_waiting_t *own,
-			     batch_waiting_t *peers)
+			     batch_waiting_t *before, batch_waiting_t *after)
 {
 	if (memcmp(own, &load->own.batch_waiting, sizeof(*own)) != 0)
 		peer_load_changed(load);
 	load->own.batch_waiting = *own;
-	load_view_batch_waiting(load->view, is_large(load), peers);
+	load_view_batch_waiting(load->view, is_large(load), before, after);
 }
 
 typedef struct domain_list {
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -40,9 +40,10 @@
 /* Schedules a report, as this node's load has changed. */
 void peer_load_changed(peer_load_t *load);
 /* Sets the number of batch items that wait for a slot at this node, which is
- * reported to the others, and returns the sum of theirs. */
+ * reported to the others, and returns the sums of theirs, see
+ * load_view_batch_waiting(). */
 void peer_load_batch_waiting(peer_load_t *load, const batch_waiting_t *own,
-			     batch_waiting_t *peers);
+			     batch_waiting_t *before, batch_waiting_t *after);
 /* Appends the known state of each domain; nothing in a small system, in which
  * every node gets every report. */
 void peer_load_domains(peer_load_t *load, const char *service, GArray *domains);
--- a/tests/test_batch_rule.c
+++ b/tests/test_batch_rule.c
@@ -1,46 +1,81 @@
 #include <glib.h>
 
 #include "gateway/batch_rule.h"
+#include "gateway/fleet.h"
 #include "gateway/item_estimate.h"
 #include "unit.h"
 
 #define NODES 6
 
+static void add_waiting(batch_waiting_t *sum, const batch_waiting_t *waiting)
+{
+	for (int i = 0; i < BATCH_URGENCIES; i++)
+		sum->items[i] += waiting->items[i];
+}
+
+/* The share of one of several nodes, which are in the order of the array. */
+static void share_of_node(const batch_slots_t *slots,
+			  const batch_waiting_t *waiting, int nodes, int node,
+			  batch_starts_t *starts)
+{
+	batch_waiting_t before = { { 0 } };
+	batch_waiting_t after = { { 0 } };
+
+	for (int i = 0; i < nodes; i++)
+		if (i != node)
+			add_waiting(i < node ? &before : &after, &waiting[i]);
+	batch_share(slots, &before, &waiting[node], &after, starts);
+}
+
 /* Several nodes with waiting items see the same free slots. Together they must
- * start about as many items as there are slots; without the sharing each node
- * would fill all of them. */
+ * start exactly as many items as there are slots, each in another slot, and over
+ * time each node its share; without the sharing each node would fill all of
+ * them. */
 static void test_share_among_nodes(void)
 {
-	static const uint32_t waiting[NODES] = { 10, 24, 1, 0, 7, 13 };
+	static const batch_waiting_t waiting[NODES] = {
+		{ { 0, 10 } }, { { 0, 24 } }, { { 0, 1 } },
+		{ { 0, 0 } },  { { 0, 7 } },  { { 0, 13 } },
+	};
 	GRand *random = g_rand_new_with_seed(5);
-	uint32_t total = 0;
-	uint32_t taken = 0;
+	uint32_t taken[NODES] = { 0 };
 
-	for (int i = 0; i < NODES; i++)
-		total += waiting[i];
 	for (int round = 0; round < 1000; round++) {
+		const batch_slots_t slots = { 8, 72, g_rand_double(random) };
+		bool used[8] = { false };
+		uint32_t count = 0;
+
 		for (int i = 0; i < NODES; i++) {
-			const batch_waiting_t own = { { 0, waiting[i] } };
-			const batch_waiting_t peers = {
-				{ 0, total - waiting[i] }
-			};
-			batch_waiting_t starts;
-
-			batch_share(8, &own, &peers, g_rand_double(random),
-				    &starts);
-			taken += starts.items[1];
+			batch_starts_t starts;
+
+			share_of_node(&slots, waiting, NODES, i, &starts);
+			taken[i] += starts.items[1];
+			count += starts.items[1];
+			for (uint32_t j = 0; j < starts.items[1]; j++) {
+				uint32_t slot = (starts.first_slot[1] + j) % 8;
+
+				CU_ASSERT_FALSE(used[slot]);
+				used[slot] = true;
+			}
 		}
+		CU_ASSERT_EQUAL(count, 8);
+	}
+	for (int i = 0; i < NODES; i++) {
+		uint32_t fair = 8000 * waiting[i].items[1] / 55;
+
+		CU_ASSERT(taken[i] >= fair * 0.8 && taken[i] <= fair * 1.2 + 1);
 	}
-	CU_ASSERT(taken > 7500 && taken < 8500);
 	g_rand_free(random);
 }
 
-static uint32_t share_of(int32_t free_slots, batch_waiting_t own,
+static uint32_t share_of(uint32_t free_slots, batch_waiting_t own,
 			 batch_waiting_t peers, uint32_t urgency)
 {
-	batch_waiting_t starts;
+	const batch_slots_t slots = { free_slots, 0, 0.9 };
+	const batch_waiting_t none = { { 0 } };
+	batch_starts_t starts;
 
-	batch_share(free_slots, &own, &peers, 0.9, &starts);
+	batch_share(&slots, &peers, &own, &none, &starts);
 	return starts.items[urgency];
 }
 
@@ -115,24 +150,154 @@
 	CU_ASSERT_EQUAL(batch_remote_share(domains, 2, 10, draws, &chosen), 10);
 }
 
+static uint32_t starts_of(uint32_t urgency, uint32_t free_slots)
+{
+	const batch_slots_t slots = { free_slots, 72, 0 };
+	const batch_waiting_t none = { { 0 } };
+	batch_waiting_t own = { { 0 } };
+	batch_starts_t starts;
+
+	own.items[urgency] = 1;
+	batch_share(&slots, &none, &own, &none, &starts);
+	return starts.items[urgency];
+}
+
 /* Items close to their deadline may use the last slots. Other items, also
  * infeasible ones, must leave a reserve. */
 static void test_reserve(void)
 {
-	batch_candidate_t candidate = { .free_slots = 3, .service_slots = 72 };
-
-	candidate.urgency = batch_urgency(18000, 5000);
-	CU_ASSERT_FALSE(batch_may_start(&candidate));
-	candidate.urgency = batch_urgency(6000, 5000);
-	CU_ASSERT(batch_may_start(&candidate));
-	candidate.urgency = batch_urgency(4000, 5000);
-	CU_ASSERT_EQUAL(candidate.urgency, BATCH_INFEASIBLE);
-	CU_ASSERT_FALSE(batch_may_start(&candidate));
-	candidate.free_slots = 10;
-	CU_ASSERT(batch_may_start(&candidate));
+	CU_ASSERT_EQUAL(starts_of(batch_urgency(18000, 5000), 3), 0);
+	CU_ASSERT_EQUAL(starts_of(batch_urgency(6000, 5000), 3), 1);
+	CU_ASSERT_EQUAL(batch_urgency(4000, 5000), BATCH_INFEASIBLE);
+	CU_ASSERT_EQUAL(starts_of(BATCH_INFEASIBLE, 3), 0);
+	CU_ASSERT_EQUAL(starts_of(BATCH_INFEASIBLE, 10), 1);
 	CU_ASSERT_EQUAL(batch_urgency(3600000, 5000), BATCH_INFEASIBLE - 1);
 }
 
+/* Load in which all nodes of a large domain look for slots at the same moment,
+ * as when a peak of online load ends. */
+#define LARGE_NODES 18
+#define LARGE_RUNNERS 30
+#define LARGE_SLOTS 7
+
+typedef struct simultaneous {
+	GRand *random;
+	clock_manual_t clock;
+	fleet_t *fleets[LARGE_NODES];
+	uint32_t load[LARGE_RUNNERS];
+	uint32_t free_slots;
+} simultaneous_t;
+
+static void simultaneous_init(simultaneous_t *sim, uint32_t seed)
+{
+	sim->random = g_rand_new_with_seed(seed);
+	sim->free_slots = 0;
+	clock_manual_init(&sim->clock, 0);
+	for (int i = 0; i < LARGE_RUNNERS; i++) {
+		sim->load[i] = (uint32_t)g_rand_int_range(sim->random, 0,
+							  LARGE_SLOTS + 3);
+		if (sim->load[i] < LARGE_SLOTS)
+			sim->free_slots += LARGE_SLOTS - sim->load[i];
+	}
+	for (int i = 0; i < LARGE_NODES; i++) {
+		const fleet_options_t options = { .clock = &sim->clock.base,
+						  .random = sim->random,
+						  .domain = "d" };
+
+		sim->fleets[i] = fleet_new(&options);
+		for (int j = 0; j < LARGE_RUNNERS; j++) {
+			char id[16];
+			fleet_entry_t entry = { id,   "10.0.0.1:1", "s",
+						"d",  LARGE_SLOTS,  1,
+						false };
+
+			g_snprintf(id, sizeof(id), "r%d", j);
+			fleet_update(sim->fleets[i], &entry);
+			fleet_find(sim->fleets[i], fleet_key(id))
+				->peers.online = sim->load[j];
+		}
+	}
+}
+
+static void simultaneous_clear(simultaneous_t *sim)
+{
+	for (int i = 0; i < LARGE_NODES; i++)
+		fleet_free(sim->fleets[i]);
+	g_rand_free(sim->random);
+}
+
+/* Starts the node's share; with own_choice at the runners that it would select
+ * itself. */
+static uint32_t start_simultaneously(simultaneous_t *sim, int node,
+				     const batch_waiting_t *waiting,
+				     bool own_choice)
+{
+	fleet_t *fleet = sim->fleets[node];
+	GArray *keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	batch_slots_t slots = { .phase = 0.5 };
+	batch_starts_t starts;
+
+	slots.total = fleet_list_free_slots(fleet, "s", keys);
+	slots.free = keys->len;
+	share_of_node(&slots, waiting, LARGE_NODES, node, &starts);
+	for (uint32_t i = 0; i < starts.items[5]; i++) {
+		fleet_pick_options_t pick = { .service = "s", .batch = true };
+
+		if (!own_choice)
+			pick.preferred = g_array_index(
+				keys, uint64_t,
+				(starts.first_slot[5] + i) % keys->len);
+		fleet_acquire(fleet, &pick);
+	}
+	g_array_free(keys, TRUE);
+	return starts.items[5];
+}
+
+/* Items started beyond the slots of their runners, as a share of all. */
+static double excess_share(uint32_t seed, bool own_choice)
+{
+	simultaneous_t sim;
+	batch_waiting_t waiting[LARGE_NODES] = { { { 0 } } };
+	uint32_t started = 0;
+	uint32_t excess = 0;
+
+	simultaneous_init(&sim, seed);
+	for (int i = 0; i < LARGE_NODES; i++)
+		waiting[i].items[5] =
+			(uint32_t)g_rand_int_range(sim.random, 5, 60);
+	for (int i = 0; i < LARGE_NODES; i++)
+		started += start_simultaneously(&sim, i, waiting, own_choice);
+	for (int j = 0; j < LARGE_RUNNERS; j++) {
+		uint32_t load = sim.load[j];
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "r%d", j);
+		for (int i = 0; i < LARGE_NODES; i++)
+			load += fleet_find(sim.fleets[i], fleet_key(id))
+					->own.batch;
+		if (load > MAX(LARGE_SLOTS, sim.load[j]))
+			excess += load - MAX(LARGE_SLOTS, sim.load[j]);
+	}
+	/* All slots but the reserve of a twentieth are used. */
+	CU_ASSERT_EQUAL(started,
+			sim.free_slots - LARGE_RUNNERS * LARGE_SLOTS / 20);
+	simultaneous_clear(&sim);
+	return (double)excess / started;
+}
+
+/* Guards against nodes that start items at the same runners at the same moment
+ * and preempt them at once, over and over, while other slots stay free. */
+static void test_simultaneous_starts(void)
+{
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		double own_choice = excess_share(seed, true);
+
+		printf("excess starts, own choice: %.2f\n", own_choice);
+		CU_ASSERT(own_choice > 0.1);
+		CU_ASSERT_EQUAL(excess_share(seed, false), 0);
+	}
+}
+
 /* Items that were preempted together must not all retry at the same time. */
 static void test_backoffs_differ(void)
 {
@@ -277,14 +442,11 @@
 		waiting[item->node].items[item->urgency]++;
 	}
 	for (int node = 0; node < NODES; node++) {
-		batch_waiting_t peers = { { 0 } };
-		batch_waiting_t starts;
-
-		for (int i = 0; i < NODES; i++)
-			for (int j = 0; i != node && j < BATCH_URGENCIES; j++)
-				peers.items[j] += waiting[i].items[j];
-		batch_share(free_slots, &waiting[node], &peers,
-			    g_rand_double(sim->random), &starts);
+		const batch_slots_t slots = { (uint32_t)MAX(free_slots, 0), 0,
+					      g_rand_double(sim->random) };
+		batch_starts_t starts;
+
+		share_of_node(&slots, waiting, NODES, node, &starts);
 		for (int i = 0; i < sim->count; i++) {
 			sim_item_t *item = &sim->items[i];
 
@@ -523,6 +685,7 @@
 		{ "remote slots", test_remote_slots },
 		{ "no remote slots", test_no_remote_slots },
 		{ "reserve", test_reserve },
+		{ "simultaneous starts", test_simultaneous_starts },
 		{ "overload", test_overload },
 		{ "backoffs differ", test_backoffs_differ },
 		{ "job domain", test_job_domain },
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -31,6 +31,32 @@
 	return fleet_acquire(fleet, &pick);
 }
 
+/* Returns the total number of slots. */
+static uint32_t count_slots(fleet_t *fleet, uint32_t *free_slots)
+{
+	GArray *keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint32_t total = fleet_list_free_slots(fleet, "s", keys);
+
+	*free_slots = keys->len;
+	g_array_free(keys, TRUE);
+	return total;
+}
+
+static uint32_t free_slots(fleet_t *fleet)
+{
+	uint32_t count;
+
+	count_slots(fleet, &count);
+	return count;
+}
+
+static uint32_t total_slots(fleet_t *fleet)
+{
+	uint32_t unused;
+
+	return count_slots(fleet, &unused);
+}
+
 /* A draining runner must get no more requests. */
 static void test_draining(void)
 {
@@ -161,22 +187,21 @@
 				       1,     false };
 	fleet_t *fleet;
 	fleet_runner_t *runner;
-	int32_t total_slots;
 
 	clock_manual_init(&manual, 0);
 	fleet = fleet_of(random, "d");
 	add(fleet, "near", 1, 1, false);
 	fleet_update(fleet, &remote);
 	fleet_set_remote_load_stale(fleet, true);
-	CU_ASSERT_EQUAL(fleet_free_slots(fleet, "s", &total_slots), 1);
-	CU_ASSERT_EQUAL(total_slots, 1);
+	CU_ASSERT_EQUAL(free_slots(fleet), 1);
+	CU_ASSERT_EQUAL(total_slots(fleet), 1);
 	runner = acquire(fleet, true);
 	CU_ASSERT_STRING_EQUAL(runner->id, "near");
 	CU_ASSERT_PTR_NULL(acquire(fleet, true));
 	/* Batch work is preempted, so the request can stay in the domain. */
 	CU_ASSERT_STRING_EQUAL(acquire(fleet, false)->id, "near");
 	add(fleet, "near", 1, 1, true);
-	CU_ASSERT_EQUAL(fleet_free_slots(fleet, "s", &total_slots), 8);
+	CU_ASSERT_EQUAL(free_slots(fleet), 8);
 	CU_ASSERT_STRING_EQUAL(acquire(fleet, true)->id, "far");
 	fleet_free(fleet);
 	g_rand_free(random);
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -143,9 +143,10 @@
 }
 
 static void no_waiting(void *user_data, const batch_waiting_t *own,
-		       batch_waiting_t *peers)
+		       batch_waiting_t *before, batch_waiting_t *after)
 {
-	*peers = (batch_waiting_t){ 0 };
+	*before = (batch_waiting_t){ 0 };
+	*after = (batch_waiting_t){ 0 };
 }
 
 static uint32_t two_peers(void *user_data)
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -56,7 +56,7 @@
 {
 	clock_manual_t clock;
 	node_t a, b;
-	batch_waiting_t waiting;
+	batch_waiting_t before, after;
 	char old_report[REPORT_BYTES], new_report[REPORT_BYTES];
 	size_t old_len, new_len;
 
@@ -73,9 +73,14 @@
 	CU_ASSERT_PTR_NULL(load_view_apply(b.view, new_report, new_len));
 	CU_ASSERT_EQUAL(runner(&b)->peers.online, 1);
 	CU_ASSERT_EQUAL(runner(&b)->peers.batch, 2);
-	load_view_batch_waiting(b.view, true, &waiting);
-	CU_ASSERT_EQUAL(waiting.items[0], 2);
-	CU_ASSERT_EQUAL(waiting.items[1], 3);
+	load_view_batch_waiting(b.view, true, &before, &after);
+	CU_ASSERT_EQUAL(before.items[0], 2);
+	CU_ASSERT_EQUAL(before.items[1], 3);
+	CU_ASSERT_EQUAL(after.items[0], 0);
+	load_view_apply(a.view, new_report, report(&b, new_report));
+	load_view_batch_waiting(a.view, true, &before, &after);
+	CU_ASSERT_EQUAL(before.items[1], 0);
+	CU_ASSERT_EQUAL(after.items[1], 3);
 	node_free(&a);
 	node_free(&b);
 }
