Draw the runner of an online request by its free slots

Cause: a node sent an online request to the runner with the least load, so until they had each other's load reports all nodes sent to the same runner.

Change: among runners with free slots the choice is random, weighted by their free slots, their speed and their domain. Without a free slot the least cost decides as before.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -25,6 +25,9 @@
  * other. With a smaller margin, all nodes would send to the slots that were
  * free a quarter of a second ago. */
 #define STALE_REMOTE_MARGIN 2.0
+/* Weight of a runner in another domain that has a free slot, against that of a
+ * local one. */
+#define REMOTE_WEIGHT 0.5
 /* Maximum of the random part of the cost, which keeps the nodes from all
  * selecting the same runner. */
 #define RANDOM_COST_MAX 2.0
@@ -327,6 +330,23 @@
 	return load_of(runner) < runner->slots;
 }
 
+/*
+ * Weight of a runner in the random choice for an online request: its free
+ * slots, fewer if it is slow or remote. A choice of the least cost would send
+ * the requests of all nodes to the same runner until they have each other's
+ * load reports.
+ */
+static double online_weight(const fleet_t *fleet, const fleet_runner_t *runner)
+{
+	double slowness = slowness_of(fleet, runner);
+	double weight;
+
+	if (!has_free_slot(runner))
+		return 0;
+	weight = (runner->slots - load_of(runner)) / (slowness * slowness);
+	return is_remote(fleet, runner) ? weight * REMOTE_WEIGHT : weight;
+}
+
 static bool has_failed_attempt(const fleet_pick_options_t *pick,
 			       const fleet_runner_t *runner)
 {
@@ -355,6 +375,8 @@
 	int64_t now_us = clock_now_us(fleet->clock);
 	fleet_runner_t *best = NULL;
 	double best_cost = 0;
+	fleet_runner_t *drawn = NULL;
+	double total_weight = 0;
 
 	if (prefer_local)
 		sum_domains(fleet, pick->service);
@@ -384,13 +406,22 @@
 		if (prefer_local && is_remote(fleet, runner) &&
 		    !may_leave_domain(fleet, runner))
 			continue;
+		if (!pick->batch) {
+			double weight = online_weight(fleet, runner);
+
+			total_weight += weight;
+			if (weight > 0 &&
+			    g_rand_double(fleet->random) * total_weight <
+				    weight)
+				drawn = runner;
+		}
 		cost = cost_of(fleet, runner, pick);
 		if (!best || cost < best_cost) {
 			best = runner;
 			best_cost = cost;
 		}
 	}
-	return best;
+	return drawn ? drawn : best;
 }
 
 /* The preferred runner, or NULL when it may not take the request. */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -177,6 +177,40 @@
 	g_rand_free(random);
 }
 
+/* Online load near the number of slots, of which one runner has several free and
+ * the others one each. Guards against nodes that all send there until they have
+ * each other's load reports: the requests beyond its slots would queue although
+ * other runners have free ones. */
+static void test_spread_over_free_slots(void)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	fleet_t *fleet;
+	int at_emptiest = 0;
+
+	clock_manual_init(&manual, 0);
+	fleet = fleet_of(random, "d");
+	for (int i = 0; i < 30; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "r%d", i);
+		add(fleet, id, 7, 1, false);
+		fleet_find(fleet, fleet_key(id))->peers.online = i == 0 ? 2 :
+								 i < 20 ? 6 :
+									  7;
+	}
+	for (int i = 0; i < 1000; i++) {
+		fleet_runner_t *runner = acquire(fleet, false);
+
+		CU_ASSERT(runner->peers.online < 7);
+		at_emptiest += strcmp(runner->id, "r0") == 0;
+		fleet_release(fleet, runner, false);
+	}
+	/* It has 5 of the 24 free slots. */
+	CU_ASSERT(at_emptiest > 150 && at_emptiest < 270);
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 /* In a large system the known load of other domains is stale: batch work of all
  * domains must not be sent to the same remote runners. Without local runners it
  * must be sent there. */
@@ -519,6 +553,7 @@
 		{ "restart", test_restart },
 		{ "ejection", test_ejection },
 		{ "batch excess", test_batch_excess },
+		{ "spread over free slots", test_spread_over_free_slots },
 		{ "stale load of other domains",
 		  test_stale_load_of_other_domains },
 		{ "online leaves domain", test_online_leaves_domain },
