End streams without progress and responses without end

Cause: every byte of a runner counted as progress, so a stalled stream that sent a byte now and then was never resumed elsewhere; a batch item, which has no deadline of its own, would have waited for ten minutes. The head of a response and the body of an error response to a stream were not bounded, and a runner that sends without end could fill the memory until the deadline.

Change: only complete events are progress, so slow streams live on as long as their events come; a head ends at 64 KiB and an error body to a stream at 1 MiB, the connection is closed, and the request goes elsewhere where it may.

Measured: test_bytes_without_events failed before, test_head_without_end fails without the bound, and test_body_without_end was added with its bound.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -14,6 +14,9 @@
 /* A runner that has not begun to answer by then has most likely lost the
  * request, as queueing does not take that long. */
 #define ANSWER_TIMEOUT_MS 2000
+/* Error responses to streams are short; a runner in trouble may send bytes
+ * without end. */
+#define ERROR_BODY_MAX_BYTES (1024 * 1024)
 /* No retry is started with less time remaining. */
 #define MIN_ATTEMPT_MS 50
 /* Deadline sent to the runner for a request without one. */
@@ -38,7 +41,9 @@
 	GString *response_body;
 	event_reader_t events;
 	int64_t expires_us;
-	int64_t progress_us; /* time of the last data or of the attempt's start */
+	/* Time of the attempt's start, of the response's head, or of the last
+	 * event. Bytes that complete no event are no progress. */
+	int64_t progress_us;
 	uint64_t tried[MAX_ATTEMPTS]; /* key of each attempt's runner */
 	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	uint32_t max_runners;
@@ -108,6 +113,7 @@
 {
 	execution_t *execution = user_data;
 
+	execution->progress_us = clock_now_us(execution->context->clock);
 	execution->sink->event(raw, raw_len, data, data_len,
 			       execution->user_data);
 }
@@ -195,29 +201,38 @@
 							EXECUTION_NOT_RUN);
 }
 
-static void on_data(const char *data, size_t len, void *user_data)
+/* Cancels the call and ends the attempt, as its response is invalid. */
+static void break_attempt(execution_t *execution, const char *reason)
 {
-	execution_t *execution = user_data;
 	runner_call_t *call = execution->call;
 
-	execution->progress_us = clock_now_us(execution->context->clock);
-	if (!is_live_stream(execution)) {
-		g_string_append_len(execution->response_body, data,
-				    (gssize)len);
-		return;
-	}
-	if (event_reader_feed(&execution->events, data, len, on_event,
-			      execution))
-		return;
-	log_warn("bad_event",
-		 "request=%s runner=%s last_event=%" G_GINT64_FORMAT,
-		 execution->id, execution->runner->id,
+	log_warn("bad_response",
+		 "request=%s runner=%s reason=%s last_event=%" G_GINT64_FORMAT,
+		 execution->id, execution->runner->id, reason,
 		 execution->events.last_id);
 	execution->call = NULL;
 	execution->context->protocol->cancel(call);
 	attempt_failed(execution, ATTEMPT_BROKEN);
 }
 
+static void on_data(const char *data, size_t len, void *user_data)
+{
+	execution_t *execution = user_data;
+
+	if (is_live_stream(execution)) {
+		if (!event_reader_feed(&execution->events, data, len, on_event,
+				       execution))
+			break_attempt(execution, "event");
+		return;
+	}
+	if (execution->stream &&
+	    execution->response_body->len + len > ERROR_BODY_MAX_BYTES) {
+		break_attempt(execution, "too_long");
+		return;
+	}
+	g_string_append_len(execution->response_body, data, (gssize)len);
+}
+
 static void deliver_response(execution_t *execution)
 {
 	execution->sink->response(
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -22,6 +22,7 @@
 #define KEEPALIVE_PROBES 2
 #define UNACKNOWLEDGED_TIMEOUT_MS 3000
 #define MAX_RESPONSE_BYTES (64 * 1024 * 1024)
+#define MAX_RESPONSE_HEAD_BYTES (64 * 1024)
 
 typedef struct pooled_connection {
 	struct evhttp_connection *evcon;
@@ -152,6 +153,8 @@
 	connection->address = g_strdup(address);
 	connection->evcon = evhttp_connection_base_bufferevent_new(
 		client->base, NULL, NULL, host, port);
+	evhttp_connection_set_max_headers_size(connection->evcon,
+					       MAX_RESPONSE_HEAD_BYTES);
 	evhttp_connection_set_max_body_size(connection->evcon,
 					    MAX_RESPONSE_BYTES);
 	evbuffer_add_cb(
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -330,6 +330,64 @@
 	fixture_free(fixture);
 }
 
+/* Advances the clock in steps, each with the text from the first runner. */
+static void send_slowly(fixture_t *fixture, int step_ms, int steps,
+			const char *const *texts)
+{
+	for (int i = 0; i < steps; i++) {
+		clock_manual_advance_ms(&fixture->clock, step_ms);
+		if (!fixture->calls[0].cancelled)
+			data(fixture, 0, texts[i]);
+		execution_check_timeouts(&fixture->context);
+		run_event_loop(fixture);
+	}
+}
+
+/* A stalled stream that sends a byte now and then must be resumed elsewhere. One
+ * whose events come slowly must not be cut. */
+static void test_bytes_without_events(void)
+{
+	static const char *const bytes[] = { ":", "i", "d", ":", " ", "2" };
+	static const char *const events[] = { "id: 2\ndata: b\n\n",
+					      "id: 3\ndata: c\n\n",
+					      "id: 4\ndata: d\n\n" };
+	fixture_t *fixture = fixture_new();
+
+	start_execution(fixture, true, false, true);
+	answer(fixture, 0, 200, false);
+	data(fixture, 0, "id: 1\ndata: a\n\n");
+	send_slowly(fixture, 800, G_N_ELEMENTS(events), events);
+	CU_ASSERT_FALSE(fixture->calls[0].cancelled);
+	send_slowly(fixture, 300, G_N_ELEMENTS(bytes), bytes);
+	CU_ASSERT(fixture->calls[0].cancelled);
+	CU_ASSERT_EQUAL(fixture->count, 2);
+	CU_ASSERT_EQUAL(fixture->calls[1].resume_after, 4);
+	done(fixture, 1, RUNNER_NOT_SENT);
+	fixture_free(fixture);
+}
+
+/* An error response without end must not fill the memory: the connection is
+ * closed and the request goes to another runner. */
+static void test_body_without_end(void)
+{
+	fixture_t *fixture = fixture_new();
+	char *text = g_strnfill(64 * 1024, 'x');
+
+	start_execution(fixture, true, false, true);
+	answer(fixture, 0, 500, false);
+	for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
+		data(fixture, 0, text);
+	run_event_loop(fixture);
+	CU_ASSERT(fixture->calls[0].cancelled);
+	CU_ASSERT_EQUAL(fixture->count, 2);
+	CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
+				   fixture->calls[1].instance);
+	CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+	done(fixture, 1, RUNNER_NOT_SENT);
+	g_free(text);
+	fixture_free(fixture);
+}
+
 /* An error response of a runner must be delivered unchanged; an idempotent
  * request must be retried at another runner first. */
 static void test_errors(void)
@@ -365,6 +423,8 @@
 		{ "truncated event", test_truncated_event },
 		{ "event out of order", test_event_out_of_order },
 		{ "stall", test_stall },
+		{ "bytes without events", test_bytes_without_events },
+		{ "body without end", test_body_without_end },
 		{ "errors", test_errors },
 		{ NULL, NULL },
 	};
--- a/tests/test_http_client_connect.c
+++ b/tests/test_http_client_connect.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "http/http_client.h"
@@ -147,12 +148,54 @@
 	event_base_free(outcome.base);
 }
 
+/* Sends the head of a response without end until the peer closes. */
+static void send_endless_head(int listener)
+{
+	char header[4096] = "HTTP/1.1 200 OK\r\nX: ";
+	int connection = accept(listener, NULL, NULL);
+
+	memset(header + strlen(header), 'x', sizeof(header) - strlen(header));
+	while (send(connection, header, sizeof(header), MSG_NOSIGNAL) > 0)
+		memset(header, 'x', sizeof(header));
+	_exit(0);
+}
+
+/*
+ * A head without end must not fill the memory until the call's timeout: the
+ * connection is closed, and the request counts as one that may have run.
+ */
+static void test_head_without_end(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	char target[32];
+	outcome_t outcome;
+	pid_t child;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(bind(listener, (struct sockaddr *)&address, len), 0);
+	listen(listener, 1);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	snprintf(target, sizeof(target), "127.0.0.1:%u",
+		 ntohs(address.sin_port));
+	child = fork();
+	if (child == 0)
+		send_endless_head(listener);
+	outcome = call(target);
+	CU_ASSERT_EQUAL(outcome.calls, 1);
+	CU_ASSERT_EQUAL(outcome.outcome, HTTP_CONNECTION_LOST);
+	close(listener);
+	waitpid(child, NULL, 0);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "immediate connect failure", test_immediate_connect_failure },
 		{ "refused connection", test_refused_connection },
 		{ "reset at connect timeout", test_reset_at_connect_timeout },
+		{ "head without end", test_head_without_end },
 		{ NULL, NULL },
 	};
 
