--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -18,8 +18,9 @@
  * others. */
 #define NODE_WATCH_PAUSE_MS 5000
 #define REGISTER_RETRY_MS 1000
-/* Changes within this time are sent in one report. */
-#define REPORT_BATCH_DELAY_MS 5
+/* Changes within this time are sent in one report. Until a report arrives, other
+ * nodes may use the same slot. */
+#define REPORT_BATCH_DELAY_MS 1
 /* Reports are repeated, since datagrams may be lost. */
 #define REPORT_INTERVAL_MS 400
 #define DATAGRAM_MAX_BYTES 3072
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -280,7 +280,7 @@
 #define SLOW_SHARE 0.15
 #define SLOW_PERIOD_MS 600
 #define MEAN_PER_S 42.0
-#define REPORT_BATCH_DELAY_MS 5 /* after a change, as in peer_load */
+#define REPORT_BATCH_DELAY_MS 1 /* after a change, as in peer_load */
 #define REPORT_DELAY_MS 2 /* between failure domains */
 #define REMOTE_REPORT_MS 250 /* to other domains of a large system */
 #define RUN_MS 60000
