Save the failed attempts of batch items with their progress

Cause: a new owner of a job counted the failed attempts of its items from zero, so an item that fails at each run was sent more often than its route allows when its job moved.

Change: saved progress holds the failures, also of items without output. Objects of earlier versions count as without failures.

Measured: test_failures_move_with_the_job fails when the new owner ignores the saved failures.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -228,7 +228,7 @@
 		owned = &job->owned_items[entry->item];
 		if (owned->state == JOB_ITEM_FINISHED || owned->text)
 			continue;
-		job_owner_item_resume(owned, entry->last_event, entry->text);
+		job_owner_item_resume(owned, entry);
 		resumed++;
 	}
 	return resumed;
@@ -445,7 +445,8 @@
 		const owned_item_t *owned = &job->owned_items[i];
 
 		if (owned->state != JOB_ITEM_FINISHED && !owned->unreadable &&
-		    owned->last_event > owned->saved_event)
+		    (owned->last_event > owned->saved_event ||
+		     owned->failures > owned->saved_failures))
 			return true;
 	}
 	return false;
@@ -460,13 +461,15 @@
 		job_progress_t *entry;
 
 		if (owned->state == JOB_ITEM_FINISHED || owned->unreadable ||
-		    job_owner_item_events(owned) == 0)
+		    (job_owner_item_events(owned) == 0 && !owned->failures))
 			continue;
 		owned->saved_event = owned->last_event;
+		owned->saved_failures = owned->failures;
 		entry = g_new0(job_progress_t, 1);
 		entry->item = i;
 		entry->last_event = owned->last_event;
-		entry->text = g_strdup(owned->text->str);
+		entry->failures = owned->failures;
+		entry->text = g_strdup(owned->text ? owned->text->str : "");
 		g_ptr_array_add(entries, entry);
 	}
 	return entries;
@@ -482,8 +485,10 @@
 	 * progress. */
 	if (error->code == WL_ERROR_TOO_LARGE)
 		return;
-	for (guint i = 0; i < job->items->len; i++)
+	for (guint i = 0; i < job->items->len; i++) {
 		job->owned_items[i].saved_event = EVENT_READER_NONE;
+		job->owned_items[i].saved_failures = 0;
+	}
 }
 
 static void on_progress_written(const object_value_t *value,
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -33,12 +33,13 @@
 	owned->text = NULL;
 }
 
-void job_owner_item_resume(owned_item_t *owned, int64_t last_event,
-			   const char *text)
+void job_owner_item_resume(owned_item_t *owned, const job_progress_t *progress)
 {
-	owned->last_event = last_event;
-	owned->saved_event = last_event;
-	owned->text = g_string_new(text);
+	owned->last_event = progress->last_event;
+	owned->saved_event = progress->last_event;
+	owned->failures = progress->failures;
+	owned->saved_failures = progress->failures;
+	owned->text = g_string_new(progress->text);
 	owned->resumed = true;
 }
 
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -6,6 +6,7 @@
 
 #include "gateway/item_estimate.h"
 #include "gateway/job_context.h"
+#include "gateway/job_progress.h"
 #include "gateway/job_record.h"
 
 /*
@@ -36,6 +37,7 @@
 	int64_t last_event; /* -1: none */
 	int64_t saved_event; /* the last one saved in the store; -1: none */
 	uint32_t failures; /* attempts with an error response or bad output */
+	uint32_t saved_failures; /* as last saved in the store */
 	uint32_t failures_at_start; /* as the current attempt started */
 	uint32_t max_failures;
 	int64_t not_before_us;
@@ -52,10 +54,9 @@
 			 const job_item_t *item, uint32_t index,
 			 job_item_finished_t finished, void *user_data);
 void job_owner_item_clear(owned_item_t *owned);
-/* Sets the output that another owner has received; the item resumes after
- * last_event. */
-void job_owner_item_resume(owned_item_t *owned, int64_t last_event,
-			   const char *text);
+/* Sets the output that another owner has received, and the attempts that failed
+ * there; the item resumes after the last event. */
+void job_owner_item_resume(owned_item_t *owned, const job_progress_t *progress);
 /* Updates the urgency for the present time. */
 void job_owner_item_update_urgency(owned_item_t *owned, int64_t deadline_us,
 				   const item_estimate_t *estimate);
--- a/src/gateway/job_progress.c
+++ b/src/gateway/job_progress.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* JSON bytes of an entry apart from its text, at most. */
-#define ENTRY_OVERHEAD_BYTES 64
+#define ENTRY_OVERHEAD_BYTES 96
 
 void job_progress_free(void *data)
 {
@@ -27,11 +27,12 @@
 		bytes += strlen(entry->text) + ENTRY_OVERHEAD_BYTES;
 		if (bytes > max_bytes)
 			break;
-		json_array_append_new(array,
-				      json_pack("{s:i, s:I, s:s}", "item",
-						(int)entry->item, "last_event",
-						(json_int_t)entry->last_event,
-						"text", entry->text));
+		json_array_append_new(
+			array,
+			json_pack("{s:i, s:I, s:i, s:s}", "item",
+				  (int)entry->item, "last_event",
+				  (json_int_t)entry->last_event, "failures",
+				  (int)entry->failures, "text", entry->text));
 	}
 	text = json_dumps(array, JSON_COMPACT);
 	copy = g_strdup(text);
@@ -52,6 +53,9 @@
 	entry = g_new0(job_progress_t, 1);
 	entry->item = (uint32_t)json_integer_value(item);
 	entry->last_event = json_integer_value(last_event);
+	/* Absent in objects of earlier versions. */
+	entry->failures = (uint32_t)json_integer_value(
+		json_object_get(value, "failures"));
 	entry->text = g_strdup(text);
 	return entry;
 }
--- a/src/gateway/job_progress.h
+++ b/src/gateway/job_progress.h
@@ -6,7 +6,8 @@
 #include <stdint.h>
 
 /*
- * job_progress - the output that the unfinished items of a job have delivered.
+ * job_progress - the output that the unfinished items of a job have delivered,
+ * and their failed attempts.
  *
  * The owner writes it to the store periodically and before it releases the job,
  * so that the next owner resumes the items after their last complete event. An
@@ -19,7 +20,8 @@
 
 typedef struct job_progress {
 	uint32_t item; /* index in the job */
-	int64_t last_event; /* number of the last complete event */
+	int64_t last_event; /* number of the last complete event, or -1 */
+	uint32_t failures; /* attempts with an error response or bad output */
 	char *text; /* data of the events so far, joined by line feeds */
 } job_progress_t;
 
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -67,6 +67,7 @@
 	int steps_per_item;
 	int stream_events; /* 0: items are not streamed */
 	int invalid_starts; /* that many first attempts send invalid UTF-8 */
+	bool fails; /* each attempt is answered with an error */
 	bool resumes_exactly; /* each request resumed after the last event */
 	int64_t delivered[ITEMS]; /* last event of each item, or -1 */
 };
@@ -102,7 +103,7 @@
 static void complete(runner_call_t *call)
 {
 	static const char event[] = "id: 1\ndata: done\n\n";
-	runner_answer_t answer = { .status = 200 };
+	runner_answer_t answer = { .status = call->cluster->fails ? 500 : 200 };
 
 	call->call_ended = true;
 	answer.headers = g_ptr_array_new();
@@ -708,6 +709,26 @@
 	}
 }
 
+/* Items that fail at each run, of a job that moves from node to node. Guards
+ * against owners that count the failures from zero: the items would run more
+ * often than their route allows. */
+static void test_failures_move_with_the_job(void)
+{
+	cluster_t *cluster = cluster_new(7);
+
+	cluster->fails = true;
+	cluster->steps_per_item = 2;
+	submit(&cluster->nodes[0]);
+	/* Two of three attempts, 0.2 s apart. */
+	run_ms(cluster, 450);
+	job_owner_stop(cluster->nodes[0].owner);
+	run_ms(cluster, 300);
+	start_assigned(cluster, &cluster->nodes[1]);
+	/* The only runner is ejected for some seconds after each failure. */
+	run_ms(cluster, 15000);
+	CU_ASSERT_EQUAL(cluster->starts, 3 * ITEMS);
+}
+
 /* The store loses answers and applies writes late while progress is to be
  * saved. The next save must succeed and the job must finish. */
 static void test_failed_progress_write(void)
@@ -743,6 +764,8 @@
 		{ "consecutive stops", test_consecutive_stops },
 		{ "invalid output", test_invalid_output },
 		{ "killed owner", test_killed_owner },
+		{ "failures move with the job",
+		  test_failures_move_with_the_job },
 		{ "failed progress write", test_failed_progress_write },
 		{ NULL, NULL },
 	};
