--- a/src/gateway/batch_rule.h
+++ b/src/gateway/batch_rule.h
@@ -52,11 +52,11 @@
 
 /*
  * Divides the free slots among the nodes with waiting items, the most urgent
- * items first. The nodes are in one order, and before and after have the items
- * of those before and after this one. When a class has more items than there are
+ * items first. The nodes have an order; before and after hold the items of the
+ * nodes before and after this one. When a class has more items than there are
  * slots, each node gets slots in proportion to its items. Nodes with the same
- * view get different slots: with a choice of their own, all would start items at
- * the emptiest runners, and preempt them at once. A reserve of the slots is left
+ * view get different slots: if each chose on its own, all would start items at
+ * the emptiest runners and preempt them at once. A reserve of the slots is kept
  * free of items that are not urgent.
  */
 void batch_share(const batch_slots_t *slots, const batch_waiting_t *before,
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -150,6 +150,7 @@
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner);
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
 			   uint32_t percent);
+
 /* Load of a runner over all nodes, as far as this node knows. */
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner);
 /* Number of this node's batch requests at the runner to preempt, so that online
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,9 +5,9 @@
 
 #include "base/log.h"
 
-/* The time between ticks is random, so that nodes that were started together do
- * not all start batch items in the same free slots. Expired requests are noticed
- * at most this late. */
+/* The time between ticks, by which expired requests are noticed late at most.
+ * It is random: nodes that tick together would start batch items in the same
+ * free slots. */
 #define TICK_MIN_MS 30
 #define TICK_MAX_MS 50
 /* The load balancer removes a node after two failed probes, one second
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -26,7 +26,7 @@
  * version. */
 #define RECORD_MAX_AGE_MS 2000
 
-/* Resolution of phase_of(). */
+/* Number of different values of phase_of(). */
 #define PHASE_STEPS 1024
 
 struct owned_job {
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -39,7 +39,7 @@
  * known or has no owner. */
 const char *job_table_owner(const job_table_t *table, const char *id);
 /* The record of a closed job, which no longer changes. NULL when this node does
- * not know that the job is closed. Borrowed until the next job_table_tick(). */
+ * not know that the job is closed. Borrowed until the event loop runs again. */
 const job_record_t *job_table_closed_record(const job_table_t *table,
 					    const char *id);
 /* Starts no more takeovers. */
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -18,7 +18,7 @@
  * others. */
 #define NODE_WATCH_PAUSE_MS 5000
 #define REGISTER_RETRY_MS 1000
-/* Changes within this time are sent in one report. Until a report arrives, other
+/* Changes within this time are sent in one report. Until it arrives, other
  * nodes may use the same slot. */
 #define REPORT_BATCH_DELAY_MS 1
 /* Reports are repeated, since datagrams may be lost. */
--- a/tests/test_batch_rule.c
+++ b/tests/test_batch_rule.c
@@ -28,9 +28,9 @@
 }
 
 /* Several nodes with waiting items see the same free slots. Together they must
- * start exactly as many items as there are slots, each in another slot, and over
- * time each node its share; without the sharing each node would fill all of
- * them. */
+ * start exactly as many items as there are slots, each in another slot, and
+ * over time each node its share; without the division each node would fill all
+ * of them. */
 static void test_share_among_nodes(void)
 {
 	static const batch_waiting_t waiting[NODES] = {
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -343,8 +343,8 @@
 	}
 }
 
-/* A stalled stream that sends a byte now and then must be resumed elsewhere. One
- * whose events come slowly must not be cut. */
+/* A stalled stream that sends a byte now and then must be resumed elsewhere.
+ * One whose events come slowly must not be cut. */
 static void test_bytes_without_events(void)
 {
 	static const char *const bytes[] = { ":", "i", "d", ":", " ", "2" };
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -177,7 +177,7 @@
 	g_rand_free(random);
 }
 
-/* Online load near the number of slots, of which one runner has several free and
+/* Online load near the number of slots: one runner has several free slots and
  * the others one each. Guards against nodes that all send there until they have
  * each other's load reports: the requests beyond its slots would queue although
  * other runners have free ones. */
