Discard kept connections with bytes after the response

Cause: the HTTP client kept a connection whose input still held bytes after the response. A server that sent a second copy in the same segment answered the next call on that connection with it: the next caller got an answer that was not its own. Copies that arrive between two calls already closed the connection. Calls to the store, between nodes over HTTP and to the engines of wasabilink entry keep connections; calls to runners do not.

Change: such a connection is closed.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/log.h"
 #include "http/http_send.h"
 
 #define MAX_IDLE_CONNECTIONS_PER_ADDRESS 256
@@ -176,11 +177,26 @@
 	return connection_open(client, options->address);
 }
 
+/* Whether bytes follow the response. The next call would take them for its
+ * own. */
+static bool has_excess_bytes(const pooled_connection_t *connection)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(connection->evcon);
+
+	return evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+}
+
 static void connection_release(http_client_t *client,
 			       pooled_connection_t *connection)
 {
 	GQueue *queue = g_hash_table_lookup(client->idle, connection->address);
 
+	if (has_excess_bytes(connection)) {
+		log_warn("excess_bytes", "address=%s", connection->address);
+		discard_connection(client, connection);
+		return;
+	}
 	if (!queue) {
 		queue = g_queue_new();
 		g_hash_table_insert(client->idle, g_strdup(connection->address),
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -90,7 +90,7 @@
                 self.close_connection = True
                 self.connection.close()
                 return
-            self.answer(status, "no object" if malformed else value)
+            self.answer(status, store.malformed_answer if malformed else value)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_call
 
@@ -107,6 +107,7 @@
         self.lose_kind = ""
         self.malform_answers = 0  # of successful calls of a kind
         self.malform_kind = ""
+        self.malformed_answer = "no object"
         super().__init__(StoreHandler)
 
     def listing(self, kind):
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -164,11 +164,16 @@
         self.assertEqual(len(self.attempts()), 3)
 
     def test_malformed_answers_of_the_store(self):
-        """Successful answers of the store without an object must not end the
-        process: the record, a segment of results and a read of the record. The
-        writes have taken effect, so the job is accepted and run once."""
-        for number, kind in enumerate(("batch-payloads", "batch-jobs",
-                                       "batch-results")):
+        """Successful answers of the store without an object, or with another
+        one, must neither end the process nor pass for the answer to the call.
+        The writes have taken effect, so the job is accepted and run once."""
+        other = {"metadata": {"name": "other", "rev": 1},
+                 "spec": {"writer": "x", "value": []}}
+        cases = [(kind, answer) for answer in ("no object", other)
+                 for kind in ("batch-payloads", "batch-jobs",
+                              "batch-results")]
+        for number, (kind, answer) in enumerate(cases):
+            self.store.malformed_answer = answer
             self.store.malform_kind = kind
             self.store.malform_answers = 3
             job = f"m{number}"
@@ -176,7 +181,7 @@
             self.wait_results(job, 3)
             self.store.malform_answers = 0
             self.assertIsNone(self.gateway.process.poll(), kind)
-        self.assertEqual(len(self.attempts()), 9)
+        self.assertEqual(len(self.attempts()), 3 * len(cases))
 
     def test_end_and_body(self):
         """An ended job must start no more items. The body of an item must be
