Log the prompt parts of lost requests and whether they had begun

Cause: a lost request's log line had neither the parts of its prompt nor whether an event of this attempt had come, so the hypotheses about runners that end one after the other could not be told apart. Change: the runner protocol decodes the shared parts of a prompt, try_failed has begun, age_ms and parts; a connection that ended and a response that is invalid are two outcomes of an attempt.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -44,6 +44,7 @@
 	/* Time of the attempt's start, of the response's head, or of the last
 	 * event. Bytes that complete no event are no progress. */
 	int64_t progress_us;
+	int64_t started_us; /* of the current attempt */
 	uint64_t tried[MAX_ATTEMPTS]; /* key of each attempt's runner */
 	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	uint32_t max_runners;
@@ -57,6 +58,8 @@
 	bool stream_started; /* the sink's start callback was called */
 	bool answered; /* the current attempt has an answer */
 	bool counted_unanswered; /* the current attempt was reported as lost */
+	bool begun; /* the current attempt has delivered an event */
+	prompt_parts_t parts;
 	GList link;
 };
 
@@ -114,6 +117,7 @@
 	execution_t *execution = user_data;
 
 	execution->progress_us = clock_now_us(execution->context->clock);
+	execution->begun = true;
 	execution->sink->event(raw, raw_len, data, data_len,
 			       execution->user_data);
 }
@@ -156,19 +160,30 @@
 	ATTEMPT_BROKEN /* it may have run */
 } attempt_outcome_t;
 
+static int32_t attempt_age_ms(const execution_t *execution)
+{
+	return (int32_t)((clock_now_us(execution->context->clock) -
+			  execution->started_us) /
+			 1000);
+}
+
 static void report_failure(execution_t *execution, attempt_outcome_t outcome)
 {
 	static const char *const names[] = { "unreachable", "refused",
 					     "broken" };
 	fleet_t *fleet = execution->context->fleet;
+	char parts[PROMPT_PARTS_TEXT_MAX];
 
+	prompt_parts_print(&execution->parts, parts, sizeof(parts));
 	log_info("try_failed",
 		 "request=%s runner=%s try=%u end=%s may_have_run=%d "
-		 "status=%d last_event=%" G_GINT64_FORMAT " left_ms=%d",
+		 "status=%d begun=%d last_event=%" G_GINT64_FORMAT
+		 " left_ms=%d age_ms=%d parts=%s",
 		 execution->id, execution->runner->id, execution->attempts,
 		 names[outcome], outcome == ATTEMPT_BROKEN,
 		 execution->answered ? execution->answer.status : 0,
-		 execution->events.last_id, remaining_ms(execution));
+		 execution->begun, execution->events.last_id,
+		 remaining_ms(execution), attempt_age_ms(execution), parts);
 	if (outcome == ATTEMPT_UNREACHABLE)
 		fleet_unreachable(fleet, execution->runner);
 	else if (outcome == ATTEMPT_BROKEN && !execution->batch)
@@ -291,9 +306,9 @@
 	if (outcome == RUNNER_COMPLETE)
 		on_complete(execution);
 	else
-		attempt_failed(execution, outcome == RUNNER_TRUNCATED ?
-						  ATTEMPT_BROKEN :
-						  ATTEMPT_UNREACHABLE);
+		attempt_failed(execution, outcome == RUNNER_NOT_SENT ?
+						  ATTEMPT_UNREACHABLE :
+						  ATTEMPT_BROKEN);
 }
 
 static bool start_attempt(execution_t *execution)
@@ -333,7 +348,9 @@
 	execution->runs++;
 	execution->answered = false;
 	execution->counted_unanswered = false;
-	execution->progress_us = clock_now_us(execution->context->clock);
+	execution->begun = false;
+	execution->started_us = clock_now_us(execution->context->clock);
+	execution->progress_us = execution->started_us;
 	event_reader_restart(&execution->events);
 	(*execution->context->tries_total)++;
 	if (execution->stream_started)
@@ -387,6 +404,9 @@
 	execution->batch = options->batch;
 	execution->require_healthy = options->require_healthy;
 	event_reader_init(&execution->events, options->resume_after);
+	if (context->protocol->decode_parts)
+		context->protocol->decode_parts(execution->headers,
+						&execution->parts);
 	execution->retry = evtimer_new(context->base, on_retry, execution);
 	execution->link.data = execution;
 	g_queue_push_tail_link(&context->active, &execution->link);
--- /dev/null
+++ b/src/gateway/prompt_parts.h
@@ -0,0 +1,29 @@
+#ifndef WASABILINK_GATEWAY_PROMPT_PARTS_H
+#define WASABILINK_GATEWAY_PROMPT_PARTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * prompt_parts - the parts of a prompt that a request shares with others.
+ *
+ * A prompt consists of parts in order; requests with the same first parts share
+ * them. The last part belongs to the request alone and is left out. Parts beyond
+ * PROMPT_PARTS_MAX are left out too.
+ */
+#define PROMPT_PARTS_MAX 8
+/* Size in bytes of the text of prompt_parts_print(). */
+#define PROMPT_PARTS_TEXT_MAX (PROMPT_PARTS_MAX * 17 + 2)
+
+typedef struct prompt_parts {
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t count;
+} prompt_parts_t;
+
+void prompt_parts_add(prompt_parts_t *parts, uint64_t id);
+bool prompt_parts_contain(const prompt_parts_t *parts, uint64_t id);
+/* Writes the ids in hexadecimal, separated by commas, or "-". */
+void prompt_parts_print(const prompt_parts_t *parts, char *text, size_t size);
+
+#endif
--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "gateway/fleet.h"
+#include "gateway/prompt_parts.h"
 
 /*
  * runner_protocol - interface of the protocols that send requests to runners.
@@ -18,7 +19,11 @@
 typedef enum runner_outcome {
 	RUNNER_COMPLETE, /* the complete response arrived */
 	RUNNER_NOT_SENT, /* no connection; the runner received nothing */
-	RUNNER_TRUNCATED /* no response or a truncated one; the request may have run */
+	/* The connection ended before the complete response; the request may
+	 * have run. */
+	RUNNER_TRUNCATED,
+	/* Timed out, or another request's response; it may have run. */
+	RUNNER_INVALID
 } runner_outcome_t;
 
 typedef struct runner_answer {
@@ -53,6 +58,9 @@
 typedef struct runner_protocol {
 	runner_call_t *(*start)(void *context, const runner_request_t *request);
 	void (*cancel)(runner_call_t *call);
+	/* Decodes the shared parts of a request's prompt from its headers (name,
+	 * value, ...). */
+	void (*decode_parts)(const GPtrArray *headers, prompt_parts_t *parts);
 	void *context;
 } runner_protocol_t;
 
