--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -2,6 +2,8 @@
 loopback, with fault injection."""
 import json
 import os
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -176,6 +178,18 @@
 
 
 class RunnerHandler(QuietHandler):
+    def handle(self):
+        with self.owner.connections_lock:
+            self.owner.connections.add(self.connection)
+        try:
+            if self.owner.is_down:
+                reset(self.connection)
+            else:
+                super().handle()
+        finally:
+            with self.owner.connections_lock:
+                self.owner.connections.discard(self.connection)
+
     def start_answer(self, status, *headers):
         self.send_response(status)
         for name, value in headers:
@@ -207,6 +221,10 @@
                           ("Content-Type", "text/event-stream"),
                           ("Server-Load", "1,0,8,100"),
                           ("Transfer-Encoding", "chunked"))
+        time.sleep(runner.prompt_s)
+        if runner.crashes_on(self.headers.get("Prompt-Prefix", "")):
+            runner.crash()
+            return
         for number in range(after + 1, runner.events + 1):
             if number == runner.cut_at:
                 self.close_connection = True
@@ -217,10 +235,32 @@
         self.wfile.write(b"0\r\n\r\n")
 
 
+def reset(connection):
+    """Closes a connection at once, with a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+        connection.close()
+    except OSError:
+        pass
+
+
 class Runner(Server):
+    """A runner. After a crash it comes back as another process, with a new
+    id."""
+
     def __init__(self, store, name, events=4, port=None):
         """port: the one that gateways connect to, if not the own port."""
         self.id = name
+        self.name = name
+        self.crash_part = None  # a prompt part that ends the process
+        self.crashes = 0
+        self.down_s = 1.5  # time until the process is back
+        self.is_down = False
+        self.prompt_s = 0.0  # time to read a prompt
+        self.connections = set()
+        self.connections_lock = threading.Lock()
         self.store = store
         self.events = events
         self.gap_s = 0.005
@@ -233,6 +273,31 @@
         self.address = f"127.0.0.1:{port or self.port}"
         self.register("ready")
 
+    def crashes_on(self, prefix):
+        return self.crash_part in [p.split(":")[0] for p in prefix.split(",")]
+
+    def crash(self):
+        """Ends all connections, as the end of the process does."""
+        with self.connections_lock:
+            if self.is_down:
+                return
+            self.is_down = True
+            self.crashes += 1
+            for connection in self.connections:
+                reset(connection)
+        timer = threading.Timer(self.down_s, self.come_back)
+        timer.daemon = True
+        timer.start()
+
+    def come_back(self):
+        try:
+            self.store.remove("servers", self.id)
+        except KeyError:
+            pass
+        self.id = f"{self.name}.{self.crashes}"
+        self.is_down = False
+        self.register("ready")
+
     def register(self, state):
         self.store.put("servers", self.id, {
             "service": SERVICE, "address": self.address,
