--- /dev/null
+++ b/src/gateway/crash_log.c
@@ -0,0 +1,87 @@
+#include "gateway/crash_log.h"
+
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Nodes notice the end of a runner within a connect timeout of each other, and
+ * a runner that has ended is not back sooner. */
+#define SAME_CRASH_US 1500000
+
+static void remove_at(crash_log_t *log, uint32_t index)
+{
+	memmove(&log->crashes[index], &log->crashes[index + 1],
+		(log->count - index - 1) * sizeof(log->crashes[0]));
+	log->count--;
+}
+
+crash_t *crash_log_find(crash_log_t *log, uint64_t runner)
+{
+	for (uint32_t i = log->count; i-- > 0;)
+		if (log->crashes[i].runner == runner)
+			return &log->crashes[i];
+	return NULL;
+}
+
+crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us)
+{
+	crash_t *known = crash_log_find(log, runner);
+	uint32_t index;
+
+	if (known && llabs(at_us - known->at_us) <= SAME_CRASH_US)
+		return known;
+	if (log->count == CRASH_LOG_MAX)
+		remove_at(log, 0);
+	for (index = log->count;
+	     index > 0 && log->crashes[index - 1].at_us > at_us; index--)
+		;
+	memmove(&log->crashes[index + 1], &log->crashes[index],
+		(log->count - index) * sizeof(log->crashes[0]));
+	log->count++;
+	log->crashes[index] = (crash_t){ .runner = runner, .at_us = at_us };
+	return &log->crashes[index];
+}
+
+void crash_log_expire(crash_log_t *log, int64_t before_us)
+{
+	while (log->count > 0 && log->crashes[0].at_us < before_us)
+		remove_at(log, 0);
+}
+
+static crash_suspect_t *find_suspect(crash_t *crash, uint64_t part)
+{
+	for (uint32_t i = 0; i < crash->count; i++)
+		if (crash->suspects[i].part == part)
+			return &crash->suspects[i];
+	return NULL;
+}
+
+const crash_suspect_t *crash_suspect(const crash_t *crash, uint64_t part)
+{
+	return find_suspect((crash_t *)crash, part);
+}
+
+bool crash_add_suspect(crash_t *crash, const crash_suspect_t *suspect)
+{
+	crash_suspect_t *known = find_suspect(crash, suspect->part);
+
+	if (known) {
+		bool changed = suspect->running && !known->running;
+
+		known->running |= suspect->running;
+		return changed;
+	}
+	if (crash->count < CRASH_SUSPECTS_MAX) {
+		crash->suspects[crash->count++] = *suspect;
+		return true;
+	}
+	if (!suspect->running)
+		return false;
+	for (uint32_t i = 0; i < crash->count; i++) {
+		if (crash->suspects[i].running)
+			continue;
+		crash->suspects[i] = *suspect;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/gateway/crash_log.h
@@ -0,0 +1,51 @@
+#ifndef WASABILINK_GATEWAY_CRASH_LOG_H
+#define WASABILINK_GATEWAY_CRASH_LOG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * crash_log - the last crashes of runners, and the prompt parts of the requests
+ * that each was about to answer.
+ *
+ * Nodes that report the same crash add to the same entry, so it counts once
+ * however often it is reported. Entries are ordered by time; a full log drops
+ * the oldest. Times are in microseconds, of one clock.
+ */
+#define CRASH_LOG_MAX 64
+#define CRASH_SUSPECTS_MAX 24
+
+typedef struct crash_suspect {
+	uint64_t part;
+	uint32_t depth; /* position of the part in the prompt */
+	bool running; /* the runner had begun to process the request */
+} crash_suspect_t;
+
+typedef struct crash {
+	uint64_t runner; /* key of the runner that has ended */
+	int64_t at_us;
+	crash_suspect_t suspects[CRASH_SUSPECTS_MAX];
+	uint32_t count;
+	bool survived; /* the runner goes on with earlier requests: no crash */
+	uint32_t sends_left; /* reports to other nodes that are still to come */
+} crash_t;
+
+typedef struct crash_log {
+	crash_t crashes[CRASH_LOG_MAX]; /* oldest first */
+	uint32_t count;
+} crash_log_t;
+
+/* Returns the entry of the runner's crash at about this time, or a new one. The
+ * pointer is valid until the next call. */
+crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us);
+/* Returns the runner's last entry, or NULL. */
+crash_t *crash_log_find(crash_log_t *log, uint64_t runner);
+void crash_log_expire(crash_log_t *log, int64_t before_us);
+
+/* Adds a suspect. Returns false when it is known or the entry is full; suspects
+ * that were running replace others then. */
+bool crash_add_suspect(crash_t *crash, const crash_suspect_t *suspect);
+/* Returns the suspect with this part, or NULL. */
+const crash_suspect_t *crash_suspect(const crash_t *crash, uint64_t part);
+
+#endif
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -45,6 +45,7 @@
 	 * event. Bytes that complete no event are no progress. */
 	int64_t progress_us;
 	int64_t started_us; /* of the current attempt */
+	int64_t started_elapsed_us; /* the same, by the part guard's clock */
 	uint64_t tried[MAX_ATTEMPTS]; /* key of each attempt's runner */
 	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	uint32_t max_runners;
@@ -111,13 +112,27 @@
 	return (int32_t)MAX(remaining_us / 1000, 0);
 }
 
+/* Output of the runner shows that it has not crashed, and that it can answer a
+ * request with these parts. */
+static void note_output(execution_t *execution)
+{
+	part_guard_t *guard = execution->context->part_guard;
+
+	part_guard_output(guard, execution->runner->key,
+			  execution->started_elapsed_us);
+	if (execution->begun)
+		return;
+	execution->begun = true;
+	part_guard_begun(guard, &execution->parts);
+}
+
 static void on_event(const char *raw, size_t raw_len, const char *data,
 		     size_t data_len, void *user_data)
 {
 	execution_t *execution = user_data;
 
 	execution->progress_us = clock_now_us(execution->context->clock);
-	execution->begun = true;
+	note_output(execution);
 	execution->sink->event(raw, raw_len, data, data_len,
 			       execution->user_data);
 }
@@ -157,9 +172,15 @@
 typedef enum attempt_outcome {
 	ATTEMPT_UNREACHABLE, /* no connection to the runner */
 	ATTEMPT_REFUSED, /* the runner reports that it did not run it */
-	ATTEMPT_BROKEN /* it may have run */
+	ATTEMPT_BROKEN, /* it may have run */
+	ATTEMPT_WITHDRAWN /* as it would crash the runner; it may have run */
 } attempt_outcome_t;
 
+static bool may_have_run(attempt_outcome_t outcome)
+{
+	return outcome == ATTEMPT_BROKEN || outcome == ATTEMPT_WITHDRAWN;
+}
+
 static int32_t attempt_age_ms(const execution_t *execution)
 {
 	return (int32_t)((clock_now_us(execution->context->clock) -
@@ -169,8 +190,8 @@
 
 static void report_failure(execution_t *execution, attempt_outcome_t outcome)
 {
-	static const char *const names[] = { "unreachable", "refused",
-					     "broken" };
+	static const char *const names[] = { "unreachable", "refused", "broken",
+					     "withdrawn" };
 	fleet_t *fleet = execution->context->fleet;
 	char parts[PROMPT_PARTS_TEXT_MAX];
 
@@ -180,10 +201,12 @@
 		 "status=%d begun=%d last_event=%" G_GINT64_FORMAT
 		 " left_ms=%d age_ms=%d parts=%s",
 		 execution->id, execution->runner->id, execution->attempts,
-		 names[outcome], outcome == ATTEMPT_BROKEN,
+		 names[outcome], may_have_run(outcome),
 		 execution->answered ? execution->answer.status : 0,
 		 execution->begun, execution->events.last_id,
 		 remaining_ms(execution), attempt_age_ms(execution), parts);
+	if (outcome == ATTEMPT_WITHDRAWN)
+		return;
 	if (outcome == ATTEMPT_UNREACHABLE)
 		fleet_unreachable(fleet, execution->runner);
 	else if (outcome == ATTEMPT_BROKEN && !execution->batch)
@@ -194,11 +217,13 @@
 
 static void attempt_failed(execution_t *execution, attempt_outcome_t outcome)
 {
-	bool retry = outcome != ATTEMPT_BROKEN || execution->idempotent ||
-		     (execution->stream && execution->resumable);
+	bool retry =
+		(!may_have_run(outcome) || execution->idempotent ||
+		 (execution->stream && execution->resumable)) &&
+		execution_hold_ms(execution->context, &execution->parts) == 0;
 
 	report_failure(execution, outcome);
-	if (outcome != ATTEMPT_BROKEN)
+	if (!may_have_run(outcome))
 		execution->runs--;
 	if (retry && execution->attempts < MAX_ATTEMPTS &&
 	    execution->runs < execution->max_runners &&
@@ -272,6 +297,8 @@
 		attempt_failed(execution, ATTEMPT_REFUSED);
 		return;
 	}
+	if (!is_live_stream(execution))
+		note_output(execution);
 	if (is_live_stream(execution)) {
 		if (!event_reader_at_boundary(&execution->events)) {
 			attempt_failed(execution, ATTEMPT_BROKEN);
@@ -298,11 +325,24 @@
 	deliver_response(execution);
 }
 
+/* Reports that the runner ended the connection. */
+static void note_loss(const execution_t *execution)
+{
+	/* The head of a stream comes when the runner begins to process the
+	 * request, that of another response when it is done. */
+	bool running = execution->answered || !execution->stream;
+
+	part_guard_lost(execution->context->part_guard, execution->runner->key,
+			execution->begun ? NULL : &execution->parts, running);
+}
+
 static void on_done(runner_outcome_t outcome, void *user_data)
 {
 	execution_t *execution = user_data;
 
 	execution->call = NULL;
+	if (outcome == RUNNER_TRUNCATED)
+		note_loss(execution);
 	if (outcome == RUNNER_COMPLETE)
 		on_complete(execution);
 	else
@@ -340,9 +380,12 @@
 		.user_data = execution,
 	};
 
+	if (execution_hold_ms(execution->context, &execution->parts) > 0)
+		return false;
 	execution->runner = fleet_acquire(execution->context->fleet, &pick);
 	if (!execution->runner)
 		return false;
+	part_guard_sent(execution->context->part_guard, &execution->parts);
 	execution->preferred_runner = 0;
 	execution->tried[execution->attempts++] = execution->runner->key;
 	execution->runs++;
@@ -351,6 +394,8 @@
 	execution->begun = false;
 	execution->started_us = clock_now_us(execution->context->clock);
 	execution->progress_us = execution->started_us;
+	execution->started_elapsed_us =
+		part_guard_now_us(execution->context->part_guard);
 	event_reader_restart(&execution->events);
 	(*execution->context->tries_total)++;
 	if (execution->stream_started)
@@ -378,6 +423,21 @@
 	next_attempt(arg);
 }
 
+void execution_parts(const execution_context_t *context, const char *id,
+		     const GPtrArray *headers, prompt_parts_t *parts)
+{
+	*parts = (prompt_parts_t){ 0 };
+	if (context->protocol->decode_parts)
+		context->protocol->decode_parts(headers, parts);
+	prompt_parts_add_request(parts, fleet_key(id));
+}
+
+int32_t execution_hold_ms(const execution_context_t *context,
+			  const prompt_parts_t *parts)
+{
+	return part_guard_hold_ms(context->part_guard, parts);
+}
+
 execution_t *execution_start(execution_context_t *context,
 			     const execution_options_t *options)
 {
@@ -404,9 +464,8 @@
 	execution->batch = options->batch;
 	execution->require_healthy = options->require_healthy;
 	event_reader_init(&execution->events, options->resume_after);
-	if (context->protocol->decode_parts)
-		context->protocol->decode_parts(execution->headers,
-						&execution->parts);
+	execution_parts(context, execution->id, execution->headers,
+			&execution->parts);
 	execution->retry = evtimer_new(context->base, on_retry, execution);
 	execution->link.data = execution;
 	g_queue_push_tail_link(&context->active, &execution->link);
@@ -446,6 +505,14 @@
 	       now_us - execution->progress_us > STREAM_STALL_MS * 1000;
 }
 
+/* Whether the request waits at a runner that it would crash. */
+static bool is_to_withdraw(const execution_t *execution)
+{
+	return execution->call && !execution->answered &&
+	       part_guard_is_certain(execution->context->part_guard,
+				     &execution->parts);
+}
+
 /* Reports a runner that has not begun to answer, so that other requests avoid
  * it. The attempt itself continues, as the request may have to run only once. */
 static void report_unanswered(execution_t *execution, int64_t now_us)
@@ -466,13 +533,16 @@
 	while (link) {
 		execution_t *execution = link->data;
 		runner_call_t *call = execution->call;
+		attempt_outcome_t outcome = ATTEMPT_BROKEN;
 
 		link = link->next;
 		report_unanswered(execution, now_us);
-		if (!is_stalled(execution, now_us))
+		if (is_to_withdraw(execution))
+			outcome = ATTEMPT_WITHDRAWN;
+		else if (!is_stalled(execution, now_us))
 			continue;
 		execution->call = NULL;
 		context->protocol->cancel(call);
-		attempt_failed(execution, ATTEMPT_BROKEN);
+		attempt_failed(execution, outcome);
 	}
 }
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 #include "gateway/fleet.h"
+#include "gateway/part_guard.h"
 #include "gateway/runner_protocol.h"
 
 /*
@@ -46,6 +47,7 @@
 	struct event_base *base;
 	const clock_source_t *clock;
 	fleet_t *fleet;
+	part_guard_t *part_guard;
 	const runner_protocol_t *protocol;
 	GQueue active; /* all executions in progress */
 	int64_t *tries_total;
@@ -75,11 +77,20 @@
 } execution_options_t;
 
 /*
- * Starts an execution. Returns NULL when no runner can take the request now;
- * the sink is not called then. The sink is never called before this returns.
+ * Starts an execution. Returns NULL when no runner can take the request now, or
+ * when it is held back (execution_hold_ms); the sink is not called then. The
+ * sink is never called before this returns.
  */
 execution_t *execution_start(execution_context_t *context,
 			     const execution_options_t *options);
+/* Fills in the parts by which requests are held back: those of the prompt, and
+ * the request's id. */
+void execution_parts(const execution_context_t *context, const char *id,
+		     const GPtrArray *headers, prompt_parts_t *parts);
+/* Milliseconds for which a request with these parts is held back, as such
+ * requests crash runners; 0: it is not. */
+int32_t execution_hold_ms(const execution_context_t *context,
+			  const prompt_parts_t *parts);
 /* Ends the execution and cancels its attempt, without a call of the sink. */
 void execution_cancel(execution_t *execution);
 /* True when a runner may have started to process the request. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -186,6 +186,7 @@
 	fleet_remove_expired(gateway->fleet);
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
+	part_guard_tick(gateway->part_guard);
 	peer_load_tick(gateway->peer_load);
 	execution_check_timeouts(&gateway->executions);
 	relay_sweep(gateway->relay);
@@ -225,6 +226,7 @@
 	gateway->executions.base = gateway->base;
 	gateway->executions.clock = gateway->clock;
 	gateway->executions.fleet = gateway->fleet;
+	gateway->executions.part_guard = gateway->part_guard;
 	gateway->executions.protocol = options->protocol;
 	g_queue_init(&gateway->executions.active);
 	gateway->executions.tries_total = counter_get(
@@ -365,6 +367,13 @@
 	peer_load_changed(gateway->peer_load);
 }
 
+static void on_part_news(void *user_data)
+{
+	gateway_t *gateway = user_data;
+
+	peer_load_part_news(gateway->peer_load);
+}
+
 static void on_load_received(void *user_data)
 {
 	gateway_t *gateway = user_data;
@@ -381,6 +390,7 @@
 		.clock = gateway->clock,
 		.random = gateway->random,
 		.fleet = gateway->fleet,
+		.part_guard = gateway->part_guard,
 		.store = gateway->store,
 		.stale_store = gateway->stale_store,
 		.node = options->node,
@@ -400,6 +410,7 @@
 {
 	gateway_t *gateway = g_new0(gateway_t, 1);
 	fleet_options_t fleet;
+	part_guard_options_t guard;
 	relay_options_t relay;
 
 	gateway->base = options->base;
@@ -412,6 +423,10 @@
 	fleet = (fleet_options_t){ gateway->clock, gateway->random,
 				   options->domain, on_load_changed, gateway };
 	gateway->fleet = fleet_new(&fleet);
+	guard = (part_guard_options_t){ gateway->clock, gateway->random,
+					gateway->counters, on_part_news,
+					gateway };
+	gateway->part_guard = part_guard_new(&guard);
 	init_executions(gateway, options);
 	if (!start_store(gateway, options, error))
 		return NULL;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,6 +66,7 @@
 	rpc_server_t *rpc_server;
 	const gateway_codec_t *codec;
 	fleet_t *fleet;
+	part_guard_t *part_guard;
 	peer_load_t *peer_load;
 	execution_context_t executions;
 	relay_t *relay;
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -26,6 +26,10 @@
  * version. */
 #define RECORD_MAX_AGE_MS 2000
 
+/* The time of submission is known by the wall clock of another node, which may
+ * differ by seconds. */
+#define GIVE_UP_MARGIN_MS 10000
+
 /* Number of different values of phase_of(). */
 #define PHASE_STEPS 1024
 
@@ -801,6 +805,28 @@
 			   owner);
 }
 
+/* Gives up the items that are held back until their route permits it. */
+static void give_up_held(owned_job_t *job, int64_t now)
+{
+	const path_route_t *route = route_of(job);
+	int64_t give_up_us;
+
+	if (!route || route->give_up_ms == 0 || job->release)
+		return;
+	give_up_us =
+		job->deadline_us +
+		(route->give_up_ms - route->due_ms + GIVE_UP_MARGIN_MS) * 1000;
+	if (now < give_up_us)
+		return;
+	for (guint i = 0; i < job->items->len; i++) {
+		owned_item_t *owned = &job->owned_items[i];
+
+		if (owned->state == JOB_ITEM_WAITING &&
+		    job_owner_item_is_held(owned))
+			job_owner_item_give_up(owned);
+	}
+}
+
 void job_owner_tick(job_owner_t *owner)
 {
 	int64_t now = now_us(owner);
@@ -814,6 +840,7 @@
 			continue;
 		/* A job may be accepted here while the node is stopping. */
 		job->release |= owner->stopping;
+		give_up_held(job, now);
 		write_pending(job, now);
 	}
 	free_removed_jobs(owner);
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -23,6 +23,8 @@
 	owned->finished = finished;
 	owned->user_data = user_data;
 	owned->max_failures = 1;
+	execution_parts(context->executions, item->id, item->headers,
+			&owned->parts);
 }
 
 void job_owner_item_clear(owned_item_t *owned)
@@ -144,7 +146,25 @@
 bool job_owner_item_wants_slot(const owned_item_t *owned)
 {
 	return owned->state == JOB_ITEM_WAITING &&
-	       clock_now_us(owned->context->clock) >= owned->not_before_us;
+	       clock_now_us(owned->context->clock) >= owned->not_before_us &&
+	       !job_owner_item_is_held(owned);
+}
+
+bool job_owner_item_is_held(const owned_item_t *owned)
+{
+	return execution_hold_ms(owned->context->executions, &owned->parts) > 0;
+}
+
+void job_owner_item_give_up(owned_item_t *owned)
+{
+	char parts[PROMPT_PARTS_TEXT_MAX];
+
+	prompt_parts_print(&owned->parts, parts, sizeof(parts));
+	log_warn("item_held_too_long", "item=%s parts=%s", owned->item->id,
+		 parts);
+	if (!owned->text)
+		owned->text = g_string_new(NULL);
+	finish(owned, JOB_RESULT_GIVEN_UP);
 }
 
 int64_t job_owner_item_events(const owned_item_t *owned)
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -33,6 +33,7 @@
 	uint32_t index;
 	job_item_state_t state;
 	execution_t *execution;
+	prompt_parts_t parts;
 	GString *text; /* data of the events; NULL before the first start */
 	int64_t last_event; /* -1: none */
 	int64_t saved_event; /* the last one saved in the store; -1: none */
@@ -62,7 +63,8 @@
 				   const item_estimate_t *estimate);
 /* Number of events that the item has delivered. */
 int64_t job_owner_item_events(const owned_item_t *owned);
-/* Whether the item waits for a slot and its backoff is over. */
+/* Whether the item waits for a slot and its backoff is over. An item that is
+ * held back, as it crashes runners, does not. */
 bool job_owner_item_wants_slot(const owned_item_t *owned);
 /* Where to start an item. */
 typedef struct job_item_place {
@@ -74,6 +76,10 @@
  * not try the next one. route is that of the job, NULL when it was removed. */
 bool job_owner_item_start(owned_item_t *owned, const path_route_t *route,
 			  const job_item_place_t *place);
+/* Whether the item is held back, as it crashes runners. */
+bool job_owner_item_is_held(const owned_item_t *owned);
+/* Ends the item without a result of a runner. It must be waiting. */
+void job_owner_item_give_up(owned_item_t *owned);
 /* Cancels the current attempt, if any; the item waits for a slot again. */
 void job_owner_item_cancel(owned_item_t *owned);
 /* Cancels the current attempt to free its slot for an online request. The item
--- /dev/null
+++ b/src/gateway/part_guard.c
@@ -0,0 +1,668 @@
+#include "gateway/part_guard.h"
+
+#include <inttypes.h>
+
+#include "base/log.h"
+
+/* Evidence of a crash for a part: full if the runner was processing the
+ * request, less if the request may still have been in its queue. */
+#define EVIDENCE_RUNNING 10
+#define EVIDENCE_QUEUED 4
+/* Evidence from which a part is held briefly, and for long: of two and of three
+ * crashes. */
+#define EVIDENCE_SUSPECTED 20
+#define EVIDENCE_CERTAIN 30
+#define HOLD_SUSPECTED_MS 2000
+#define HOLD_CERTAIN_MS 60000
+#define HOLD_DOUBLINGS_MAX 4
+#define HOLD_MAX_MS ((int64_t)HOLD_CERTAIN_MS << HOLD_DOUBLINGS_MAX)
+/* Part of a hold over which the nodes spread their first requests after it, so
+ * that a crash of one is known before most others send theirs. */
+#define HOLD_JITTER_SHARE 0.25
+/* Time after which a request on trial without output or crash is followed by
+ * the next one. */
+#define TRIAL_MS 2000
+/* Above the longest hold, after which the next crash is to be recognized. */
+#define CRASH_MAX_AGE_MS (30 * 60 * 1000)
+/* Runners that are lost within this time may have one cause that is not a
+ * request, such as a lost link or power. Unless a part explains the loss of all
+ * of them, they count as one crash for it. */
+#define COMMON_CAUSE_US 10000
+/* A runner that sends output this much later than a connection ended has not
+ * crashed then. */
+#define SURVIVAL_MARGIN_US 50000
+/* Output of a runner is compared with crashes up to this age. */
+#define SURVIVAL_MAX_AGE_US 5000000
+/* Each news is sent this often, as datagrams may be lost. */
+#define NEWS_SENDS 3
+/* Share of the crashes of a part that a deeper part must explain to be held
+ * instead of it. */
+#define DEEPER_SHARE 0.66
+
+typedef struct part {
+	uint64_t id;
+	uint32_t depth;
+	uint32_t evidence; /* of the crashes that no other part explains */
+	uint32_t crashes;
+	uint32_t doublings;
+	int64_t cleared_us; /* last output; 0: none known */
+	int64_t newest_us; /* last crash with the part */
+	int64_t held_crash_us; /* last crash that the hold is based on */
+	int64_t hold_until_us; /* 0: not held */
+	int64_t send_at_us; /* when this node may send the next request */
+	uint32_t clear_sends_left;
+	bool certain;
+	bool blamed; /* explains crashes, by the last decision */
+} part_t;
+
+struct part_guard {
+	part_guard_options_t options;
+	crash_log_t log;
+	GHashTable *parts; /* id -> part_t; those of the log, and held ones */
+	int64_t *crashes_total;
+	int64_t *holds_total;
+	int64_t *clears_total;
+	int64_t *held;
+};
+
+part_guard_t *part_guard_new(const part_guard_options_t *options)
+{
+	part_guard_t *guard = g_new0(part_guard_t, 1);
+
+	guard->options = *options;
+	guard->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     g_free);
+	guard->crashes_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					   "runner_crashes_total", NULL);
+	guard->holds_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					 "part_holds_total", NULL);
+	guard->clears_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					  "part_clears_total", NULL);
+	guard->held = counter_get(options->counters, COUNTER_GAUGE,
+				  "parts_held", NULL);
+	return guard;
+}
+
+void part_guard_free(part_guard_t *guard)
+{
+	if (!guard)
+		return;
+	g_hash_table_destroy(guard->parts);
+	g_free(guard);
+}
+
+int64_t part_guard_now_us(const part_guard_t *guard)
+{
+	return clock_elapsed_us(guard->options.clock);
+}
+
+static part_t *find_part(const part_guard_t *guard, uint64_t id)
+{
+	return g_hash_table_lookup(guard->parts, &id);
+}
+
+static part_t *find_or_add_part(part_guard_t *guard, uint64_t id,
+				uint32_t depth)
+{
+	part_t *part = find_part(guard, id);
+
+	if (part)
+		return part;
+	part = g_new0(part_t, 1);
+	part->id = id;
+	part->depth = depth;
+	g_hash_table_insert(guard->parts, &part->id, part);
+	return part;
+}
+
+static void news_available(const part_guard_t *guard)
+{
+	if (guard->options.changed)
+		guard->options.changed(guard->options.user_data);
+}
+
+static bool is_held(const part_t *part, int64_t now_us)
+{
+	return part->hold_until_us > now_us;
+}
+
+/* Whether there was no output with the part since it was held. */
+static bool is_on_trial(const part_t *part)
+{
+	return part->held_crash_us > part->cleared_us;
+}
+
+static void set_hold(part_guard_t *guard, part_t *part, int64_t until_us)
+{
+	int64_t hold_us = until_us - part->held_crash_us;
+
+	part->hold_until_us = until_us;
+	part->send_at_us =
+		until_us + (int64_t)((double)hold_us * HOLD_JITTER_SHARE *
+				     g_rand_double(guard->options.random));
+}
+
+/* Whether a crash speaks against a part: no output with the part came later. */
+static bool counts_against(const crash_t *crash, const part_t *part)
+{
+	return !crash->survived && crash->at_us > part->cleared_us;
+}
+
+static uint32_t evidence_of(const crash_t *crash, const part_t *part)
+{
+	const crash_suspect_t *suspect = crash_suspect(crash, part->id);
+
+	if (!suspect || !counts_against(crash, part))
+		return 0;
+	return suspect->running ? EVIDENCE_RUNNING : EVIDENCE_QUEUED;
+}
+
+static bool is_same_moment(const crash_log_t *log, uint32_t first,
+			   uint32_t other)
+{
+	return log->crashes[other].at_us - log->crashes[first].at_us <=
+	       COMMON_CAUSE_US;
+}
+
+/* Sums up the evidence against a part from the crashes that are not explained
+ * yet. */
+static uint32_t evidence_against(const part_guard_t *guard, const part_t *part,
+				 const bool *explained)
+{
+	const crash_log_t *log = &guard->log;
+	uint32_t sum = 0;
+	uint32_t next;
+
+	for (uint32_t i = 0; i < log->count; i = next) {
+		uint32_t strongest = 0;
+		uint32_t group = 0;
+		bool explains_all = true;
+
+		for (next = i;
+		     next < log->count && is_same_moment(log, i, next);
+		     next++) {
+			uint32_t evidence = 0;
+
+			if (log->crashes[next].survived)
+				continue;
+			if (!explained[next])
+				evidence =
+					evidence_of(&log->crashes[next], part);
+			explains_all &= evidence > 0;
+			group += evidence;
+			strongest = MAX(strongest, evidence);
+		}
+		sum += explains_all ? group : strongest;
+	}
+	return sum;
+}
+
+static bool is_stronger(const part_t *part, const part_t *than)
+{
+	if (!than || part->evidence != than->evidence)
+		return !than || part->evidence > than->evidence;
+	if (part->depth != than->depth)
+		return part->depth > than->depth;
+	return part->id < than->id;
+}
+
+/* Whether a part may be held instead of a shallower one. A single request must
+ * explain all crashes. */
+static bool explains_enough(const part_t *part, const part_t *strongest)
+{
+	double share = part->depth == PROMPT_DEPTH_REQUEST ? 1.0 : DEEPER_SHARE;
+
+	return part->evidence >= share * strongest->evidence;
+}
+
+/* The part that explains the most crashes, or a deeper one that explains nearly
+ * as many; NULL when none is suspected. */
+static part_t *strongest_suspect(const part_guard_t *guard,
+				 const bool *explained)
+{
+	GHashTableIter iter;
+	part_t *strongest = NULL;
+	part_t *chosen;
+	void *value;
+
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		part_t *part = value;
+
+		part->evidence =
+			part->blamed ? 0 :
+				       evidence_against(guard, part, explained);
+		if (part->evidence >= EVIDENCE_SUSPECTED &&
+		    is_stronger(part, strongest))
+			strongest = part;
+	}
+	chosen = strongest;
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (strongest && g_hash_table_iter_next(&iter, NULL, &value)) {
+		part_t *part = value;
+
+		if (part->evidence >= EVIDENCE_SUSPECTED &&
+		    explains_enough(part, strongest) &&
+		    (part->depth > chosen->depth ||
+		     (part->depth == chosen->depth &&
+		      is_stronger(part, chosen))))
+			chosen = part;
+	}
+	return chosen;
+}
+
+static void hold(part_guard_t *guard, part_t *part)
+{
+	int64_t now_us = part_guard_now_us(guard);
+	bool certain = part->evidence >= EVIDENCE_CERTAIN;
+	int64_t hold_ms = certain ? HOLD_CERTAIN_MS : HOLD_SUSPECTED_MS;
+
+	part->blamed = true;
+	if (part->newest_us <= part->held_crash_us && certain <= part->certain)
+		return;
+	if (part->certain && part->newest_us > part->hold_until_us &&
+	    part->doublings < HOLD_DOUBLINGS_MAX)
+		part->doublings++;
+	certain |= part->certain;
+	if (certain)
+		hold_ms = (int64_t)HOLD_CERTAIN_MS << part->doublings;
+	part->certain = certain;
+	part->crashes = part->evidence / EVIDENCE_RUNNING;
+	part->held_crash_us = part->newest_us;
+	set_hold(guard, part,
+		 MAX(part->hold_until_us, part->newest_us + hold_ms * 1000));
+	if (!is_held(part, now_us))
+		return;
+	(*guard->holds_total)++;
+	log_warn("part_held",
+		 "part=%" PRIx64 " depth=%u evidence=%u certain=%d "
+		 "crash_age_ms=%" PRId64 " hold_ms=%" PRId64 " doublings=%u",
+		 part->id, part->depth, part->evidence, certain,
+		 (now_us - part->newest_us) / 1000,
+		 (part->hold_until_us - now_us) / 1000, part->doublings);
+}
+
+static void explain(const part_guard_t *guard, const part_t *part,
+		    bool *explained)
+{
+	for (uint32_t i = 0; i < guard->log.count; i++) {
+		const crash_t *crash = &guard->log.crashes[i];
+
+		if (crash_suspect(crash, part->id) &&
+		    counts_against(crash, part))
+			explained[i] = true;
+	}
+}
+
+static void end_hold(part_t *part)
+{
+	part->hold_until_us = 0;
+	part->send_at_us = 0;
+	part->held_crash_us = 0;
+}
+
+/* Ends brief holds that the crashes known now do not justify. */
+static void release_others(part_guard_t *guard)
+{
+	int64_t now_us = part_guard_now_us(guard);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		part_t *part = value;
+
+		if (part->blamed || part->certain || !is_held(part, now_us))
+			continue;
+		log_info("part_released", "part=%" PRIx64 " evidence=%u",
+			 part->id, part->evidence);
+		end_hold(part);
+	}
+}
+
+/* Decides which parts are held, by all crashes that are known. */
+static void decide(part_guard_t *guard)
+{
+	bool explained[CRASH_LOG_MAX] = { false };
+	GHashTableIter iter;
+	part_t *part;
+	void *value;
+
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((part_t *)value)->blamed = false;
+	while ((part = strongest_suspect(guard, explained))) {
+		hold(guard, part);
+		explain(guard, part, explained);
+	}
+	release_others(guard);
+}
+
+static bool add_suspect(part_guard_t *guard, crash_t *crash,
+			const crash_suspect_t *suspect)
+{
+	part_t *part;
+
+	if (!crash_add_suspect(crash, suspect))
+		return false;
+	part = find_or_add_part(guard, suspect->part, suspect->depth);
+	part->newest_us = MAX(part->newest_us, crash->at_us);
+	return true;
+}
+
+static crash_t *note_crash(part_guard_t *guard, uint64_t runner, int64_t at_us)
+{
+	uint32_t known = guard->log.count;
+	crash_t *crash = crash_log_note(&guard->log, runner, at_us);
+
+	if (guard->log.count > known)
+		(*guard->crashes_total)++;
+	return crash;
+}
+
+void part_guard_lost(part_guard_t *guard, uint64_t runner,
+		     const prompt_parts_t *parts, bool running)
+{
+	crash_t *crash;
+	bool changed = false;
+
+	crash = note_crash(guard, runner, part_guard_now_us(guard));
+	for (uint32_t i = 0; parts && i < parts->count; i++) {
+		const crash_suspect_t suspect = { parts->ids[i],
+						  prompt_parts_depth(parts, i),
+						  running };
+
+		changed |= add_suspect(guard, crash, &suspect);
+	}
+	if (!changed || crash->survived)
+		return;
+	crash->sends_left = NEWS_SENDS;
+	decide(guard);
+	news_available(guard);
+}
+
+void part_guard_output(part_guard_t *guard, uint64_t runner, int64_t started_us)
+{
+	const crash_log_t *log = &guard->log;
+	int64_t now_us;
+	crash_t *crash;
+
+	if (log->count == 0)
+		return;
+	now_us = part_guard_now_us(guard);
+	if (now_us - log->crashes[log->count - 1].at_us > SURVIVAL_MAX_AGE_US)
+		return;
+	crash = crash_log_find(&guard->log, runner);
+	if (!crash || crash->survived || crash->at_us <= started_us ||
+	    now_us - crash->at_us < SURVIVAL_MARGIN_US)
+		return;
+	log_info("runner_survived",
+		 "runner_key=%" PRIx64 " suspects=%u lost_age_ms=%" PRId64,
+		 runner, crash->count, (now_us - crash->at_us) / 1000);
+	crash->survived = true;
+	crash->sends_left = NEWS_SENDS;
+	decide(guard);
+	news_available(guard);
+}
+
+static void clear(part_guard_t *guard, part_t *part, int64_t at_us,
+		  const char *source)
+{
+	int64_t now_us = part_guard_now_us(guard);
+
+	part->cleared_us = at_us;
+	if (part->held_crash_us >= at_us)
+		return;
+	if (is_held(part, now_us)) {
+		(*guard->clears_total)++;
+		log_info("part_cleared",
+			 "part=%" PRIx64 " source=%s age_ms=%" PRId64, part->id,
+			 source, (now_us - at_us) / 1000);
+	}
+	end_hold(part);
+	part->certain = false;
+	part->doublings = 0;
+}
+
+void part_guard_begun(part_guard_t *guard, const prompt_parts_t *parts)
+{
+	bool changed = false;
+
+	if (g_hash_table_size(guard->parts) == 0)
+		return;
+	for (uint32_t i = 0; i < parts->count; i++) {
+		part_t *part = find_part(guard, parts->ids[i]);
+
+		if (!part || MAX(part->newest_us, part->held_crash_us) <=
+				     part->cleared_us)
+			continue;
+		clear(guard, part, part_guard_now_us(guard), "own");
+		part->clear_sends_left = NEWS_SENDS;
+		changed = true;
+	}
+	if (!changed)
+		return;
+	decide(guard);
+	news_available(guard);
+}
+
+void part_guard_sent(part_guard_t *guard, const prompt_parts_t *parts)
+{
+	int64_t now_us;
+
+	if (g_hash_table_size(guard->parts) == 0)
+		return;
+	now_us = part_guard_now_us(guard);
+	for (uint32_t i = 0; i < parts->count; i++) {
+		part_t *part = find_part(guard, parts->ids[i]);
+
+		if (!part || !is_on_trial(part))
+			continue;
+		log_info("part_tried", "part=%" PRIx64 " held_ms=%" PRId64,
+			 part->id, (now_us - part->held_crash_us) / 1000);
+		part->send_at_us = now_us + TRIAL_MS * 1000;
+	}
+}
+
+int32_t part_guard_hold_ms(const part_guard_t *guard,
+			   const prompt_parts_t *parts)
+{
+	int64_t hold_us = 0;
+	int64_t now_us;
+
+	if (g_hash_table_size(guard->parts) == 0)
+		return 0;
+	now_us = part_guard_now_us(guard);
+	for (uint32_t i = 0; i < parts->count; i++) {
+		const part_t *part = find_part(guard, parts->ids[i]);
+
+		if (part && is_on_trial(part))
+			hold_us = MAX(hold_us, part->send_at_us - now_us);
+	}
+	return (int32_t)((hold_us + 999) / 1000);
+}
+
+bool part_guard_is_certain(const part_guard_t *guard,
+			   const prompt_parts_t *parts)
+{
+	int64_t now_us;
+
+	if (g_hash_table_size(guard->parts) == 0)
+		return false;
+	now_us = part_guard_now_us(guard);
+	for (uint32_t i = 0; i < parts->count; i++) {
+		const part_t *part = find_part(guard, parts->ids[i]);
+
+		if (part && part->certain && is_held(part, now_us))
+			return true;
+	}
+	return false;
+}
+
+uint32_t part_guard_size(const part_guard_t *guard)
+{
+	return g_hash_table_size(guard->parts);
+}
+
+static bool is_in_log(const part_guard_t *guard, const part_t *part)
+{
+	for (uint32_t i = 0; i < guard->log.count; i++)
+		if (crash_suspect(&guard->log.crashes[i], part->id))
+			return true;
+	return false;
+}
+
+void part_guard_tick(part_guard_t *guard)
+{
+	int64_t oldest_us;
+	GHashTableIter iter;
+	void *value;
+
+	*guard->held = 0;
+	if (guard->log.count == 0 && g_hash_table_size(guard->parts) == 0)
+		return;
+	oldest_us = part_guard_now_us(guard) - CRASH_MAX_AGE_MS * 1000LL;
+	crash_log_expire(&guard->log, oldest_us);
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const part_t *part = value;
+
+		if (is_on_trial(part) && part->held_crash_us >= oldest_us)
+			(*guard->held)++;
+		else if (!is_in_log(guard, part))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Takes crashes with this number of sends left. */
+static void take_crashes(part_guard_t *guard, part_news_t *news,
+			 uint32_t sends_left)
+{
+	for (uint32_t i = 0; i < guard->log.count &&
+			     news->crashes_count < PART_NEWS_CRASHES_MAX;
+	     i++) {
+		crash_t *crash = &guard->log.crashes[i];
+
+		if (crash->sends_left != sends_left)
+			continue;
+		crash->sends_left--;
+		news->crashes[news->crashes_count++] = *crash;
+	}
+}
+
+static void take_clears(part_guard_t *guard, part_news_t *news)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (news->clears_count < PART_NEWS_CLEARS_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		part_t *part = value;
+
+		if (part->clear_sends_left == 0)
+			continue;
+		part->clear_sends_left--;
+		news->clears[news->clears_count++] =
+			(part_clear_t){ part->id, part->cleared_us };
+	}
+}
+
+bool part_guard_take_news(part_guard_t *guard, part_news_t *news)
+{
+	news->crashes_count = 0;
+	news->clears_count = 0;
+	news->holds_count = 0;
+	/* The ones that were sent least often come first. */
+	for (uint32_t sends = NEWS_SENDS; sends > 0; sends--)
+		take_crashes(guard, news, sends);
+	take_clears(guard, news);
+	return news->crashes_count > 0 || news->clears_count > 0;
+}
+
+bool part_guard_summary(const part_guard_t *guard, part_news_t *news)
+{
+	int64_t now_us = part_guard_now_us(guard);
+	GHashTableIter iter;
+	void *value;
+
+	news->crashes_count = 0;
+	news->clears_count = 0;
+	news->holds_count = 0;
+	for (uint32_t i = guard->log.count;
+	     i-- > 0 && news->crashes_count < PART_NEWS_CRASHES_MAX;)
+		news->crashes[news->crashes_count++] = guard->log.crashes[i];
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (news->holds_count < PART_NEWS_HOLDS_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		const part_t *part = value;
+
+		if (part->certain && is_held(part, now_us))
+			news->holds[news->holds_count++] = (part_hold_t){
+				.part = part->id,
+				.depth = part->depth,
+				.crashes = part->crashes,
+				.doublings = part->doublings,
+				.last_crash_us = part->held_crash_us,
+				.until_us = part->hold_until_us,
+			};
+	}
+	return news->crashes_count > 0 || news->holds_count > 0;
+}
+
+static bool apply_crash(part_guard_t *guard, const crash_t *from)
+{
+	crash_t *crash = note_crash(guard, from->runner, from->at_us);
+	bool changed = from->survived && !crash->survived;
+
+	crash->survived |= from->survived;
+	for (uint32_t i = 0; i < from->count; i++)
+		changed |= add_suspect(guard, crash, &from->suspects[i]);
+	return changed;
+}
+
+static bool apply_clear(part_guard_t *guard, const part_clear_t *from)
+{
+	part_t *part = find_part(guard, from->part);
+
+	if (!part || from->at_us <= part->cleared_us)
+		return false;
+	clear(guard, part, from->at_us, "peer");
+	return true;
+}
+
+static void apply_hold(part_guard_t *guard, const part_hold_t *from)
+{
+	part_t *part = find_or_add_part(guard, from->part, from->depth);
+	int64_t now_us = part_guard_now_us(guard);
+
+	if (from->last_crash_us <= part->cleared_us ||
+	    from->until_us <= part->hold_until_us)
+		return;
+	if (!is_held(part, now_us))
+		log_warn("part_held",
+			 "part=%" PRIx64 " depth=%u source=peer crashes=%u "
+			 "crash_age_ms=%" PRId64 " hold_ms=%" PRId64,
+			 part->id, part->depth, from->crashes,
+			 (now_us - from->last_crash_us) / 1000,
+			 (from->until_us - now_us) / 1000);
+	part->certain = true;
+	part->crashes = from->crashes;
+	part->doublings = MIN(from->doublings, HOLD_DOUBLINGS_MAX);
+	part->held_crash_us = MAX(part->held_crash_us, from->last_crash_us);
+	set_hold(guard, part, MIN(from->until_us, now_us + HOLD_MAX_MS * 1000));
+}
+
+void part_guard_apply(part_guard_t *guard, const part_news_t *news)
+{
+	bool changed = false;
+
+	for (uint32_t i = 0; i < news->crashes_count; i++)
+		changed |= apply_crash(guard, &news->crashes[i]);
+	for (uint32_t i = 0; i < news->clears_count; i++)
+		changed |= apply_clear(guard, &news->clears[i]);
+	for (uint32_t i = 0; i < news->holds_count; i++)
+		apply_hold(guard, &news->holds[i]);
+	if (changed)
+		decide(guard);
+}
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "gateway/follow.h"
+#include "gateway/part_report.h"
 
 #define NODE_PREFIX "gateway-nodes/"
 #define NODE_WATCH_WAIT_MS 2500
@@ -28,6 +29,12 @@
  * between domains grows with the square of the number of nodes. */
 #define SMALL_SYSTEM_MAX_NODES 16
 #define REMOTE_REPORT_INTERVAL_MS 250
+/* Pauses between the first and the repeated sends of news about parts; losses
+ * of datagrams come in bursts. */
+#define PART_NEWS_DELAY_MS 1
+#define PART_NEWS_REPEAT_MS 150
+/* With as many nodes, each hears one summary in this time on average. */
+#define PART_SUMMARY_INTERVAL_MS 500
 
 typedef struct node_address {
 	struct sockaddr_in socket;
@@ -46,6 +53,9 @@
 	char *own_entry;
 	int64_t sent_us;
 	int64_t remote_sent_us;
+	struct event *send_parts; /* the next send of news about parts */
+	int64_t parts_summary_us; /* time of the last summary */
+	bool parts_pending;
 	load_own_t own;
 	bool send_pending;
 };
@@ -201,6 +211,96 @@
 	send_report(load);
 }
 
+static void send_to_all(const peer_load_t *load, const char *data, size_t len)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, load->addresses);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const node_address_t *address = value;
+
+		/* News is repeated, and summaries follow. */
+		if (sendto(load->socket, data, len, MSG_DONTWAIT,
+			   (const struct sockaddr *)&address->socket,
+			   sizeof(address->socket)) < 0)
+			continue;
+	}
+}
+
+static void schedule_parts(peer_load_t *load, int32_t delay_ms)
+{
+	const struct timeval delay = { 0, delay_ms * 1000 };
+
+	evtimer_add(load->send_parts, &delay);
+}
+
+static void on_send_parts(evutil_socket_t fd, short events, void *arg)
+{
+	peer_load_t *load = arg;
+	part_guard_t *guard = load->options.part_guard;
+	char data[PART_REPORT_MAX_BYTES];
+	part_news_t news;
+	size_t len;
+
+	load->parts_pending = false;
+	if (!part_guard_take_news(guard, &news))
+		return;
+	len = part_report_encode(&news, part_guard_now_us(guard), data,
+				 sizeof(data));
+	send_to_all(load, data, len);
+	schedule_parts(load, news.crashes_count == PART_NEWS_CRASHES_MAX ?
+				     PART_NEWS_DELAY_MS :
+				     PART_NEWS_REPEAT_MS);
+}
+
+void peer_load_part_news(peer_load_t *load)
+{
+	if (load->parts_pending)
+		return;
+	load->parts_pending = true;
+	schedule_parts(load, PART_NEWS_DELAY_MS);
+}
+
+/* Sends a summary about parts to a node chosen at random. */
+static void send_parts_summary(peer_load_t *load)
+{
+	part_guard_t *guard = load->options.part_guard;
+	char data[PART_REPORT_MAX_BYTES];
+	const node_address_t *address;
+	part_news_t news;
+	GList *nodes;
+	size_t len;
+
+	load->parts_summary_us = clock_now_us(load->options.clock);
+	if (g_hash_table_size(load->addresses) == 0 ||
+	    !part_guard_summary(guard, &news))
+		return;
+	nodes = g_hash_table_get_values(load->addresses);
+	address = g_list_nth_data(
+		nodes, (guint)g_rand_int_range(
+			       load->options.random, 0,
+			       (gint32)g_hash_table_size(load->addresses)));
+	len = part_report_encode(&news, part_guard_now_us(guard), data,
+				 sizeof(data));
+	/* The next summary replaces one that could not be sent. */
+	(void)sendto(load->socket, data, len, MSG_DONTWAIT,
+		     (const struct sockaddr *)&address->socket,
+		     sizeof(address->socket));
+	g_list_free(nodes);
+}
+
+static void apply_part_report(peer_load_t *load, const char *data, size_t len)
+{
+	part_guard_t *guard = load->options.part_guard;
+	part_news_t news;
+
+	if (part_report_decode(data, len, part_guard_now_us(guard), &news))
+		part_guard_apply(guard, &news);
+	else
+		log_warn("part_report_unreadable", "bytes=%zu", len);
+}
+
 static void on_readable(evutil_socket_t fd, short events, void *arg)
 {
 	peer_load_t *load = arg;
@@ -212,9 +312,13 @@
 
 	while ((len = recvfrom(fd, data, sizeof(data), MSG_DONTWAIT,
 			       (struct sockaddr *)&from, &from_len)) > 0) {
-		const char *node =
-			load_view_apply(load->view, data, (size_t)len);
+		const char *node;
 
+		if (part_report_is(data, (size_t)len)) {
+			apply_part_report(load, data, (size_t)len);
+			continue;
+		}
+		node = load_view_apply(load->view, data, (size_t)len);
 		if (node && !g_hash_table_contains(load->addresses, node))
 			add_address(load, node,
 				    load_view_domain(load->view, node), &from);
@@ -283,6 +387,7 @@
 		"{\"address\":\"%s:%u\",\"domain\":\"%s\"}", options->address,
 		options->port, options->domain);
 	load->send = evtimer_new(base, on_send, load);
+	load->send_parts = evtimer_new(base, on_send_parts, load);
 	load->register_retry = evtimer_new(base, on_register_retry, load);
 	load->readable = event_new(base, load->socket, EV_READ | EV_PERSIST,
 				   on_readable, load);
@@ -391,6 +496,9 @@
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
+	if (clock_now_us(load->options.clock) - load->parts_summary_us >=
+	    PART_SUMMARY_INTERVAL_MS * 1000)
+		send_parts_summary(load);
 	if (clock_now_us(load->options.clock) - load->sent_us >=
 	    REPORT_INTERVAL_MS * 1000)
 		send_report(load);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "gateway/load_view.h"
+#include "gateway/part_guard.h"
 #include "object/object_store.h"
 
 /*
@@ -15,6 +16,10 @@
  * nodes do not all send work to the same runner. In a large system, reports to
  * other domains are sent less often, and nodes prefer the runners of their own
  * domain.
+ *
+ * News of the part guard goes to all nodes at once, a few times, as datagrams
+ * may be lost. A node chosen at random gets a summary from time to time, so that
+ * new nodes and those that were cut off learn of it.
  */
 typedef struct peer_load peer_load_t;
 
@@ -23,6 +28,7 @@
 	const clock_source_t *clock;
 	GRand *random;
 	fleet_t *fleet;
+	part_guard_t *part_guard;
 	object_store_t *store;
 	object_store_t *stale_store;
 	const char *node;
@@ -51,6 +57,8 @@
 void peer_load_set_store(peer_load_t *load, bool reaches_store);
 /* Number of other nodes with a recent report. */
 uint32_t peer_load_peers(const peer_load_t *load);
+/* Sends the part guard's news to all nodes soon. */
+void peer_load_part_news(peer_load_t *load);
 void peer_load_tick(peer_load_t *load);
 
 /* Writes the address of a node as IP:port to the buffer; false when it is not
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,6 +8,8 @@
 
 /* A stream with more pending bytes is ended, as its caller does not read. */
 #define MAX_PENDING_BYTES (1024 * 1024)
+/* Part of a hold over which the requests that it held back return. */
+#define HOLD_SPREAD_DIVISOR 4
 
 struct relay {
 	execution_context_t *executions;
@@ -19,6 +21,7 @@
 	bool stopping;
 	int64_t *accepted_total;
 	int64_t *refused_total;
+	int64_t *held_total;
 	int64_t *completed_total;
 	int64_t *failed_total;
 	int64_t *abandoned_total;
@@ -38,6 +41,7 @@
 	int32_t deadline_ms; /* of the caller; 0: unknown */
 	int32_t wait_ms; /* estimated wait for a slot */
 	int32_t first_ms; /* until the response began; -1: not yet */
+	prompt_parts_t parts;
 	fleet_load_t load; /* of the first runner, including this request */
 	bool streaming;
 	GList link;
@@ -82,6 +86,20 @@
 	relay_refuse_as(exchange, 503, retry_after_ms);
 }
 
+/* Time after which to retry a request that has not run. Requests that are held
+ * back return when that ends, not all at once. */
+static int32_t retry_after_ms(const relay_t *relay, const prompt_parts_t *parts,
+			      int32_t objective_ms, int32_t deadline_ms)
+{
+	int32_t hold_ms = execution_hold_ms(relay->executions, parts);
+
+	if (hold_ms == 0)
+		return admission_retry_after_ms(relay->random, objective_ms,
+						deadline_ms);
+	return hold_ms + g_rand_int_range(relay->random, 0,
+					  hold_ms / HOLD_SPREAD_DIVISOR + 1);
+}
+
 static void note_runner(relayed_t *request)
 {
 	const fleet_runner_t *runner = execution_runner(request->execution);
@@ -166,10 +184,10 @@
 	else if (execution_outcome == EXECUTION_TRUNCATED)
 		http_stream_abort(exchange);
 	else if (execution_outcome == EXECUTION_NOT_RUN)
-		relay_refuse(exchange, admission_retry_after_ms(
-					       relay->random,
-					       request->route->objective_ms,
-					       request->deadline_ms));
+		relay_refuse(exchange,
+			     retry_after_ms(relay, &request->parts,
+					    request->route->objective_ms,
+					    request->deadline_ms));
 	else if (execution_outcome == EXECUTION_UNKNOWN)
 		http_reply(exchange, 502, NULL, "", 0);
 	relayed_free(request);
@@ -206,6 +224,8 @@
 					    "requests_accepted_total", NULL);
 	relay->refused_total = counter_get(counters, COUNTER_MONOTONIC,
 					   "requests_refused_total", NULL);
+	relay->held_total = counter_get(counters, COUNTER_MONOTONIC,
+					"requests_held_total", NULL);
 	relay->completed_total = counter_get(counters, COUNTER_MONOTONIC,
 					     "requests_completed_total", NULL);
 	relay->failed_total = counter_get(counters, COUNTER_MONOTONIC,
@@ -258,6 +278,26 @@
 	relay_refuse(exchange, retry_after_ms);
 }
 
+/* Refuses a request that crashes runners. Returns false for others. */
+static bool refuse_held(relay_t *relay, const path_route_t *route,
+			http_exchange_t *exchange,
+			const relay_request_t *request,
+			const prompt_parts_t *parts)
+{
+	int32_t hold_ms = execution_hold_ms(relay->executions, parts);
+	char text[PROMPT_PARTS_TEXT_MAX];
+
+	if (hold_ms == 0)
+		return false;
+	prompt_parts_print(parts, text, sizeof(text));
+	(*relay->held_total)++;
+	log_info("request_held", "request=%s route=%s hold_ms=%d parts=%s",
+		 request->id, route->name, hold_ms, text);
+	relay_refuse(exchange, retry_after_ms(relay, parts, route->objective_ms,
+					      request->deadline_ms));
+	return true;
+}
+
 void relay_handle(relay_t *relay, path_table_t *paths,
 		  const path_route_t *route, http_exchange_t *exchange,
 		  const relay_request_t *request)
@@ -288,10 +328,15 @@
 		.resume_after = request->resume_after,
 		.sink = &sink,
 	};
+	prompt_parts_t parts;
 	relayed_t *relayed;
 
+	execution_parts(relay->executions, request->id, request->headers,
+			&parts);
 	if (relay->stopping)
 		http_close_after(exchange);
+	if (refuse_held(relay, route, exchange, request, &parts))
+		return;
 	if (!admission_accepts(&input)) {
 		refuse(relay, route, exchange, request, &input);
 		return;
@@ -308,6 +353,7 @@
 	relayed->wait_ms = input.wait_ms;
 	relayed->deadline_ms = request->deadline_ms;
 	relayed->first_ms = -1;
+	relayed->parts = parts;
 	relayed->link.data = relayed;
 	g_queue_push_tail_link(&relay->requests, &relayed->link);
 	relayed->execution = execution_start(relay->executions, &options);
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -2,6 +2,7 @@
 #include "gateway/job_progress.h"
 #include "gateway/job_record.h"
 #include "gateway/load_view.h"
+#include "gateway/part_report.h"
 #include "platform/settings.h"
 #include "platform/store_decode.h"
 #include "fuzz/fuzz_target.h"
@@ -405,6 +406,26 @@
 	event_reader_clear(&reader);
 }
 
+static void run_part_report(const uint8_t *data, size_t size)
+{
+	counter_set_t *counters = counter_set_new();
+	GRand *random = g_rand_new_with_seed(1);
+	const part_guard_options_t options = { .clock = clock_system(),
+					       .random = random,
+					       .counters = counters };
+	part_guard_t *guard = part_guard_new(&options);
+	part_news_t news;
+
+	if (part_report_decode((const char *)data, size,
+			       part_guard_now_us(guard), &news)) {
+		part_guard_apply(guard, &news);
+		part_guard_tick(guard);
+	}
+	part_guard_free(guard);
+	g_rand_free(random);
+	counter_set_free(counters);
+}
+
 static void run_load_report(const uint8_t *data, size_t size)
 {
 	GRand *random = g_rand_new_with_seed(1);
@@ -425,6 +446,7 @@
 	{ "store_object", run_store_object },
 	{ "event_reader", run_event_reader },
 	{ "load_report", run_load_report },
+	{ "part_report", run_part_report },
 	{ "document", run_document },
 	{ "xdr", run_xdr },
 	{ "rpc", run_rpc },
--- /dev/null
+++ b/tests/test_part_guard.c
@@ -0,0 +1,364 @@
+#include "gateway/part_guard.h"
+#include "unit.h"
+
+#define FIRST 0xa1
+#define DEADLY 0xdead
+#define OTHER 0xb2
+
+typedef struct fixture {
+	clock_manual_t clock;
+	GRand *random;
+	counter_set_t *counters;
+	part_guard_t *guard;
+	uint64_t runner; /* key of the last one that crashed */
+	uint64_t request; /* id of the last request */
+} fixture_t;
+
+static part_guard_t *guard_new(fixture_t *f)
+{
+	const part_guard_options_t options = { .clock = &f->clock.base,
+					       .random = f->random,
+					       .counters = f->counters };
+
+	return part_guard_new(&options);
+}
+
+static fixture_t *fixture_new(void)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	clock_manual_init(&f->clock, 0);
+	clock_manual_advance_ms(&f->clock, 100000);
+	f->random = g_rand_new_with_seed(1);
+	f->counters = counter_set_new();
+	f->guard = guard_new(f);
+	return f;
+}
+
+static void fixture_free(fixture_t *f)
+{
+	part_guard_free(f->guard);
+	counter_set_free(f->counters);
+	g_rand_free(f->random);
+	g_free(f);
+}
+
+/* Parts of a request of its own with two shared parts. */
+static prompt_parts_t parts_of(fixture_t *f, uint64_t first, uint64_t second)
+{
+	prompt_parts_t parts = { 0 };
+
+	prompt_parts_add(&parts, first);
+	prompt_parts_add(&parts, second);
+	prompt_parts_add_request(&parts, 0x10000 + f->request++);
+	return parts;
+}
+
+/* Another runner ends while it processes a request with the parts. */
+static void crash(fixture_t *f, uint64_t first, uint64_t second)
+{
+	const prompt_parts_t parts = parts_of(f, first, second);
+
+	clock_manual_advance_ms(&f->clock, 100);
+	part_guard_lost(f->guard, ++f->runner, &parts, true);
+}
+
+static void begin(fixture_t *f, uint64_t first, uint64_t second)
+{
+	const prompt_parts_t parts = parts_of(f, first, second);
+
+	clock_manual_advance_ms(&f->clock, 10);
+	part_guard_begun(f->guard, &parts);
+}
+
+static int32_t hold_ms(fixture_t *f, uint64_t first, uint64_t second)
+{
+	const prompt_parts_t parts = parts_of(f, first, second);
+
+	return part_guard_hold_ms(f->guard, &parts);
+}
+
+/* Requests with a part under which runners end must be held back after two
+ * crashes, and for long after three; those that share their other parts must
+ * not. */
+static void test_part_is_held(void)
+{
+	fixture_t *f = fixture_new();
+
+	crash(f, FIRST, DEADLY);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, DEADLY), 0);
+	crash(f, FIRST, DEADLY);
+	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 0);
+	CU_ASSERT(hold_ms(f, FIRST, DEADLY) <= 2500);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	crash(f, FIRST, DEADLY);
+	CU_ASSERT(hold_ms(f, OTHER, DEADLY) > 30000);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	fixture_free(f);
+}
+
+/* The first part of a whole customer's requests must be found, too, although
+ * each crash has another second part. */
+static void test_first_part_is_held(void)
+{
+	fixture_t *f = fixture_new();
+
+	crash(f, DEADLY, 1);
+	crash(f, DEADLY, 2);
+	CU_ASSERT(hold_ms(f, DEADLY, 3) > 0);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, 1), 0);
+	fixture_free(f);
+}
+
+/* A sound request that was at the runners by chance must not be held instead of
+ * the part that explains the crashes. */
+static void test_bystander_is_not_held(void)
+{
+	fixture_t *f = fixture_new();
+
+	for (int i = 0; i < 3; i++) {
+		const prompt_parts_t bystander = parts_of(f, OTHER, 50 + i);
+
+		crash(f, FIRST, DEADLY);
+		part_guard_lost(f->guard, f->runner, &bystander, i < 2);
+	}
+	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
+	CU_ASSERT_EQUAL(hold_ms(f, OTHER, 50), 0);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, 50), 0);
+	fixture_free(f);
+}
+
+/* A crash beside a sound request must not move the hold to the part that both
+ * share. */
+static void test_ordinary_crash_beside_part(void)
+{
+	fixture_t *f = fixture_new();
+
+	crash(f, FIRST, DEADLY);
+	crash(f, FIRST, OTHER);
+	crash(f, FIRST, DEADLY);
+	crash(f, FIRST, DEADLY);
+	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, 77), 0);
+	fixture_free(f);
+}
+
+/* Crashes between which requests with the part were answered must not hold it:
+ * they have another cause. */
+static void test_output_clears(void)
+{
+	fixture_t *f = fixture_new();
+
+	for (int i = 0; i < 10; i++) {
+		crash(f, FIRST, OTHER);
+		begin(f, FIRST, OTHER);
+	}
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	crash(f, FIRST, OTHER);
+	crash(f, FIRST, OTHER);
+	CU_ASSERT(hold_ms(f, FIRST, OTHER) > 0);
+	begin(f, FIRST, OTHER);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	fixture_free(f);
+}
+
+/* Runners that are lost at one moment, as with their domain, must not make the
+ * parts suspect that some of them were about to answer. */
+static void test_common_cause(void)
+{
+	fixture_t *f = fixture_new();
+
+	for (uint64_t i = 1; i <= 12; i++) {
+		const prompt_parts_t parts =
+			parts_of(f, i % 3 ? 1000 + i : FIRST, 2000 + i);
+
+		part_guard_lost(f->guard, i, i % 2 ? &parts : NULL, true);
+	}
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, 1), 0);
+	fixture_free(f);
+}
+
+/* Items of one job start at the same moment, so runners that a shared part
+ * crashes may end together; each must count. */
+static void test_crashes_at_one_moment(void)
+{
+	fixture_t *f = fixture_new();
+
+	for (uint64_t i = 1; i <= 3; i++) {
+		const prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
+
+		part_guard_lost(f->guard, i, &parts, true);
+	}
+	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
+	fixture_free(f);
+}
+
+/* A runner that goes on with earlier requests has not crashed; connections that
+ * were reset must not be held against a part. */
+static void test_survivors_do_not_count(void)
+{
+	fixture_t *f = fixture_new();
+	const int64_t before_us = part_guard_now_us(f->guard);
+
+	crash(f, FIRST, OTHER);
+	crash(f, FIRST, OTHER);
+	CU_ASSERT(hold_ms(f, FIRST, OTHER) > 0);
+	clock_manual_advance_ms(&f->clock, 60);
+	part_guard_output(f->guard, f->runner, before_us);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	fixture_free(f);
+}
+
+/* A request that crashes runners by its own content must be held without the
+ * parts that it shares. */
+static void test_single_request(void)
+{
+	fixture_t *f = fixture_new();
+	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
+
+	part_guard_lost(f->guard, 1, &parts, true);
+	clock_manual_advance_ms(&f->clock, 100);
+	part_guard_lost(f->guard, 2, &parts, true);
+	CU_ASSERT(part_guard_hold_ms(f->guard, &parts) > 0);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	fixture_free(f);
+}
+
+/* After a hold one request at a time must be sent, and another crash must hold
+ * the part for longer. */
+static void test_trial_after_hold(void)
+{
+	fixture_t *f = fixture_new();
+	const prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
+	int32_t first_ms;
+
+	for (int i = 0; i < 3; i++)
+		crash(f, FIRST, DEADLY);
+	first_ms = part_guard_hold_ms(f->guard, &parts);
+	clock_manual_advance_ms(&f->clock, first_ms);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	part_guard_sent(f->guard, &parts);
+	CU_ASSERT(part_guard_hold_ms(f->guard, &parts) > 0);
+	crash(f, FIRST, DEADLY);
+	CU_ASSERT(part_guard_hold_ms(f->guard, &parts) > 100000);
+	clock_manual_advance_ms(&f->clock, 150000);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	part_guard_sent(f->guard, &parts);
+	begin(f, FIRST, DEADLY);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	fixture_free(f);
+}
+
+/* Two parts that crash runners at the same time must both be found. */
+static void test_two_parts(void)
+{
+	fixture_t *f = fixture_new();
+
+	for (int i = 0; i < 3; i++) {
+		crash(f, FIRST, DEADLY);
+		crash(f, OTHER, DEADLY + 1);
+	}
+	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
+	CU_ASSERT(hold_ms(f, OTHER, DEADLY + 1) > 30000);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	CU_ASSERT_EQUAL(hold_ms(f, OTHER, FIRST), 0);
+	fixture_free(f);
+}
+
+/* Nodes that see one crash each must hold the part together, and a crash that
+ * two nodes report must count once. */
+static void test_news(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
+	part_news_t news;
+
+	part_guard_lost(f->guard, 1, &parts, true);
+	part_guard_lost(peer, 1, &parts, true);
+	while (part_guard_take_news(f->guard, &news))
+		part_guard_apply(peer, &news);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
+	for (uint64_t runner = 2; runner <= 3; runner++) {
+		clock_manual_advance_ms(&f->clock, 100);
+		parts = parts_of(f, FIRST, DEADLY);
+		part_guard_lost(f->guard, runner, &parts, true);
+	}
+	while (part_guard_take_news(f->guard, &news))
+		part_guard_apply(peer, &news);
+	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 30000);
+	part_guard_begun(peer, &parts);
+	while (part_guard_take_news(peer, &news))
+		part_guard_apply(f->guard, &news);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
+/* A node that starts or rejoins later must learn of a hold. */
+static void test_summary(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	part_news_t news;
+	prompt_parts_t parts;
+
+	for (int i = 0; i < 3; i++)
+		crash(f, FIRST, DEADLY);
+	parts = parts_of(f, FIRST, DEADLY);
+	CU_ASSERT(part_guard_summary(f->guard, &news));
+	news.crashes_count = 0;
+	part_guard_apply(peer, &news);
+	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 30000);
+	CU_ASSERT(part_guard_is_certain(peer, &parts));
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
+/* Random parts of lost requests must not grow the state without bound, and must
+ * age out. */
+static void test_state_is_bounded(void)
+{
+	fixture_t *f = fixture_new();
+	part_news_t news;
+
+	for (uint64_t i = 0; i < 1000; i++)
+		crash(f, 10000 + i, 20000 + i);
+	part_guard_tick(f->guard);
+	CU_ASSERT(part_guard_size(f->guard) <=
+		  CRASH_LOG_MAX * CRASH_SUSPECTS_MAX);
+	clock_manual_advance_ms(&f->clock, 31 * 60 * 1000);
+	part_guard_tick(f->guard);
+	CU_ASSERT_EQUAL(part_guard_size(f->guard), 0);
+	CU_ASSERT_FALSE(part_guard_summary(f->guard, &news));
+	for (int i = 0; i < 3; i++)
+		crash(f, FIRST, DEADLY);
+	clock_manual_advance_ms(&f->clock, 31 * 60 * 1000);
+	part_guard_tick(f->guard);
+	CU_ASSERT_EQUAL(part_guard_size(f->guard), 0);
+	fixture_free(f);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "part is held", test_part_is_held },
+		{ "first part is held", test_first_part_is_held },
+		{ "bystander is not held", test_bystander_is_not_held },
+		{ "ordinary crash beside part",
+		  test_ordinary_crash_beside_part },
+		{ "output clears", test_output_clears },
+		{ "common cause", test_common_cause },
+		{ "crashes at one moment", test_crashes_at_one_moment },
+		{ "survivors do not count", test_survivors_do_not_count },
+		{ "single request", test_single_request },
+		{ "trial after hold", test_trial_after_hold },
+		{ "two parts", test_two_parts },
+		{ "news", test_news },
+		{ "summary", test_summary },
+		{ "state is bounded", test_state_is_bounded },
+		{ NULL, NULL },
+	};
+
+	return unit_run("part_guard", tests);
+}
