Treat an empty stream that ends with its connection as lost

Callers: a runner that ends after the head of an answer with neither length nor chunks made an empty stream look complete, and its crash did not count. Cause: the end of the connection ends such an answer, and a stream without events counted as at a boundary. Class: an end that cannot be told from a failure taken for success. Change: without an event such an answer is a lost attempt. test_empty_answer_until_close failed before; whole answers until close and streams cut inside an event were right already, with tests now. Measured: test_gateway.py passes.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -291,12 +291,36 @@
 	       remaining_ms(execution) >= MIN_ATTEMPT_MS;
 }
 
+/* Reports that the runner ended the connection. */
+static void note_loss(const execution_t *execution)
+{
+	/* The head of a stream comes when the runner begins to process the
+	 * request, that of another response when it is done. */
+	bool running = execution->answered || !execution->stream;
+
+	part_guard_lost(execution->context->part_guard, execution->runner->key,
+			execution->begun ? NULL : &execution->parts, running);
+}
+
+/* Whether the end of the connection cannot be told from that of the runner, as
+ * no event has come. */
+static bool is_empty_until_close(const execution_t *execution)
+{
+	return is_live_stream(execution) && execution->answer.until_close &&
+	       execution->events.last_id == EVENT_READER_NONE;
+}
+
 static void on_complete(execution_t *execution)
 {
 	if (execution->answer.not_run || execution->answer.other_instance) {
 		attempt_failed(execution, ATTEMPT_REFUSED);
 		return;
 	}
+	if (is_empty_until_close(execution)) {
+		note_loss(execution);
+		attempt_failed(execution, ATTEMPT_BROKEN);
+		return;
+	}
 	if (!is_live_stream(execution))
 		note_output(execution);
 	if (is_live_stream(execution)) {
@@ -325,17 +349,6 @@
 	deliver_response(execution);
 }
 
-/* Reports that the runner ended the connection. */
-static void note_loss(const execution_t *execution)
-{
-	/* The head of a stream comes when the runner begins to process the
-	 * request, that of another response when it is done. */
-	bool running = execution->answered || !execution->stream;
-
-	part_guard_lost(execution->context->part_guard, execution->runner->key,
-			execution->begun ? NULL : &execution->parts, running);
-}
-
 static void on_done(runner_outcome_t outcome, void *user_data)
 {
 	execution_t *execution = user_data;
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -197,7 +197,8 @@
         self.end_headers()
 
     def chunk(self, text):
-        self.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+        framed = b"%x\r\n%s\r\n" % (len(text), text)
+        self.wfile.write(text if self.owner.until_close else framed)
         self.wfile.flush()
 
     def do_POST(self):
@@ -220,7 +221,7 @@
                           ("Response-Stamp", f"stamp-{runner.id}"),
                           ("Content-Type", "text/event-stream"),
                           ("Server-Load", "1,0,8,100"),
-                          ("Transfer-Encoding", "chunked"))
+                          *runner.framing())
         time.sleep(runner.prompt_s)
         if runner.crashes_on(self.headers.get("Prompt-Prefix", "")):
             runner.crash()
@@ -232,7 +233,11 @@
                 return
             time.sleep(runner.gap_s)
             self.chunk(b"id: %d\ndata: e%d\n\n" % (number, number))
-        self.wfile.write(b"0\r\n\r\n")
+        if runner.until_close:
+            self.wfile.write(runner.cut_event)
+            self.close_connection = True
+        else:
+            self.wfile.write(b"0\r\n\r\n")
 
 
 def reset(connection):
@@ -259,6 +264,10 @@
         self.down_s = 1.5  # time until the process is back
         self.is_down = False
         self.prompt_s = 0.0  # time to read a prompt
+        # Answers have neither length nor chunks and end with their connection,
+        # after these bytes of a further event.
+        self.until_close = False
+        self.cut_event = b""
         self.connections = set()
         self.connections_lock = threading.Lock()
         self.store = store
@@ -273,6 +282,10 @@
         self.address = f"127.0.0.1:{port or self.port}"
         self.register("ready")
 
+    def framing(self):
+        return [("Connection", "close")] if self.until_close else [
+            ("Transfer-Encoding", "chunked")]
+
     def crashes_on(self, prefix):
         return self.crash_part in [p.split(":")[0] for p in prefix.split(",")]
 
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -76,6 +76,37 @@
             400)
         self.assertEqual(len(self.attempts()), 1)
 
+    def until_close(self, events=4, cut_event=b""):
+        for runner in self.runners:
+            runner.until_close = True
+            runner.events = events
+            runner.cut_event = cut_event
+
+    def test_answer_until_close(self):
+        """A stream with neither length nor chunks must be delivered whole."""
+        self.until_close()
+        answer = self.call("POST", "/once/a")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"data: e"), 4)
+
+    def test_stream_cut_in_event(self):
+        """A stream that ends with its connection inside an event must not look
+        complete; one that may be resumed goes on at another runner."""
+        self.until_close(cut_event=b"id: 5\nda")
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call("POST", "/once/a")
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call("POST", "/again/a")
+        self.assertEqual(sorted(after for _, after in self.attempts("q2")),
+                         [0, 4])
+
+    def test_empty_answer_until_close(self):
+        """A runner that ends after the head of an answer without length must
+        not make an empty stream look complete."""
+        self.until_close(events=0)
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call("POST", "/once/a")
+
     def test_refusals(self):
         """A request that all runners refuse must be reported as not run; it
         must succeed when a runner accepts it."""
