Log the limits that runners name and what they get

Cause: the log had neither limits nor what each node sends to a limited runner, so the hypotheses could not be told apart. Change: the limit of a response is decoded (and not passed on to callers), runner_limit tells each change of it as a node learns of it, runner_limit_use every 4 s what the node has sent and how many of these were repeats. Nothing is decided by it yet.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -56,6 +56,7 @@
 	bool resumable;
 	bool batch;
 	bool require_healthy;
+	bool resumes; /* after events of an earlier execution */
 	bool stream_started; /* the sink's start callback was called */
 	bool answered; /* the current attempt has an answer */
 	bool counted_unanswered; /* the current attempt was reported as lost */
@@ -158,6 +159,7 @@
 	if (answer->slowness_percent)
 		fleet_report_slowness(fleet, execution->runner,
 				      answer->slowness_percent);
+	fleet_report_rate(fleet, execution->runner, &answer->rate);
 	if (answer->draining || answer->other_instance)
 		fleet_set_draining(fleet, execution->runner);
 	if (is_live_stream(execution) && !execution->stream_started) {
@@ -373,6 +375,7 @@
 		.tried_count = execution->attempts,
 		.batch = execution->batch,
 		.require_healthy = execution->require_healthy,
+		.repeated = execution->resumes,
 		.preferred = execution->preferred_runner,
 	};
 	size_t len;
@@ -476,6 +479,7 @@
 	execution->resumable = options->resumable;
 	execution->batch = options->batch;
 	execution->require_healthy = options->require_healthy;
+	execution->resumes = options->resume_after != EVENT_READER_NONE;
 	event_reader_init(&execution->events, options->resume_after);
 	execution_parts(context, execution->id, execution->headers,
 			&execution->parts);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -476,6 +476,9 @@
 	runner->refs++;
 	domain_contact_probed(&runner->domain_state->contact,
 			      clock_now_us(fleet->clock));
+	runner->limit.sent++;
+	if (pick->tried_count > 0 || pick->repeated)
+		runner->limit.repeats++;
 	if (pick->batch)
 		runner->own.batch++;
 	else
@@ -627,6 +630,30 @@
 	runner->slowness_from_runner = true;
 }
 
+void fleet_report_rate(fleet_t *fleet, fleet_runner_t *runner,
+		       const runner_rate_t *rate)
+{
+	if (!runner_limit_told(&runner->limit, rate,
+			       clock_now_us(fleet->clock)))
+		return;
+	log_info("runner_limit", "runner=%s named=%d per_1000_s=%u", runner->id,
+		 rate->named, rate->per_1000_s);
+}
+
+void fleet_log_limits(fleet_t *fleet)
+{
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (runner->limit.rate.named)
+			log_info("runner_limit_use",
+				 "runner=%s per_1000_s=%u sent_total=%u "
+				 "repeats_total=%u",
+				 runner->id, runner->limit.rate.per_1000_s,
+				 runner->limit.sent, runner->limit.repeats);
+	}
+}
+
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner)
 {
 	return (fleet_load_t){
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "gateway/domain_contact.h"
 #include "gateway/failure_record.h"
+#include "gateway/runner_limit.h"
 
 /*
  * fleet - state of each runner as this node knows it, and runner selection.
@@ -55,6 +56,7 @@
 	uint32_t slowness_percent; /* of normal processing time; 100: normal */
 	int64_t slowness_us; /* time of that report; 0: none */
 	bool slowness_from_runner; /* reported to this node, not by a peer */
+	runner_limit_t limit;
 	int64_t ejected_until_us;
 	uint32_t failures; /* consecutive */
 	fleet_domain_t *domain_state; /* its domain, owned by the fleet */
@@ -88,6 +90,7 @@
 	const char *domain; /* only runners there; NULL: any */
 	bool batch;
 	bool require_healthy; /* no runner that loses most of its requests */
+	bool repeated; /* an earlier execution was sent to a runner */
 	uint64_t preferred; /* key of the runner to take if it has a free slot;
 			       0: none */
 } fleet_pick_options_t;
@@ -150,6 +153,11 @@
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner);
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
 			   uint32_t percent);
+/* A response of the runner had this rate, which may be no limit. */
+void fleet_report_rate(fleet_t *fleet, fleet_runner_t *runner,
+		       const runner_rate_t *rate);
+/* Logs what this node sends to runners with a limit. */
+void fleet_log_limits(fleet_t *fleet);
 
 /* Load of a runner over all nodes, as far as this node knows. */
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -26,6 +26,8 @@
 /* Size of the result segments kept in memory; others are read from the store
  * again. */
 #define SEGMENT_CACHE_BYTES (8 * 1024 * 1024)
+/* Between lines about what runners with a limit get. */
+#define LIMIT_LOG_INTERVAL_MS 4000
 
 static void apply_config(gateway_t *gateway, const object_entry_t *entry)
 {
@@ -178,12 +180,23 @@
 	evtimer_add(gateway->tick, &pause);
 }
 
+static void log_limits(gateway_t *gateway)
+{
+	int64_t now_us = clock_now_us(gateway->clock);
+
+	if (now_us - gateway->limits_logged_us < LIMIT_LOG_INTERVAL_MS * 1000)
+		return;
+	gateway->limits_logged_us = now_us;
+	fleet_log_limits(gateway->fleet);
+}
+
 static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	gateway_t *gateway = arg;
 
 	schedule_tick(gateway);
 	fleet_remove_expired(gateway->fleet);
+	log_limits(gateway);
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
 	part_guard_tick(gateway->part_guard);
--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -33,6 +33,7 @@
 	bool draining; /* draining: the runner closes its connections */
 	bool until_close; /* the body ends with the connection */
 	uint32_t slowness_percent; /* 0: not reported */
+	runner_rate_t rate; /* that it takes from all nodes together */
 	GPtrArray *headers; /* name, value, ... to forward to the caller */
 } runner_answer_t;
 
