--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -206,6 +206,7 @@
         self.body()
         after = int(self.headers.get("Last-Event-Id", 0))
         runner.seen.append((self.headers["Request-Id"], after))
+        runner.seen_at.append(time.monotonic())
         if self.headers.get("Expect-Instance") != runner.id:
             self.start_answer(421, ("Content-Length", "0"))
             return
@@ -221,7 +222,7 @@
                           ("Response-Stamp", f"stamp-{runner.id}"),
                           ("Content-Type", "text/event-stream"),
                           ("Server-Load", "1,0,8,100"),
-                          *runner.framing())
+                          *runner.limit_header(), *runner.framing())
         time.sleep(runner.prompt_s)
         if runner.crashes_on(self.headers.get("Prompt-Prefix", "")):
             runner.crash()
@@ -277,11 +278,17 @@
         self.status = 200
         self.cut_at = 0
         self.seen = []  # (request id, last event id)
+        self.seen_at = []  # times of the same, monotonic
+        self.limit = None  # requests per second that it names in answers
         self.ran = []  # ids of requests that were neither refused nor failed
         super().__init__(RunnerHandler)
         self.address = f"127.0.0.1:{port or self.port}"
         self.register("ready")
 
+    def limit_header(self):
+        return [] if self.limit is None else [
+            ("Server-Limit", str(self.limit))]
+
     def framing(self):
         return [("Connection", "close")] if self.until_close else [
             ("Transfer-Encoding", "chunked")]
