Keep the limits that runners name, over all nodes together

Callers did not see it.

Cause: nodes did not read the limit, and each sees only its own requests. Class: a limit of a whole that is kept by each part alone.

Change: runner_limit is a token bucket of which each node keeps a copy. It takes a token for each request that the node sends and for each that another node reports to have sent; load reports, which leave 1 ms after a change, carry the counts, the limit and the age of the response that named it, so that an older one changes nothing. First attempts, retries, resumptions and batch items all take tokens; a runner without one gets nothing. A node that hears no other keeps to an equal share. While other runners have no limit, batch items prefer the limited ones, as a limit counts requests and items are long, and online requests the others; if all have one, items leave a token. What no runner may take is refused at once, with the time until the next token.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -28,6 +28,12 @@
 /* Weight of a runner in another domain that has a free slot, against that of a
  * local one. */
 #define REMOTE_WEIGHT 0.5
+/* Weight of a runner with a limit, against that of others with a free slot. A
+ * limit counts requests, so it does most for long ones, which batch items are;
+ * online requests take what the other runners have no slots for. */
+#define LIMITED_WEIGHT 0.02
+/* The same as a preference of batch items, in slots. */
+#define LIMITED_BATCH_GAIN 100.0
 /* Maximum of the random part of the cost, which keeps the nodes from all
  * selecting the same runner. */
 #define RANDOM_COST_MAX 2.0
@@ -42,6 +48,7 @@
 	fleet_domain_t *local_domain; /* state of this node's domain */
 	void (*load_changed)(void *user_data);
 	void *user_data;
+	double limit_share;
 	bool remote_load_stale;
 };
 
@@ -83,6 +90,7 @@
 	fleet_t *fleet = g_new0(fleet_t, 1);
 
 	fleet->clock = options->clock;
+	fleet->limit_share = 1;
 	fleet->random = options->random;
 	fleet->domain = g_strdup(options->domain);
 	fleet->load_changed = options->load_changed;
@@ -238,6 +246,28 @@
 	return !runner->draining && strcmp(runner->service, service) == 0;
 }
 
+/* Number of requests that the runner's limit permits now. */
+static uint32_t limit_room(const fleet_t *fleet, const fleet_runner_t *runner,
+			   uint32_t reserve)
+{
+	return runner_limit_room(&runner->limit, reserve, fleet->limit_share,
+				 clock_now_us(fleet->clock));
+}
+
+/* Requests that batch work leaves to online requests at each runner with a
+ * limit: none as long as there are runners without. */
+static uint32_t limit_reserve(const fleet_t *fleet, const char *service)
+{
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (is_usable(runner, service) && !runner->limit.rate.named &&
+		    !is_ejected(fleet, runner))
+			return 0;
+	}
+	return 1;
+}
+
 static bool is_remote(const fleet_t *fleet, const fleet_runner_t *runner)
 {
 	return g_strcmp0(runner->domain, fleet->domain) != 0;
@@ -257,6 +287,12 @@
 	return false;
 }
 
+/* Preference of batch items for a runner. */
+static double limited_gain(const fleet_runner_t *runner)
+{
+	return runner->limit.rate.named ? LIMITED_BATCH_GAIN : 0;
+}
+
 /*
  * Cost of one more request at a runner, in slots: the requests ahead of it,
  * more if it would have to queue, scaled by the runner's slowness. For an
@@ -273,16 +309,29 @@
 	if (load >= slots && !pick->batch)
 		cost += slots + 2 * MAX(online - slots + 1, 0);
 	cost = (cost + 2) * slowness_of(fleet, runner);
+	if (pick->batch)
+		cost -= limited_gain(runner);
 	if (is_remote(fleet, runner))
 		cost += fleet->remote_load_stale ? STALE_REMOTE_COST :
 						   REMOTE_COST;
 	return cost + g_rand_double(fleet->random) * RANDOM_COST_MAX;
 }
 
+/* Number of batch items that a runner can take now. */
+static uint32_t batch_room(const fleet_t *fleet, const fleet_runner_t *runner,
+			   uint32_t reserve)
+{
+	uint32_t load = load_of(runner);
+	uint32_t room = limit_room(fleet, runner, reserve);
+
+	return load < runner->slots ? MIN(runner->slots - load, room) : 0;
+}
+
 /* Sums up the load of each domain's healthy runners. */
 static void sum_domains(fleet_t *fleet, const char *service)
 {
 	int64_t now_us = clock_now_us(fleet->clock);
+	uint32_t reserve = limit_reserve(fleet, service);
 	GHashTableIter iter;
 	void *value;
 
@@ -306,8 +355,7 @@
 			domain->online += online_of(runner);
 		}
 		domain->total_slots += runner->slots;
-		if (load_of(runner) < runner->slots)
-			domain->free_slots += runner->slots - load_of(runner);
+		domain->free_slots += batch_room(fleet, runner, reserve);
 	}
 }
 
@@ -344,6 +392,8 @@
 	if (!has_free_slot(runner))
 		return 0;
 	weight = (runner->slots - load_of(runner)) / (slowness * slowness);
+	if (runner->limit.rate.named)
+		weight *= LIMITED_WEIGHT;
 	return is_remote(fleet, runner) ? weight * REMOTE_WEIGHT : weight;
 }
 
@@ -372,6 +422,8 @@
 	 * a runner that has failed the request. */
 	bool prefer_local = fleet->remote_load_stale && !pick->batch &&
 			    pick->tried_count == 0;
+	uint32_t reserve =
+		pick->batch ? limit_reserve(fleet, pick->service) : 0;
 	int64_t now_us = clock_now_us(fleet->clock);
 	fleet_runner_t *best = NULL;
 	double best_cost = 0;
@@ -403,6 +455,8 @@
 			continue;
 		if (pick->batch && !has_free_slot(runner))
 			continue;
+		if (limit_room(fleet, runner, reserve) == 0)
+			continue;
 		if (prefer_local && is_remote(fleet, runner) &&
 		    !may_leave_domain(fleet, runner))
 			continue;
@@ -430,10 +484,13 @@
 {
 	fleet_runner_t *runner =
 		pick->preferred ? fleet_find(fleet, pick->preferred) : NULL;
+	uint32_t reserve =
+		pick->batch ? limit_reserve(fleet, pick->service) : 0;
 
 	if (!runner || !is_usable(runner, pick->service) ||
 	    is_ejected(fleet, runner) || !has_free_slot(runner) ||
 	    has_failed_attempt(pick, runner) ||
+	    limit_room(fleet, runner, reserve) == 0 ||
 	    (pick->require_healthy &&
 	     is_failing(runner, clock_now_us(fleet->clock))))
 		return NULL;
@@ -465,6 +522,16 @@
 	return runner;
 }
 
+static void note_sent(fleet_t *fleet, fleet_runner_t *runner, bool repeated)
+{
+	runner_limit_t *limit = &runner->limit;
+
+	limit->sent++;
+	limit->repeats += repeated;
+	limit->sent_us = clock_now_us(fleet->clock);
+	runner_limit_sent(limit, 1, fleet->limit_share, limit->sent_us);
+}
+
 fleet_runner_t *fleet_acquire(fleet_t *fleet, const fleet_pick_options_t *pick)
 {
 	fleet_runner_t *runner = preferred_runner(fleet, pick);
@@ -476,9 +543,7 @@
 	runner->refs++;
 	domain_contact_probed(&runner->domain_state->contact,
 			      clock_now_us(fleet->clock));
-	runner->limit.sent++;
-	if (pick->tried_count > 0 || pick->repeated)
-		runner->limit.repeats++;
+	note_sent(fleet, runner, pick->tried_count > 0 || pick->repeated);
 	if (pick->batch)
 		runner->own.batch++;
 	else
@@ -532,20 +597,24 @@
 			       GArray *keys)
 {
 	bool local_only = keeps_batch_local(fleet, service);
+	uint32_t reserve = limit_reserve(fleet, service);
 	GArray *slots = g_array_new(FALSE, FALSE, sizeof(free_slot_t));
 	uint32_t total_slots = 0;
 
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
 		double slowness = slowness_of(fleet, runner);
+		uint32_t room;
 
 		if (!is_usable(runner, service) || is_ejected(fleet, runner) ||
 		    (local_only && is_remote(fleet, runner)))
 			continue;
 		total_slots += runner->slots;
-		for (uint32_t load = load_of(runner); load < runner->slots;
-		     load++) {
-			const free_slot_t slot = { (load + 1) * slowness,
+		room = batch_room(fleet, runner, reserve);
+		for (uint32_t load = load_of(runner); room > 0;
+		     load++, room--) {
+			const free_slot_t slot = { (load + 1) * slowness -
+							   limited_gain(runner),
 						   runner->key };
 
 			g_array_append_val(slots, slot);
@@ -630,14 +699,58 @@
 	runner->slowness_from_runner = true;
 }
 
+void fleet_apply_rate(fleet_t *fleet, fleet_runner_t *runner,
+		      const runner_rate_t *rate, int64_t told_us)
+{
+	int64_t now_us = clock_now_us(fleet->clock);
+
+	if (!runner_limit_told(&runner->limit, rate, told_us, now_us))
+		return;
+	log_info("runner_limit",
+		 "runner=%s named=%d per_1000_s=%u age_ms=%" G_GINT64_FORMAT,
+		 runner->id, rate->named, rate->per_1000_s,
+		 (now_us - told_us) / 1000);
+}
+
 void fleet_report_rate(fleet_t *fleet, fleet_runner_t *runner,
 		       const runner_rate_t *rate)
 {
-	if (!runner_limit_told(&runner->limit, rate,
-			       clock_now_us(fleet->clock)))
-		return;
-	log_info("runner_limit", "runner=%s named=%d per_1000_s=%u", runner->id,
-		 rate->named, rate->per_1000_s);
+	int64_t now_us = clock_now_us(fleet->clock);
+
+	if (rate->named)
+		runner->limit.heard_us = now_us;
+	fleet_apply_rate(fleet, runner, rate, now_us);
+}
+
+void fleet_apply_sent(fleet_t *fleet, fleet_runner_t *runner, uint32_t requests)
+{
+	runner_limit_sent(&runner->limit, requests, fleet->limit_share,
+			  clock_now_us(fleet->clock));
+}
+
+void fleet_set_limit_share(fleet_t *fleet, double share)
+{
+	if (share != fleet->limit_share)
+		log_info("limit_share", "share=%.3f", share);
+	fleet->limit_share = share;
+}
+
+int32_t fleet_limit_wait_ms(const fleet_t *fleet, const char *service)
+{
+	int64_t now_us = clock_now_us(fleet->clock);
+	int32_t shortest_ms = INT32_MAX;
+
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (!is_usable(runner, service) || is_ejected(fleet, runner))
+			continue;
+		shortest_ms =
+			MIN(shortest_ms,
+			    runner_limit_wait_ms(&runner->limit,
+						 fleet->limit_share, now_us));
+	}
+	return shortest_ms == INT32_MAX ? 0 : shortest_ms;
 }
 
 void fleet_log_limits(fleet_t *fleet)
@@ -648,9 +761,12 @@
 		if (runner->limit.rate.named)
 			log_info("runner_limit_use",
 				 "runner=%s per_1000_s=%u sent_total=%u "
-				 "repeats_total=%u",
+				 "repeats_total=%u tokens=%d",
 				 runner->id, runner->limit.rate.per_1000_s,
-				 runner->limit.sent, runner->limit.repeats);
+				 runner->limit.sent, runner->limit.repeats,
+				 runner_limit_tokens_percent(
+					 &runner->limit, fleet->limit_share,
+					 clock_now_us(fleet->clock)));
 	}
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -158,6 +158,18 @@
 		       const runner_rate_t *rate);
 /* Logs what this node sends to runners with a limit. */
 void fleet_log_limits(fleet_t *fleet);
+/* The same as another node has reported it, at the given time. */
+void fleet_apply_rate(fleet_t *fleet, fleet_runner_t *runner,
+		      const runner_rate_t *rate, int64_t told_us);
+/* Another node has sent requests to a runner with a limit. */
+void fleet_apply_sent(fleet_t *fleet, fleet_runner_t *runner,
+		      uint32_t requests);
+/* Sets the part of a runner's limit that this node may use: 1 while it hears of
+ * what the other nodes send. */
+void fleet_set_limit_share(fleet_t *fleet, double share);
+/* Milliseconds until a runner of the service with a limit takes a request; 0
+ * when one does now or none has a limit. */
+int32_t fleet_limit_wait_ms(const fleet_t *fleet, const char *service);
 
 /* Load of a runner over all nodes, as far as this node knows. */
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner);
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -14,6 +14,10 @@
 #define SLOWNESS_MAX_AGE_MS 400
 /* Fewer failures are left out, to keep reports small. */
 #define FAILURES_MIN_PERCENT 10
+/* Requests to a limited runner that the first report of a node counts for. It
+ * tells all that the node has sent, most of it long ago if this node is the one
+ * that has just started. */
+#define FIRST_SENT_MAX 2
 
 typedef struct peer {
 	char *node;
@@ -25,6 +29,7 @@
 	bool reaches_store;
 	GArray *entries; /* load_entry */
 	GArray *failures; /* load_failure */
+	GHashTable *sent; /* runner key -> requests sent, as last reported */
 } peer_t;
 
 /* Sums over all peers for one runner. */
@@ -50,6 +55,7 @@
 
 	g_array_free(peer->entries, TRUE);
 	g_array_free(peer->failures, TRUE);
+	g_hash_table_destroy(peer->sent);
 	g_free(peer->node);
 	g_free(peer->domain);
 	g_free(peer);
@@ -85,6 +91,8 @@
 typedef struct report {
 	load_entry entries[LOAD_ENTRIES_MAX];
 	load_failure failures[LOAD_ENTRIES_MAX];
+	load_limit limits[LOAD_LIMITS_MAX];
+	u_int limits_count;
 	u_int count;
 	u_int failures_count;
 	int64_t now_us;
@@ -104,6 +112,22 @@
 	report->failures_count++;
 }
 
+static void add_limit(const fleet_runner_t *runner, report_t *report)
+{
+	const runner_limit_t *limit = &runner->limit;
+
+	if (report->limits_count == LOAD_LIMITS_MAX ||
+	    !runner_limit_is_news(limit, report->now_us))
+		return;
+	report->limits[report->limits_count++] = (load_limit){
+		.runner = runner->key,
+		.named = limit->rate.named,
+		.per_1000_s = limit->rate.per_1000_s,
+		.age_ms = (u_int)((report->now_us - limit->told_us) / 1000),
+		.sent = limit->sent,
+	};
+}
+
 static void add_runner(fleet_runner_t *runner, void *user_data)
 {
 	report_t *report = user_data;
@@ -114,6 +138,7 @@
 	load_entry *entry = &report->entries[report->count];
 
 	add_failures(runner, report);
+	add_limit(runner, report);
 	if (report->count == LOAD_ENTRIES_MAX ||
 	    (!runner->own.online && !runner->own.batch && !has_slowness))
 		return;
@@ -145,6 +170,8 @@
 	report.entries.entries_val = collected.entries;
 	report.failures.failures_len = collected.failures_count;
 	report.failures.failures_val = collected.failures;
+	report.limits.limits_len = collected.limits_count;
+	report.limits.limits_val = collected.limits;
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
 	if (xdr_load_report(&xdrs, &report))
 		len = xdr_getpos(&xdrs);
@@ -219,6 +246,42 @@
 	}
 }
 
+/* Requests that a peer has sent since its last report, by its count. */
+static uint32_t newly_sent(peer_t *peer, const load_limit *entry)
+{
+	void *known;
+	bool seen = g_hash_table_lookup_extended(peer->sent, &entry->runner,
+						 NULL, &known);
+	uint32_t before = seen ? GPOINTER_TO_UINT(known) : 0;
+
+	g_hash_table_insert(peer->sent,
+			    g_memdup2(&entry->runner, sizeof(entry->runner)),
+			    GUINT_TO_POINTER(entry->sent));
+	/* A count that is smaller has begun again with another limit. */
+	if (seen)
+		return entry->sent >= before ? entry->sent - before :
+					       entry->sent;
+	return MIN(entry->sent, FIRST_SENT_MAX);
+}
+
+static void apply_limits(load_view_t *view, peer_t *peer,
+			 const load_report *report)
+{
+	int64_t now_us = clock_now_us(view->clock);
+
+	for (u_int i = 0; i < report->limits.limits_len; i++) {
+		const load_limit *entry = &report->limits.limits_val[i];
+		const runner_rate_t rate = { entry->named, entry->per_1000_s };
+		fleet_runner_t *runner = fleet_find(view->fleet, entry->runner);
+
+		if (!runner)
+			continue;
+		fleet_apply_rate(view->fleet, runner, &rate,
+				 now_us - entry->age_ms * 1000LL);
+		fleet_apply_sent(view->fleet, runner, newly_sent(peer, entry));
+	}
+}
+
 static peer_t *find_peer(load_view_t *view, const char *node)
 {
 	peer_t *peer = g_hash_table_lookup(view->peers, node);
@@ -229,6 +292,8 @@
 	peer->node = g_strdup(node);
 	peer->entries = g_array_new(FALSE, FALSE, sizeof(load_entry));
 	peer->failures = g_array_new(FALSE, FALSE, sizeof(load_failure));
+	peer->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
 	g_hash_table_insert(view->peers, peer->node, peer);
 	log_info("peer_heard", "peer=%s peers=%u", node,
 		 g_hash_table_size(view->peers));
@@ -266,6 +331,9 @@
 				    report.failures.failures_len);
 		add_load(view, peer, true);
 		apply_slowness(view, peer->entries);
+		if (report.incarnation != peer->incarnation)
+			g_hash_table_remove_all(peer->sent);
+		apply_limits(view, peer, &report);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
 		g_free(peer->domain);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -24,7 +24,7 @@
 #define REPORT_BATCH_DELAY_MS 1
 /* Reports are repeated, since datagrams may be lost. */
 #define REPORT_INTERVAL_MS 400
-#define DATAGRAM_MAX_BYTES 3072
+#define DATAGRAM_MAX_BYTES 4096
 /* In a system of up to this many nodes, each gets every report. The traffic
  * between domains grows with the square of the number of nodes. */
 #define SMALL_SYSTEM_MAX_NODES 16
@@ -493,9 +493,20 @@
 	return load_view_peers(load->view);
 }
 
+/* A node that hears no other keeps to an equal share of the runners' limits. */
+static void update_limit_share(const peer_load_t *load)
+{
+	uint32_t others = g_hash_table_size(load->addresses);
+	bool alone = others > 0 && load_view_peers(load->view) == 0;
+
+	fleet_set_limit_share(load->options.fleet,
+			      alone ? 1.0 / (others + 1) : 1.0);
+}
+
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
+	update_limit_share(load);
 	if (clock_now_us(load->options.clock) - load->parts_summary_us >=
 	    PART_SUMMARY_INTERVAL_MS * 1000)
 		send_parts_summary(load);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -263,18 +263,26 @@
 
 static void refuse(relay_t *relay, const path_route_t *route,
 		   http_exchange_t *exchange, const relay_request_t *request,
-		   const admission_input_t *input)
+		   const char *service, const admission_input_t *input)
 {
-	int32_t retry_after_ms = admission_retry_after_ms(
-		relay->random, input->objective_ms, input->deadline_ms);
+	int32_t limit_wait_ms =
+		service ?
+			fleet_limit_wait_ms(relay->executions->fleet, service) :
+			0;
+	int32_t retry_after_ms =
+		MAX(limit_wait_ms,
+		    admission_retry_after_ms(relay->random, input->objective_ms,
+					     input->deadline_ms));
 
 	(*relay->refused_total)++;
 	log_info("request_refused",
 		 "request=%s route=%s wait_ms=%d objective_ms=%d "
-		 "deadline_ms=%d returning=%d runners=%u retry_after_ms=%d",
+		 "deadline_ms=%d returning=%d runners=%u limit_wait_ms=%d "
+		 "retry_after_ms=%d",
 		 request->id, route->name, input->wait_ms, input->objective_ms,
 		 input->deadline_ms, input->is_retry,
-		 fleet_size(relay->executions->fleet), retry_after_ms);
+		 fleet_size(relay->executions->fleet), limit_wait_ms,
+		 retry_after_ms);
 	relay_refuse(exchange, retry_after_ms);
 }
 
@@ -338,7 +346,7 @@
 	if (refuse_held(relay, route, exchange, request, &parts))
 		return;
 	if (!admission_accepts(&input)) {
-		refuse(relay, route, exchange, request, &input);
+		refuse(relay, route, exchange, request, service, &input);
 		return;
 	}
 	relayed = g_new0(relayed_t, 1);
@@ -359,7 +367,7 @@
 	relayed->execution = execution_start(relay->executions, &options);
 	if (!relayed->execution) {
 		relayed_free(relayed);
-		refuse(relay, route, exchange, request, &input);
+		refuse(relay, route, exchange, request, service, &input);
 		return;
 	}
 	relayed->load = fleet_runner_load(execution_runner(relayed->execution));
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -1,6 +1,7 @@
 /* Load datagrams between nodes (docs/platform.md). */
 const LOAD_NAME_MAX = 64;
 const LOAD_ENTRIES_MAX = 64;
+const LOAD_LIMITS_MAX = 32;
 const LOAD_URGENCIES = 9;
 
 /* Requests that the sender has at one runner. */
@@ -18,6 +19,16 @@
 	unsigned int percent;
 };
 
+/* What a runner asks for, and how many requests the sender has sent to it since
+ * it knows of the limit. */
+struct load_limit {
+	unsigned hyper runner;
+	bool named;
+	unsigned int per_1000_s;
+	unsigned int age_ms;
+	unsigned int sent;
+};
+
 struct load_report {
 	string node<LOAD_NAME_MAX>;
 	string domain<LOAD_NAME_MAX>;
@@ -28,4 +39,5 @@
 	bool reaches_store;
 	load_entry entries<LOAD_ENTRIES_MAX>;
 	load_failure failures<LOAD_ENTRIES_MAX>;
+	load_limit limits<LOAD_LIMITS_MAX>;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -78,6 +78,67 @@
 	return TRUE;
 }
 
+bool_t
+xdr_load_limit (XDR *xdrs, load_limit *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->runner))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->named))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->named);
+			IXDR_PUT_U_LONG(buf, objp->per_1000_s);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_U_LONG(buf, objp->sent);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->runner))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->named))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+		} else {
+			objp->named = IXDR_GET_BOOL(buf);
+			objp->per_1000_s = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->sent = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->named))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->per_1000_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_load_report (XDR *xdrs, load_report *objp)
 {
@@ -119,6 +180,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LOAD_ENTRIES_MAX,
 			sizeof (load_failure), (xdrproc_t) xdr_load_failure))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, LOAD_LIMITS_MAX,
+			sizeof (load_limit), (xdrproc_t) xdr_load_limit))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
@@ -154,6 +218,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LOAD_ENTRIES_MAX,
 			sizeof (load_failure), (xdrproc_t) xdr_load_failure))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, LOAD_LIMITS_MAX,
+			sizeof (load_limit), (xdrproc_t) xdr_load_limit))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -176,5 +243,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LOAD_ENTRIES_MAX,
 		sizeof (load_failure), (xdrproc_t) xdr_load_failure))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, LOAD_LIMITS_MAX,
+		sizeof (load_limit), (xdrproc_t) xdr_load_limit))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -15,6 +15,7 @@
 
 #define LOAD_NAME_MAX 64
 #define LOAD_ENTRIES_MAX 64
+#define LOAD_LIMITS_MAX 32
 #define LOAD_URGENCIES 9
 
 struct load_entry {
@@ -32,6 +33,15 @@
 };
 typedef struct load_failure load_failure;
 
+struct load_limit {
+	u_quad_t runner;
+	bool_t named;
+	u_int per_1000_s;
+	u_int age_ms;
+	u_int sent;
+};
+typedef struct load_limit load_limit;
+
 struct load_report {
 	char *node;
 	char *domain;
@@ -47,6 +57,10 @@
 		u_int failures_len;
 		load_failure *failures_val;
 	} failures;
+	struct {
+		u_int limits_len;
+		load_limit *limits_val;
+	} limits;
 };
 typedef struct load_report load_report;
 
@@ -55,11 +69,13 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_load_entry (XDR *, load_entry*);
 extern  bool_t xdr_load_failure (XDR *, load_failure*);
+extern  bool_t xdr_load_limit (XDR *, load_limit*);
 extern  bool_t xdr_load_report (XDR *, load_report*);
 
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
 extern bool_t xdr_load_failure ();
+extern bool_t xdr_load_limit ();
 extern bool_t xdr_load_report ();
 
 #endif /* K&R C */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -545,6 +545,65 @@
 	check_steps(3);
 }
 
+static void name_limit(fleet_t *fleet, const char *id, uint32_t per_1000_s)
+{
+	const runner_rate_t rate = { true, per_1000_s };
+
+	fleet_report_rate(fleet, fleet_find(fleet, fleet_key(id)), &rate);
+}
+
+/* While some runners name a limit, long work must go to them and online requests
+ * to the others: a limit counts requests, whatever they take. */
+static void test_limited_runners_get_batch(void)
+{
+	GRand *random = g_rand_new_with_seed(3);
+	fleet_t *fleet;
+	int limited = 0;
+
+	clock_manual_init(&manual, 0);
+	clock_manual_advance_ms(&manual, 1000);
+	fleet = fleet_of(random, "d");
+	add(fleet, "a", 8, 1, false);
+	add(fleet, "b", 8, 1, false);
+	name_limit(fleet, "a", 3000);
+	clock_manual_advance_ms(&manual, 5000);
+	for (int i = 0; i < 6; i++)
+		limited += strcmp(acquire(fleet, false)->id, "a") == 0;
+	CU_ASSERT(limited <= 1);
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT_STRING_EQUAL(acquire(fleet, true)->id, "a");
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
+/* When all runners name limits, batch items must be the first to wait, and a
+ * request that no runner may take must be told at once. */
+static void test_all_runners_limited(void)
+{
+	GRand *random = g_rand_new_with_seed(3);
+	fleet_t *fleet;
+
+	clock_manual_init(&manual, 0);
+	clock_manual_advance_ms(&manual, 1000);
+	fleet = fleet_of(random, "d");
+	add(fleet, "a", 8, 1, false);
+	name_limit(fleet, "a", 1000);
+	CU_ASSERT_PTR_NULL(acquire(fleet, true));
+	CU_ASSERT_EQUAL(free_slots(fleet), 0);
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s"), 0);
+	CU_ASSERT_PTR_NOT_NULL(acquire(fleet, false));
+	CU_ASSERT_PTR_NULL(acquire(fleet, false));
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s"), INT32_MAX);
+	CU_ASSERT_EQUAL(fleet_limit_wait_ms(fleet, "s"), 1000);
+	clock_manual_advance_ms(&manual, 2000);
+	CU_ASSERT_EQUAL(free_slots(fleet), 1);
+	CU_ASSERT_PTR_NOT_NULL(acquire(fleet, true));
+	CU_ASSERT_PTR_NULL(acquire(fleet, true));
+	CU_ASSERT_PTR_NOT_NULL(acquire(fleet, false));
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -559,6 +618,8 @@
 		{ "online leaves domain", test_online_leaves_domain },
 		{ "steps over several nodes", test_steps_over_several_nodes },
 		{ "steps over domains", test_steps_over_domains },
+		{ "limited runners get batch", test_limited_runners_get_batch },
+		{ "all runners limited", test_all_runners_limited },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -136,12 +136,71 @@
 	node_free(&a);
 }
 
+static uint32_t room(node_t *node)
+{
+	return runner_limit_room(&runner(node)->limit, 0, 1,
+				 clock_now_us(&node->clock->base));
+}
+
+static void tell(node_t *from, node_t *to)
+{
+	char data[REPORT_BYTES];
+
+	load_view_apply(to->view, data, report(from, data));
+}
+
+/* Nodes must learn a runner's limit, what others send to it, and its end from
+ * each other; a report that comes twice must count once. */
+static void test_limits(void)
+{
+	const fleet_pick_options_t pick = { .service = "s" };
+	const runner_rate_t limited = { true, 2000 };
+	const runner_rate_t no_limit = { false, 0 };
+	char data[REPORT_BYTES];
+	clock_manual_t clock;
+	node_t a, b;
+	size_t len;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_advance_ms(&clock, 1000);
+	a = node_new(&clock, "a", 1);
+	b = node_new(&clock, "b", 1);
+	fleet_report_rate(a.fleet, runner(&a), &limited);
+	tell(&a, &b);
+	CU_ASSERT_EQUAL(room(&b), 1);
+	clock_manual_advance_ms(&clock, 10000);
+	CU_ASSERT_EQUAL(room(&b), 4);
+	fleet_acquire(a.fleet, &pick);
+	len = report(&a, data);
+	load_view_apply(b.view, data, len);
+	CU_ASSERT_EQUAL(room(&b), 3);
+	load_view_apply(b.view, data, len);
+	tell(&a, &b);
+	CU_ASSERT_EQUAL(room(&b), 3);
+	fleet_acquire(a.fleet, &pick);
+	fleet_acquire(a.fleet, &pick);
+	fleet_acquire(a.fleet, &pick);
+	CU_ASSERT_PTR_NULL(fleet_acquire(a.fleet, &pick));
+	tell(&a, &b);
+	CU_ASSERT_EQUAL(room(&b), 0);
+	CU_ASSERT_PTR_NULL(fleet_acquire(b.fleet, &pick));
+	clock_manual_advance_ms(&clock, 100);
+	fleet_report_rate(b.fleet, runner(&b), &no_limit);
+	tell(&b, &a);
+	CU_ASSERT_EQUAL(room(&a), UINT32_MAX);
+	tell(&a, &b);
+	CU_ASSERT_EQUAL(room(&b), UINT32_MAX);
+	node_free(&a);
+	node_free(&b);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "order", test_order },
 		{ "timeout and restart", test_timeout_and_restart },
 		{ "invalid reports", test_invalid_reports },
+		{ "limits", test_limits },
 		{ NULL, NULL },
 	};
 
