--- a/tests/process/test_runner_limit.py
+++ b/tests/process/test_runner_limit.py
@@ -76,6 +76,13 @@
         for thread in threads:
             thread.join()
 
+    def failures(self):
+        """The gateways' log lines about requests that were not served."""
+        return "".join(
+            line for gateway in self.gateways
+            for line in gateway.log().splitlines(keepends=True)
+            if "event=try_failed" in line or "event=request_refused" in line)
+
     def check_limited(self, runners, since):
         for runner in runners:
             times = [t for t in runner.seen_at if t >= since]
@@ -92,7 +99,8 @@
         self.load(LOAD_S)
         self.check_limited(limited, since)
         self.assertGreater(len(self.answers), 300)
-        self.assertEqual({status for status, _ in self.answers}, {200})
+        self.assertEqual({status for status, _ in self.answers}, {200},
+                         self.failures())
 
     def test_all_runners_limited(self):
         """When no runner may get a request, it must be refused at once as not
@@ -104,7 +112,7 @@
         self.load(LOAD_S)
         self.check_limited(self.runners, since)
         statuses = [status for status, _ in self.answers]
-        self.assertEqual(set(statuses), {200, 503})
+        self.assertEqual(set(statuses), {200, 503}, self.failures())
         self.assertLess(max(seconds for status, seconds in self.answers
                             if status == 503), 0.5)
         served = {x for r in self.runners for x, _ in r.seen}
