--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,6 +42,7 @@
 PART = "dead10"
 PART_CRASHES_MAX = 8
 PART_REQUESTS = 40
+RUNNER_LIMIT = 20.0  # requests per second
 OUTPUT = "\n".join(f"e{i}" for i in range(1, EVENTS + 1))
 
 
@@ -251,6 +252,14 @@
         world.problem(f"one prompt part crashed {crashes} runners")
 
 
+def runners_name_limit(world, seconds):
+    for runner in world.runners:
+        runner.limit = RUNNER_LIMIT
+    yield seconds
+    for runner in world.runners:
+        runner.limit = None
+
+
 FAULTS = [runner_network, runner_network, store_network, store_network,
           store_down, store_loses_answers, runner_fails, runner_fails,
           runner_drains, runner_lapses, configuration, gateway_killed,
@@ -274,7 +283,7 @@
             world, world.random.choice(FAULTS), begin_s,
             world.random.uniform(0.5, 5), names)))
     # Drawn apart, so that the schedules of earlier seeds stay as they are.
-    for fault in (crashing_part,):
+    for fault in (crashing_part, runners_name_limit):
         threads.append(threading.Thread(target=play_fault, args=(
             world, fault, world.part_random.uniform(0, FAULT_SECONDS),
             world.part_random.uniform(2, 6), names)))
