Notice the end of a runner's limit while other runners have free slots

Runners: one that had named a limit and names none any more got nothing for seconds on a quiet system. Cause: online requests prefer runners without a limit, batch items were not there, so no response told the end. Class: a state that only its own use can end, and that keeps it from being used.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -30,7 +30,8 @@
 #define REMOTE_WEIGHT 0.5
 /* Weight of a runner with a limit, against that of others with a free slot. A
  * limit counts requests, so it does most for long ones, which batch items are;
- * online requests take what the other runners have no slots for. */
+ * online requests take what the other runners have no slots for. A limit that
+ * may have ended does not count, so that a request shows whether it has. */
 #define LIMITED_WEIGHT 0.02
 /* The same as a preference of batch items, in slots. */
 #define LIMITED_BATCH_GAIN 100.0
@@ -392,7 +393,7 @@
 	if (!has_free_slot(runner))
 		return 0;
 	weight = (runner->slots - load_of(runner)) / (slowness * slowness);
-	if (runner->limit.rate.named)
+	if (runner_limit_is_sure(&runner->limit, clock_now_us(fleet->clock)))
 		weight *= LIMITED_WEIGHT;
 	return is_remote(fleet, runner) ? weight * REMOTE_WEIGHT : weight;
 }
--- a/src/gateway/runner_limit.c
+++ b/src/gateway/runner_limit.c
@@ -11,6 +11,8 @@
 #define DEBT_MAX_S 4.0
 /* Without any request no response would tell the end of a limit. */
 #define RATE_MIN_PER_S 0.1
+/* Age of the last response up to which its limit is taken to be valid. */
+#define SURE_MAX_AGE_US 1000000
 /* Time for which a node reports what it has sent and been told. */
 #define NEWS_MAX_AGE_US 5000000
 
@@ -72,6 +74,11 @@
 	return tokens > 0 ? (uint32_t)tokens : 0;
 }
 
+bool runner_limit_is_sure(const runner_limit_t *limit, int64_t now_us)
+{
+	return limit->rate.named && now_us - limit->told_us <= SURE_MAX_AGE_US;
+}
+
 int32_t runner_limit_wait_ms(const runner_limit_t *limit, double share,
 			     int64_t now_us)
 {
--- a/src/gateway/runner_limit.h
+++ b/src/gateway/runner_limit.h
@@ -50,6 +50,9 @@
  * UINT32_MAX without a limit. */
 uint32_t runner_limit_room(const runner_limit_t *limit, uint32_t reserve,
 			   double share, int64_t now_us);
+/* Whether the runner is known to have a limit. One that was not told lately may
+ * have ended; only a response to another request can tell. */
+bool runner_limit_is_sure(const runner_limit_t *limit, int64_t now_us);
 /* Milliseconds until an online request may be sent; 0 without a limit. */
 int32_t runner_limit_wait_ms(const runner_limit_t *limit, double share,
 			     int64_t now_us);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -567,6 +567,7 @@
 	add(fleet, "b", 8, 1, false);
 	name_limit(fleet, "a", 3000);
 	clock_manual_advance_ms(&manual, 5000);
+	name_limit(fleet, "a", 3000);
 	for (int i = 0; i < 6; i++)
 		limited += strcmp(acquire(fleet, false)->id, "a") == 0;
 	CU_ASSERT(limited <= 1);
@@ -576,6 +577,28 @@
 	g_rand_free(random);
 }
 
+/* The end of a limit must be found although online requests prefer the other
+ * runners: only a response of the limited one tells it. */
+static void test_limit_is_checked(void)
+{
+	GRand *random = g_rand_new_with_seed(3);
+	fleet_t *fleet;
+	int limited = 0;
+
+	clock_manual_init(&manual, 0);
+	clock_manual_advance_ms(&manual, 1000);
+	fleet = fleet_of(random, "d");
+	add(fleet, "a", 8, 1, false);
+	add(fleet, "b", 8, 1, false);
+	name_limit(fleet, "a", 3000);
+	clock_manual_advance_ms(&manual, 1500);
+	for (int i = 0; i < 6; i++)
+		limited += strcmp(acquire(fleet, false)->id, "a") == 0;
+	CU_ASSERT(limited >= 1);
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 /* When all runners name limits, batch items must be the first to wait, and a
  * request that no runner may take must be told at once. */
 static void test_all_runners_limited(void)
@@ -619,6 +642,7 @@
 		{ "steps over several nodes", test_steps_over_several_nodes },
 		{ "steps over domains", test_steps_over_domains },
 		{ "limited runners get batch", test_limited_runners_get_batch },
+		{ "limit is checked", test_limit_is_checked },
 		{ "all runners limited", test_all_runners_limited },
 		{ NULL, NULL },
 	};
