Hold back prompts that crash engines behind the entry, too

Callers of wasabilink entry: requests that share a message that crashes engines, or one such prompt sent again, ended all engines of a deployment. Cause: as at the gateway; what a lost request tells was kept by engine only. Evidence: tests/process/test_prompt_crash.py, 8 of 8 engines ended. Change: the guard moves to src/backend, which both front doors use, and the entry has one for each deployment, so that no partner can have another's requests held. Parts are the messages but the last, and the whole prompt. Held requests are refused with 503 prompt_held, Retry-After, and whether they may have run. The log of crashes is allocated at the first one, as most deployments have none. Nodes do not exchange what they see here. Why it works: two engines, then one more after a hold of 2 s. The test failed before and passes; the gateway's decisions are unchanged (test_part_guard, test_execution, test_prompt_part pass).

--- a/src/gateway/crash_log.c
+++ b/src/backend/crash_log.c
@@ -1,5 +1,6 @@
-#include "gateway/crash_log.h"
+#include "backend/crash_log.h"
 
+#include <glib.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +9,12 @@
  * a runner that has ended is not back sooner. */
 #define SAME_CRASH_US 1500000
 
+void crash_log_clear(crash_log_t *log)
+{
+	g_free(log->crashes);
+	*log = (crash_log_t){ 0 };
+}
+
 static void remove_at(crash_log_t *log, uint32_t index)
 {
 	memmove(&log->crashes[index], &log->crashes[index + 1],
@@ -30,6 +37,8 @@
 
 	if (known && llabs(at_us - known->at_us) <= SAME_CRASH_US)
 		return known;
+	if (!log->crashes)
+		log->crashes = g_new0(crash_t, CRASH_LOG_MAX);
 	if (log->count == CRASH_LOG_MAX)
 		remove_at(log, 0);
 	for (index = log->count;
--- a/src/gateway/crash_log.h
+++ b/src/backend/crash_log.h
@@ -1,5 +1,5 @@
-#ifndef WASABILINK_GATEWAY_CRASH_LOG_H
-#define WASABILINK_GATEWAY_CRASH_LOG_H
+#ifndef WASABILINK_BACKEND_CRASH_LOG_H
+#define WASABILINK_BACKEND_CRASH_LOG_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,10 +31,13 @@
 } crash_t;
 
 typedef struct crash_log {
-	crash_t crashes[CRASH_LOG_MAX]; /* oldest first */
+	crash_t *crashes; /* oldest first; NULL before the first one */
 	uint32_t count;
 } crash_log_t;
 
+/* All zero is an empty log. */
+void crash_log_clear(crash_log_t *log);
+
 /* Returns the entry of the runner's crash at about this time, or a new one. The
  * pointer is valid until the next call. */
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us);
--- a/src/gateway/part_guard.c
+++ b/src/backend/part_guard.c
@@ -1,4 +1,4 @@
-#include "gateway/part_guard.h"
+#include "backend/part_guard.h"
 
 #include <inttypes.h>
 
@@ -62,7 +62,8 @@
 	int64_t *crashes_total;
 	int64_t *holds_total;
 	int64_t *clears_total;
-	int64_t *held;
+	int64_t *held; /* sum over the guards of a process */
+	int64_t own_held;
 };
 
 part_guard_t *part_guard_new(const part_guard_options_t *options)
@@ -88,6 +89,7 @@
 	if (!guard)
 		return;
 	g_hash_table_destroy(guard->parts);
+	crash_log_clear(&guard->log);
 	g_free(guard);
 }
 
@@ -514,12 +516,13 @@
 
 void part_guard_tick(part_guard_t *guard)
 {
+	int64_t held = 0;
 	int64_t oldest_us;
 	GHashTableIter iter;
 	void *value;
 
-	*guard->held = 0;
-	if (guard->log.count == 0 && g_hash_table_size(guard->parts) == 0)
+	if (guard->log.count == 0 && g_hash_table_size(guard->parts) == 0 &&
+	    guard->own_held == 0)
 		return;
 	oldest_us = part_guard_now_us(guard) - CRASH_MAX_AGE_MS * 1000LL;
 	crash_log_expire(&guard->log, oldest_us);
@@ -528,10 +531,12 @@
 		const part_t *part = value;
 
 		if (is_on_trial(part) && part->held_crash_us >= oldest_us)
-			(*guard->held)++;
+			held++;
 		else if (!is_in_log(guard, part))
 			g_hash_table_iter_remove(&iter);
 	}
+	*guard->held += held - guard->own_held;
+	guard->own_held = held;
 }
 
 /* Takes crashes with this number of sends left. */
--- a/src/gateway/part_guard.h
+++ b/src/backend/part_guard.h
@@ -1,5 +1,5 @@
-#ifndef WASABILINK_GATEWAY_PART_GUARD_H
-#define WASABILINK_GATEWAY_PART_GUARD_H
+#ifndef WASABILINK_BACKEND_PART_GUARD_H
+#define WASABILINK_BACKEND_PART_GUARD_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -7,8 +7,8 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
-#include "gateway/crash_log.h"
-#include "gateway/prompt_parts.h"
+#include "backend/crash_log.h"
+#include "backend/prompt_parts.h"
 
 /*
  * part_guard - holds back requests with a prompt part that crashes runners.
--- a/src/gateway/prompt_parts.c
+++ b/src/backend/prompt_parts.c
@@ -1,4 +1,4 @@
-#include "gateway/prompt_parts.h"
+#include "backend/prompt_parts.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/entry/api_error.c
+++ b/src/entry/api_error.c
@@ -30,6 +30,7 @@
 	[API_OVERLOADED] = { 503, server, "overloaded", 1 },
 	[API_NOT_READY] = { 503, server, "not_ready", 1 },
 	[API_LEDGER_UNAVAILABLE] = { 503, server, "ledger_unavailable", 2 },
+	[API_PROMPT_HELD] = { 503, server, "prompt_held", 2 },
 	[API_NO_RUNNER] = { 503, server, "no_runner", 1 },
 	[API_BACKEND_FAILED] = { 502, server, "backend_failed", 1 },
 	[API_BACKEND_REJECTED] = { 400, invalid, "rejected_by_model", 0 },
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -2,8 +2,10 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "base/log.h"
+#include "coord/rendezvous.h"
 #include "entry/chat_response.h"
 
 #define MAX_EXCLUDED_RUNNERS 64
@@ -11,6 +13,7 @@
  * not serve the model version. */
 #define MAX_SENT_ATTEMPTS 12
 #define UPSTREAM_ID_BYTES 96
+#define RUNNER_HASH_SEED 4
 
 static void finish_attempt(chat_attempt_t *attempt,
 			   route_outcome_t route_outcome,
@@ -35,10 +38,21 @@
 		cancel_attempt(&chat->attempts[i]);
 }
 
+static uint64_t runner_key(const route_runner_t *runner)
+{
+	return rendezvous_hash(runner->address, strlen(runner->address),
+			       RUNNER_HASH_SEED);
+}
+
 static void set_winner(chat_attempt_t *attempt)
 {
 	chat_t *chat = attempt->chat;
 
+	part_guard_output(chat->pool->part_guard,
+			  runner_key(attempt->route.runner),
+			  attempt->started_us);
+	part_guard_begun(chat->pool->part_guard, &chat->request.parts);
+
 	pool_answered(chat->pool, &attempt->route);
 	if (chat->winner)
 		return;
@@ -197,6 +211,19 @@
 	chat->attempted_count = kept;
 }
 
+/* Reports an engine that ended the connection before any output. */
+static void note_loss(const chat_attempt_t *attempt,
+		      const engine_result_t *result)
+{
+	const chat_t *chat = attempt->chat;
+
+	if (result->fault == ENGINE_FAULT_TRUNCATED &&
+	    chat->state != REQUEST_STREAMING)
+		part_guard_lost(chat->pool->part_guard,
+				runner_key(attempt->route.runner),
+				&chat->request.parts, true);
+}
+
 static void on_attempt_done(const engine_result_t *result, void *user_data)
 {
 	chat_attempt_t *attempt = user_data;
@@ -220,6 +247,7 @@
 			       attempt->version);
 		set_winner(attempt);
 	}
+	note_loss(attempt, result);
 	finish_attempt(attempt, route_outcome_of(result->fault),
 		       result->retry_after_s * 1000LL);
 	if (result->outcome == ENGINE_COMPLETE)
@@ -291,6 +319,25 @@
 				       delay_us);
 }
 
+/* Refuses a request that crashes engines. Returns false for others. */
+static bool refuse_held(chat_t *chat)
+{
+	int32_t hold_ms = part_guard_hold_ms(chat->pool->part_guard,
+					     &chat->request.parts);
+	char parts[PROMPT_PARTS_TEXT_MAX];
+
+	if (hold_ms == 0)
+		return false;
+	prompt_parts_print(&chat->request.parts, parts, sizeof(parts));
+	log_info("request_held", "request=%s deployment=%s hold_ms=%d parts=%s",
+		 chat->exchange ? http_id(chat->exchange) : "-",
+		 chat->deployment->name, hold_ms, parts);
+	chat_state_fail_with_retry(chat, API_PROMPT_HELD,
+				   (hold_ms + 999) / 1000,
+				   "requests with this prompt crash the model");
+	return true;
+}
+
 void chat_attempt_start(chat_t *chat, chat_attempt_t *attempt)
 {
 	const char *version =
@@ -316,6 +363,11 @@
 		.user_data = attempt,
 	};
 
+	if (!attempt->hedge && refuse_held(chat))
+		return;
+	if (attempt->hedge && part_guard_hold_ms(chat->pool->part_guard,
+						 &chat->request.parts) > 0)
+		runner = NULL;
 	if (!runner && attempt->hedge) {
 		hedge_return(chat->pool->hedge);
 		return;
@@ -328,6 +380,8 @@
 	snprintf(id, sizeof(id), "%s.%" PRIu64 ".%u", chat->entry->instance,
 		 chat->number, chat->sent_count++);
 	options.address = runner->address;
+	attempt->started_us = part_guard_now_us(chat->pool->part_guard);
+	part_guard_sent(chat->pool->part_guard, &chat->request.parts);
 	chat->attempted_runners[chat->attempted_count++] = runner;
 	attempt->chat = chat;
 	attempt->version = version;
--- a/src/entry/chat_request.c
+++ b/src/entry/chat_request.c
@@ -16,6 +16,7 @@
 /* Engines cache prompts in blocks; shorter prompts do not gain from the
  * cache. */
 #define PREFIX_BYTES 256
+#define PART_HASH_SEED 3
 
 static bool parse_deadline(const char *value, int64_t *deadline_ms)
 {
@@ -107,6 +108,31 @@
 	return rendezvous_hash(json_string_value(content), PREFIX_BYTES, 2);
 }
 
+/* Adds a hash of each message that other requests may share, and one of the
+ * whole prompt. */
+static void read_parts(const json_t *messages, prompt_parts_t *parts)
+{
+	size_t count = json_array_size(messages);
+	uint64_t whole = 0;
+	const json_t *message;
+	size_t i;
+
+	json_array_foreach(messages, i, message) {
+		char *text = json_dumps(message, JSON_COMPACT | JSON_SORT_KEYS);
+		uint64_t hash;
+
+		if (!text)
+			continue;
+		hash = rendezvous_hash(text, strlen(text), PART_HASH_SEED);
+		whole = rendezvous_hash((const char *)&hash, sizeof(hash),
+					whole);
+		if (i + 1 < count)
+			prompt_parts_add(parts, hash);
+		free(text);
+	}
+	prompt_parts_add_request(parts, whole);
+}
+
 static int64_t output_tokens(json_t *root)
 {
 	json_t *max = json_object_get(root, "max_completion_tokens");
@@ -144,6 +170,7 @@
 						    PROMPT_TOKENS_PER_WORK);
 	request->class_index = hedge_class(request->stream, tokens);
 	request->prefix_hash = hash_prefix(messages);
+	read_parts(messages, &request->parts);
 	if (request->key)
 		digest_content(root, request->digest);
 	return true;
--- a/src/entry/chat_request.h
+++ b/src/entry/chat_request.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "backend/prompt_parts.h"
 #include "entry/api_error.h"
 #include "http/http_server.h"
 
@@ -23,6 +24,7 @@
 	bool once; /* not idempotent: must not run twice */
 	uint32_t work; /* estimated cost in tokens */
 	uint32_t class_index; /* hedging class */
+	prompt_parts_t parts; /* all messages but the last, and the prompt */
 	uint64_t prefix_hash; /* of the start of the prompt; 0: too short */
 	int64_t deadline_ms; /* remaining time; 0: none given */
 } chat_request_t;
--- a/src/entry/chat_state.h
+++ b/src/entry/chat_state.h
@@ -34,6 +34,7 @@
 	engine_call_t *call; /* NULL: not in flight */
 	route_attempt_t route;
 	const char *version; /* requested from the runner */
+	int64_t started_us; /* by the part guard's clock */
 	bool hedge;
 } chat_attempt_t;
 
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -153,6 +153,9 @@
 		.max_wait_us = options->max_wait_ms * 1000,
 		.first_come = options->first_come,
 	};
+	const part_guard_options_t guard = { .clock = options->clock,
+					     .random = options->random,
+					     .counters = options->counters };
 	pool_t *pool = g_new0(pool_t, 1);
 
 	pool->table = table;
@@ -162,6 +165,7 @@
 	pool->route = route_new(&route);
 	pool->rollout = rollout_new(options->clock);
 	pool->hedge = hedge_new(&hedge);
+	pool->part_guard = part_guard_new(&guard);
 	pool->admission = admission_new(&admission);
 	pool->queue_timer = evtimer_new(options->base, on_queue_timer, pool);
 	add_counters(pool);
@@ -326,6 +330,7 @@
 	g_hash_table_iter_init(&iter, table->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		refresh_capacity(value);
+		part_guard_tick(((pool_t *)value)->part_guard);
 		run_queue(value);
 	}
 	/* Runners whose slots are unknown are polled faster, one per tick. */
--- a/src/entry/pool.h
+++ b/src/entry/pool.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backend/part_guard.h"
 #include "backend/runner.h"
 #include "base/clock.h"
 #include "base/counter.h"
@@ -36,6 +37,7 @@
 	hedge_t *hedge;
 	admission_t *admission;
 	rollout_t *rollout;
+	part_guard_t *part_guard; /* of messages that crash its runners */
 	struct event *queue_timer; /* expires queued requests */
 	histogram_t first_token_us; /* recent; of online requests */
 	histogram_t response_us; /* recent; complete responses */
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -8,7 +8,7 @@
 
 #include "base/counter.h"
 #include "gateway/fleet.h"
-#include "gateway/part_guard.h"
+#include "backend/part_guard.h"
 #include "gateway/runner_protocol.h"
 
 /*
--- a/src/gateway/part_report.h
+++ b/src/gateway/part_report.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "gateway/part_guard.h"
+#include "backend/part_guard.h"
 
 /*
  * part_report - news about prompt parts as a datagram between nodes.
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #include "gateway/load_view.h"
-#include "gateway/part_guard.h"
+#include "backend/part_guard.h"
 #include "object/object_store.h"
 
 /*
--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -7,7 +7,7 @@
 #include <stdint.h>
 
 #include "gateway/fleet.h"
-#include "gateway/prompt_parts.h"
+#include "backend/prompt_parts.h"
 
 /*
  * runner_protocol - interface of the protocols that send requests to runners.
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -1,4 +1,4 @@
-#include "gateway/part_guard.h"
+#include "backend/part_guard.h"
 #include "unit.h"
 
 #define FIRST 0xa1
