--- a/tests/process/scripted_engine.py
+++ b/tests/process/scripted_engine.py
@@ -5,6 +5,8 @@
 import time
 
 FLOOD_BYTES = 64 * 1024 * 1024
+# Modes whose streams have neither length nor chunks.
+UNTIL_CLOSE = ("until_close", "until_close_cut")
 TOKENS = ["red ", "koi ", "pond "]
 
 
@@ -19,6 +21,7 @@
     def __init__(self):
         self.mode = "whole"
         self.first_only = False
+        self.until_close = False
         self.runs = {}
         self.calls = {}
         self.closed = set()
@@ -134,7 +137,10 @@
         return True
 
     def stream(self, connection, mode, echo, prompt):
-        head = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        framing = ("Connection: close" if mode in UNTIL_CLOSE else
+                   "Transfer-Encoding: chunked")
+        self.until_close = mode in UNTIL_CLOSE
+        head = (f"HTTP/1.1 200 OK\r\n{framing}\r\n"
                 f"X-Request-Id: {echo['X-Request-Id']}\r\n\r\n")
         connection.sendall(head.encode())
         if mode == "flood":
@@ -154,8 +160,12 @@
         if mode != "no_finish":
             self.event(connection, {"choices": [
                 {"index": 0, "delta": {}, "finish_reason": "stop"}]})
-        if mode != "no_done":
+        if mode == "until_close_cut":
+            self.chunk(connection, b"data: [DO")
+        elif mode != "no_done":
             self.chunk(connection, b"data: [DONE]\n\n")
+        if self.until_close:
+            return False
         connection.sendall(b"0\r\n\r\n")
         return True
 
@@ -176,7 +186,8 @@
                    b"\n\n")
 
     def chunk(self, connection, data):
-        connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+        connection.sendall(data if self.until_close else
+                           b"%x\r\n%s\r\n" % (len(data), data))
 
     def wait_for_close(self, connection, prompt):
         connection.settimeout(20)
--- a/tests/process/test_failure_points.py
+++ b/tests/process/test_failure_points.py
@@ -23,7 +23,7 @@
            ("error_not_run", 502)]
 UNCERTAIN = [("error_before", 502), ("error_after", 502), ("die", 502),
              ("mismatch", 502)]
-CUT = ["cut", "stall", "no_done", "no_finish"]
+CUT = ["cut", "stall", "no_done", "no_finish", "until_close_cut"]
 
 
 def document():
@@ -133,6 +133,13 @@
         self.assertEqual(answer.json()["error"]["work"], "may_have_run")
         self.assertLessEqual(engine.calls["cut"], 3)
 
+    def test_stream_until_close(self):
+        """A stream with neither length nor chunks must be delivered whole."""
+        _, model = self.take("until_close")
+        status, data, complete = self.stream_until_cut(model, "until_close")
+        self.assertEqual((status, complete), (200, True))
+        self.assertEqual(f.stream_text(data), (TEXT, True))
+
     def test_streams_that_break(self):
         """Never as complete: an error event and an aborted connection."""
         for mode in CUT:
