--- /dev/null
+++ b/tests/test_crash_log.c
@@ -0,0 +1,67 @@
+#include "backend/crash_log.h"
+#include "unit.h"
+
+#define SECOND_US 1000000LL
+
+/* Reports of one crash by several nodes must be one entry; a later crash of a
+ * runner with the same id must be another. */
+static void test_same_crash(void)
+{
+	crash_log_t log = { 0 };
+
+	crash_log_note(&log, 1, 10 * SECOND_US);
+	crash_log_note(&log, 1, 10 * SECOND_US + 5000);
+	CU_ASSERT_EQUAL(log.count, 1);
+	crash_log_note(&log, 1, 14 * SECOND_US);
+	CU_ASSERT_EQUAL(log.count, 2);
+	CU_ASSERT_EQUAL(crash_log_find(&log, 1)->at_us, 14 * SECOND_US);
+	crash_log_clear(&log);
+}
+
+/* Crashes that are heard of late must be in order of time, and a full log must
+ * drop the oldest. */
+static void test_order_and_bound(void)
+{
+	crash_log_t log = { 0 };
+
+	for (uint64_t i = 0; i < CRASH_LOG_MAX + 10; i++)
+		crash_log_note(&log, i, (int64_t)(200 - i) * SECOND_US);
+	CU_ASSERT_EQUAL(log.count, CRASH_LOG_MAX);
+	for (uint32_t i = 1; i < log.count; i++)
+		CU_ASSERT(log.crashes[i - 1].at_us <= log.crashes[i].at_us);
+	crash_log_expire(&log, 199 * SECOND_US);
+	CU_ASSERT_EQUAL(log.count, 2);
+	crash_log_clear(&log);
+}
+
+/* A full entry must take suspects that were running instead of queued ones. */
+static void test_running_suspects_first(void)
+{
+	crash_log_t log = { 0 };
+	crash_t *crash = crash_log_note(&log, 1, SECOND_US);
+	crash_suspect_t suspect = { 0 };
+
+	for (uint64_t i = 0; i < CRASH_SUSPECTS_MAX + 5; i++) {
+		suspect.part = i;
+		CU_ASSERT_EQUAL(crash_add_suspect(crash, &suspect),
+				i < CRASH_SUSPECTS_MAX);
+	}
+	suspect = (crash_suspect_t){ 100, 0, true };
+	CU_ASSERT(crash_add_suspect(crash, &suspect));
+	CU_ASSERT_FALSE(crash_add_suspect(crash, &suspect));
+	CU_ASSERT_EQUAL(crash->count, CRASH_SUSPECTS_MAX);
+	CU_ASSERT_PTR_NOT_NULL(crash_suspect(crash, 100));
+	crash_log_clear(&log);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "same crash", test_same_crash },
+		{ "order and bound", test_order_and_bound },
+		{ "running suspects first", test_running_suspects_first },
+		{ NULL, NULL },
+	};
+
+	return unit_run("crash_log", tests);
+}
