Spend less on crashes that suspect no part twice

Class: cost that grows with noise. Change: parts that only one crash names are left out, output of a part that is not held decides nothing, summaries hold crashes of the last 10 s; a crash after a hold holds the part again at once, also without the crashes before. The extended test_summary failed before.

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -33,6 +33,9 @@
 #define SURVIVAL_MARGIN_US 50000
 /* Output of a runner is compared with crashes up to this age. */
 #define SURVIVAL_MAX_AGE_US 5000000
+/* Summaries hold crashes up to this age; older ones are only needed by nodes
+ * that know of them, and holds are sent by themselves. */
+#define SUMMARY_MAX_AGE_US 10000000
 /* Each news is sent this often, as datagrams may be lost. */
 #define NEWS_SENDS 3
 /* Share of the crashes of a part that a deeper part must explain to be held
@@ -43,6 +46,7 @@
 	uint64_t id;
 	uint32_t depth;
 	uint32_t evidence; /* of the crashes that no other part explains */
+	uint32_t mentions; /* crashes that it was a suspect of; never reduced */
 	uint32_t crashes;
 	uint32_t doublings;
 	int64_t cleared_us; /* last output; 0: none known */
@@ -199,6 +203,23 @@
 	return sum;
 }
 
+static uint32_t total_evidence(const part_guard_t *guard, const part_t *part,
+			       const bool *explained)
+{
+	bool crashed_on_trial =
+		part->certain && part->newest_us > part->held_crash_us;
+	uint32_t evidence;
+
+	/* One crash alone is not enough; most parts have no other. */
+	if (part->blamed || (part->mentions < 2 && !crashed_on_trial))
+		return 0;
+	evidence = evidence_against(guard, part, explained);
+	/* The crashes before the hold may not be in the log any more. */
+	if (crashed_on_trial && evidence > 0)
+		evidence = MAX(evidence, EVIDENCE_SUSPECTED);
+	return evidence;
+}
+
 static bool is_stronger(const part_t *part, const part_t *than)
 {
 	if (!than || part->evidence != than->evidence)
@@ -231,9 +252,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		part_t *part = value;
 
-		part->evidence =
-			part->blamed ? 0 :
-				       evidence_against(guard, part, explained);
+		part->evidence = total_evidence(guard, part, explained);
 		if (part->evidence >= EVIDENCE_SUSPECTED &&
 		    is_stronger(part, strongest))
 			strongest = part;
@@ -349,6 +368,7 @@
 		return false;
 	part = find_or_add_part(guard, suspect->part, suspect->depth);
 	part->newest_us = MAX(part->newest_us, crash->at_us);
+	part->mentions++;
 	return true;
 }
 
@@ -429,6 +449,7 @@
 void part_guard_begun(part_guard_t *guard, const prompt_parts_t *parts)
 {
 	bool changed = false;
+	bool decides = false;
 
 	if (g_hash_table_size(guard->parts) == 0)
 		return;
@@ -438,14 +459,17 @@
 		if (!part || MAX(part->newest_us, part->held_crash_us) <=
 				     part->cleared_us)
 			continue;
+		/* Less evidence against a part that is not held changes
+		 * nothing. */
+		decides |= part->blamed;
 		clear(guard, part, part_guard_now_us(guard), "own");
 		part->clear_sends_left = NEWS_SENDS;
 		changed = true;
 	}
-	if (!changed)
-		return;
-	decide(guard);
-	news_available(guard);
+	if (decides)
+		decide(guard);
+	if (changed)
+		news_available(guard);
 }
 
 void part_guard_sent(part_guard_t *guard, const prompt_parts_t *parts)
@@ -595,8 +619,13 @@
 	news->clears_count = 0;
 	news->holds_count = 0;
 	for (uint32_t i = guard->log.count;
-	     i-- > 0 && news->crashes_count < PART_NEWS_CRASHES_MAX;)
-		news->crashes[news->crashes_count++] = guard->log.crashes[i];
+	     i-- > 0 && news->crashes_count < PART_NEWS_CRASHES_MAX;) {
+		const crash_t *crash = &guard->log.crashes[i];
+
+		if (crash->count > 0 &&
+		    now_us - crash->at_us <= SUMMARY_MAX_AGE_US)
+			news->crashes[news->crashes_count++] = *crash;
+	}
 	g_hash_table_iter_init(&iter, guard->parts);
 	while (news->holds_count < PART_NEWS_HOLDS_MAX &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -633,7 +662,7 @@
 	if (!part || from->at_us <= part->cleared_us)
 		return false;
 	clear(guard, part, from->at_us, "peer");
-	return true;
+	return part->blamed;
 }
 
 static void apply_hold(part_guard_t *guard, const part_hold_t *from)
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -311,6 +311,11 @@
 	part_guard_apply(peer, &news);
 	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 30000);
 	CU_ASSERT(part_guard_is_certain(peer, &parts));
+	/* It must not need more crashes than the others after the hold. */
+	clock_manual_advance_ms(&f->clock, 80000);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
+	part_guard_lost(peer, 99, &parts, true);
+	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 100000);
 	part_guard_free(peer);
 	fixture_free(f);
 }
