Answer requests whose engine takes them in silence

Callers saw: while all engines of their node's domain were full, a request that went to an engine of another domain which takes connections but never answers, such as a stopped one or one behind a partition, hung until its deadline, or 30 s.

Cause: silence is only noticed by the stall limit, of streams. A hedge was decided once, after its delay, and not again: not when the queue or the hedge budget did not permit it at that moment. Load was asked only of engines in the subset that is used first.

Change: an engine that has not answered for 1 s is asked for its load before others, in whichever domain; after two questions without an answer it is silent. A silent one is selected only if no other takes work, and a request that may be repeated gets its second attempt from the retry budget. A hedge that is not permitted is looked at again after 0.5 s. The log has event=runner_silent.

Class: a failure that shows as nothing happening, noticed only by a time limit made for slow work.

--- a/src/coord/route.c
+++ b/src/coord/route.c
@@ -23,6 +23,9 @@
 #define REFUSED_MAX_US 4000000
 /* At most this share of the used runners is ejected at the same time. */
 #define MAX_EJECTED_SHARE 0.4
+/* A runner that misses this many load reports in a row takes requests, if any,
+ * without working on them. */
+#define SILENT_REPORTS 2
 /* Ejections no longer count after this time without a new one. */
 #define EJECTION_RESET_US 5000000
 /* Number of unanswered requests whose age is checked; the oldest ones show the
@@ -149,8 +152,14 @@
 	return false;
 }
 
+bool route_is_silent(const route_runner_t *runner)
+{
+	return runner->missed_reports >= SILENT_REPORTS;
+}
+
 static void collect_usable(route_t *route, const GPtrArray *from,
-			   const route_request_t *request, bool skip_full)
+			   const route_request_t *request, bool skip_full,
+			   bool skip_silent)
 {
 	int64_t at_us = now_us(route);
 
@@ -160,7 +169,8 @@
 
 		if (takes_work(runner, at_us) &&
 		    !is_excluded(runner, request) &&
-		    !(skip_full && is_full(runner)))
+		    !(skip_full && is_full(runner)) &&
+		    !(skip_silent && route_is_silent(runner)))
 			g_ptr_array_add(route->usable, runner);
 	}
 }
@@ -381,6 +391,11 @@
 		g_ptr_array_add(route->local, route->spillover->pdata[moved++]);
 	if (moved > 0)
 		g_ptr_array_remove_range(route->spillover, 0, moved);
+	for (guint i = 0; i < route->runners->len; i++)
+		((route_runner_t *)route->runners->pdata[i])->used_first =
+			false;
+	for (guint i = 0; i < route->local->len; i++)
+		((route_runner_t *)route->local->pdata[i])->used_first = true;
 }
 
 void route_update(route_t *route, const route_candidate_t *candidates,
@@ -447,13 +462,15 @@
 
 route_runner_t *route_select(route_t *route, const route_request_t *request)
 {
-	collect_usable(route, route->local, request, true);
+	collect_usable(route, route->local, request, true, true);
+	if (route->usable->len == 0)
+		collect_usable(route, route->spillover, request, true, true);
 	if (route->usable->len == 0)
-		collect_usable(route, route->spillover, request, true);
+		collect_usable(route, route->local, request, false, true);
 	if (route->usable->len == 0)
-		collect_usable(route, route->local, request, false);
+		collect_usable(route, route->spillover, request, false, true);
 	if (route->usable->len == 0)
-		collect_usable(route, route->spillover, request, false);
+		collect_usable(route, route->local, request, false, false);
 	if (route->usable->len == 0)
 		return NULL;
 	return route->policy->choose(route, route->usable, request);
@@ -600,6 +617,7 @@
 	if (attempt->answered)
 		return took_us;
 	remove_unanswered(attempt);
+	runner->missed_reports = 0;
 	observe(route, runner, attempt->class_index, took_us);
 	update_typical(route, attempt->class_index, took_us);
 	runner->refusals = 0;
@@ -641,6 +659,19 @@
 	eject_outlier(route, runner);
 }
 
+int64_t route_unanswered_us(const route_t *route, const route_runner_t *runner)
+{
+	const route_attempt_t *oldest =
+		g_queue_peek_head((GQueue *)&runner->unanswered);
+
+	return oldest ? now_us(route) - oldest->started_us : 0;
+}
+
+void route_report_missed(route_runner_t *runner)
+{
+	runner->missed_reports++;
+}
+
 void route_report(const route_t *route, route_runner_t *runner,
 		  uint32_t running, uint32_t queued, uint32_t slots)
 {
@@ -651,6 +682,7 @@
 	/* The report is older than this node's own count, so a small difference
 	 * is noise. */
 	others = total - runner->in_flight_mean * 1.2 - 1;
+	runner->missed_reports = 0;
 	runner->reported_load = total;
 	runner->slots = slots;
 	runner->others_in_flight = others > 0 ? (uint32_t)others : 0;
--- a/src/coord/route.h
+++ b/src/coord/route.h
@@ -53,12 +53,14 @@
 	int64_t in_flight_us; /* time of the last change */
 	double failure_rate; /* recent, 0..1 */
 	uint32_t refusals; /* consecutive */
+	uint32_t missed_reports; /* load reports since its last answer */
 	uint32_t ejections; /* recent; determines the next ejection time */
 	int64_t blocked_until_us;
 	int64_t healthy_since_us;
 	bool on_probation; /* gets one request at a time */
 	bool draining;
 	bool in_subset; /* in one of this node's subsets */
+	bool used_first; /* in the subset that is used before the other */
 } route_runner_t;
 
 /* One attempt of a request; part of the caller's own structure. */
@@ -128,6 +130,14 @@
 void route_finish(route_t *route, route_attempt_t *attempt,
 		  route_outcome_t outcome, int64_t retry_after_ms);
 
+/* Whether the runner answers neither requests nor questions for its load. It is
+ * selected only when no other runner takes work. */
+bool route_is_silent(const route_runner_t *runner);
+/* Time since the start of the oldest attempt without an answer; 0: none. */
+int64_t route_unanswered_us(const route_t *route, const route_runner_t *runner);
+
+/* Records that the runner did not report its load in time. */
+void route_report_missed(route_runner_t *runner);
 /* Records a load report about the runner. */
 void route_report(const route_t *route, route_runner_t *runner,
 		  uint32_t running, uint32_t queued, uint32_t slots);
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -14,6 +14,9 @@
 #define MAX_SENT_ATTEMPTS 12
 #define UPSTREAM_ID_BYTES 96
 #define RUNNER_HASH_SEED 4
+/* Time after which a request without an answer is looked at again when no second
+ * attempt was permitted. */
+#define HEDGE_RECHECK_US 500000
 
 static void finish_attempt(chat_attempt_t *attempt,
 			   route_outcome_t route_outcome,
@@ -296,15 +299,49 @@
 	return route_select(chat->pool->route, &request);
 }
 
+/* Whether the budgets permit a second attempt. One beside a silent runner is a
+ * retry: it does not compete for slots with the first. */
+static bool take_hedge(chat_t *chat)
+{
+	char *key;
+	bool allowed;
+
+	if (!route_is_silent(chat->attempts[0].route.runner))
+		return admission_queued(chat->pool->admission) == 0 &&
+		       hedge_take(chat->pool->hedge);
+	key = chat_state_budget_key(chat);
+	allowed = retry_budget_take(chat->entry->retry_budget, key);
+	g_free(key);
+	return allowed;
+}
+
+static void on_hedge(evutil_socket_t fd, short events, void *arg);
+
+static void recheck_hedge(chat_t *chat)
+{
+	chat_state_timer_start(chat, &chat->hedge_timer, on_hedge,
+			       HEDGE_RECHECK_US);
+}
+
+/* No runner is left for the second attempt. */
+static void give_up_hedge(chat_t *chat)
+{
+	if (!route_is_silent(chat->attempts[0].route.runner))
+		hedge_return(chat->pool->hedge);
+	recheck_hedge(chat);
+}
+
 static void on_hedge(evutil_socket_t fd, short events, void *arg)
 {
 	chat_t *chat = arg;
 
 	if (chat->winner || !chat->attempts[0].call || chat->attempts[1].call ||
-	    !has_attempts_remaining(chat) ||
-	    admission_queued(chat->pool->admission) > 0 ||
-	    !hedge_take(chat->pool->hedge))
+	    !has_attempts_remaining(chat))
+		return;
+	if (!take_hedge(chat)) {
+		recheck_hedge(chat);
 		return;
+	}
 	chat->attempts[1].hedge = true;
 	chat_attempt_start(chat, &chat->attempts[1]);
 }
@@ -369,7 +406,7 @@
 						 &chat->request.parts) > 0)
 		runner = NULL;
 	if (!runner && attempt->hedge) {
-		hedge_return(chat->pool->hedge);
+		give_up_hedge(chat);
 		return;
 	}
 	if (!runner) {
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/log.h"
+
 #define TICK_MS 100
 #define QUEUE_TICK_MS 10
 /* A few load reports per second over all pools bound the bytes per node. */
@@ -11,6 +13,11 @@
 #define POLL_TIMEOUT_MS 1000
 /* A runner without requests of this node for this time is not polled. */
 #define POLL_IDLE_LIMIT_US 10000000
+/* A runner whose oldest request has no answer for this time is polled before
+ * others, so that one which is cut off or stopped is noticed. */
+#define POLL_UNANSWERED_US 1000000
+/* Its poll comes as if the last one had been this much longer ago. */
+#define POLL_DOUBTFUL_LEAD_US 5000000
 #define DEFAULT_SLOTS 64
 #define SUBSET_RUNNERS 16
 #define MIN_LOCAL_RUNNERS 3
@@ -219,6 +226,18 @@
 	return pool;
 }
 
+static void note_missed_report(const pool_t *pool, route_runner_t *runner)
+{
+	bool was_silent = route_is_silent(runner);
+
+	route_report_missed(runner);
+	if (route_is_silent(runner) && !was_silent)
+		log_warn("runner_silent",
+			 "deployment=%s runner=%s domain=%s in_flight=%u",
+			 pool->name, runner->address, runner->domain,
+			 runner->in_flight);
+}
+
 static void on_load_report(const http_response_t *response, void *user_data)
 {
 	pool_poll_t *poll = user_data;
@@ -228,11 +247,16 @@
 	poll->table->polls_pending--;
 	if (response->outcome == HTTP_COMPLETE && response->status == 200)
 		root = json_loadb(response->body, response->body_len, 0, NULL);
-	for (guint i = 0; root && i < runners->len; i++) {
-		if (strcmp(((route_runner_t *)runners->pdata[i])->address,
-			   poll->address) != 0)
+	for (guint i = 0; i < runners->len; i++) {
+		route_runner_t *runner = runners->pdata[i];
+
+		if (strcmp(runner->address, poll->address) != 0)
+			continue;
+		if (!root) {
+			note_missed_report(poll->pool, runner);
 			continue;
-		route_report(poll->pool->route, runners->pdata[i],
+		}
+		route_report(poll->pool->route, runner,
 			     (uint32_t)json_integer_value(
 				     json_object_get(root, "running")),
 			     (uint32_t)json_integer_value(
@@ -279,39 +303,56 @@
 	http_call_start(table->options.http, &options);
 }
 
-/* Returns the runner in use whose load report is oldest. A runner whose number
- * of slots is unknown has precedence, as admission depends on the slots. */
+/* Returns a key by which runners are polled, the lowest first: the time of the
+ * last poll, with some precedence. INT64_MAX: not now. */
+static int64_t poll_order(const pool_table_t *table, const pool_t *pool,
+			  const route_runner_t *runner, int64_t now_us)
+{
+	int64_t polled_at_us = last_polled_us(table, runner);
+	bool is_due = now_us - polled_at_us > POLL_TIMEOUT_MS * 1000LL;
+	bool is_doubtful =
+		runner->missed_reports > 0 ||
+		route_unanswered_us(pool->route, runner) > POLL_UNANSWERED_US;
+
+	/* Admission depends on the slots. */
+	if (runner->slots == 0 && runner->used_first &&
+	    now_us - polled_at_us > POLL_TIMEOUT_MS * 2000LL)
+		return 0;
+	if (is_doubtful)
+		return is_due ? polled_at_us - POLL_DOUBTFUL_LEAD_US :
+				INT64_MAX;
+	if (!runner->used_first ||
+	    now_us - runner->in_flight_us > POLL_IDLE_LIMIT_US)
+		return INT64_MAX;
+	return polled_at_us;
+}
+
+/* Returns the runner that is to be polled next, or NULL. */
 static const route_runner_t *find_runner_to_poll(const pool_table_t *table,
 						 pool_t **found_pool,
 						 int64_t now_us)
 {
 	const route_runner_t *found = NULL;
-	int64_t found_key = INT64_MAX;
+	int64_t found_order = INT64_MAX;
 	GHashTableIter iter;
 	void *value;
 
 	g_hash_table_iter_init(&iter, table->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		pool_t *pool = value;
-		const GPtrArray *in_use = route_subset(pool->route);
+		const GPtrArray *runners = route_runners(pool->route);
 
 		if (pool->is_service)
 			continue;
-		for (guint i = 0; i < in_use->len; i++) {
-			const route_runner_t *runner = in_use->pdata[i];
-			int64_t key = last_polled_us(table, runner);
-
-			if (runner->slots == 0 &&
-			    now_us - key > POLL_TIMEOUT_MS * 2000LL)
-				key = 0;
-			else if (now_us - runner->in_flight_us >
-				 POLL_IDLE_LIMIT_US)
+		for (guint i = 0; i < runners->len; i++) {
+			const route_runner_t *runner = runners->pdata[i];
+			int64_t order = poll_order(table, pool, runner, now_us);
+
+			if (order >= found_order)
 				continue;
-			if (key < found_key) {
-				found = runner;
-				found_key = key;
-				*found_pool = pool;
-			}
+			found = runner;
+			found_order = order;
+			*found_pool = pool;
 		}
 	}
 	return found;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -101,6 +101,41 @@
 	route_free(route);
 }
 
+/* Guards against requests at a runner that takes them without working on them,
+ * such as one of a domain that is cut off, while the node's own are full. */
+static void test_silent_runner_is_selected_last(void)
+{
+	route_t *route = open_route(NULL, 3);
+	const GPtrArray *runners = route_runners(route);
+	route_attempt_t attempts[6];
+
+	for (guint i = 0; i < RUNNERS; i++) {
+		route_runner_t *runner = runners->pdata[i];
+
+		route_report(route, runner, 0, 0, 2);
+		if (strcmp(runner->domain, "there") != 0)
+			continue;
+		route_report_missed(runner);
+		CU_ASSERT_FALSE(route_is_silent(runner));
+		route_report_missed(runner);
+		CU_ASSERT(route_is_silent(runner));
+	}
+	for (int i = 0; i < 6; i++) {
+		CU_ASSERT_EQUAL(route_unanswered_us(route, choose(route)), 0);
+		route_begin(route, &attempts[i], choose(route), 0);
+	}
+	CU_ASSERT_STRING_EQUAL(choose(route)->domain, "here");
+	clock_manual_advance_ms(&clock_manual, 5);
+	CU_ASSERT_EQUAL(route_unanswered_us(route, attempts[0].runner), 5000);
+	for (int i = 0; i < 6; i++)
+		route_finish(route, &attempts[i], ROUTE_OUTCOME_NEUTRAL, 0);
+	for (guint i = 0; i < RUNNERS; i++) {
+		route_report(route, runners->pdata[i], 0, 0, 2);
+		CU_ASSERT_FALSE(route_is_silent(runners->pdata[i]));
+	}
+	route_free(route);
+}
+
 /* Load reports of a straggler arrive late, so its unanswered requests must
  * already keep it from being selected. */
 static void test_unanswered_straggler_is_not_selected(void)
@@ -349,6 +384,8 @@
 	static const unit_test_t tests[] = {
 		{ "subset", test_subset },
 		{ "spill when full", test_spill_when_full },
+		{ "silent runner is selected last",
+		  test_silent_runner_is_selected_last },
 		{ "unanswered straggler is not selected",
 		  test_unanswered_straggler_is_not_selected },
 		{ "ejection and probe", test_ejection_and_probe },
