Refuse returning requests that would be late anyway

Cause: a request that was refused once was always taken when it came back. Its queue made the next first attempts wait past their objective, so they were refused and came back, too: under a load above the capacity the queue never emptied.

Class: accepted work that has become useless is put before work that is not.

--- a/src/gateway/admission_rule.h
+++ b/src/gateway/admission_rule.h
@@ -10,8 +10,9 @@
  *
  * A request that would queue for a slot past its latency objective is refused
  * at once: a retry arrives after the burst, while a longer queue would make all
- * requests late. A retry of a refused request is accepted although it will be
- * late, since its caller may not retry once more.
+ * requests late. A retry of a refused request is accepted before others, but not
+ * past the objective either: while the load exceeds the capacity, a queue of
+ * retries would make all later requests late as well.
  */
 typedef struct admission_input {
 	int32_t wait_ms; /* for a slot; INT32_MAX: there is no runner */
