Put back the retry token of a second attempt that is not sent

A request at a silent engine takes a token from its caller's retry budget for a second attempt. When no other engine was left, the token was lost, and the next look half a second later took another, so one waiting request could use up the budget that other requests of the caller need.

--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -323,11 +323,18 @@
 			       HEDGE_RECHECK_US);
 }
 
-/* No runner is left for the second attempt. */
+/* No runner is left for the second attempt: puts back what take_hedge() took. */
 static void give_up_hedge(chat_t *chat)
 {
-	if (!route_is_silent(chat->attempts[0].route.runner))
+	char *key;
+
+	if (route_is_silent(chat->attempts[0].route.runner)) {
+		key = chat_state_budget_key(chat);
+		retry_budget_return(chat->entry->retry_budget, key);
+		g_free(key);
+	} else {
 		hedge_return(chat->pool->hedge);
+	}
 	recheck_hedge(chat);
 }
 
