--- a/tests/process/test_batch_retention.py
+++ b/tests/process/test_batch_retention.py
@@ -54,8 +54,9 @@
                           if vm["role"] != "entry"]
         self.entries = start(30)
         self.fleet.publish_vms()
-        job = b.wait_state(self.entries[0],
-                           b.create(self.entries[0], used).json())
+        answer = b.create(self.entries[0], used)
+        self.assertEqual(answer.status, 200, answer.body)
+        job = b.wait_state(self.entries[0], answer.json())
         for entry in self.entries:
             entry.stop()
         self.fleet.vms = [vm for vm in self.fleet.vms
