Log a digest of each request's content

Attempts of one request have different ids, so the log could not tell a request that comes again from another one, which the hypotheses of the incident differ in. try_failed and request_held now have a digest of method, host, target, caller and body.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -1,5 +1,6 @@
 #include "gateway/execution.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "backend/event_reader.h"
@@ -40,6 +41,7 @@
 	runner_answer_t answer; /* headers are owned */
 	GString *response_body;
 	event_reader_t events;
+	uint64_t digest;
 	int64_t expires_us;
 	/* Time of the attempt's start, of the response's head, or of the last
 	 * event. Bytes that complete no event are no progress. */
@@ -201,12 +203,13 @@
 	log_info("try_failed",
 		 "request=%s runner=%s try=%u end=%s may_have_run=%d "
 		 "status=%d begun=%d last_event=%" G_GINT64_FORMAT
-		 " left_ms=%d age_ms=%d parts=%s",
+		 " left_ms=%d age_ms=%d digest=%" PRIx64 " parts=%s",
 		 execution->id, execution->runner->id, execution->attempts,
 		 names[outcome], may_have_run(outcome),
 		 execution->answered ? execution->answer.status : 0,
 		 execution->begun, execution->events.last_id,
-		 remaining_ms(execution), attempt_age_ms(execution), parts);
+		 remaining_ms(execution), attempt_age_ms(execution),
+		 execution->digest, parts);
 	if (outcome == ATTEMPT_WITHDRAWN)
 		return;
 	if (outcome == ATTEMPT_UNREACHABLE)
@@ -470,6 +473,7 @@
 	execution->domain = g_strdup(options->domain);
 	execution->headers = g_ptr_array_ref(options->headers);
 	execution->body = g_bytes_ref(options->body);
+	execution->digest = options->digest;
 	execution->response_body = g_string_new(NULL);
 	execution->expires_us = options->expires_us;
 	execution->preferred_runner = options->preferred_runner;
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -63,6 +63,7 @@
 	const char *domain; /* of the runners to use; NULL: any */
 	GPtrArray *headers; /* a reference is taken */
 	GBytes *body; /* a reference is taken */
+	uint64_t digest; /* request_digest(); 0: unknown */
 	bool stream; /* a successful response is an event stream */
 	bool idempotent; /* more than one runner may run it */
 	bool resumable;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -1,8 +1,10 @@
 #include "gateway/relay.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "backend/request_digest.h"
 #include "base/log.h"
 #include "gateway/admission_rule.h"
 
@@ -286,10 +288,33 @@
 	relay_refuse(exchange, retry_after_ms);
 }
 
+static const char *header_of(const relay_request_t *request, const char *name)
+{
+	const GPtrArray *headers = request->headers;
+
+	for (guint i = 0; i + 1 < headers->len; i += 2)
+		if (g_ascii_strcasecmp(headers->pdata[i], name) == 0)
+			return headers->pdata[i + 1];
+	return NULL;
+}
+
+static uint64_t digest_of(const relay_request_t *request)
+{
+	request_content_t content = {
+		.method = request->method,
+		.host = request->host,
+		.target = request->target,
+		.caller = header_of(request, "Authorization"),
+	};
+
+	content.body = g_bytes_get_data(request->body, &content.body_len);
+	return request_digest(&content);
+}
+
 /* Refuses a request that crashes runners. Returns false for others. */
 static bool refuse_held(relay_t *relay, const path_route_t *route,
 			http_exchange_t *exchange,
-			const relay_request_t *request,
+			const relay_request_t *request, uint64_t digest,
 			const prompt_parts_t *parts)
 {
 	int32_t hold_ms = execution_hold_ms(relay->executions, parts);
@@ -299,8 +324,9 @@
 		return false;
 	prompt_parts_print(parts, text, sizeof(text));
 	(*relay->held_total)++;
-	log_info("request_held", "request=%s route=%s hold_ms=%d parts=%s",
-		 request->id, route->name, hold_ms, text);
+	log_info("request_held",
+		 "request=%s route=%s hold_ms=%d digest=%" PRIx64 " parts=%s",
+		 request->id, route->name, hold_ms, digest, text);
 	relay_refuse(exchange, retry_after_ms(relay, parts, route->objective_ms,
 					      request->deadline_ms));
 	return true;
@@ -328,6 +354,7 @@
 		.service = service,
 		.headers = request->headers,
 		.body = request->body,
+		.digest = digest_of(request),
 		.stream = route->kind == PATH_STREAM,
 		.idempotent = route->kind == PATH_IDEMPOTENT,
 		.resumable = route->kind == PATH_STREAM && route->resumable,
@@ -343,7 +370,8 @@
 			&parts);
 	if (relay->stopping)
 		http_close_after(exchange);
-	if (refuse_held(relay, route, exchange, request, &parts))
+	if (refuse_held(relay, route, exchange, request, options.digest,
+			&parts))
 		return;
 	if (!admission_accepts(&input)) {
 		refuse(relay, route, exchange, request, service, &input);
