--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -203,7 +203,7 @@
 
     def do_POST(self):
         runner = self.owner
-        self.body()
+        body = self.body()
         after = int(self.headers.get("Last-Event-Id", 0))
         runner.seen.append((self.headers["Request-Id"], after))
         runner.seen_at.append(time.monotonic())
@@ -218,6 +218,11 @@
                               ("Request-Id", self.headers["Request-Id"]))
             return
         runner.ran.append(self.headers["Request-Id"])
+        is_deadly = (runner.crash_body is not None and
+                     runner.crash_body in body)
+        if is_deadly and runner.crash_events < 0:
+            runner.crash()
+            return
         self.start_answer(200, ("Request-Id", self.headers["Request-Id"]),
                           ("Response-Stamp", f"stamp-{runner.id}"),
                           ("Content-Type", "text/event-stream"),
@@ -228,6 +233,9 @@
             runner.crash()
             return
         for number in range(after + 1, runner.events + 1):
+            if is_deadly and number - after > runner.crash_events:
+                runner.crash()
+                return
             if number == runner.cut_at:
                 self.close_connection = True
                 self.connection.close()
@@ -261,6 +269,9 @@
         self.id = name
         self.name = name
         self.crash_part = None  # a prompt part that ends the process
+        self.crash_body = None  # bytes of a body that end the process
+        # After so many events of that answer; below 0: before its head.
+        self.crash_events = 0
         self.crashes = 0
         self.down_s = 1.5  # time until the process is back
         self.is_down = False
