Hold a request that crashes runners by its content

Callers saw: a request that crashes each runner which begins to run it was sent on to the next runner each time it came again, and sound requests were broken off with each crash. When it shared a prompt part with few others, the part was held instead, and sound requests with it were refused.

Cause: a request was known by the id of one client attempt. A caller repeats it under a new id, so the crashes of its attempts were never added up. Output also cleared it, although a request may crash a runner after some events.

Change: the guard's deepest part is now a digest of method, host, target, caller and body. A loss before the head or after some events counts for the request itself, with less weight; only a complete answer clears it, shared parts are still cleared by the first output. A request that is a suspect of an earlier crash is kept when the entry of a crash is full. wasabilink entry used a digest of the whole prompt already; losses after output and complete answers count there now, too.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -70,6 +70,12 @@
 	return find_suspect((crash_t *)crash, part);
 }
 
+/* Whether a suspect is kept when the entry is full. */
+static bool is_important(const crash_suspect_t *suspect)
+{
+	return suspect->running || suspect->repeated;
+}
+
 bool crash_add_suspect(crash_t *crash, const crash_suspect_t *suspect)
 {
 	crash_suspect_t *known = find_suspect(crash, suspect->part);
@@ -84,10 +90,10 @@
 		crash->suspects[crash->count++] = *suspect;
 		return true;
 	}
-	if (!suspect->running)
+	if (!is_important(suspect))
 		return false;
 	for (uint32_t i = 0; i < crash->count; i++) {
-		if (crash->suspects[i].running)
+		if (is_important(&crash->suspects[i]))
 			continue;
 		crash->suspects[i] = *suspect;
 		return true;
--- a/src/backend/crash_log.h
+++ b/src/backend/crash_log.h
@@ -6,7 +6,7 @@
 
 /*
  * crash_log - the last crashes of runners, and the prompt parts of the requests
- * that each was about to answer.
+ * that each was about to answer, or the requests themselves.
  *
  * Nodes that report the same crash add to the same entry, so it counts once
  * however often it is reported. Entries are ordered by time; a full log drops
@@ -19,6 +19,7 @@
 	uint64_t part;
 	uint32_t depth; /* position of the part in the prompt */
 	bool running; /* the runner had begun to process the request */
+	bool repeated; /* also a suspect of an earlier crash */
 } crash_suspect_t;
 
 typedef struct crash {
@@ -46,7 +47,7 @@
 void crash_log_expire(crash_log_t *log, int64_t before_us);
 
 /* Adds a suspect. Returns false when it is known or the entry is full; suspects
- * that were running replace others then. */
+ * that were running or are repeated replace others then. */
 bool crash_add_suspect(crash_t *crash, const crash_suspect_t *suspect);
 /* Returns the suspect with this part, or NULL. */
 const crash_suspect_t *crash_suspect(const crash_t *crash, uint64_t part);
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -8,6 +8,8 @@
  * request, less if the request may still have been in its queue. */
 #define EVIDENCE_RUNNING 10
 #define EVIDENCE_QUEUED 4
+/* The same for the request itself, of which few come again by chance. */
+#define EVIDENCE_REQUEST 7
 /* Evidence from which a part is held briefly, and for long: of two and of three
  * crashes. */
 #define EVIDENCE_SUSPECTED 20
@@ -160,7 +162,10 @@
 
 	if (!suspect || !counts_against(crash, part))
 		return 0;
-	return suspect->running ? EVIDENCE_RUNNING : EVIDENCE_QUEUED;
+	if (suspect->running)
+		return EVIDENCE_RUNNING;
+	return suspect->depth == PROMPT_DEPTH_REQUEST ? EVIDENCE_REQUEST :
+							EVIDENCE_QUEUED;
 }
 
 static bool is_same_moment(const crash_log_t *log, uint32_t first,
@@ -360,10 +365,11 @@
 }
 
 static bool add_suspect(part_guard_t *guard, crash_t *crash,
-			const crash_suspect_t *suspect)
+			crash_suspect_t *suspect)
 {
-	part_t *part;
+	part_t *part = find_part(guard, suspect->part);
 
+	suspect->repeated = part && part->mentions > 0;
 	if (!crash_add_suspect(crash, suspect))
 		return false;
 	part = find_or_add_part(guard, suspect->part, suspect->depth);
@@ -383,17 +389,22 @@
 }
 
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
-		     const prompt_parts_t *parts, bool running)
+		     const prompt_parts_t *parts, part_loss_t loss)
 {
 	crash_t *crash;
 	bool changed = false;
 
 	crash = note_crash(guard, runner, part_guard_now_us(guard));
-	for (uint32_t i = 0; parts && i < parts->count; i++) {
-		const crash_suspect_t suspect = { parts->ids[i],
-						  prompt_parts_depth(parts, i),
-						  running };
-
+	for (uint32_t i = 0; i < parts->count; i++) {
+		crash_suspect_t suspect = {
+			.part = parts->ids[i],
+			.depth = prompt_parts_depth(parts, i),
+			.running = loss == PART_LOSS_RUNNING,
+		};
+
+		if (loss == PART_LOSS_ANSWERING &&
+		    suspect.depth != PROMPT_DEPTH_REQUEST)
+			continue;
 		changed |= add_suspect(guard, crash, &suspect);
 	}
 	if (!changed || crash->survived)
@@ -446,7 +457,9 @@
 	part->doublings = 0;
 }
 
-void part_guard_begun(part_guard_t *guard, const prompt_parts_t *parts)
+/* Clears the parts of an answered request: its own key, or all others. */
+static void clear_parts(part_guard_t *guard, const prompt_parts_t *parts,
+			bool request)
 {
 	bool changed = false;
 	bool decides = false;
@@ -454,10 +467,13 @@
 	if (g_hash_table_size(guard->parts) == 0)
 		return;
 	for (uint32_t i = 0; i < parts->count; i++) {
+		bool is_request =
+			prompt_parts_depth(parts, i) == PROMPT_DEPTH_REQUEST;
 		part_t *part = find_part(guard, parts->ids[i]);
 
-		if (!part || MAX(part->newest_us, part->held_crash_us) <=
-				     part->cleared_us)
+		if (!part || is_request != request ||
+		    MAX(part->newest_us, part->held_crash_us) <=
+			    part->cleared_us)
 			continue;
 		/* Less evidence against a part that is not held changes
 		 * nothing. */
@@ -472,6 +488,16 @@
 		news_available(guard);
 }
 
+void part_guard_begun(part_guard_t *guard, const prompt_parts_t *parts)
+{
+	clear_parts(guard, parts, false);
+}
+
+void part_guard_completed(part_guard_t *guard, const prompt_parts_t *parts)
+{
+	clear_parts(guard, parts, true);
+}
+
 void part_guard_sent(part_guard_t *guard, const prompt_parts_t *parts)
 {
 	int64_t now_us;
@@ -650,8 +676,11 @@
 	bool changed = from->survived && !crash->survived;
 
 	crash->survived |= from->survived;
-	for (uint32_t i = 0; i < from->count; i++)
-		changed |= add_suspect(guard, crash, &from->suspects[i]);
+	for (uint32_t i = 0; i < from->count; i++) {
+		crash_suspect_t suspect = from->suspects[i];
+
+		changed |= add_suspect(guard, crash, &suspect);
+	}
 	return changed;
 }
 
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -14,9 +14,11 @@
  * part_guard - holds back requests with a prompt part that crashes runners.
  *
  * A part is suspected when runners end with a request in flight that has the
- * part and no output yet. Output of any request with the part clears it. Of the
- * parts that explain several crashes, the one is held that fewest requests
- * share: the deepest that explains most of them. After two crashes a part is
+ * part and no output yet. Output of any request with the part clears it. A
+ * request that comes again counts as a part of its own, the deepest; it is
+ * suspected also after output, and cleared by a complete answer. Of the parts
+ * that explain several crashes, the one is held that fewest requests share: the
+ * deepest that explains most of them. After two crashes a part is
  * held briefly, after three for long, and longer each time that a runner crashes
  * after the hold has ended. After a hold a node sends one request at a time with
  * the part until there is output; nodes begin at different times.
@@ -30,6 +32,13 @@
 #define PART_NEWS_CLEARS_MAX 32
 #define PART_NEWS_HOLDS_MAX 16
 
+/* How far a request was when its connection was lost. */
+typedef enum part_loss {
+	PART_LOSS_WAITING, /* may not have been processed */
+	PART_LOSS_RUNNING, /* the runner had begun to process it */
+	PART_LOSS_ANSWERING /* some of the answer had come */
+} part_loss_t;
+
 typedef struct part_clear {
 	uint64_t part;
 	int64_t at_us; /* of the output */
@@ -68,17 +77,18 @@
 
 /* Time of the clock that the guard's times are of. */
 int64_t part_guard_now_us(const part_guard_t *guard);
-/* The connection of a request ended at the runner's side. parts are those of a
- * request without output, else NULL; running: the runner had begun to process
- * it. */
+/* The connection of a request with these parts ended at the runner's side. */
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
-		     const prompt_parts_t *parts, bool running);
+		     const prompt_parts_t *parts, part_loss_t loss);
 /* The runner sent output for a request that was sent at started_us. If that is
  * before a crash of it was noted, it has not crashed. */
 void part_guard_output(part_guard_t *guard, uint64_t runner,
 		       int64_t started_us);
-/* A runner has begun to answer a request with these parts. */
+/* A runner has begun to answer a request with these parts. Clears the parts that
+ * it shares with others; the request may still crash the runner. */
 void part_guard_begun(part_guard_t *guard, const prompt_parts_t *parts);
+/* A runner has answered a request with these parts. Clears the request. */
+void part_guard_completed(part_guard_t *guard, const prompt_parts_t *parts);
 /* A request with these parts is sent to a runner. */
 void part_guard_sent(part_guard_t *guard, const prompt_parts_t *parts);
 /* Milliseconds for which a request with these parts is to be held back; 0: it
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -214,17 +214,19 @@
 	chat->attempted_count = kept;
 }
 
-/* Reports an engine that ended the connection before any output. */
+/* Reports an engine that ended the connection. */
 static void note_loss(const chat_attempt_t *attempt,
 		      const engine_result_t *result)
 {
 	const chat_t *chat = attempt->chat;
+	part_loss_t loss = chat->state == REQUEST_STREAMING ?
+				   PART_LOSS_ANSWERING :
+				   PART_LOSS_RUNNING;
 
-	if (result->fault == ENGINE_FAULT_TRUNCATED &&
-	    chat->state != REQUEST_STREAMING)
+	if (result->fault == ENGINE_FAULT_TRUNCATED)
 		part_guard_lost(chat->pool->part_guard,
 				runner_key(attempt->route.runner),
-				&chat->request.parts, true);
+				&chat->request.parts, loss);
 }
 
 static void on_attempt_done(const engine_result_t *result, void *user_data)
@@ -249,6 +251,8 @@
 			       attempt->route.runner->address,
 			       attempt->version);
 		set_winner(attempt);
+		part_guard_completed(chat->pool->part_guard,
+				     &chat->request.parts);
 	}
 	note_loss(attempt, result);
 	finish_attempt(attempt, route_outcome_of(result->fault),
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -299,12 +299,29 @@
 /* Reports that the runner ended the connection. */
 static void note_loss(const execution_t *execution)
 {
+	part_loss_t loss = PART_LOSS_WAITING;
+
+	if (execution->begun)
+		loss = PART_LOSS_ANSWERING;
 	/* The head of a stream comes when the runner begins to process the
 	 * request, that of another response when it is done. */
-	bool running = execution->answered || !execution->stream;
-
+	else if (execution->answered || !execution->stream)
+		loss = PART_LOSS_RUNNING;
+	/* A batch item that went on is not what ended the runner: it would have
+	 * ended it at the same event again. */
+	if (execution->begun && execution->batch)
+		return;
 	part_guard_lost(execution->context->part_guard, execution->runner->key,
-			execution->begun ? NULL : &execution->parts, running);
+			&execution->parts, loss);
+}
+
+/* Reports that the runner has answered the request. A body that ends with the
+ * connection may also have ended with the runner. */
+static void note_completion(const execution_t *execution)
+{
+	if (!execution->answer.until_close)
+		part_guard_completed(execution->context->part_guard,
+				     &execution->parts);
 }
 
 /* Whether the end of the connection cannot be told from that of the runner, as
@@ -326,13 +343,16 @@
 		attempt_failed(execution, ATTEMPT_BROKEN);
 		return;
 	}
-	if (!is_live_stream(execution))
+	if (!is_live_stream(execution)) {
 		note_output(execution);
+		note_completion(execution);
+	}
 	if (is_live_stream(execution)) {
 		if (!event_reader_at_boundary(&execution->events)) {
 			attempt_failed(execution, ATTEMPT_BROKEN);
 			return;
 		}
+		note_completion(execution);
 		fleet_succeeded(execution->context->fleet, execution->runner);
 		finish(execution, EXECUTION_DONE);
 		return;
@@ -442,13 +462,14 @@
 	next_attempt(arg);
 }
 
-void execution_parts(const execution_context_t *context, const char *id,
-		     const GPtrArray *headers, prompt_parts_t *parts)
+void execution_parts(const execution_context_t *context,
+		     const GPtrArray *headers, uint64_t digest,
+		     prompt_parts_t *parts)
 {
 	*parts = (prompt_parts_t){ 0 };
 	if (context->protocol->decode_parts)
 		context->protocol->decode_parts(headers, parts);
-	prompt_parts_add_request(parts, fleet_key(id));
+	prompt_parts_add_request(parts, digest);
 }
 
 int32_t execution_hold_ms(const execution_context_t *context,
@@ -485,7 +506,7 @@
 	execution->require_healthy = options->require_healthy;
 	execution->resumes = options->resume_after != EVENT_READER_NONE;
 	event_reader_init(&execution->events, options->resume_after);
-	execution_parts(context, execution->id, execution->headers,
+	execution_parts(context, execution->headers, execution->digest,
 			&execution->parts);
 	execution->retry = evtimer_new(context->base, on_retry, execution);
 	execution->link.data = execution;
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -63,7 +63,7 @@
 	const char *domain; /* of the runners to use; NULL: any */
 	GPtrArray *headers; /* a reference is taken */
 	GBytes *body; /* a reference is taken */
-	uint64_t digest; /* request_digest(); 0: unknown */
+	uint64_t digest; /* the same for all attempts of the request */
 	bool stream; /* a successful response is an event stream */
 	bool idempotent; /* more than one runner may run it */
 	bool resumable;
@@ -85,9 +85,10 @@
 execution_t *execution_start(execution_context_t *context,
 			     const execution_options_t *options);
 /* Fills in the parts by which requests are held back: those of the prompt, and
- * the request's id. */
-void execution_parts(const execution_context_t *context, const char *id,
-		     const GPtrArray *headers, prompt_parts_t *parts);
+ * the request itself by its digest. */
+void execution_parts(const execution_context_t *context,
+		     const GPtrArray *headers, uint64_t digest,
+		     prompt_parts_t *parts);
 /* Milliseconds for which a request with these parts is held back, as such
  * requests crash runners; 0: it is not. */
 int32_t execution_hold_ms(const execution_context_t *context,
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -23,7 +23,7 @@
 	owned->finished = finished;
 	owned->user_data = user_data;
 	owned->max_failures = 1;
-	execution_parts(context->executions, item->id, item->headers,
+	execution_parts(context->executions, item->headers, fleet_key(item->id),
 			&owned->parts);
 }
 
@@ -194,6 +194,7 @@
 		.target = owned->item->target,
 		.headers = owned->item->headers,
 		.body = owned->item->body,
+		.digest = fleet_key(owned->item->id),
 		.stream = true,
 		.resumable = true,
 		.batch = true,
--- a/src/gateway/part_report.c
+++ b/src/gateway/part_report.c
@@ -95,7 +95,9 @@
 				&entry->suspects.suspects_val[j];
 
 			crash->suspects[crash->count++] = (crash_suspect_t){
-				suspect->part, suspect->depth, suspect->running
+				.part = suspect->part,
+				.depth = suspect->depth,
+				.running = suspect->running,
 			};
 		}
 	}
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -366,7 +366,7 @@
 	prompt_parts_t parts;
 	relayed_t *relayed;
 
-	execution_parts(relay->executions, request->id, request->headers,
+	execution_parts(relay->executions, request->headers, options.digest,
 			&parts);
 	if (relay->stopping)
 		http_close_after(exchange);
--- a/tests/process/test_deadly_request.py
+++ b/tests/process/test_deadly_request.py
@@ -119,9 +119,11 @@
         self.check("/once/a")
 
     def test_crash_after_events(self):
-        """The same when runners end after some events."""
+        """The same when runners end after some events, those that resume the
+        stream, too."""
         for runner in self.runners:
             runner.crash_events = 2
+            runner.events = 12
         self.check("/again/a")
 
     def test_hold_survives_restarts(self):
--- a/tests/test_crash_log.c
+++ b/tests/test_crash_log.c
@@ -46,7 +46,7 @@
 		CU_ASSERT_EQUAL(crash_add_suspect(crash, &suspect),
 				i < CRASH_SUSPECTS_MAX);
 	}
-	suspect = (crash_suspect_t){ 100, 0, true };
+	suspect = (crash_suspect_t){ .part = 100, .running = true };
 	CU_ASSERT(crash_add_suspect(crash, &suspect));
 	CU_ASSERT_FALSE(crash_add_suspect(crash, &suspect));
 	CU_ASSERT_EQUAL(crash->count, CRASH_SUSPECTS_MAX);
@@ -54,12 +54,33 @@
 	crash_log_clear(&log);
 }
 
+/* A request that comes again must be kept in the entry of a crash of which many
+ * requests are suspects. */
+static void test_repeated_suspect_is_kept(void)
+{
+	crash_log_t log = { 0 };
+	crash_t *crash = crash_log_note(&log, 1, SECOND_US);
+	crash_suspect_t suspect = { .repeated = true };
+
+	for (uint64_t i = 0; i < CRASH_SUSPECTS_MAX; i++) {
+		suspect.part = i;
+		suspect.repeated = i == 0;
+		CU_ASSERT(crash_add_suspect(crash, &suspect));
+	}
+	suspect = (crash_suspect_t){ .part = 100, .repeated = true };
+	CU_ASSERT(crash_add_suspect(crash, &suspect));
+	CU_ASSERT_PTR_NOT_NULL(crash_suspect(crash, 0));
+	CU_ASSERT_PTR_NOT_NULL(crash_suspect(crash, 100));
+	crash_log_clear(&log);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "same crash", test_same_crash },
 		{ "order and bound", test_order_and_bound },
 		{ "running suspects first", test_running_suspects_first },
+		{ "repeated suspect is kept", test_repeated_suspect_is_kept },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -60,7 +60,7 @@
 	const prompt_parts_t parts = parts_of(f, first, second);
 
 	clock_manual_advance_ms(&f->clock, 100);
-	part_guard_lost(f->guard, ++f->runner, &parts, true);
+	part_guard_lost(f->guard, ++f->runner, &parts, PART_LOSS_RUNNING);
 }
 
 static void begin(fixture_t *f, uint64_t first, uint64_t second)
@@ -172,7 +172,9 @@
 		const prompt_parts_t parts =
 			parts_of(f, i % 3 ? 1000 + i : FIRST, 2000 + i);
 
-		part_guard_lost(f->guard, i, i % 2 ? &parts : NULL, true);
+		part_guard_lost(f->guard, i, &parts,
+				i % 2 ? PART_LOSS_RUNNING :
+					PART_LOSS_ANSWERING);
 	}
 	CU_ASSERT_EQUAL(hold_ms(f, FIRST, 1), 0);
 	fixture_free(f);
@@ -187,7 +189,7 @@
 	for (uint64_t i = 1; i <= 3; i++) {
 		const prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
 
-		part_guard_lost(f->guard, i, &parts, true);
+		part_guard_lost(f->guard, i, &parts, PART_LOSS_RUNNING);
 	}
 	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
 	fixture_free(f);
@@ -216,14 +218,57 @@
 	fixture_t *f = fixture_new();
 	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
 
-	part_guard_lost(f->guard, 1, &parts, true);
+	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING);
 	clock_manual_advance_ms(&f->clock, 100);
-	part_guard_lost(f->guard, 2, &parts, true);
+	part_guard_lost(f->guard, 2, &parts, PART_LOSS_RUNNING);
 	CU_ASSERT(part_guard_hold_ms(f->guard, &parts) > 0);
 	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
 	fixture_free(f);
 }
 
+/* The crashes of a request must be told although they come before the runner
+ * has begun to process it, or after some of the answer; two such requests in
+ * flight at ordinary crashes are not enough. */
+static void test_request_before_and_after_output(void)
+{
+	fixture_t *f = fixture_new();
+	const prompt_parts_t waiting = parts_of(f, FIRST, OTHER);
+	const prompt_parts_t answering = parts_of(f, FIRST, OTHER);
+
+	for (uint64_t i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &waiting), 0);
+		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &answering), 0);
+		part_guard_lost(f->guard, 10 + i, &waiting, PART_LOSS_WAITING);
+		clock_manual_advance_ms(&f->clock, 100);
+		part_guard_begun(f->guard, &answering);
+		part_guard_lost(f->guard, 20 + i, &answering,
+				PART_LOSS_ANSWERING);
+		clock_manual_advance_ms(&f->clock, 100);
+	}
+	CU_ASSERT(part_guard_hold_ms(f->guard, &waiting) > 0);
+	CU_ASSERT(part_guard_hold_ms(f->guard, &answering) > 0);
+	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
+	fixture_free(f);
+}
+
+/* A sound request that runners crash under must be cleared by its complete
+ * answer, not by the start of one. */
+static void test_complete_answer_clears_request(void)
+{
+	fixture_t *f = fixture_new();
+	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
+
+	for (uint64_t i = 0; i < 3; i++) {
+		part_guard_lost(f->guard, 10 + i, &parts, PART_LOSS_RUNNING);
+		clock_manual_advance_ms(&f->clock, 100);
+	}
+	part_guard_begun(f->guard, &parts);
+	CU_ASSERT(part_guard_is_certain(f->guard, &parts));
+	part_guard_completed(f->guard, &parts);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	fixture_free(f);
+}
+
 /* After a hold one request at a time must be sent, and another crash must hold
  * the part for longer. */
 static void test_trial_after_hold(void)
@@ -274,15 +319,15 @@
 	prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
 	part_news_t news;
 
-	part_guard_lost(f->guard, 1, &parts, true);
-	part_guard_lost(peer, 1, &parts, true);
+	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING);
+	part_guard_lost(peer, 1, &parts, PART_LOSS_RUNNING);
 	while (part_guard_take_news(f->guard, &news))
 		part_guard_apply(peer, &news);
 	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
 	for (uint64_t runner = 2; runner <= 3; runner++) {
 		clock_manual_advance_ms(&f->clock, 100);
 		parts = parts_of(f, FIRST, DEADLY);
-		part_guard_lost(f->guard, runner, &parts, true);
+		part_guard_lost(f->guard, runner, &parts, PART_LOSS_RUNNING);
 	}
 	while (part_guard_take_news(f->guard, &news))
 		part_guard_apply(peer, &news);
@@ -314,7 +359,7 @@
 	/* It must not need more crashes than the others after the hold. */
 	clock_manual_advance_ms(&f->clock, 80000);
 	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
-	part_guard_lost(peer, 99, &parts, true);
+	part_guard_lost(peer, 99, &parts, PART_LOSS_RUNNING);
 	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 100000);
 	part_guard_free(peer);
 	fixture_free(f);
@@ -357,6 +402,10 @@
 		{ "crashes at one moment", test_crashes_at_one_moment },
 		{ "survivors do not count", test_survivors_do_not_count },
 		{ "single request", test_single_request },
+		{ "request before and after output",
+		  test_request_before_and_after_output },
+		{ "complete answer clears request",
+		  test_complete_answer_clears_request },
 		{ "trial after hold", test_trial_after_hold },
 		{ "two parts", test_two_parts },
 		{ "news", test_news },
--- a/tests/test_part_report.c
+++ b/tests/test_part_report.c
@@ -20,8 +20,9 @@
 		crash->runner = i + 1;
 		crash->at_us = NOW_US - 5000;
 		for (uint32_t j = 0; j < CRASH_SUSPECTS_MAX; j++)
-			crash->suspects[crash->count++] =
-				(crash_suspect_t){ j, j % 3, j % 2 };
+			crash->suspects[crash->count++] = (crash_suspect_t){
+				.part = j, .depth = j % 3, .running = j % 2
+			};
 	}
 	for (uint32_t i = 0; i < PART_NEWS_CLEARS_MAX; i++)
 		news.clears[news.clears_count++] =
