Tell nodes that have started what crashes runners

Callers saw: after a restart of a node, a request that all other nodes held crashed runners again.

Cause: a node that starts knows no crash. The others sent a summary to a node chosen at random every 500 ms, so it could take seconds until each new process had one.

Change: a report of a new process of a node is answered with a summary, in a large system by four nodes on average; a node reports itself as soon as it knows the address of another one, not at the next interval.

--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -27,6 +27,7 @@
 	int64_t received_us;
 	batch_waiting_t batch_waiting;
 	bool reaches_store;
+	bool started; /* see load_view_take_started() */
 	GArray *entries; /* load_entry */
 	GArray *failures; /* load_failure */
 	GHashTable *sent; /* runner key -> requests sent, as last reported */
@@ -331,8 +332,10 @@
 				    report.failures.failures_len);
 		add_load(view, peer, true);
 		apply_slowness(view, peer->entries);
-		if (report.incarnation != peer->incarnation)
+		if (report.incarnation != peer->incarnation) {
 			g_hash_table_remove_all(peer->sent);
+			peer->started = true;
+		}
 		apply_limits(view, peer, &report);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
@@ -348,6 +351,16 @@
 	return peer ? peer->node : NULL;
 }
 
+bool load_view_take_started(load_view_t *view, const char *node)
+{
+	peer_t *peer = g_hash_table_lookup(view->peers, node);
+	bool started = peer && peer->started;
+
+	if (peer)
+		peer->started = false;
+	return started;
+}
+
 void load_view_expire(load_view_t *view)
 {
 	int64_t now_us = clock_now_us(view->clock);
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -51,6 +51,8 @@
 /* Applies another node's report. Returns the node's name, or NULL for a report
  * that cannot be decoded, is this node's own or is not newer than the last. */
 const char *load_view_apply(load_view_t *view, char *data, size_t len);
+/* Whether the process of a node is new since the last call for it. */
+bool load_view_take_started(load_view_t *view, const char *node);
 /* Removes nodes without a recent report. */
 void load_view_expire(load_view_t *view);
 uint32_t load_view_peers(const load_view_t *view);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -35,6 +35,8 @@
 #define PART_NEWS_REPEAT_MS 150
 /* With as many nodes, each hears one summary in this time on average. */
 #define PART_SUMMARY_INTERVAL_MS 500
+/* Number of nodes that send a summary to one that has started. */
+#define PART_STARTED_SENDERS 4
 
 typedef struct node_address {
 	struct sockaddr_in socket;
@@ -99,6 +101,8 @@
 	address->domain = g_strdup(domain);
 	g_hash_table_insert(load->addresses, g_strdup(node), address);
 	fleet_set_remote_load_stale(load->options.fleet, is_large(load));
+	/* A report tells the node that this one has started, if it has. */
+	peer_load_changed(load);
 }
 
 static void on_node_changed(const object_entry_t *entry, void *user_data)
@@ -262,34 +266,54 @@
 	schedule_parts(load, PART_NEWS_DELAY_MS);
 }
 
-/* Sends a summary about parts to a node chosen at random. */
-static void send_parts_summary(peer_load_t *load)
+static void send_summary(const peer_load_t *load,
+			 const struct sockaddr_in *socket)
 {
 	part_guard_t *guard = load->options.part_guard;
 	char data[PART_REPORT_MAX_BYTES];
-	const node_address_t *address;
 	part_news_t news;
-	GList *nodes;
 	size_t len;
 
+	if (!part_guard_summary(guard, &news))
+		return;
+	len = part_report_encode(&news, part_guard_now_us(guard), data,
+				 sizeof(data));
+	/* The next summary replaces one that could not be sent. */
+	(void)sendto(load->socket, data, len, MSG_DONTWAIT,
+		     (const struct sockaddr *)socket, sizeof(*socket));
+}
+
+/* Sends a summary about parts to a node chosen at random. */
+static void send_parts_summary(peer_load_t *load)
+{
+	const node_address_t *address;
+	GList *nodes;
+
 	load->parts_summary_us = clock_now_us(load->options.clock);
-	if (g_hash_table_size(load->addresses) == 0 ||
-	    !part_guard_summary(guard, &news))
+	if (g_hash_table_size(load->addresses) == 0)
 		return;
 	nodes = g_hash_table_get_values(load->addresses);
 	address = g_list_nth_data(
 		nodes, (guint)g_rand_int_range(
 			       load->options.random, 0,
 			       (gint32)g_hash_table_size(load->addresses)));
-	len = part_report_encode(&news, part_guard_now_us(guard), data,
-				 sizeof(data));
-	/* The next summary replaces one that could not be sent. */
-	(void)sendto(load->socket, data, len, MSG_DONTWAIT,
-		     (const struct sockaddr *)&address->socket,
-		     sizeof(address->socket));
+	send_summary(load, &address->socket);
 	g_list_free(nodes);
 }
 
+/* Tells a node that has started what crashes runners, before it sends requests
+ * to them. */
+static void greet_started(peer_load_t *load, const char *node,
+			  const struct sockaddr_in *socket)
+{
+	double share = (double)PART_STARTED_SENDERS /
+		       MAX(g_hash_table_size(load->addresses), 1);
+
+	if (load_view_take_started(load->view, node) &&
+	    g_rand_double(load->options.random) < share)
+		send_summary(load, socket);
+}
+
 static void apply_part_report(peer_load_t *load, const char *data, size_t len)
 {
 	part_guard_t *guard = load->options.part_guard;
@@ -322,6 +346,8 @@
 		if (node && !g_hash_table_contains(load->addresses, node))
 			add_address(load, node,
 				    load_view_domain(load->view, node), &from);
+		if (node)
+			greet_started(load, node, &from);
 		load_received |= node != NULL;
 		from_len = sizeof(from);
 	}
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -194,6 +194,29 @@
 	node_free(&b);
 }
 
+/* A node that has started, for the first time or again, must be noticed once,
+ * so that it is told what the others know. */
+static void test_started_node(void)
+{
+	clock_manual_t clock;
+	node_t a, b;
+
+	clock_manual_init(&clock, 0);
+	a = node_new(&clock, "a", 1);
+	b = node_new(&clock, "b", 1);
+	CU_ASSERT_FALSE(load_view_take_started(b.view, "a"));
+	for (int i = 0; i < 2; i++) {
+		tell(&a, &b);
+		CU_ASSERT(load_view_take_started(b.view, "a"));
+		tell(&a, &b);
+		CU_ASSERT_FALSE(load_view_take_started(b.view, "a"));
+		node_free(&a);
+		a = node_new(&clock, "a", 2);
+	}
+	node_free(&a);
+	node_free(&b);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -201,6 +224,7 @@
 		{ "timeout and restart", test_timeout_and_restart },
 		{ "invalid reports", test_invalid_reports },
 		{ "limits", test_limits },
+		{ "started node", test_started_node },
 		{ NULL, NULL },
 	};
 
