Log the software version of runners and of resumed streams

The hypotheses of the incident differ in which resumption joins two versions, the node's or the client's, but no line named a version, the runner that resumes, or a client's take-up. runner_entry tells the version, stream_resumed the one of the runner and of the events before, stream_taken_up the attempt that the client names. An entry without a version in text is one of another writer and names no runner, as the users' page says of missing fields; test_store_decode has both cases. No choice of a runner uses the version yet.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -58,6 +58,9 @@
 	bool resumable;
 	bool batch;
 	bool require_healthy;
+	/* Of the runners' software that has written the events; NULL: none has
+	 * come, or another node had them. */
+	char *version;
 	bool resumes; /* after events of an earlier execution */
 	bool stream_started; /* the sink's start callback was called */
 	bool answered; /* the current attempt has an answer */
@@ -83,6 +86,7 @@
 	g_free(execution->host);
 	g_free(execution->service);
 	g_free(execution->domain);
+	g_free(execution->version);
 	g_free(execution);
 }
 
@@ -136,6 +140,8 @@
 
 	execution->progress_us = clock_now_us(execution->context->clock);
 	note_output(execution);
+	if (!execution->version)
+		execution->version = g_strdup(execution->runner->version);
 	execution->sink->event(raw, raw_len, data, data_len,
 			       execution->user_data);
 }
@@ -387,6 +393,20 @@
 						  ATTEMPT_BROKEN);
 }
 
+static void log_resumption(const execution_t *execution)
+{
+	if (execution->events.last_id == EVENT_READER_NONE)
+		return;
+	log_info("stream_resumed",
+		 "request=%s runner=%s software=%s began=%s "
+		 "last_event=%" PRId64 " try=%u digest=%" PRIx64,
+		 execution->id, execution->runner->id,
+		 log_quote(execution->runner->version),
+		 execution->version ? log_quote(execution->version) : "-",
+		 execution->events.last_id, execution->attempts,
+		 execution->digest);
+}
+
 static bool start_attempt(execution_t *execution)
 {
 	const fleet_pick_options_t pick = {
@@ -434,6 +454,7 @@
 	execution->started_elapsed_us =
 		part_guard_now_us(execution->context->part_guard);
 	event_reader_restart(&execution->events);
+	log_resumption(execution);
 	(*execution->context->tries_total)++;
 	if (execution->stream_started)
 		(*execution->context->resumes_total)++;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -63,6 +63,7 @@
 	g_free(runner->address);
 	g_free(runner->service);
 	g_free(runner->domain);
+	g_free(runner->version);
 	g_free(runner);
 }
 
@@ -166,6 +167,8 @@
 	replace_string(&runner->address, entry->address);
 	replace_string(&runner->service, entry->service);
 	replace_string(&runner->domain, entry->domain);
+	replace_string(&runner->version, entry->version);
+	runner->version_key = fleet_key(entry->version ? entry->version : "");
 	runner->domain_state = find_or_add_domain(fleet, runner->domain);
 	runner->slots = entry->slots;
 	runner->draining = entry->draining;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -44,6 +44,8 @@
 	char *service;
 	char *domain;
 	uint64_t key; /* hash of the id, identifies the runner between nodes */
+	char *version; /* of the runner's software */
+	uint64_t version_key; /* hash of it */
 	uint32_t slots;
 	int64_t started_ms; /* wall clock of the runner */
 	bool draining; /* draining: gets no new requests */
@@ -72,6 +74,7 @@
 	uint32_t slots;
 	int64_t started_ms;
 	bool draining;
+	const char *version; /* of the software */
 } fleet_entry_t;
 
 typedef struct fleet_options {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -78,14 +78,20 @@
 {
 	gateway_t *gateway = user_data;
 	const char *id = runner_id(gateway, entry->key);
+	const fleet_runner_t *runner;
 
-	if (!gateway->codec->decode_runner(id, entry->data, gateway->fleet))
+	if (!gateway->codec->decode_runner(id, entry->data, gateway->fleet)) {
 		log_warn("runner_entry_unusable", "runner=%s revision=%" PRIu64,
 			 id, entry->version);
-	else
+		return;
+	}
+	runner = fleet_find(gateway->fleet, fleet_key(id));
+	if (runner)
 		log_info("runner_entry",
-			 "runner=%s revision=%" PRIu64 " runners=%u", id,
-			 entry->version, fleet_size(gateway->fleet));
+			 "runner=%s revision=%" PRIu64 " runners=%u "
+			 "software=%s draining=%d",
+			 id, entry->version, fleet_size(gateway->fleet),
+			 log_quote(runner->version), runner->draining);
 }
 
 static void schedule_removal(gateway_t *gateway, const char *id)
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -368,6 +368,12 @@
 
 	execution_parts(relay->executions, request->headers, options.digest,
 			&parts);
+	if (request->resume_after >= 0)
+		log_info("stream_taken_up",
+			 "request=%s route=%s resumes=%s "
+			 "last_event=%" PRId64,
+			 request->id, route->name, log_quote(request->resumes),
+			 request->resume_after);
 	if (relay->stopping)
 		http_close_after(exchange);
 	if (refuse_held(relay, route, exchange, request, options.digest,
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -36,6 +36,7 @@
 	int64_t received_us;
 	int32_t deadline_ms; /* remaining time of the caller; 0: unknown */
 	int64_t resume_after; /* last event that the caller has, or -1 */
+	const char *resumes; /* id of the attempt that began it; may be NULL */
 } relay_request_t;
 
 relay_t *relay_new(const relay_options_t *options);
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -241,7 +241,8 @@
                 self.connection.close()
                 return
             time.sleep(runner.gap_s)
-            self.chunk(b"id: %d\ndata: e%d\n\n" % (number, number))
+            self.chunk(b"id: %d\ndata: %s\n\n" % (
+                number, runner.text(number).encode()))
         if runner.until_close:
             self.wfile.write(runner.cut_event)
             self.close_connection = True
@@ -264,10 +265,11 @@
     """A runner. After a crash it comes back as another process, with a new
     id."""
 
-    def __init__(self, store, name, events=4, port=None):
+    def __init__(self, store, name, events=4, port=None, version="v1"):
         """port: the one that gateways connect to, if not the own port."""
         self.id = name
         self.name = name
+        self.version = version  # of the software
         self.crash_part = None  # a prompt part that ends the process
         self.crash_body = None  # bytes of a body that end the process
         # After so many events of that answer; below 0: before its head.
@@ -296,6 +298,10 @@
         self.address = f"127.0.0.1:{port or self.port}"
         self.register("ready")
 
+    def text(self, number):
+        """Data of an event, which tells a version other than the first."""
+        return f"e{number}" + ("" if self.version == "v1" else self.version)
+
     def limit_header(self):
         return [] if self.limit is None else [
             ("Server-Limit", str(self.limit))]
@@ -336,7 +342,8 @@
     def register(self, state):
         self.store.put("servers", self.id, {
             "service": SERVICE, "address": self.address,
-            "zone": "z", "slots": 8, "state": state, "born": 1})
+            "zone": "z", "version": self.version, "slots": 8,
+            "state": state, "born": 1})
 
 
 def route(prefix, kind, **more):
--- a/tests/test_batch_rule.c
+++ b/tests/test_batch_rule.c
@@ -207,9 +207,9 @@
 		sim->fleets[i] = fleet_new(&options);
 		for (int j = 0; j < LARGE_RUNNERS; j++) {
 			char id[16];
-			fleet_entry_t entry = { id,   "10.0.0.1:1", "s",
-						"d",  LARGE_SLOTS,  1,
-						false };
+			fleet_entry_t entry = { id,    "10.0.0.1:1", "s",
+						"d",   LARGE_SLOTS,  1,
+						false, "1" };
 
 			g_snprintf(id, sizeof(id), "r%d", j);
 			fleet_update(sim->fleets[i], &entry);
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -84,7 +84,8 @@
 
 static void add_runner(fixture_t *fixture, const char *id)
 {
-	const fleet_entry_t entry = { id, "10.0.0.1:1", "s", "d", 8, 1, false };
+	const fleet_entry_t entry = { id, "10.0.0.1:1", "s", "d", 8,
+				      1,  false,	"1" };
 
 	fleet_update(fixture->fleet, &entry);
 }
--- a/tests/test_failure_record.c
+++ b/tests/test_failure_record.c
@@ -81,7 +81,7 @@
 		for (int j = 0; j < RUNNERS; j++) {
 			const char id[2] = { (char)('a' + j), 0 };
 			const fleet_entry_t entry = {
-				id, "10.0.0.1:1", "s", "d", 7, 1, false
+				id, "10.0.0.1:1", "s", "d", 7, 1, false, "1"
 			};
 
 			fleet_update(sim->fleets[i], &entry);
@@ -192,8 +192,8 @@
 static void test_failed_item_avoids_failing_runner(void)
 {
 	static const fleet_entry_t entries[] = {
-		{ "bad", "10.0.0.1:1", "s", "d", 8, 1, false },
-		{ "good", "10.0.0.2:1", "s", "d", 8, 1, false },
+		{ "bad", "10.0.0.1:1", "s", "d", 8, 1, false, "1" },
+		{ "good", "10.0.0.2:1", "s", "d", 8, 1, false, "1" },
 	};
 	clock_manual_t clock;
 	GRand *random = g_rand_new_with_seed(1);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -18,8 +18,8 @@
 static void add(fleet_t *fleet, const char *id, uint32_t slots,
 		int64_t started_ms, bool draining)
 {
-	const fleet_entry_t entry = { id,    "10.0.0.1:1", "s",	    "d",
-				      slots, started_ms,   draining };
+	const fleet_entry_t entry = { id,    "10.0.0.1:1", "s",	     "d",
+				      slots, started_ms,   draining, "1" };
 
 	fleet_update(fleet, &entry);
 }
@@ -218,7 +218,7 @@
 {
 	GRand *random = g_rand_new_with_seed(1);
 	const fleet_entry_t remote = { "far", "10.0.0.2:1", "s", "e", 8,
-				       1,     false };
+				       1,     false,	    "1" };
 	fleet_t *fleet;
 	fleet_runner_t *runner;
 
@@ -247,7 +247,7 @@
 {
 	GRand *random = g_rand_new_with_seed(1);
 	const fleet_entry_t remote = { "far", "10.0.0.2:1", "s", "e", 8,
-				       1,     false };
+				       1,     false,	    "1" };
 	const uint64_t tried = fleet_key("near");
 	const fleet_pick_options_t retry = { .service = "s",
 					     .tried = &tried,
@@ -480,7 +480,7 @@
 			const fleet_entry_t entry = { id,    "10.0.0.1:1",
 						      "s",   names[j % domains],
 						      SLOTS, 1,
-						      false };
+						      false, "1" };
 
 			fleet_update(sim->fleets[i], &entry);
 		}
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -174,9 +174,8 @@
 	const fleet_options_t fleet = { .clock = &cluster->clock.base,
 					.random = cluster->random,
 					.domain = "d" };
-	const fleet_entry_t runner = {
-		"r", "10.0.0.1:1", "s", "d", 64, 1, false
-	};
+	const fleet_entry_t runner = { "r", "10.0.0.1:1", "s", "d", 64,
+				       1,   false,	  "1" };
 	path_route_t *route;
 
 	node->cluster = cluster;
@@ -531,9 +530,9 @@
 	int starts;
 
 	/* One runner with one slot, so that items wait for it. */
-	fleet_update(
-		cluster->nodes[0].fleet,
-		&(fleet_entry_t){ "r", "10.0.0.1:1", "s", "d", 1, 1, false });
+	fleet_update(cluster->nodes[0].fleet,
+		     &(fleet_entry_t){ "r", "10.0.0.1:1", "s", "d", 1, 1, false,
+				       "1" });
 	cluster->steps_per_item = 250;
 	submit(&cluster->nodes[0]);
 	run_ms(cluster, 1000);
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -20,9 +20,8 @@
 	const fleet_options_t options = { .clock = &clock->base,
 					  .random = node.random,
 					  .domain = "d" };
-	const fleet_entry_t entry = {
-		"r1", "10.0.0.1:1", "s", "d", 8, 1, false
-	};
+	const fleet_entry_t entry = { "r1", "10.0.0.1:1", "s", "d", 8,
+				      1,    false,	  "1" };
 
 	node.fleet = fleet_new(&options);
 	fleet_update(node.fleet, &entry);
--- a/tests/test_store_decode.c
+++ b/tests/test_store_decode.c
@@ -61,18 +61,22 @@
 static void test_malformed_runners_rejected(void)
 {
 	static const char good[] =
-		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
 		"\"slots\":8,\"state\":\"ready\",\"born\":1700000000000}";
 	static const char *const bad[] = {
 		"",
 		"7",
 		"{}",
 		"{\"service\":\"s\"}",
-		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
 		"\"slots\":\"8\",\"state\":\"ready\"}",
-		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
 		"\"slots\":8,\"state\":\"resting\"}",
-		"{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"slots\":8,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"version\":2,\"slots\":8,\"state\":\"ready\"}",
+		"{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
 		"\"slots\":8,\"state\":\"ready\"}",
 	};
 	GRand *random = g_rand_new_with_seed(1);
