Resume a broken stream at its own software version only

Callers saw: a stream that a runner broke off went on at a runner of another software version, whose events do not fit those before (ORDER).

Cause: the choice of the next runner knew load, failures and limits, but not what the events are tied to.

Change: an execution keeps the version of the runner that wrote its first event, as it was known when the attempt started, and later attempts are offered runners of this version only. Without an event any version will do. Without a runner of the version the stream is cut, as it was without any runner.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -61,6 +61,7 @@
 	/* Of the runners' software that has written the events; NULL: none has
 	 * come, or another node had them. */
 	char *version;
+	uint64_t version_key; /* hash of it; 0: the stream may go on at any */
 	bool resumes; /* after events of an earlier execution */
 	bool stream_started; /* the sink's start callback was called */
 	bool answered; /* the current attempt has an answer */
@@ -140,8 +141,10 @@
 
 	execution->progress_us = clock_now_us(execution->context->clock);
 	note_output(execution);
-	if (!execution->version)
+	if (!execution->version) {
 		execution->version = g_strdup(execution->runner->version);
+		execution->version_key = execution->runner->version_key;
+	}
 	execution->sink->event(raw, raw_len, data, data_len,
 			       execution->user_data);
 }
@@ -418,6 +421,7 @@
 		.require_healthy = execution->require_healthy,
 		.repeated = execution->resumes,
 		.preferred = execution->preferred_runner,
+		.version_key = execution->version_key,
 	};
 	size_t len;
 	const void *body = g_bytes_get_data(execution->body, &len);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -401,6 +401,12 @@
 	return is_remote(fleet, runner) ? weight * REMOTE_WEIGHT : weight;
 }
 
+static bool has_version(const fleet_runner_t *runner,
+			const fleet_pick_options_t *pick)
+{
+	return !pick->version_key || runner->version_key == pick->version_key;
+}
+
 static bool has_failed_attempt(const fleet_pick_options_t *pick,
 			       const fleet_runner_t *runner)
 {
@@ -440,7 +446,8 @@
 		fleet_runner_t *runner = fleet->listed->pdata[i];
 		double cost;
 
-		if (!is_usable(runner, pick->service))
+		if (!is_usable(runner, pick->service) ||
+		    !has_version(runner, pick))
 			continue;
 		if (!filter->ejected && is_ejected(fleet, runner))
 			continue;
@@ -492,8 +499,8 @@
 		pick->batch ? limit_reserve(fleet, pick->service) : 0;
 
 	if (!runner || !is_usable(runner, pick->service) ||
-	    is_ejected(fleet, runner) || !has_free_slot(runner) ||
-	    has_failed_attempt(pick, runner) ||
+	    !has_version(runner, pick) || is_ejected(fleet, runner) ||
+	    !has_free_slot(runner) || has_failed_attempt(pick, runner) ||
 	    limit_room(fleet, runner, reserve) == 0 ||
 	    (pick->require_healthy &&
 	     is_failing(runner, clock_now_us(fleet->clock))))
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -96,6 +96,7 @@
 	bool repeated; /* an earlier execution was sent to a runner */
 	uint64_t preferred; /* key of the runner to take if it has a free slot;
 			       0: none */
+	uint64_t version_key; /* only runners of this software; 0: any */
 } fleet_pick_options_t;
 
 fleet_t *fleet_new(const fleet_options_t *options);
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -82,14 +82,20 @@
 static const execution_sink_t sink = { on_start, on_event, on_response,
 				       on_end };
 
-static void add_runner(fixture_t *fixture, const char *id)
+static void add_runner_of(fixture_t *fixture, const char *id,
+			  const char *version)
 {
-	const fleet_entry_t entry = { id, "10.0.0.1:1", "s", "d", 8,
-				      1,  false,	"1" };
+	const fleet_entry_t entry = { id, "10.0.0.1:1", "s",	"d", 8,
+				      1,  false,	version };
 
 	fleet_update(fixture->fleet, &entry);
 }
 
+static void add_runner(fixture_t *fixture, const char *id)
+{
+	add_runner_of(fixture, id, "1");
+}
+
 static fixture_t *fixture_new(void)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
@@ -288,6 +294,50 @@
 	fixture_free(fixture);
 }
 
+/* A stream that has events of one software version must be resumed at a runner
+ * of that version only. */
+static void test_resumption_keeps_version(void)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		fixture_t *fixture = fixture_new();
+		char first;
+		char last;
+
+		g_rand_set_seed(fixture->random, seed);
+		add_runner_of(fixture, "c", "2");
+		add_runner_of(fixture, "d", "2");
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		done(fixture, 0, RUNNER_TRUNCATED);
+		CU_ASSERT_EQUAL(fixture->count, 2);
+		first = fixture->calls[0].instance[0];
+		last = fixture->calls[1].instance[0];
+		CU_ASSERT_EQUAL(first >= 'c', last >= 'c');
+		CU_ASSERT_NOT_EQUAL(first, last);
+		execution_cancel(g_queue_peek_head(&fixture->context.active));
+		fixture_free(fixture);
+	}
+}
+
+/* A stream without an event must go on at any version. */
+static void test_empty_stream_changes_version(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	fleet_set_draining(fixture->fleet,
+			   fleet_find(fixture->fleet, fleet_key("b")));
+	add_runner_of(fixture, "c", "2");
+	start_execution(fixture, true, false, true);
+	answer(fixture, 0, 200, false);
+	done(fixture, 0, RUNNER_TRUNCATED);
+	CU_ASSERT_EQUAL(fixture->count, 2);
+	CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
+				   fixture->calls[1].instance);
+	execution_cancel(g_queue_peek_head(&fixture->context.active));
+	fixture_free(fixture);
+}
+
 /* A stream that ends inside an event must not count as complete. */
 static void test_truncated_event(void)
 {
@@ -487,6 +537,9 @@
 		  test_refusal_at_ejected_runners },
 		{ "all refuse", test_all_refuse },
 		{ "resumption", test_resumption },
+		{ "resumption keeps version", test_resumption_keeps_version },
+		{ "empty stream changes version",
+		  test_empty_stream_changes_version },
 		{ "truncated event", test_truncated_event },
 		{ "event out of order", test_event_out_of_order },
 		{ "stall", test_stall },
