Let a client's stream go on at the version that began it

Callers saw: a client that took its stream up at another node got events of another software version after those that it had (ORDER).

Cause: only the node that had the first attempt could know at which version the stream began, and it did not keep it; the other node took the first free runner. Resumes, in which the client names its first attempt, was not read.

Change: with the first event a node tells five others (two of all nodes, three of its failure domain, by rendezvous hashing of the attempt's id) at which version the stream began. A node that does not know asks the same ones, again at each tick, for 60 ms at most. A stream whose version is not known, has no usable runner, or is of a service that the route has left is refused at once; it has not run. When all runners have had one version for ten minutes, longer than any entry lives, an unknown stream goes on there.

Weighed: the object API (a write per stream), a value in the answer (clients return their attempt's id only), all nodes told (at the design size, by computation, 8,400 datagrams a second to each, against 110). An entry has 64 bytes or so on the wire and in memory.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -528,6 +528,7 @@
 	execution->resumable = options->resumable;
 	execution->batch = options->batch;
 	execution->require_healthy = options->require_healthy;
+	execution->version_key = options->version_key;
 	execution->resumes = options->resume_after != EVENT_READER_NONE;
 	event_reader_init(&execution->events, options->resume_after);
 	execution_parts(context, execution->headers, execution->digest,
@@ -559,6 +560,11 @@
 	return execution->runner;
 }
 
+uint64_t execution_version_key(const execution_t *execution)
+{
+	return execution->version_key;
+}
+
 int64_t execution_last_event(const execution_t *execution)
 {
 	return execution->events.last_id;
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -75,6 +75,8 @@
 	uint32_t max_runners; /* limit of the runners that may have run it */
 	int64_t expires_us; /* deadline, monotonic; 0: none */
 	int64_t resume_after; /* last event that the caller has, or -1 */
+	/* Software that has written the events up to there; 0: any may go on. */
+	uint64_t version_key;
 	const execution_sink_t *sink;
 	void *user_data;
 } execution_options_t;
@@ -100,6 +102,8 @@
 /* True when a runner may have started to process the request. */
 bool execution_may_have_run(const execution_t *execution);
 const fleet_runner_t *execution_runner(const execution_t *execution);
+/* The software that has written the events; 0: not known. */
+uint64_t execution_version_key(const execution_t *execution);
 /* Number of the last complete event, or -1. */
 int64_t execution_last_event(const execution_t *execution);
 /* Ends attempts whose stream has stalled and reports runners that do not answer
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -39,6 +39,12 @@
  * selecting the same runner. */
 #define RANDOM_COST_MAX 2.0
 
+/* The software versions of a service's runners. */
+typedef struct service_versions {
+	uint64_t last; /* of the runner whose entry changed last; 0: none */
+	int64_t mixed_us; /* when the entries last had more than one */
+} service_versions_t;
+
 struct fleet {
 	const clock_source_t *clock;
 	GRand *random;
@@ -46,6 +52,8 @@
 	GHashTable *by_key; /* uint64_t -> fleet_runner_t, listed */
 	GPtrArray *listed; /* the same runners, for iteration */
 	GHashTable *domains; /* name -> fleet_domain_t */
+	GHashTable *versions; /* service -> service_versions_t */
+	int64_t created_us;
 	fleet_domain_t *local_domain; /* state of this node's domain */
 	void (*load_changed)(void *user_data);
 	void *user_data;
@@ -99,6 +107,9 @@
 	fleet->user_data = options->user_data;
 	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
+	fleet->versions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->created_us = clock_now_us(fleet->clock);
 	fleet->domains =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->local_domain = find_or_add_domain(fleet, fleet->domain);
@@ -112,6 +123,7 @@
 	g_hash_table_destroy(fleet->by_key);
 	g_ptr_array_free(fleet->listed, TRUE);
 	g_hash_table_destroy(fleet->domains);
+	g_hash_table_destroy(fleet->versions);
 	g_free(fleet->domain);
 	g_free(fleet);
 }
@@ -121,8 +133,11 @@
 	return g_hash_table_lookup(fleet->by_key, &key);
 }
 
+static void note_version(fleet_t *fleet, const fleet_runner_t *runner);
+
 static void unlist(fleet_t *fleet, fleet_runner_t *runner)
 {
+	note_version(fleet, runner);
 	runner->listed = false;
 	runner->draining = true;
 	g_hash_table_remove(fleet->by_key, &runner->key);
@@ -137,6 +152,56 @@
 	*target = g_strdup(value);
 }
 
+static uint64_t version_key(const fleet_entry_t *entry)
+{
+	char *text = g_strconcat(entry->service, "\n",
+				 entry->version ? entry->version : "", NULL);
+	uint64_t key = fleet_key(text);
+
+	g_free(text);
+	return key ? key : 1;
+}
+
+static service_versions_t *find_or_add_versions(fleet_t *fleet,
+						const char *service)
+{
+	service_versions_t *versions =
+		g_hash_table_lookup(fleet->versions, service);
+
+	if (!versions) {
+		versions = g_new0(service_versions_t, 1);
+		versions->mixed_us = fleet->created_us;
+		g_hash_table_insert(fleet->versions, g_strdup(service),
+				    versions);
+	}
+	return versions;
+}
+
+static bool has_other_version(const fleet_t *fleet,
+			      const fleet_runner_t *runner)
+{
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *other = fleet->listed->pdata[i];
+
+		if (other->version_key != runner->version_key &&
+		    strcmp(other->service, runner->service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Remembers when a service was last known to have or to change versions. */
+static void note_version(fleet_t *fleet, const fleet_runner_t *runner)
+{
+	service_versions_t *versions =
+		find_or_add_versions(fleet, runner->service);
+
+	if ((versions->last && versions->last != runner->version_key) ||
+	    has_other_version(fleet, runner))
+		versions->mixed_us = clock_now_us(fleet->clock);
+	versions->last = runner->version_key;
+}
+
 static fleet_runner_t *runner_add(fleet_t *fleet, const fleet_entry_t *entry)
 {
 	fleet_runner_t *runner = g_new0(fleet_runner_t, 1);
@@ -168,7 +233,8 @@
 	replace_string(&runner->service, entry->service);
 	replace_string(&runner->domain, entry->domain);
 	replace_string(&runner->version, entry->version);
-	runner->version_key = fleet_key(entry->version ? entry->version : "");
+	runner->version_key = version_key(entry);
+	note_version(fleet, runner);
 	runner->domain_state = find_or_add_domain(fleet, runner->domain);
 	runner->slots = entry->slots;
 	runner->draining = entry->draining;
@@ -573,9 +639,43 @@
 	runner_unref(runner);
 }
 
-int32_t fleet_wait_ms(fleet_t *fleet, const char *service)
+const char *fleet_service_of_version(const fleet_t *fleet, uint64_t version_key)
+{
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (runner->version_key == version_key && !runner->draining)
+			return runner->service;
+	}
+	return NULL;
+}
+
+uint64_t fleet_sole_version(const fleet_t *fleet, const char *service,
+			    int64_t for_us)
+{
+	const service_versions_t *versions =
+		g_hash_table_lookup(fleet->versions, service);
+	uint64_t version = 0;
+
+	if (!versions ||
+	    clock_now_us(fleet->clock) - versions->mixed_us < for_us)
+		return 0;
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (strcmp(runner->service, service) != 0)
+			continue;
+		if (version && version != runner->version_key)
+			return 0;
+		version = runner->version_key;
+	}
+	return version;
+}
+
+int32_t fleet_wait_ms(fleet_t *fleet, const char *service, uint64_t version_key)
 {
-	const fleet_pick_options_t pick = { .service = service };
+	const fleet_pick_options_t pick = { .service = service,
+					    .version_key = version_key };
 	const fleet_runner_t *runner = pick_runner(fleet, &pick);
 	double ahead;
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -45,7 +45,7 @@
 	char *domain;
 	uint64_t key; /* hash of the id, identifies the runner between nodes */
 	char *version; /* of the runner's software */
-	uint64_t version_key; /* hash of it */
+	uint64_t version_key; /* hash of it and of the service; never 0 */
 	uint32_t slots;
 	int64_t started_ms; /* wall clock of the runner */
 	bool draining; /* draining: gets no new requests */
@@ -133,8 +133,18 @@
 void fleet_release(fleet_t *fleet, fleet_runner_t *runner, bool batch);
 
 /* Estimates the milliseconds that a new online request would wait for a slot of
- * the runner selected for it; INT32_MAX without a runner. */
-int32_t fleet_wait_ms(fleet_t *fleet, const char *service);
+ * the runner selected for it; INT32_MAX without a runner. version_key: as of the
+ * selection. */
+int32_t fleet_wait_ms(fleet_t *fleet, const char *service,
+		      uint64_t version_key);
+/* The service whose runners have this software version; NULL when none that is
+ * usable has it. */
+const char *fleet_service_of_version(const fleet_t *fleet,
+				     uint64_t version_key);
+/* The software version of all runners of the service, if all known ones have had
+ * the same for this long; else 0. */
+uint64_t fleet_sole_version(const fleet_t *fleet, const char *service,
+			    int64_t for_us);
 /*
  * Appends the key of the runner of each slot that is free for batch work, those
  * of the emptiest runners first. Nodes that know the same load get the same
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -206,6 +206,7 @@
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
 	part_guard_tick(gateway->part_guard);
+	stream_origins_expire(gateway->origins);
 	peer_load_tick(gateway->peer_load);
 	execution_check_timeouts(&gateway->executions);
 	relay_sweep(gateway->relay);
@@ -393,6 +394,22 @@
 	peer_load_part_news(gateway->peer_load);
 }
 
+static uint32_t send_origin(uint64_t stream, const char *data, size_t len,
+			    void *user_data)
+{
+	const gateway_t *gateway = user_data;
+
+	return peer_load_send_origin(gateway->peer_load, stream, data, len);
+}
+
+static void on_origin_answered(uint64_t stream, uint64_t version,
+			       void *user_data)
+{
+	gateway_t *gateway = user_data;
+
+	relay_origin_answered(gateway->relay, stream, version);
+}
+
 static void on_load_received(void *user_data)
 {
 	gateway_t *gateway = user_data;
@@ -418,6 +435,7 @@
 		.port = options->peer_port,
 		.writer = gateway->jobs.writer,
 		.load_received = on_load_received,
+		.origins = gateway->origins,
 		.user_data = gateway,
 	};
 
@@ -430,6 +448,7 @@
 	gateway_t *gateway = g_new0(gateway_t, 1);
 	fleet_options_t fleet;
 	part_guard_options_t guard;
+	stream_origins_options_t origins;
 	relay_options_t relay;
 
 	gateway->base = options->base;
@@ -449,8 +468,16 @@
 	init_executions(gateway, options);
 	if (!start_store(gateway, options, error))
 		return NULL;
-	relay = (relay_options_t){ &gateway->executions, gateway->random,
-				   gateway->counters };
+	origins = (stream_origins_options_t){
+		.clock = gateway->clock,
+		.counters = gateway->counters,
+		.send = send_origin,
+		.answered = on_origin_answered,
+		.user_data = gateway,
+	};
+	gateway->origins = stream_origins_new(&origins);
+	relay = (relay_options_t){ &gateway->executions, gateway->origins,
+				   gateway->random, gateway->counters };
 	gateway->relay = relay_new(&relay);
 	start_jobs(gateway, options);
 	if (!start_peer_load(gateway, options, error))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,7 @@
 	const gateway_codec_t *codec;
 	fleet_t *fleet;
 	part_guard_t *part_guard;
+	stream_origins_t *origins;
 	peer_load_t *peer_load;
 	execution_context_t executions;
 	relay_t *relay;
--- a/src/gateway/path_table.c
+++ b/src/gateway/path_table.c
@@ -99,6 +99,16 @@
 	return best;
 }
 
+bool path_route_has_service(const path_route_t *route, const char *service)
+{
+	for (guint i = 0; i < route->targets->len; i++)
+		if (strcmp(g_array_index(route->targets, path_target_t, i)
+				   .service,
+			   service) == 0)
+			return true;
+	return false;
+}
+
 const char *path_route_service(const path_route_t *route, double draw)
 {
 	uint64_t total = 0;
--- a/src/gateway/path_table.h
+++ b/src/gateway/path_table.h
@@ -62,6 +62,8 @@
 const path_route_t *path_table_find(const path_table_t *table, const char *host,
 				    const char *path);
 
+/* Whether the service is one of the route's targets. */
+bool path_route_has_service(const path_route_t *route, const char *service);
 /* Selects the service of a target by weight; draw is uniform in [0, 1). Returns
  * NULL without a target. */
 const char *path_route_service(const path_route_t *route, double draw);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -10,6 +10,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "coord/rendezvous.h"
 #include "gateway/follow.h"
 #include "gateway/part_report.h"
 
@@ -35,12 +36,16 @@
 #define PART_NEWS_REPEAT_MS 150
 /* With as many nodes, each hears one summary in this time on average. */
 #define PART_SUMMARY_INTERVAL_MS 500
+/* Nodes that keep a stream's entry, of all and of a domain. */
+#define ORIGIN_KEEPERS 2
+#define ORIGIN_DOMAIN_KEEPERS 3
 /* Number of nodes that send a summary to one that has started. */
 #define PART_STARTED_SENDERS 4
 
 typedef struct node_address {
 	struct sockaddr_in socket;
 	char *domain;
+	uint64_t hash; /* rendezvous_candidate_hash() of the node */
 } node_address_t;
 
 struct peer_load {
@@ -99,6 +104,7 @@
 	address = g_new0(node_address_t, 1);
 	address->socket = *socket;
 	address->domain = g_strdup(domain);
+	address->hash = rendezvous_candidate_hash(node);
 	g_hash_table_insert(load->addresses, g_strdup(node), address);
 	fleet_set_remote_load_stale(load->options.fleet, is_large(load));
 	/* A report tells the node that this one has started, if it has. */
@@ -325,6 +331,96 @@
 		log_warn("part_report_unreadable", "bytes=%zu", len);
 }
 
+/* Nodes with the highest weights for a stream, in descending order. */
+typedef struct keepers {
+	const node_address_t *nodes[ORIGIN_DOMAIN_KEEPERS];
+	uint64_t weights[ORIGIN_DOMAIN_KEEPERS];
+	uint32_t count;
+	uint32_t max;
+} keepers_t;
+
+static void add_keeper(keepers_t *keepers, const node_address_t *node,
+		       uint64_t weight)
+{
+	uint32_t i = keepers->count;
+
+	while (i > 0 && keepers->weights[i - 1] < weight)
+		i--;
+	if (i == keepers->max)
+		return;
+	keepers->count = MIN(keepers->count + 1, keepers->max);
+	for (uint32_t j = keepers->count - 1; j > i; j--) {
+		keepers->nodes[j] = keepers->nodes[j - 1];
+		keepers->weights[j] = keepers->weights[j - 1];
+	}
+	keepers->nodes[i] = node;
+	keepers->weights[i] = weight;
+}
+
+static bool is_keeper(const keepers_t *keepers, const node_address_t *node)
+{
+	for (uint32_t i = 0; i < keepers->count; i++)
+		if (keepers->nodes[i] == node)
+			return true;
+	return false;
+}
+
+static uint32_t send_to_keepers(const peer_load_t *load,
+				const keepers_t *keepers,
+				const keepers_t *except, const char *data,
+				size_t len)
+{
+	uint32_t sent = 0;
+
+	for (uint32_t i = 0; i < keepers->count; i++) {
+		const node_address_t *node = keepers->nodes[i];
+
+		/* Another keeper's datagram stands in for one that could not be
+		 * sent. */
+		if (!is_keeper(except, node) &&
+		    sendto(load->socket, data, len, MSG_DONTWAIT,
+			   (const struct sockaddr *)&node->socket,
+			   sizeof(node->socket)) == (ssize_t)len)
+			sent++;
+	}
+	return sent;
+}
+
+uint32_t peer_load_send_origin(const peer_load_t *load, uint64_t stream,
+			       const char *data, size_t len)
+{
+	static const keepers_t none = { 0 };
+	keepers_t all = { .max = ORIGIN_KEEPERS };
+	keepers_t local = { .max = ORIGIN_DOMAIN_KEEPERS };
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, load->addresses);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const node_address_t *node = value;
+		uint64_t weight = rendezvous_weight_of(node->hash, stream);
+
+		add_keeper(&all, node, weight);
+		if (strcmp(node->domain, load->options.domain) == 0)
+			add_keeper(&local, node, weight);
+	}
+	return send_to_keepers(load, &all, &none, data, len) +
+	       send_to_keepers(load, &local, &all, data, len);
+}
+
+static void apply_origin_report(peer_load_t *load, const char *data, size_t len,
+				const struct sockaddr_in *from)
+{
+	char answer[STREAM_ORIGIN_MAX_BYTES];
+	size_t answer_len =
+		stream_origins_apply(load->options.origins, data, len, answer);
+
+	/* The node asks again when an answer does not come. */
+	if (answer_len > 0)
+		(void)sendto(load->socket, answer, answer_len, MSG_DONTWAIT,
+			     (const struct sockaddr *)from, sizeof(*from));
+}
+
 static void on_readable(evutil_socket_t fd, short events, void *arg)
 {
 	peer_load_t *load = arg;
@@ -342,6 +438,10 @@
 			apply_part_report(load, data, (size_t)len);
 			continue;
 		}
+		if (stream_origin_is_report(data, (size_t)len)) {
+			apply_origin_report(load, data, (size_t)len, &from);
+			continue;
+		}
 		node = load_view_apply(load->view, data, (size_t)len);
 		if (node && !g_hash_table_contains(load->addresses, node))
 			add_address(load, node,
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "gateway/load_view.h"
+#include "gateway/stream_origin.h"
 #include "backend/part_guard.h"
 #include "object/object_store.h"
 
@@ -38,11 +39,20 @@
 	const char *writer;
 	/* A report of another node was applied. */
 	void (*load_received)(void *user_data);
+	stream_origins_t *origins;
 	void *user_data;
 } peer_load_options_t;
 
 /* Returns NULL with WL_ERROR_UNAVAILABLE when the port cannot be bound. */
 peer_load_t *peer_load_new(const peer_load_options_t *options, GError **error);
+/*
+ * Sends a datagram about a stream to the nodes that keep its entry: two of all
+ * nodes and three of this node's domain, by rendezvous hashing. Clients mostly
+ * return in the same domain, and when it is cut off, only it can answer. Returns
+ * the number of nodes.
+ */
+uint32_t peer_load_send_origin(const peer_load_t *load, uint64_t stream,
+			       const char *data, size_t len);
 /* Schedules a report, as this node's load has changed. */
 void peer_load_changed(peer_load_t *load);
 /* Sets the number of batch items that wait for a slot at this node, which is
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -7,6 +7,7 @@
 #include "backend/request_digest.h"
 #include "base/log.h"
 #include "gateway/admission_rule.h"
+#include "gateway/take_up.h"
 
 /* A stream with more pending bytes is ended, as its caller does not read. */
 #define MAX_PENDING_BYTES (1024 * 1024)
@@ -15,6 +16,8 @@
 
 struct relay {
 	execution_context_t *executions;
+	stream_origins_t *origins;
+	take_ups_t *take_ups;
 	GRand *random;
 	GQueue requests; /* relayed_t */
 	/* Route name -> longest remaining time of its callers so far, in ms. */
@@ -27,6 +30,8 @@
 	int64_t *completed_total;
 	int64_t *failed_total;
 	int64_t *abandoned_total;
+	int64_t *take_ups_total;
+	int64_t *take_ups_refused_total;
 };
 
 /* One request in flight. */
@@ -46,6 +51,7 @@
 	prompt_parts_t parts;
 	fleet_load_t load; /* of the first runner, including this request */
 	bool streaming;
+	bool tells_origin; /* with its first event */
 	GList link;
 } relayed_t;
 
@@ -137,11 +143,30 @@
 	http_stream_start(request->exchange, answer->status, NULL);
 }
 
+/* Tells other nodes at which version the stream has begun, before the client has
+ * its first event. */
+static void tell_origin(relayed_t *request)
+{
+	relay_t *relay = request->relay;
+	int64_t life_ms = STREAM_ORIGIN_LIFE_MAX_MS;
+
+	if (request->expires_us)
+		life_ms = (request->expires_us -
+			   clock_now_us(relay->executions->clock)) /
+			  1000;
+	request->tells_origin = false;
+	stream_origins_begin(relay->origins, stream_origin_key(request->id),
+			     execution_version_key(request->execution),
+			     life_ms);
+}
+
 static void on_event(const char *raw, size_t raw_len, const char *data,
 		     size_t data_len, void *user_data)
 {
 	relayed_t *request = user_data;
 
+	if (request->tells_origin)
+		tell_origin(request);
 	http_stream_write(request->exchange, raw, raw_len);
 }
 
@@ -212,31 +237,6 @@
 	relayed_free(request);
 }
 
-relay_t *relay_new(const relay_options_t *options)
-{
-	relay_t *relay = g_new0(relay_t, 1);
-	counter_set_t *counters = options->counters;
-
-	relay->executions = options->executions;
-	relay->random = options->random;
-	g_queue_init(&relay->requests);
-	relay->longest_deadlines =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	relay->accepted_total = counter_get(counters, COUNTER_MONOTONIC,
-					    "requests_accepted_total", NULL);
-	relay->refused_total = counter_get(counters, COUNTER_MONOTONIC,
-					   "requests_refused_total", NULL);
-	relay->held_total = counter_get(counters, COUNTER_MONOTONIC,
-					"requests_held_total", NULL);
-	relay->completed_total = counter_get(counters, COUNTER_MONOTONIC,
-					     "requests_completed_total", NULL);
-	relay->failed_total = counter_get(counters, COUNTER_MONOTONIC,
-					  "requests_failed_total", NULL);
-	relay->abandoned_total = counter_get(counters, COUNTER_MONOTONIC,
-					     "requests_abandoned_total", NULL);
-	return relay;
-}
-
 /* Time of expiry by the shorter of the caller's and the route's time limit;
  * 0: none. */
 static int64_t deadline_us(const path_route_t *route,
@@ -250,6 +250,11 @@
 	return limit_ms ? request->received_us + limit_ms * 1000 : 0;
 }
 
+static bool is_resumable(const path_route_t *route)
+{
+	return route->kind == PATH_STREAM && route->resumable;
+}
+
 static bool is_likely_retry(relay_t *relay, const path_route_t *route,
 			    int32_t deadline_ms)
 {
@@ -332,19 +337,26 @@
 	return true;
 }
 
-void relay_handle(relay_t *relay, path_table_t *paths,
+/* Admits a request that is not held back. version_key: of the software at which
+ * it may run; 0: any. */
+static void admit(relay_t *relay, path_table_t *paths,
 		  const path_route_t *route, http_exchange_t *exchange,
-		  const relay_request_t *request)
+		  const relay_request_t *request, uint64_t version_key)
 {
+	fleet_t *fleet = relay->executions->fleet;
 	const char *service =
-		path_route_service(route, g_rand_double(relay->random));
+		version_key ?
+			fleet_service_of_version(fleet, version_key) :
+			path_route_service(route, g_rand_double(relay->random));
 	const admission_input_t input = {
-		.wait_ms = service ? fleet_wait_ms(relay->executions->fleet,
-						   service) :
-				     INT32_MAX,
+		.wait_ms = service ?
+				   fleet_wait_ms(fleet, service, version_key) :
+				   INT32_MAX,
 		.objective_ms = route->objective_ms,
 		.deadline_ms = request->deadline_ms,
-		.is_retry = is_likely_retry(relay, route, request->deadline_ms),
+		.is_retry =
+			is_likely_retry(relay, route, request->deadline_ms) ||
+			version_key,
 	};
 	execution_options_t options = {
 		.id = request->id,
@@ -357,10 +369,11 @@
 		.digest = digest_of(request),
 		.stream = route->kind == PATH_STREAM,
 		.idempotent = route->kind == PATH_IDEMPOTENT,
-		.resumable = route->kind == PATH_STREAM && route->resumable,
+		.resumable = is_resumable(route),
 		.max_runners = route->max_runners,
 		.expires_us = deadline_us(route, request),
 		.resume_after = request->resume_after,
+		.version_key = version_key,
 		.sink = &sink,
 	};
 	prompt_parts_t parts;
@@ -368,14 +381,6 @@
 
 	execution_parts(relay->executions, request->headers, options.digest,
 			&parts);
-	if (request->resume_after >= 0)
-		log_info("stream_taken_up",
-			 "request=%s route=%s resumes=%s "
-			 "last_event=%" PRId64,
-			 request->id, route->name, log_quote(request->resumes),
-			 request->resume_after);
-	if (relay->stopping)
-		http_close_after(exchange);
 	if (refuse_held(relay, route, exchange, request, options.digest,
 			&parts))
 		return;
@@ -396,6 +401,7 @@
 	relayed->deadline_ms = request->deadline_ms;
 	relayed->first_ms = -1;
 	relayed->parts = parts;
+	relayed->tells_origin = options.resumable && request->resume_after < 0;
 	relayed->link.data = relayed;
 	g_queue_push_tail_link(&relay->requests, &relayed->link);
 	relayed->execution = execution_start(relay->executions, &options);
@@ -411,6 +417,120 @@
 	http_release_request(exchange);
 }
 
+/* Goes on with a stream at the version that began it, or refuses. */
+static void on_take_up_resolved(const take_up_t *take_up, uint64_t version,
+				void *user_data)
+{
+	relay_t *relay = user_data;
+	const fleet_t *fleet = relay->executions->fleet;
+	const path_route_t *route = take_up->route;
+	const char *service;
+	const char *reason = NULL;
+
+	/* When all runners have had one version for as long as a stream may be
+	 * taken up, it began there. */
+	if (!version)
+		version = fleet_sole_version(
+			fleet,
+			path_route_service(route, g_rand_double(relay->random)),
+			STREAM_ORIGIN_LIFE_MAX_MS * 1000LL);
+	service = version ? fleet_service_of_version(fleet, version) : NULL;
+	if (!version)
+		reason = "unknown";
+	else if (!service)
+		reason = "no_runner";
+	else if (!path_route_has_service(route, service))
+		reason = "other_route";
+	if (!reason) {
+		admit(relay, take_up->paths, route, take_up->exchange,
+		      &take_up->request, version);
+		return;
+	}
+	(*relay->take_ups_refused_total)++;
+	log_info("take_up_refused", "request=%s route=%s resumes=%s reason=%s",
+		 take_up->request.id, route->name,
+		 log_quote(take_up->request.resumes), reason);
+	relay_refuse(take_up->exchange,
+		     admission_retry_after_ms(relay->random,
+					      route->objective_ms,
+					      take_up->request.deadline_ms));
+}
+
+relay_t *relay_new(const relay_options_t *options)
+{
+	relay_t *relay = g_new0(relay_t, 1);
+	counter_set_t *counters = options->counters;
+	const take_ups_options_t take_ups = {
+		.clock = options->executions->clock,
+		.origins = options->origins,
+		.resolved = on_take_up_resolved,
+		.user_data = relay,
+	};
+
+	relay->executions = options->executions;
+	relay->origins = options->origins;
+	relay->take_ups = take_ups_new(&take_ups);
+	relay->random = options->random;
+	g_queue_init(&relay->requests);
+	relay->longest_deadlines =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	relay->accepted_total = counter_get(counters, COUNTER_MONOTONIC,
+					    "requests_accepted_total", NULL);
+	relay->refused_total = counter_get(counters, COUNTER_MONOTONIC,
+					   "requests_refused_total", NULL);
+	relay->held_total = counter_get(counters, COUNTER_MONOTONIC,
+					"requests_held_total", NULL);
+	relay->completed_total = counter_get(counters, COUNTER_MONOTONIC,
+					     "requests_completed_total", NULL);
+	relay->failed_total = counter_get(counters, COUNTER_MONOTONIC,
+					  "requests_failed_total", NULL);
+	relay->abandoned_total = counter_get(counters, COUNTER_MONOTONIC,
+					     "requests_abandoned_total", NULL);
+	relay->take_ups_total = counter_get(counters, COUNTER_MONOTONIC,
+					    "take_ups_total", NULL);
+	relay->take_ups_refused_total = counter_get(
+		counters, COUNTER_MONOTONIC, "take_ups_refused_total", NULL);
+	return relay;
+}
+
+static void handle_take_up(relay_t *relay, path_table_t *paths,
+			   const path_route_t *route, http_exchange_t *exchange,
+			   const relay_request_t *request)
+{
+	const take_up_t take_up = { paths, route, exchange, *request };
+	uint64_t stream =
+		request->resumes ? stream_origin_key(request->resumes) : 0;
+	uint64_t version = stream_origins_find(relay->origins, stream);
+
+	(*relay->take_ups_total)++;
+	log_info("stream_taken_up",
+		 "request=%s route=%s resumes=%s last_event=%" PRId64
+		 " known=%d",
+		 request->id, route->name, log_quote(request->resumes),
+		 request->resume_after, version != 0);
+	if (version || !request->resumes)
+		on_take_up_resolved(&take_up, version, relay);
+	else
+		take_ups_add(relay->take_ups, &take_up, stream);
+}
+
+void relay_origin_answered(relay_t *relay, uint64_t stream, uint64_t version)
+{
+	take_ups_answered(relay->take_ups, stream, version);
+}
+
+void relay_handle(relay_t *relay, path_table_t *paths,
+		  const path_route_t *route, http_exchange_t *exchange,
+		  const relay_request_t *request)
+{
+	if (relay->stopping)
+		http_close_after(exchange);
+	if (route->kind == PATH_STREAM && request->resume_after >= 0)
+		handle_take_up(relay, paths, route, exchange, request);
+	else
+		admit(relay, paths, route, exchange, request, 0);
+}
+
 static void expire(relayed_t *request)
 {
 	http_exchange_t *exchange = request->exchange;
@@ -434,6 +554,7 @@
 	int64_t now_us = clock_now_us(relay->executions->clock);
 	GList *link = relay->requests.head;
 
+	take_ups_tick(relay->take_ups);
 	while (link) {
 		relayed_t *request = link->data;
 
@@ -449,7 +570,7 @@
 
 uint32_t relay_active(const relay_t *relay)
 {
-	return relay->requests.length;
+	return relay->requests.length + take_ups_count(relay->take_ups);
 }
 
 void relay_stop(relay_t *relay)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -8,17 +8,20 @@
 #include "base/histogram.h"
 #include "gateway/path_table.h"
 #include "gateway/execution.h"
+#include "gateway/stream_origin.h"
 #include "http/http_server.h"
 
 /*
  * relay - online requests: admission, execution and response to the caller.
  *
  * A request that cannot be served in time is refused at once with a Retry-After
- * header. Status 503 is only sent for a request that has not run and never
+ * header. A stream that its client takes up goes on at the software version that
+ * began it, or is refused. Status 503 is only sent for a request that has not run and never
  * will; after 502 and 504 it may have run.
  */
 typedef struct relay_options {
 	execution_context_t *executions;
+	stream_origins_t *origins;
 	GRand *random;
 	counter_set_t *counters;
 } relay_options_t;
@@ -44,6 +47,9 @@
 void relay_handle(relay_t *relay, path_table_t *paths,
 		  const path_route_t *route, http_exchange_t *exchange,
 		  const relay_request_t *request);
+/* Another node has answered which software began a stream; version 0: it does
+ * not know. */
+void relay_origin_answered(relay_t *relay, uint64_t stream, uint64_t version);
 /* Ends expired requests and streams whose caller does not read. To be called
  * several times per second. */
 void relay_sweep(relay_t *relay);
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -3,6 +3,7 @@
 #include "gateway/job_record.h"
 #include "gateway/load_view.h"
 #include "gateway/part_report.h"
+#include "gateway/stream_origin.h"
 #include "platform/settings.h"
 #include "platform/store_decode.h"
 #include "fuzz/fuzz_target.h"
@@ -426,6 +427,33 @@
 	counter_set_free(counters);
 }
 
+static uint32_t send_nothing(uint64_t stream, const char *data, size_t len,
+			     void *user_data)
+{
+	return 0;
+}
+
+static void ignore_answer(uint64_t stream, uint64_t version, void *user_data)
+{
+}
+
+static void run_origin_report(const uint8_t *data, size_t size)
+{
+	counter_set_t *counters = counter_set_new();
+	const stream_origins_options_t options = { .clock = clock_system(),
+						   .counters = counters,
+						   .send = send_nothing,
+						   .answered = ignore_answer };
+	stream_origins_t *origins = stream_origins_new(&options);
+	char answer[STREAM_ORIGIN_MAX_BYTES];
+
+	if (stream_origin_is_report((const char *)data, size))
+		stream_origins_apply(origins, (const char *)data, size, answer);
+	stream_origins_expire(origins);
+	stream_origins_free(origins);
+	counter_set_free(counters);
+}
+
 static void run_load_report(const uint8_t *data, size_t size)
 {
 	GRand *random = g_rand_new_with_seed(1);
@@ -447,6 +475,7 @@
 	{ "event_reader", run_event_reader },
 	{ "load_report", run_load_report },
 	{ "part_report", run_part_report },
+	{ "origin_report", run_origin_report },
 	{ "document", run_document },
 	{ "xdr", run_xdr },
 	{ "rpc", run_rpc },
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -70,7 +70,7 @@
 	runner = acquire(fleet, false);
 	add(fleet, "a", 8, 1, true);
 	CU_ASSERT_PTR_NULL(acquire(fleet, false));
-	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s"), INT32_MAX);
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), INT32_MAX);
 	fleet_schedule_removal(fleet, "a", 1000000);
 	CU_ASSERT_EQUAL(fleet_size(fleet), 0);
 	fleet_release(fleet, runner, false);
@@ -613,10 +613,10 @@
 	name_limit(fleet, "a", 1000);
 	CU_ASSERT_PTR_NULL(acquire(fleet, true));
 	CU_ASSERT_EQUAL(free_slots(fleet), 0);
-	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s"), 0);
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), 0);
 	CU_ASSERT_PTR_NOT_NULL(acquire(fleet, false));
 	CU_ASSERT_PTR_NULL(acquire(fleet, false));
-	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s"), INT32_MAX);
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), INT32_MAX);
 	CU_ASSERT_EQUAL(fleet_limit_wait_ms(fleet, "s"), 1000);
 	clock_manual_advance_ms(&manual, 2000);
 	CU_ASSERT_EQUAL(free_slots(fleet), 1);
@@ -627,6 +627,68 @@
 	g_rand_free(random);
 }
 
+static void add_version(fleet_t *fleet, const char *id, const char *version)
+{
+	const fleet_entry_t entry = { id, "10.0.0.1:1", "s",	"d", 8,
+				      1,  false,	version };
+
+	fleet_update(fleet, &entry);
+}
+
+/* A stream must be offered runners of its version only, also when they are full
+ * or none is left. */
+static void test_version(void)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	fleet_t *fleet = fleet_of(random, "d");
+	fleet_pick_options_t pick = { .service = "s" };
+
+	add_version(fleet, "old", "1");
+	add_version(fleet, "new", "2");
+	pick.version_key = fleet_find(fleet, fleet_key("old"))->version_key;
+	for (int i = 0; i < 20; i++)
+		CU_ASSERT_STRING_EQUAL(fleet_acquire(fleet, &pick)->id, "old");
+	CU_ASSERT(fleet_wait_ms(fleet, "s", pick.version_key) > 0);
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), 0);
+	CU_ASSERT_STRING_EQUAL(
+		fleet_service_of_version(fleet, pick.version_key), "s");
+	fleet_set_draining(fleet, fleet_find(fleet, fleet_key("old")));
+	CU_ASSERT_PTR_NULL(fleet_acquire(fleet, &pick));
+	CU_ASSERT_PTR_NULL(fleet_service_of_version(fleet, pick.version_key));
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
+/* A stream of unknown origin may only go on when all runners have had one version
+ * for long enough; a version that was replaced without an overlap counts. */
+static void test_sole_version(void)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	fleet_t *fleet = fleet_of(random, "d");
+	int64_t minute_us = 60 * 1000 * 1000;
+
+	add_version(fleet, "a", "1");
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "s", minute_us), 0);
+	clock_manual_advance_ms(&manual, 61000);
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "s", minute_us),
+			fleet_find(fleet, fleet_key("a"))->version_key);
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "t", minute_us), 0);
+	fleet_schedule_removal(fleet, "a", 1);
+	fleet_remove_expired(fleet);
+	add_version(fleet, "b", "2");
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "s", minute_us), 0);
+	clock_manual_advance_ms(&manual, 61000);
+	CU_ASSERT_NOT_EQUAL(fleet_sole_version(fleet, "s", minute_us), 0);
+	add_version(fleet, "c", "3");
+	clock_manual_advance_ms(&manual, 61000);
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "s", minute_us), 0);
+	fleet_schedule_removal(fleet, "c", 1);
+	fleet_remove_expired(fleet);
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "s", minute_us), 0);
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -644,6 +706,8 @@
 		{ "limited runners get batch", test_limited_runners_get_batch },
 		{ "limit is checked", test_limit_is_checked },
 		{ "all runners limited", test_all_runners_limited },
+		{ "version", test_version },
+		{ "sole version", test_sole_version },
 		{ NULL, NULL },
 	};
 
