Keep batch items at the software version that wrote their output

Results of batch items could hold events of two software versions: an item that was resumed from saved progress, or after it had been preempted, went to any runner.

Cause: what an item has delivered is kept as text and the number of the last event, without the version that wrote it.

Change: the version is kept with the text, also in the saved progress, and the item goes on at runners of this version only. It begins anew when none is left, when its owner before did not save the version, or when none had a free slot for 2 s; an item may run more than once. Such an item does not keep others of its job from slots at other versions.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -472,6 +472,7 @@
 		entry = g_new0(job_progress_t, 1);
 		entry->item = i;
 		entry->last_event = owned->last_event;
+		entry->version = owned->version_key;
 		entry->failures = owned->failures;
 		entry->text = g_strdup(owned->text ? owned->text->str : "");
 		g_ptr_array_add(entries, entry);
@@ -641,8 +642,13 @@
 		if (job->owned_items[i].urgency != urgency ||
 		    !job_owner_item_wants_slot(&job->owned_items[i]))
 			continue;
-		if (!job_owner_item_start(&job->owned_items[i], route, &place))
+		if (!job_owner_item_start(&job->owned_items[i], route,
+					  &place)) {
+			/* Other items may go to runners of other software. */
+			if (job->owned_items[i].version_key)
+				continue;
 			return;
+		}
 		range->next++;
 		range->count--;
 	}
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -9,6 +9,9 @@
 
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 2000
+/* An item with output waits this long for a slot at its software version while
+ * there are free ones at others; then it begins anew. */
+#define VERSION_WAIT_MS 2000
 /* After losses without output. A runner may have crashed for another reason, so
  * the first delays are short; an item that ends runners is run seldom. */
 #define LOSS_BACKOFF_MAX_MS 60000
@@ -43,6 +46,7 @@
 {
 	owned->last_event = progress->last_event;
 	owned->saved_event = progress->last_event;
+	owned->version_key = progress->version;
 	owned->failures = progress->failures;
 	owned->saved_failures = progress->failures;
 	owned->text = g_string_new(progress->text);
@@ -76,6 +80,7 @@
 		g_string_append_c(owned->text, '\n');
 	g_string_append_len(owned->text, data, (gssize)data_len);
 	owned->last_event = execution_last_event(owned->execution);
+	owned->version_key = execution_version_key(owned->execution);
 	owned->losses = 0;
 	owned->progressed = true;
 }
@@ -121,8 +126,16 @@
 		finish(owned, JOB_RESULT_GIVEN_UP);
 }
 
-/* Output that cannot be stored counts as a failed attempt; the next attempt
- * starts from the first event. */
+/* The next attempt starts from the first event. */
+static void forget_output(owned_item_t *owned)
+{
+	owned->last_event = EVENT_READER_NONE;
+	owned->saved_event = EVENT_READER_NONE;
+	owned->version_key = 0;
+	g_string_truncate(owned->text, 0);
+}
+
+/* Output that cannot be stored counts as a failed attempt. */
 static void restart_unreadable(owned_item_t *owned)
 {
 	owned->failures++;
@@ -131,9 +144,7 @@
 		 owned->item->id, job_owner_item_events(owned), owned->failures,
 		 owned->max_failures);
 	owned->unreadable = false;
-	owned->last_event = EVENT_READER_NONE;
-	owned->saved_event = EVENT_READER_NONE;
-	g_string_truncate(owned->text, 0);
+	forget_output(owned);
 	if (owned->failures >= owned->max_failures)
 		finish(owned, JOB_RESULT_GIVEN_UP);
 	else
@@ -209,6 +220,48 @@
 	owned->was_infeasible |= owned->urgency == BATCH_INFEASIBLE;
 }
 
+/* While a version is being replaced, its last runners may stay full. */
+static void note_no_slot(owned_item_t *owned)
+{
+	int64_t now_us = clock_now_us(owned->context->clock);
+
+	if (!owned->version_key)
+		return;
+	if (!owned->no_slot_since_us)
+		owned->no_slot_since_us = now_us;
+	if (now_us - owned->no_slot_since_us < VERSION_WAIT_MS * 1000)
+		return;
+	log_info("item_restarted",
+		 "item=%s last_event=%" PRId64 " waited_ms=%" PRId64,
+		 owned->item->id, owned->last_event,
+		 (now_us - owned->no_slot_since_us) / 1000);
+	owned->no_slot_since_us = 0;
+	forget_output(owned);
+}
+
+/* The service to run the item at: the one whose runners wrote its output. Forgets
+ * output at which no runner of the route can go on. */
+static const char *service_of(owned_item_t *owned, const path_route_t *route)
+{
+	const job_context_t *context = owned->context;
+	const char *service = NULL;
+
+	if (owned->version_key)
+		service = fleet_service_of_version(context->executions->fleet,
+						   owned->version_key);
+	if (service && path_route_has_service(route, service))
+		return service;
+	if (owned->last_event != EVENT_READER_NONE) {
+		log_info("item_restarted",
+			 "item=%s last_event=%" PRId64
+			 " version_known=%d other_route=%d",
+			 owned->item->id, owned->last_event,
+			 owned->version_key != 0, service != NULL);
+		forget_output(owned);
+	}
+	return path_route_service(route, g_rand_double(context->random));
+}
+
 bool job_owner_item_start(owned_item_t *owned, const path_route_t *route,
 			  const job_item_place_t *place)
 {
@@ -226,7 +279,6 @@
 		.preferred_runner = place->runner,
 		.require_healthy = owned->failures > 0,
 		.max_runners = UINT32_MAX,
-		.resume_after = owned->last_event,
 		.sink = &sink,
 		.user_data = owned,
 	};
@@ -234,18 +286,22 @@
 	if (!route)
 		return false;
 	options.host = route->host;
-	options.service =
-		path_route_service(route, g_rand_double(context->random));
+	if (!owned->text)
+		owned->text = g_string_new(NULL);
+	options.service = service_of(owned, route);
 	if (!options.service)
 		return false;
+	options.version_key = owned->version_key;
+	options.resume_after = owned->last_event;
 	owned->max_failures = route->max_runners;
-	if (!owned->text)
-		owned->text = g_string_new(NULL);
 	owned->failures_at_start = owned->failures;
 	owned->progressed = false;
 	owned->execution = execution_start(context->executions, &options);
-	if (!owned->execution)
+	if (!owned->execution) {
+		note_no_slot(owned);
 		return false;
+	}
+	owned->no_slot_since_us = 0;
 	owned->state = JOB_ITEM_RUNNING;
 	if (!owned->started_us)
 		owned->started_us = clock_now_us(context->clock);
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -13,7 +13,8 @@
  * job_owner_item - executes one item of an owned job until it has a result.
  *
  * The events that a stream has delivered are kept when it is truncated or the
- * item is preempted; the next attempt resumes after them at any runner.
+ * item is preempted; the next attempt resumes after them at a runner of the same
+ * software version. When no runner has it, the item begins anew.
  */
 typedef struct owned_job owned_job_t;
 
@@ -36,6 +37,8 @@
 	prompt_parts_t parts;
 	GString *text; /* data of the events; NULL before the first start */
 	int64_t last_event; /* -1: none */
+	uint64_t version_key; /* of the software that wrote the events */
+	int64_t no_slot_since_us; /* at runners of that software; 0: none yet */
 	int64_t saved_event; /* the last one saved in the store; -1: none */
 	uint32_t failures; /* attempts with an error response or bad output */
 	uint32_t saved_failures; /* as last saved in the store */
--- a/src/gateway/job_progress.h
+++ b/src/gateway/job_progress.h
@@ -21,6 +21,7 @@
 typedef struct job_progress {
 	uint32_t item; /* index in the job */
 	int64_t last_event; /* number of the last complete event, or -1 */
+	uint64_t version; /* of the software that wrote them; 0: not known */
 	uint32_t failures; /* attempts with an error response or bad output */
 	char *text; /* data of the events so far, joined by line feeds */
 } job_progress_t;
