--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -70,13 +70,14 @@
 static bool parse_address(const char *text, struct sockaddr_in *address)
 {
 	char **parts = g_strsplit(text, ":", 2);
+	guint64 port = 0;
 	bool valid = parts[0] && parts[1] &&
-		     inet_pton(AF_INET, parts[0], &address->sin_addr) == 1;
+		     inet_pton(AF_INET, parts[0], &address->sin_addr) == 1 &&
+		     g_ascii_string_to_unsigned(parts[1], 10, 1, UINT16_MAX,
+						&port, NULL);
 
 	address->sin_family = AF_INET;
-	if (valid)
-		address->sin_port =
-			htons((uint16_t)g_ascii_strtoull(parts[1], NULL, 10));
+	address->sin_port = htons((uint16_t)port);
 	g_strfreev(parts);
 	return valid;
 }
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -57,6 +57,8 @@
 class StoreHandler(QuietHandler):
     def answer(self, status, value):
         text = json.dumps(value).encode()
+        for marker, raw in self.owner.raw.items():
+            text = text.replace(b'"%s"' % marker.encode(), raw)
         self.send_response(status)
         self.send_header("Content-Length", str(len(text)))
         self.end_headers()
@@ -113,6 +115,9 @@
         self.malform_answers = 0  # of successful calls of a kind
         self.malform_kind = ""
         self.malformed_answer = "no object"
+        # String -> bytes that stand for it in answers, such as a value that
+        # Python cannot encode.
+        self.raw = {}
         super().__init__(StoreHandler)
 
     def listing(self, kind):
--- a/tests/test_store_decode.c
+++ b/tests/test_store_decode.c
@@ -56,6 +56,11 @@
 	CU_ASSERT_PTR_NULL(store_decode_paths("[1", NULL));
 }
 
+#define RUNNER(address, slots)                                       \
+	"{\"service\":\"s\",\"address\":" address ",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"slots\":" slots                        \
+	",\"state\":\"ready\",\"born\":1}"
+
 /* Another program can write a malformed entry under the runners' prefix. The
  * entry must be rejected without an effect on the other runners. */
 static void test_malformed_runners_rejected(void)
@@ -76,6 +81,18 @@
 		"\"slots\":8,\"state\":\"ready\"}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
 		"\"version\":2,\"slots\":8,\"state\":\"ready\"}",
+		RUNNER("\"10.0.0.1\"", "8"),
+		RUNNER("\"10.0.0.1:0\"", "8"),
+		RUNNER("\"10.0.0.1:65536\"", "8"),
+		RUNNER("\"10.0.0.1:-1\"", "8"),
+		RUNNER("\"10.0.0.1:70000000000\"", "8"),
+		RUNNER("\"10.0.0.1:http\"", "8"),
+		RUNNER("\"host:80\"", "8"),
+		RUNNER("\"10.0.0.1:80\"", "0"),
+		RUNNER("\"10.0.0.1:80\"", "-5"),
+		RUNNER("\"10.0.0.1:80\"", "4294967297"),
+		RUNNER("\"10.0.0.1:80\"", "8.5"),
+		RUNNER("\"10.0.0.1:80\"", "1e999"),
 		"{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
 		"\"slots\":8,\"state\":\"ready\"}",
 	};
@@ -85,6 +102,9 @@
 					  .domain = "z" };
 	fleet_t *fleet = fleet_new(&options);
 
+	CU_ASSERT(store_decode_runner("r1", good, fleet));
+	CU_ASSERT(store_decode_runner("r1", RUNNER("\"10.0.0.1:80\"", "8"),
+				      fleet));
 	CU_ASSERT(store_decode_runner("r1", good, fleet));
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
 		CU_ASSERT_FALSE(store_decode_runner("r2", bad[i], fleet));
