Renew all watches when one view of the store is back

Callers saw: after an outage in which the store answers nobody, requests went to runners that had left, and half were refused although new runners were there, for up to 20 s.

Cause: a watch that waits when the store goes silent is never answered. Its time limit is the wait (25 s for the runner list and the configuration) and a second; the views of the same node that noticed the outage and its end sooner did not tell it.

Change: the views of a node form a group. When one is back after a failure, each other one whose watch began before the call that was answered gives it up and lists its objects; the late answer of the watch is ignored. The age of each view is a gauge.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -11,6 +11,16 @@
 #define MAX_RETRY_MS 400
 #define LIST_LIMIT 500
 
+struct follow_group {
+	GPtrArray *follows;
+};
+
+/* A call in flight. The answer to one that was given up is ignored. */
+typedef struct follow_call {
+	follow_t *follow; /* NULL: given up */
+	int64_t started_us;
+} follow_call_t;
+
 struct follow {
 	follow_options_t options;
 	char *prefix;
@@ -19,6 +29,7 @@
 	char *after; /* last key of the previous page */
 	uint64_t revision; /* to watch from */
 	uint64_t list_revision; /* of the first page */
+	follow_call_t *call; /* in flight; NULL: none */
 	int64_t answered_us;
 	int64_t steady_since_us;
 	int32_t retry_ms;
@@ -66,9 +77,49 @@
 	call_later(follow, follow->retry_ms);
 }
 
-static void on_answer(follow_t *follow)
+/* Gives up the watch of a view that has waited since before the time and lists
+ * its objects. */
+static void renew(follow_t *follow, int64_t before_us)
+{
+	follow_call_t *call = follow->call;
+
+	if (!call || follow->keys || call->started_us >= before_us)
+		return;
+	log_info("watch_renewed", "prefix=%s waited_ms=%" PRId64,
+		 follow->prefix,
+		 (clock_now_us(follow->options.clock) - call->started_us) /
+			 1000);
+	call->follow = NULL;
+	follow->call = NULL;
+	relist(follow);
+	call_store(follow);
+}
+
+static void renew_others(const follow_t *follow, int64_t before_us)
+{
+	const follow_group_t *group = follow->options.group;
+
+	for (guint i = 0; group && i < group->follows->len; i++)
+		if (group->follows->pdata[i] != follow)
+			renew(group->follows->pdata[i], before_us);
+}
+
+/* Ends a call; returns its view, or NULL when it was given up. */
+static follow_t *end_call(follow_call_t *call, int64_t *started_us)
+{
+	follow_t *follow = call->follow;
+
+	*started_us = call->started_us;
+	if (follow)
+		follow->call = NULL;
+	g_free(call);
+	return follow;
+}
+
+static void on_answer(follow_t *follow, int64_t started_us)
 {
 	int64_t now_us = clock_now_us(follow->options.clock);
+	bool was_lost = follow->lost;
 
 	if (follow->lost)
 		log_info("store_back", "prefix=%s silent_ms=%" PRId64,
@@ -78,6 +129,8 @@
 	follow->answered_us = now_us;
 	if (!follow->steady_since_us)
 		follow->steady_since_us = now_us;
+	if (was_lost)
+		renew_others(follow, started_us);
 }
 
 static void apply(follow_t *follow, const object_listing_t *listing)
@@ -100,13 +153,17 @@
 static void on_watched(const object_listing_t *listing, const GError *error,
 		       void *user_data)
 {
-	follow_t *follow = user_data;
-	int32_t pause_ms = follow->options.pause_ms;
+	int64_t started_us;
+	follow_t *follow = end_call(user_data, &started_us);
+	int32_t pause_ms;
 
+	if (!follow)
+		return;
+	pause_ms = follow->options.pause_ms;
 	if (error && error->code == WL_ERROR_NOT_FOUND) {
 		log_info("history_gone", "prefix=%s revision=%" PRIu64,
 			 follow->prefix, follow->revision);
-		on_answer(follow);
+		on_answer(follow, started_us);
 		relist(follow);
 		/* A stale listing may be older than the history repeatedly, so
 		 * it is not read without a pause. */
@@ -117,7 +174,7 @@
 		on_failure(follow, error);
 		return;
 	}
-	on_answer(follow);
+	on_answer(follow, started_us);
 	apply(follow, listing);
 	follow->revision = MAX(follow->revision, listing->revision);
 	if (listing->entries->len > 0)
@@ -131,13 +188,16 @@
 static void on_listed(const object_listing_t *listing, const GError *error,
 		      void *user_data)
 {
-	follow_t *follow = user_data;
+	int64_t started_us;
+	follow_t *follow = end_call(user_data, &started_us);
 
+	if (!follow)
+		return;
 	if (error) {
 		on_failure(follow, error);
 		return;
 	}
-	on_answer(follow);
+	on_answer(follow, started_us);
 	if (!follow->after)
 		follow->list_revision = listing->revision;
 	apply(follow, listing);
@@ -162,13 +222,46 @@
 
 static void call_store(follow_t *follow)
 {
+	follow_call_t *call = g_new0(follow_call_t, 1);
+
+	call->follow = follow;
+	call->started_us = clock_now_us(follow->options.clock);
+	follow->call = call;
 	if (follow->keys)
 		object_list(follow->options.store, follow->prefix,
-			    follow->after, LIST_LIMIT, on_listed, follow);
+			    follow->after, LIST_LIMIT, on_listed, call);
 	else
 		object_watch(follow->options.store, follow->prefix,
 			     follow->revision, follow->options.wait_ms,
-			     on_watched, follow);
+			     on_watched, call);
+}
+
+follow_group_t *follow_group_new(void)
+{
+	follow_group_t *group = g_new0(follow_group_t, 1);
+
+	group->follows = g_ptr_array_new();
+	return group;
+}
+
+void follow_group_free(follow_group_t *group)
+{
+	if (!group)
+		return;
+	g_ptr_array_free(group->follows, TRUE);
+	g_free(group);
+}
+
+void follow_group_each(const follow_group_t *group, follow_each_t each,
+		       void *user_data)
+{
+	for (guint i = 0; i < group->follows->len; i++) {
+		const follow_t *follow = group->follows->pdata[i];
+		int64_t now_us = clock_now_us(follow->options.clock);
+
+		each(follow->prefix, (now_us - follow->answered_us) / 1000,
+		     user_data);
+	}
 }
 
 follow_t *follow_new(const follow_options_t *options)
@@ -179,6 +272,8 @@
 	follow->prefix = g_strdup(options->prefix);
 	follow->answered_us = clock_now_us(options->clock);
 	follow->timer = evtimer_new(options->base, on_timer, follow);
+	if (options->group)
+		g_ptr_array_add(options->group->follows, follow);
 	relist(follow);
 	call_store(follow);
 	return follow;
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -18,11 +18,27 @@
  */
 typedef struct follow follow_t;
 
+/*
+ * The views of one node of the same store. A watch that waits when the store
+ * stops answering may never be answered; when one view is back after a failure,
+ * the others that were waiting since before list their objects again.
+ */
+typedef struct follow_group follow_group_t;
+
+follow_group_t *follow_group_new(void);
+void follow_group_free(follow_group_t *group);
+typedef void (*follow_each_t)(const char *prefix, int64_t age_ms,
+			      void *user_data);
+/* Calls each with the time since a view's last answer. */
+void follow_group_each(const follow_group_t *group, follow_each_t each,
+		       void *user_data);
+
 typedef struct follow_options {
 	struct event_base *base;
 	const clock_source_t *clock;
 	object_store_t *store;
 	const char *prefix;
+	follow_group_t *group; /* may be NULL */
 	int32_t wait_ms; /* of a watch */
 	int32_t pause_ms; /* between watches, to batch changes; 0: none */
 	int32_t change_pause_ms; /* least pause after a watch that brought changes */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -225,6 +225,7 @@
 		.clock = gateway->clock,
 		.store = gateway->store,
 		.prefix = gateway->codec->config_prefix,
+		.group = gateway->follows,
 		.wait_ms = wait_ms,
 		.changed = on_config_changed,
 		.removed = on_config_removed,
@@ -361,6 +362,7 @@
 		.random = gateway->random,
 		.store = gateway->store,
 		.stale_store = gateway->stale_store,
+		.follows = gateway->follows,
 		.executions = &gateway->executions,
 		.counters = gateway->counters,
 		.node = options->node,
@@ -429,6 +431,7 @@
 		.part_guard = gateway->part_guard,
 		.store = gateway->store,
 		.stale_store = gateway->stale_store,
+		.follows = gateway->follows,
 		.node = options->node,
 		.domain = options->domain,
 		.address = options->address,
@@ -455,6 +458,7 @@
 	gateway->clock = options->clock;
 	gateway->random = g_rand_new();
 	gateway->counters = counter_set_new();
+	gateway->follows = follow_group_new();
 	gateway->codec = options->codec;
 	gateway->grace_ms = options->grace_ms;
 	gateway->runner_hold_ms = options->runner_hold_ms;
@@ -506,6 +510,14 @@
 	job_owner_stop(gateway->job_owner);
 }
 
+static void write_view_age(const char *prefix, int64_t age_ms, void *user_data)
+{
+	g_string_append_printf(user_data,
+			       "wasabilink_view_age_seconds{view=\"%s\"} "
+			       "%.3f\n",
+			       prefix, (double)age_ms / 1000);
+}
+
 void gateway_write_metrics(const gateway_t *gateway, GString *out)
 {
 	static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
@@ -525,6 +537,8 @@
 		"wasabilink_log_lines_dropped_total %" PRIu64 "\n",
 		fleet_size(gateway->fleet), relay_active(gateway->relay),
 		job_owner_count(gateway->job_owner), log_dropped());
+	g_string_append(out, "# TYPE wasabilink_view_age_seconds gauge\n");
+	follow_group_each(gateway->follows, write_view_age, out);
 	g_string_append(out,
 			"# TYPE wasabilink_first_answer_seconds summary\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,6 +68,7 @@
 	fleet_t *fleet;
 	part_guard_t *part_guard;
 	stream_origins_t *origins;
+	follow_group_t *follows; /* all views of the store */
 	peer_load_t *peer_load;
 	execution_context_t executions;
 	relay_t *relay;
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -7,6 +7,7 @@
 #include "gateway/batch_rule.h"
 #include "gateway/path_table.h"
 #include "gateway/execution.h"
+#include "gateway/follow.h"
 #include "object/object_store.h"
 
 /* job_context - the objects and callbacks that the batch job modules of one
@@ -17,6 +18,7 @@
 	GRand *random;
 	object_store_t *store;
 	object_store_t *stale_store; /* cheap reads, up to seconds stale */
+	follow_group_t *follows;
 	execution_context_t *executions;
 	counter_set_t *counters;
 	const char *node; /* name of this node */
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -111,6 +111,7 @@
 		.clock = context->clock,
 		.store = context->stale_store,
 		.prefix = JOB_RECORD_PREFIX,
+		.group = context->follows,
 		.wait_ms = WATCH_WAIT_MS,
 		.pause_ms = WATCH_PAUSE_MS,
 		.changed = on_changed,
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -485,6 +485,7 @@
 		.clock = load->options.clock,
 		.store = load->options.stale_store,
 		.prefix = NODE_PREFIX,
+		.group = load->options.follows,
 		.wait_ms = NODE_WATCH_WAIT_MS,
 		.pause_ms = NODE_WATCH_PAUSE_MS,
 		.changed = on_node_changed,
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "gateway/follow.h"
 #include "gateway/load_view.h"
 #include "gateway/stream_origin.h"
 #include "backend/part_guard.h"
@@ -32,6 +33,7 @@
 	part_guard_t *part_guard;
 	object_store_t *store;
 	object_store_t *stale_store;
+	follow_group_t *follows;
 	const char *node;
 	const char *domain;
 	const char *address; /* IP address to bind */
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -72,6 +72,9 @@
         store = self.owner
         with store.lock:
             store.calls += 1
+            if store.silent:
+                store.lock.wait_for(lambda: store.closed)
+                return
             if store.down:
                 self.close_connection = True
                 self.connection.close()
@@ -110,6 +113,11 @@
         self.rev = 1
         self.calls = 0
         self.down = False
+        # Calls in progress and new ones get no answer, as long as it is set
+        # and after.
+        self.silent = False
+        self.closed = False
+        self.outages = 0
         self.lose_answers = 0
         self.lose_kind = ""
         self.malform_answers = 0  # of successful calls of a kind
@@ -120,6 +128,18 @@
         self.raw = {}
         super().__init__(StoreHandler)
 
+    def set_silent(self, silent):
+        with self.lock:
+            self.silent = silent
+            self.outages += silent
+            self.lock.notify_all()
+
+    def close(self):
+        with self.lock:
+            self.closed = True
+            self.lock.notify_all()
+        super().close()
+
     def listing(self, kind):
         with self.lock:
             items = [o for (k, _), o in sorted(self.objects.items())
@@ -129,7 +149,10 @@
     def watch(self, kind, since, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         with self.lock:
+            outages = self.outages
             while True:
+                if self.outages > outages:
+                    self.lock.wait_for(lambda: self.closed)
                 found = [e for e in self.events if e[0] > since and
                          e[1] == kind]
                 left = end - time.monotonic()
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -185,6 +185,70 @@
 	event_base_free(base);
 }
 
+static follow_t *follow_in_group(scripted_store_t *scripted,
+				 struct event_base *base, clock_manual_t *clock,
+				 follow_group_t *group)
+{
+	const follow_options_t options = {
+		.base = base,
+		.clock = &clock->base,
+		.store = &scripted->base,
+		.prefix = "k/",
+		.group = group,
+		.wait_ms = 25000,
+		.changed = on_changed,
+		.removed = on_removed,
+		.listed = on_listed,
+		.user_data = scripted,
+	};
+
+	scripted->base.ops = &ops;
+	scripted->delivered = g_string_new(NULL);
+	return follow_new(&options);
+}
+
+/* A watch that was waiting when the store fell silent must not wait on after
+ * another view has noticed the end of the outage; its late answer must change
+ * nothing. A watch that began after that is kept. */
+static void test_watch_is_renewed_after_outage(void)
+{
+	struct event_base *base = event_base_new();
+	follow_group_t *group = follow_group_new();
+	scripted_store_t waiting = { 0 };
+	scripted_store_t noticing = { 0 };
+	scripted_store_t old_watch;
+	clock_manual_t clock;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_advance_ms(&clock, 1000);
+	follow_in_group(&waiting, base, &clock, group);
+	follow_in_group(&noticing, base, &clock, group);
+	answer(&waiting, 5, "k/a", false);
+	answer(&noticing, 5, NULL, false);
+	old_watch = waiting;
+	clock_manual_advance_ms(&clock, 4000);
+	fail(&noticing, WL_ERROR_TIMEOUT);
+	CU_ASSERT_EQUAL(waiting.lists, 1);
+	event_base_loop(base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(noticing.lists, 2);
+	answer(&noticing, 6, NULL, false);
+	CU_ASSERT_EQUAL(waiting.lists, 2);
+	answer(&old_watch, 9, "k/old", false);
+	CU_ASSERT_PTR_NULL(strstr(waiting.delivered->str, "k/old"));
+	answer(&waiting, 7, "k/b", false);
+	CU_ASSERT_EQUAL(waiting.watches, 2);
+	CU_ASSERT_EQUAL(waiting.since, 7);
+	clock_manual_advance_ms(&clock, 100);
+	fail(&noticing, WL_ERROR_TIMEOUT);
+	event_base_loop(base, EVLOOP_ONCE);
+	clock_manual_advance_ms(&clock, 100);
+	answer(&waiting, 8, NULL, false);
+	answer(&noticing, 8, NULL, false);
+	CU_ASSERT_EQUAL(waiting.lists, 2);
+	follow_group_free(group);
+	event_base_free(base);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -193,6 +257,8 @@
 		{ "truncated watch lists again",
 		  test_truncated_watch_lists_again },
 		{ "history dropped", test_history_dropped },
+		{ "watch is renewed after outage",
+		  test_watch_is_renewed_after_outage },
 		{ NULL, NULL },
 	};
 
