Send nothing new to a runner that says in an answer that it leaves

Change: the header is read as a fact of the runner and kept until a later process has its id or its entry is gone; the list's state does not clear it. Load reports tell it to the other nodes, with the time of the runner's start, so that a later process is not meant. What runs there goes on.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -173,6 +173,8 @@
 	fleet_report_rate(fleet, execution->runner, &answer->rate);
 	if (answer->draining || answer->other_instance)
 		fleet_set_draining(fleet, execution->runner);
+	if (answer->leaving)
+		fleet_set_leaving(fleet, execution->runner);
 	if (is_live_stream(execution) && !execution->stream_started) {
 		execution->stream_started = true;
 		execution->sink->start(answer, execution->user_data);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -237,7 +237,7 @@
 	note_version(fleet, runner);
 	runner->domain_state = find_or_add_domain(fleet, runner->domain);
 	runner->slots = entry->slots;
-	runner->draining = entry->draining;
+	runner->draining = entry->draining || runner->leaving;
 	runner->remove_at_us = 0;
 }
 
@@ -802,6 +802,20 @@
 	runner->draining = true;
 }
 
+void fleet_set_leaving(fleet_t *fleet, fleet_runner_t *runner)
+{
+	if (runner->leaving)
+		return;
+	log_info("runner_leaving",
+		 "runner=%s was_draining=%d online=%u "
+		 "batch=%u",
+		 runner->id, runner->draining, online_of(runner),
+		 runner->own.batch + runner->peers.batch);
+	runner->leaving = true;
+	runner->draining = true;
+	load_changed(fleet);
+}
+
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
 			   uint32_t percent)
 {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -49,6 +49,7 @@
 	uint32_t slots;
 	int64_t started_ms; /* wall clock of the runner */
 	bool draining; /* draining: gets no new requests */
+	bool leaving; /* it said so itself; draining until it starts anew */
 	bool listed; /* false: removed, only requests in flight refer to it */
 	int64_t remove_at_us; /* time of removal; 0: in the runner list */
 	fleet_load_t own;
@@ -165,6 +166,9 @@
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner);
 /* The runner reported that it drains, or another one has its address. */
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner);
+/* The runner said in an answer that it leaves. It gets no new requests until it
+ * starts anew, whatever the list says. */
+void fleet_set_leaving(fleet_t *fleet, fleet_runner_t *runner);
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
 			   uint32_t percent);
 /* A response of the runner had this rate, which may be no limit. */
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -97,6 +97,8 @@
 	u_int count;
 	u_int failures_count;
 	int64_t now_us;
+	load_leaving leaving[LOAD_LEAVING_MAX];
+	u_int leaving_count;
 } report_t;
 
 static void add_failures(const fleet_runner_t *runner, report_t *report)
@@ -129,6 +131,14 @@
 	};
 }
 
+static void add_leaving(const fleet_runner_t *runner, report_t *report)
+{
+	if (report->leaving_count == LOAD_LEAVING_MAX || !runner->leaving)
+		return;
+	report->leaving[report->leaving_count++] =
+		(load_leaving){ runner->key, runner->started_ms };
+}
+
 static void add_runner(fleet_runner_t *runner, void *user_data)
 {
 	report_t *report = user_data;
@@ -140,6 +150,7 @@
 
 	add_failures(runner, report);
 	add_limit(runner, report);
+	add_leaving(runner, report);
 	if (report->count == LOAD_ENTRIES_MAX ||
 	    (!runner->own.online && !runner->own.batch && !has_slowness))
 		return;
@@ -173,6 +184,8 @@
 	report.failures.failures_val = collected.failures;
 	report.limits.limits_len = collected.limits_count;
 	report.limits.limits_val = collected.limits;
+	report.leaving.leaving_len = collected.leaving_count;
+	report.leaving.leaving_val = collected.leaving;
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
 	if (xdr_load_report(&xdrs, &report))
 		len = xdr_getpos(&xdrs);
@@ -308,6 +321,17 @@
 	return report->sequence <= peer->sequence;
 }
 
+static void apply_leaving(load_view_t *view, const load_report *report)
+{
+	for (u_int i = 0; i < report->leaving.leaving_len; i++) {
+		const load_leaving *entry = &report->leaving.leaving_val[i];
+		fleet_runner_t *runner = fleet_find(view->fleet, entry->runner);
+
+		if (runner && runner->started_ms == entry->started_ms)
+			fleet_set_leaving(view->fleet, runner);
+	}
+}
+
 const char *load_view_apply(load_view_t *view, char *data, size_t len)
 {
 	load_report report = { 0 };
@@ -337,6 +361,7 @@
 			peer->started = true;
 		}
 		apply_limits(view, peer, &report);
+		apply_leaving(view, &report);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
 		g_free(peer->domain);
--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -31,6 +31,7 @@
 	bool not_run; /* the runner reports that it did not run the request */
 	bool other_instance; /* another runner has the address now */
 	bool draining; /* draining: the runner closes its connections */
+	bool leaving; /* the runner tells that it leaves */
 	bool until_close; /* the body ends with the connection */
 	uint32_t slowness_percent; /* 0: not reported */
 	runner_rate_t rate; /* that it takes from all nodes together */
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -2,6 +2,7 @@
 const LOAD_NAME_MAX = 64;
 const LOAD_ENTRIES_MAX = 64;
 const LOAD_LIMITS_MAX = 32;
+const LOAD_LEAVING_MAX = 32;
 const LOAD_URGENCIES = 9;
 
 /* Requests that the sender has at one runner. */
@@ -29,6 +30,12 @@
 	unsigned int sent;
 };
 
+/* A runner that said that it leaves. */
+struct load_leaving {
+	unsigned hyper runner;
+	hyper started_ms; /* tells it from a later process with its id */
+};
+
 struct load_report {
 	string node<LOAD_NAME_MAX>;
 	string domain<LOAD_NAME_MAX>;
@@ -40,4 +47,5 @@
 	load_entry entries<LOAD_ENTRIES_MAX>;
 	load_failure failures<LOAD_ENTRIES_MAX>;
 	load_limit limits<LOAD_LIMITS_MAX>;
+	load_leaving leaving<LOAD_LEAVING_MAX>;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -139,6 +139,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_load_leaving (XDR *xdrs, load_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_load_report (XDR *xdrs, load_report *objp)
 {
@@ -183,6 +195,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, LOAD_LIMITS_MAX,
 			sizeof (load_limit), (xdrproc_t) xdr_load_limit))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, LOAD_LEAVING_MAX,
+			sizeof (load_leaving), (xdrproc_t) xdr_load_leaving))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->node, LOAD_NAME_MAX))
@@ -221,6 +236,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, LOAD_LIMITS_MAX,
 			sizeof (load_limit), (xdrproc_t) xdr_load_limit))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, LOAD_LEAVING_MAX,
+			sizeof (load_leaving), (xdrproc_t) xdr_load_leaving))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -246,5 +264,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, LOAD_LIMITS_MAX,
 		sizeof (load_limit), (xdrproc_t) xdr_load_limit))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, LOAD_LEAVING_MAX,
+		sizeof (load_leaving), (xdrproc_t) xdr_load_leaving))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -16,6 +16,7 @@
 #define LOAD_NAME_MAX 64
 #define LOAD_ENTRIES_MAX 64
 #define LOAD_LIMITS_MAX 32
+#define LOAD_LEAVING_MAX 32
 #define LOAD_URGENCIES 9
 
 struct load_entry {
@@ -42,6 +43,12 @@
 };
 typedef struct load_limit load_limit;
 
+struct load_leaving {
+	u_quad_t runner;
+	quad_t started_ms;
+};
+typedef struct load_leaving load_leaving;
+
 struct load_report {
 	char *node;
 	char *domain;
@@ -61,6 +68,10 @@
 		u_int limits_len;
 		load_limit *limits_val;
 	} limits;
+	struct {
+		u_int leaving_len;
+		load_leaving *leaving_val;
+	} leaving;
 };
 typedef struct load_report load_report;
 
@@ -70,12 +81,14 @@
 extern  bool_t xdr_load_entry (XDR *, load_entry*);
 extern  bool_t xdr_load_failure (XDR *, load_failure*);
 extern  bool_t xdr_load_limit (XDR *, load_limit*);
+extern  bool_t xdr_load_leaving (XDR *, load_leaving*);
 extern  bool_t xdr_load_report (XDR *, load_report*);
 
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
 extern bool_t xdr_load_failure ();
 extern bool_t xdr_load_limit ();
+extern bool_t xdr_load_leaving ();
 extern bool_t xdr_load_report ();
 
 #endif /* K&R C */
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -255,7 +255,8 @@
                           ("Response-Stamp", f"stamp-{runner.id}"),
                           ("Content-Type", "text/event-stream"),
                           ("Server-Load", "1,0,8,100"),
-                          *runner.limit_header(), *runner.framing())
+                          *runner.limit_header(), *runner.leaving_header(),
+                          *runner.framing())
         time.sleep(runner.prompt_s)
         if runner.crashes_on(self.headers.get("Prompt-Prefix", "")):
             runner.crash()
@@ -299,6 +300,7 @@
         self.name = name
         self.version = version  # of the software
         self.crash_part = None  # a prompt part that ends the process
+        self.leaving = False  # it says so in its answers
         self.crash_body = None  # bytes of a body that end the process
         # After so many events of that answer; below 0: before its head.
         self.crash_events = 0
@@ -330,6 +332,9 @@
         """Data of an event, which tells a version other than the first."""
         return f"e{number}" + ("" if self.version == "v1" else self.version)
 
+    def leaving_header(self):
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     def limit_header(self):
         return [] if self.limit is None else [
             ("Server-Limit", str(self.limit))]
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -216,6 +216,35 @@
 	node_free(&b);
 }
 
+/* A runner that has told one node that it leaves must get no requests from
+ * others; a process that starts under its id later must. */
+static void test_leaving_runner(void)
+{
+	const fleet_pick_options_t pick = { .service = "s" };
+	fleet_entry_t restarted = { "r1", "10.0.0.1:1", "s", "d", 8,
+				    2,	  false,	"1" };
+	clock_manual_t clock;
+	node_t a, b;
+
+	clock_manual_init(&clock, 0);
+	a = node_new(&clock, "a", 1);
+	b = node_new(&clock, "b", 1);
+	fleet_set_leaving(a.fleet, runner(&a));
+	tell(&a, &b);
+	CU_ASSERT_PTR_NULL(fleet_acquire(a.fleet, &pick));
+	CU_ASSERT_PTR_NULL(fleet_acquire(b.fleet, &pick));
+	restarted.started_ms = 1;
+	fleet_update(b.fleet, &restarted);
+	CU_ASSERT_PTR_NULL(fleet_acquire(b.fleet, &pick));
+	restarted.started_ms = 2;
+	fleet_update(b.fleet, &restarted);
+	CU_ASSERT_PTR_NOT_NULL(fleet_acquire(b.fleet, &pick));
+	tell(&a, &b);
+	CU_ASSERT_PTR_NOT_NULL(fleet_acquire(b.fleet, &pick));
+	node_free(&a);
+	node_free(&b);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -224,6 +253,7 @@
 		{ "invalid reports", test_invalid_reports },
 		{ "limits", test_limits },
 		{ "started node", test_started_node },
+		{ "leaving runner", test_leaving_runner },
 		{ NULL, NULL },
 	};
 
