Do not look up the versions of a route without a service

A client that takes up an unknown stream of a route whose targets all have weight 0 ended the process: path_route_service() returns NULL there. Found by reading; test_sole_version has the case.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -654,7 +654,7 @@
 			    int64_t for_us)
 {
 	const service_versions_t *versions =
-		g_hash_table_lookup(fleet->versions, service);
+		service ? g_hash_table_lookup(fleet->versions, service) : NULL;
 	uint64_t version = 0;
 
 	if (!versions ||
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -142,8 +142,8 @@
  * usable has it. */
 const char *fleet_service_of_version(const fleet_t *fleet,
 				     uint64_t version_key);
-/* The software version of all runners of the service, if all known ones have had
- * the same for this long; else 0. */
+/* The software version of all runners of the service (NULL: none), if all known
+ * ones have had the same for this long; else 0. */
 uint64_t fleet_sole_version(const fleet_t *fleet, const char *service,
 			    int64_t for_us);
 /*
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -673,6 +673,7 @@
 	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "s", minute_us),
 			fleet_find(fleet, fleet_key("a"))->version_key);
 	CU_ASSERT_EQUAL(fleet_sole_version(fleet, "t", minute_us), 0);
+	CU_ASSERT_EQUAL(fleet_sole_version(fleet, NULL, minute_us), 0);
 	fleet_schedule_removal(fleet, "a", 1);
 	fleet_remove_expired(fleet);
 	add_version(fleet, "b", "2");
