Tell requests with the same body but other prompt parts apart

Callers saw: while a request that crashes runners was held for 2 s, sound requests of the same path and body were refused with it, although they name other prompt parts.

Cause: the key by which a request is held was the digest of its content alone. Where bodies are equal (an engine that takes the prompt from elsewhere, or a test with empty bodies), the parts are what tells requests apart.

Change: the key is a hash of the digest and the shared parts.

The new test_same_body_with_other_parts compares the keys, which were equal before.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -5,6 +5,7 @@
 
 #include "backend/event_reader.h"
 #include "base/log.h"
+#include "coord/rendezvous.h"
 
 /* Limit of all attempts of a request, also of refused ones, so that a fleet
  * without free slots is not asked over and over. */
@@ -494,8 +495,13 @@
 	*parts = (prompt_parts_t){ 0 };
 	if (context->protocol->decode_parts)
 		context->protocol->decode_parts(headers, parts);
+	/* Requests with the same body may differ in the prompt that they name. */
 	if (digest)
-		prompt_parts_add_request(parts, digest);
+		prompt_parts_add_request(
+			parts,
+			rendezvous_hash(parts->ids,
+					parts->count * sizeof(parts->ids[0]),
+					digest));
 }
 
 int32_t execution_hold_ms(const execution_context_t *context,
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -479,6 +479,28 @@
 	prompt_parts_add(parts, 7);
 }
 
+/* Sound requests with the body of one that crashes runners, but another prompt,
+ * must be told from it. */
+static void test_same_body_with_other_parts(void)
+{
+	fixture_t *fixture = fixture_new();
+	prompt_parts_t plain;
+	prompt_parts_t shared;
+	prompt_parts_t again;
+	GPtrArray *headers = g_ptr_array_new();
+
+	execution_parts(&fixture->context, headers, 5, &plain);
+	fixture->protocol.decode_parts = decode_shared_part;
+	execution_parts(&fixture->context, headers, 5, &shared);
+	execution_parts(&fixture->context, headers, 5, &again);
+	CU_ASSERT_EQUAL(plain.count, 1);
+	CU_ASSERT_EQUAL(shared.count, 2);
+	CU_ASSERT_NOT_EQUAL(plain.ids[0], shared.ids[1]);
+	CU_ASSERT_EQUAL(shared.ids[1], again.ids[1]);
+	g_ptr_array_unref(headers);
+	fixture_free(fixture);
+}
+
 /* Requests with a part that crashes runners must be withdrawn from the queues of
  * the runners; those that are being processed are left. */
 static void test_queued_request_is_withdrawn(void)
@@ -547,6 +569,8 @@
 		{ "body without end", test_body_without_end },
 		{ "crashing request is not resumed",
 		  test_crashing_request_is_not_resumed },
+		{ "same body with other parts",
+		  test_same_body_with_other_parts },
 		{ "queued request is withdrawn",
 		  test_queued_request_is_withdrawn },
 		{ "errors", test_errors },
