Log what other nodes reach of the domains that a node has lost

A node whose connects to runners failed could not tell its own broken links from lost runners, and logged nothing about its own domain. Contact with the own domain is now followed like that with others, without any effect on the choice of runners. Load reports name the lost domains, after the fields that older versions read, and domain_out_of_reach gives the count of nodes that have lost the same domain.

--- a/src/gateway/domain_contact.c
+++ b/src/gateway/domain_contact.c
@@ -52,3 +52,8 @@
 {
 	return now_us < contact->ejected_until_us;
 }
+
+bool domain_contact_is_lost(const domain_contact_t *contact)
+{
+	return contact->ejected_until_us != 0;
+}
--- a/src/gateway/domain_contact.h
+++ b/src/gateway/domain_contact.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 /*
- * domain_contact - whether the runners of another failure domain are reachable.
+ * domain_contact - whether the runners of a failure domain are reachable.
  *
  * A connect to a runner behind a network partition takes its whole timeout. If
  * runners were ejected one by one, each of the domain's runners would cost some
@@ -33,5 +33,7 @@
  * ejection this is the probe, and holds back others until it has a result. */
 void domain_contact_probed(domain_contact_t *contact, int64_t now_us);
 bool domain_contact_is_ejected(const domain_contact_t *contact, int64_t now_us);
+/* Whether the domain was ejected and no runner of it has answered since. */
+bool domain_contact_is_lost(const domain_contact_t *contact);
 
 #endif
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -306,9 +306,12 @@
 {
 	int64_t now_us = clock_now_us(fleet->clock);
 
+	/* The local domain is never avoided: without it the node could serve
+	 * nothing. */
 	return runner->remove_at_us || now_us < runner->ejected_until_us ||
-	       domain_contact_is_ejected(&runner->domain_state->contact,
-					 now_us);
+	       (runner->domain_state != fleet->local_domain &&
+		domain_contact_is_ejected(&runner->domain_state->contact,
+					  now_us));
 }
 
 static bool is_usable(const fleet_runner_t *runner, const char *service)
@@ -741,9 +744,25 @@
 
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
 {
-	if (domain_contact_answered(&runner->domain_state->contact))
-		log_info("domain_back", "domain=%s runner=%s", runner->domain,
-			 runner->id);
+	if (!domain_contact_answered(&runner->domain_state->contact))
+		return;
+	log_info("domain_back", "domain=%s local=%d runner=%s", runner->domain,
+		 !is_remote(fleet, runner), runner->id);
+	load_changed(fleet);
+}
+
+void fleet_each_lost_domain(const fleet_t *fleet, fleet_each_lost_t each,
+			    void *user_data)
+{
+	GHashTableIter iter;
+	void *name;
+	void *domain;
+
+	g_hash_table_iter_init(&iter, fleet->domains);
+	while (g_hash_table_iter_next(&iter, &name, &domain))
+		if (domain_contact_is_lost(
+			    &((const fleet_domain_t *)domain)->contact))
+			each(name, user_data);
 }
 
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner)
@@ -785,16 +804,14 @@
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
 {
 	fleet_failed(fleet, runner);
-	/* The local domain is never ejected: without it the node could serve
-	 * nothing. */
-	if (!is_remote(fleet, runner))
+	if (!domain_contact_failed(&runner->domain_state->contact, runner->key,
+				   clock_now_us(fleet->clock)))
 		return;
-	if (domain_contact_failed(&runner->domain_state->contact, runner->key,
-				  clock_now_us(fleet->clock)))
-		log_warn("domain_lost",
-			 "domain=%s runner=%s pause_ms=%" G_GINT64_FORMAT,
-			 runner->domain, runner->id,
-			 runner->domain_state->contact.ejection_ms);
+	log_warn("domain_lost",
+		 "domain=%s local=%d runner=%s pause_ms=%" G_GINT64_FORMAT,
+		 runner->domain, !is_remote(fleet, runner), runner->id,
+		 runner->domain_state->contact.ejection_ms);
+	load_changed(fleet);
 }
 
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -202,6 +202,11 @@
 void fleet_each_domain(fleet_t *fleet, const char *service,
 		       fleet_each_domain_t each, void *user_data);
 
+typedef void (*fleet_each_lost_t)(const char *name, void *user_data);
+/* Calls each for every domain whose runners this node cannot connect to. */
+void fleet_each_lost_domain(const fleet_t *fleet, fleet_each_lost_t each,
+			    void *user_data);
+
 typedef void (*fleet_each_t)(fleet_runner_t *runner, void *user_data);
 void fleet_each(fleet_t *fleet, fleet_each_t each, void *user_data);
 uint32_t fleet_size(const fleet_t *fleet);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -28,6 +28,8 @@
 #define SEGMENT_CACHE_BYTES (8 * 1024 * 1024)
 /* Between lines about what runners with a limit get. */
 #define LIMIT_LOG_INTERVAL_MS 4000
+/* Between lines about domains whose runners are out of reach. */
+#define CONTACT_LOG_INTERVAL_MS 1000
 
 static void apply_config(gateway_t *gateway, const object_entry_t *entry)
 {
@@ -196,6 +198,28 @@
 	fleet_log_limits(gateway->fleet);
 }
 
+/* The views of the other nodes tell whether this node's links are down or the
+ * runners. */
+static void log_lost_domain(const char *name, void *user_data)
+{
+	const gateway_t *gateway = user_data;
+
+	log_info("domain_out_of_reach", "domain=%s peers=%u peers_lost=%u",
+		 name, peer_load_peers(gateway->peer_load),
+		 peer_load_lost(gateway->peer_load, name));
+}
+
+static void log_contacts(gateway_t *gateway)
+{
+	int64_t now_us = clock_now_us(gateway->clock);
+
+	if (now_us - gateway->contacts_logged_us <
+	    CONTACT_LOG_INTERVAL_MS * 1000)
+		return;
+	gateway->contacts_logged_us = now_us;
+	fleet_each_lost_domain(gateway->fleet, log_lost_domain, gateway);
+}
+
 static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	gateway_t *gateway = arg;
@@ -203,6 +227,7 @@
 	schedule_tick(gateway);
 	fleet_remove_expired(gateway->fleet);
 	log_limits(gateway);
+	log_contacts(gateway);
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
 	part_guard_tick(gateway->part_guard);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -83,6 +83,7 @@
 	int64_t grace_ms;
 	int64_t runner_hold_ms;
 	int64_t limits_logged_us;
+	int64_t contacts_logged_us;
 	int64_t stopping_since_us; /* 0: not stopping */
 	http_server_t *callers; /* set by the adapter */
 } gateway_t;
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -31,6 +31,7 @@
 	GArray *entries; /* load_entry */
 	GArray *failures; /* load_failure */
 	GHashTable *sent; /* runner key -> requests sent, as last reported */
+	load_contact contact; /* its arrays are from XDR */
 } peer_t;
 
 /* Sums over all peers for one runner. */
@@ -57,6 +58,7 @@
 	g_array_free(peer->entries, TRUE);
 	g_array_free(peer->failures, TRUE);
 	g_hash_table_destroy(peer->sent);
+	xdr_free((xdrproc_t)xdr_load_contact, &peer->contact);
 	g_free(peer->node);
 	g_free(peer->domain);
 	g_free(peer);
@@ -99,6 +101,8 @@
 	int64_t now_us;
 	load_leaving leaving[LOAD_LEAVING_MAX];
 	u_int leaving_count;
+	uint64_t lost[LOAD_LOST_MAX]; /* hashes of domains */
+	u_int lost_count;
 } report_t;
 
 static void add_failures(const fleet_runner_t *runner, report_t *report)
@@ -139,6 +143,14 @@
 		(load_leaving){ runner->key, runner->started_ms };
 }
 
+static void add_lost_domain(const char *name, void *user_data)
+{
+	report_t *report = user_data;
+
+	if (report->lost_count < LOAD_LOST_MAX)
+		report->lost[report->lost_count++] = fleet_key(name);
+}
+
 static void add_runner(fleet_runner_t *runner, void *user_data)
 {
 	report_t *report = user_data;
@@ -167,10 +179,14 @@
 {
 	report_t collected = { .now_us = clock_now_us(view->clock) };
 	load_report report;
+	load_contact contact;
 	size_t len = 0;
 	XDR xdrs;
 
 	fleet_each(view->fleet, add_runner, &collected);
+	fleet_each_lost_domain(view->fleet, add_lost_domain, &collected);
+	contact.lost.lost_len = collected.lost_count;
+	contact.lost.lost_val = collected.lost;
 	report.node = view->node;
 	report.domain = view->domain;
 	report.incarnation = view->incarnation;
@@ -187,7 +203,8 @@
 	report.leaving.leaving_len = collected.leaving_count;
 	report.leaving.leaving_val = collected.leaving;
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
-	if (xdr_load_report(&xdrs, &report))
+	if (xdr_load_report(&xdrs, &report) &&
+	    xdr_load_contact(&xdrs, &contact))
 		len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return len;
@@ -332,6 +349,19 @@
 	}
 }
 
+/* A report of an older version has no contact. */
+static void apply_contact(peer_t *peer, XDR *xdrs)
+{
+	load_contact contact = { 0 };
+
+	if (!xdr_load_contact(xdrs, &contact)) {
+		xdr_free((xdrproc_t)xdr_load_contact, &contact);
+		contact = (load_contact){ 0 };
+	}
+	xdr_free((xdrproc_t)xdr_load_contact, &peer->contact);
+	peer->contact = contact;
+}
+
 const char *load_view_apply(load_view_t *view, char *data, size_t len)
 {
 	load_report report = { 0 };
@@ -362,6 +392,7 @@
 		}
 		apply_limits(view, peer, &report);
 		apply_leaving(view, &report);
+		apply_contact(peer, &xdrs);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
 		g_free(peer->domain);
@@ -483,6 +514,27 @@
 	return NULL;
 }
 
+static bool has_lost(const peer_t *peer, uint64_t domain)
+{
+	for (u_int i = 0; i < peer->contact.lost.lost_len; i++)
+		if (peer->contact.lost.lost_val[i] == domain)
+			return true;
+	return false;
+}
+
+uint32_t load_view_lost(const load_view_t *view, const char *domain)
+{
+	uint64_t key = fleet_key(domain);
+	GHashTableIter iter;
+	void *value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += has_lost(value, key);
+	return count;
+}
+
 uint32_t load_view_peers(const load_view_t *view)
 {
 	return g_hash_table_size(view->peers);
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -55,6 +55,8 @@
 bool load_view_take_started(load_view_t *view, const char *node);
 /* Removes nodes without a recent report. */
 void load_view_expire(load_view_t *view);
+/* Number of other nodes that cannot connect to the domain's runners. */
+uint32_t load_view_lost(const load_view_t *view, const char *domain);
 uint32_t load_view_peers(const load_view_t *view);
 
 #endif
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -616,6 +616,11 @@
 				    g_rand_double(load->options.random));
 }
 
+uint32_t peer_load_lost(const peer_load_t *load, const char *domain)
+{
+	return load_view_lost(load->view, domain);
+}
+
 uint32_t peer_load_peers(const peer_load_t *load)
 {
 	return load_view_peers(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -69,6 +69,8 @@
 void peer_load_set_store(peer_load_t *load, bool reaches_store);
 /* Number of other nodes with a recent report. */
 uint32_t peer_load_peers(const peer_load_t *load);
+/* Number of those that cannot connect to the domain's runners. */
+uint32_t peer_load_lost(const peer_load_t *load, const char *domain);
 /* Sends the part guard's news to all nodes soon. */
 void peer_load_part_news(peer_load_t *load);
 void peer_load_tick(peer_load_t *load);
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -49,3 +49,11 @@
 	load_limit limits<LOAD_LIMITS_MAX>;
 	load_leaving leaving<LOAD_LEAVING_MAX>;
 };
+
+/* Follows a report in its datagram. */
+const LOAD_LOST_MAX = 16;
+
+struct load_contact {
+	/* Hashes of the domains whose runners the sender cannot connect to. */
+	unsigned hyper lost<LOAD_LOST_MAX>;
+};
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -269,3 +269,14 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_load_contact (XDR *xdrs, load_contact *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->lost.lost_val, (u_int *) &objp->lost.lost_len, LOAD_LOST_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -74,6 +74,15 @@
 	} leaving;
 };
 typedef struct load_report load_report;
+#define LOAD_LOST_MAX 16
+
+struct load_contact {
+	struct {
+		u_int lost_len;
+		u_quad_t *lost_val;
+	} lost;
+};
+typedef struct load_contact load_contact;
 
 /* the xdr functions */
 
@@ -83,6 +92,7 @@
 extern  bool_t xdr_load_limit (XDR *, load_limit*);
 extern  bool_t xdr_load_leaving (XDR *, load_leaving*);
 extern  bool_t xdr_load_report (XDR *, load_report*);
+extern  bool_t xdr_load_contact (XDR *, load_contact*);
 
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
@@ -90,6 +100,7 @@
 extern bool_t xdr_load_limit ();
 extern bool_t xdr_load_leaving ();
 extern bool_t xdr_load_report ();
+extern bool_t xdr_load_contact ();
 
 #endif /* K&R C */
 
