Add a runner protocol whose calls go through another node

The other node starts a call only when it is told to, after it has said that it is ready: until then a failure is certain not to have run, also when the node is frozen and reads the call later. After that a broken connection leaves it open (RUNNER_PEER_LOST), and an answer without its last message is never complete. A call is never passed on twice.

Weighed: HTTP between nodes (a node that is killed ends a body without a length as if it were complete), and passing the client's whole request on (admission, attempts and batch items would be split between two nodes).

--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -23,7 +23,13 @@
 	 * have run. */
 	RUNNER_TRUNCATED,
 	/* Timed out, or another request's response; it may have run. */
-	RUNNER_INVALID
+	RUNNER_INVALID,
+	/* The node that was to pass the request on did not start it; the runner
+	 * received nothing. */
+	RUNNER_PEER_NOT_SENT,
+	/* The connection to that node ended before the complete response; the
+	 * request may have run. */
+	RUNNER_PEER_LOST
 } runner_outcome_t;
 
 typedef struct runner_answer {
@@ -39,6 +45,8 @@
 } runner_answer_t;
 
 typedef struct runner_request {
+	uint64_t runner; /* key of the runner */
+	const char *domain; /* of the runner */
 	const char *address;
 	const char *instance; /* id of the intended runner */
 	const char *id; /* of the request */
--- /dev/null
+++ b/src/gateway/runner_relay.h
@@ -0,0 +1,48 @@
+#ifndef WASABILINK_GATEWAY_RUNNER_RELAY_H
+#define WASABILINK_GATEWAY_RUNNER_RELAY_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "gateway/runner_protocol.h"
+
+/*
+ * runner_relay - a runner protocol whose calls go through another node, for
+ * runners that this node cannot connect to.
+ *
+ * The other node passes the call on and adds nothing: selection of the runner,
+ * attempts, deadlines and limits stay with this node. It never passes a call on
+ * to a third node. A call that it has not been told to start has not run; after
+ * that a broken connection between the nodes leaves this open. A node through
+ * which a call has failed is avoided for a moment.
+ */
+typedef struct runner_relay runner_relay_t;
+
+typedef struct runner_relay_options {
+	struct event_base *base;
+	const clock_source_t *clock;
+	counter_set_t *counters;
+	/*
+	 * Writes the address of a node that reaches the runners of the domain to
+	 * the buffer; false when none is known. relay is for
+	 * runner_relay_avoids() and runner_relay_calls().
+	 */
+	bool (*find_peer)(void *user_data, const runner_relay_t *relay,
+			  const char *domain, char *address, size_t size);
+	void *user_data;
+} runner_relay_options_t;
+
+runner_relay_t *runner_relay_new(const runner_relay_options_t *options);
+/* Its calls end with RUNNER_PEER_NOT_SENT when no node takes them. */
+const runner_protocol_t *runner_relay_protocol(const runner_relay_t *relay);
+/* Whether a node is known that reaches the runners of the domain. */
+bool runner_relay_reaches(const runner_relay_t *relay, const char *domain);
+/* Whether a call through the node at the address has failed just now. */
+bool runner_relay_avoids(const runner_relay_t *relay, const char *address);
+/* Number of this node's calls through the node at the address. */
+uint32_t runner_relay_calls(const runner_relay_t *relay, const char *address);
+
+#endif
