--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -15,9 +15,11 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "scripts"))
 import fleet as f  # noqa: E402
+from cut import Group  # noqa: E402
 
 HOST = "site.example"
 SERVICE = "svc"
+PEER_PORTS = 4  # of a gateway, for other gateways
 
 
 class QuietHandler(BaseHTTPRequestHandler):
@@ -230,6 +232,15 @@
         self.wfile.flush()
 
     def do_POST(self):
+        request = self.headers["Request-Id"]
+        self.owner.sources[request] = self.client_address[0]
+        try:
+            self.answer()
+        except OSError:
+            self.owner.broken_at[request] = time.monotonic()
+            raise
+
+    def answer(self):
         runner = self.owner
         body = self.body()
         after = int(self.headers.get("Last-Event-Id", 0))
@@ -294,9 +305,11 @@
     """A runner. After a crash it comes back as another process, with a new
     id."""
 
-    def __init__(self, store, name, events=4, port=None, version="v1"):
+    def __init__(self, store, name, events=4, port=None, version="v1",
+                 zone="z"):
         """port: the one that gateways connect to, if not the own port."""
         self.id = name
+        self.zone = zone
         self.name = name
         self.version = version  # of the software
         self.crash_part = None  # a prompt part that ends the process
@@ -324,6 +337,8 @@
         self.seen_at = []  # times of the same, monotonic
         self.limit = None  # requests per second that it names in answers
         self.ran = []  # ids of requests that were neither refused nor failed
+        self.sources = {}  # request id -> address that its last attempt is from
+        self.broken_at = {}  # request id -> when its connection was found closed
         super().__init__(RunnerHandler)
         self.address = f"127.0.0.1:{port or self.port}"
         self.register("ready")
@@ -375,7 +390,7 @@
     def register(self, state):
         self.store.put("servers", self.id, {
             "service": SERVICE, "address": self.address,
-            "zone": "z", "version": self.version, "slots": 8,
+            "zone": self.zone, "version": self.version, "slots": 8,
             "state": state, "born": 1})
 
 
@@ -395,23 +410,36 @@
         "services": [], "limits": {"idle_timeout_ms": 15000}}
 
 
+def consecutive_ports(count):
+    ports = f.free_ports(count)
+    while ports[-1] - ports[0] != count - 1:
+        ports = ports[1:] + f.free_ports(1)
+    return ports
+
+
 class Gateway:
     """A `wasabilink gateway` process."""
     logs = tempfile.mkdtemp()
 
-    def __init__(self, store, name, grace_s=8, store_port=None):
-        front, ready, peer = f.free_ports(3)
+    def __init__(self, store, name, grace_s=8, store_port=None, zone="z",
+                 source=None):
+        """source: the address that its connections come from; such a gateway
+        has a list of cut ports (cut.py)."""
+        front, ready = f.free_ports(2)
+        peers = consecutive_ports(PEER_PORTS)
         self.name = name
+        self.source = source
+        self.group = Group(self.logs, name)
         self.port, self.ready_port = front, ready
         self.store_port = store_port or store.port
         settings = os.path.join(self.logs, f"{name}.json")
         with open(settings, "w", encoding="utf-8") as out:
             json.dump({
-                "node_name": name, "ip": "127.0.0.1", "zone": "z",
+                "node_name": name, "ip": "127.0.0.1", "zone": zone,
                 "serves": ["edge", "storage"],
                 "listen": {"front": f"127.0.0.1:{front}",
                            "ready": f"127.0.0.1:{ready}"},
-                "port_range": [peer, peer + 9], "limits": {"memory_mb": 100},
+                "port_range": [peers[0], peers[-1]], "limits": {"memory_mb": 100},
                 "bounds": {"grace_s": grace_s, "drain_ms": 2000,
                            "cancel_ms": 3000, "quota_overage": 0.1},
                 "platform": {"address": f"127.0.0.1:{self.store_port}"}}, out)
@@ -421,11 +449,13 @@
 
     def run(self):
         """Starts the process, or restarts it after it has ended."""
+        environment = (self.group.environment(self.source) if self.source
+                       else os.environ)
         with open(self.log_path, "ab") as log:
             self.log_start = log.tell()
             self.process = subprocess.Popen(
                 [f.BINARY, "gateway"], stdout=log, stderr=log,
-                env={**os.environ, "WASABILINK_CONFIG": self.settings})
+                env={**environment, "WASABILINK_CONFIG": self.settings})
 
     def is_ready(self):
         try:
--- a/tests/process/test_partition_both_sides.py
+++ b/tests/process/test_partition_both_sides.py
@@ -41,7 +41,7 @@
                                               "--first-token-us", "0")
         self.fleet.vms = vms
         self.refused = dict.fromkeys(DOMAINS, 0)
-        self.groups = {d: Group(self.fleet, d) for d in DOMAINS}
+        self.groups = {d: Group(self.fleet.log_dir, d) for d in DOMAINS}
         self.entries = {d: [] for d in DOMAINS}
         for domain in DOMAINS:
             with self.groups[domain].started():
--- a/tests/process/test_spillover_cut.py
+++ b/tests/process/test_spillover_cut.py
@@ -28,7 +28,7 @@
                               f.json.dumps(f.sample_document()))
         self.local = [self.engine(f"muse-{i}", LOCAL) for i in range(3)]
         self.remote = self.engine("muse-cut", CUT)
-        self.group = Group(self.fleet, LOCAL)
+        self.group = Group(self.fleet.log_dir, LOCAL)
         with self.group.started():
             self.entry = self.fleet.start_entry("entry-0", LOCAL)
         self.other = self.fleet.start_entry("entry-cut", CUT)
--- a/tests/process/test_two_failures.py
+++ b/tests/process/test_two_failures.py
@@ -23,7 +23,7 @@
         super().setUp()
 
     def start_entry(self, domain):
-        group = self.groups[domain] = Group(self.fleet, domain)
+        group = self.groups[domain] = Group(self.fleet.log_dir, domain)
         with group.started():
             return super().start_entry(domain)
 
