--- a/src/gateway/domain_contact.c
+++ b/src/gateway/domain_contact.c
@@ -4,10 +4,10 @@
 #define FAILURES_TO_EJECT 2
 /* Failures further apart are more likely crashes of single runners. */
 #define FAILURE_SPAN_MS 1000
-/* Network partitions last seconds, and each probe costs a request its connect
+/* Network partitions last seconds, and a probe may cost a request its connect
  * timeout. */
 #define EJECTION_FIRST_MS 500
-#define EJECTION_MAX_MS 2000
+#define EJECTION_MAX_MS 1000
 /* A probe in flight has its result by then. */
 #define PROBE_MS 400
 
@@ -53,6 +53,21 @@
 	return now_us < contact->ejected_until_us;
 }
 
+bool domain_contact_wants_probe(domain_contact_t *contact, int64_t now_us)
+{
+	bool due =
+		contact->ejected_until_us ?
+			now_us >= contact->ejected_until_us :
+			contact->failures > 0 && now_us - contact->failed_us <=
+							 FAILURE_SPAN_MS * 1000;
+
+	if (!due || now_us - contact->probed_us < PROBE_MS * 1000)
+		return false;
+	contact->probed_us = now_us;
+	domain_contact_probed(contact, now_us);
+	return true;
+}
+
 bool domain_contact_is_lost(const domain_contact_t *contact)
 {
 	return contact->ejected_until_us != 0;
--- a/src/gateway/domain_contact.h
+++ b/src/gateway/domain_contact.h
@@ -21,6 +21,7 @@
 	int64_t failed_us;
 	int64_t ejected_until_us; /* 0: not ejected */
 	int64_t ejection_ms; /* until the next probe */
+	int64_t probed_us; /* time of the last probe by connection */
 } domain_contact_t;
 
 /* Records a failed connect to a runner. Returns true when this ejects the
@@ -33,6 +34,12 @@
  * ejection this is the probe, and holds back others until it has a result. */
 void domain_contact_probed(domain_contact_t *contact, int64_t now_us);
 bool domain_contact_is_ejected(const domain_contact_t *contact, int64_t now_us);
+/*
+ * Whether a connection should be tried for a sign of contact: when a probe of a
+ * lost domain is due, and after a single failure. Records the probe; the result
+ * is recorded like that of a request.
+ */
+bool domain_contact_wants_probe(domain_contact_t *contact, int64_t now_us);
 /* Whether the domain was ejected and no runner of it has answered since. */
 bool domain_contact_is_lost(const domain_contact_t *contact);
 
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -29,6 +29,7 @@
 	const execution_sink_t *sink;
 	void *user_data;
 	runner_call_t *call; /* NULL between attempts */
+	const runner_protocol_t *protocol; /* of the call */
 	fleet_runner_t *runner; /* of the current attempt */
 	struct event *retry; /* starts the next attempt outside of callbacks */
 	char *id;
@@ -68,6 +69,8 @@
 	bool answered; /* the current attempt has an answer */
 	bool counted_unanswered; /* the current attempt was reported as lost */
 	bool begun; /* the current attempt has delivered an event */
+	bool relayed; /* the current attempt goes through another node */
+	bool was_unreachable; /* an attempt found no connection to its runner */
 	prompt_parts_t parts;
 	GList link;
 };
@@ -161,7 +164,8 @@
 	fleet_t *fleet = execution->context->fleet;
 
 	execution->answered = true;
-	fleet_answered(fleet, execution->runner);
+	if (!execution->relayed)
+		fleet_answered(fleet, execution->runner);
 	execution->progress_us = clock_now_us(execution->context->clock);
 	if (execution->answer.headers)
 		g_ptr_array_unref(execution->answer.headers);
@@ -189,12 +193,17 @@
 	ATTEMPT_UNREACHABLE, /* no connection to the runner */
 	ATTEMPT_REFUSED, /* the runner reports that it did not run it */
 	ATTEMPT_BROKEN, /* it may have run */
-	ATTEMPT_WITHDRAWN /* as it would crash the runner; it may have run */
+	ATTEMPT_WITHDRAWN, /* as it would crash the runner; it may have run */
+	/* The node that passes the request on failed, before it started the
+	 * request or after. */
+	ATTEMPT_PEER_NOT_SENT,
+	ATTEMPT_PEER_LOST
 } attempt_outcome_t;
 
 static bool may_have_run(attempt_outcome_t outcome)
 {
-	return outcome == ATTEMPT_BROKEN || outcome == ATTEMPT_WITHDRAWN;
+	return outcome == ATTEMPT_BROKEN || outcome == ATTEMPT_WITHDRAWN ||
+	       outcome == ATTEMPT_PEER_LOST;
 }
 
 static int32_t attempt_age_ms(const execution_t *execution)
@@ -206,8 +215,9 @@
 
 static void report_failure(execution_t *execution, attempt_outcome_t outcome)
 {
-	static const char *const names[] = { "unreachable", "refused", "broken",
-					     "withdrawn" };
+	static const char *const names[] = { "unreachable",   "refused",
+					     "broken",	      "withdrawn",
+					     "not_passed_on", "peer_lost" };
 	fleet_t *fleet = execution->context->fleet;
 	char parts[PROMPT_PARTS_TEXT_MAX];
 
@@ -215,16 +225,17 @@
 	log_info("try_failed",
 		 "request=%s runner=%s try=%u end=%s may_have_run=%d "
 		 "status=%d begun=%d last_event=%" G_GINT64_FORMAT
-		 " left_ms=%d age_ms=%d digest=%" PRIx64 " parts=%s",
+		 " left_ms=%d age_ms=%d relayed=%d digest=%" PRIx64 " parts=%s",
 		 execution->id, execution->runner->id, execution->attempts,
 		 names[outcome], may_have_run(outcome),
 		 execution->answered ? execution->answer.status : 0,
 		 execution->begun, execution->events.last_id,
 		 remaining_ms(execution), attempt_age_ms(execution),
-		 execution->digest, parts);
-	if (outcome == ATTEMPT_WITHDRAWN)
+		 execution->relayed, execution->digest, parts);
+	if (outcome == ATTEMPT_WITHDRAWN || outcome == ATTEMPT_PEER_NOT_SENT ||
+	    outcome == ATTEMPT_PEER_LOST)
 		return;
-	if (outcome == ATTEMPT_UNREACHABLE)
+	if (outcome == ATTEMPT_UNREACHABLE && !execution->relayed)
 		fleet_unreachable(fleet, execution->runner);
 	else if (outcome == ATTEMPT_BROKEN && !execution->batch)
 		fleet_lost_request(fleet, execution->runner);
@@ -242,6 +253,7 @@
 		execution_hold_ms(execution->context, &execution->parts) == 0;
 
 	report_failure(execution, outcome);
+	execution->was_unreachable |= outcome == ATTEMPT_UNREACHABLE;
 	if (!may_have_run(outcome))
 		execution->runs--;
 	if (retry && execution->attempts < MAX_ATTEMPTS &&
@@ -270,7 +282,7 @@
 		 execution->id, execution->runner->id, reason,
 		 execution->events.last_id);
 	execution->call = NULL;
-	execution->context->protocol->cancel(call);
+	execution->protocol->cancel(call);
 	attempt_failed(execution, ATTEMPT_BROKEN);
 }
 
@@ -384,6 +396,20 @@
 	deliver_response(execution);
 }
 
+static attempt_outcome_t attempt_outcome_of(runner_outcome_t outcome)
+{
+	switch (outcome) {
+	case RUNNER_NOT_SENT:
+		return ATTEMPT_UNREACHABLE;
+	case RUNNER_PEER_NOT_SENT:
+		return ATTEMPT_PEER_NOT_SENT;
+	case RUNNER_PEER_LOST:
+		return ATTEMPT_PEER_LOST;
+	default:
+		return ATTEMPT_BROKEN;
+	}
+}
+
 static void on_done(runner_outcome_t outcome, void *user_data)
 {
 	execution_t *execution = user_data;
@@ -394,9 +420,7 @@
 	if (outcome == RUNNER_COMPLETE)
 		on_complete(execution);
 	else
-		attempt_failed(execution, outcome == RUNNER_NOT_SENT ?
-						  ATTEMPT_UNREACHABLE :
-						  ATTEMPT_BROKEN);
+		attempt_failed(execution, attempt_outcome_of(outcome));
 }
 
 static void log_resumption(const execution_t *execution)
@@ -413,6 +437,20 @@
 		 execution->digest);
 }
 
+/* Whether the attempt goes through another node: when the runner's domain is out
+ * of reach, and as a precaution after a failed connect, whose cause is not known
+ * yet. */
+static bool is_to_relay(const execution_t *execution)
+{
+	const fleet_runner_t *runner = execution->runner;
+
+	return execution->context->relay &&
+	       (execution->was_unreachable || fleet_is_cut_off(runner)) &&
+	       runner_relay_reaches(execution->context->relay, runner->domain,
+				    execution->idempotent ||
+					    execution->resumable);
+}
+
 static bool start_attempt(execution_t *execution)
 {
 	const fleet_pick_options_t pick = {
@@ -465,10 +503,18 @@
 	(*execution->context->tries_total)++;
 	if (execution->stream_started)
 		(*execution->context->resumes_total)++;
+	request.runner = execution->runner->key;
+	request.repeatable = execution->idempotent || execution->resumable;
+	request.domain = execution->runner->domain;
 	request.address = execution->runner->address;
 	request.instance = execution->runner->id;
-	execution->call = execution->context->protocol->start(
-		execution->context->protocol->context, &request);
+	execution->relayed = is_to_relay(execution);
+	execution->protocol =
+		execution->relayed ?
+			runner_relay_protocol(execution->context->relay) :
+			execution->context->protocol;
+	execution->call = execution->protocol->start(
+		execution->protocol->context, &request);
 	return true;
 }
 
@@ -553,7 +599,7 @@
 void execution_cancel(execution_t *execution)
 {
 	if (execution->call)
-		execution->context->protocol->cancel(execution->call);
+		execution->protocol->cancel(execution->call);
 	release_runner(execution);
 	execution_free(execution);
 }
@@ -622,7 +668,7 @@
 		else if (!is_stalled(execution, now_us))
 			continue;
 		execution->call = NULL;
-		context->protocol->cancel(call);
+		execution->protocol->cancel(call);
 		attempt_failed(execution, outcome);
 	}
 }
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -10,6 +10,7 @@
 #include "gateway/fleet.h"
 #include "backend/part_guard.h"
 #include "gateway/runner_protocol.h"
+#include "gateway/runner_relay.h"
 
 /*
  * execution - one request at the runners: selection, attempts, resumption.
@@ -49,6 +50,7 @@
 	fleet_t *fleet;
 	part_guard_t *part_guard;
 	const runner_protocol_t *protocol;
+	runner_relay_t *relay; /* for runners out of reach; NULL: none */
 	GQueue active; /* all executions in progress */
 	int64_t *tries_total;
 	int64_t *resumes_total;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -56,9 +56,11 @@
 	int64_t created_us;
 	fleet_domain_t *local_domain; /* state of this node's domain */
 	void (*load_changed)(void *user_data);
+	bool (*has_relay)(const char *domain, void *user_data);
 	void *user_data;
 	double limit_share;
 	bool remote_load_stale;
+	bool probed;
 };
 
 static void runner_unref(void *data)
@@ -104,6 +106,8 @@
 	fleet->random = options->random;
 	fleet->domain = g_strdup(options->domain);
 	fleet->load_changed = options->load_changed;
+	fleet->has_relay = options->has_relay;
+	fleet->probed = options->probed;
 	fleet->user_data = options->user_data;
 	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
@@ -302,16 +306,24 @@
 						 runner->peers.batch);
 }
 
+/* Another node stands in for lost contact. */
+static bool is_domain_avoided(const fleet_t *fleet,
+			      const fleet_domain_t *domain)
+{
+	if (domain->has_relay)
+		return false;
+	return fleet->probed ?
+		       domain_contact_is_lost(&domain->contact) :
+		       domain_contact_is_ejected(&domain->contact,
+						 clock_now_us(fleet->clock));
+}
+
 static bool is_ejected(const fleet_t *fleet, const fleet_runner_t *runner)
 {
 	int64_t now_us = clock_now_us(fleet->clock);
 
-	/* The local domain is never avoided: without it the node could serve
-	 * nothing. */
 	return runner->remove_at_us || now_us < runner->ejected_until_us ||
-	       (runner->domain_state != fleet->local_domain &&
-		domain_contact_is_ejected(&runner->domain_state->contact,
-					  now_us));
+	       is_domain_avoided(fleet, runner->domain_state);
 }
 
 static bool is_usable(const fleet_runner_t *runner, const char *service)
@@ -516,7 +528,8 @@
 		double cost;
 
 		if (!is_usable(runner, pick->service) ||
-		    !has_version(runner, pick))
+		    !has_version(runner, pick) ||
+		    is_domain_avoided(fleet, runner->domain_state))
 			continue;
 		if (!filter->ejected && is_ejected(fleet, runner))
 			continue;
@@ -801,9 +814,16 @@
 	load_changed(fleet);
 }
 
-void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
+static void update_relay(const fleet_t *fleet, const char *name,
+			 fleet_domain_t *domain)
+{
+	domain->has_relay = fleet->has_relay &&
+			    domain_contact_is_lost(&domain->contact) &&
+			    fleet->has_relay(name, fleet->user_data);
+}
+
+void fleet_no_contact(fleet_t *fleet, const fleet_runner_t *runner)
 {
-	fleet_failed(fleet, runner);
 	if (!domain_contact_failed(&runner->domain_state->contact, runner->key,
 				   clock_now_us(fleet->clock)))
 		return;
@@ -811,9 +831,76 @@
 		 "domain=%s local=%d runner=%s pause_ms=%" G_GINT64_FORMAT,
 		 runner->domain, !is_remote(fleet, runner), runner->id,
 		 runner->domain_state->contact.ejection_ms);
+	update_relay(fleet, runner->domain, runner->domain_state);
 	load_changed(fleet);
 }
 
+void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
+{
+	fleet_failed(fleet, runner);
+	fleet_no_contact(fleet, runner);
+}
+
+bool fleet_is_cut_off(const fleet_runner_t *runner)
+{
+	return domain_contact_is_lost(&runner->domain_state->contact);
+}
+
+bool fleet_lost_local(const fleet_t *fleet)
+{
+	return domain_contact_is_lost(&fleet->local_domain->contact);
+}
+
+void fleet_update_relays(fleet_t *fleet)
+{
+	GHashTableIter iter;
+	void *name;
+	void *value;
+
+	g_hash_table_iter_init(&iter, fleet->domains);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		update_relay(fleet, name, value);
+}
+
+/* A runner of the domain at random, rather not the one that failed last. */
+static const fleet_runner_t *draw_probe(fleet_t *fleet,
+					const fleet_domain_t *domain)
+{
+	const fleet_runner_t *drawn = NULL;
+	uint32_t others = 0;
+
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		if (runner->domain_state != domain || runner->draining)
+			continue;
+		if (runner->key == domain->contact.failed_runner) {
+			drawn = drawn ? drawn : runner;
+			continue;
+		}
+		if (g_rand_double(fleet->random) * ++others < 1)
+			drawn = runner;
+	}
+	return drawn;
+}
+
+const fleet_runner_t *fleet_next_probe(fleet_t *fleet)
+{
+	int64_t now_us = clock_now_us(fleet->clock);
+	const fleet_runner_t *runner = NULL;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, fleet->domains);
+	while (!runner && g_hash_table_iter_next(&iter, NULL, &value)) {
+		fleet_domain_t *domain = value;
+
+		if (domain_contact_wants_probe(&domain->contact, now_us))
+			runner = draw_probe(fleet, domain);
+	}
+	return runner;
+}
+
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner)
 {
 	runner->draining = true;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -29,6 +29,8 @@
 /* A failure domain with runners. */
 typedef struct fleet_domain {
 	domain_contact_t contact;
+	/* While it is lost: another node passes calls on to its runners. */
+	bool has_relay;
 	/* Sums over the runners of one service that are not ejected, from the
 	 * last fleet_each_domain() or selection. The first two leave out
 	 * runners that lose most of their requests. */
@@ -84,7 +86,12 @@
 	const char *domain; /* of this node; its runners cost less */
 	void (*load_changed)(
 		void *user_data); /* this node's load; may be NULL */
+	/* Whether another node passes calls on to the domain's runners; may be
+	 * NULL. */
+	bool (*has_relay)(const char *domain, void *user_data);
 	void *user_data;
+	/* fleet_next_probe() is used, so that no request need be a probe. */
+	bool probed;
 } fleet_options_t;
 
 typedef struct fleet_pick_options {
@@ -162,8 +169,10 @@
 void fleet_failed(fleet_t *fleet, fleet_runner_t *runner);
 /* As fleet_failed(), for a request lost after the runner received it. */
 void fleet_lost_request(fleet_t *fleet, fleet_runner_t *runner);
-/* As fleet_failed(), for a runner that could not be connected to. */
+/* As fleet_failed() and fleet_no_contact(), for a request. */
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner);
+/* A connection to the runner failed, which may be due to this node's links. */
+void fleet_no_contact(fleet_t *fleet, const fleet_runner_t *runner);
 /* The runner reported that it drains, or another one has its address. */
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner);
 /* The runner said in an answer that it leaves. It gets no new requests until it
@@ -189,6 +198,21 @@
  * when one does now or none has a limit. */
 int32_t fleet_limit_wait_ms(const fleet_t *fleet, const char *service);
 
+/* Whether the direct path to the runner is lost. */
+bool fleet_is_cut_off(const fleet_runner_t *runner);
+/* Whether this node has lost its own domain. */
+bool fleet_lost_local(const fleet_t *fleet);
+/* Finds out whether other nodes pass calls on to the lost domains. To be called
+ * several times per second. */
+void fleet_update_relays(fleet_t *fleet);
+/*
+ * Returns a runner to connect to for a sign of contact with its domain: one that
+ * is due while the domain is lost, and one other than the runner that has failed
+ * last when that may be the first sign of a loss. NULL: none is due. The caller
+ * reports the outcome with fleet_answered() or fleet_no_contact().
+ */
+const fleet_runner_t *fleet_next_probe(fleet_t *fleet);
+
 /* Load of a runner over all nodes, as far as this node knows. */
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner);
 /* Number of this node's batch requests at the runner to preempt, so that online
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -17,6 +17,10 @@
  * requests come on connections that were busy until then; with a wait for a
  * slot of a runner they might not complete before the process is killed. */
 #define LAST_REQUEST_MS 300
+/* Before the exit, time for most calls that are passed on for other nodes; more
+ * for those that may run only once, as a call that is cut may have run. */
+#define LAST_RELAYED_MS 1000
+#define LAST_RELAYED_ONCE_MS 2500
 /* Reserved for the exit of the process itself. */
 #define EXIT_RESERVE_MS 400
 /* Runners register one after the other, and each watch that returns costs a
@@ -161,7 +165,9 @@
 	return since_ms >= BALANCER_REMOVAL_MS + LAST_REQUEST_MS &&
 	       relay_active(gateway->relay) == 0 &&
 	       http_server_is_drained(gateway->callers) &&
-	       job_owner_count(gateway->job_owner) == 0;
+	       job_owner_count(gateway->job_owner) == 0 &&
+	       (!gateway->relay_server ||
+		runner_relay_server_calls(gateway->relay_server) == 0);
 }
 
 bool gateway_is_closing(const gateway_t *gateway)
@@ -220,6 +226,41 @@
 	fleet_each_lost_domain(gateway->fleet, log_lost_domain, gateway);
 }
 
+static bool has_relay(const char *domain, void *user_data)
+{
+	const gateway_t *gateway = user_data;
+
+	return gateway->executions.relay &&
+	       runner_relay_reaches(gateway->executions.relay, domain, true);
+}
+
+static void report_relay(gateway_t *gateway)
+{
+	const runner_relay_server_t *server = gateway->relay_server;
+	peer_load_relay_t relay = { .draining = gateway->stopping_since_us };
+
+	if (!server)
+		return;
+	relay.calls = runner_relay_server_calls(server);
+	relay.repeatable_only = runner_relay_server_is_draining(server);
+	if (runner_relay_server_accepts(server))
+		relay.port = gateway->relay_port;
+	peer_load_set_relay(gateway->peer_load, &relay);
+}
+
+/* The nodes that need this one may have no other. */
+static void drain_relay(gateway_t *gateway)
+{
+	runner_relay_server_t *server = gateway->relay_server;
+	int64_t left_ms =
+		gateway->grace_ms - EXIT_RESERVE_MS - stopping_ms(gateway);
+
+	if (server && left_ms < LAST_RELAYED_ONCE_MS)
+		runner_relay_server_drain(server);
+	if (server && left_ms < LAST_RELAYED_MS)
+		runner_relay_server_stop(server);
+}
+
 static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	gateway_t *gateway = arg;
@@ -230,13 +271,18 @@
 	log_contacts(gateway);
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
+	report_relay(gateway);
+	fleet_update_relays(gateway->fleet);
+	contact_probe_tick(gateway->contact_probe);
 	part_guard_tick(gateway->part_guard);
 	stream_origins_expire(gateway->origins);
 	peer_load_tick(gateway->peer_load);
 	execution_check_timeouts(&gateway->executions);
 	relay_sweep(gateway->relay);
-	if (gateway->stopping_since_us)
+	if (gateway->stopping_since_us) {
 		close_connections(gateway);
+		drain_relay(gateway);
+	}
 	job_owner_tick(gateway->job_owner);
 	job_table_tick(gateway->job_table);
 	if (gateway->stopping_since_us && may_exit(gateway))
@@ -444,6 +490,63 @@
 	job_owner_preempt(gateway->job_owner);
 }
 
+static bool find_relay_peer(void *user_data, const runner_relay_t *relay,
+			    const char *domain, bool repeatable, char *address,
+			    size_t size)
+{
+	const gateway_t *gateway = user_data;
+
+	return gateway->peer_load &&
+	       peer_load_relay_peer(gateway->peer_load, relay, domain,
+				    repeatable, address, size);
+}
+
+static bool knows_node(void *user_data, const struct in_addr *address)
+{
+	const gateway_t *gateway = user_data;
+
+	return peer_load_knows(gateway->peer_load, address);
+}
+
+static void on_relay_changed(void *user_data)
+{
+	report_relay(user_data);
+}
+
+static gboolean start_relay(gateway_t *gateway,
+			    const gateway_options_t *options, GError **error)
+{
+	const contact_probe_options_t probe = { gateway->base, gateway->fleet,
+						gateway->counters };
+	const runner_relay_options_t relay = {
+		.base = gateway->base,
+		.clock = gateway->clock,
+		.counters = gateway->counters,
+		.address = options->address,
+		.find_peer = find_relay_peer,
+		.user_data = gateway,
+	};
+	const runner_relay_server_options_t server = {
+		.base = gateway->base,
+		.fleet = gateway->fleet,
+		.protocol = options->protocol,
+		.counters = gateway->counters,
+		.address = options->address,
+		.port = options->relay_port,
+		.knows_node = knows_node,
+		.load_changed = on_relay_changed,
+		.user_data = gateway,
+	};
+
+	gateway->contact_probe = contact_probe_new(&probe);
+	gateway->executions.relay = runner_relay_new(&relay);
+	gateway->relay_port = options->relay_port;
+	if (!options->relay_port)
+		return TRUE;
+	gateway->relay_server = runner_relay_server_new(&server, error);
+	return gateway->relay_server != NULL;
+}
+
 static gboolean start_peer_load(gateway_t *gateway,
 				const gateway_options_t *options,
 				GError **error)
@@ -487,8 +590,15 @@
 	gateway->codec = options->codec;
 	gateway->grace_ms = options->grace_ms;
 	gateway->runner_hold_ms = options->runner_hold_ms;
-	fleet = (fleet_options_t){ gateway->clock, gateway->random,
-				   options->domain, on_load_changed, gateway };
+	fleet = (fleet_options_t){
+		.clock = gateway->clock,
+		.random = gateway->random,
+		.domain = options->domain,
+		.load_changed = on_load_changed,
+		.has_relay = has_relay,
+		.user_data = gateway,
+		.probed = true,
+	};
 	gateway->fleet = fleet_new(&fleet);
 	guard = (part_guard_options_t){ gateway->clock, gateway->random,
 					gateway->counters, on_part_news,
@@ -509,7 +619,8 @@
 				   gateway->random, gateway->counters };
 	gateway->relay = relay_new(&relay);
 	start_jobs(gateway, options);
-	if (!start_peer_load(gateway, options, error))
+	if (!start_peer_load(gateway, options, error) ||
+	    !start_relay(gateway, options, error))
 		return NULL;
 	start_follows(gateway, options->watch_wait_ms);
 	gateway->tick = evtimer_new(gateway->base, on_tick, gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/counter.h"
+#include "gateway/contact_probe.h"
 #include "gateway/fleet.h"
 #include "gateway/follow.h"
 #include "gateway/job_context.h"
@@ -19,6 +20,8 @@
 #include "gateway/relay.h"
 #include "gateway/execution.h"
 #include "gateway/runner_protocol.h"
+#include "gateway/runner_relay.h"
+#include "gateway/runner_relay_server.h"
 #include "gateway/store_relay.h"
 #include "object/object_store.h"
 
@@ -46,6 +49,7 @@
 	const char *domain;
 	const char *address; /* IP address */
 	uint16_t peer_port;
+	uint16_t relay_port; /* for calls that other nodes pass on; 0: none */
 	int64_t grace_ms; /* time from SIGTERM until the process is killed */
 	int64_t runner_hold_ms; /* time for which a runner that was
 				 * removed from the list may be used */
@@ -71,6 +75,9 @@
 	follow_group_t *follows; /* all views of the store */
 	peer_load_t *peer_load;
 	execution_context_t executions;
+	contact_probe_t *contact_probe;
+	runner_relay_server_t *relay_server; /* NULL: without relay_port */
+	uint16_t relay_port;
 	relay_t *relay;
 	path_table_t *paths; /* NULL until a configuration is known */
 	job_context_t jobs;
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -187,6 +187,10 @@
 	fleet_each_lost_domain(view->fleet, add_lost_domain, &collected);
 	contact.lost.lost_len = collected.lost_count;
 	contact.lost.lost_val = collected.lost;
+	contact.relay_port = own->relay_port;
+	contact.relay_calls = own->relay_calls;
+	contact.relay_draining = own->relay_draining;
+	contact.relay_repeatable_only = own->relay_repeatable_only;
 	report.node = view->node;
 	report.domain = view->domain;
 	report.incarnation = view->incarnation;
@@ -522,6 +526,33 @@
 	return false;
 }
 
+void load_view_each_relay(const load_view_t *view, const char *domain,
+			  load_view_each_relay_t each, void *user_data)
+{
+	int64_t now_us = clock_now_us(view->clock);
+	uint64_t key = fleet_key(domain);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, view->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+		const relay_candidate_t candidate = {
+			.accepts = peer->contact.relay_port != 0,
+			.local = g_strcmp0(peer->domain, view->domain) == 0,
+			.target = g_strcmp0(peer->domain, domain) == 0,
+			.lost_target = has_lost(peer, key),
+			.draining = peer->contact.relay_draining,
+			.repeatable_only = peer->contact.relay_repeatable_only,
+			.calls = peer->contact.relay_calls,
+			.age_ms = (now_us - peer->received_us) / 1000,
+		};
+
+		each(peer->node, (uint16_t)peer->contact.relay_port, &candidate,
+		     user_data);
+	}
+}
+
 uint32_t load_view_lost(const load_view_t *view, const char *domain)
 {
 	uint64_t key = fleet_key(domain);
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "gateway/batch_rule.h"
 #include "gateway/fleet.h"
+#include "gateway/relay_choice.h"
 
 /*
  * load_view - load of the runners from the other nodes, from their reports.
@@ -27,6 +28,10 @@
 typedef struct load_own {
 	batch_waiting_t batch_waiting;
 	bool reaches_store;
+	uint16_t relay_port; /* for calls of other nodes; 0: none taken now */
+	uint32_t relay_calls; /* in progress for other nodes */
+	bool relay_draining; /* this node stops soon */
+	bool relay_repeatable_only; /* it takes only calls that may run again */
 } load_own_t;
 
 /* Encodes this node's report; returns its length in bytes, 0 when it does not
@@ -55,6 +60,13 @@
 bool load_view_take_started(load_view_t *view, const char *node);
 /* Removes nodes without a recent report. */
 void load_view_expire(load_view_t *view);
+typedef void (*load_view_each_relay_t)(const char *node, uint16_t port,
+				       const relay_candidate_t *candidate,
+				       void *user_data);
+/* Calls each for every other node, as a candidate to pass calls on to runners of
+ * the domain. */
+void load_view_each_relay(const load_view_t *view, const char *domain,
+			  load_view_each_relay_t each, void *user_data);
 /* Number of other nodes that cannot connect to the domain's runners. */
 uint32_t load_view_lost(const load_view_t *view, const char *domain);
 uint32_t load_view_peers(const load_view_t *view);
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -588,6 +588,92 @@
 	load->own.reaches_store = reaches_store;
 }
 
+void peer_load_set_relay(peer_load_t *load, const peer_load_relay_t *relay)
+{
+	load_own_t *own = &load->own;
+
+	if (relay->port == own->relay_port &&
+	    relay->calls == own->relay_calls &&
+	    relay->draining == own->relay_draining &&
+	    relay->repeatable_only == own->relay_repeatable_only)
+		return;
+	own->relay_port = relay->port;
+	own->relay_calls = relay->calls;
+	own->relay_draining = relay->draining;
+	own->relay_repeatable_only = relay->repeatable_only;
+	peer_load_changed(load);
+}
+
+bool peer_load_knows(const peer_load_t *load, const struct in_addr *address)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, load->addresses);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const node_address_t *node = value;
+
+		if (node->socket.sin_addr.s_addr == address->s_addr)
+			return true;
+	}
+	return false;
+}
+
+/* Candidates to pass calls on, with their addresses. */
+typedef struct relay_list {
+	const peer_load_t *load;
+	const runner_relay_t *relay;
+	GArray *candidates; /* relay_candidate_t */
+	GPtrArray *addresses; /* IP:port */
+} relay_list_t;
+
+static void add_relay(const char *node, uint16_t port,
+		      const relay_candidate_t *candidate, void *user_data)
+{
+	relay_list_t *list = user_data;
+	const node_address_t *found =
+		g_hash_table_lookup(list->load->addresses, node);
+	relay_candidate_t entry = *candidate;
+	char ip[INET_ADDRSTRLEN];
+	char *address;
+
+	if (!found || !entry.accepts ||
+	    !inet_ntop(AF_INET, &found->socket.sin_addr, ip, sizeof(ip)))
+		return;
+	address = g_strdup_printf("%s:%u", ip, port);
+	entry.avoided = runner_relay_avoids(list->relay, address);
+	/* Its report may not yet count this node's latest calls. */
+	entry.calls =
+		MAX(entry.calls, runner_relay_calls(list->relay, address));
+	g_array_append_val(list->candidates, entry);
+	g_ptr_array_add(list->addresses, address);
+}
+
+bool peer_load_relay_peer(const peer_load_t *load, const runner_relay_t *relay,
+			  const char *domain, bool repeatable, char *address,
+			  size_t size)
+{
+	relay_list_t list = {
+		.load = load,
+		.relay = relay,
+		.candidates =
+			g_array_new(FALSE, FALSE, sizeof(relay_candidate_t)),
+		.addresses = g_ptr_array_new_with_free_func(g_free),
+	};
+	int chosen;
+
+	load_view_each_relay(load->view, domain, add_relay, &list);
+	chosen = relay_choice((const relay_candidate_t *)list.candidates->data,
+			      list.candidates->len,
+			      fleet_lost_local(load->options.fleet), repeatable,
+			      g_rand_double(load->options.random));
+	if (chosen >= 0)
+		g_strlcpy(address, list.addresses->pdata[chosen], size);
+	g_array_free(list.candidates, TRUE);
+	g_ptr_array_free(list.addresses, TRUE);
+	return chosen >= 0;
+}
+
 bool peer_load_address(const peer_load_t *load, const char *node, char *address,
 		       size_t size)
 {
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -3,9 +3,11 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <netinet/in.h>
 
 #include "gateway/follow.h"
 #include "gateway/load_view.h"
+#include "gateway/runner_relay.h"
 #include "gateway/stream_origin.h"
 #include "backend/part_guard.h"
 #include "object/object_store.h"
@@ -71,6 +73,22 @@
 uint32_t peer_load_peers(const peer_load_t *load);
 /* Number of those that cannot connect to the domain's runners. */
 uint32_t peer_load_lost(const peer_load_t *load, const char *domain);
+/* What this node reports of the calls that it passes on for others. */
+typedef struct peer_load_relay {
+	uint16_t port; /* 0: none taken now */
+	uint32_t calls; /* in progress */
+	bool draining; /* this node stops soon */
+	bool repeatable_only; /* it takes only calls that may run again */
+} peer_load_relay_t;
+
+void peer_load_set_relay(peer_load_t *load, const peer_load_relay_t *relay);
+/* Whether a node is known at the address. */
+bool peer_load_knows(const peer_load_t *load, const struct in_addr *address);
+/* Writes the address of the node to which calls to runners of the domain go
+ * while this node cannot connect to them; false without one. */
+bool peer_load_relay_peer(const peer_load_t *load, const runner_relay_t *relay,
+			  const char *domain, bool repeatable, char *address,
+			  size_t size);
 /* Sends the part guard's news to all nodes soon. */
 void peer_load_part_news(peer_load_t *load);
 void peer_load_tick(peer_load_t *load);
--- a/src/gateway/relay_choice.c
+++ b/src/gateway/relay_choice.c
@@ -8,8 +8,11 @@
 /* Above any number of calls. */
 #define DRAINING_COST 1000000
 
-static bool qualifies(const relay_candidate_t *candidate, bool lost_own)
+static bool qualifies(const relay_candidate_t *candidate, bool lost_own,
+		      bool repeatable)
 {
+	if (candidate->repeatable_only && !repeatable)
+		return false;
 	if (!candidate->accepts || candidate->avoided ||
 	    candidate->lost_target || candidate->age_ms > REPORT_MAX_AGE_MS)
 		return false;
@@ -23,14 +26,14 @@
 }
 
 int relay_choice(const relay_candidate_t *candidates, size_t count,
-		 bool lost_own, double draw)
+		 bool lost_own, bool repeatable, double draw)
 {
 	uint32_t least = UINT32_MAX;
 	size_t equal = 0;
 	size_t chosen;
 
 	for (size_t i = 0; i < count; i++) {
-		if (!qualifies(&candidates[i], lost_own))
+		if (!qualifies(&candidates[i], lost_own, repeatable))
 			continue;
 		if (cost_of(&candidates[i]) < least) {
 			least = cost_of(&candidates[i]);
@@ -40,7 +43,7 @@
 	}
 	chosen = (size_t)(draw * (double)equal);
 	for (size_t i = 0; i < count; i++)
-		if (qualifies(&candidates[i], lost_own) &&
+		if (qualifies(&candidates[i], lost_own, repeatable) &&
 		    cost_of(&candidates[i]) == least && chosen-- == 0)
 			return (int)i;
 	return -1;
--- a/src/gateway/relay_choice.h
+++ b/src/gateway/relay_choice.h
@@ -21,16 +21,18 @@
 	bool target; /* in the runner's domain */
 	bool lost_target; /* cannot connect to the runner's domain either */
 	bool draining; /* stops soon; taken only if no other qualifies */
+	bool repeatable_only; /* takes only calls that may run again */
 	uint32_t calls; /* of other nodes in progress there */
 	int64_t age_ms; /* of its report */
 } relay_candidate_t;
 
 /*
  * Returns the index of the candidate with the fewest calls, or -1 without one.
- * lost_own: this node has lost its own domain. draw is uniform in [0, 1) and
+ * lost_own: this node has lost its own domain. repeatable: the call may run
+ * again. draw is uniform in [0, 1) and
  * selects among equal candidates.
  */
 int relay_choice(const relay_candidate_t *candidates, size_t count,
-		 bool lost_own, double draw);
+		 bool lost_own, bool repeatable, double draw);
 
 #endif
--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -58,6 +58,7 @@
 	size_t body_len;
 	int32_t deadline_ms; /* remaining time, after which the runner stops */
 	int64_t resume_after; /* number of the last event, or -1 */
+	bool repeatable; /* it may run again, or go on elsewhere */
 	void (*answer)(const runner_answer_t *answer, void *user_data);
 	void (*data)(const char *data, size_t len, void *user_data);
 	void (*done)(runner_outcome_t end, void *user_data);
--- a/src/gateway/runner_relay.c
+++ b/src/gateway/runner_relay.c
@@ -1,5 +1,7 @@
 #include "gateway/runner_relay.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
 #include <string.h>
@@ -253,6 +255,7 @@
 	args->body_bytes = (u_int)request->body_len;
 	args->deadline_ms = request->deadline_ms;
 	args->resume_after = request->resume_after;
+	args->repeatable = request->repeatable;
 	encoded = runner_message_append(output, &message);
 	g_free(args->headers.headers_val);
 	runner_message_append_part(output, RUNNER_BODY, request->body,
@@ -260,6 +263,23 @@
 	return encoded;
 }
 
+/* A socket with the address by which the other nodes know this one; -1: none, so
+ * that libevent opens one. */
+static evutil_socket_t open_socket(const char *address)
+{
+	struct sockaddr_in own = { .sin_family = AF_INET };
+	int fd;
+
+	if (!address || inet_pton(AF_INET, address, &own.sin_addr) != 1)
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0 &&
+	    bind(fd, (const struct sockaddr *)&own, sizeof(own)) != 0)
+		log_warn("relay_bind_failed", "address=%s errno=%d", address,
+			 errno);
+	return fd;
+}
+
 static bool connect_peer(runner_call_t *call, const runner_request_t *request)
 {
 	struct sockaddr_storage address;
@@ -268,6 +288,7 @@
 	call->bev = bufferevent_socket_new(call->relay->options.base, -1,
 					   BEV_OPT_CLOSE_ON_FREE |
 						   BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setfd(call->bev, open_socket(call->relay->options.address));
 	bufferevent_setcb(call->bev, on_read, NULL, on_event, call);
 	bufferevent_enable(call->bev, EV_READ | EV_WRITE);
 	return evutil_parse_sockaddr_port(
@@ -294,8 +315,8 @@
 	call->timer = evtimer_new(relay->options.base, on_timer, call);
 	(*relay->calls_total)++;
 	if (!relay->options.find_peer(relay->options.user_data, relay,
-				      request->domain, address,
-				      sizeof(address))) {
+				      request->domain, request->repeatable,
+				      address, sizeof(address))) {
 		set_timer(call, 0);
 		return call;
 	}
@@ -343,12 +364,13 @@
 	return &relay->protocol;
 }
 
-bool runner_relay_reaches(const runner_relay_t *relay, const char *domain)
+bool runner_relay_reaches(const runner_relay_t *relay, const char *domain,
+			  bool repeatable)
 {
 	char address[ADDRESS_BYTES];
 
 	return relay->options.find_peer(relay->options.user_data, relay, domain,
-					address, sizeof(address));
+					repeatable, address, sizeof(address));
 }
 
 bool runner_relay_avoids(const runner_relay_t *relay, const char *address)
--- a/src/gateway/runner_relay.h
+++ b/src/gateway/runner_relay.h
@@ -25,21 +25,26 @@
 	struct event_base *base;
 	const clock_source_t *clock;
 	counter_set_t *counters;
+	/* IP address of this node, by which the others know it; NULL: any. */
+	const char *address;
 	/*
 	 * Writes the address of a node that reaches the runners of the domain to
 	 * the buffer; false when none is known. relay is for
 	 * runner_relay_avoids() and runner_relay_calls().
 	 */
 	bool (*find_peer)(void *user_data, const runner_relay_t *relay,
-			  const char *domain, char *address, size_t size);
+			  const char *domain, bool repeatable, char *address,
+			  size_t size);
 	void *user_data;
 } runner_relay_options_t;
 
 runner_relay_t *runner_relay_new(const runner_relay_options_t *options);
 /* Its calls end with RUNNER_PEER_NOT_SENT when no node takes them. */
 const runner_protocol_t *runner_relay_protocol(const runner_relay_t *relay);
-/* Whether a node is known that reaches the runners of the domain. */
-bool runner_relay_reaches(const runner_relay_t *relay, const char *domain);
+/* Whether a node is known that reaches the runners of the domain and takes a call
+ * that may, or may not, run again. */
+bool runner_relay_reaches(const runner_relay_t *relay, const char *domain,
+			  bool repeatable);
 /* Whether a call through the node at the address has failed just now. */
 bool runner_relay_avoids(const runner_relay_t *relay, const char *address);
 /* Number of this node's calls through the node at the address. */
--- a/src/gateway/runner_relay_server.c
+++ b/src/gateway/runner_relay_server.c
@@ -24,6 +24,7 @@
 	runner_relay_server_options_t options;
 	struct evconnlistener *listener;
 	GQueue calls; /* served_call_t */
+	bool draining;
 	bool stopped;
 	int64_t *served_total;
 	int64_t *refused_total;
@@ -178,6 +179,7 @@
 		.body_len = served->body->len,
 		.deadline_ms = args->deadline_ms,
 		.resume_after = args->resume_after,
+		.repeatable = args->repeatable,
 		.answer = on_answer,
 		.data = on_data,
 		.done = on_done,
@@ -201,7 +203,8 @@
 	if (served->body->len < args_of(served)->body_bytes)
 		return;
 	served->ready = true;
-	if (server->stopped)
+	if (server->stopped ||
+	    (server->draining && !args_of(served)->repeatable))
 		refuse(served, "stopping");
 	else if (server->calls.length > MAX_CALLS)
 		refuse(served, "too_many");
@@ -354,8 +357,23 @@
 	g_free(server);
 }
 
+void runner_relay_server_drain(runner_relay_server_t *server)
+{
+	if (server->draining)
+		return;
+	server->draining = true;
+	load_changed(server);
+}
+
+bool runner_relay_server_is_draining(const runner_relay_server_t *server)
+{
+	return server->draining;
+}
+
 void runner_relay_server_stop(runner_relay_server_t *server)
 {
+	if (server->stopped)
+		return;
 	server->stopped = true;
 	load_changed(server);
 }
--- a/src/gateway/runner_relay_server.h
+++ b/src/gateway/runner_relay_server.h
@@ -41,8 +41,12 @@
 			GError **error);
 /* Ends all calls in progress. */
 void runner_relay_server_free(runner_relay_server_t *server);
+/* Takes only calls that may run again from now on, as this node stops. */
+void runner_relay_server_drain(runner_relay_server_t *server);
 /* Refuses calls from now on; those in progress go on. */
 void runner_relay_server_stop(runner_relay_server_t *server);
+/* Whether it takes only calls that may run again. */
+bool runner_relay_server_is_draining(const runner_relay_server_t *server);
 /* Whether it takes another call now. */
 bool runner_relay_server_accepts(const runner_relay_server_t *server);
 /* Number of calls in progress. */
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -56,4 +56,11 @@
 struct load_contact {
 	/* Hashes of the domains whose runners the sender cannot connect to. */
 	unsigned hyper lost<LOAD_LOST_MAX>;
+	/* Where the sender takes calls to runners for other nodes; 0: it takes
+	 * none now. */
+	unsigned int relay_port;
+	unsigned int relay_calls; /* in progress for other nodes */
+	bool relay_draining; /* the sender stops soon */
+	/* It takes only calls that may run again. */
+	bool relay_repeatable_only;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -275,8 +275,61 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_array (xdrs, (char **)&objp->lost.lost_val, (u_int *) &objp->lost.lost_len, LOAD_LOST_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->relay_port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->relay_calls))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->relay_draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->relay_repeatable_only))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->relay_port);
+			IXDR_PUT_U_LONG(buf, objp->relay_calls);
+			IXDR_PUT_BOOL(buf, objp->relay_draining);
+			IXDR_PUT_BOOL(buf, objp->relay_repeatable_only);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_array (xdrs, (char **)&objp->lost.lost_val, (u_int *) &objp->lost.lost_len, LOAD_LOST_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->relay_port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->relay_calls))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->relay_draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->relay_repeatable_only))
+				 return FALSE;
+		} else {
+			objp->relay_port = IXDR_GET_U_LONG(buf);
+			objp->relay_calls = IXDR_GET_U_LONG(buf);
+			objp->relay_draining = IXDR_GET_BOOL(buf);
+			objp->relay_repeatable_only = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_array (xdrs, (char **)&objp->lost.lost_val, (u_int *) &objp->lost.lost_len, LOAD_LOST_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->relay_port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->relay_calls))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->relay_draining))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->relay_repeatable_only))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -81,6 +81,10 @@
 		u_int lost_len;
 		u_quad_t *lost_val;
 	} lost;
+	u_int relay_port;
+	u_int relay_calls;
+	bool_t relay_draining;
+	bool_t relay_repeatable_only;
 };
 typedef struct load_contact load_contact;
 
--- a/src/rpc/runner.x
+++ b/src/rpc/runner.x
@@ -33,6 +33,7 @@
 	unsigned int body_bytes;
 	int deadline_ms;
 	hyper resume_after;
+	bool repeatable; /* it may run again if this node ends */
 };
 
 struct runner_answer_args {
--- a/src/rpc/runner_xdr.c
+++ b/src/rpc/runner_xdr.c
@@ -55,6 +55,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->resume_after))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->repeatable))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/rpc/runner_xdr.h
+++ b/src/rpc/runner_xdr.h
@@ -50,6 +50,7 @@
 	u_int body_bytes;
 	int deadline_ms;
 	quad_t resume_after;
+	bool_t repeatable;
 };
 typedef struct runner_call_args runner_call_args;
 
--- a/tests/test_domain_contact.c
+++ b/tests/test_domain_contact.c
@@ -50,6 +50,80 @@
 	CU_ASSERT_FALSE(domain_contact_is_ejected(&contact, now_us + 1));
 }
 
+/* A single failure must be checked at once, and a lost domain from time to time,
+ * by one connection at a time. */
+static void test_probes_by_connection(void)
+{
+	domain_contact_t contact = { 0 };
+	int64_t now_us = SECOND_US;
+
+	CU_ASSERT_FALSE(domain_contact_wants_probe(&contact, now_us));
+	domain_contact_failed(&contact, 1, now_us);
+	CU_ASSERT(domain_contact_wants_probe(&contact, now_us));
+	CU_ASSERT_FALSE(domain_contact_wants_probe(&contact, now_us + 1000));
+	CU_ASSERT_FALSE(domain_contact_is_lost(&contact));
+	CU_ASSERT(domain_contact_failed(&contact, 2, now_us + 250000));
+	CU_ASSERT(domain_contact_is_lost(&contact));
+	CU_ASSERT_FALSE(domain_contact_wants_probe(&contact, now_us + 500000));
+	now_us += 750000;
+	CU_ASSERT(domain_contact_wants_probe(&contact, now_us));
+	/* Requests do not probe it meanwhile. */
+	CU_ASSERT(domain_contact_is_ejected(&contact, now_us + 1000));
+	domain_contact_answered(&contact);
+	CU_ASSERT_FALSE(domain_contact_is_lost(&contact));
+	CU_ASSERT_FALSE(
+		domain_contact_wants_probe(&contact, now_us + SECOND_US));
+}
+
+/* Another node that passes calls on must make a lost domain usable again; without
+ * one, requests for it must be refused at once. */
+static bool has_relay;
+
+static bool fleet_relay(const char *domain, void *user_data)
+{
+	return has_relay;
+}
+
+static void test_lost_own_domain(void)
+{
+	const char *const ids[] = { "a", "b", "c" };
+	clock_manual_t clock;
+	GRand *random = g_rand_new_with_seed(1);
+	const fleet_options_t options = { .clock = &clock.base,
+					  .random = random,
+					  .domain = "own",
+					  .has_relay = fleet_relay };
+	fleet_t *fleet;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_advance_ms(&clock, 1000);
+	fleet = fleet_new(&options);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		const fleet_entry_t entry = {
+			ids[i], "10.0.0.1:1", "s", "own", 8, 1, false, "1"
+		};
+
+		fleet_update(fleet, &entry);
+	}
+	has_relay = false;
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), 0);
+	fleet_unreachable(fleet, fleet_find(fleet, fleet_key("a")));
+	CU_ASSERT_PTR_NOT_EQUAL(fleet_next_probe(fleet),
+				fleet_find(fleet, fleet_key("a")));
+	CU_ASSERT_PTR_NULL(fleet_next_probe(fleet));
+	fleet_no_contact(fleet, fleet_find(fleet, fleet_key("b")));
+	CU_ASSERT(fleet_lost_local(fleet));
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), INT32_MAX);
+	has_relay = true;
+	fleet_update_relays(fleet);
+	CU_ASSERT_EQUAL(fleet_wait_ms(fleet, "s", 0), 0);
+	CU_ASSERT(fleet_is_cut_off(fleet_find(fleet, fleet_key("c"))));
+	fleet_answered(fleet, fleet_find(fleet, fleet_key("c")));
+	CU_ASSERT_FALSE(fleet_lost_local(fleet));
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 /*
  * Simulates steady load while one of three domains is partitioned for five
  * seconds, so that each request sent there takes a connect timeout. A node may
@@ -147,6 +221,8 @@
 		{ "one runner", test_one_runner },
 		{ "answer between", test_answer_between },
 		{ "single probes", test_single_probes },
+		{ "probes by connection", test_probes_by_connection },
+		{ "lost own domain", test_lost_own_domain },
 		{ "partition under load", test_partition_under_load },
 		{ NULL, NULL },
 	};
--- a/tests/test_relay_choice.c
+++ b/tests/test_relay_choice.c
@@ -15,7 +15,7 @@
 	const relay_candidate_t nodes[] = { candidate(3), candidate(1),
 					    candidate(2) };
 
-	CU_ASSERT_EQUAL(relay_choice(nodes, 3, false, 0.99), 1);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 3, false, false, 0.99), 1);
 }
 
 /* Equal nodes must share the calls. */
@@ -24,8 +24,8 @@
 	const relay_candidate_t nodes[] = { candidate(1), candidate(9),
 					    candidate(1) };
 
-	CU_ASSERT_EQUAL(relay_choice(nodes, 3, false, 0.0), 0);
-	CU_ASSERT_EQUAL(relay_choice(nodes, 3, false, 0.6), 2);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 3, false, false, 0.0), 0);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 3, false, false, 0.6), 2);
 }
 
 /* A call must not go to a node that cannot pass it on. */
@@ -33,19 +33,19 @@
 {
 	relay_candidate_t node = candidate(0);
 
-	CU_ASSERT_EQUAL(relay_choice(&node, 1, false, 0), 0);
+	CU_ASSERT_EQUAL(relay_choice(&node, 1, false, false, 0), 0);
 	node.lost_target = true;
-	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, false, 0), -1);
 	node = candidate(0);
 	node.accepts = false;
-	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, false, 0), -1);
 	node = candidate(0);
 	node.avoided = true;
-	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, false, 0), -1);
 	node = candidate(0);
 	node.age_ms = 1500;
-	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, 0), -1);
-	CU_ASSERT_EQUAL(relay_choice(NULL, 0, true, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(&node, 1, true, false, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(NULL, 0, true, false, 0), -1);
 }
 
 /* A domain that is cut off from all must not cost calls through a third one,
@@ -55,11 +55,11 @@
 	relay_candidate_t nodes[] = { candidate(0), candidate(0) };
 
 	nodes[0].local = false;
-	CU_ASSERT_EQUAL(relay_choice(nodes, 1, false, 0), -1);
-	CU_ASSERT_EQUAL(relay_choice(nodes, 1, true, 0), 0);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 1, false, false, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 1, true, false, 0), 0);
 	nodes[1].local = false;
 	nodes[1].target = true;
-	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, 0), 1);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, false, 0), 1);
 }
 
 /* A node of the own domain must be preferred, but not swamped. */
@@ -69,9 +69,9 @@
 
 	nodes[1].local = false;
 	nodes[1].target = true;
-	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, 0), 0);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, false, 0), 0);
 	nodes[0].calls = 5;
-	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, 0), 1);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, false, 0), 1);
 }
 
 /* A node that stops must be spared, but is better than none. */
@@ -80,9 +80,12 @@
 	relay_candidate_t nodes[] = { candidate(0), candidate(200) };
 
 	nodes[0].draining = true;
-	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, 0), 1);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, false, 0), 1);
 	nodes[1].avoided = true;
-	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, 0), 0);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, false, 0), 0);
+	nodes[0].repeatable_only = true;
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, false, 0), -1);
+	CU_ASSERT_EQUAL(relay_choice(nodes, 2, false, true, 0), 0);
 }
 
 int main(void)
--- a/tests/test_runner_relay.c
+++ b/tests/test_runner_relay.c
@@ -57,7 +57,8 @@
 }
 
 static bool find_peer(void *user_data, const runner_relay_t *relay,
-		      const char *domain, char *address, size_t size)
+		      const char *domain, bool repeatable, char *address,
+		      size_t size)
 {
 	fixture_t *fixture = user_data;
 
