Accept the connections in the backlog before the listening socket closes

Callers that had just connected to a stopping node saw a reset: the kernel had completed their handshakes, and some had sent a request, but the node closed its listening socket before it accepted them. Closing a listening socket resets all connections in its backlog.

The socket is now closed by a timer of the next pass of the event loop. A pass handles sockets before timers, and libevent's listener accepts until the backlog is empty, so these connections are accepted first and their requests answered like others. What still can be reset is a connection that completes its handshake between that accept and the close in the same pass.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -40,6 +40,7 @@
 	GQueue released; /* http_exchange_t */
 	htparser *shared_parsers[2]; /* of waiting connections, by minor */
 	struct event *sweep; /* finds requests that arrive too slowly */
+	struct event *unbind; /* closes the listening socket */
 	GQueue connections; /* http_connection_t */
 	uint64_t max_body_bytes;
 	uint32_t max_header_bytes;
@@ -647,6 +648,13 @@
 	return ntohs(address.sin6_port);
 }
 
+static void on_unbind(evutil_socket_t fd, short events, void *arg)
+{
+	http_server_t *server = arg;
+
+	evhtp_unbind_socket(server->htp);
+}
+
 http_server_t *http_server_new(const http_server_options_t *options,
 			       GError **error)
 {
@@ -686,6 +694,7 @@
 	for (unsigned char minor = 0; minor < 2; minor++)
 		server->shared_parsers[minor] = shared_parser_new(minor);
 	server->sweep = evtimer_new(options->base, on_sweep, server);
+	server->unbind = evtimer_new(options->base, on_unbind, server);
 	if (options->read_timeout_ms)
 		on_sweep(-1, 0, server);
 	return server;
@@ -697,7 +706,9 @@
 		return;
 	event_free(server->sweep);
 	event_free(server->release);
-	http_server_stop_listening(server);
+	if (server->listening || evtimer_pending(server->unbind, NULL))
+		evhtp_unbind_socket(server->htp);
+	event_free(server->unbind);
 	evhtp_free(server->htp);
 	http_stream_buffer_free(server->stream_buffer);
 	for (size_t i = 0; i < G_N_ELEMENTS(server->shared_parsers); i++)
@@ -707,9 +718,16 @@
 
 void http_server_stop_listening(http_server_t *server)
 {
-	if (server->listening)
-		evhtp_unbind_socket(server->htp);
+	const struct timeval next_pass = { 0, 0 };
+
+	if (!server->listening)
+		return;
 	server->listening = false;
+	/*
+	 * Closing the socket resets the connections in its backlog. A pass of
+	 * the event loop accepts these before it runs timers.
+	 */
+	evtimer_add(server->unbind, &next_pass);
 }
 
 void http_server_close_idle(http_server_t *server)
--- /dev/null
+++ b/tests/test_http_server.c
@@ -0,0 +1,122 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "http/http_server.h"
+#include "unit.h"
+
+#define READ_TIMEOUT_MS 400
+#define CLOSED (-1)
+#define NO_RESPONSE 0
+#define GET "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+typedef struct fixture {
+	struct event_base *base;
+	http_server_t *server;
+} fixture_t;
+
+static void handle(http_exchange_t *exchange, void *user_data)
+{
+	http_reply(exchange, 200, NULL, "ok", 2);
+}
+
+static void start(fixture_t *fixture)
+{
+	const http_server_options_t options = {
+		.base = event_base_new(),
+		.address = "127.0.0.1",
+		.read_timeout_ms = READ_TIMEOUT_MS,
+		.handler = handle,
+	};
+
+	fixture->base = options.base;
+	fixture->server = http_server_new(&options, NULL);
+}
+
+static void stop(fixture_t *fixture, int client)
+{
+	close(client);
+	http_server_free(fixture->server);
+	event_base_free(fixture->base);
+}
+
+static void run(const fixture_t *fixture, int64_t ms)
+{
+	int64_t end_ms = clock_now_ms(clock_system()) + ms;
+
+	do {
+		event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+		usleep(500);
+	} while (clock_now_ms(clock_system()) < end_ms);
+}
+
+static int client_new(const fixture_t *fixture)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+
+	address.sin_port = htons(http_server_port(fixture->server));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	/* The server may have closed the connection. */
+	(void)!send(fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+/* Returns the status of the next response, CLOSED or NO_RESPONSE. */
+static int response_status(const fixture_t *fixture, int fd, int64_t wait_ms)
+{
+	int64_t end_ms = clock_now_ms(clock_system()) + wait_ms;
+	char response[1024] = "";
+	ssize_t len;
+
+	do {
+		run(fixture, 1);
+		len = recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
+	} while (len < 0 && errno == EAGAIN &&
+		 clock_now_ms(clock_system()) < end_ms);
+	if (len < 0 && errno == EAGAIN)
+		return NO_RESPONSE;
+	if (!g_str_has_prefix(response, "HTTP/1.1 "))
+		return CLOSED;
+	return (int)g_ascii_strtoll(response + strlen("HTTP/1.1 "), NULL, 10);
+}
+
+/*
+ * Guards against the reset of connections that the kernel has accepted when
+ * the server stops listening.
+ */
+static void test_backlog(void)
+{
+	fixture_t fixture;
+	int fd;
+
+	start(&fixture);
+	fd = client_new(&fixture);
+	send_text(fd, GET);
+	http_server_stop_listening(fixture.server);
+	CU_ASSERT_EQUAL(response_status(&fixture, fd, 1000), 200);
+	stop(&fixture, fd);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "requests in the backlog", test_backlog },
+		{ NULL, NULL },
+	};
+
+	return unit_run("http_server", tests);
+}
