Measure the read timeout from the first byte of a request

Callers on connections kept for long got 408 for a request that arrived well within the read timeout, when the connection had been idle before: the time began with the end of the previous response. With a timeout of 60 s and a connection idle for 59 s, the caller had one second to send the whole request.

The time now begins with the first byte that is read after a response. Waiting for that byte is limited as before.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -57,7 +57,8 @@
 	evhtp_connection_t *evhtp;
 	http_exchange_t *exchange; /* of the request being handled */
 	GList link;
-	int64_t read_start_ms; /* when reading the current request started */
+	/* when the current request began to arrive, or the wait for it began */
+	int64_t read_start_ms;
 	uint64_t content_length; /* of the current request */
 	uint64_t body_bytes; /* received */
 	char *body; /* of a large request; NULL: evhtp holds it */
@@ -67,6 +68,7 @@
 	uint32_t header_bytes;
 	uint16_t content_length_count; /* number of Content-Length headers */
 	bool chunked;
+	bool arriving; /* the request has begun to arrive */
 	bool request_line_complete;
 	bool headers_complete;
 	bool handling; /* the request is complete, its response is not */
@@ -90,6 +92,7 @@
 	connection->header_bytes = 0;
 	connection->content_length_count = 0;
 	connection->chunked = false;
+	connection->arriving = false;
 	connection->request_line_complete = false;
 	connection->headers_complete = false;
 	connection->handling = false;
@@ -591,6 +594,10 @@
 	struct evbuffer *input = bufferevent_get_input(bev);
 	size_t len = evbuffer_get_length(input);
 
+	if (!connection->handling && !connection->arriving && len > 0) {
+		connection->arriving = true;
+		connection->read_start_ms = clock_now_ms(clock_system());
+	}
 	if (!connection->handling && !connection->request_line_complete &&
 	    len < MAX_REQUEST_LINE_BYTES && is_partial_request_line(input))
 		return;
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -111,10 +111,53 @@
 	stop(&fixture, fd);
 }
 
+/* A connection on which one request has been answered. */
+static int persistent_client_new(const fixture_t *fixture)
+{
+	int fd = client_new(fixture);
+
+	send_text(fd, GET);
+	CU_ASSERT_EQUAL(response_status(fixture, fd, 1000), 200);
+	return fd;
+}
+
+/* A request that arrives in two reads. */
+static const struct {
+	const char *first;
+	const char *second;
+} requests[] = {
+	{ "GE", "T / HTTP/1.1\r\nHost: x\r\n\r\n" },
+	{ "GET / HTTP/1.1\r\n", "Host: x\r\n\r\n" },
+	{ "GET / HTTP/1.1\r\nHost: x", "\r\n\r\n" },
+	{ "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n12", "34" },
+};
+
+/*
+ * Guards against a read timeout that includes the time for which a persistent
+ * connection was idle before the request.
+ */
+static void test_after_idle(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		fixture_t fixture;
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		run(&fixture, READ_TIMEOUT_MS * 3 / 4);
+		send_text(fd, requests[i].first);
+		run(&fixture, READ_TIMEOUT_MS * 3 / 4);
+		send_text(fd, requests[i].second);
+		CU_ASSERT_EQUAL(response_status(&fixture, fd, 1000), 200);
+		stop(&fixture, fd);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "requests in the backlog", test_backlog },
+		{ "request after a long idle time", test_after_idle },
 		{ NULL, NULL },
 	};
 
