Answer 408 when a request stops arriving

A caller whose request stopped in the middle got no answer: the connection was closed at the read timeout. A caller can repeat a request after a 408 without a risk, but not after a close.

The event callback of libevhtp is wrapped like its read and write callbacks and names the status that is sent when the connection ends.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -65,6 +65,7 @@
 	size_t body_size; /* allocated */
 	bufferevent_data_cb evhtp_write; /* evhtp's own callbacks */
 	bufferevent_data_cb evhtp_read;
+	bufferevent_event_cb evhtp_event;
 	uint32_t header_bytes;
 	uint16_t content_length_count; /* number of Content-Length headers */
 	bool chunked;
@@ -605,15 +606,27 @@
 	connection->evhtp_read(bev, arg);
 }
 
+/* evhtp closes the connection at its read timeout without a response. */
+static void on_event(struct bufferevent *bev, short events, void *arg)
+{
+	evhtp_connection_t *evhtp = arg;
+	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
+
+	if ((events & BEV_EVENT_TIMEOUT) && connection->arriving &&
+	    !connection->handling && !connection->reject_status)
+		connection->reject_status = 408;
+	connection->evhtp_event(bev, events, arg);
+}
+
 static void watch_input(http_connection_t *connection)
 {
 	struct bufferevent *bev = connection->evhtp->bev;
 	bufferevent_data_cb write;
-	bufferevent_event_cb event;
 	void *arg;
 
-	bufferevent_getcb(bev, &connection->evhtp_read, &write, &event, &arg);
-	bufferevent_setcb(bev, on_read, write, event, arg);
+	bufferevent_getcb(bev, &connection->evhtp_read, &write,
+			  &connection->evhtp_event, &arg);
+	bufferevent_setcb(bev, on_read, write, on_event, arg);
 }
 
 static evhtp_res on_accept(evhtp_connection_t *evhtp, void *arg)
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -153,11 +153,32 @@
 	}
 }
 
+/*
+ * Guards against an incomplete request whose connection is closed without a
+ * response at the read timeout.
+ */
+static void test_incomplete(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		fixture_t fixture;
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		send_text(fd, requests[i].first);
+		CU_ASSERT_EQUAL(
+			response_status(&fixture, fd, READ_TIMEOUT_MS * 4),
+			408);
+		stop(&fixture, fd);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "requests in the backlog", test_backlog },
 		{ "request after a long idle time", test_after_idle },
+		{ "incomplete request", test_incomplete },
 		{ NULL, NULL },
 	};
 
