Close idle persistent connections in a graceful shutdown

Callers kept their idle connections to a stopping node until its process ended; requests that they sent at that moment were reset unread. At the read timeout, an idle connection could get a 408 that no request had asked for.

The server took the number of requests on a connection from libevhtp, which counts them only if they are limited, so it was always 0, no connection counted as idle, and http_server_close_idle() closed none. The count alone would also have closed a connection on which only the request line had been read, or on which a request waited in the socket's buffer.

The server now notes itself whether a request was received on the connection and whether another has begun to arrive, and looks for unread bytes. The gateway closes idle connections when it begins to refuse requests, no longer from the start of the shutdown (where the call had no effect): until then a request on such a connection is served, and its response announces the close. A request that is on the network while the connection is closed is reset, as before at the end of the process.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -167,13 +167,16 @@
 	return stopping_ms(gateway) >= BALANCER_REMOVAL_MS + LAST_REQUEST_MS;
 }
 
-/* Closes idle connections, since callers keep connections open and would go on
- * using them. */
+/*
+ * Until new requests are refused, one on an idle connection is served, and its
+ * response announces the close.
+ */
 static void close_connections(gateway_t *gateway)
 {
-	http_server_close_idle(gateway->callers);
 	if (stopping_ms(gateway) >= BALANCER_REMOVAL_MS)
 		http_server_stop_listening(gateway->callers);
+	if (gateway_is_closing(gateway))
+		http_server_close_idle(gateway->callers);
 }
 
 static void schedule_tick(gateway_t *gateway)
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/clock.h"
@@ -72,6 +73,7 @@
 	bool arriving; /* the request has begun to arrive */
 	bool request_line_complete;
 	bool headers_complete;
+	bool persistent; /* a request was received on it */
 	bool handling; /* the request is complete, its response is not */
 	bool shares_parser; /* see release_parser() */
 	int reject_status; /* response instead of handling; 0: none */
@@ -501,13 +503,24 @@
 	return now_ms - connection->read_start_ms > limit_ms;
 }
 
+static bool has_unread_input(const http_connection_t *connection)
+{
+	evhtp_connection_t *evhtp = connection->evhtp;
+	int unread = 0;
+
+	if (evbuffer_get_length(bufferevent_get_input(evhtp->bev)) > 0)
+		return true;
+	return ioctl(evhtp->sock, FIONREAD, &unread) == 0 && unread > 0;
+}
+
 /*
  * True for a persistent connection that waits for a request; it is closed
  * without a response.
  */
 static bool is_idle(const http_connection_t *connection)
 {
-	return connection->header_bytes == 0 && connection->evhtp->num_requests;
+	return connection->persistent && !connection->handling &&
+	       !connection->arriving && !has_unread_input(connection);
 }
 
 static void on_sweep(evutil_socket_t fd, short events, void *arg)
@@ -537,6 +550,7 @@
 	http_connection_t *connection = connection_of(request);
 
 	connection->handling = true;
+	connection->persistent = true;
 	exchange->base = server->base;
 	exchange->stream_buffer = server->stream_buffer;
 	exchange->active = &server->active;
@@ -756,12 +770,9 @@
 
 	while (link) {
 		http_connection_t *connection = link->data;
-		struct evbuffer *input =
-			bufferevent_get_input(connection->evhtp->bev);
 
 		link = link->next;
-		if (!connection->handling && is_idle(connection) &&
-		    evbuffer_get_length(input) == 0)
+		if (is_idle(connection))
 			evhtp_connection_free(connection->evhtp);
 	}
 }
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -173,12 +173,52 @@
 	}
 }
 
+/*
+ * Guards against a shutdown that leaves idle persistent connections open, or
+ * closes one on which a request arrives.
+ */
+static void test_idle(void)
+{
+	static const struct {
+		const char *read; /* by the server */
+		const char *unread;
+		const char *later;
+		int status;
+	} cases[] = {
+		{ "", "", "", CLOSED },
+		{ "", GET, "", 200 },
+		{ "", "GE", "T / HTTP/1.1\r\nHost: x\r\n\r\n", 200 },
+		{ "GE", "", "T / HTTP/1.1\r\nHost: x\r\n\r\n", 200 },
+		{ "GET / HTTP/1.1\r\n", "", "Host: x\r\n\r\n", 200 },
+		{ "GET / HTTP/1.1\r\nHo", "", "st: x\r\n\r\n", 200 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t fixture;
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		send_text(fd, cases[i].read);
+		run(&fixture, 10);
+		send_text(fd, cases[i].unread);
+		http_server_close_idle(fixture.server);
+		run(&fixture, 10);
+		send_text(fd, cases[i].later);
+		CU_ASSERT_EQUAL(
+			response_status(&fixture, fd, READ_TIMEOUT_MS / 2),
+			cases[i].status);
+		stop(&fixture, fd);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "requests in the backlog", test_backlog },
 		{ "request after a long idle time", test_after_idle },
 		{ "incomplete request", test_incomplete },
+		{ "idle connections", test_idle },
 		{ NULL, NULL },
 	};
 
