Skip empty lines before a request

A request behind an empty line that was read separately got no answer: its caller waited until the connection was closed at the read timeout. Some clients send such a line behind the body of the request before, and RFC 9112 asks servers to ignore it. libevhtp's parser stops at input that holds only line ends and does not go on with what follows.

The server drops line ends before the first byte of a request.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -584,6 +584,29 @@
 	request->status = EVHTP_RES_PAUSE;
 }
 
+/*
+ * Returns whether the next request has begun to arrive. Skips empty lines, which
+ * some clients send behind a body (RFC 9112, section 2.2).
+ */
+static bool begins_request(http_connection_t *connection,
+			   struct evbuffer *input)
+{
+	char first;
+
+	if (connection->arriving)
+		return true;
+	while (evbuffer_copyout(input, &first, 1) == 1) {
+		if (first != '\r' && first != '\n') {
+			connection->arriving = true;
+			connection->read_start_ms =
+				clock_now_ms(clock_system());
+			return true;
+		}
+		evbuffer_drain(input, 1);
+	}
+	return false;
+}
+
 /*
  * True for the start of a method without the end of its line. Other input is
  * passed to the parser, which rejects it.
@@ -607,14 +630,12 @@
 	evhtp_connection_t *evhtp = arg;
 	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
 	struct evbuffer *input = bufferevent_get_input(bev);
-	size_t len = evbuffer_get_length(input);
 
-	if (!connection->handling && !connection->arriving && len > 0) {
-		connection->arriving = true;
-		connection->read_start_ms = clock_now_ms(clock_system());
-	}
+	if (!connection->handling && !begins_request(connection, input))
+		return;
 	if (!connection->handling && !connection->request_line_complete &&
-	    len < MAX_REQUEST_LINE_BYTES && is_partial_request_line(input))
+	    evbuffer_get_length(input) < MAX_REQUEST_LINE_BYTES &&
+	    is_partial_request_line(input))
 		return;
 	connection->request_line_complete = true;
 	connection->evhtp_read(bev, arg);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -212,6 +212,31 @@
 	}
 }
 
+/*
+ * Guards against a request that gets no response after the empty line that
+ * some clients send behind a body.
+ */
+static void test_empty_line(void)
+{
+	static const char *const lines[] = { "\r\n", "\n", "\r\n\r\n" };
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(lines); i++) {
+		fixture_t fixture;
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		send_text(fd, lines[i / 2]);
+		if (i % 2) /* read apart from the request */
+			run(&fixture, 10);
+		send_text(fd, requests[0].first);
+		run(&fixture, 10);
+		send_text(fd, requests[0].second);
+		CU_ASSERT_EQUAL(response_status(&fixture, fd, 200), 200);
+		stop(&fixture, fd);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -219,6 +244,7 @@
 		{ "request after a long idle time", test_after_idle },
 		{ "incomplete request", test_incomplete },
 		{ "idle connections", test_idle },
+		{ "empty line before a request", test_empty_line },
 		{ NULL, NULL },
 	};
 
