Wait for requests that are arriving before the process ends

In a planned stop, callers whose request was still arriving got no answer: the gateway ends when all requests that it has read are answered, and a request whose body was on its way did not count, nor did one that waited in the socket's buffer. The connection ended with the process.

http_server_is_drained() now counts both. The gateway then reads the request and refuses it as not run, since it refuses all new requests at that time. The grace period, and the read timeout, limit the wait as before.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -805,7 +805,9 @@
 		struct evbuffer *output =
 			bufferevent_get_output(connection->evhtp->bev);
 
-		if (connection->handling || evbuffer_get_length(output) > 0)
+		if (connection->handling || connection->arriving ||
+		    has_unread_input(connection) ||
+		    evbuffer_get_length(output) > 0)
 			return false;
 	}
 	return server->active == 0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -65,7 +65,10 @@
  */
 void http_server_stop_listening(http_server_t *server);
 void http_server_close_idle(http_server_t *server);
-/* True when all responses have been passed to the kernel completely. */
+/*
+ * True when no request is arriving or being handled, and all responses have been
+ * passed to the kernel completely.
+ */
 bool http_server_is_drained(const http_server_t *server);
 
 const char *http_method(const http_exchange_t *exchange);
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -306,6 +306,21 @@
         self.assertIn("retry-after", answer.headers)
         self.assertEqual(self.attempts("late"), [])
 
+    def test_body_arriving_during_stop(self):
+        """The process must not end while the body of a request is arriving:
+        its caller would get no answer."""
+        with socket.create_connection(("127.0.0.1", self.gateway.port)) as slow:
+            slow.sendall(f"POST /again/a HTTP/1.1\r\nHost: {s.HOST}\r\n"
+                         "Request-Id: slow\r\nContent-Length: 4\r\n\r\nab"
+                         .encode())
+            time.sleep(0.1)
+            self.gateway.process.send_signal(signal.SIGTERM)
+            time.sleep(4)
+            slow.sendall(b"cd")
+            self.assertIn(b"HTTP/1.1 503 ", slow.recv(4096))
+        self.assertEqual(self.gateway.process.wait(2), 0)
+        self.assertEqual(self.attempts("slow"), [])
+
     def test_caller_resets(self):
         """A caller's connection reset while its runner sends nothing must end
         the request at once, without busy polling until the runner sends."""
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -237,6 +237,27 @@
 	}
 }
 
+/* Guards against a process exit that cuts a request that is arriving. */
+static void test_drained(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		fixture_t fixture;
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		CU_ASSERT_TRUE(http_server_is_drained(fixture.server));
+		send_text(fd, requests[i].first);
+		CU_ASSERT_FALSE(http_server_is_drained(fixture.server));
+		run(&fixture, 10);
+		CU_ASSERT_FALSE(http_server_is_drained(fixture.server));
+		send_text(fd, requests[i].second);
+		CU_ASSERT_EQUAL(response_status(&fixture, fd, 1000), 200);
+		CU_ASSERT_TRUE(http_server_is_drained(fixture.server));
+		stop(&fixture, fd);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -245,6 +266,7 @@
 		{ "incomplete request", test_incomplete },
 		{ "idle connections", test_idle },
 		{ "empty line before a request", test_empty_line },
+		{ "drained", test_drained },
 		{ NULL, NULL },
 	};
 
