--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -22,7 +22,17 @@
 
 static void handle(http_exchange_t *exchange, void *user_data)
 {
-	http_reply(exchange, 200, NULL, "ok", 2);
+	const char *path = http_path(exchange);
+
+	if (g_str_has_prefix(path, "/close"))
+		http_close_after(exchange);
+	if (!g_str_has_suffix(path, "/stream")) {
+		http_reply(exchange, 200, NULL, "ok", 2);
+		return;
+	}
+	http_stream_start(exchange, 200, NULL);
+	http_stream_write(exchange, "ok", 2);
+	http_stream_end(exchange);
 }
 
 static void start(fixture_t *fixture)
@@ -258,6 +268,31 @@
 	}
 }
 
+/* Guards against callers that reuse a connection which is going to close. */
+static void test_close_after(void)
+{
+	static const char *const paths[] = { "/close", "/close/stream" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		fixture_t fixture;
+		char response[1024] = "";
+		char request[64];
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		g_snprintf(request, sizeof(request),
+			   "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", paths[i]);
+		send_text(fd, request);
+		run(&fixture, 20);
+		CU_ASSERT_TRUE(recv(fd, response, sizeof(response) - 1, 0) > 0);
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(response, "Connection: close\r\n"));
+		CU_ASSERT_EQUAL(response_status(&fixture, fd, 100), CLOSED);
+		stop(&fixture, fd);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -267,6 +302,7 @@
 		{ "idle connections", test_idle },
 		{ "empty line before a request", test_empty_line },
 		{ "drained", test_drained },
+		{ "close after a response", test_close_after },
 		{ NULL, NULL },
 	};
 
