Let a connection linger after its announced last response

Callers that pipeline lost the end of the last response on a connection: their next request arrived after the server had closed the socket, and the kernel answered it with a reset, which also dropped what it still had to send of the response.

Idle connections are closed as before, so that a request which crosses the close is still reset as unread.

--- a/src/http/http_exchange.c
+++ b/src/http/http_exchange.c
@@ -91,6 +91,7 @@
 {
 	/* evhtp_request_set_keepalive() only ever sets the flag. */
 	exchange->request->flags &= ~EVHTP_REQ_FLAG_KEEPALIVE;
+	exchange->close_after = true;
 }
 
 const char *http_body(http_exchange_t *exchange, size_t *len)
--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -44,6 +44,7 @@
 	bool query_parsed;
 	bool counted;
 	bool paused;
+	bool close_after; /* the server ends the connection */
 };
 
 /* Marks the response as decided; the exchange no longer counts as active. */
--- a/src/http/http_reject.h
+++ b/src/http/http_reject.h
@@ -8,10 +8,8 @@
  * http_reject - sends the last response on a connection whose request cannot be
  * read.
  *
- * libevhtp closes such a connection without a response. The response is sent on
- * a duplicate of the socket, which then reads and discards incoming data for up
- * to one second: closing a socket with unread data resets the connection, and
- * the peer would lose the response.
+ * libevhtp closes such a connection without a response. The connection lingers
+ * after this response (http_linger.h).
  */
 
 /* headers: complete header lines with their line endings; may be empty. */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "http/http_exchange.h"
+#include "http/http_linger.h"
 #include "http/http_reject.h"
 #include "http/http_send.h"
 
@@ -483,6 +484,8 @@
 
 	restore_parser(connection);
 	send_final_status(connection);
+	if (connection->exchange && connection->exchange->close_after)
+		http_linger(server->base, evhtp->sock);
 	g_queue_unlink(&server->connections, &connection->link);
 	if (connection->exchange)
 		connection->exchange->connection = NULL;
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -13,6 +13,7 @@
 #define READ_TIMEOUT_MS 400
 #define CLOSED (-1)
 #define NO_RESPONSE 0
+#define LARGE_BYTES (512 * 1024)
 #define GET "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 typedef struct fixture {
@@ -26,6 +27,13 @@
 
 	if (g_str_has_prefix(path, "/close"))
 		http_close_after(exchange);
+	if (g_str_has_suffix(path, "/large")) {
+		char *large = g_strnfill(LARGE_BYTES, 'x');
+
+		http_reply(exchange, 200, NULL, large, LARGE_BYTES);
+		g_free(large);
+		return;
+	}
 	if (!g_str_has_suffix(path, "/stream")) {
 		http_reply(exchange, 200, NULL, "ok", 2);
 		return;
@@ -293,6 +301,37 @@
 	}
 }
 
+/*
+ * Guards against a last response that is cut off by a reset, because the next
+ * request is in the socket's buffer when the connection is closed.
+ */
+static void test_pipelined_close(void)
+{
+	const int receive_bytes = 8192;
+	char buffer[4096];
+	size_t received = 0;
+	fixture_t fixture;
+	ssize_t len;
+	int fd;
+
+	start(&fixture);
+	fd = persistent_client_new(&fixture);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+		   sizeof(receive_bytes));
+	send_text(fd, "GET /close/large HTTP/1.1\r\nHost: x\r\n\r\n");
+	run(&fixture, 1);
+	send_text(fd, GET);
+	run(&fixture, 50);
+	do {
+		run(&fixture, 0);
+		len = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+		received += MAX(len, 0);
+	} while (len > 0 || (len < 0 && errno == EAGAIN));
+	CU_ASSERT_EQUAL(len, 0);
+	CU_ASSERT_TRUE(received > LARGE_BYTES);
+	stop(&fixture, fd);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -303,6 +342,8 @@
 		{ "empty line before a request", test_empty_line },
 		{ "drained", test_drained },
 		{ "close after a response", test_close_after },
+		{ "pipelined request behind the last response",
+		  test_pipelined_close },
 		{ NULL, NULL },
 	};
 
