Test answers of runners that break off, and errors to resumed streams

Other operators report a 200 with an empty or short body, framed as whole, when a runner stopped in the middle of its answer's head, and errors in the middle of a resumed stream. Neither was tried here.

--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -238,6 +238,9 @@
         if self.headers.get("Expect-Instance") != runner.id:
             self.start_answer(421, ("Content-Length", "0"))
             return
+        if runner.script and runner.script(self, after):
+            self.close_connection = True
+            return
         if runner.refuse:
             self.start_answer(503, ("Not-Run", "1"), ("Content-Length", "0"))
             return
@@ -319,6 +322,9 @@
         self.gap_s = 0.005
         self.refuse = False
         self.status = 200
+        # Answers in place of the runner, which then closes the connection:
+        # called with the handler and the last event; false: the runner answers.
+        self.script = None
         self.cut_at = 0
         self.seen = []  # (request id, last event id)
         self.seen_at = []  # times of the same, monotonic
