Do not end a resumed stream by an empty response until close

Callers saw: a resumable stream that had broken off ended as complete before its last event, when the next runner sent the head of a response with neither length nor chunks and went down before its first event. The same happened to a stream that a client took up with Last-Event-Id.

Cause: an empty response that ends with its connection was told from the end of the runner only while the stream had no event at all, instead of none of this attempt.

Why it works: an attempt that has sent nothing and whose end cannot be told from the runner's counts as broken. It is sent on or ends without its final chunk. A stream whose last event had come before the break is cut then, too, and its client asks again; only a framed response can be empty and complete.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -335,11 +335,11 @@
 }
 
 /* Whether the end of the connection cannot be told from that of the runner, as
- * no event has come. */
+ * the attempt has sent no event. */
 static bool is_empty_until_close(const execution_t *execution)
 {
 	return is_live_stream(execution) && execution->answer.until_close &&
-	       execution->events.last_id == EVENT_READER_NONE;
+	       !execution->begun;
 }
 
 static void on_complete(execution_t *execution)
--- a/tests/process/test_broken_answer.py
+++ b/tests/process/test_broken_answer.py
@@ -90,6 +90,7 @@
     "200 with a head until close":
         (sends(HEAD + b"\r\n" + ERROR % (500, b"")), False),
     "200 with the first events": (sends(chunks(EVENTS, b"")), False),
+    "200 until close, no event": (sends(HEAD + b"\r\n"), False),
     "a second answer": (sends(chunks(EVENTS[32:48]) + ERROR % (500, b"")),
                         False),
 }
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -180,16 +180,21 @@
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 }
 
-static void answer(fixture_t *fixture, int index, int status, bool not_run)
+static void answer_with(fixture_t *fixture, int index, runner_answer_t a)
 {
-	runner_answer_t a = { .status = status, .not_run = not_run };
-
 	a.headers = g_ptr_array_new();
 	fixture->calls[index].request.answer(
 		&a, fixture->calls[index].request.user_data);
 	g_ptr_array_unref(a.headers);
 }
 
+static void answer(fixture_t *fixture, int index, int status, bool not_run)
+{
+	const runner_answer_t a = { .status = status, .not_run = not_run };
+
+	answer_with(fixture, index, a);
+}
+
 static void data(fixture_t *fixture, int index, const char *text)
 {
 	fixture->calls[index].request.data(
@@ -351,6 +356,28 @@
 	fixture_free(fixture);
 }
 
+/* A resumed stream must not end as complete when the runner goes down before it
+ * has sent an event. Only a framed response can be empty and complete. */
+static void test_empty_resumption(void)
+{
+	for (int until_close = 0; until_close < 2; until_close++) {
+		fixture_t *fixture = fixture_new();
+		const runner_answer_t a = { .status = 200,
+					    .until_close = until_close };
+
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		done(fixture, 0, RUNNER_TRUNCATED);
+		answer_with(fixture, 1, a);
+		done(fixture, 1, RUNNER_COMPLETE);
+		CU_ASSERT_EQUAL(fixture->end, until_close ?
+						      EXECUTION_TRUNCATED :
+						      EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
 /* An event out of order must end the attempt and must not be delivered. */
 static void test_event_out_of_order(void)
 {
@@ -563,6 +590,7 @@
 		{ "empty stream changes version",
 		  test_empty_stream_changes_version },
 		{ "truncated event", test_truncated_event },
+		{ "empty resumption", test_empty_resumption },
 		{ "event out of order", test_event_out_of_order },
 		{ "stall", test_stall },
 		{ "bytes without events", test_bytes_without_events },
