Do not wait for the end of an error that another runner can make good

Callers saw: while another runner could have answered, a request waited until its deadline and got 504, when a runner sent the head of a 5xx or of a refusal with Not-Run and then a body that came slowly or had no end. A resumed stream was cut then, though the refusal allowed a third runner. A 200 with Not-Run on a streaming route was delivered and then run again at another runner.

Cause: an attempt ended only with its body, also when the head had settled that it had failed and that its body is not delivered.

Why it works: on_answer() ends such an attempt at once, by the same rules as the end of the body. Responses that are delivered are still awaited, and bounded.

The calls of the unit test's protocol make no callback after cancel now, as those of the real one; test_body_without_end covers the bound with and without another runner.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -155,6 +155,9 @@
 	return execution->stream && execution->answer.status == 200;
 }
 
+static bool is_failed_by_head(const execution_t *execution);
+static void on_complete(execution_t *execution);
+
 static void on_answer(const runner_answer_t *answer, void *user_data)
 {
 	execution_t *execution = user_data;
@@ -176,6 +179,14 @@
 		fleet_set_draining(fleet, execution->runner);
 	if (answer->leaving)
 		fleet_set_leaving(fleet, execution->runner);
+	if (is_failed_by_head(execution)) {
+		runner_call_t *call = execution->call;
+
+		execution->call = NULL;
+		execution->context->protocol->cancel(call);
+		on_complete(execution);
+		return;
+	}
 	if (is_live_stream(execution) && !execution->stream_started) {
 		execution->stream_started = true;
 		execution->sink->start(answer, execution->user_data);
@@ -310,6 +321,15 @@
 	       remaining_ms(execution) >= MIN_ATTEMPT_MS;
 }
 
+/* Whether the attempt has failed whatever the body is. The body of an error is
+ * not waited for, as it may come slowly or have no end. */
+static bool is_failed_by_head(const execution_t *execution)
+{
+	return execution->answer.not_run || execution->answer.other_instance ||
+	       is_retryable_error(execution) ||
+	       (execution->stream_started && !is_live_stream(execution));
+}
+
 /* Reports that the runner ended the connection. */
 static void note_loss(const execution_t *execution)
 {
--- a/tests/process/test_broken_answer.py
+++ b/tests/process/test_broken_answer.py
@@ -13,6 +13,7 @@
 from gateway_standin import f  # noqa: E402
 
 EVENTS = b"".join(b"id: %d\ndata: e%d\n\n" % (i, i) for i in range(1, 5))
+FOREVER_S = 8
 ROUTES = ("/safe/", "/unsafe/", "/once/", "/again/")
 STATUS = b"HTTP/1.1 200 OK"
 STAMP = b"Response-Stamp: cut\r\n"
@@ -49,7 +50,8 @@
         own = b"Request-Id: %s\r\n%s" % (
             handler.headers["Request-Id"].encode(), STAMP)
         handler.wfile.write(text.replace(b"%(own)s", own).replace(
-            b"%(id)s", handler.headers["Request-Id"].encode()[:-1]))
+            b"%(id)s", handler.headers["Request-Id"].encode()[:-1]).replace(
+                b"%(all)s", handler.headers["Request-Id"].encode()))
         handler.wfile.flush()
         if resets:
             s.reset(handler.connection)
@@ -57,6 +59,19 @@
     return script
 
 
+def sends_forever(head):
+    """A script that sends a head and then a body that does not end."""
+    def script(handler, _):
+        end = time.monotonic() + FOREVER_S
+        sends(head)(handler, _)
+        while time.monotonic() < end:
+            handler.wfile.write(b"error ")
+            handler.wfile.flush()
+            time.sleep(0.05)
+        return True
+    return script
+
+
 def in_turn(*scripts):
     """Follows each script for one attempt; then runners answer themselves."""
     left = list(scripts)
@@ -73,6 +88,7 @@
 HEAD = STATUS + b"\r\n%(own)s"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 ERROR = b"HTTP/1.1 %d X\r\nContent-Length: 12\r\n%s\r\nserver error"
+ENDLESS = b"HTTP/1.1 %d X\r\nRequest-Id: %%(all)s\r\n%s\r\n"
 NOT_RUN = b"Not-Run: 1\r\n"
 # What the next runner answers to a stream that has broken off after two events,
 # and whether the stream can be completed at a third one.
@@ -85,6 +101,9 @@
     "500 until close": (sends(b"HTTP/1.1 500 X\r\n\r\nserver error"), False),
     "204": (sends(HEAD.replace(b"200", b"204") + b"\r\n"), False),
     "206": (sends(chunks(EVENTS[32:], b"").replace(b"200", b"206")), False),
+    "500 without end": (sends_forever(ENDLESS % (500, b"")), False),
+    "503 without end, not run":
+        (sends_forever(ENDLESS % (503, NOT_RUN)), True),
     "200 with an error": (sends(chunks(b"server error\n\n", b"")), False),
     "200 with a head": (sends(chunks(ERROR % (500, b""), b"")), False),
     "200 with a head until close":
@@ -175,8 +194,8 @@
         self.assertEqual(cuts, {})
 
     def test_error_to_a_resumed_stream(self):
-        """Guards against a stream that goes on with the text of an error, or
-        ends as complete before its last event."""
+        """Guards against a stream that goes on with the text of an error, ends
+        as complete before its last event, or waits for an error's end."""
         for name, (script, is_completed) in RESUMPTIONS.items():
             self.answer_with(in_turn(
                 sends(chunks(EVENTS[:32], b"id: 3\n")), script))
@@ -191,6 +210,20 @@
                 self.assertEqual(self.attempts(), 2 + is_completed)
             time.sleep(0.3)
 
+    def test_error_without_end(self):
+        """Guards against a caller who waits for the end of an error while
+        another runner could answer."""
+        for route, head in (("/safe/", ENDLESS % (500, b"")),
+                            ("/safe/", ENDLESS % (503, NOT_RUN)),
+                            ("/unsafe/", ENDLESS % (503, NOT_RUN)),
+                            ("/once/", ENDLESS % (503, NOT_RUN)),
+                            ("/again/", ENDLESS % (500, b""))):
+            self.answer_with(in_turn(sends_forever(head)))
+            begin = time.monotonic()
+            with self.subTest(route=route, head=head):
+                self.assertEqual(self.call(route), (200, EVENTS))
+                self.assertLess(time.monotonic() - begin, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -201,10 +201,13 @@
 		text, strlen(text), fixture->calls[index].request.user_data);
 }
 
+/* Like a protocol, makes no callback after cancel. */
 static void done(fixture_t *fixture, int index, runner_outcome_t end)
 {
-	fixture->calls[index].request.done(
-		end, fixture->calls[index].request.user_data);
+	const runner_request_t *request = &fixture->calls[index].request;
+
+	if (!fixture->calls[index].cancelled)
+		request->done(end, request->user_data);
 	run_event_loop(fixture);
 }
 
@@ -454,25 +457,61 @@
 }
 
 /* An error response without end must not fill the memory: the connection is
- * closed and the request goes to another runner. */
+ * closed, also when no other runner may have the request. */
 static void test_body_without_end(void)
 {
-	fixture_t *fixture = fixture_new();
 	char *text = g_strnfill(64 * 1024, 'x');
 
-	start_execution(fixture, true, false, true);
-	answer(fixture, 0, 500, false);
-	for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
-		data(fixture, 0, text);
-	run_event_loop(fixture);
-	CU_ASSERT(fixture->calls[0].cancelled);
-	CU_ASSERT_EQUAL(fixture->count, 2);
-	CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
-				   fixture->calls[1].instance);
-	CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
-	done(fixture, 1, RUNNER_NOT_SENT);
+	for (int resumable = 0; resumable < 2; resumable++) {
+		fixture_t *fixture = fixture_new();
+
+		start_execution(fixture, true, false, resumable);
+		answer(fixture, 0, 500, false);
+		for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
+			data(fixture, 0, text);
+		run_event_loop(fixture);
+		CU_ASSERT(fixture->calls[0].cancelled);
+		CU_ASSERT_EQUAL(fixture->count, resumable ? 2 : 1);
+		CU_ASSERT_EQUAL(fixture->ends, resumable ? 0 : 1);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+		if (resumable) {
+			CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
+						   fixture->calls[1].instance);
+			done(fixture, 1, RUNNER_NOT_SENT);
+		}
+		fixture_free(fixture);
+	}
 	g_free(text);
-	fixture_free(fixture);
+}
+
+/* A caller must not wait for the end of an error, which may never come, when
+ * another runner can have the request. */
+static void test_error_is_not_awaited(void)
+{
+	static const struct {
+		int status;
+		bool not_run, stream, idempotent, resumable;
+	} cases[] = {
+		{ 500, false, false, true, false },
+		{ 503, true, false, false, false },
+		{ 421, true, true, false, false },
+		{ 200, true, true, false, false },
+		{ 500, false, true, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture = fixture_new();
+
+		start_execution(fixture, cases[i].stream, cases[i].idempotent,
+				cases[i].resumable);
+		answer(fixture, 0, cases[i].status, cases[i].not_run);
+		run_event_loop(fixture);
+		CU_ASSERT(fixture->calls[0].cancelled);
+		CU_ASSERT_EQUAL(fixture->count, 2);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+		execution_cancel(g_queue_peek_head(&fixture->context.active));
+		fixture_free(fixture);
+	}
 }
 
 /* The runner ends while it processes a request. */
@@ -595,6 +634,7 @@
 		{ "stall", test_stall },
 		{ "bytes without events", test_bytes_without_events },
 		{ "body without end", test_body_without_end },
+		{ "error is not awaited", test_error_is_not_awaited },
 		{ "crashing request is not resumed",
 		  test_crashing_request_is_not_resumed },
 		{ "same body with other parts",
