--- a/tests/process/test_broken_answer.py
+++ b/tests/process/test_broken_answer.py
@@ -211,9 +211,11 @@
             time.sleep(0.3)
 
     def test_error_without_end(self):
-        """Guards against a caller who waits for the end of an error while
-        another runner could answer."""
-        for route, head in (("/safe/", ENDLESS % (500, b"")),
+        """Guards against a caller who waits for the end of an error, or of the
+        answer to another request, while another runner could answer."""
+        for route, head in (("/safe/", b"HTTP/1.1 200 X\r\nRequest-Id: other"
+                             b"\r\n\r\n"),
+                            ("/safe/", ENDLESS % (500, b"")),
                             ("/safe/", ENDLESS % (503, NOT_RUN)),
                             ("/unsafe/", ENDLESS % (503, NOT_RUN)),
                             ("/once/", ENDLESS % (503, NOT_RUN)),
