Announce that a stopping gateway closes the connection

Callers saw: responses of a gateway that stops did not say Connection: close, and kept connections were closed some milliseconds after them. A request that a client sent meanwhile found its connection closed.

Cause: evhtp_request_set_keepalive(request, 0) of libevhtp does not clear the flag (a program that calls it prints 2 before and after), so http_close_after() had no effect. Besides, it was not called for requests received before the stop, and for those without a route.

Why it works: http_close_after() clears the flag itself; libevhtp then adds the header and closes after the response. It is called for all responses that begin after SIGTERM.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -130,10 +130,18 @@
 		 request->load.batch);
 }
 
+/* For requests that were received before the stop. */
+static void announce_close(const relayed_t *request)
+{
+	if (request->relay->stopping && !request->streaming)
+		http_close_after(request->exchange);
+}
+
 static void on_start(const runner_answer_t *answer, void *user_data)
 {
 	relayed_t *request = user_data;
 
+	announce_close(request);
 	request->streaming = true;
 	request->first_ms = age_ms(request);
 	note_runner(request);
@@ -175,6 +183,7 @@
 {
 	relayed_t *request = user_data;
 
+	announce_close(request);
 	request->first_ms = age_ms(request);
 	note_runner(request);
 	histogram_add(&request->relay->latency,
@@ -202,6 +211,9 @@
 	log_end(request, outcomes[execution_outcome].name,
 		outcomes[execution_outcome].status);
 	http_on_closed(exchange, NULL, NULL);
+	if (execution_outcome == EXECUTION_NOT_RUN ||
+	    execution_outcome == EXECUTION_UNKNOWN)
+		announce_close(request);
 	if (execution_outcome == EXECUTION_DONE)
 		(*relay->completed_total)++;
 	else
@@ -540,6 +552,7 @@
 	(*request->relay->failed_total)++;
 	http_on_closed(exchange, NULL, NULL);
 	execution_cancel(request->execution);
+	announce_close(request);
 	if (request->streaming)
 		http_stream_abort(exchange);
 	else if (may_have_run)
--- a/src/http/http_exchange.c
+++ b/src/http/http_exchange.c
@@ -89,7 +89,8 @@
 
 void http_close_after(http_exchange_t *exchange)
 {
-	evhtp_request_set_keepalive(exchange->request, 0);
+	/* evhtp_request_set_keepalive() of libevhtp does not clear the flag. */
+	exchange->request->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
 }
 
 const char *http_body(http_exchange_t *exchange, size_t *len)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -81,7 +81,8 @@
 				   void *user_data),
 		      void *user_data);
 /*
- * Closes the connection after this response and announces it in the response.
+ * Closes the connection after this response and announces it in the response;
+ * before http_reply() or http_stream_start(). May be called again.
  */
 void http_close_after(http_exchange_t *exchange);
 /* The body as one block, with a NUL after *len bytes. Never NULL. */
