Answer the requests that still run at the end of the grace

Callers saw: a request that was taken after SIGTERM and ran longer than the rest of the grace had its connection closed without an answer when the process exited, 0.4 s before the end of the grace, also one that may run only once.

Cause: the event loop ended with the grace, whatever was in progress.

Why it works: 0.15 s before, each such request is ended: 504 if a runner may have run it, 503 with Retry-After if none has, both with Connection: close. Job submissions and reads that wait for the store get 504. A stream that has begun ends without its last chunk, as before. http_server_end_exchanges() tells the owners as if the caller had left, so that their calls to runners are cancelled.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,6 +19,11 @@
 #define LAST_REQUEST_MS 300
 /* Reserved for the exit of the process itself. */
 #define EXIT_RESERVE_MS 400
+/* Time in which the answers to the requests that are ended reach the kernel; some
+ * ticks. */
+#define LAST_ANSWER_MS 150
+/* Another node can serve a request that is ended at once. */
+#define ENDED_RETRY_MS 50
 /* Runners register one after the other, and each watch that returns costs a
  * call to the store, so their changes are batched. A draining runner must be
  * known within two seconds. */
@@ -167,6 +172,22 @@
 	return stopping_ms(gateway) >= BALANCER_REMOVAL_MS + LAST_REQUEST_MS;
 }
 
+static void answer_ended(http_exchange_t *exchange, void *user_data)
+{
+	http_reply(exchange, 504, NULL, "", 0);
+}
+
+/* Answers what the grace period does not suffice for, so that its callers learn
+ * at once that it may have run. */
+static void end_requests(gateway_t *gateway)
+{
+	if (stopping_ms(gateway) <
+	    gateway->grace_ms - EXIT_RESERVE_MS - LAST_ANSWER_MS)
+		return;
+	relay_end(gateway->relay, ENDED_RETRY_MS);
+	http_server_end_exchanges(gateway->callers, answer_ended);
+}
+
 /* Closes idle connections, since callers keep connections open and would go on
  * using them. */
 static void close_connections(gateway_t *gateway)
@@ -214,6 +235,8 @@
 		close_connections(gateway);
 	job_owner_tick(gateway->job_owner);
 	job_table_tick(gateway->job_table);
+	if (gateway->stopping_since_us)
+		end_requests(gateway);
 	if (gateway->stopping_since_us && may_exit(gateway))
 		event_base_loopbreak(gateway->base);
 }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -543,12 +543,14 @@
 		admit(relay, paths, route, exchange, request, 0);
 }
 
-static void expire(relayed_t *request)
+/* Ends a request that has no complete response. */
+static void give_up(relayed_t *request, const char *outcome,
+		    int32_t retry_after_ms)
 {
 	http_exchange_t *exchange = request->exchange;
 	bool may_have_run = execution_may_have_run(request->execution);
 
-	log_end(request, "expired", may_have_run ? 504 : 503);
+	log_end(request, outcome, may_have_run ? 504 : 503);
 	(*request->relay->failed_total)++;
 	http_on_closed(exchange, NULL, NULL);
 	execution_cancel(request->execution);
@@ -558,10 +560,15 @@
 	else if (may_have_run)
 		http_reply(exchange, 504, NULL, "", 0);
 	else
-		relay_refuse(exchange, request->route->objective_ms);
+		relay_refuse(exchange, retry_after_ms);
 	relayed_free(request);
 }
 
+static void expire(relayed_t *request)
+{
+	give_up(request, "expired", request->route->objective_ms);
+}
+
 void relay_sweep(relay_t *relay)
 {
 	int64_t now_us = clock_now_us(relay->executions->clock);
@@ -581,6 +588,18 @@
 	}
 }
 
+void relay_end(relay_t *relay, int32_t retry_after_ms)
+{
+	GList *link = relay->requests.head;
+
+	while (link) {
+		relayed_t *request = link->data;
+
+		link = link->next;
+		give_up(request, "stopped", retry_after_ms);
+	}
+}
+
 uint32_t relay_active(const relay_t *relay)
 {
 	return relay->requests.length + take_ups_count(relay->take_ups);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -56,6 +56,9 @@
 uint32_t relay_active(const relay_t *relay);
 /* Responses to requests received from now on close their connections. */
 void relay_stop(relay_t *relay);
+/* Answers all requests in progress, as the process exits: 504 to those that may
+ * have run, a refusal to the others. Streams that have begun are aborted. */
+void relay_end(relay_t *relay, int32_t retry_after_ms);
 /* Distribution of the times until a stream's start or a complete response. */
 const histogram_t *relay_latency(const relay_t *relay);
 
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -94,14 +94,22 @@
 	connection->handling = false;
 }
 
-static void notify_closed(http_exchange_t *exchange)
+/* Returns false if no owner waits for the end of the exchange. */
+static bool detach_owner(http_exchange_t *exchange)
 {
 	http_closed_t closed = exchange->closed;
 
 	exchange->closed = NULL;
-	if (closed && (exchange->state == EXCHANGE_PENDING ||
-		       exchange->state == EXCHANGE_STREAMING))
-		closed(exchange, exchange->closed_data);
+	if (!closed || (exchange->state != EXCHANGE_PENDING &&
+			exchange->state != EXCHANGE_STREAMING))
+		return false;
+	closed(exchange, exchange->closed_data);
+	return true;
+}
+
+static void notify_closed(http_exchange_t *exchange)
+{
+	detach_owner(exchange);
 	exchange->state = EXCHANGE_FINISHED;
 	http_exchange_mark_answered(exchange);
 }
@@ -728,6 +736,33 @@
 	}
 }
 
+static void end_exchange(http_exchange_t *exchange, http_handler_t answer,
+			 void *user_data)
+{
+	if (!detach_owner(exchange))
+		return;
+	if (exchange->state == EXCHANGE_STREAMING) {
+		http_stream_abort(exchange);
+		return;
+	}
+	http_close_after(exchange);
+	answer(exchange, user_data);
+}
+
+void http_server_end_exchanges(http_server_t *server, http_handler_t answer)
+{
+	GList *link = server->connections.head;
+
+	while (link) {
+		http_connection_t *connection = link->data;
+
+		link = link->next;
+		if (connection->exchange)
+			end_exchange(connection->exchange, answer,
+				     server->user_data);
+	}
+}
+
 bool http_server_is_drained(const http_server_t *server)
 {
 	for (GList *link = server->connections.head; link; link = link->next) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -65,6 +65,13 @@
  */
 void http_server_stop_listening(http_server_t *server);
 void http_server_close_idle(http_server_t *server);
+/*
+ * Ends the exchanges that are not answered, for a process that exits: their
+ * owners are told as if the peer had closed the connection, then the handler
+ * answers those without a response, with the server's user data. Streams are
+ * aborted.
+ */
+void http_server_end_exchanges(http_server_t *server, http_handler_t answer);
 /* True when all responses have been passed to the kernel completely. */
 bool http_server_is_drained(const http_server_t *server);
 
