--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -130,10 +130,18 @@
 		 request->load.batch);
 }
 
+/* For requests that were received before the stop. */
+static void announce_close(const relayed_t *request)
+{
+	if (request->relay->stopping && !request->streaming)
+		http_close_after(request->exchange);
+}
+
 static void on_start(const runner_answer_t *answer, void *user_data)
 {
 	relayed_t *request = user_data;
 
+	announce_close(request);
 	request->streaming = true;
 	request->first_ms = age_ms(request);
 	note_runner(request);
@@ -175,6 +183,7 @@
 {
 	relayed_t *request = user_data;
 
+	announce_close(request);
 	request->first_ms = age_ms(request);
 	note_runner(request);
 	histogram_add(&request->relay->latency,
@@ -202,6 +211,9 @@
 	log_end(request, outcomes[execution_outcome].name,
 		outcomes[execution_outcome].status);
 	http_on_closed(exchange, NULL, NULL);
+	if (execution_outcome == EXECUTION_NOT_RUN ||
+	    execution_outcome == EXECUTION_UNKNOWN)
+		announce_close(request);
 	if (execution_outcome == EXECUTION_DONE)
 		(*relay->completed_total)++;
 	else
@@ -531,24 +543,32 @@
 		admit(relay, paths, route, exchange, request, 0);
 }
 
-static void expire(relayed_t *request)
+/* Ends a request that has no complete response. */
+static void give_up(relayed_t *request, const char *outcome,
+		    int32_t retry_after_ms)
 {
 	http_exchange_t *exchange = request->exchange;
 	bool may_have_run = execution_may_have_run(request->execution);
 
-	log_end(request, "expired", may_have_run ? 504 : 503);
+	log_end(request, outcome, may_have_run ? 504 : 503);
 	(*request->relay->failed_total)++;
 	http_on_closed(exchange, NULL, NULL);
 	execution_cancel(request->execution);
+	announce_close(request);
 	if (request->streaming)
 		http_stream_abort(exchange);
 	else if (may_have_run)
 		http_reply(exchange, 504, NULL, "", 0);
 	else
-		relay_refuse(exchange, request->route->objective_ms);
+		relay_refuse(exchange, retry_after_ms);
 	relayed_free(request);
 }
 
+static void expire(relayed_t *request)
+{
+	give_up(request, "expired", request->route->objective_ms);
+}
+
 void relay_sweep(relay_t *relay)
 {
 	int64_t now_us = clock_now_us(relay->executions->clock);
@@ -568,6 +588,18 @@
 	}
 }
 
+void relay_end(relay_t *relay, int32_t retry_after_ms)
+{
+	GList *link = relay->requests.head;
+
+	while (link) {
+		relayed_t *request = link->data;
+
+		link = link->next;
+		give_up(request, "stopped", retry_after_ms);
+	}
+}
+
 uint32_t relay_active(const relay_t *relay)
 {
 	return relay->requests.length + take_ups_count(relay->take_ups);
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -180,26 +180,34 @@
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 }
 
-static void answer(fixture_t *fixture, int index, int status, bool not_run)
+static void answer_with(fixture_t *fixture, int index, runner_answer_t a)
 {
-	runner_answer_t a = { .status = status, .not_run = not_run };
-
 	a.headers = g_ptr_array_new();
 	fixture->calls[index].request.answer(
 		&a, fixture->calls[index].request.user_data);
 	g_ptr_array_unref(a.headers);
 }
 
+static void answer(fixture_t *fixture, int index, int status, bool not_run)
+{
+	const runner_answer_t a = { .status = status, .not_run = not_run };
+
+	answer_with(fixture, index, a);
+}
+
 static void data(fixture_t *fixture, int index, const char *text)
 {
 	fixture->calls[index].request.data(
 		text, strlen(text), fixture->calls[index].request.user_data);
 }
 
+/* Like a protocol, makes no callback after cancel. */
 static void done(fixture_t *fixture, int index, runner_outcome_t end)
 {
-	fixture->calls[index].request.done(
-		end, fixture->calls[index].request.user_data);
+	const runner_request_t *request = &fixture->calls[index].request;
+
+	if (!fixture->calls[index].cancelled)
+		request->done(end, request->user_data);
 	run_event_loop(fixture);
 }
 
@@ -351,6 +359,28 @@
 	fixture_free(fixture);
 }
 
+/* A resumed stream must not end as complete when the runner goes down before it
+ * has sent an event. Only a framed response can be empty and complete. */
+static void test_empty_resumption(void)
+{
+	for (int until_close = 0; until_close < 2; until_close++) {
+		fixture_t *fixture = fixture_new();
+		const runner_answer_t a = { .status = 200,
+					    .until_close = until_close };
+
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		done(fixture, 0, RUNNER_TRUNCATED);
+		answer_with(fixture, 1, a);
+		done(fixture, 1, RUNNER_COMPLETE);
+		CU_ASSERT_EQUAL(fixture->end, until_close ?
+						      EXECUTION_TRUNCATED :
+						      EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
 /* An event out of order must end the attempt and must not be delivered. */
 static void test_event_out_of_order(void)
 {
@@ -427,25 +457,61 @@
 }
 
 /* An error response without end must not fill the memory: the connection is
- * closed and the request goes to another runner. */
+ * closed, also when no other runner may have the request. */
 static void test_body_without_end(void)
 {
-	fixture_t *fixture = fixture_new();
 	char *text = g_strnfill(64 * 1024, 'x');
 
-	start_execution(fixture, true, false, true);
-	answer(fixture, 0, 500, false);
-	for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
-		data(fixture, 0, text);
-	run_event_loop(fixture);
-	CU_ASSERT(fixture->calls[0].cancelled);
-	CU_ASSERT_EQUAL(fixture->count, 2);
-	CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
-				   fixture->calls[1].instance);
-	CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
-	done(fixture, 1, RUNNER_NOT_SENT);
+	for (int resumable = 0; resumable < 2; resumable++) {
+		fixture_t *fixture = fixture_new();
+
+		start_execution(fixture, true, false, resumable);
+		answer(fixture, 0, 500, false);
+		for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
+			data(fixture, 0, text);
+		run_event_loop(fixture);
+		CU_ASSERT(fixture->calls[0].cancelled);
+		CU_ASSERT_EQUAL(fixture->count, resumable ? 2 : 1);
+		CU_ASSERT_EQUAL(fixture->ends, resumable ? 0 : 1);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+		if (resumable) {
+			CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
+						   fixture->calls[1].instance);
+			done(fixture, 1, RUNNER_NOT_SENT);
+		}
+		fixture_free(fixture);
+	}
 	g_free(text);
-	fixture_free(fixture);
+}
+
+/* A caller must not wait for the end of an error, which may never come, when
+ * another runner can have the request. */
+static void test_error_is_not_awaited(void)
+{
+	static const struct {
+		int status;
+		bool not_run, stream, idempotent, resumable;
+	} cases[] = {
+		{ 500, false, false, true, false },
+		{ 503, true, false, false, false },
+		{ 421, true, true, false, false },
+		{ 200, true, true, false, false },
+		{ 500, false, true, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture = fixture_new();
+
+		start_execution(fixture, cases[i].stream, cases[i].idempotent,
+				cases[i].resumable);
+		answer(fixture, 0, cases[i].status, cases[i].not_run);
+		run_event_loop(fixture);
+		CU_ASSERT(fixture->calls[0].cancelled);
+		CU_ASSERT_EQUAL(fixture->count, 2);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+		execution_cancel(g_queue_peek_head(&fixture->context.active));
+		fixture_free(fixture);
+	}
 }
 
 /* The runner ends while it processes a request. */
@@ -563,10 +629,12 @@
 		{ "empty stream changes version",
 		  test_empty_stream_changes_version },
 		{ "truncated event", test_truncated_event },
+		{ "empty resumption", test_empty_resumption },
 		{ "event out of order", test_event_out_of_order },
 		{ "stall", test_stall },
 		{ "bytes without events", test_bytes_without_events },
 		{ "body without end", test_body_without_end },
+		{ "error is not awaited", test_error_is_not_awaited },
 		{ "crashing request is not resumed",
 		  test_crashing_request_is_not_resumed },
 		{ "same body with other parts",
