Log and count requests that end without a complete answer

request_end tells how a request ended, but not why no other attempt followed, nor for how long the configuration had been in force. The new line request_incomplete has the reason, the version by which the request is handled, the newest version, and the ages of both; requests_incomplete_total counts by reason. try_failed tells for how long the runner had been silent, so that an attempt that this node gave up can be told from one that the runner ended. docs/OPERATIONS.md leads from a request's id to the reason.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -100,14 +100,27 @@
 	execution->runner = NULL;
 }
 
-static void finish(execution_t *execution, execution_outcome_t outcome)
+static void finish(execution_t *execution, execution_outcome_t outcome,
+		   execution_reason_t reason)
 {
 	const execution_sink_t *sink = execution->sink;
 	void *user_data = execution->user_data;
 
 	release_runner(execution);
 	execution_free(execution);
-	sink->end(outcome, user_data);
+	sink->end(outcome, reason, user_data);
+}
+
+/* Ends the execution without a complete response. */
+static void give_up(execution_t *execution, execution_reason_t reason)
+{
+	execution_outcome_t outcome = EXECUTION_NOT_RUN;
+
+	if (execution->stream_started)
+		outcome = EXECUTION_TRUNCATED;
+	else if (execution->runs > 0)
+		outcome = EXECUTION_UNKNOWN;
+	finish(execution, outcome, reason);
 }
 
 static int32_t remaining_ms(const execution_t *execution)
@@ -204,6 +217,15 @@
 			 1000);
 }
 
+/* Time since the current attempt began, its response did, or the last event
+ * came. */
+static int32_t silent_ms(const execution_t *execution)
+{
+	return (int32_t)((clock_now_us(execution->context->clock) -
+			  execution->progress_us) /
+			 1000);
+}
+
 static void report_failure(execution_t *execution, attempt_outcome_t outcome)
 {
 	static const char *const names[] = { "unreachable", "refused", "broken",
@@ -215,13 +237,14 @@
 	log_info("try_failed",
 		 "request=%s runner=%s try=%u end=%s may_have_run=%d "
 		 "status=%d begun=%d last_event=%" G_GINT64_FORMAT
-		 " left_ms=%d age_ms=%d digest=%" PRIx64 " parts=%s",
+		 " left_ms=%d age_ms=%d silent_ms=%d digest=%" PRIx64
+		 " parts=%s",
 		 execution->id, execution->runner->id, execution->attempts,
 		 names[outcome], may_have_run(outcome),
 		 execution->answered ? execution->answer.status : 0,
 		 execution->begun, execution->events.last_id,
 		 remaining_ms(execution), attempt_age_ms(execution),
-		 execution->digest, parts);
+		 silent_ms(execution), execution->digest, parts);
 	if (outcome == ATTEMPT_WITHDRAWN)
 		return;
 	if (outcome == ATTEMPT_UNREACHABLE)
@@ -232,32 +255,42 @@
 		fleet_failed(fleet, execution->runner);
 }
 
+/* Why no other attempt may follow; EXECUTION_COMPLETED: one may. */
+static execution_reason_t attempts_end(const execution_t *execution)
+{
+	if (execution_hold_ms(execution->context, &execution->parts) > 0)
+		return EXECUTION_HELD;
+	if (execution->runs >= execution->max_runners)
+		return EXECUTION_RUNNERS_USED;
+	if (execution->attempts >= MAX_ATTEMPTS)
+		return EXECUTION_ATTEMPTS_USED;
+	if (remaining_ms(execution) < MIN_ATTEMPT_MS)
+		return EXECUTION_NO_TIME;
+	return EXECUTION_COMPLETED;
+}
+
 static void attempt_failed(execution_t *execution, attempt_outcome_t outcome)
 {
 	/* The owner of a batch item delays it after a loss without output. */
 	bool delayed = execution->batch && !execution->begun;
-	bool retry =
-		(!may_have_run(outcome) || execution->idempotent ||
-		 (execution->stream && execution->resumable && !delayed)) &&
-		execution_hold_ms(execution->context, &execution->parts) == 0;
+	bool repeatable =
+		!may_have_run(outcome) || execution->idempotent ||
+		(execution->stream && execution->resumable && !delayed);
+	execution_reason_t reason;
 
 	report_failure(execution, outcome);
 	if (!may_have_run(outcome))
 		execution->runs--;
-	if (retry && execution->attempts < MAX_ATTEMPTS &&
-	    execution->runs < execution->max_runners &&
-	    remaining_ms(execution) >= MIN_ATTEMPT_MS) {
+	reason =
+		repeatable ? attempts_end(execution) : EXECUTION_NOT_REPEATABLE;
+	if (reason == EXECUTION_COMPLETED) {
 		const struct timeval now = { 0, 0 };
 
 		release_runner(execution);
 		evtimer_add(execution->retry, &now);
 		return;
 	}
-	if (execution->stream_started)
-		finish(execution, EXECUTION_TRUNCATED);
-	else
-		finish(execution, execution->runs > 0 ? EXECUTION_UNKNOWN :
-							EXECUTION_NOT_RUN);
+	give_up(execution, reason);
 }
 
 /* Cancels the call and ends the attempt, as its response is invalid. */
@@ -297,7 +330,7 @@
 	execution->sink->response(
 		&execution->answer, execution->response_body->str,
 		execution->response_body->len, execution->user_data);
-	finish(execution, EXECUTION_DONE);
+	finish(execution, EXECUTION_DONE, EXECUTION_COMPLETED);
 }
 
 /* A server error that another runner may not return. */
@@ -364,7 +397,7 @@
 		}
 		note_completion(execution);
 		fleet_succeeded(execution->context->fleet, execution->runner);
-		finish(execution, EXECUTION_DONE);
+		finish(execution, EXECUTION_DONE, EXECUTION_COMPLETED);
 		return;
 	}
 	if (is_retryable_error(execution)) {
@@ -474,13 +507,8 @@
 
 static void next_attempt(execution_t *execution)
 {
-	if (start_attempt(execution))
-		return;
-	if (execution->stream_started)
-		finish(execution, EXECUTION_TRUNCATED);
-	else
-		finish(execution, execution->runs > 0 ? EXECUTION_UNKNOWN :
-							EXECUTION_NOT_RUN);
+	if (!start_attempt(execution))
+		give_up(execution, EXECUTION_NO_RUNNER);
 }
 
 static void on_retry(evutil_socket_t fd, short events, void *arg)
@@ -563,6 +591,21 @@
 	return execution->runs > 0;
 }
 
+const char *execution_reason_name(execution_reason_t reason)
+{
+	static const char *const names[EXECUTION_REASONS] = {
+		[EXECUTION_COMPLETED] = "completed",
+		[EXECUTION_NOT_REPEATABLE] = "not_repeatable",
+		[EXECUTION_HELD] = "held",
+		[EXECUTION_RUNNERS_USED] = "runners_used",
+		[EXECUTION_ATTEMPTS_USED] = "attempts_used",
+		[EXECUTION_NO_TIME] = "no_time",
+		[EXECUTION_NO_RUNNER] = "no_runner",
+	};
+
+	return names[reason];
+}
+
 const fleet_runner_t *execution_runner(const execution_t *execution)
 {
 	return execution->runner;
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -32,6 +32,18 @@
 	EXECUTION_TRUNCATED /* the stream was truncated after its start */
 } execution_outcome_t;
 
+/* Why an execution ended without a complete response. */
+typedef enum execution_reason {
+	EXECUTION_COMPLETED,
+	EXECUTION_NOT_REPEATABLE, /* the attempt may have run */
+	EXECUTION_HELD, /* see execution_hold_ms() */
+	EXECUTION_RUNNERS_USED, /* max_runners may have run it */
+	EXECUTION_ATTEMPTS_USED,
+	EXECUTION_NO_TIME, /* for another attempt */
+	EXECUTION_NO_RUNNER, /* none can take another attempt */
+	EXECUTION_REASONS /* number of reasons */
+} execution_reason_t;
+
 typedef struct execution_sink {
 	void (*start)(const runner_answer_t *answer, void *user_data);
 	/* One complete event: as received, and its payload. */
@@ -39,7 +51,8 @@
 		      size_t data_len, void *user_data);
 	void (*response)(const runner_answer_t *answer, const char *body,
 			 size_t len, void *user_data);
-	void (*end)(execution_outcome_t end, void *user_data);
+	void (*end)(execution_outcome_t end, execution_reason_t reason,
+		    void *user_data);
 } execution_sink_t;
 
 /* Shared by all executions of a process. */
@@ -101,6 +114,7 @@
 void execution_cancel(execution_t *execution);
 /* True when a runner may have started to process the request. */
 bool execution_may_have_run(const execution_t *execution);
+const char *execution_reason_name(execution_reason_t reason);
 const fleet_runner_t *execution_runner(const execution_t *execution);
 /* The software that has written the events; 0: not known. */
 uint64_t execution_version_key(const execution_t *execution);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -52,6 +52,7 @@
 	log_info("config_adopted",
 		 "version=%" PRIu64 " revision=%" PRIu64 " routes=%u",
 		 paths->version, entry->version, paths->routes->len);
+	paths->adopted_us = clock_now_us(gateway->clock);
 	path_table_unref(gateway->paths);
 	gateway->paths = paths;
 }
@@ -480,8 +481,13 @@
 		.user_data = gateway,
 	};
 	gateway->origins = stream_origins_new(&origins);
-	relay = (relay_options_t){ &gateway->executions, gateway->origins,
-				   gateway->random, gateway->counters };
+	relay = (relay_options_t){
+		.executions = &gateway->executions,
+		.origins = gateway->origins,
+		.paths = &gateway->paths,
+		.random = gateway->random,
+		.counters = gateway->counters,
+	};
 	gateway->relay = relay_new(&relay);
 	start_jobs(gateway, options);
 	if (!start_peer_load(gateway, options, error))
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -151,7 +151,8 @@
 		set_backoff(owned);
 }
 
-static void on_end(execution_outcome_t end, void *user_data)
+static void on_end(execution_outcome_t end, execution_reason_t reason,
+		   void *user_data)
 {
 	owned_item_t *owned = user_data;
 	bool completed = end == EXECUTION_DONE &&
--- a/src/gateway/path_table.h
+++ b/src/gateway/path_table.h
@@ -43,6 +43,7 @@
 
 typedef struct path_table {
 	uint64_t version;
+	int64_t adopted_us; /* monotonic time since which it is in force */
 	uint32_t idle_timeout_ms; /* of callers' connections */
 	GPtrArray *routes; /* path_route_t */
 	int refs;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -14,9 +14,18 @@
 /* Part of a hold over which the requests that it held back return. */
 #define HOLD_SPREAD_DIVISOR 4
 
+/* Why a request ended without a complete response of a runner: a reason of its
+ * execution, or one of these. */
+enum incomplete_reason {
+	INCOMPLETE_DEADLINE = EXECUTION_REASONS,
+	INCOMPLETE_SLOW_CALLER,
+	INCOMPLETE_REASONS
+};
+
 struct relay {
 	execution_context_t *executions;
 	stream_origins_t *origins;
+	path_table_t *const *paths;
 	take_ups_t *take_ups;
 	GRand *random;
 	GQueue requests; /* relayed_t */
@@ -29,6 +38,7 @@
 	int64_t *held_total;
 	int64_t *completed_total;
 	int64_t *failed_total;
+	int64_t *incomplete_total[INCOMPLETE_REASONS];
 	int64_t *abandoned_total;
 	int64_t *take_ups_total;
 	int64_t *take_ups_refused_total;
@@ -130,6 +140,47 @@
 		 request->load.batch);
 }
 
+static const char *incomplete_name(int reason)
+{
+	if (reason == INCOMPLETE_DEADLINE)
+		return "deadline";
+	if (reason == INCOMPLETE_SLOW_CALLER)
+		return "slow_caller";
+	return execution_reason_name((execution_reason_t)reason);
+}
+
+static int64_t config_age_ms(const relay_t *relay, const path_table_t *paths)
+{
+	return (clock_now_us(relay->executions->clock) - paths->adopted_us) /
+	       1000;
+}
+
+/* Reports a request that ends without a complete response of a runner, other
+ * than by its caller. */
+static void note_incomplete(const relayed_t *request, const char *outcome,
+			    int reason)
+{
+	relay_t *relay = request->relay;
+	const path_table_t *latest = *relay->paths;
+	int64_t left_ms = 0;
+
+	if (request->expires_us)
+		left_ms = (request->expires_us -
+			   clock_now_us(relay->executions->clock)) /
+			  1000;
+	(*relay->incomplete_total[reason])++;
+	log_info("request_incomplete",
+		 "request=%s route=%s outcome=%s reason=%s runner=%s "
+		 "age_ms=%d first_ms=%d left_ms=%" PRId64 " config=%" PRIu64
+		 " config_age_ms=%" PRId64 " latest=%" PRIu64
+		 " latest_age_ms=%" PRId64,
+		 request->id, request->route->name, outcome,
+		 incomplete_name(reason), request->runner, age_ms(request),
+		 request->first_ms, left_ms, request->paths->version,
+		 config_age_ms(relay, request->paths), latest->version,
+		 config_age_ms(relay, latest));
+}
+
 static void on_start(const runner_answer_t *answer, void *user_data)
 {
 	relayed_t *request = user_data;
@@ -183,7 +234,8 @@
 	http_reply(request->exchange, answer->status, NULL, body, len);
 }
 
-static void on_end(execution_outcome_t execution_outcome, void *user_data)
+static void on_end(execution_outcome_t execution_outcome,
+		   execution_reason_t reason, void *user_data)
 {
 	static const struct {
 		const char *name;
@@ -201,6 +253,10 @@
 	request->execution = NULL;
 	log_end(request, outcomes[execution_outcome].name,
 		outcomes[execution_outcome].status);
+	if (execution_outcome == EXECUTION_UNKNOWN ||
+	    execution_outcome == EXECUTION_TRUNCATED)
+		note_incomplete(request, outcomes[execution_outcome].name,
+				reason);
 	http_on_closed(exchange, NULL, NULL);
 	if (execution_outcome == EXECUTION_DONE)
 		(*relay->completed_total)++;
@@ -456,6 +512,19 @@
 					      take_up->request.deadline_ms));
 }
 
+static void init_incomplete_totals(relay_t *relay, counter_set_t *counters)
+{
+	for (int i = EXECUTION_COMPLETED + 1; i < INCOMPLETE_REASONS; i++) {
+		char *label =
+			g_strdup_printf("reason=\"%s\"", incomplete_name(i));
+
+		relay->incomplete_total[i] =
+			counter_get(counters, COUNTER_MONOTONIC,
+				    "requests_incomplete_total", label);
+		g_free(label);
+	}
+}
+
 relay_t *relay_new(const relay_options_t *options)
 {
 	relay_t *relay = g_new0(relay_t, 1);
@@ -469,6 +538,7 @@
 
 	relay->executions = options->executions;
 	relay->origins = options->origins;
+	relay->paths = options->paths;
 	relay->take_ups = take_ups_new(&take_ups);
 	relay->random = options->random;
 	g_queue_init(&relay->requests);
@@ -484,6 +554,7 @@
 					     "requests_completed_total", NULL);
 	relay->failed_total = counter_get(counters, COUNTER_MONOTONIC,
 					  "requests_failed_total", NULL);
+	init_incomplete_totals(relay, counters);
 	relay->abandoned_total = counter_get(counters, COUNTER_MONOTONIC,
 					     "requests_abandoned_total", NULL);
 	relay->take_ups_total = counter_get(counters, COUNTER_MONOTONIC,
@@ -531,12 +602,14 @@
 		admit(relay, paths, route, exchange, request, 0);
 }
 
-static void expire(relayed_t *request)
+static void expire(relayed_t *request, int reason)
 {
 	http_exchange_t *exchange = request->exchange;
 	bool may_have_run = execution_may_have_run(request->execution);
 
 	log_end(request, "expired", may_have_run ? 504 : 503);
+	if (request->streaming || may_have_run)
+		note_incomplete(request, "expired", reason);
 	(*request->relay->failed_total)++;
 	http_on_closed(exchange, NULL, NULL);
 	execution_cancel(request->execution);
@@ -560,11 +633,11 @@
 
 		link = link->next;
 		if (request->expires_us && now_us >= request->expires_us)
-			expire(request);
+			expire(request, INCOMPLETE_DEADLINE);
 		else if (request->streaming &&
 			 http_stream_pending(request->exchange) >
 				 MAX_PENDING_BYTES)
-			expire(request);
+			expire(request, INCOMPLETE_SLOW_CALLER);
 	}
 }
 
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -22,6 +22,7 @@
 typedef struct relay_options {
 	execution_context_t *executions;
 	stream_origins_t *origins;
+	path_table_t *const *paths; /* in force */
 	GRand *random;
 	counter_set_t *counters;
 } relay_options_t;
--- /dev/null
+++ b/tests/process/test_incomplete_request.py
@@ -0,0 +1,43 @@
+#!/usr/bin/env python3
+"""Tests a gateway with requests that may end without a complete answer."""
+import http.client
+import os
+import re
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import gateway_standin as s  # noqa: E402
+from gateway_standin import f  # noqa: E402
+
+
+class IncompleteRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.store = s.Store()
+        self.store.put("config", "main", s.config(3))
+        self.runner = s.Runner(self.store, "r0")
+        self.gateway = s.Gateway(self.store, "incomplete-g0")
+        f.wait_for(self.gateway.is_ready, "gateway ready")
+
+    def tearDown(self):
+        for each in (self.gateway, self.runner, self.store):
+            each.close()
+
+    def call(self, path, name):
+        return f.request(self.gateway.port, "POST", path, b"x", {
+            "Host": s.HOST, "Request-Id": name, "Deadline-Ms": "4000"})
+
+    def test_end_is_reported(self):
+        """A stream that ends early must leave a line with the reason and the
+        configuration."""
+        self.runner.cut_at = 3
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call("/once/a", "q1")
+        line = re.search("event=request_incomplete request=q1 .*",
+                         self.gateway.log())[0]
+        self.assertIn(" outcome=cut reason=not_repeatable ", line)
+        self.assertRegex(line, r" config=3 config_age_ms=\d+ latest=3 ")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -28,6 +28,7 @@
 	GString *delivered; /* calls of the sink */
 	int ends;
 	execution_outcome_t end;
+	execution_reason_t reason;
 } fixture_t;
 
 static runner_call_t *start(void *context, const runner_request_t *request)
@@ -71,12 +72,14 @@
 			       (int)len, body);
 }
 
-static void on_end(execution_outcome_t end, void *user_data)
+static void on_end(execution_outcome_t end, execution_reason_t reason,
+		   void *user_data)
 {
 	fixture_t *fixture = user_data;
 
 	fixture->ends++;
 	fixture->end = end;
+	fixture->reason = reason;
 }
 
 static const execution_sink_t sink = { on_start, on_event, on_response,
