Add tests of streams that end early while runners are silent

A stream whose runner is silent for 1.3 s ends early although no other runner may take it, and so does one that is to be resumed while no runner can be connected to.

--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -4,7 +4,7 @@
 #include "gateway/execution.h"
 #include "unit.h"
 
-#define MAX_CALLS 16
+#define MAX_CALLS 64
 
 /* A protocol whose calls the test answers itself. */
 struct runner_call {
@@ -393,6 +393,124 @@
 	fixture_free(fixture);
 }
 
+/* Lets time pass in steps while the runners are silent. */
+static void wait_silently(fixture_t *fixture, int ms)
+{
+	for (int passed_ms = 0; passed_ms < ms; passed_ms += 50) {
+		clock_manual_advance_ms(&fixture->clock, 50);
+		execution_check_timeouts(&fixture->context);
+		run_event_loop(fixture);
+	}
+}
+
+/* A stream that no other runner can take must not end while its runner is
+ * silent: the only one of its software version, or the only one at all. */
+static void test_silence_without_other_runner(void)
+{
+	for (int only_one = 0; only_one <= 1; only_one++) {
+		fixture_t *fixture = fixture_new();
+
+		fleet_set_draining(fixture->fleet,
+				   fleet_find(fixture->fleet, fleet_key("b")));
+		if (!only_one) {
+			add_runner_of(fixture, "c", "2");
+			fleet_failed(
+				fixture->fleet,
+				fleet_find(fixture->fleet, fleet_key("c")));
+		}
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		wait_silently(fixture, 1300);
+		CU_ASSERT_FALSE_FATAL(fixture->calls[0].cancelled);
+		data(fixture, 0, "id: 2\ndata: b\n\n");
+		done(fixture, 0, RUNNER_COMPLETE);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "start|a|b|");
+		CU_ASSERT_EQUAL(fixture->end, EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
+/* A stream must not end, begun or not, while the last runner that may run it is
+ * silent. */
+static void test_silence_without_budget(void)
+{
+	for (int begun = 0; begun <= 1; begun++) {
+		fixture_t *fixture = fixture_new();
+
+		add_runner(fixture, "c");
+		start_execution(fixture, true, false, true);
+		done(fixture, 0, RUNNER_TRUNCATED);
+		CU_ASSERT_EQUAL_FATAL(fixture->count, 2);
+		if (begun)
+			answer(fixture, 1, 200, false);
+		wait_silently(fixture, 1300);
+		CU_ASSERT_FALSE_FATAL(fixture->calls[1].cancelled);
+		CU_ASSERT_EQUAL(fixture->ends, 0);
+		if (!begun)
+			answer(fixture, 1, 200, false);
+		data(fixture, 1, "id: 1\ndata: a\n\n");
+		done(fixture, 1, RUNNER_COMPLETE);
+		CU_ASSERT_EQUAL(fixture->end, EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
+/* A stream that has begun must not end because no runner can be connected to for
+ * some seconds. Attempts must pause meanwhile, and end with the deadline. */
+static void test_resumption_waits_for_runner(void)
+{
+	for (int is_back = 0; is_back <= 1; is_back++) {
+		fixture_t *fixture = fixture_new();
+		int last = 0;
+
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		done(fixture, 0, RUNNER_TRUNCATED);
+		for (int i = 0; i < (is_back ? 8 : 40); i++) {
+			if (fixture->count - 1 > last)
+				done(fixture, ++last, RUNNER_NOT_SENT);
+			wait_silently(fixture, 250);
+		}
+		if (!is_back) {
+			CU_ASSERT_EQUAL(fixture->reason, EXECUTION_NO_TIME);
+		} else {
+			CU_ASSERT_EQUAL_FATAL(fixture->ends, 0);
+			last = fixture->count - 1;
+			CU_ASSERT(last > 4);
+			CU_ASSERT_EQUAL(fixture->calls[last].resume_after, 1);
+			answer(fixture, last, 200, false);
+			data(fixture, last, "id: 2\ndata: b\n\n");
+			done(fixture, last, RUNNER_COMPLETE);
+			CU_ASSERT_STRING_EQUAL(fixture->delivered->str,
+					       "start|a|b|");
+		}
+		CU_ASSERT_EQUAL(fixture->ends, 1);
+		fixture_free(fixture);
+	}
+}
+
+/* A stream must end at once when no runner has its software version any more,
+ * so that its client does not wait in vain. */
+static void test_resumption_without_version(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	start_execution(fixture, true, false, true);
+	answer(fixture, 0, 200, false);
+	data(fixture, 0, "id: 1\ndata: a\n\n");
+	add_runner_of(fixture, "c", "2");
+	fleet_set_draining(fixture->fleet,
+			   fleet_find(fixture->fleet, fleet_key("a")));
+	fleet_set_draining(fixture->fleet,
+			   fleet_find(fixture->fleet, fleet_key("b")));
+	done(fixture, 0, RUNNER_TRUNCATED);
+	CU_ASSERT_EQUAL(fixture->ends, 1);
+	CU_ASSERT_EQUAL(fixture->reason, EXECUTION_NO_RUNNER);
+	fixture_free(fixture);
+}
+
 /* Advances the clock in steps, each with the text from the first runner. */
 static void send_slowly(fixture_t *fixture, int step_ms, int steps,
 			const char *const *texts)
@@ -568,6 +686,13 @@
 		{ "truncated event", test_truncated_event },
 		{ "event out of order", test_event_out_of_order },
 		{ "stall", test_stall },
+		{ "silence without other runner",
+		  test_silence_without_other_runner },
+		{ "silence without budget", test_silence_without_budget },
+		{ "resumption waits for runner",
+		  test_resumption_waits_for_runner },
+		{ "resumption without version",
+		  test_resumption_without_version },
 		{ "bytes without events", test_bytes_without_events },
 		{ "body without end", test_body_without_end },
 		{ "crashing request is not resumed",
