Keep a stalled stream at its runner unless another can take it

Callers saw streams end early, or 502, about a second after their runner had fallen silent, with seconds left until their deadline.

Cause: an attempt of a resumable stream without an event for 0.9 s was cancelled first, and only then was another runner looked for. With max_attempts used up, without a healthy runner of the stream's software version, or with too little time left, the request ended there, while a runner that is silent for a second would have gone on.

Now the attempt is given up only if another runner may and can take the stream; else the request waits at its runner until the deadline, and the runner is reported as before, so that other requests avoid it.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -10,8 +10,8 @@
 /* Limit of all attempts of a request, also of refused ones, so that a fleet
  * without free slots is not asked over and over. */
 #define MAX_ATTEMPTS 4
-/* A stream without an event for this long is resumed at another runner. Callers
- * give up on a stream without events after two seconds. */
+/* A stream without an event for this long is resumed at another runner, if one
+ * can take it. Callers give up on a stream without events after two seconds. */
 #define STREAM_STALL_MS 900
 /* A runner that has not begun to answer by then has most likely lost the
  * request, as queueing does not take that long. */
@@ -446,9 +446,9 @@
 		 execution->digest);
 }
 
-static bool start_attempt(execution_t *execution)
+static fleet_pick_options_t pick_options(const execution_t *execution)
 {
-	const fleet_pick_options_t pick = {
+	return (fleet_pick_options_t){
 		.service = execution->service,
 		.domain = execution->domain,
 		.tried = execution->tried,
@@ -459,6 +459,11 @@
 		.preferred = execution->preferred_runner,
 		.version_key = execution->version_key,
 	};
+}
+
+static bool start_attempt(execution_t *execution)
+{
+	const fleet_pick_options_t pick = pick_options(execution);
 	size_t len;
 	const void *body = g_bytes_get_data(execution->body, &len);
 	runner_request_t request = {
@@ -628,6 +633,41 @@
 	       now_us - execution->progress_us > STREAM_STALL_MS * 1000;
 }
 
+/* Reports the runner of a stalled stream that stays there, so that other
+ * requests avoid it. */
+static void report_stalled(execution_t *execution, execution_reason_t reason)
+{
+	if (execution->counted_unanswered)
+		return;
+	execution->counted_unanswered = true;
+	log_info("stream_stalled",
+		 "request=%s runner=%s try=%u reason=%s silent_ms=%d "
+		 "last_event=%" PRId64 " left_ms=%d",
+		 execution->id, execution->runner->id, execution->attempts,
+		 execution_reason_name(reason), silent_ms(execution),
+		 execution->events.last_id, remaining_ms(execution));
+	fleet_lost_request(execution->context->fleet, execution->runner);
+}
+
+/* Whether a stalled stream stays at its runner, which may be silent for a moment
+ * only: without another one the stream would end early. The owner of a batch
+ * item can wait instead of the item. */
+static bool stays(execution_t *execution)
+{
+	const fleet_pick_options_t pick = pick_options(execution);
+	execution_reason_t reason = attempts_end(execution);
+
+	if (execution->batch)
+		return false;
+	if (reason == EXECUTION_COMPLETED &&
+	    !fleet_has_healthy(execution->context->fleet, &pick))
+		reason = EXECUTION_NO_RUNNER;
+	if (reason == EXECUTION_COMPLETED)
+		return false;
+	report_stalled(execution, reason);
+	return true;
+}
+
 /* Whether the request waits at a runner that it would crash. */
 static bool is_to_withdraw(const execution_t *execution)
 {
@@ -662,7 +702,7 @@
 		report_unanswered(execution, now_us);
 		if (is_to_withdraw(execution))
 			outcome = ATTEMPT_WITHDRAWN;
-		else if (!is_stalled(execution, now_us))
+		else if (!is_stalled(execution, now_us) || stays(execution))
 			continue;
 		execution->call = NULL;
 		context->protocol->cancel(call);
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -120,8 +120,9 @@
 uint64_t execution_version_key(const execution_t *execution);
 /* Number of the last complete event, or -1. */
 int64_t execution_last_event(const execution_t *execution);
-/* Ends attempts whose stream has stalled and reports runners that do not answer
- * to the fleet. To be called several times per second. */
+/* Ends attempts whose stream has stalled, if another runner can take it, and
+ * reports runners that do not answer to the fleet. To be called several times
+ * per second. */
 void execution_check_timeouts(execution_context_t *context);
 
 #endif
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -599,6 +599,13 @@
 	return runner;
 }
 
+bool fleet_has_healthy(fleet_t *fleet, const fleet_pick_options_t *pick)
+{
+	const candidate_filter_t healthy = { .ejected = false, .tried = false };
+
+	return pick_filtered(fleet, pick, &healthy) != NULL;
+}
+
 static void note_sent(fleet_t *fleet, fleet_runner_t *runner, bool repeated)
 {
 	runner_limit_t *limit = &runner->limit;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -132,6 +132,9 @@
  */
 fleet_runner_t *fleet_acquire(fleet_t *fleet, const fleet_pick_options_t *pick);
 void fleet_release(fleet_t *fleet, fleet_runner_t *runner, bool batch);
+/* Whether a runner without a failed attempt of the request that is not ejected
+ * could be selected now. */
+bool fleet_has_healthy(fleet_t *fleet, const fleet_pick_options_t *pick);
 
 /* Estimates the milliseconds that a new online request would wait for a slot of
  * the runner selected for it; INT32_MAX without a runner. version_key: as of the
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -270,6 +270,8 @@
                 self.connection.close()
                 return
             time.sleep(runner.gap_s)
+            if number == runner.silent_at:
+                time.sleep(runner.silent_s)
             self.chunk(b"id: %d\ndata: %s\n\n" % (
                 number, runner.text(number).encode()))
         if runner.until_close:
@@ -320,6 +322,8 @@
         self.refuse = False
         self.status = 200
         self.cut_at = 0
+        self.silent_at = 0  # event before which the answer pauses
+        self.silent_s = 0.0
         self.seen = []  # (request id, last event id)
         self.seen_at = []  # times of the same, monotonic
         self.limit = None  # requests per second that it names in answers
--- a/tests/process/test_incomplete_request.py
+++ b/tests/process/test_incomplete_request.py
@@ -38,6 +38,17 @@
         self.assertIn(" outcome=cut reason=not_repeatable ", line)
         self.assertRegex(line, r" config=3 config_age_ms=\d+ latest=3 ")
 
+    def test_silent_runner_goes_on(self):
+        """A stream must be complete when its runner, the only one, is silent
+        for longer than after which it would be resumed elsewhere."""
+        self.runner.silent_at = 3
+        self.runner.silent_s = 1.3
+        answer = self.call("/again/a", "q1")
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b"data: e4", answer.body)
+        self.assertEqual(self.runner.ran, ["q1"])
+        self.assertIn("event=stream_stalled request=q1 ", self.gateway.log())
+
 
 if __name__ == "__main__":
     unittest.main()
