Let a stream that has begun wait for a runner until its deadline

Callers saw streams end early, 1.7 to 2.3 s after they had been sent, with 2.5 to 3.5 s left until the deadline.

Cause: a request may have four attempts. When the node could not connect to any runner for 1.6 s, an attempt to go on with a stream took 250 ms to fail, so the three that were left were used up within 0.75 s, and the stream ended; in one traced case 49 ms after the runners could be reached again. Refusals of full runners use the attempts up sooner.

The limit keeps a fleet without free slots from being asked over and over by requests that can still be refused.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -10,6 +10,8 @@
 /* Limit of all attempts of a request, also of refused ones, so that a fleet
  * without free slots is not asked over and over. */
 #define MAX_ATTEMPTS 4
+/* Between further attempts of a stream that has begun. */
+#define RETRY_PAUSE_MS 200
 /* A stream without an event for this long is resumed at another runner, if one
  * can take it. Callers give up on a stream without events after two seconds. */
 #define STREAM_STALL_MS 900
@@ -49,7 +51,8 @@
 	int64_t progress_us;
 	int64_t started_us; /* of the current attempt */
 	int64_t started_elapsed_us; /* the same, by the part guard's clock */
-	uint64_t tried[MAX_ATTEMPTS]; /* key of each attempt's runner */
+	int64_t retry_at_us; /* of a stream that waits for a runner; 0: none */
+	uint64_t tried[MAX_ATTEMPTS]; /* keys of the last attempts' runners */
 	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	uint32_t max_runners;
 	uint32_t attempts;
@@ -262,13 +265,33 @@
 		return EXECUTION_HELD;
 	if (execution->runs >= execution->max_runners)
 		return EXECUTION_RUNNERS_USED;
-	if (execution->attempts >= MAX_ATTEMPTS)
-		return EXECUTION_ATTEMPTS_USED;
 	if (remaining_ms(execution) < MIN_ATTEMPT_MS)
 		return EXECUTION_NO_TIME;
+	if (execution->attempts >= MAX_ATTEMPTS)
+		return EXECUTION_ATTEMPTS_USED;
 	return EXECUTION_COMPLETED;
 }
 
+/* Schedules another attempt of a stream that has begun, for which no runner can
+ * be had at the moment. Other requests can still be refused, and the owner of a
+ * batch item waits itself. */
+static bool wait_for_runner(execution_t *execution, execution_reason_t reason)
+{
+	const execution_context_t *context = execution->context;
+
+	if (execution->batch || !execution->stream_started ||
+	    (reason != EXECUTION_ATTEMPTS_USED &&
+	     reason != EXECUTION_NO_RUNNER))
+		return false;
+	if (execution->version_key &&
+	    !fleet_service_of_version(context->fleet, execution->version_key))
+		return false;
+	release_runner(execution);
+	execution->retry_at_us =
+		clock_now_us(context->clock) + RETRY_PAUSE_MS * 1000;
+	return true;
+}
+
 static void attempt_failed(execution_t *execution, attempt_outcome_t outcome)
 {
 	/* The owner of a batch item delays it after a loss without output. */
@@ -290,7 +313,8 @@
 		evtimer_add(execution->retry, &now);
 		return;
 	}
-	give_up(execution, reason);
+	if (!wait_for_runner(execution, reason))
+		give_up(execution, reason);
 }
 
 /* Cancels the call and ends the attempt, as its response is invalid. */
@@ -452,7 +476,7 @@
 		.service = execution->service,
 		.domain = execution->domain,
 		.tried = execution->tried,
-		.tried_count = execution->attempts,
+		.tried_count = MIN(execution->attempts, MAX_ATTEMPTS),
 		.batch = execution->batch,
 		.require_healthy = execution->require_healthy,
 		.repeated = execution->resumes,
@@ -489,7 +513,8 @@
 		return false;
 	part_guard_sent(execution->context->part_guard, &execution->parts);
 	execution->preferred_runner = 0;
-	execution->tried[execution->attempts++] = execution->runner->key;
+	execution->tried[execution->attempts++ % MAX_ATTEMPTS] =
+		execution->runner->key;
 	execution->runs++;
 	execution->answered = false;
 	execution->counted_unanswered = false;
@@ -512,8 +537,17 @@
 
 static void next_attempt(execution_t *execution)
 {
-	if (!start_attempt(execution))
-		give_up(execution, EXECUTION_NO_RUNNER);
+	execution_reason_t reason = attempts_end(execution);
+
+	execution->retry_at_us = 0;
+	if (reason == EXECUTION_COMPLETED ||
+	    reason == EXECUTION_ATTEMPTS_USED) {
+		if (start_attempt(execution))
+			return;
+		reason = EXECUTION_NO_RUNNER;
+	}
+	if (!wait_for_runner(execution, reason))
+		give_up(execution, reason);
 }
 
 static void on_retry(evutil_socket_t fd, short events, void *arg)
@@ -626,6 +660,11 @@
 	return execution->events.last_id;
 }
 
+static bool is_retry_due(const execution_t *execution, int64_t now_us)
+{
+	return execution->retry_at_us && now_us >= execution->retry_at_us;
+}
+
 /* Only resumable streams are cancelled at a runner that sends nothing. */
 static bool is_stalled(const execution_t *execution, int64_t now_us)
 {
@@ -699,6 +738,10 @@
 		attempt_outcome_t outcome = ATTEMPT_BROKEN;
 
 		link = link->next;
+		if (is_retry_due(execution, now_us)) {
+			next_attempt(execution);
+			continue;
+		}
 		report_unanswered(execution, now_us);
 		if (is_to_withdraw(execution))
 			outcome = ATTEMPT_WITHDRAWN;
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -17,7 +17,8 @@
  * An attempt that a runner refused or never received is retried at another
  * runner. One that may have run is retried only for idempotent requests. A
  * truncated stream is resumed at another runner, from its last complete event,
- * only if it is resumable.
+ * only if it is resumable. While no runner can be had, such a stream waits for
+ * one until its deadline.
  *
  * A stream is delivered by the sink's start callback and then its event
  * callback, any other response as a whole by one callback. The end callback is
@@ -120,8 +121,8 @@
 uint64_t execution_version_key(const execution_t *execution);
 /* Number of the last complete event, or -1. */
 int64_t execution_last_event(const execution_t *execution);
-/* Ends attempts whose stream has stalled, if another runner can take it, and
- * reports runners that do not answer to the fleet. To be called several times
+/* Ends attempts whose stream has stalled, if another runner can take it, starts
+ * those of streams that wait, and reports runners that do not answer to the fleet. To be called several times
  * per second. */
 void execution_check_timeouts(execution_context_t *context);
 
