Test that requests in flight survive the end of their route

A configuration that takes a route and its service away while requests run was one hypothesis for requests without an answer. It is refuted for requests at a runner: they hold the table of routes by which they were accepted.

--- a/tests/process/test_incomplete_request.py
+++ b/tests/process/test_incomplete_request.py
@@ -5,6 +5,7 @@
 import re
 import sys
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import gateway_standin as s  # noqa: E402
@@ -14,7 +15,7 @@
 class IncompleteRequestTest(unittest.TestCase):
     def setUp(self):
         self.store = s.Store()
-        self.store.put("config", "main", s.config(3))
+        self.store.put("config", "main", s.config(3, s.route("/safe/", "safe")))
         self.runner = s.Runner(self.store, "r0")
         self.gateway = s.Gateway(self.store, "incomplete-g0")
         f.wait_for(self.gateway.is_ready, "gateway ready")
@@ -49,6 +50,24 @@
         self.assertEqual(self.runner.ran, ["q1"])
         self.assertIn("event=stream_stalled request=q1 ", self.gateway.log())
 
+    def test_route_goes_meanwhile(self):
+        """Requests must be answered when a new configuration takes their route
+        and its service away while they run."""
+        paths = ("/once/a", "/again/a", "/safe/a")
+        self.runner.silent_at = 2
+        self.runner.silent_s = 0.8
+        with ThreadPoolExecutor() as pool:
+            answers = [pool.submit(self.call, path, path) for path in paths]
+            f.wait_for(lambda: len(self.runner.ran) == 3, "requests that run")
+            self.store.put("config", "main", {**s.config(4), "routes": []})
+            f.wait_for(lambda: "event=config_adopted version=4 " in
+                       self.gateway.log(), "the new configuration")
+            self.assertEqual(self.call("/once/b", "q").status, 404)
+            self.assertFalse(any(answer.done() for answer in answers))
+            for answer in answers:
+                self.assertEqual(answer.result().status, 200)
+                self.assertIn(b"data: e4", answer.result().body)
+
 
 if __name__ == "__main__":
     unittest.main()
