--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -10,8 +10,10 @@
 /* Limit of all attempts of a request, also of refused ones, so that a fleet
  * without free slots is not asked over and over. */
 #define MAX_ATTEMPTS 4
-/* A stream without an event for this long is resumed at another runner. Callers
- * give up on a stream without events after two seconds. */
+/* Between further attempts of a stream that has begun. */
+#define RETRY_PAUSE_MS 200
+/* A stream without an event for this long is resumed at another runner, if one
+ * can take it. Callers give up on a stream without events after two seconds. */
 #define STREAM_STALL_MS 900
 /* A runner that has not begun to answer by then has most likely lost the
  * request, as queueing does not take that long. */
@@ -49,7 +51,8 @@
 	int64_t progress_us;
 	int64_t started_us; /* of the current attempt */
 	int64_t started_elapsed_us; /* the same, by the part guard's clock */
-	uint64_t tried[MAX_ATTEMPTS]; /* key of each attempt's runner */
+	int64_t retry_at_us; /* of a stream that waits for a runner; 0: none */
+	uint64_t tried[MAX_ATTEMPTS]; /* keys of the last attempts' runners */
 	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	uint32_t max_runners;
 	uint32_t attempts;
@@ -100,14 +103,27 @@
 	execution->runner = NULL;
 }
 
-static void finish(execution_t *execution, execution_outcome_t outcome)
+static void finish(execution_t *execution, execution_outcome_t outcome,
+		   execution_reason_t reason)
 {
 	const execution_sink_t *sink = execution->sink;
 	void *user_data = execution->user_data;
 
 	release_runner(execution);
 	execution_free(execution);
-	sink->end(outcome, user_data);
+	sink->end(outcome, reason, user_data);
+}
+
+/* Ends the execution without a complete response. */
+static void give_up(execution_t *execution, execution_reason_t reason)
+{
+	execution_outcome_t outcome = EXECUTION_NOT_RUN;
+
+	if (execution->stream_started)
+		outcome = EXECUTION_TRUNCATED;
+	else if (execution->runs > 0)
+		outcome = EXECUTION_UNKNOWN;
+	finish(execution, outcome, reason);
 }
 
 static int32_t remaining_ms(const execution_t *execution)
@@ -215,6 +231,15 @@
 			 1000);
 }
 
+/* Time since the current attempt began, its response did, or the last event
+ * came. */
+static int32_t silent_ms(const execution_t *execution)
+{
+	return (int32_t)((clock_now_us(execution->context->clock) -
+			  execution->progress_us) /
+			 1000);
+}
+
 static void report_failure(execution_t *execution, attempt_outcome_t outcome)
 {
 	static const char *const names[] = { "unreachable", "refused", "broken",
@@ -226,13 +251,14 @@
 	log_info("try_failed",
 		 "request=%s runner=%s try=%u end=%s may_have_run=%d "
 		 "status=%d begun=%d last_event=%" G_GINT64_FORMAT
-		 " left_ms=%d age_ms=%d digest=%" PRIx64 " parts=%s",
+		 " left_ms=%d age_ms=%d silent_ms=%d digest=%" PRIx64
+		 " parts=%s",
 		 execution->id, execution->runner->id, execution->attempts,
 		 names[outcome], may_have_run(outcome),
 		 execution->answered ? execution->answer.status : 0,
 		 execution->begun, execution->events.last_id,
 		 remaining_ms(execution), attempt_age_ms(execution),
-		 execution->digest, parts);
+		 silent_ms(execution), execution->digest, parts);
 	if (outcome == ATTEMPT_WITHDRAWN)
 		return;
 	if (outcome == ATTEMPT_UNREACHABLE)
@@ -243,32 +269,63 @@
 		fleet_failed(fleet, execution->runner);
 }
 
+/* Why no other attempt may follow; EXECUTION_COMPLETED: one may. */
+static execution_reason_t attempts_end(const execution_t *execution)
+{
+	if (execution_hold_ms(execution->context, &execution->parts) > 0)
+		return EXECUTION_HELD;
+	if (execution->runs >= execution->max_runners)
+		return EXECUTION_RUNNERS_USED;
+	if (remaining_ms(execution) < MIN_ATTEMPT_MS)
+		return EXECUTION_NO_TIME;
+	if (execution->attempts >= MAX_ATTEMPTS)
+		return EXECUTION_ATTEMPTS_USED;
+	return EXECUTION_COMPLETED;
+}
+
+/* Schedules another attempt of a stream that has begun, for which no runner can
+ * be had at the moment. Other requests can still be refused, and the owner of a
+ * batch item waits itself. */
+static bool wait_for_runner(execution_t *execution, execution_reason_t reason)
+{
+	const execution_context_t *context = execution->context;
+
+	if (execution->batch || !execution->stream_started ||
+	    (reason != EXECUTION_ATTEMPTS_USED &&
+	     reason != EXECUTION_NO_RUNNER))
+		return false;
+	if (execution->version_key &&
+	    !fleet_service_of_version(context->fleet, execution->version_key))
+		return false;
+	release_runner(execution);
+	execution->retry_at_us =
+		clock_now_us(context->clock) + RETRY_PAUSE_MS * 1000;
+	return true;
+}
+
 static void attempt_failed(execution_t *execution, attempt_outcome_t outcome)
 {
 	/* The owner of a batch item delays it after a loss without output. */
 	bool delayed = execution->batch && !execution->begun;
-	bool retry =
-		(!may_have_run(outcome) || execution->idempotent ||
-		 (execution->stream && execution->resumable && !delayed)) &&
-		execution_hold_ms(execution->context, &execution->parts) == 0;
+	bool repeatable =
+		!may_have_run(outcome) || execution->idempotent ||
+		(execution->stream && execution->resumable && !delayed);
+	execution_reason_t reason;
 
 	report_failure(execution, outcome);
 	if (!may_have_run(outcome))
 		execution->runs--;
-	if (retry && execution->attempts < MAX_ATTEMPTS &&
-	    execution->runs < execution->max_runners &&
-	    remaining_ms(execution) >= MIN_ATTEMPT_MS) {
+	reason =
+		repeatable ? attempts_end(execution) : EXECUTION_NOT_REPEATABLE;
+	if (reason == EXECUTION_COMPLETED) {
 		const struct timeval now = { 0, 0 };
 
 		release_runner(execution);
 		evtimer_add(execution->retry, &now);
 		return;
 	}
-	if (execution->stream_started)
-		finish(execution, EXECUTION_TRUNCATED);
-	else
-		finish(execution, execution->runs > 0 ? EXECUTION_UNKNOWN :
-							EXECUTION_NOT_RUN);
+	if (!wait_for_runner(execution, reason))
+		give_up(execution, reason);
 }
 
 /* Cancels the call and ends the attempt, as its response is invalid. */
@@ -308,7 +365,7 @@
 	execution->sink->response(
 		&execution->answer, execution->response_body->str,
 		execution->response_body->len, execution->user_data);
-	finish(execution, EXECUTION_DONE);
+	finish(execution, EXECUTION_DONE, EXECUTION_COMPLETED);
 }
 
 /* A server error that another runner may not return. */
@@ -384,7 +441,7 @@
 		}
 		note_completion(execution);
 		fleet_succeeded(execution->context->fleet, execution->runner);
-		finish(execution, EXECUTION_DONE);
+		finish(execution, EXECUTION_DONE, EXECUTION_COMPLETED);
 		return;
 	}
 	if (is_retryable_error(execution)) {
@@ -433,19 +490,24 @@
 		 execution->digest);
 }
 
-static bool start_attempt(execution_t *execution)
+static fleet_pick_options_t pick_options(const execution_t *execution)
 {
-	const fleet_pick_options_t pick = {
+	return (fleet_pick_options_t){
 		.service = execution->service,
 		.domain = execution->domain,
 		.tried = execution->tried,
-		.tried_count = execution->attempts,
+		.tried_count = MIN(execution->attempts, MAX_ATTEMPTS),
 		.batch = execution->batch,
 		.require_healthy = execution->require_healthy,
 		.repeated = execution->resumes,
 		.preferred = execution->preferred_runner,
 		.version_key = execution->version_key,
 	};
+}
+
+static bool start_attempt(execution_t *execution)
+{
+	const fleet_pick_options_t pick = pick_options(execution);
 	size_t len;
 	const void *body = g_bytes_get_data(execution->body, &len);
 	runner_request_t request = {
@@ -471,7 +533,8 @@
 		return false;
 	part_guard_sent(execution->context->part_guard, &execution->parts);
 	execution->preferred_runner = 0;
-	execution->tried[execution->attempts++] = execution->runner->key;
+	execution->tried[execution->attempts++ % MAX_ATTEMPTS] =
+		execution->runner->key;
 	execution->runs++;
 	execution->answered = false;
 	execution->counted_unanswered = false;
@@ -494,13 +557,17 @@
 
 static void next_attempt(execution_t *execution)
 {
-	if (start_attempt(execution))
-		return;
-	if (execution->stream_started)
-		finish(execution, EXECUTION_TRUNCATED);
-	else
-		finish(execution, execution->runs > 0 ? EXECUTION_UNKNOWN :
-							EXECUTION_NOT_RUN);
+	execution_reason_t reason = attempts_end(execution);
+
+	execution->retry_at_us = 0;
+	if (reason == EXECUTION_COMPLETED ||
+	    reason == EXECUTION_ATTEMPTS_USED) {
+		if (start_attempt(execution))
+			return;
+		reason = EXECUTION_NO_RUNNER;
+	}
+	if (!wait_for_runner(execution, reason))
+		give_up(execution, reason);
 }
 
 static void on_retry(evutil_socket_t fd, short events, void *arg)
@@ -583,6 +650,21 @@
 	return execution->runs > 0;
 }
 
+const char *execution_reason_name(execution_reason_t reason)
+{
+	static const char *const names[EXECUTION_REASONS] = {
+		[EXECUTION_COMPLETED] = "completed",
+		[EXECUTION_NOT_REPEATABLE] = "not_repeatable",
+		[EXECUTION_HELD] = "held",
+		[EXECUTION_RUNNERS_USED] = "runners_used",
+		[EXECUTION_ATTEMPTS_USED] = "attempts_used",
+		[EXECUTION_NO_TIME] = "no_time",
+		[EXECUTION_NO_RUNNER] = "no_runner",
+	};
+
+	return names[reason];
+}
+
 const fleet_runner_t *execution_runner(const execution_t *execution)
 {
 	return execution->runner;
@@ -598,6 +680,11 @@
 	return execution->events.last_id;
 }
 
+static bool is_retry_due(const execution_t *execution, int64_t now_us)
+{
+	return execution->retry_at_us && now_us >= execution->retry_at_us;
+}
+
 /* Only resumable streams are cancelled at a runner that sends nothing. */
 static bool is_stalled(const execution_t *execution, int64_t now_us)
 {
@@ -605,6 +692,41 @@
 	       now_us - execution->progress_us > STREAM_STALL_MS * 1000;
 }
 
+/* Reports the runner of a stalled stream that stays there, so that other
+ * requests avoid it. */
+static void report_stalled(execution_t *execution, execution_reason_t reason)
+{
+	if (execution->counted_unanswered)
+		return;
+	execution->counted_unanswered = true;
+	log_info("stream_stalled",
+		 "request=%s runner=%s try=%u reason=%s silent_ms=%d "
+		 "last_event=%" PRId64 " left_ms=%d",
+		 execution->id, execution->runner->id, execution->attempts,
+		 execution_reason_name(reason), silent_ms(execution),
+		 execution->events.last_id, remaining_ms(execution));
+	fleet_lost_request(execution->context->fleet, execution->runner);
+}
+
+/* Whether a stalled stream stays at its runner, which may be silent for a moment
+ * only: without another one the stream would end early. The owner of a batch
+ * item can wait instead of the item. */
+static bool stays(execution_t *execution)
+{
+	const fleet_pick_options_t pick = pick_options(execution);
+	execution_reason_t reason = attempts_end(execution);
+
+	if (execution->batch)
+		return false;
+	if (reason == EXECUTION_COMPLETED &&
+	    !fleet_has_healthy(execution->context->fleet, &pick))
+		reason = EXECUTION_NO_RUNNER;
+	if (reason == EXECUTION_COMPLETED)
+		return false;
+	report_stalled(execution, reason);
+	return true;
+}
+
 /* Whether the request waits at a runner that it would crash. */
 static bool is_to_withdraw(const execution_t *execution)
 {
@@ -636,10 +758,14 @@
 		attempt_outcome_t outcome = ATTEMPT_BROKEN;
 
 		link = link->next;
+		if (is_retry_due(execution, now_us)) {
+			next_attempt(execution);
+			continue;
+		}
 		report_unanswered(execution, now_us);
 		if (is_to_withdraw(execution))
 			outcome = ATTEMPT_WITHDRAWN;
-		else if (!is_stalled(execution, now_us))
+		else if (!is_stalled(execution, now_us) || stays(execution))
 			continue;
 		execution->call = NULL;
 		context->protocol->cancel(call);
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -17,7 +17,8 @@
  * An attempt that a runner refused or never received is retried at another
  * runner. One that may have run is retried only for idempotent requests. A
  * truncated stream is resumed at another runner, from its last complete event,
- * only if it is resumable.
+ * only if it is resumable. While no runner can be had, such a stream waits for
+ * one until its deadline.
  *
  * A stream is delivered by the sink's start callback and then its event
  * callback, any other response as a whole by one callback. The end callback is
@@ -32,6 +33,18 @@
 	EXECUTION_TRUNCATED /* the stream was truncated after its start */
 } execution_outcome_t;
 
+/* Why an execution ended without a complete response. */
+typedef enum execution_reason {
+	EXECUTION_COMPLETED,
+	EXECUTION_NOT_REPEATABLE, /* the attempt may have run */
+	EXECUTION_HELD, /* see execution_hold_ms() */
+	EXECUTION_RUNNERS_USED, /* max_runners may have run it */
+	EXECUTION_ATTEMPTS_USED,
+	EXECUTION_NO_TIME, /* for another attempt */
+	EXECUTION_NO_RUNNER, /* none can take another attempt */
+	EXECUTION_REASONS /* number of reasons */
+} execution_reason_t;
+
 typedef struct execution_sink {
 	void (*start)(const runner_answer_t *answer, void *user_data);
 	/* One complete event: as received, and its payload. */
@@ -39,7 +52,8 @@
 		      size_t data_len, void *user_data);
 	void (*response)(const runner_answer_t *answer, const char *body,
 			 size_t len, void *user_data);
-	void (*end)(execution_outcome_t end, void *user_data);
+	void (*end)(execution_outcome_t end, execution_reason_t reason,
+		    void *user_data);
 } execution_sink_t;
 
 /* Shared by all executions of a process. */
@@ -101,13 +115,15 @@
 void execution_cancel(execution_t *execution);
 /* True when a runner may have started to process the request. */
 bool execution_may_have_run(const execution_t *execution);
+const char *execution_reason_name(execution_reason_t reason);
 const fleet_runner_t *execution_runner(const execution_t *execution);
 /* The software that has written the events; 0: not known. */
 uint64_t execution_version_key(const execution_t *execution);
 /* Number of the last complete event, or -1. */
 int64_t execution_last_event(const execution_t *execution);
-/* Ends attempts whose stream has stalled and reports runners that do not answer
- * to the fleet. To be called several times per second. */
+/* Ends attempts whose stream has stalled, if another runner can take it, starts
+ * those of streams that wait, and reports runners that do not answer to the fleet. To be called several times
+ * per second. */
 void execution_check_timeouts(execution_context_t *context);
 
 #endif
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -273,6 +273,8 @@
                 self.connection.close()
                 return
             time.sleep(runner.gap_s)
+            if number == runner.silent_at:
+                time.sleep(runner.silent_s)
             self.chunk(b"id: %d\ndata: %s\n\n" % (
                 number, runner.text(number).encode()))
         if runner.until_close:
@@ -326,6 +328,8 @@
         # called with the handler and the last event; false: the runner answers.
         self.script = None
         self.cut_at = 0
+        self.silent_at = 0  # event before which the answer pauses
+        self.silent_s = 0.0
         self.seen = []  # (request id, last event id)
         self.seen_at = []  # times of the same, monotonic
         self.limit = None  # requests per second that it names in answers
