--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -8,11 +8,13 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/clock.h"
 #include "base/error.h"
 #include "http/http_exchange.h"
+#include "http/http_linger.h"
 #include "http/http_reject.h"
 #include "http/http_send.h"
 
@@ -40,6 +42,7 @@
 	GQueue released; /* http_exchange_t */
 	htparser *shared_parsers[2]; /* of waiting connections, by minor */
 	struct event *sweep; /* finds requests that arrive too slowly */
+	struct event *unbind; /* closes the listening socket */
 	GQueue connections; /* http_connection_t */
 	uint64_t max_body_bytes;
 	uint32_t max_header_bytes;
@@ -56,18 +59,22 @@
 	evhtp_connection_t *evhtp;
 	http_exchange_t *exchange; /* of the request being handled */
 	GList link;
-	int64_t read_start_ms; /* when reading the current request started */
+	/* when the current request began to arrive, or the wait for it began */
+	int64_t read_start_ms;
 	uint64_t content_length; /* of the current request */
 	uint64_t body_bytes; /* received */
 	char *body; /* of a large request; NULL: evhtp holds it */
 	size_t body_size; /* allocated */
 	bufferevent_data_cb evhtp_write; /* evhtp's own callbacks */
 	bufferevent_data_cb evhtp_read;
+	bufferevent_event_cb evhtp_event;
 	uint32_t header_bytes;
 	uint16_t content_length_count; /* number of Content-Length headers */
 	bool chunked;
+	bool arriving; /* the request has begun to arrive */
 	bool request_line_complete;
 	bool headers_complete;
+	bool persistent; /* a request was received on it */
 	bool handling; /* the request is complete, its response is not */
 	bool shares_parser; /* see release_parser() */
 	int reject_status; /* response instead of handling; 0: none */
@@ -89,19 +96,28 @@
 	connection->header_bytes = 0;
 	connection->content_length_count = 0;
 	connection->chunked = false;
+	connection->arriving = false;
 	connection->request_line_complete = false;
 	connection->headers_complete = false;
 	connection->handling = false;
 }
 
-static void notify_closed(http_exchange_t *exchange)
+/* Returns false if no owner waits for the end of the exchange. */
+static bool detach_owner(http_exchange_t *exchange)
 {
 	http_closed_t closed = exchange->closed;
 
 	exchange->closed = NULL;
-	if (closed && (exchange->state == EXCHANGE_PENDING ||
-		       exchange->state == EXCHANGE_STREAMING))
-		closed(exchange, exchange->closed_data);
+	if (!closed || (exchange->state != EXCHANGE_PENDING &&
+			exchange->state != EXCHANGE_STREAMING))
+		return false;
+	closed(exchange, exchange->closed_data);
+	return true;
+}
+
+static void notify_closed(http_exchange_t *exchange)
+{
+	detach_owner(exchange);
 	exchange->state = EXCHANGE_FINISHED;
 	http_exchange_mark_answered(exchange);
 }
@@ -476,6 +492,8 @@
 
 	restore_parser(connection);
 	send_final_status(connection);
+	if (connection->exchange && connection->exchange->close_after)
+		http_linger(server->base, evhtp->sock);
 	g_queue_unlink(&server->connections, &connection->link);
 	if (connection->exchange)
 		connection->exchange->connection = NULL;
@@ -496,13 +514,24 @@
 	return now_ms - connection->read_start_ms > limit_ms;
 }
 
+static bool has_unread_input(const http_connection_t *connection)
+{
+	evhtp_connection_t *evhtp = connection->evhtp;
+	int unread = 0;
+
+	if (evbuffer_get_length(bufferevent_get_input(evhtp->bev)) > 0)
+		return true;
+	return ioctl(evhtp->sock, FIONREAD, &unread) == 0 && unread > 0;
+}
+
 /*
  * True for a persistent connection that waits for a request; it is closed
  * without a response.
  */
 static bool is_idle(const http_connection_t *connection)
 {
-	return connection->header_bytes == 0 && connection->evhtp->num_requests;
+	return connection->persistent && !connection->handling &&
+	       !connection->arriving && !has_unread_input(connection);
 }
 
 static void on_sweep(evutil_socket_t fd, short events, void *arg)
@@ -532,6 +561,7 @@
 	http_connection_t *connection = connection_of(request);
 
 	connection->handling = true;
+	connection->persistent = true;
 	exchange->base = server->base;
 	exchange->stream_buffer = server->stream_buffer;
 	exchange->active = &server->active;
@@ -565,6 +595,29 @@
 	request->status = EVHTP_RES_PAUSE;
 }
 
+/*
+ * Returns whether the next request has begun to arrive. Skips empty lines, which
+ * some clients send behind a body (RFC 9112, section 2.2).
+ */
+static bool begins_request(http_connection_t *connection,
+			   struct evbuffer *input)
+{
+	char first;
+
+	if (connection->arriving)
+		return true;
+	while (evbuffer_copyout(input, &first, 1) == 1) {
+		if (first != '\r' && first != '\n') {
+			connection->arriving = true;
+			connection->read_start_ms =
+				clock_now_ms(clock_system());
+			return true;
+		}
+		evbuffer_drain(input, 1);
+	}
+	return false;
+}
+
 /*
  * True for the start of a method without the end of its line. Other input is
  * passed to the parser, which rejects it.
@@ -588,24 +641,38 @@
 	evhtp_connection_t *evhtp = arg;
 	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
 	struct evbuffer *input = bufferevent_get_input(bev);
-	size_t len = evbuffer_get_length(input);
 
+	if (!connection->handling && !begins_request(connection, input))
+		return;
 	if (!connection->handling && !connection->request_line_complete &&
-	    len < MAX_REQUEST_LINE_BYTES && is_partial_request_line(input))
+	    evbuffer_get_length(input) < MAX_REQUEST_LINE_BYTES &&
+	    is_partial_request_line(input))
 		return;
 	connection->request_line_complete = true;
 	connection->evhtp_read(bev, arg);
 }
 
+/* evhtp closes the connection at its read timeout without a response. */
+static void on_event(struct bufferevent *bev, short events, void *arg)
+{
+	evhtp_connection_t *evhtp = arg;
+	http_connection_t *connection = evhtp->hooks->on_connection_fini_arg;
+
+	if ((events & BEV_EVENT_TIMEOUT) && connection->arriving &&
+	    !connection->handling && !connection->reject_status)
+		connection->reject_status = 408;
+	connection->evhtp_event(bev, events, arg);
+}
+
 static void watch_input(http_connection_t *connection)
 {
 	struct bufferevent *bev = connection->evhtp->bev;
 	bufferevent_data_cb write;
-	bufferevent_event_cb event;
 	void *arg;
 
-	bufferevent_getcb(bev, &connection->evhtp_read, &write, &event, &arg);
-	bufferevent_setcb(bev, on_read, write, event, arg);
+	bufferevent_getcb(bev, &connection->evhtp_read, &write,
+			  &connection->evhtp_event, &arg);
+	bufferevent_setcb(bev, on_read, write, on_event, arg);
 }
 
 static evhtp_res on_accept(evhtp_connection_t *evhtp, void *arg)
@@ -647,6 +714,13 @@
 	return ntohs(address.sin6_port);
 }
 
+static void on_unbind(evutil_socket_t fd, short events, void *arg)
+{
+	http_server_t *server = arg;
+
+	evhtp_unbind_socket(server->htp);
+}
+
 http_server_t *http_server_new(const http_server_options_t *options,
 			       GError **error)
 {
@@ -686,6 +760,7 @@
 	for (unsigned char minor = 0; minor < 2; minor++)
 		server->shared_parsers[minor] = shared_parser_new(minor);
 	server->sweep = evtimer_new(options->base, on_sweep, server);
+	server->unbind = evtimer_new(options->base, on_unbind, server);
 	if (options->read_timeout_ms)
 		on_sweep(-1, 0, server);
 	return server;
@@ -697,7 +772,9 @@
 		return;
 	event_free(server->sweep);
 	event_free(server->release);
-	http_server_stop_listening(server);
+	if (server->listening || evtimer_pending(server->unbind, NULL))
+		evhtp_unbind_socket(server->htp);
+	event_free(server->unbind);
 	evhtp_free(server->htp);
 	http_stream_buffer_free(server->stream_buffer);
 	for (size_t i = 0; i < G_N_ELEMENTS(server->shared_parsers); i++)
@@ -707,9 +784,16 @@
 
 void http_server_stop_listening(http_server_t *server)
 {
-	if (server->listening)
-		evhtp_unbind_socket(server->htp);
+	const struct timeval next_pass = { 0, 0 };
+
+	if (!server->listening)
+		return;
 	server->listening = false;
+	/*
+	 * Closing the socket resets the connections in its backlog. A pass of
+	 * the event loop accepts these before it runs timers.
+	 */
+	evtimer_add(server->unbind, &next_pass);
 }
 
 void http_server_close_idle(http_server_t *server)
@@ -718,16 +802,40 @@
 
 	while (link) {
 		http_connection_t *connection = link->data;
-		struct evbuffer *input =
-			bufferevent_get_input(connection->evhtp->bev);
 
 		link = link->next;
-		if (!connection->handling && is_idle(connection) &&
-		    evbuffer_get_length(input) == 0)
+		if (is_idle(connection))
 			evhtp_connection_free(connection->evhtp);
 	}
 }
 
+static void end_exchange(http_exchange_t *exchange, http_handler_t answer,
+			 void *user_data)
+{
+	if (!detach_owner(exchange))
+		return;
+	if (exchange->state == EXCHANGE_STREAMING) {
+		http_stream_abort(exchange);
+		return;
+	}
+	http_close_after(exchange);
+	answer(exchange, user_data);
+}
+
+void http_server_end_exchanges(http_server_t *server, http_handler_t answer)
+{
+	GList *link = server->connections.head;
+
+	while (link) {
+		http_connection_t *connection = link->data;
+
+		link = link->next;
+		if (connection->exchange)
+			end_exchange(connection->exchange, answer,
+				     server->user_data);
+	}
+}
+
 bool http_server_is_drained(const http_server_t *server)
 {
 	for (GList *link = server->connections.head; link; link = link->next) {
@@ -735,7 +843,9 @@
 		struct evbuffer *output =
 			bufferevent_get_output(connection->evhtp->bev);
 
-		if (connection->handling || evbuffer_get_length(output) > 0)
+		if (connection->handling || connection->arriving ||
+		    has_unread_input(connection) ||
+		    evbuffer_get_length(output) > 0)
 			return false;
 	}
 	return server->active == 0;
