Refuse requests that are still arriving when a stop ends

Callers saw: a gateway that stopped in calm exited 2.9 s after SIGTERM while a request on a kept connection was arriving. Its sender found the connection closed in the middle of the body, without an answer or a refusal.

Cause: whether all is served was judged by the complete requests only.

Why it works: the process goes on while a part of a request has come, so that the rest of it gets the refusal with Retry-After; one that has not come shortly before the end of the grace is rejected with 503, too, as it has not run. Slow senders are bounded by the read timeout and the grace.

Evidence: test_body_that_still_arrives failed before (the process had exited).

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -513,6 +513,15 @@
 	return connection->header_bytes == 0 && connection->evhtp->num_requests;
 }
 
+/* True when a part of a request has been received. */
+static bool is_receiving(const http_connection_t *connection)
+{
+	struct evbuffer *input = bufferevent_get_input(connection->evhtp->bev);
+
+	return !connection->handling && !connection->reject_status &&
+	       (connection->header_bytes > 0 || evbuffer_get_length(input) > 0);
+}
+
 static void on_sweep(evutil_socket_t fd, short events, void *arg)
 {
 	http_server_t *server = arg;
@@ -757,9 +766,13 @@
 		http_connection_t *connection = link->data;
 
 		link = link->next;
-		if (connection->exchange)
+		if (connection->exchange) {
 			end_exchange(connection->exchange, answer,
 				     server->user_data);
+		} else if (is_receiving(connection)) {
+			connection->reject_status = 503;
+			evhtp_connection_free(connection->evhtp);
+		}
 	}
 }
 
@@ -770,7 +783,8 @@
 		struct evbuffer *output =
 			bufferevent_get_output(connection->evhtp->bev);
 
-		if (connection->handling || evbuffer_get_length(output) > 0)
+		if (connection->handling || is_receiving(connection) ||
+		    evbuffer_get_length(output) > 0)
 			return false;
 	}
 	return server->active == 0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -69,10 +69,11 @@
  * Ends the exchanges that are not answered, for a process that exits: their
  * owners are told as if the peer had closed the connection, then the handler
  * answers those without a response, with the server's user data. Streams are
- * aborted.
+ * aborted, and requests that still arrive are rejected with 503.
  */
 void http_server_end_exchanges(http_server_t *server, http_handler_t answer);
-/* True when all responses have been passed to the kernel completely. */
+/* True when all responses have been passed to the kernel completely and no
+ * request is arriving. */
 bool http_server_is_drained(const http_server_t *server);
 
 const char *http_method(const http_exchange_t *exchange);
--- a/tests/process/test_end_of_grace.py
+++ b/tests/process/test_end_of_grace.py
@@ -19,6 +19,7 @@
 JOB = json.dumps({"items": [
     {"id": "i", "path": "/batch/x", "headers": {"Model": "m"},
      "body": base64.b64encode(b"x").decode(), "tokens": 10}]}).encode()
+REFUSES_AFTER_S = 3.1  # a gateway refuses new requests by then
 
 
 class Call:
@@ -132,6 +133,28 @@
         self.assertEqual(call.answer()[0], 400)
         self.assertIn(items.answer()[0], (503, 504))
 
+    def test_body_that_still_arrives(self):
+        """Guards against a process that exits while a request arrives, in which
+        its sender gets neither an answer nor a refusal."""
+        kept = [Call(self.gateway, f"k{i}", "/unsafe/") for i in range(2)]
+        for call in kept:
+            self.assertEqual(call.answer()[0], 200)
+        calls = [Call(self.gateway, f"q{i}", "/unsafe/", 4, call.connection)
+                 for i, call in enumerate(kept)]
+        for call in calls:
+            call.connection.sendall(b"ab")
+        self.stop()
+        self.wait_until(REFUSES_AFTER_S)
+        self.assertIsNone(self.gateway.process.poll())
+        calls[0].connection.sendall(b"cd")
+        for call in calls:
+            status, headers, _ = call.answer()
+            self.assertEqual(status, 503)
+            self.assertEqual(headers["Connection"], "close")
+            self.assertLess(float(headers["Retry-After"]), 1.1)
+        self.assertEqual(self.attempts("q0") + self.attempts("q1"), 0)
+        self.assertEqual(self.gateway.process.wait(5), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
