--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -155,6 +155,12 @@
 	       1000;
 }
 
+/* Time after SIGTERM at which the last requests are ended. */
+static int64_t last_answer_ms(const gateway_t *gateway)
+{
+	return gateway->grace_ms - EXIT_RESERVE_MS - LAST_ANSWER_MS;
+}
+
 static bool may_exit(const gateway_t *gateway)
 {
 	int64_t since_ms = stopping_ms(gateway);
@@ -172,6 +178,12 @@
 	return stopping_ms(gateway) >= BALANCER_REMOVAL_MS + LAST_REQUEST_MS;
 }
 
+bool gateway_is_too_late(const gateway_t *gateway, int32_t needed_ms)
+{
+	return gateway->stopping_since_us &&
+	       stopping_ms(gateway) + needed_ms > last_answer_ms(gateway);
+}
+
 static void answer_ended(http_exchange_t *exchange, void *user_data)
 {
 	http_reply(exchange, 504, NULL, "", 0);
@@ -181,8 +193,7 @@
  * at once that it may have run. */
 static void end_requests(gateway_t *gateway)
 {
-	if (stopping_ms(gateway) <
-	    gateway->grace_ms - EXIT_RESERVE_MS - LAST_ANSWER_MS)
+	if (stopping_ms(gateway) < last_answer_ms(gateway))
 		return;
 	relay_end(gateway->relay, ENDED_RETRY_MS);
 	http_server_end_exchanges(gateway->callers, answer_ended);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,6 +93,9 @@
 bool gateway_is_ready(const gateway_t *gateway);
 /* During a graceful shutdown, whether a new request would complete too late. */
 bool gateway_is_closing(const gateway_t *gateway);
+/* During a graceful shutdown, whether less time than this is left to serve
+ * requests. */
+bool gateway_is_too_late(const gateway_t *gateway, int32_t needed_ms);
 /* Begins a graceful shutdown. The event loop ends when all requests are
  * served, at the latest shortly before the grace period ends. */
 void gateway_stop(gateway_t *gateway);
--- a/tests/process/test_end_of_grace.py
+++ b/tests/process/test_end_of_grace.py
@@ -155,6 +155,20 @@
         self.assertEqual(self.attempts("q0") + self.attempts("q1"), 0)
         self.assertEqual(self.gateway.process.wait(5), 0)
 
+    def test_request_that_cannot_be_served_in_time(self):
+        """Guards against a request that is taken though its route takes longer
+        than what is left of the grace."""
+        kept = Call(self.gateway, "k", "/slow/")
+        self.assertEqual(kept.answer()[0], 200)
+        self.stop()
+        self.wait_until(1.5)
+        status, headers, _ = Call(self.gateway, "late", "/slow/").answer()
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["Retry-After"]), 0.5)
+        self.assertEqual(headers["Connection"], "close")
+        self.assertEqual(self.attempts("late"), 0)
+        self.assertEqual(Call(self.gateway, "q", "/unsafe/").answer()[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
