Do not pass on half a completion that ends with its connection

Callers of wasabilink entry saw: a 200 with the first half of a completion, framed as whole, when an engine that answers with neither length nor chunks went down in the middle.

Cause: such a body counted as complete when it was not empty, as its end is that of the connection.

Why it works: without framing, only a body that is a whole JSON value counts as complete; the call is retried or fails with 502 otherwise. Plain services have bodies of any kind, so theirs cannot be told from whole ones.

Evidence: test_short_answer_until_close failed before (200). Engines and services that break off at 14 points of head and body led to 502 before, too (test_answer_cut_in_its_head_or_body).

--- a/src/backend/engine_client.c
+++ b/src/backend/engine_client.c
@@ -1,6 +1,7 @@
 #include "backend/engine_client.h"
 
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -209,13 +210,27 @@
 	return ENGINE_FAULT_NONE;
 }
 
+/* Whether a completion came whole. The end of a body that ends with its
+ * connection may be that of the engine. */
+static bool is_whole_completion(const http_response_t *response)
+{
+	json_t *completion;
+
+	if (http_response_header(response->call, "Content-Length") ||
+	    http_response_header(response->call, "Transfer-Encoding"))
+		return response->body_len > 0;
+	completion = json_loadb(response->body, response->body_len, 0, NULL);
+	json_decref(completion);
+	return completion != NULL;
+}
+
 static void classify_response(engine_call_t *call,
 			      const http_response_t *response,
 			      engine_result_t *result)
 {
 	engine_fault_t refusal = refusal_fault(response->status);
 	bool complete = call->stream ? sse_is_complete(&call->sse) :
-				       response->body_len > 0;
+				       is_whole_completion(response);
 
 	result->outcome = ENGINE_MAY_HAVE_RUN;
 	if (call->mismatch) {
--- a/tests/process/scripted_engine.py
+++ b/tests/process/scripted_engine.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self.mode = "whole"
+        self.raw = b""  # answer of the mode raw, with %(id)s
         self.first_only = False
         self.until_close = False
         self.runs = {}
@@ -78,6 +79,10 @@
             self.reply(connection, 200, {"running": 0, "queued": 0,
                                          "slots": 100}, {})
             return True
+        if self.mode == "raw":
+            connection.sendall(self.raw.replace(
+                b"%(id)s", headers["x-request-id"].encode()))
+            return False
         if path != "/v1/chat/completions":
             self.reply(connection, 404, {}, {})
             return True
--- /dev/null
+++ b/tests/process/test_entry_broken_answer.py
@@ -0,0 +1,75 @@
+#!/usr/bin/env python3
+"""Tests of the entry process with backends whose answers break off."""
+import json
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "..", "scripts"))
+import fleet as f  # noqa: E402
+from scripted_engine import ScriptedEngine  # noqa: E402
+
+STATUS = b"HTTP/1.1 200 OK\r\n"
+OWN = STATUS + b"X-Request-Id: %(id)s\r\n"
+CHUNKED = OWN + b"Transfer-Encoding: chunked\r\n"
+# Where an answer breaks off.
+CUTS = [b"", STATUS[:-4], STATUS, OWN[:-2], OWN, OWN + b"Content-Length: 1",
+        OWN + b"Content-Length: 0\r\n", OWN + b"Content-Length: 0\r\n\r",
+        CHUNKED, OWN + b"Content-Length: 5\r\n\r\n{}", CHUNKED + b"\r\n",
+        CHUNKED + b"\r\n1", CHUNKED + b"\r\n2\r\n{}\r\n",
+        CHUNKED + b"\r\n2\r\n{}\r\n0\r\n"]
+# Answers of engines that end with their connection, in the middle.
+SHORT = [OWN + b"\r\n", OWN + b"\r\n{\"choices\":"]
+
+
+class EntryBrokenAnswerTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = f.Fleet()
+        self.fleet.start_platform()
+        self.fleet.put_object("config/production",
+                              json.dumps(f.sample_document()))
+        self.engine, self.service = ScriptedEngine(), ScriptedEngine()
+        self.fleet.vms += [
+            self.engine.vm("guild", "lantern-muse", "old-town"),
+            self.service.vm("guild", "glaze", "old-town", "service")]
+        self.fleet.publish_vms()
+        self.entry = self.fleet.start_entry("entry-1", "old-town")
+        f.wait_for(lambda: self.chat(False).status == 200, "a first answer")
+
+    def tearDown(self):
+        self.fleet.close()
+        self.engine.close()
+        self.service.close()
+
+    def chat(self, stream):
+        return f.chat(self.entry, "guild-key", "lantern-muse", "koi",
+                      stream=stream)
+
+    def look(self):
+        return f.request(self.entry.port, "GET", "/services/glaze/look", None,
+                         {"Authorization": "Bearer guild-key"})
+
+    def answers(self, raw):
+        """Answers of all kinds when the backends send these bytes."""
+        for backend in (self.engine, self.service):
+            backend.mode, backend.raw = "raw", raw
+        return [self.chat(False), self.chat(True), self.look()]
+
+    def test_answer_cut_in_its_head_or_body(self):
+        """Guards against answers that end before their end and reach the caller
+        as a success."""
+        for raw in CUTS:
+            self.assertEqual([a.status for a in self.answers(raw)], [502] * 3,
+                             raw)
+
+    def test_short_answer_until_close(self):
+        """Guards against half of a completion that reaches the caller as a
+        whole one, as its end is that of the connection."""
+        for raw in SHORT:
+            self.assertEqual([a.status for a in self.answers(raw)[:2]],
+                             [502] * 2, raw)
+
+
+if __name__ == "__main__":
+    unittest.main()
