Answer the requests that still run when an entry process stops

Cause: as in the gateway, the event loop ended at the drain deadline, whatever was in progress.

Why it works: 0.15 s before, requests without a response get 504 with the work state may_have_run and Connection: close, and streams are aborted.

Evidence: test_request_longer_than_the_stop failed before (connection closed).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "base/os.h"
+#include "entry/api_error.h"
 #include "entry/chunks.h"
 #include "entry/dispatch.h"
 #include "entry/front.h"
@@ -17,6 +18,9 @@
 
 #define VM_LIST_PERIOD_MS 1000
 #define DRAIN_CHECK_PERIOD_MS 50
+/* Time in which the answers to the requests that are ended reach the kernel; some
+ * checks. */
+#define LAST_ANSWER_MS 150
 #define TICK_PERIOD_MS 1000
 /* EX_USAGE of sysexits(3) */
 #define EXIT_USAGE 64
@@ -81,14 +85,24 @@
 	evtimer_add(timers->tick, &period);
 }
 
+static void answer_ended(http_exchange_t *exchange, void *user_data)
+{
+	api_error_reply(exchange, API_DEADLINE_EXCEEDED, WORK_MAY_HAVE_RUN, 0,
+			"the server is stopping");
+}
+
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
 	entry_t *entry = timers->entry;
 	struct timeval period = { 0, DRAIN_CHECK_PERIOD_MS * 1000 };
+	int64_t remaining_ms =
+		timers->drain_deadline_ms - clock_now_ms(entry->clock);
 	bool idle =
 		http_server_active(entry->callers) == 0 && entry->detached == 0;
 
+	if (remaining_ms <= LAST_ANSWER_MS)
+		http_server_end_exchanges(entry->callers, answer_ended);
 	if (!dispatch_is_idle(entry->dispatch))
 		idle = false;
 	if (idle)
@@ -97,7 +111,7 @@
 	 * finished exchange may still have unsent bytes. */
 	if ((idle && timers->previously_idle &&
 	     records_is_released(entry->records)) ||
-	    clock_now_ms(entry->clock) >= timers->drain_deadline_ms)
+	    remaining_ms <= 0)
 		event_base_loopbreak(entry->base);
 	else
 		evtimer_add(timers->drain, &period);
@@ -115,7 +129,8 @@
 	}
 	entry->draining = true;
 	timers->drain_deadline_ms =
-		clock_now_ms(entry->clock) + entry->options.drain_ms;
+		clock_now_ms(entry->clock) +
+		MAX(entry->options.drain_ms, LAST_ANSWER_MS);
 	membership_drain(entry->membership);
 	dispatch_drain(entry->dispatch);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
--- a/tests/process/scripted_engine.py
+++ b/tests/process/scripted_engine.py
@@ -81,7 +81,7 @@
             return True
         if self.mode == "raw":
             connection.sendall(self.raw.replace(
-                b"%(id)s", headers["x-request-id"].encode()))
+                b"%(id)s", headers.get("x-request-id", "").encode()))
             return False
         if path != "/v1/chat/completions":
             self.reply(connection, 404, {}, {})
--- a/tests/process/test_entry_broken_answer.py
+++ b/tests/process/test_entry_broken_answer.py
@@ -1,9 +1,12 @@
 #!/usr/bin/env python3
-"""Tests of the entry process with backends whose answers break off."""
+"""Tests of the entry process with backends whose answers break off, and with
+requests that last longer than a planned stop."""
 import json
 import os
 import sys
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "scripts"))
@@ -21,6 +24,7 @@
         CHUNKED + b"\r\n2\r\n{}\r\n0\r\n"]
 # Answers of engines that end with their connection, in the middle.
 SHORT = [OWN + b"\r\n", OWN + b"\r\n{\"choices\":"]
+DRAIN_MS = 1500
 
 
 class EntryBrokenAnswerTest(unittest.TestCase):
@@ -34,7 +38,8 @@
             self.engine.vm("guild", "lantern-muse", "old-town"),
             self.service.vm("guild", "glaze", "old-town", "service")]
         self.fleet.publish_vms()
-        self.entry = self.fleet.start_entry("entry-1", "old-town")
+        self.entry = self.fleet.start_entry("entry-1", "old-town", "--drain-ms",
+                                            str(DRAIN_MS))
         f.wait_for(lambda: self.chat(False).status == 200, "a first answer")
 
     def tearDown(self):
@@ -70,6 +75,24 @@
             self.assertEqual([a.status for a in self.answers(raw)[:2]],
                              [502] * 2, raw)
 
+    def test_request_longer_than_the_stop(self):
+        """Guards against a connection that is closed without an answer at the
+        end of a planned stop while a backend has the request."""
+        self.engine.mode = "hang"
+        with ThreadPoolExecutor() as pool:
+            calls = [pool.submit(self.chat, stream)
+                     for stream in (False, True)]
+            f.wait_for(lambda: self.engine.runs.get("koi") == 3, "the runs")
+            begin = time.monotonic()
+            self.assertEqual(self.entry.stop(), 0)
+            self.assertLess(time.monotonic() - begin, DRAIN_MS / 1000 + 1)
+            for call in calls:
+                answer = call.result()
+                self.assertEqual(answer.status, 504)
+                self.assertEqual(answer.headers["connection"], "close")
+                self.assertEqual(answer.json()["error"]["work"],
+                                 "may_have_run")
+
 
 if __name__ == "__main__":
     unittest.main()
