--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -203,7 +203,7 @@
 		runner_call_t *call = execution->call;
 
 		execution->call = NULL;
-		execution->context->protocol->cancel(call);
+		execution->protocol->cancel(call);
 		on_complete(execution);
 		return;
 	}
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -534,6 +534,15 @@
 	       !connection->arriving && !has_unread_input(connection);
 }
 
+/* True when a part of a request has been received. */
+static bool is_receiving(const http_connection_t *connection)
+{
+	struct evbuffer *input = bufferevent_get_input(connection->evhtp->bev);
+
+	return !connection->handling && !connection->reject_status &&
+	       (connection->header_bytes > 0 || evbuffer_get_length(input) > 0);
+}
+
 static void on_sweep(evutil_socket_t fd, short events, void *arg)
 {
 	http_server_t *server = arg;
@@ -830,9 +839,13 @@
 		http_connection_t *connection = link->data;
 
 		link = link->next;
-		if (connection->exchange)
+		if (connection->exchange) {
 			end_exchange(connection->exchange, answer,
 				     server->user_data);
+		} else if (is_receiving(connection)) {
+			connection->reject_status = 503;
+			evhtp_connection_free(connection->evhtp);
+		}
 	}
 }
 
