Give the detection of vanished peers a module of its own

Connections between nodes need the socket options that the HTTP client sets: keepalive probes and a limit for unacknowledged data.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -6,22 +6,14 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/keepalive.h"
 #include "base/log.h"
 #include "http/http_send.h"
 
 #define MAX_IDLE_CONNECTIONS_PER_ADDRESS 256
-/*
- * Detects a peer that disappears without a reset within about 3 s, the shortest
- * time after which a VM may count as unreachable.
- */
-#define KEEPALIVE_IDLE_S 1
-#define KEEPALIVE_PROBE_S 1
-#define KEEPALIVE_PROBES 2
-#define UNACKNOWLEDGED_TIMEOUT_MS 3000
 #define MAX_RESPONSE_BYTES (64 * 1024 * 1024)
 #define MAX_RESPONSE_HEAD_BYTES (64 * 1024)
 
@@ -455,32 +447,6 @@
 	return EVHTTP_REQ_GET;
 }
 
-/*
- * Enables keepalive probes and an acknowledgement timeout. Failures are
- * ignored: the timeouts of the calls still end them.
- */
-static void enable_peer_detection(evutil_socket_t fd)
-{
-	static const struct {
-		int level;
-		int name;
-		int value;
-	} options[] = {
-		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
-		{ IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
-		{ IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PROBE_S },
-		{ IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES },
-		{ IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS },
-		{ IPPROTO_TCP, TCP_NODELAY, 1 },
-	};
-
-	if (fd < 0)
-		return;
-	for (size_t i = 0; i < G_N_ELEMENTS(options); i++)
-		setsockopt(fd, options[i].level, options[i].name,
-			   &options[i].value, sizeof(options[i].value));
-}
-
 http_call_t *http_call_start(http_client_t *client,
 			     const http_request_options_t *options)
 {
@@ -522,7 +488,7 @@
 	if (connected && !call->failed_to_start)
 		http_send_now(bev);
 	if (!connected && !call->failed_to_start)
-		enable_peer_detection(bufferevent_getfd(bev));
+		keepalive_enable(bufferevent_getfd(bev));
 	if (options->connect_timeout_ms && !connected &&
 	    options->connect_timeout_ms < options->timeout_ms) {
 		call->after_connect_timeout_ms =
