Detect vanished peers on connections between nodes

After a node vanished without a reset and was back, or after a cut between two nodes, calls to it went on failing: the connection stayed open while the kernel repeated what was not acknowledged, with pauses that double, for up to a quarter of an hour, and all calls to that peer use one connection. A server kept the connections of vanished peers for two hours, the system's default (libevent enables keepalive on listening sockets, without times).

Both ends now use the keepalive module that runners' connections use.

Neither libevent, libevhtp nor libtirpc sets TCP_USER_TIMEOUT, by their machine code, so connections of callers have the system's defaults.

--- a/src/rpc/rpc_client.c
+++ b/src/rpc/rpc_client.c
@@ -3,10 +3,10 @@
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
-#include <netinet/tcp.h>
 #include <string.h>
 
 #include "base/error.h"
+#include "base/keepalive.h"
 #include "rpc/rpc_auth.h"
 
 typedef struct connection {
@@ -139,12 +139,9 @@
 static void on_event(struct bufferevent *bev, short events, void *arg)
 {
 	connection_t *connection = arg;
-	int one = 1;
 
 	if (events & BEV_EVENT_CONNECTED) {
 		connection->connected = TRUE;
-		setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY,
-			   &one, sizeof(one));
 		return;
 	}
 	connection_lost(connection);
@@ -273,6 +270,7 @@
 		g_hash_table_remove(client->connections, address);
 		return NULL;
 	}
+	keepalive_enable(bufferevent_getfd(connection->bev));
 	return connection;
 }
 
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -4,10 +4,10 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/tcp.h>
 #include <string.h>
 
 #include "base/error.h"
+#include "base/keepalive.h"
 #include "rpc/rpc_auth.h"
 
 typedef struct peer {
@@ -186,9 +186,8 @@
 {
 	rpc_server_t *server = arg;
 	peer_t *peer = g_new0(peer_t, 1);
-	int one = 1;
 
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	keepalive_enable(fd);
 	peer->server = server;
 	peer->calls = g_hash_table_new(NULL, NULL);
 	peer->bev = bufferevent_socket_new(server->base, fd,
