Report a connect without an answer as not sent

Callers of an entry VM whose connects to engines got no answer were told 502 with work "may_have_run", though no engine had received anything; requests that may run only once were not tried at another engine. The engines also counted as crashed by these requests, so that healthy prompts were held (503 prompt_held).

evhttp reports a refused connect as a response without a status, but one that ends otherwise (no answer, unreachable network) like a connection that was lost, and http_client took the second for a request that was sent. What counts is whether bytes of the request went to the socket, which http_client records.

test_http_client_connect, "unanswered connect": HTTP_CONNECTION_LOST before, HTTP_NOT_SENT with the change (the backlog of the listening socket is full, and TCP_USER_TIMEOUT ends the connect).

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -290,12 +290,10 @@
 	}
 	discard_connection(client, connection);
 	/*
-	 * evhttp reports a failed connect as a response without a status and
-	 * without an error.
+	 * evhttp reports a failed connect in two ways: a refused one without an
+	 * error, others like a lost connection.
 	 */
-	call_finish(call, request && !call->transport_error && !wrote ?
-				  HTTP_NOT_SENT :
-				  HTTP_CONNECTION_LOST);
+	call_finish(call, wrote ? HTTP_CONNECTION_LOST : HTTP_NOT_SENT);
 }
 
 static int on_evhttp_headers(struct evhttp_request *request, void *arg)
--- a/tests/test_http_client_connect.c
+++ b/tests/test_http_client_connect.c
@@ -73,6 +73,38 @@
 	CU_ASSERT_EQUAL(outcome.outcome, HTTP_NOT_SENT);
 }
 
+/*
+ * Guards against a connect without an answer that is reported like a
+ * connection that was lost after the request was sent.
+ */
+static void test_unanswered_connect(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int waiting[3];
+	char target[32];
+	outcome_t outcome;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(bind(listener, (struct sockaddr *)&address, len), 0);
+	listen(listener, 0);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	snprintf(target, sizeof(target), "127.0.0.1:%u",
+		 ntohs(address.sin_port));
+	/* Fill the backlog, so that further connects get no answer. */
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+		waiting[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)!connect(waiting[i], (struct sockaddr *)&address, len);
+	}
+	outcome = call(target);
+	CU_ASSERT_EQUAL(outcome.calls, 1);
+	CU_ASSERT_EQUAL(outcome.outcome, HTTP_NOT_SENT);
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++)
+		close(waiting[i]);
+	close(listener);
+}
+
 /* A server that resets the connection after it has read the request. */
 typedef struct reset_server {
 	int listener;
@@ -194,6 +226,7 @@
 	static const unit_test_t tests[] = {
 		{ "immediate connect failure", test_immediate_connect_failure },
 		{ "refused connection", test_refused_connection },
+		{ "unanswered connect", test_unanswered_connect },
 		{ "reset at connect timeout", test_reset_at_connect_timeout },
 		{ "head without end", test_head_without_end },
 		{ NULL, NULL },
