Give up a connect to an engine after 1.2 s

Callers of an entry VM whose connects to engines got no answer waited about 3 s for each engine that was tried, until TCP_USER_TIMEOUT ended the connect, while another engine might have served them.

An engine call now has a connect timeout that covers one repetition of a lost SYN. A connect that is given up counts as not sent, so the request goes to the next engine, whatever its kind.

test_engine_client, "unanswered connect": more than 2 s before, less with the change.

--- a/src/backend/engine_client.c
+++ b/src/backend/engine_client.c
@@ -6,6 +6,9 @@
 
 #include "backend/sse.h"
 
+/* Covers one repetition of a lost SYN, which TCP sends after 1 s. */
+#define CONNECT_TIMEOUT_MS 1200
+
 struct engine_client {
 	struct event_base *base;
 	http_client_t *http;
@@ -327,6 +330,7 @@
 		.body = options->body,
 		.body_len = options->body_len,
 		.timeout_ms = options->timeout_ms,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.fresh_connection = options->once,
 		.on_headers = on_headers,
 		.on_done = on_done,
--- a/tests/test_engine_client.c
+++ b/tests/test_engine_client.c
@@ -1,7 +1,10 @@
 #include "backend/engine_client.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http/http_server.h"
 #include "unit.h"
@@ -235,6 +238,48 @@
 	fixture_close(&f);
 }
 
+/*
+ * Guards against callers that wait for an engine whose connect gets no answer,
+ * while they could be served by another.
+ */
+static void test_unanswered_connect(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int waiting[3];
+	fixture_t f;
+	engine_call_options_t options = {
+		.address = f.address,
+		.request_id = "r-1",
+		.timeout_ms = 10000,
+		.done = on_done,
+		.user_data = &f,
+	};
+	int64_t start_ms = clock_now_ms(clock_system());
+
+	fixture_open(&f);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(bind(listener, (struct sockaddr *)&address, len), 0);
+	listen(listener, 0);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	snprintf(f.address, sizeof(f.address), "127.0.0.1:%u",
+		 ntohs(address.sin_port));
+	/* Fill the backlog, so that further connects get no answer. */
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+		waiting[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)!connect(waiting[i], (struct sockaddr *)&address, len);
+	}
+	engine_call_start(f.client, &options);
+	event_base_dispatch(f.base);
+	CU_ASSERT_EQUAL(f.result.outcome, ENGINE_NOT_SENT);
+	CU_ASSERT_TRUE(clock_now_ms(clock_system()) - start_ms < 2000);
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++)
+		close(waiting[i]);
+	close(listener);
+	fixture_close(&f);
+}
+
 static void cancel_on_first_token(engine_call_t *call, void *user_data)
 {
 	engine_call_cancel(call);
@@ -276,6 +321,7 @@
 	static const unit_test_t tests[] = {
 		{ "outcomes", test_outcomes },
 		{ "connection refused", test_connection_refused },
+		{ "unanswered connect", test_unanswered_connect },
 		{ "cancel", test_cancel },
 		{ NULL, NULL },
 	};
