Keep a stalled stream at its runner while the node is cut off

Callers saw streams break off, or got no event until they gave up, when all links between a node and its runners were silent for about a second and a half.

Cause: a stalled stream was moved to any runner that looked healthy. While a node has lost all of its links, the runners that it has not tried yet look healthy; each attempt costs 250 ms, and the runner that had the stream has been given up.

Now the stream stays at its runner while a connection to some runner has failed since the node last heard any of them. A runner that answers or sends an event ends that state at once. test_stall_while_cut_off failed before.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -157,6 +157,7 @@
 	execution_t *execution = user_data;
 
 	execution->progress_us = clock_now_us(execution->context->clock);
+	fleet_heard(execution->context->fleet);
 	note_output(execution);
 	if (!execution->version) {
 		execution->version = g_strdup(execution->runner->version);
@@ -695,11 +696,12 @@
 {
 	const fleet_pick_options_t pick = pick_options(execution);
 	execution_reason_t reason = attempts_end(execution);
+	fleet_t *fleet = execution->context->fleet;
 
 	if (execution->batch)
 		return false;
 	if (reason == EXECUTION_COMPLETED &&
-	    !fleet_has_healthy(execution->context->fleet, &pick))
+	    (!fleet_has_healthy(fleet, &pick) || fleet_is_cut_off(fleet)))
 		reason = EXECUTION_NO_RUNNER;
 	if (reason == EXECUTION_COMPLETED)
 		return false;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -54,6 +54,8 @@
 	GHashTable *domains; /* name -> fleet_domain_t */
 	GHashTable *versions; /* service -> service_versions_t */
 	int64_t created_us;
+	int64_t heard_us; /* last bytes of any runner to this node; 0: none */
+	int64_t unreachable_us; /* last connection to any that failed; 0: none */
 	fleet_domain_t *local_domain; /* state of this node's domain */
 	void (*load_changed)(void *user_data);
 	void *user_data;
@@ -746,8 +748,19 @@
 	return total_slots;
 }
 
+void fleet_heard(fleet_t *fleet)
+{
+	fleet->heard_us = clock_now_us(fleet->clock);
+}
+
+bool fleet_is_cut_off(const fleet_t *fleet)
+{
+	return fleet->unreachable_us > fleet->heard_us;
+}
+
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
 {
+	fleet_heard(fleet);
 	if (domain_contact_answered(&runner->domain_state->contact))
 		log_info("domain_back", "domain=%s runner=%s", runner->domain,
 			 runner->id);
@@ -792,6 +805,7 @@
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
 {
 	fleet_failed(fleet, runner);
+	fleet->unreachable_us = clock_now_us(fleet->clock);
 	/* The local domain is never ejected: without it the node could serve
 	 * nothing. */
 	if (!is_remote(fleet, runner))
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -456,6 +456,34 @@
 	}
 }
 
+/* A stalled stream must stay at its runner while the node is cut off from all
+ * runners, and be resumed elsewhere when another one still sends events. */
+static void test_stall_while_cut_off(void)
+{
+	for (int other_sends = 0; other_sends <= 1; other_sends++) {
+		fixture_t *fixture = fixture_new();
+		execution_t *other;
+
+		add_runner(fixture, "c");
+		start_execution(fixture, true, false, true);
+		other = start_execution(fixture, true, false, false);
+		for (int i = 0; i < 2; i++) {
+			answer(fixture, i, 200, false);
+			data(fixture, i, "id: 1\ndata: a\n\n");
+		}
+		clock_manual_advance_ms(&fixture->clock, 300);
+		start_execution(fixture, true, false, false);
+		done(fixture, 2, RUNNER_NOT_SENT);
+		if (other_sends)
+			data(fixture, 1, "id: 2\ndata: b\n\n");
+		add_runner(fixture, "d");
+		wait_silently(fixture, 700);
+		CU_ASSERT_EQUAL(fixture->calls[0].cancelled, other_sends);
+		execution_cancel(other);
+		fixture_free(fixture);
+	}
+}
+
 /* A stream that has begun must not end because no runner can be connected to for
  * some seconds. Attempts must pause meanwhile, and end with the deadline. */
 static void test_resumption_waits_for_runner(void)
@@ -689,6 +717,7 @@
 		{ "silence without other runner",
 		  test_silence_without_other_runner },
 		{ "silence without budget", test_silence_without_budget },
+		{ "stall while cut off", test_stall_while_cut_off },
 		{ "resumption waits for runner",
 		  test_resumption_waits_for_runner },
 		{ "resumption without version",
