--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -701,7 +701,7 @@
 	if (execution->batch)
 		return false;
 	if (reason == EXECUTION_COMPLETED &&
-	    (!fleet_has_healthy(fleet, &pick) || fleet_is_cut_off(fleet)))
+	    (!fleet_has_healthy(fleet, &pick) || fleet_is_silent(fleet)))
 		reason = EXECUTION_NO_RUNNER;
 	if (reason == EXECUTION_COMPLETED)
 		return false;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -753,7 +753,7 @@
 	fleet->heard_us = clock_now_us(fleet->clock);
 }
 
-bool fleet_is_cut_off(const fleet_t *fleet)
+bool fleet_is_silent(const fleet_t *fleet)
 {
 	return fleet->unreachable_us > fleet->heard_us;
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -160,7 +160,7 @@
 /* A runner has sent something to this node. */
 void fleet_heard(fleet_t *fleet);
 /* Whether a connection to a runner has failed since this node last heard any. */
-bool fleet_is_cut_off(const fleet_t *fleet);
+bool fleet_is_silent(const fleet_t *fleet);
 /* The runner answered, so its domain is reachable. */
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner);
 /* The runner served a request; resets its consecutive failures. */
