--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -160,6 +160,7 @@
 	execution_t *execution = user_data;
 
 	execution->progress_us = clock_now_us(execution->context->clock);
+	fleet_heard(execution->context->fleet);
 	note_output(execution);
 	if (!execution->version) {
 		execution->version = g_strdup(execution->runner->version);
@@ -755,6 +756,13 @@
 	fleet_lost_request(execution->context->fleet, execution->runner);
 }
 
+static bool has_relay(const execution_t *execution)
+{
+	return execution->context->relay &&
+	       runner_relay_reaches(execution->context->relay,
+				    execution->runner->domain, true);
+}
+
 /* Whether a stalled stream stays at its runner, which may be silent for a moment
  * only: without another one the stream would end early. The owner of a batch
  * item can wait instead of the item. */
@@ -762,11 +770,13 @@
 {
 	const fleet_pick_options_t pick = pick_options(execution);
 	execution_reason_t reason = attempts_end(execution);
+	fleet_t *fleet = execution->context->fleet;
 
 	if (execution->batch)
 		return false;
 	if (reason == EXECUTION_COMPLETED &&
-	    !fleet_has_healthy(execution->context->fleet, &pick))
+	    (!fleet_has_healthy(fleet, &pick) ||
+	     (fleet_is_silent(fleet) && !has_relay(execution))))
 		reason = EXECUTION_NO_RUNNER;
 	if (reason == EXECUTION_COMPLETED)
 		return false;
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -54,6 +54,8 @@
 	GHashTable *domains; /* name -> fleet_domain_t */
 	GHashTable *versions; /* service -> service_versions_t */
 	int64_t created_us;
+	int64_t heard_us; /* last bytes of any runner to this node; 0: none */
+	int64_t unreachable_us; /* last connection to any that failed; 0: none */
 	fleet_domain_t *local_domain; /* state of this node's domain */
 	void (*load_changed)(void *user_data);
 	bool (*has_relay)(const char *domain, void *user_data);
@@ -762,8 +764,19 @@
 	return total_slots;
 }
 
+void fleet_heard(fleet_t *fleet)
+{
+	fleet->heard_us = clock_now_us(fleet->clock);
+}
+
+bool fleet_is_silent(const fleet_t *fleet)
+{
+	return fleet->unreachable_us > fleet->heard_us;
+}
+
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
 {
+	fleet_heard(fleet);
 	if (!domain_contact_answered(&runner->domain_state->contact))
 		return;
 	log_info("domain_back", "domain=%s local=%d runner=%s", runner->domain,
@@ -845,6 +858,7 @@
 void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
 {
 	fleet_failed(fleet, runner);
+	fleet->unreachable_us = clock_now_us(fleet->clock);
 	fleet_no_contact(fleet, runner);
 }
 
