--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -65,7 +65,17 @@
  */
 void http_server_stop_listening(http_server_t *server);
 void http_server_close_idle(http_server_t *server);
-/* True when all responses have been passed to the kernel completely. */
+/*
+ * Ends the exchanges that are not answered, for a process that exits: their
+ * owners are told as if the peer had closed the connection, then the handler
+ * answers those without a response, with the server's user data. Streams are
+ * aborted.
+ */
+void http_server_end_exchanges(http_server_t *server, http_handler_t answer);
+/*
+ * True when no request is arriving or being handled, and all responses have been
+ * passed to the kernel completely.
+ */
 bool http_server_is_drained(const http_server_t *server);
 
 const char *http_method(const http_exchange_t *exchange);
@@ -81,7 +91,8 @@
 				   void *user_data),
 		      void *user_data);
 /*
- * Closes the connection after this response and announces it in the response.
+ * Closes the connection after this response and announces it in the response;
+ * before http_reply() or http_stream_start(). May be called again.
  */
 void http_close_after(http_exchange_t *exchange);
 /* The body as one block, with a NUL after *len bytes. Never NULL. */
--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -249,6 +249,9 @@
         if self.headers.get("Expect-Instance") != runner.id:
             self.start_answer(421, ("Content-Length", "0"))
             return
+        if runner.script and runner.script(self, after):
+            self.close_connection = True
+            return
         if runner.refuse:
             self.start_answer(503, ("Not-Run", "1"), ("Content-Length", "0"))
             return
@@ -281,6 +284,8 @@
                 self.connection.close()
                 return
             time.sleep(runner.gap_s)
+            if number == runner.silent_at:
+                time.sleep(runner.silent_s)
             self.chunk(b"id: %d\ndata: %s\n\n" % (
                 number, runner.text(number).encode()))
         if runner.until_close:
@@ -332,7 +337,12 @@
         self.gap_s = 0.005
         self.refuse = False
         self.status = 200
+        # Answers in place of the runner, which then closes the connection:
+        # called with the handler and the last event; false: the runner answers.
+        self.script = None
         self.cut_at = 0
+        self.silent_at = 0  # event before which the answer pauses
+        self.silent_s = 0.0
         self.seen = []  # (request id, last event id)
         self.seen_at = []  # times of the same, monotonic
         self.limit = None  # requests per second that it names in answers
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -4,7 +4,7 @@
 #include "gateway/execution.h"
 #include "unit.h"
 
-#define MAX_CALLS 16
+#define MAX_CALLS 64
 
 /* A protocol whose calls the test answers itself. */
 struct runner_call {
@@ -28,6 +28,7 @@
 	GString *delivered; /* calls of the sink */
 	int ends;
 	execution_outcome_t end;
+	execution_reason_t reason;
 } fixture_t;
 
 static runner_call_t *start(void *context, const runner_request_t *request)
@@ -71,12 +72,14 @@
 			       (int)len, body);
 }
 
-static void on_end(execution_outcome_t end, void *user_data)
+static void on_end(execution_outcome_t end, execution_reason_t reason,
+		   void *user_data)
 {
 	fixture_t *fixture = user_data;
 
 	fixture->ends++;
 	fixture->end = end;
+	fixture->reason = reason;
 }
 
 static const execution_sink_t sink = { on_start, on_event, on_response,
@@ -180,26 +183,34 @@
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 }
 
-static void answer(fixture_t *fixture, int index, int status, bool not_run)
+static void answer_with(fixture_t *fixture, int index, runner_answer_t a)
 {
-	runner_answer_t a = { .status = status, .not_run = not_run };
-
 	a.headers = g_ptr_array_new();
 	fixture->calls[index].request.answer(
 		&a, fixture->calls[index].request.user_data);
 	g_ptr_array_unref(a.headers);
 }
 
+static void answer(fixture_t *fixture, int index, int status, bool not_run)
+{
+	const runner_answer_t a = { .status = status, .not_run = not_run };
+
+	answer_with(fixture, index, a);
+}
+
 static void data(fixture_t *fixture, int index, const char *text)
 {
 	fixture->calls[index].request.data(
 		text, strlen(text), fixture->calls[index].request.user_data);
 }
 
+/* Like a protocol, makes no callback after cancel. */
 static void done(fixture_t *fixture, int index, runner_outcome_t end)
 {
-	fixture->calls[index].request.done(
-		end, fixture->calls[index].request.user_data);
+	const runner_request_t *request = &fixture->calls[index].request;
+
+	if (!fixture->calls[index].cancelled)
+		request->done(end, request->user_data);
 	run_event_loop(fixture);
 }
 
@@ -351,6 +362,28 @@
 	fixture_free(fixture);
 }
 
+/* A resumed stream must not end as complete when the runner goes down before it
+ * has sent an event. Only a framed response can be empty and complete. */
+static void test_empty_resumption(void)
+{
+	for (int until_close = 0; until_close < 2; until_close++) {
+		fixture_t *fixture = fixture_new();
+		const runner_answer_t a = { .status = 200,
+					    .until_close = until_close };
+
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		done(fixture, 0, RUNNER_TRUNCATED);
+		answer_with(fixture, 1, a);
+		done(fixture, 1, RUNNER_COMPLETE);
+		CU_ASSERT_EQUAL(fixture->end, until_close ?
+						      EXECUTION_TRUNCATED :
+						      EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
 /* An event out of order must end the attempt and must not be delivered. */
 static void test_event_out_of_order(void)
 {
@@ -390,6 +423,124 @@
 	fixture_free(fixture);
 }
 
+/* Lets time pass in steps while the runners are silent. */
+static void wait_silently(fixture_t *fixture, int ms)
+{
+	for (int passed_ms = 0; passed_ms < ms; passed_ms += 50) {
+		clock_manual_advance_ms(&fixture->clock, 50);
+		execution_check_timeouts(&fixture->context);
+		run_event_loop(fixture);
+	}
+}
+
+/* A stream that no other runner can take must not end while its runner is
+ * silent: the only one of its software version, or the only one at all. */
+static void test_silence_without_other_runner(void)
+{
+	for (int only_one = 0; only_one <= 1; only_one++) {
+		fixture_t *fixture = fixture_new();
+
+		fleet_set_draining(fixture->fleet,
+				   fleet_find(fixture->fleet, fleet_key("b")));
+		if (!only_one) {
+			add_runner_of(fixture, "c", "2");
+			fleet_failed(
+				fixture->fleet,
+				fleet_find(fixture->fleet, fleet_key("c")));
+		}
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		wait_silently(fixture, 1300);
+		CU_ASSERT_FALSE_FATAL(fixture->calls[0].cancelled);
+		data(fixture, 0, "id: 2\ndata: b\n\n");
+		done(fixture, 0, RUNNER_COMPLETE);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "start|a|b|");
+		CU_ASSERT_EQUAL(fixture->end, EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
+/* A stream must not end, begun or not, while the last runner that may run it is
+ * silent. */
+static void test_silence_without_budget(void)
+{
+	for (int begun = 0; begun <= 1; begun++) {
+		fixture_t *fixture = fixture_new();
+
+		add_runner(fixture, "c");
+		start_execution(fixture, true, false, true);
+		done(fixture, 0, RUNNER_TRUNCATED);
+		CU_ASSERT_EQUAL_FATAL(fixture->count, 2);
+		if (begun)
+			answer(fixture, 1, 200, false);
+		wait_silently(fixture, 1300);
+		CU_ASSERT_FALSE_FATAL(fixture->calls[1].cancelled);
+		CU_ASSERT_EQUAL(fixture->ends, 0);
+		if (!begun)
+			answer(fixture, 1, 200, false);
+		data(fixture, 1, "id: 1\ndata: a\n\n");
+		done(fixture, 1, RUNNER_COMPLETE);
+		CU_ASSERT_EQUAL(fixture->end, EXECUTION_DONE);
+		fixture_free(fixture);
+	}
+}
+
+/* A stream that has begun must not end because no runner can be connected to for
+ * some seconds. Attempts must pause meanwhile, and end with the deadline. */
+static void test_resumption_waits_for_runner(void)
+{
+	for (int is_back = 0; is_back <= 1; is_back++) {
+		fixture_t *fixture = fixture_new();
+		int last = 0;
+
+		start_execution(fixture, true, false, true);
+		answer(fixture, 0, 200, false);
+		data(fixture, 0, "id: 1\ndata: a\n\n");
+		done(fixture, 0, RUNNER_TRUNCATED);
+		for (int i = 0; i < (is_back ? 8 : 40); i++) {
+			if (fixture->count - 1 > last)
+				done(fixture, ++last, RUNNER_NOT_SENT);
+			wait_silently(fixture, 250);
+		}
+		if (!is_back) {
+			CU_ASSERT_EQUAL(fixture->reason, EXECUTION_NO_TIME);
+		} else {
+			CU_ASSERT_EQUAL_FATAL(fixture->ends, 0);
+			last = fixture->count - 1;
+			CU_ASSERT(last > 4);
+			CU_ASSERT_EQUAL(fixture->calls[last].resume_after, 1);
+			answer(fixture, last, 200, false);
+			data(fixture, last, "id: 2\ndata: b\n\n");
+			done(fixture, last, RUNNER_COMPLETE);
+			CU_ASSERT_STRING_EQUAL(fixture->delivered->str,
+					       "start|a|b|");
+		}
+		CU_ASSERT_EQUAL(fixture->ends, 1);
+		fixture_free(fixture);
+	}
+}
+
+/* A stream must end at once when no runner has its software version any more,
+ * so that its client does not wait in vain. */
+static void test_resumption_without_version(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	start_execution(fixture, true, false, true);
+	answer(fixture, 0, 200, false);
+	data(fixture, 0, "id: 1\ndata: a\n\n");
+	add_runner_of(fixture, "c", "2");
+	fleet_set_draining(fixture->fleet,
+			   fleet_find(fixture->fleet, fleet_key("a")));
+	fleet_set_draining(fixture->fleet,
+			   fleet_find(fixture->fleet, fleet_key("b")));
+	done(fixture, 0, RUNNER_TRUNCATED);
+	CU_ASSERT_EQUAL(fixture->ends, 1);
+	CU_ASSERT_EQUAL(fixture->reason, EXECUTION_NO_RUNNER);
+	fixture_free(fixture);
+}
+
 /* Advances the clock in steps, each with the text from the first runner. */
 static void send_slowly(fixture_t *fixture, int step_ms, int steps,
 			const char *const *texts)
@@ -427,25 +578,61 @@
 }
 
 /* An error response without end must not fill the memory: the connection is
- * closed and the request goes to another runner. */
+ * closed, also when no other runner may have the request. */
 static void test_body_without_end(void)
 {
-	fixture_t *fixture = fixture_new();
 	char *text = g_strnfill(64 * 1024, 'x');
 
-	start_execution(fixture, true, false, true);
-	answer(fixture, 0, 500, false);
-	for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
-		data(fixture, 0, text);
-	run_event_loop(fixture);
-	CU_ASSERT(fixture->calls[0].cancelled);
-	CU_ASSERT_EQUAL(fixture->count, 2);
-	CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
-				   fixture->calls[1].instance);
-	CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
-	done(fixture, 1, RUNNER_NOT_SENT);
+	for (int resumable = 0; resumable < 2; resumable++) {
+		fixture_t *fixture = fixture_new();
+
+		start_execution(fixture, true, false, resumable);
+		answer(fixture, 0, 500, false);
+		for (int i = 0; i < 20 && !fixture->calls[0].cancelled; i++)
+			data(fixture, 0, text);
+		run_event_loop(fixture);
+		CU_ASSERT(fixture->calls[0].cancelled);
+		CU_ASSERT_EQUAL(fixture->count, resumable ? 2 : 1);
+		CU_ASSERT_EQUAL(fixture->ends, resumable ? 0 : 1);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+		if (resumable) {
+			CU_ASSERT_STRING_NOT_EQUAL(fixture->calls[0].instance,
+						   fixture->calls[1].instance);
+			done(fixture, 1, RUNNER_NOT_SENT);
+		}
+		fixture_free(fixture);
+	}
 	g_free(text);
-	fixture_free(fixture);
+}
+
+/* A caller must not wait for the end of an error, which may never come, when
+ * another runner can have the request. */
+static void test_error_is_not_awaited(void)
+{
+	static const struct {
+		int status;
+		bool not_run, stream, idempotent, resumable;
+	} cases[] = {
+		{ 500, false, false, true, false },
+		{ 503, true, false, false, false },
+		{ 421, true, true, false, false },
+		{ 200, true, true, false, false },
+		{ 500, false, true, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture = fixture_new();
+
+		start_execution(fixture, cases[i].stream, cases[i].idempotent,
+				cases[i].resumable);
+		answer(fixture, 0, cases[i].status, cases[i].not_run);
+		run_event_loop(fixture);
+		CU_ASSERT(fixture->calls[0].cancelled);
+		CU_ASSERT_EQUAL(fixture->count, 2);
+		CU_ASSERT_STRING_EQUAL(fixture->delivered->str, "");
+		execution_cancel(g_queue_peek_head(&fixture->context.active));
+		fixture_free(fixture);
+	}
 }
 
 /* The runner ends while it processes a request. */
@@ -563,10 +750,19 @@
 		{ "empty stream changes version",
 		  test_empty_stream_changes_version },
 		{ "truncated event", test_truncated_event },
+		{ "empty resumption", test_empty_resumption },
 		{ "event out of order", test_event_out_of_order },
 		{ "stall", test_stall },
+		{ "silence without other runner",
+		  test_silence_without_other_runner },
+		{ "silence without budget", test_silence_without_budget },
+		{ "resumption waits for runner",
+		  test_resumption_waits_for_runner },
+		{ "resumption without version",
+		  test_resumption_without_version },
 		{ "bytes without events", test_bytes_without_events },
 		{ "body without end", test_body_without_end },
+		{ "error is not awaited", test_error_is_not_awaited },
 		{ "crashing request is not resumed",
 		  test_crashing_request_is_not_resumed },
 		{ "same body with other parts",
