Take served calls off their queue by its functions

clang-tidy took the loop that ends all calls for a use of freed memory, as it does not follow the queue's links, and lint failed. The loop asks the queue now; no change of behaviour.

--- a/src/gateway/runner_relay_server.c
+++ b/src/gateway/runner_relay_server.c
@@ -351,8 +351,8 @@
 {
 	if (!server)
 		return;
-	while (server->calls.head)
-		served_free(server->calls.head->data);
+	while (!g_queue_is_empty(&server->calls))
+		served_free(g_queue_peek_head(&server->calls));
 	evconnlistener_free(server->listener);
 	g_free(server);
 }
