Bound the bodies of relayed calls together and drop given-up ones

By reading, in a review: 256 calls with 16 MB each were allowed, above the memory of small VMs, and a process that was suspended between its READY and the GO started a call whose node had given it up. Bodies have a bound over all calls, a call whose connection has ended is not started, and one whose answer cannot be passed on is cancelled at once.

--- a/src/gateway/runner_relay_server.c
+++ b/src/gateway/runner_relay_server.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <poll.h>
 #include <string.h>
 
 #include "base/error.h"
@@ -14,6 +15,7 @@
 
 /* Each call takes two descriptors and a few kilobytes. */
 #define MAX_CALLS 256
+/* Of all calls together. */
 #define MAX_BODY_BYTES (16 * 1024 * 1024)
 /* A call with more pending bytes is ended, as its node does not read. */
 #define MAX_PENDING_BYTES (1024 * 1024)
@@ -24,6 +26,7 @@
 	runner_relay_server_options_t options;
 	struct evconnlistener *listener;
 	GQueue calls; /* served_call_t */
+	uint64_t body_bytes; /* of all calls */
 	bool draining;
 	bool stopped;
 	int64_t *served_total;
@@ -63,8 +66,10 @@
 	g_queue_unlink(&server->calls, &served->link);
 	bufferevent_free(served->bev);
 	event_free(served->timer);
-	if (served->message.kind == RUNNER_CALL)
+	if (served->message.kind == RUNNER_CALL) {
+		server->body_bytes -= args_of(served)->body_bytes;
 		runner_message_clear(&served->message);
+	}
 	g_byte_array_unref(served->body);
 	g_free(served);
 	load_changed(server);
@@ -87,6 +92,26 @@
 	return runner;
 }
 
+/* The call was not started in time, or its node does not read. */
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	served_call_t *served = arg;
+
+	log_info("relayed_call_dropped", "ready=%d pending=%zu", served->ready,
+		 evbuffer_get_length(output_of(served)));
+	served_free(served);
+}
+
+/* Ends a call whose answer cannot be passed on. */
+static void drop(served_call_t *served)
+{
+	const struct timeval now = { 0, 0 };
+
+	served->server->options.protocol->cancel(served->call);
+	served->call = NULL;
+	evtimer_add(served->timer, &now);
+}
+
 static void on_answer(const runner_answer_t *answer, void *user_data)
 {
 	served_call_t *served = user_data;
@@ -109,28 +134,18 @@
 	};
 	args->headers.headers_len = answer->headers->len / 2;
 	args->headers.headers_val = runner_message_headers(answer->headers);
-	runner_message_append(output_of(served), &message);
+	if (!runner_message_append(output_of(served), &message))
+		drop(served);
 	http_send_now(served->bev);
 	g_free(args->headers.headers_val);
 }
 
-/* The call was not started in time, or its node does not read. */
-static void on_timer(evutil_socket_t fd, short events, void *arg)
-{
-	served_call_t *served = arg;
-
-	log_info("relayed_call_dropped", "ready=%d pending=%zu", served->ready,
-		 evbuffer_get_length(output_of(served)));
-	served_free(served);
-}
-
 static void on_data(const char *data, size_t len, void *user_data)
 {
-	const struct timeval now = { 0, 0 };
 	served_call_t *served = user_data;
 
 	if (evbuffer_get_length(output_of(served)) > MAX_PENDING_BYTES) {
-		evtimer_add(served->timer, &now);
+		drop(served);
 		return;
 	}
 	runner_message_append_part(output_of(served), RUNNER_DATA, data, len);
@@ -161,6 +176,16 @@
 	runner_message_append_kind(output_of(served), RUNNER_REFUSED);
 }
 
+/* Whether the other node has given the call up, for example while this process
+ * was suspended. */
+static bool is_given_up(const served_call_t *served)
+{
+	struct pollfd peer = { .fd = bufferevent_getfd(served->bev),
+			       .events = POLLRDHUP };
+
+	return poll(&peer, 1, 0) > 0;
+}
+
 static void start_call(served_call_t *served)
 {
 	const runner_protocol_t *protocol = served->server->options.protocol;
@@ -220,8 +245,11 @@
 	switch (message->kind) {
 	case RUNNER_CALL:
 		if (served->message.kind == RUNNER_CALL ||
-		    message->runner_message_u.call.body_bytes > MAX_BODY_BYTES)
+		    message->runner_message_u.call.body_bytes >
+			    MAX_BODY_BYTES - served->server->body_bytes)
 			return false;
+		served->server->body_bytes +=
+			message->runner_message_u.call.body_bytes;
 		served->message = *message;
 		*message = (runner_message){ 0 };
 		check_ready(served);
@@ -238,7 +266,8 @@
 		check_ready(served);
 		return true;
 	case RUNNER_GO:
-		if (!served->ready || served->started || served->closing)
+		if (!served->ready || served->started || served->closing ||
+		    is_given_up(served))
 			return false;
 		start_call(served);
 		return true;
