Count only own connections as a sign of contact

Events of a relayed stream counted as heard from runners directly, and a lost domain whose runners have all left stayed lost, was reported and was logged each second. Both found in a review by reading.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -160,7 +160,8 @@
 	execution_t *execution = user_data;
 
 	execution->progress_us = clock_now_us(execution->context->clock);
-	fleet_heard(execution->context->fleet);
+	if (!execution->relayed)
+		fleet_heard(execution->context->fleet);
 	note_output(execution);
 	if (!execution->version) {
 		execution->version = g_strdup(execution->runner->version);
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -916,8 +916,12 @@
 	while (!runner && g_hash_table_iter_next(&iter, NULL, &value)) {
 		fleet_domain_t *domain = value;
 
-		if (domain_contact_wants_probe(&domain->contact, now_us))
-			runner = draw_probe(fleet, domain);
+		if (!domain_contact_wants_probe(&domain->contact, now_us))
+			continue;
+		runner = draw_probe(fleet, domain);
+		/* Its runners have left. */
+		if (!runner)
+			domain_contact_answered(&domain->contact);
 	}
 	return runner;
 }
