--- a/tests/process/test_entry_cut_off.py
+++ b/tests/process/test_entry_cut_off.py
@@ -25,7 +25,7 @@
                               f.json.dumps(f.sample_document()))
         engines = [self.fleet.start_engine(f"muse-{i}", "guild", b.MODEL,
                                            DOMAIN) for i in range(3)]
-        group = Group(self.fleet, DOMAIN)
+        group = Group(self.fleet.log_dir, DOMAIN)
         with group.started():
             self.entry = self.fleet.start_entry("entry-cut", DOMAIN)
         self.other = self.fleet.start_entry("entry-other", DOMAIN)
