Do not let relayed requests delay the probes of a lost domain

What callers saw: after a gateway's links to the runners were back, its requests went on through another node for seconds.

Cause: fleet_acquire() counted each request that it gave to a lost domain as the domain's probe, which puts the next one off by 400 ms. That is right when requests are the probes. A gateway probes by connections, and its requests to a lost domain go through another node, so a steady load took the place of nearly every probe.

Ruled out: connections dropped by the backlog of the stand-in runners.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -643,8 +643,11 @@
 	if (!runner)
 		return NULL;
 	runner->refs++;
-	domain_contact_probed(&runner->domain_state->contact,
-			      clock_now_us(fleet->clock));
+	/* A request through another node is no probe of a lost domain, and must
+	 * not delay the next one. */
+	if (!fleet->probed)
+		domain_contact_probed(&runner->domain_state->contact,
+				      clock_now_us(fleet->clock));
 	note_sent(fleet, runner, pick->tried_count > 0 || pick->repeated);
 	if (pick->batch)
 		runner->own.batch++;
--- a/tests/test_domain_contact.c
+++ b/tests/test_domain_contact.c
@@ -124,6 +124,58 @@
 	g_rand_free(random);
 }
 
+/*
+ * Guards against a domain that stays lost after its links are back: requests
+ * that go through another node took the place of each probe that was due.
+ */
+static void test_probes_beside_requests(void)
+{
+	const char *const ids[] = { "a", "b", "c" };
+	const fleet_pick_options_t pick = { .service = "s" };
+	clock_manual_t clock;
+	GRand *random = g_rand_new_with_seed(1);
+	const fleet_options_t options = { .clock = &clock.base,
+					  .random = random,
+					  .domain = "own",
+					  .has_relay = fleet_relay,
+					  .probed = true };
+	fleet_t *fleet;
+	uint32_t probes = 0;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_advance_ms(&clock, 1000);
+	fleet = fleet_new(&options);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		const fleet_entry_t entry = {
+			ids[i], "10.0.0.1:1", "s", "own", 8, 1, false, "1"
+		};
+
+		fleet_update(fleet, &entry);
+	}
+	has_relay = true;
+	fleet_unreachable(fleet, fleet_find(fleet, fleet_key("a")));
+	fleet_unreachable(fleet, fleet_find(fleet, fleet_key("b")));
+	CU_ASSERT(fleet_lost_local(fleet));
+	for (int ms = 0; ms < 5000; ms++) {
+		const fleet_runner_t *probed = NULL;
+		fleet_runner_t *runner;
+
+		clock_manual_advance_ms(&clock, 1);
+		runner = fleet_acquire(fleet, &pick);
+		if (runner)
+			fleet_release(fleet, runner, false);
+		if (ms % 40 == 39)
+			probed = fleet_next_probe(fleet);
+		if (!probed)
+			continue;
+		probes++;
+		fleet_no_contact(fleet, probed);
+	}
+	CU_ASSERT(probes >= 4);
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
 /*
  * Simulates steady load while one of three domains is partitioned for five
  * seconds, so that each request sent there takes a connect timeout. A node may
@@ -223,6 +275,7 @@
 		{ "single probes", test_single_probes },
 		{ "probes by connection", test_probes_by_connection },
 		{ "lost own domain", test_lost_own_domain },
+		{ "probes beside requests", test_probes_beside_requests },
 		{ "partition under load", test_partition_under_load },
 		{ NULL, NULL },
 	};
