End a long hold whose crashes turn out to be none

What callers saw: requests with the same content, or with the same prompt part, were refused at all gateways for a minute, after connections had ended at runners that went on.

Cause: when output shows that a runner has survived a lost connection, the crash no longer counts, and a brief hold that rests on it ends. A long hold (three crashes and more) was never ended, as the crashes that it rests on may have left the log.

The hold ends now when the log is not full, so that it has them all, unless the hold is only known from another node. What nodes without the news still tell of it is ignored by its age.

Evidence: test_survivors_end_long_hold failed before, at the node itself and at one that is told.

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -58,6 +58,8 @@
 	int64_t send_at_us; /* when this node may send the next request */
 	uint32_t clear_sends_left;
 	bool certain;
+	bool told; /* held by another node's crashes, which are not in the log */
+	bool retracted; /* a crash with it was none; until the next decision */
 	bool blamed; /* explains crashes, by the last decision */
 } part_t;
 
@@ -293,6 +295,7 @@
 	if (certain)
 		hold_ms = (int64_t)HOLD_CERTAIN_MS << part->doublings;
 	part->certain = certain;
+	part->told = false;
 	part->crashes = part->evidence / EVIDENCE_RUNNING;
 	part->held_crash_us = part->newest_us;
 	set_hold(guard, part,
@@ -327,7 +330,26 @@
 	part->held_crash_us = 0;
 }
 
-/* Ends brief holds that the crashes known now do not justify. */
+/* Whether a long hold is based on crashes that were none. Those that it is
+ * based on may have left a full log. */
+static bool is_unfounded(const part_guard_t *guard, const part_t *part)
+{
+	return part->retracted && !part->told &&
+	       guard->log.count < CRASH_LOG_MAX;
+}
+
+/* Ends a hold for good: what other nodes still tell of it is ignored. */
+static void end_unfounded(part_t *part)
+{
+	part->cleared_us = MAX(part->cleared_us,
+			       part->held_crash_us + SURVIVAL_MARGIN_US);
+	part->certain = false;
+	part->doublings = 0;
+	end_hold(part);
+}
+
+/* Ends brief holds that the crashes known now do not justify, and long ones that
+ * were based on crashes that were none. */
 static void release_others(part_guard_t *guard)
 {
 	int64_t now_us = part_guard_now_us(guard);
@@ -338,11 +360,19 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		part_t *part = value;
 
-		if (part->blamed || part->certain || !is_held(part, now_us))
+		bool unfounded = is_unfounded(guard, part);
+
+		part->retracted = false;
+		if (part->blamed || (part->certain && !unfounded) ||
+		    !is_held(part, now_us))
 			continue;
-		log_info("part_released", "part=%" PRIx64 " evidence=%u",
-			 part->id, part->evidence);
-		end_hold(part);
+		log_info("part_released",
+			 "part=%" PRIx64 " evidence=%u certain=%d", part->id,
+			 part->evidence, part->certain);
+		if (part->certain)
+			end_unfounded(part);
+		else
+			end_hold(part);
 	}
 }
 
@@ -414,6 +444,21 @@
 	news_available(guard);
 }
 
+/* Records that a crash was none. Returns whether that is new. */
+static bool mark_survived(const part_guard_t *guard, crash_t *crash)
+{
+	if (crash->survived)
+		return false;
+	crash->survived = true;
+	for (uint32_t i = 0; i < crash->count; i++) {
+		part_t *part = find_part(guard, crash->suspects[i].part);
+
+		if (part)
+			part->retracted = true;
+	}
+	return true;
+}
+
 void part_guard_output(part_guard_t *guard, uint64_t runner, int64_t started_us)
 {
 	const crash_log_t *log = &guard->log;
@@ -432,7 +477,7 @@
 	log_info("runner_survived",
 		 "runner_key=%" PRIx64 " suspects=%u lost_age_ms=%" PRId64,
 		 runner, crash->count, (now_us - crash->at_us) / 1000);
-	crash->survived = true;
+	mark_survived(guard, crash);
 	crash->sends_left = NEWS_SENDS;
 	decide(guard);
 	news_available(guard);
@@ -673,14 +718,15 @@
 static bool apply_crash(part_guard_t *guard, const crash_t *from)
 {
 	crash_t *crash = note_crash(guard, from->runner, from->at_us);
-	bool changed = from->survived && !crash->survived;
+	bool changed = false;
 
-	crash->survived |= from->survived;
 	for (uint32_t i = 0; i < from->count; i++) {
 		crash_suspect_t suspect = from->suspects[i];
 
 		changed |= add_suspect(guard, crash, &suspect);
 	}
+	if (from->survived)
+		changed |= mark_survived(guard, crash);
 	return changed;
 }
 
@@ -709,6 +755,7 @@
 			 part->id, part->depth, from->crashes,
 			 (now_us - from->last_crash_us) / 1000,
 			 (from->until_us - now_us) / 1000);
+	part->told |= !is_held(part, now_us);
 	part->certain = true;
 	part->crashes = from->crashes;
 	part->doublings = MIN(from->doublings, HOLD_DOUBLINGS_MAX);
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -211,6 +211,38 @@
 	fixture_free(f);
 }
 
+/* Guards against requests that are held for a minute after runners that have not
+ * crashed; nodes that have not been told yet must not renew the hold. */
+static void test_survivors_end_long_hold(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	const int64_t before_us = part_guard_now_us(f->guard);
+	prompt_parts_t parts;
+	part_news_t summary;
+	part_news_t news;
+
+	for (int i = 0; i < 3; i++)
+		crash(f, FIRST, OTHER);
+	parts = parts_of(f, FIRST, OTHER);
+	while (part_guard_take_news(f->guard, &news))
+		part_guard_apply(peer, &news);
+	CU_ASSERT(part_guard_hold_ms(f->guard, &parts) > 30000);
+	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 30000);
+	CU_ASSERT(part_guard_summary(peer, &summary));
+	clock_manual_advance_ms(&f->clock, 60);
+	for (uint64_t runner = 1; runner <= 3; runner++)
+		part_guard_output(f->guard, runner, before_us);
+	summary.crashes_count = 0;
+	part_guard_apply(f->guard, &summary);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	while (part_guard_take_news(f->guard, &news))
+		part_guard_apply(peer, &news);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
 /* A request that crashes runners by its own content must be held without the
  * parts that it shares. */
 static void test_single_request(void)
@@ -401,6 +433,7 @@
 		{ "common cause", test_common_cause },
 		{ "crashes at one moment", test_crashes_at_one_moment },
 		{ "survivors do not count", test_survivors_do_not_count },
+		{ "survivors end long hold", test_survivors_end_long_hold },
 		{ "single request", test_single_request },
 		{ "request before and after output",
 		  test_request_before_and_after_output },
