Retract crashes that were seen as the links to the runners were lost

What callers saw: after the links between a gateway and the runners had been reset, requests with the content of one that was in progress then were refused at all gateways for a minute (request_held), also at those whose links were sound.

Cause: the end of a connection counts as a crash of its runner. A reset link ends all of a gateway's connections in the same moment, so one request that is in progress several times seems to explain several crashes. The class is that of the lost links themselves: what a node cannot reach is taken for what is not there.

The crash still counts at once, so that a request that crashes runners is held as soon as before. A lost connection now has its domain probed; if three different runners of it, or all, fail to be connected to, without an answer between, and a recent report of another node says that it reaches the domain, it was the link, and the crash is retracted and told to the other nodes. After real crashes the other runners of the domain answer, and when there are none, no other node reaches it either.

Not covered: all nodes lose their links at once (no node reaches the domain); connections that end with the link of a node that passes calls on.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -30,12 +30,20 @@
 	return NULL;
 }
 
+crash_t *crash_log_at(crash_log_t *log, uint64_t runner, int64_t at_us)
+{
+	crash_t *last = crash_log_find(log, runner);
+
+	return last && llabs(at_us - last->at_us) <= SAME_CRASH_US ? last :
+								     NULL;
+}
+
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us)
 {
-	crash_t *known = crash_log_find(log, runner);
+	crash_t *known = crash_log_at(log, runner, at_us);
 	uint32_t index;
 
-	if (known && llabs(at_us - known->at_us) <= SAME_CRASH_US)
+	if (known)
 		return known;
 	if (!log->crashes)
 		log->crashes = g_new0(crash_t, CRASH_LOG_MAX);
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -341,8 +341,8 @@
 /* Ends a hold for good: what other nodes still tell of it is ignored. */
 static void end_unfounded(part_t *part)
 {
-	part->cleared_us = MAX(part->cleared_us,
-			       part->held_crash_us + SURVIVAL_MARGIN_US);
+	part->cleared_us =
+		MAX(part->cleared_us, part->held_crash_us + SURVIVAL_MARGIN_US);
 	part->certain = false;
 	part->doublings = 0;
 	end_hold(part);
@@ -459,6 +459,21 @@
 	return true;
 }
 
+void part_guard_retract(part_guard_t *guard, uint64_t runner, int64_t at_us)
+{
+	crash_t *crash = crash_log_at(&guard->log, runner, at_us);
+
+	if (!crash || !mark_survived(guard, crash))
+		return;
+	log_info("crash_retracted",
+		 "runner_key=%" PRIx64 " suspects=%u lost_age_ms=%" PRId64,
+		 runner, crash->count,
+		 (part_guard_now_us(guard) - crash->at_us) / 1000);
+	crash->sends_left = NEWS_SENDS;
+	decide(guard);
+	news_available(guard);
+}
+
 void part_guard_output(part_guard_t *guard, uint64_t runner, int64_t started_us)
 {
 	const crash_log_t *log = &guard->log;
--- a/src/gateway/domain_contact.c
+++ b/src/gateway/domain_contact.c
@@ -11,14 +11,35 @@
 /* A probe in flight has its result by then. */
 #define PROBE_MS 400
 
+bool domain_contact_is_witness(const domain_contact_t *contact, uint64_t runner)
+{
+	for (uint32_t i = 0; i < contact->witness_count; i++)
+		if (contact->witnesses[i] == runner)
+			return true;
+	return false;
+}
+
+static void add_witness(domain_contact_t *contact, uint64_t runner,
+			int64_t now_us)
+{
+	if (contact->witness_count == 0)
+		contact->first_failed_us = now_us;
+	if (contact->witness_count < DOMAIN_CONTACT_WITNESSES &&
+	    !domain_contact_is_witness(contact, runner))
+		contact->witnesses[contact->witness_count++] = runner;
+}
+
 bool domain_contact_failed(domain_contact_t *contact, uint64_t runner,
 			   int64_t now_us)
 {
 	bool was_ejected = contact->ejected_until_us != 0;
 
 	if (now_us - contact->failed_us > FAILURE_SPAN_MS * 1000 &&
-	    !was_ejected)
+	    !was_ejected) {
 		contact->failures = 0;
+		contact->witness_count = 0;
+	}
+	add_witness(contact, runner, now_us);
 	if (contact->failures == 0 || contact->failed_runner != runner)
 		contact->failures++;
 	contact->failed_runner = runner;
@@ -33,11 +54,17 @@
 	return !was_ejected;
 }
 
+void domain_contact_doubted(domain_contact_t *contact)
+{
+	contact->doubted = true;
+}
+
 bool domain_contact_answered(domain_contact_t *contact)
 {
 	bool was_ejected = contact->ejected_until_us != 0;
 
 	contact->failures = 0;
+	contact->witness_count = 0;
 	contact->ejected_until_us = 0;
 	return was_ejected;
 }
@@ -55,15 +82,16 @@
 
 bool domain_contact_wants_probe(domain_contact_t *contact, int64_t now_us)
 {
-	bool due =
-		contact->ejected_until_us ?
-			now_us >= contact->ejected_until_us :
-			contact->failures > 0 && now_us - contact->failed_us <=
-							 FAILURE_SPAN_MS * 1000;
+	bool failed = contact->failures > 0 &&
+		      now_us - contact->failed_us <= FAILURE_SPAN_MS * 1000;
+	bool due = contact->ejected_until_us ?
+			   now_us >= contact->ejected_until_us :
+			   failed || contact->doubted;
 
 	if (!due || now_us - contact->probed_us < PROBE_MS * 1000)
 		return false;
 	contact->probed_us = now_us;
+	contact->doubted = false;
 	domain_contact_probed(contact, now_us);
 	return true;
 }
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -11,6 +11,9 @@
  * one. */
 #define EJECTION_FIRST_MS 400
 #define EJECTION_MAX_MS 6400
+/* A lost link is noticed so long after the first connection that it ends: by the
+ * probe that follows. */
+#define LINK_NOTICE_MS 1000
 /* The load of the runners' hosts changes within a few hundred milliseconds, so
  * an older report does not describe the current speed. */
 #define SLOWNESS_MAX_AGE_MS 400
@@ -886,23 +889,49 @@
 		update_relay(fleet, name, value);
 }
 
-/* A runner of the domain at random, rather not the one that failed last. */
+void fleet_doubt_contact(fleet_runner_t *runner)
+{
+	domain_contact_doubted(&runner->domain_state->contact);
+}
+
+bool fleet_has_lost_link(const fleet_t *fleet, const fleet_runner_t *runner,
+			 int64_t at_us)
+{
+	const fleet_domain_t *domain = runner->domain_state;
+	uint32_t runners = 0;
+
+	if (!domain->has_relay || !domain_contact_is_lost(&domain->contact) ||
+	    domain->contact.first_failed_us > at_us + LINK_NOTICE_MS * 1000)
+		return false;
+	for (guint i = 0; i < fleet->listed->len; i++) {
+		const fleet_runner_t *other = fleet->listed->pdata[i];
+
+		runners += other->domain_state == domain && !other->draining;
+	}
+	return domain->contact.witness_count >=
+	       MIN(runners, DOMAIN_CONTACT_WITNESSES);
+}
+
+/* A runner of the domain at random, rather one that has not failed. */
 static const fleet_runner_t *draw_probe(fleet_t *fleet,
 					const fleet_domain_t *domain)
 {
 	const fleet_runner_t *drawn = NULL;
-	uint32_t others = 0;
+	bool drawn_failed = true;
+	uint32_t count = 0;
 
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
+		bool failed = domain_contact_is_witness(&domain->contact,
+							runner->key);
 
-		if (runner->domain_state != domain || runner->draining)
-			continue;
-		if (runner->key == domain->contact.failed_runner) {
-			drawn = drawn ? drawn : runner;
+		if (runner->domain_state != domain || runner->draining ||
+		    (failed && !drawn_failed))
 			continue;
-		}
-		if (g_rand_double(fleet->random) * ++others < 1)
+		if (drawn_failed && !failed)
+			count = 0;
+		drawn_failed = failed;
+		if (g_rand_double(fleet->random) * ++count < 1)
 			drawn = runner;
 	}
 	return drawn;
--- a/tests/process/test_lost_links.py
+++ b/tests/process/test_lost_links.py
@@ -37,7 +37,8 @@
 class LostLinksTest(unittest.TestCase):
     def setUp(self):
         self.store = s.Store()
-        self.store.put("config", "main", s.config(1, s.route("/safe/", "safe")))
+        self.store.put("config", "main", s.config(
+            1, s.route("/safe/", "safe"), s.route("/unsafe/", "unsafe")))
         self.runners = [s.Runner(self.store, f"r{i}", zone="ab"[i % 2])
                         for i in range(4)]
         self.gateways = [
@@ -190,6 +191,24 @@
                     self.heal(self.gateways[0])
                     time.sleep(CONTACT_S)
 
+    def test_reset_is_no_crash(self):
+        """Connections that end as a gateway loses its links must not count as
+        crashes of their runners for long: requests like those on them were
+        held at all gateways for a minute."""
+        events, gap_s = self.runners[0].events, self.runners[0].gap_s
+        self.long_streams()
+        for _ in range(4 * len(self.runners)):
+            self.start_request(self.gateways[0], "/unsafe/a")
+        time.sleep(2 * LONG_GAP_S)
+        for runner in self.runners:
+            runner.events, runner.gap_s = events, gap_s
+        self.cut(RESET, self.gateways[0])
+        self.traffic(self.gateways[:1])
+        self.check_served(*self.gateways)
+        job = self.gateways[0], self.headers(), "/unsafe/a"
+        self.assertEqual(self.send(job).status, 200)
+        self.check_runs()
+
     def test_end_of_cut(self):
         """Requests must be served after a cut ends, and over the gateway's own
         connections again."""
