Ask a node that refuses a relayed call only once for a request

A refusal now says whether it is only the runner that is unknown. The node is then avoided for that runner for a second, and otherwise for 100 ms, by when its report shows that it takes none.

The check in test_refused that no refusal has the node avoided stated the old rule; it is replaced by one for each kind of refusal and its end. It failed before for a node that stops, and for the unknown runner.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -526,12 +526,13 @@
 static bool is_to_relay(const execution_t *execution)
 {
 	const fleet_runner_t *runner = execution->runner;
+	const runner_relay_need_t need = { runner->domain, runner->key,
+					   execution->idempotent ||
+						   execution->resumable };
 
 	return execution->context->relay &&
 	       (execution->was_unreachable || fleet_is_cut_off(runner)) &&
-	       runner_relay_reaches(execution->context->relay, runner->domain,
-				    execution->idempotent ||
-					    execution->resumable);
+	       runner_relay_reaches(execution->context->relay, &need);
 }
 
 static fleet_pick_options_t pick_options(const execution_t *execution)
@@ -762,9 +763,11 @@
 
 static bool has_relay(const execution_t *execution)
 {
+	const runner_relay_need_t need = { .domain = execution->runner->domain,
+					   .repeatable = true };
+
 	return execution->context->relay &&
-	       runner_relay_reaches(execution->context->relay,
-				    execution->runner->domain, true);
+	       runner_relay_reaches(execution->context->relay, &need);
 }
 
 /* Whether a stalled stream stays at its runner, which may be silent for a moment
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -266,8 +266,11 @@
 {
 	const gateway_t *gateway = user_data;
 
+	const runner_relay_need_t need = { .domain = domain,
+					   .repeatable = true };
+
 	return gateway->executions.relay &&
-	       runner_relay_reaches(gateway->executions.relay, domain, true);
+	       runner_relay_reaches(gateway->executions.relay, &need);
 }
 
 static void report_relay(gateway_t *gateway)
@@ -538,14 +541,14 @@
 }
 
 static bool find_relay_peer(void *user_data, const runner_relay_t *relay,
-			    const char *domain, bool repeatable, char *address,
+			    const runner_relay_need_t *need, char *address,
 			    size_t size)
 {
 	const gateway_t *gateway = user_data;
 
 	return gateway->peer_load &&
-	       peer_load_relay_peer(gateway->peer_load, relay, domain,
-				    repeatable, address, size);
+	       peer_load_relay_peer(gateway->peer_load, relay, need, address,
+				    size);
 }
 
 static bool knows_node(void *user_data, const struct in_addr *address)
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -623,6 +623,7 @@
 typedef struct relay_list {
 	const peer_load_t *load;
 	const runner_relay_t *relay;
+	uint64_t runner; /* key; 0: any */
 	GArray *candidates; /* relay_candidate_t */
 	GPtrArray *addresses; /* IP:port */
 } relay_list_t;
@@ -641,7 +642,7 @@
 	    !inet_ntop(AF_INET, &found->socket.sin_addr, ip, sizeof(ip)))
 		return;
 	address = g_strdup_printf("%s:%u", ip, port);
-	entry.avoided = runner_relay_avoids(list->relay, address);
+	entry.avoided = runner_relay_avoids(list->relay, address, list->runner);
 	/* Its report may not yet count this node's latest calls. */
 	entry.calls =
 		MAX(entry.calls, runner_relay_calls(list->relay, address));
@@ -650,23 +651,24 @@
 }
 
 bool peer_load_relay_peer(const peer_load_t *load, const runner_relay_t *relay,
-			  const char *domain, bool repeatable, char *address,
+			  const runner_relay_need_t *need, char *address,
 			  size_t size)
 {
 	relay_list_t list = {
 		.load = load,
 		.relay = relay,
+		.runner = need->runner,
 		.candidates =
 			g_array_new(FALSE, FALSE, sizeof(relay_candidate_t)),
 		.addresses = g_ptr_array_new_with_free_func(g_free),
 	};
 	int chosen;
 
-	load_view_each_relay(load->view, domain, add_relay, &list);
-	chosen = relay_choice((const relay_candidate_t *)list.candidates->data,
-			      list.candidates->len,
-			      fleet_lost_local(load->options.fleet), repeatable,
-			      g_rand_double(load->options.random));
+	load_view_each_relay(load->view, need->domain, add_relay, &list);
+	chosen = relay_choice(
+		(const relay_candidate_t *)list.candidates->data,
+		list.candidates->len, fleet_lost_local(load->options.fleet),
+		need->repeatable, g_rand_double(load->options.random));
 	if (chosen >= 0)
 		g_strlcpy(address, list.addresses->pdata[chosen], size);
 	g_array_free(list.candidates, TRUE);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -84,10 +84,10 @@
 void peer_load_set_relay(peer_load_t *load, const peer_load_relay_t *relay);
 /* Whether a node is known at the address. */
 bool peer_load_knows(const peer_load_t *load, const struct in_addr *address);
-/* Writes the address of the node to which calls to runners of the domain go
- * while this node cannot connect to them; false without one. */
+/* Writes the address of the node to which calls to runners go while this node
+ * cannot connect to them; false without one. */
 bool peer_load_relay_peer(const peer_load_t *load, const runner_relay_t *relay,
-			  const char *domain, bool repeatable, char *address,
+			  const runner_relay_need_t *need, char *address,
 			  size_t size);
 /* Sends the part guard's news to all nodes soon. */
 void peer_load_part_news(peer_load_t *load);
--- a/src/gateway/runner_relay.c
+++ b/src/gateway/runner_relay.c
@@ -20,11 +20,16 @@
 /* A node that has failed a call is avoided for this long; by then its reports
  * tell whether it is still there. */
 #define AVOID_MS 1000
+/* The same for one that has refused a call, until its report shows that it takes
+ * none. */
+#define REFUSED_AVOID_MS 100
 #define ADDRESS_BYTES 64
 
 typedef struct relay_peer {
 	uint32_t calls;
 	int64_t avoid_until_us;
+	uint64_t unknown_runner; /* key of the last one that it did not know */
+	int64_t unknown_until_us; /* avoided for this runner */
 } relay_peer_t;
 
 struct runner_relay {
@@ -42,6 +47,7 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	char *id;
+	uint64_t runner; /* key */
 	void (*answer)(const runner_answer_t *answer, void *user_data);
 	void (*data)(const char *data, size_t len, void *user_data);
 	void (*done)(runner_outcome_t end, void *user_data);
@@ -59,7 +65,8 @@
 	const runner_relay_t *relay = user_data;
 
 	return peer->calls == 0 &&
-	       clock_now_us(relay->options.clock) >= peer->avoid_until_us;
+	       clock_now_us(relay->options.clock) >=
+		       MAX(peer->avoid_until_us, peer->unknown_until_us);
 }
 
 static relay_peer_t *find_or_add_peer(runner_relay_t *relay,
@@ -112,8 +119,7 @@
 	       call->told_to_start ? RUNNER_PEER_LOST : RUNNER_PEER_NOT_SENT);
 }
 
-/* Ends a call because of the connection to the other node, which is avoided. A
- * refusal concerns the call only, or is in the node's reports. */
+/* Ends a call because of the connection to the other node, which is avoided. */
 static void fail(runner_call_t *call, const char *reason)
 {
 	if (call->peer)
@@ -123,6 +129,21 @@
 	end_failed(call, reason);
 }
 
+static void handle_refusal(runner_call_t *call, bool runner_unknown)
+{
+	int64_t now_us = clock_now_us(call->relay->options.clock);
+
+	if (runner_unknown) {
+		call->peer->unknown_runner = call->runner;
+		call->peer->unknown_until_us = now_us + AVOID_MS * 1000;
+	} else {
+		call->peer->avoid_until_us =
+			MAX(call->peer->avoid_until_us,
+			    now_us + REFUSED_AVOID_MS * 1000);
+	}
+	end_failed(call, runner_unknown ? "runner_unknown" : "refused");
+}
+
 static void set_timer(runner_call_t *call, int32_t ms)
 {
 	const struct timeval timeout = { ms / 1000, ms % 1000 * 1000 };
@@ -170,7 +191,7 @@
 		tell_to_start(call);
 		return true;
 	case RUNNER_REFUSED:
-		end_failed(call, "refused");
+		handle_refusal(call, message->runner_message_u.runner_unknown);
 		return false;
 	case RUNNER_ANSWER:
 		pass_answer(call, &message->runner_message_u.answer);
@@ -311,10 +332,13 @@
 {
 	runner_relay_t *relay = context;
 	runner_call_t *call = g_new0(runner_call_t, 1);
+	const runner_relay_need_t need = { request->domain, request->runner,
+					   request->repeatable };
 	char address[ADDRESS_BYTES];
 
 	call->relay = relay;
 	call->id = g_strdup(request->id);
+	call->runner = request->runner;
 	call->answer = request->answer;
 	call->data = request->data;
 	call->done = request->done;
@@ -323,8 +347,7 @@
 	call->timeout_ms = request->deadline_ms + DEADLINE_GRACE_MS;
 	call->timer = evtimer_new(relay->options.base, on_timer, call);
 	(*relay->calls_total)++;
-	if (!relay->options.find_peer(relay->options.user_data, relay,
-				      request->domain, request->repeatable,
+	if (!relay->options.find_peer(relay->options.user_data, relay, &need,
 				      address, sizeof(address))) {
 		set_timer(call, 0);
 		return call;
@@ -373,21 +396,26 @@
 	return &relay->protocol;
 }
 
-bool runner_relay_reaches(const runner_relay_t *relay, const char *domain,
-			  bool repeatable)
+bool runner_relay_reaches(const runner_relay_t *relay,
+			  const runner_relay_need_t *need)
 {
 	char address[ADDRESS_BYTES];
 
-	return relay->options.find_peer(relay->options.user_data, relay, domain,
-					repeatable, address, sizeof(address));
+	return relay->options.find_peer(relay->options.user_data, relay, need,
+					address, sizeof(address));
 }
 
-bool runner_relay_avoids(const runner_relay_t *relay, const char *address)
+bool runner_relay_avoids(const runner_relay_t *relay, const char *address,
+			 uint64_t runner)
 {
 	const relay_peer_t *peer = g_hash_table_lookup(relay->peers, address);
+	int64_t now_us = clock_now_us(relay->options.clock);
 
-	return peer &&
-	       clock_now_us(relay->options.clock) < peer->avoid_until_us;
+	if (!peer)
+		return false;
+	return now_us < peer->avoid_until_us ||
+	       (runner && runner == peer->unknown_runner &&
+		now_us < peer->unknown_until_us);
 }
 
 uint32_t runner_relay_calls(const runner_relay_t *relay, const char *address)
--- a/src/gateway/runner_relay_server.c
+++ b/src/gateway/runner_relay_server.c
@@ -167,13 +167,17 @@
 	http_send_now(served->bev);
 }
 
-static void refuse(served_call_t *served, const char *reason)
+static void refuse(served_call_t *served, const char *reason,
+		   bool runner_unknown)
 {
+	runner_message message = { .kind = RUNNER_REFUSED };
+
 	(*served->server->refused_total)++;
 	log_info("relayed_call_refused", "request=%s runner=%s reason=%s",
 		 args_of(served)->id, args_of(served)->instance, reason);
 	served->closing = true;
-	runner_message_append_kind(output_of(served), RUNNER_REFUSED);
+	message.runner_message_u.runner_unknown = runner_unknown;
+	runner_message_append(output_of(served), &message);
 }
 
 /* Whether the other node has given the call up, for example while this process
@@ -230,11 +234,11 @@
 	served->ready = true;
 	if (server->stopped ||
 	    (server->draining && !args_of(served)->repeatable))
-		refuse(served, "stopping");
+		refuse(served, "stopping", false);
 	else if (server->calls.length > MAX_CALLS)
-		refuse(served, "too_many");
+		refuse(served, "too_many", false);
 	else if (!runner_of(served))
-		refuse(served, "unknown_runner");
+		refuse(served, "unknown_runner", true);
 	else
 		runner_message_append_kind(output_of(served), RUNNER_READY);
 }
--- a/src/rpc/runner.x
+++ b/src/rpc/runner.x
@@ -57,6 +57,8 @@
 	opaque part<RUNNER_PART_MAX>;
 case RUNNER_ANSWER:
 	runner_answer_args answer;
+case RUNNER_REFUSED:
+	bool runner_unknown; /* other calls may be taken */
 case RUNNER_DONE:
 	int outcome;
 default:
--- a/src/rpc/runner_xdr.c
+++ b/src/rpc/runner_xdr.c
@@ -187,6 +187,10 @@
 		 if (!xdr_runner_answer_args (xdrs, &objp->runner_message_u.answer))
 			 return FALSE;
 		break;
+	case RUNNER_REFUSED:
+		 if (!xdr_bool (xdrs, &objp->runner_message_u.runner_unknown))
+			 return FALSE;
+		break;
 	case RUNNER_DONE:
 		 if (!xdr_int (xdrs, &objp->runner_message_u.outcome))
 			 return FALSE;
--- a/src/rpc/runner_xdr.h
+++ b/src/rpc/runner_xdr.h
@@ -80,6 +80,7 @@
 			char *part_val;
 		} part;
 		runner_answer_args answer;
+		bool_t runner_unknown;
 		int outcome;
 	} runner_message_u;
 };
--- a/tests/test_runner_relay.c
+++ b/tests/test_runner_relay.c
@@ -57,13 +57,14 @@
 }
 
 static bool find_peer(void *user_data, const runner_relay_t *relay,
-		      const char *domain, bool repeatable, char *address,
+		      const runner_relay_need_t *need, char *address,
 		      size_t size)
 {
 	fixture_t *fixture = user_data;
 
 	g_strlcpy(address, fixture->address, size);
-	return *fixture->address && !runner_relay_avoids(relay, address);
+	return *fixture->address &&
+	       !runner_relay_avoids(relay, address, need->runner);
 }
 
 static bool knows_node(void *user_data, const struct in_addr *address)
@@ -279,6 +280,11 @@
 	}
 }
 
+static bool avoids(const fixture_t *fixture, uint64_t runner)
+{
+	return runner_relay_avoids(fixture->relay, fixture->address, runner);
+}
+
 /* A call that the other node does not take has not run. */
 static void test_refused(void)
 {
@@ -298,10 +304,17 @@
 		run_for(fixture, LOOP_MAX_MS);
 		CU_ASSERT_STRING_EQUAL(fixture->seen->str, expected);
 		CU_ASSERT_EQUAL(fixture->direct_calls, 0);
-		/* A refusal says nothing about other calls. */
-		CU_ASSERT_EQUAL(
-			runner_relay_avoids(fixture->relay, fixture->address),
-			i == 3);
+		/* Guards against a request that asks a node that refuses it with
+		 * each of its attempts. A node that does not know a runner takes
+		 * other calls, and one that stops says so in its reports soon. */
+		CU_ASSERT_EQUAL(avoids(fixture, 0), i == 1 || i == 3);
+		CU_ASSERT_EQUAL(avoids(fixture, fleet_key("r")),
+				i == 1 || i == 3);
+		CU_ASSERT_EQUAL(avoids(fixture, fleet_key("unknown")), i != 2);
+		clock_manual_advance_ms(&fixture->clock, 100);
+		CU_ASSERT_EQUAL(avoids(fixture, 0), i == 3);
+		clock_manual_advance_ms(&fixture->clock, 900);
+		CU_ASSERT_FALSE(avoids(fixture, fleet_key("unknown")));
 		fixture_free(fixture);
 	}
 }
