Split the fleet into list, contact, limits and choice

fleet.c had over 1,000 lines. What it knows of the runner list, of contact with failure domains and of limits are files of their own now, which share fleet_state.h. No behaviour changes; the unit tests of the fleet, its contact, executions, load view, batch rule and limits passed.

--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -1,4 +1,4 @@
-#include "gateway/fleet.h"
+#include "gateway/fleet_state.h"
 
 #include <math.h>
 #include <string.h>
@@ -11,9 +11,6 @@
  * one. */
 #define EJECTION_FIRST_MS 400
 #define EJECTION_MAX_MS 6400
-/* A lost link is noticed so long after the first connection that it ends: by the
- * probe that follows. */
-#define LINK_NOTICE_MS 1000
 /* The load of the runners' hosts changes within a few hundred milliseconds, so
  * an older report does not describe the current speed. */
 #define SLOWNESS_MAX_AGE_MS 400
@@ -42,33 +39,7 @@
  * selecting the same runner. */
 #define RANDOM_COST_MAX 2.0
 
-/* The software versions of a service's runners. */
-typedef struct service_versions {
-	uint64_t last; /* of the runner whose entry changed last; 0: none */
-	int64_t mixed_us; /* when the entries last had more than one */
-} service_versions_t;
-
-struct fleet {
-	const clock_source_t *clock;
-	GRand *random;
-	char *domain;
-	GHashTable *by_key; /* uint64_t -> fleet_runner_t, listed */
-	GPtrArray *listed; /* the same runners, for iteration */
-	GHashTable *domains; /* name -> fleet_domain_t */
-	GHashTable *versions; /* service -> service_versions_t */
-	int64_t created_us;
-	int64_t heard_us; /* last bytes of any runner to this node; 0: none */
-	int64_t unreachable_us; /* last connection to any that failed; 0: none */
-	fleet_domain_t *local_domain; /* state of this node's domain */
-	void (*load_changed)(void *user_data);
-	bool (*has_relay)(const char *domain, void *user_data);
-	void *user_data;
-	double limit_share;
-	bool remote_load_stale;
-	bool probed;
-};
-
-static void runner_unref(void *data)
+void fleet_runner_unref(void *data)
 {
 	fleet_runner_t *runner = data;
 
@@ -91,7 +62,7 @@
 	return hash;
 }
 
-static fleet_domain_t *find_or_add_domain(fleet_t *fleet, const char *name)
+fleet_domain_t *fleet_find_or_add_domain(fleet_t *fleet, const char *name)
 {
 	fleet_domain_t *domain = g_hash_table_lookup(fleet->domains, name);
 
@@ -115,13 +86,13 @@
 	fleet->probed = options->probed;
 	fleet->user_data = options->user_data;
 	fleet->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
-	fleet->listed = g_ptr_array_new_with_free_func(runner_unref);
+	fleet->listed = g_ptr_array_new_with_free_func(fleet_runner_unref);
 	fleet->versions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->created_us = clock_now_us(fleet->clock);
 	fleet->domains =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	fleet->local_domain = find_or_add_domain(fleet, fleet->domain);
+	fleet->local_domain = fleet_find_or_add_domain(fleet, fleet->domain);
 	return fleet;
 }
 
@@ -142,138 +113,6 @@
 	return g_hash_table_lookup(fleet->by_key, &key);
 }
 
-static void note_version(fleet_t *fleet, const fleet_runner_t *runner);
-
-static void unlist(fleet_t *fleet, fleet_runner_t *runner)
-{
-	note_version(fleet, runner);
-	runner->listed = false;
-	runner->draining = true;
-	g_hash_table_remove(fleet->by_key, &runner->key);
-	g_ptr_array_remove_fast(fleet->listed, runner);
-}
-
-static void replace_string(char **target, const char *value)
-{
-	if (g_strcmp0(*target, value) == 0)
-		return;
-	g_free(*target);
-	*target = g_strdup(value);
-}
-
-static uint64_t version_key(const fleet_entry_t *entry)
-{
-	char *text = g_strconcat(entry->service, "\n",
-				 entry->version ? entry->version : "", NULL);
-	uint64_t key = fleet_key(text);
-
-	g_free(text);
-	return key ? key : 1;
-}
-
-static service_versions_t *find_or_add_versions(fleet_t *fleet,
-						const char *service)
-{
-	service_versions_t *versions =
-		g_hash_table_lookup(fleet->versions, service);
-
-	if (!versions) {
-		versions = g_new0(service_versions_t, 1);
-		versions->mixed_us = fleet->created_us;
-		g_hash_table_insert(fleet->versions, g_strdup(service),
-				    versions);
-	}
-	return versions;
-}
-
-static bool has_other_version(const fleet_t *fleet,
-			      const fleet_runner_t *runner)
-{
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *other = fleet->listed->pdata[i];
-
-		if (other->version_key != runner->version_key &&
-		    strcmp(other->service, runner->service) == 0)
-			return true;
-	}
-	return false;
-}
-
-/* Remembers when a service was last known to have or to change versions. */
-static void note_version(fleet_t *fleet, const fleet_runner_t *runner)
-{
-	service_versions_t *versions =
-		find_or_add_versions(fleet, runner->service);
-
-	if ((versions->last && versions->last != runner->version_key) ||
-	    has_other_version(fleet, runner))
-		versions->mixed_us = clock_now_us(fleet->clock);
-	versions->last = runner->version_key;
-}
-
-static fleet_runner_t *runner_add(fleet_t *fleet, const fleet_entry_t *entry)
-{
-	fleet_runner_t *runner = g_new0(fleet_runner_t, 1);
-
-	runner->id = g_strdup(entry->id);
-	runner->key = fleet_key(entry->id);
-	runner->started_ms = entry->started_ms;
-	runner->slowness_percent = 100;
-	runner->listed = true;
-	runner->refs = 1;
-	g_hash_table_insert(fleet->by_key, &runner->key, runner);
-	g_ptr_array_add(fleet->listed, runner);
-	return runner;
-}
-
-void fleet_update(fleet_t *fleet, const fleet_entry_t *entry)
-{
-	fleet_runner_t *runner = fleet_find(fleet, fleet_key(entry->id));
-
-	/* A restarted runner with the same id has none of the requests of the
-	 * process before. */
-	if (runner && runner->started_ms < entry->started_ms) {
-		unlist(fleet, runner);
-		runner = NULL;
-	}
-	if (!runner)
-		runner = runner_add(fleet, entry);
-	replace_string(&runner->address, entry->address);
-	replace_string(&runner->service, entry->service);
-	replace_string(&runner->domain, entry->domain);
-	replace_string(&runner->version, entry->version);
-	runner->version_key = version_key(entry);
-	note_version(fleet, runner);
-	runner->domain_state = find_or_add_domain(fleet, runner->domain);
-	runner->slots = entry->slots;
-	runner->draining = entry->draining || runner->leaving;
-	runner->remove_at_us = 0;
-}
-
-void fleet_schedule_removal(fleet_t *fleet, const char *id, int64_t until_us)
-{
-	fleet_runner_t *runner = fleet_find(fleet, fleet_key(id));
-
-	if (!runner)
-		return;
-	if (runner->draining)
-		unlist(fleet, runner);
-	else
-		runner->remove_at_us = until_us;
-}
-
-void fleet_remove_expired(fleet_t *fleet)
-{
-	int64_t now_us = clock_now_us(fleet->clock);
-
-	for (guint i = fleet->listed->len; i-- > 0;) {
-		fleet_runner_t *runner = fleet->listed->pdata[i];
-
-		if (runner->remove_at_us && now_us >= runner->remove_at_us)
-			unlist(fleet, runner);
-	}
-}
-
 void fleet_set_remote_load_stale(fleet_t *fleet, bool remote_load_stale)
 {
 	fleet->remote_load_stale = remote_load_stale;
@@ -311,27 +150,15 @@
 						 runner->peers.batch);
 }
 
-/* Another node stands in for lost contact. */
-static bool is_domain_avoided(const fleet_t *fleet,
-			      const fleet_domain_t *domain)
-{
-	if (domain->has_relay)
-		return false;
-	return fleet->probed ?
-		       domain_contact_is_lost(&domain->contact) :
-		       domain_contact_is_ejected(&domain->contact,
-						 clock_now_us(fleet->clock));
-}
-
-static bool is_ejected(const fleet_t *fleet, const fleet_runner_t *runner)
+bool fleet_is_ejected(const fleet_t *fleet, const fleet_runner_t *runner)
 {
 	int64_t now_us = clock_now_us(fleet->clock);
 
 	return runner->remove_at_us || now_us < runner->ejected_until_us ||
-	       is_domain_avoided(fleet, runner->domain_state);
+	       fleet_avoids_domain(fleet, runner->domain_state);
 }
 
-static bool is_usable(const fleet_runner_t *runner, const char *service)
+bool fleet_is_usable(const fleet_runner_t *runner, const char *service)
 {
 	return !runner->draining && strcmp(runner->service, service) == 0;
 }
@@ -351,14 +178,15 @@
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
 
-		if (is_usable(runner, service) && !runner->limit.rate.named &&
-		    !is_ejected(fleet, runner))
+		if (fleet_is_usable(runner, service) &&
+		    !runner->limit.rate.named &&
+		    !fleet_is_ejected(fleet, runner))
 			return 0;
 	}
 	return 1;
 }
 
-static bool is_remote(const fleet_t *fleet, const fleet_runner_t *runner)
+bool fleet_is_remote(const fleet_t *fleet, const fleet_runner_t *runner)
 {
 	return g_strcmp0(runner->domain, fleet->domain) != 0;
 }
@@ -371,7 +199,8 @@
 	for (guint i = 0; i < fleet->listed->len; i++) {
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
 
-		if (is_usable(runner, service) && !is_remote(fleet, runner))
+		if (fleet_is_usable(runner, service) &&
+		    !fleet_is_remote(fleet, runner))
 			return true;
 	}
 	return false;
@@ -401,7 +230,7 @@
 	cost = (cost + 2) * slowness_of(fleet, runner);
 	if (pick->batch)
 		cost -= limited_gain(runner);
-	if (is_remote(fleet, runner))
+	if (fleet_is_remote(fleet, runner))
 		cost += fleet->remote_load_stale ? STALE_REMOTE_COST :
 						   REMOTE_COST;
 	return cost + g_rand_double(fleet->random) * RANDOM_COST_MAX;
@@ -438,7 +267,8 @@
 		const fleet_runner_t *runner = fleet->listed->pdata[i];
 		fleet_domain_t *domain = runner->domain_state;
 
-		if (!is_usable(runner, service) || is_ejected(fleet, runner))
+		if (!fleet_is_usable(runner, service) ||
+		    fleet_is_ejected(fleet, runner))
 			continue;
 		if (!is_failing(runner, now_us)) {
 			domain->runners++;
@@ -484,7 +314,7 @@
 	weight = (runner->slots - load_of(runner)) / (slowness * slowness);
 	if (runner_limit_is_sure(&runner->limit, clock_now_us(fleet->clock)))
 		weight *= LIMITED_WEIGHT;
-	return is_remote(fleet, runner) ? weight * REMOTE_WEIGHT : weight;
+	return fleet_is_remote(fleet, runner) ? weight * REMOTE_WEIGHT : weight;
 }
 
 static bool has_version(const fleet_runner_t *runner,
@@ -532,11 +362,11 @@
 		fleet_runner_t *runner = fleet->listed->pdata[i];
 		double cost;
 
-		if (!is_usable(runner, pick->service) ||
+		if (!fleet_is_usable(runner, pick->service) ||
 		    !has_version(runner, pick) ||
-		    is_domain_avoided(fleet, runner->domain_state))
+		    fleet_avoids_domain(fleet, runner->domain_state))
 			continue;
-		if (!filter->ejected && is_ejected(fleet, runner))
+		if (!filter->ejected && fleet_is_ejected(fleet, runner))
 			continue;
 		/* Batch items without a failed attempt may go to runners that
 		 * lose requests: a loss costs them little time, and they leave
@@ -547,7 +377,7 @@
 			continue;
 		if (!filter->tried && has_failed_attempt(pick, runner))
 			continue;
-		if (local_only && is_remote(fleet, runner))
+		if (local_only && fleet_is_remote(fleet, runner))
 			continue;
 		if (pick->domain && strcmp(runner->domain, pick->domain) != 0)
 			continue;
@@ -555,7 +385,7 @@
 			continue;
 		if (limit_room(fleet, runner, reserve) == 0)
 			continue;
-		if (prefer_local && is_remote(fleet, runner) &&
+		if (prefer_local && fleet_is_remote(fleet, runner) &&
 		    !may_leave_domain(fleet, runner))
 			continue;
 		if (!pick->batch) {
@@ -585,8 +415,8 @@
 	uint32_t reserve =
 		pick->batch ? limit_reserve(fleet, pick->service) : 0;
 
-	if (!runner || !is_usable(runner, pick->service) ||
-	    !has_version(runner, pick) || is_ejected(fleet, runner) ||
+	if (!runner || !fleet_is_usable(runner, pick->service) ||
+	    !has_version(runner, pick) || fleet_is_ejected(fleet, runner) ||
 	    !has_free_slot(runner) || has_failed_attempt(pick, runner) ||
 	    limit_room(fleet, runner, reserve) == 0 ||
 	    (pick->require_healthy &&
@@ -595,7 +425,7 @@
 	return runner;
 }
 
-static void load_changed(const fleet_t *fleet)
+void fleet_load_changed(const fleet_t *fleet)
 {
 	if (fleet->load_changed)
 		fleet->load_changed(fleet->user_data);
@@ -656,7 +486,7 @@
 		runner->own.batch++;
 	else
 		runner->own.online++;
-	load_changed(fleet);
+	fleet_load_changed(fleet);
 	return runner;
 }
 
@@ -666,41 +496,8 @@
 
 	if (*count > 0)
 		(*count)--;
-	load_changed(fleet);
-	runner_unref(runner);
-}
-
-const char *fleet_service_of_version(const fleet_t *fleet, uint64_t version_key)
-{
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *runner = fleet->listed->pdata[i];
-
-		if (runner->version_key == version_key && !runner->draining)
-			return runner->service;
-	}
-	return NULL;
-}
-
-uint64_t fleet_sole_version(const fleet_t *fleet, const char *service,
-			    int64_t for_us)
-{
-	const service_versions_t *versions =
-		service ? g_hash_table_lookup(fleet->versions, service) : NULL;
-	uint64_t version = 0;
-
-	if (!versions ||
-	    clock_now_us(fleet->clock) - versions->mixed_us < for_us)
-		return 0;
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *runner = fleet->listed->pdata[i];
-
-		if (strcmp(runner->service, service) != 0)
-			continue;
-		if (version && version != runner->version_key)
-			return 0;
-		version = runner->version_key;
-	}
-	return version;
+	fleet_load_changed(fleet);
+	fleet_runner_unref(runner);
 }
 
 int32_t fleet_wait_ms(fleet_t *fleet, const char *service, uint64_t version_key)
@@ -748,8 +545,9 @@
 		double slowness = slowness_of(fleet, runner);
 		uint32_t room;
 
-		if (!is_usable(runner, service) || is_ejected(fleet, runner) ||
-		    (local_only && is_remote(fleet, runner)))
+		if (!fleet_is_usable(runner, service) ||
+		    fleet_is_ejected(fleet, runner) ||
+		    (local_only && fleet_is_remote(fleet, runner)))
 			continue;
 		total_slots += runner->slots;
 		room = batch_room(fleet, runner, reserve);
@@ -770,40 +568,6 @@
 	return total_slots;
 }
 
-void fleet_heard(fleet_t *fleet)
-{
-	fleet->heard_us = clock_now_us(fleet->clock);
-}
-
-bool fleet_is_silent(const fleet_t *fleet)
-{
-	return fleet->unreachable_us > fleet->heard_us;
-}
-
-void fleet_answered(fleet_t *fleet, fleet_runner_t *runner)
-{
-	fleet_heard(fleet);
-	if (!domain_contact_answered(&runner->domain_state->contact))
-		return;
-	log_info("domain_back", "domain=%s local=%d runner=%s", runner->domain,
-		 !is_remote(fleet, runner), runner->id);
-	load_changed(fleet);
-}
-
-void fleet_each_lost_domain(const fleet_t *fleet, fleet_each_lost_t each,
-			    void *user_data)
-{
-	GHashTableIter iter;
-	void *name;
-	void *domain;
-
-	g_hash_table_iter_init(&iter, fleet->domains);
-	while (g_hash_table_iter_next(&iter, &name, &domain))
-		if (domain_contact_is_lost(
-			    &((const fleet_domain_t *)domain)->contact))
-			each(name, user_data);
-}
-
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner)
 {
 	runner->failures = 0;
@@ -837,125 +601,7 @@
 			runner->id,
 			failure_record_percent(&runner->local_failures, now_us),
 			runner->peer_failures_percent, online_of(runner));
-	load_changed(fleet);
-}
-
-static void update_relay(const fleet_t *fleet, const char *name,
-			 fleet_domain_t *domain)
-{
-	domain->has_relay = fleet->has_relay &&
-			    domain_contact_is_lost(&domain->contact) &&
-			    fleet->has_relay(name, fleet->user_data);
-}
-
-void fleet_no_contact(fleet_t *fleet, const fleet_runner_t *runner)
-{
-	if (!domain_contact_failed(&runner->domain_state->contact, runner->key,
-				   clock_now_us(fleet->clock)))
-		return;
-	log_warn("domain_lost",
-		 "domain=%s local=%d runner=%s pause_ms=%" G_GINT64_FORMAT,
-		 runner->domain, !is_remote(fleet, runner), runner->id,
-		 runner->domain_state->contact.ejection_ms);
-	update_relay(fleet, runner->domain, runner->domain_state);
-	load_changed(fleet);
-}
-
-void fleet_unreachable(fleet_t *fleet, fleet_runner_t *runner)
-{
-	fleet_failed(fleet, runner);
-	fleet->unreachable_us = clock_now_us(fleet->clock);
-	fleet_no_contact(fleet, runner);
-}
-
-bool fleet_is_cut_off(const fleet_runner_t *runner)
-{
-	return domain_contact_is_lost(&runner->domain_state->contact);
-}
-
-bool fleet_lost_local(const fleet_t *fleet)
-{
-	return domain_contact_is_lost(&fleet->local_domain->contact);
-}
-
-void fleet_update_relays(fleet_t *fleet)
-{
-	GHashTableIter iter;
-	void *name;
-	void *value;
-
-	g_hash_table_iter_init(&iter, fleet->domains);
-	while (g_hash_table_iter_next(&iter, &name, &value))
-		update_relay(fleet, name, value);
-}
-
-void fleet_doubt_contact(fleet_runner_t *runner)
-{
-	domain_contact_doubted(&runner->domain_state->contact);
-}
-
-bool fleet_has_lost_link(const fleet_t *fleet, const fleet_runner_t *runner,
-			 int64_t at_us)
-{
-	const fleet_domain_t *domain = runner->domain_state;
-	uint32_t runners = 0;
-
-	if (!domain->has_relay || !domain_contact_is_lost(&domain->contact) ||
-	    domain->contact.first_failed_us > at_us + LINK_NOTICE_MS * 1000)
-		return false;
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *other = fleet->listed->pdata[i];
-
-		runners += other->domain_state == domain && !other->draining;
-	}
-	return domain->contact.witness_count >=
-	       MIN(runners, DOMAIN_CONTACT_WITNESSES);
-}
-
-/* A runner of the domain at random, rather one that has not failed. */
-static const fleet_runner_t *draw_probe(fleet_t *fleet,
-					const fleet_domain_t *domain)
-{
-	const fleet_runner_t *drawn = NULL;
-	bool drawn_failed = true;
-	uint32_t count = 0;
-
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *runner = fleet->listed->pdata[i];
-		bool failed = domain_contact_is_witness(&domain->contact,
-							runner->key);
-
-		if (runner->domain_state != domain || runner->draining ||
-		    (failed && !drawn_failed))
-			continue;
-		if (drawn_failed && !failed)
-			count = 0;
-		drawn_failed = failed;
-		if (g_rand_double(fleet->random) * ++count < 1)
-			drawn = runner;
-	}
-	return drawn;
-}
-
-const fleet_runner_t *fleet_next_probe(fleet_t *fleet)
-{
-	int64_t now_us = clock_now_us(fleet->clock);
-	const fleet_runner_t *runner = NULL;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, fleet->domains);
-	while (!runner && g_hash_table_iter_next(&iter, NULL, &value)) {
-		fleet_domain_t *domain = value;
-
-		if (!domain_contact_wants_probe(&domain->contact, now_us))
-			continue;
-		runner = draw_probe(fleet, domain);
-		/* Its runners have left. */
-		if (!runner)
-			domain_contact_answered(&domain->contact);
-	}
-	return runner;
+	fleet_load_changed(fleet);
 }
 
 void fleet_set_draining(fleet_t *fleet, fleet_runner_t *runner)
@@ -974,7 +620,7 @@
 		 runner->own.batch + runner->peers.batch);
 	runner->leaving = true;
 	runner->draining = true;
-	load_changed(fleet);
+	fleet_load_changed(fleet);
 }
 
 void fleet_report_slowness(fleet_t *fleet, fleet_runner_t *runner,
@@ -985,77 +631,6 @@
 	runner->slowness_from_runner = true;
 }
 
-void fleet_apply_rate(fleet_t *fleet, fleet_runner_t *runner,
-		      const runner_rate_t *rate, int64_t told_us)
-{
-	int64_t now_us = clock_now_us(fleet->clock);
-
-	if (!runner_limit_told(&runner->limit, rate, told_us, now_us))
-		return;
-	log_info("runner_limit",
-		 "runner=%s named=%d per_1000_s=%u age_ms=%" G_GINT64_FORMAT,
-		 runner->id, rate->named, rate->per_1000_s,
-		 (now_us - told_us) / 1000);
-}
-
-void fleet_report_rate(fleet_t *fleet, fleet_runner_t *runner,
-		       const runner_rate_t *rate)
-{
-	int64_t now_us = clock_now_us(fleet->clock);
-
-	if (rate->named)
-		runner->limit.heard_us = now_us;
-	fleet_apply_rate(fleet, runner, rate, now_us);
-}
-
-void fleet_apply_sent(fleet_t *fleet, fleet_runner_t *runner, uint32_t requests)
-{
-	runner_limit_sent(&runner->limit, requests, fleet->limit_share,
-			  clock_now_us(fleet->clock));
-}
-
-void fleet_set_limit_share(fleet_t *fleet, double share)
-{
-	if (share != fleet->limit_share)
-		log_info("limit_share", "share=%.3f", share);
-	fleet->limit_share = share;
-}
-
-int32_t fleet_limit_wait_ms(const fleet_t *fleet, const char *service)
-{
-	int64_t now_us = clock_now_us(fleet->clock);
-	int32_t shortest_ms = INT32_MAX;
-
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *runner = fleet->listed->pdata[i];
-
-		if (!is_usable(runner, service) || is_ejected(fleet, runner))
-			continue;
-		shortest_ms =
-			MIN(shortest_ms,
-			    runner_limit_wait_ms(&runner->limit,
-						 fleet->limit_share, now_us));
-	}
-	return shortest_ms == INT32_MAX ? 0 : shortest_ms;
-}
-
-void fleet_log_limits(fleet_t *fleet)
-{
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *runner = fleet->listed->pdata[i];
-
-		if (runner->limit.rate.named)
-			log_info("runner_limit_use",
-				 "runner=%s per_1000_s=%u sent_total=%u "
-				 "repeats_total=%u tokens=%d",
-				 runner->id, runner->limit.rate.per_1000_s,
-				 runner->limit.sent, runner->limit.repeats,
-				 runner_limit_tokens_percent(
-					 &runner->limit, fleet->limit_share,
-					 clock_now_us(fleet->clock)));
-	}
-}
-
 fleet_load_t fleet_runner_load(const fleet_runner_t *runner)
 {
 	return (fleet_load_t){
