Pass items of a job on only while its record is confirmed

What callers saw: the items of a job that they had ended were still run.

Cause: the job's owner was cut off with its domain, from the store as well, so it did not learn of the end. When the cut ended, the first load reports of other nodes arrived before the store's answers, and the owner, which still had the other domains for lost, sent waiting items through these nodes. Before calls were passed on, such an owner reached only runners of its own side.

A call of a batch item goes through another node only if the record was confirmed in the last two seconds, like a read of a job at its owner. Direct calls stay as they are: during an outage of the whole store nobody can end or take over a job, and accepted items go on.

test_unconfirmed_is_not_relayed tests the refusal to send; without the change there is nothing to ask the owner.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -520,6 +520,12 @@
 		 execution->digest);
 }
 
+static bool may_relay(const execution_t *execution)
+{
+	return !execution->sink->may_relay ||
+	       execution->sink->may_relay(execution->user_data);
+}
+
 /* Whether the attempt goes through another node: when the runner's domain is out
  * of reach, and as a precaution after a failed connect, whose cause is not known
  * yet. */
@@ -532,7 +538,8 @@
 
 	return execution->context->relay &&
 	       (execution->was_unreachable || fleet_is_cut_off(runner)) &&
-	       runner_relay_reaches(execution->context->relay, &need);
+	       runner_relay_reaches(execution->context->relay, &need) &&
+	       may_relay(execution);
 }
 
 static fleet_pick_options_t pick_options(const execution_t *execution)
@@ -576,6 +583,10 @@
 	execution->runner = fleet_acquire(execution->context->fleet, &pick);
 	if (!execution->runner)
 		return false;
+	if (fleet_is_cut_off(execution->runner) && !may_relay(execution)) {
+		release_runner(execution);
+		return false;
+	}
 	part_guard_sent(execution->context->part_guard, &execution->parts);
 	execution->preferred_runner = 0;
 	execution->tried[execution->attempts++ % MAX_ATTEMPTS] =
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -56,6 +56,8 @@
 			 size_t len, void *user_data);
 	void (*end)(execution_outcome_t end, execution_reason_t reason,
 		    void *user_data);
+	/* Whether another node may pass an attempt on; NULL: it may. */
+	bool (*may_relay)(void *user_data);
 } execution_sink_t;
 
 /* Shared by all executions of a process. */
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -217,6 +217,21 @@
 	g_ptr_array_add(job->pending, result);
 }
 
+static bool is_confirmed(const owned_job_t *job)
+{
+	return clock_elapsed_us(job->owner->context->clock) -
+		       job->confirmed_us <=
+	       RECORD_MAX_AGE_MS * 1000;
+}
+
+static bool is_job_confirmed(void *user_data)
+{
+	return is_confirmed(user_data);
+}
+
+static const job_item_callbacks_t item_callbacks = { item_finished,
+						     is_job_confirmed };
+
 /* Applies the progress that a former owner saved to the items that have no
  * result; returns their number. */
 static uint32_t resume_items(owned_job_t *job, const GPtrArray *progress)
@@ -266,7 +281,7 @@
 		now_us(owner) + ((route ? route->due_ms : 0) - age_ms) * 1000;
 	for (guint i = 0; i < items->len; i++) {
 		job_owner_item_init(&job->owned_items[i], owner->context,
-				    items->pdata[i], i, item_finished, job);
+				    items->pdata[i], i, &item_callbacks, job);
 		if (job_record_has_item(record, i))
 			job->owned_items[i].state = JOB_ITEM_FINISHED;
 	}
@@ -870,12 +885,8 @@
 const job_record_t *job_owner_fresh_record(job_owner_t *owner, const char *id)
 {
 	const owned_job_t *job = find(owner, id);
-	int64_t age_us;
 
-	if (!job)
-		return NULL;
-	age_us = clock_elapsed_us(owner->context->clock) - job->confirmed_us;
-	return age_us <= RECORD_MAX_AGE_MS * 1000 ? job->record : NULL;
+	return job && is_confirmed(job) ? job->record : NULL;
 }
 
 const GPtrArray *job_owner_items(job_owner_t *owner, const char *id)
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -19,14 +19,14 @@
 
 void job_owner_item_init(owned_item_t *owned, job_context_t *context,
 			 const job_item_t *item, uint32_t index,
-			 job_item_finished_t finished, void *user_data)
+			 const job_item_callbacks_t *callbacks, void *user_data)
 {
 	owned->context = context;
 	owned->item = item;
 	owned->index = index;
 	owned->last_event = EVENT_READER_NONE;
 	owned->saved_event = EVENT_READER_NONE;
-	owned->finished = finished;
+	owned->callbacks = callbacks;
 	owned->user_data = user_data;
 	owned->max_failures = 1;
 	/* An item is run until it has a result, whatever happens to the runners
@@ -61,7 +61,7 @@
 	owned->state = JOB_ITEM_FINISHED;
 	if (state == JOB_RESULT_GIVEN_UP)
 		text[0] = '\0';
-	owned->finished(owned->user_data, owned->index, state, text);
+	owned->callbacks->finished(owned->user_data, owned->index, state, text);
 }
 
 static void on_start(const runner_answer_t *answer, void *user_data)
@@ -173,11 +173,21 @@
 		set_backoff(owned);
 }
 
+/* A node that passes the item on may know that the job has ended or moved, so
+ * this one must not lag behind. */
+static bool may_relay(void *user_data)
+{
+	const owned_item_t *owned = user_data;
+
+	return owned->callbacks->is_confirmed(owned->user_data);
+}
+
 static const execution_sink_t sink = {
 	.start = on_start,
 	.event = on_event,
 	.response = on_response,
 	.end = on_end,
+	.may_relay = may_relay,
 };
 
 bool job_owner_item_wants_slot(const owned_item_t *owned)
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -28,6 +28,13 @@
 typedef void (*job_item_finished_t)(void *user_data, uint32_t index,
 				    job_result_state_t state, char *text);
 
+/* What the owner of an item's job tells it and is told. */
+typedef struct job_item_callbacks {
+	job_item_finished_t finished;
+	/* Whether the job is known to be this node's still. */
+	bool (*is_confirmed)(void *user_data);
+} job_item_callbacks_t;
+
 typedef struct owned_item {
 	job_context_t *context;
 	const job_item_t *item;
@@ -52,13 +59,14 @@
 	bool unreadable; /* the text is not UTF-8, which JSON requires */
 	bool resumed; /* started at another owner */
 	bool was_infeasible; /* at some time; its duration is not typical */
-	job_item_finished_t finished;
+	const job_item_callbacks_t *callbacks;
 	void *user_data;
 } owned_item_t;
 
 void job_owner_item_init(owned_item_t *owned, job_context_t *context,
 			 const job_item_t *item, uint32_t index,
-			 job_item_finished_t finished, void *user_data);
+			 const job_item_callbacks_t *callbacks,
+			 void *user_data);
 void job_owner_item_clear(owned_item_t *owned);
 /* Sets the output that another owner has received, and the attempts that failed
  * there; the item resumes after the last event. */
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -29,6 +29,7 @@
 	int ends;
 	execution_outcome_t end;
 	execution_reason_t reason;
+	bool may_relay; /* as the sink answers */
 } fixture_t;
 
 static runner_call_t *start(void *context, const runner_request_t *request)
@@ -82,8 +83,18 @@
 	fixture->reason = reason;
 }
 
-static const execution_sink_t sink = { on_start, on_event, on_response,
-				       on_end };
+static bool may_relay(void *user_data)
+{
+	return ((fixture_t *)user_data)->may_relay;
+}
+
+static const execution_sink_t sink = { on_start, on_event, on_response, on_end,
+				       may_relay };
+
+static bool has_relay(const char *domain, void *user_data)
+{
+	return true;
+}
 
 static void add_runner_of(fixture_t *fixture, const char *id,
 			  const char *version)
@@ -103,7 +114,8 @@
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	fleet_options_t fleet = { .clock = &fixture->clock.base,
-				  .domain = "d" };
+				  .domain = "d",
+				  .has_relay = has_relay };
 
 	fixture->base = event_base_new();
 	clock_manual_init(&fixture->clock, 0);
@@ -130,6 +142,7 @@
 		fixture->counters, COUNTER_MONOTONIC, "resumes", NULL);
 	g_queue_init(&fixture->context.active);
 	fixture->delivered = g_string_new(NULL);
+	fixture->may_relay = true;
 	add_runner(fixture, "a");
 	add_runner(fixture, "b");
 	return fixture;
@@ -767,6 +780,29 @@
 	fixture_free(fixture);
 }
 
+/* Guards against items of an ended job that another node passes on for an owner
+ * that does not know of the end: the owner was cut off from the store as well. */
+static void test_unconfirmed_is_not_relayed(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	fleet_unreachable(fixture->fleet,
+			  fleet_find(fixture->fleet, fleet_key("a")));
+	fleet_unreachable(fixture->fleet,
+			  fleet_find(fixture->fleet, fleet_key("b")));
+	fixture->may_relay = false;
+	CU_ASSERT_PTR_NULL(start_execution(fixture, true, false, true));
+	CU_ASSERT_EQUAL(fixture->count, 0);
+	CU_ASSERT_EQUAL(
+		fleet_find(fixture->fleet, fleet_key("a"))->own.online +
+			fleet_find(fixture->fleet, fleet_key("b"))->own.online,
+		0);
+	fixture->may_relay = true;
+	CU_ASSERT_PTR_NOT_NULL(start_execution(fixture, true, false, true));
+	CU_ASSERT_EQUAL(fixture->count, 1);
+	fixture_free(fixture);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -802,6 +838,8 @@
 		{ "queued request is withdrawn",
 		  test_queued_request_is_withdrawn },
 		{ "errors", test_errors },
+		{ "unconfirmed is not relayed",
+		  test_unconfirmed_is_not_relayed },
 		{ NULL, NULL },
 	};
 
