Refuse relayed calls to runners that leave

A node that was cut off from the store may know a runner as ready that has said since that it leaves, and could send it new requests through a node that knows better.

The node that passes calls on refuses such a call like one to a runner that it does not know: the call has not run, another runner is selected, and the node goes on taking calls to others.

test_refused failed before for a runner that leaves.

--- a/src/gateway/runner_relay_server.c
+++ b/src/gateway/runner_relay_server.c
@@ -224,10 +224,12 @@
 	g_ptr_array_unref(request.headers);
 }
 
-/* Answers when the whole call is there. */
+/* Answers when the whole call is there. The other node may not know yet that a
+ * runner leaves. */
 static void check_ready(served_call_t *served)
 {
 	const runner_relay_server_t *server = served->server;
+	const fleet_runner_t *runner = runner_of(served);
 
 	if (served->body->len < args_of(served)->body_bytes)
 		return;
@@ -237,7 +239,7 @@
 		refuse(served, "stopping", false);
 	else if (server->calls.length > MAX_CALLS)
 		refuse(served, "too_many", false);
-	else if (!runner_of(served))
+	else if (!runner || runner->draining)
 		refuse(served, "unknown_runner", true);
 	else
 		runner_message_append_kind(output_of(served), RUNNER_READY);
--- a/tests/test_runner_relay.c
+++ b/tests/test_runner_relay.c
@@ -291,7 +291,7 @@
 	char expected[16];
 
 	g_snprintf(expected, sizeof(expected), "end %d", RUNNER_PEER_NOT_SENT);
-	for (int i = 0; i < 4; i++) {
+	for (int i = 0; i < 5; i++) {
 		fixture_t *fixture = fixture_new();
 
 		if (i == 1)
@@ -300,6 +300,10 @@
 			fixture->address[0] = '\0';
 		if (i == 3)
 			fixture->knows_node = false;
+		if (i == 4)
+			fleet_set_draining(
+				fixture->fleet,
+				fleet_find(fixture->fleet, fleet_key("r")));
 		start_request(fixture, i == 0 ? "unknown" : "r");
 		run_for(fixture, LOOP_MAX_MS);
 		CU_ASSERT_STRING_EQUAL(fixture->seen->str, expected);
@@ -309,8 +313,9 @@
 		 * other calls, and one that stops says so in its reports soon. */
 		CU_ASSERT_EQUAL(avoids(fixture, 0), i == 1 || i == 3);
 		CU_ASSERT_EQUAL(avoids(fixture, fleet_key("r")),
-				i == 1 || i == 3);
-		CU_ASSERT_EQUAL(avoids(fixture, fleet_key("unknown")), i != 2);
+				i == 1 || i >= 3);
+		CU_ASSERT_EQUAL(avoids(fixture, fleet_key("unknown")),
+				i != 2 && i != 4);
 		clock_manual_advance_ms(&fixture->clock, 100);
 		CU_ASSERT_EQUAL(avoids(fixture, 0), i == 3);
 		clock_manual_advance_ms(&fixture->clock, 900);
