--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -10,9 +10,6 @@
 /* Limit of all attempts of a request, also of refused ones, so that a fleet
  * without free slots is not asked over and over. */
 #define MAX_ATTEMPTS 4
-/* A connection that fails after this time has hung; one that is refused fails
- * within a round trip. */
-#define SILENT_CONNECT_MS 200
 /* Between further attempts of a stream that has begun. */
 #define RETRY_PAUSE_MS 200
 /* A stream without an event for this long is resumed at another runner, if one
@@ -77,8 +74,6 @@
 	bool begun; /* the current attempt has delivered an event */
 	bool relayed; /* the current attempt goes through another node */
 	bool was_unreachable; /* an attempt found no connection to its runner */
-	/* To which the last connection hung; NULL: none has. */
-	const fleet_domain_t *silent_domain;
 	prompt_parts_t parts;
 	GList link;
 };
@@ -333,9 +328,6 @@
 
 	report_failure(execution, outcome);
 	execution->was_unreachable |= outcome == ATTEMPT_UNREACHABLE;
-	if (outcome == ATTEMPT_UNREACHABLE &&
-	    attempt_age_ms(execution) >= SILENT_CONNECT_MS)
-		execution->silent_domain = execution->runner->domain_state;
 	if (!may_have_run(outcome))
 		execution->runs--;
 	reason =
@@ -557,7 +549,6 @@
 		.domain = execution->domain,
 		.tried = execution->tried,
 		.tried_count = MIN(execution->attempts, MAX_ATTEMPTS),
-		.silent_domain = execution->silent_domain,
 		.batch = execution->batch,
 		.require_healthy = execution->require_healthy,
 		.repeated = execution->resumes,
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -334,7 +334,6 @@
 
 /* Candidates to consider besides the healthy runners. */
 typedef struct candidate_filter {
-	bool silent; /* in the domain to which a connection has hung */
 	bool ejected;
 	bool tried;
 } candidate_filter_t;
@@ -378,9 +377,6 @@
 			continue;
 		if (!filter->tried && has_failed_attempt(pick, runner))
 			continue;
-		if (!filter->silent &&
-		    runner->domain_state == pick->silent_domain)
-			continue;
 		if (local_only && fleet_is_remote(fleet, runner))
 			continue;
 		if (pick->domain && strcmp(runner->domain, pick->domain) != 0)
@@ -441,13 +437,12 @@
 				   const fleet_pick_options_t *pick)
 {
 	static const candidate_filter_t filters[] = {
-		{ .silent = false, .ejected = false, .tried = false },
-		{ .silent = true, .ejected = false, .tried = false },
-		{ .silent = true, .ejected = true, .tried = false },
-		{ .silent = true, .ejected = true, .tried = true },
+		{ .ejected = false, .tried = false },
+		{ .ejected = true, .tried = false },
+		{ .ejected = true, .tried = true },
 	};
 	/* Batch work waits for a healthy runner. */
-	size_t count = pick->batch ? 2 : G_N_ELEMENTS(filters);
+	size_t count = pick->batch ? 1 : G_N_ELEMENTS(filters);
 	fleet_runner_t *runner = NULL;
 
 	for (size_t i = 0; i < count && !runner; i++)
@@ -457,7 +452,7 @@
 
 bool fleet_has_healthy(fleet_t *fleet, const fleet_pick_options_t *pick)
 {
-	const candidate_filter_t healthy = { .silent = true };
+	const candidate_filter_t healthy = { .ejected = false, .tried = false };
 
 	return pick_filtered(fleet, pick, &healthy) != NULL;
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -105,8 +105,6 @@
 	uint64_t preferred; /* key of the runner to take if it has a free slot;
 			       0: none */
 	uint64_t version_key; /* only runners of this software; 0: any */
-	/* Rather no runner there, as a connection has hung; NULL: none. */
-	const fleet_domain_t *silent_domain;
 } fleet_pick_options_t;
 
 fleet_t *fleet_new(const fleet_options_t *options);
