Recognize reset links by the output of runners instead of by contact

A request that crashed all runners of a domain went on to crash them, 7 or 8 times in 8 s, as idle nodes, which have not tried to reach a domain, counted as nodes that reach it. A node took back crashes that others had seen too. And where connections were reset once while new ones were accepted, nothing was taken back, and requests with the content of those were refused for a minute.

Cause: that a node does not reach runners says nothing about whether these have ended, whatever other nodes report of their own contact. Only the runner itself shows that it goes on.

runner_loss is removed. Output of a runner shows now that it has survived a lost connection also when its request was sent after the loss, for 1.5 s: crash_log goes by it already that a runner that has ended is not back sooner. Requests go to a runner out of reach through other nodes, so its output comes from there as well. And losses within 10 ms count as one crash for a request by itself, as they do for a part that does not explain them all: a reset of the link ends all connections at one moment, and few requests of one content are sent at one moment. Parts that requests share count as before.

What remains: resets that are spread over more than 10 ms, at runners that send no output to any node for 1.5 s, still count.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -5,10 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Nodes notice the end of a runner within a connect timeout of each other, and
- * a runner that has ended is not back sooner. */
-#define SAME_CRASH_US 1500000
-
 void crash_log_clear(crash_log_t *log)
 {
 	g_free(log->crashes);
@@ -30,20 +26,12 @@
 	return NULL;
 }
 
-crash_t *crash_log_at(crash_log_t *log, uint64_t runner, int64_t at_us)
-{
-	crash_t *last = crash_log_find(log, runner);
-
-	return last && llabs(at_us - last->at_us) <= SAME_CRASH_US ? last :
-								     NULL;
-}
-
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us)
 {
-	crash_t *known = crash_log_at(log, runner, at_us);
+	crash_t *known = crash_log_find(log, runner);
 	uint32_t index;
 
-	if (known)
+	if (known && llabs(at_us - known->at_us) <= CRASH_RESTART_MIN_US)
 		return known;
 	if (!log->crashes)
 		log->crashes = g_new0(crash_t, CRASH_LOG_MAX);
--- a/src/backend/crash_log.h
+++ b/src/backend/crash_log.h
@@ -13,6 +13,9 @@
  * the oldest. Times are in microseconds, of one clock.
  */
 #define CRASH_LOG_MAX 64
+/* A runner that has ended takes longer than this to start again. Other nodes
+ * notice its end within that time. */
+#define CRASH_RESTART_MIN_US 1500000
 #define CRASH_SUSPECTS_MAX 24
 
 typedef struct crash_suspect {
@@ -42,8 +45,6 @@
 /* Returns the entry of the runner's crash at about this time, or a new one. The
  * pointer is valid until the next call. */
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us);
-/* Returns the entry of the runner's crash at about this time, or NULL. */
-crash_t *crash_log_at(crash_log_t *log, uint64_t runner, int64_t at_us);
 /* Returns the runner's last entry, or NULL. */
 crash_t *crash_log_find(crash_log_t *log, uint64_t runner);
 void crash_log_expire(crash_log_t *log, int64_t before_us);
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -27,8 +27,9 @@
 /* Above the longest hold, after which the next crash is to be recognized. */
 #define CRASH_MAX_AGE_MS (30 * 60 * 1000)
 /* Runners that are lost within this time may have one cause that is not a
- * request, such as a lost link or power. Unless a part explains the loss of all
- * of them, they count as one crash for it. */
+ * request, such as a lost link or power. Unless a part that requests share
+ * explains the loss of all of them, they count as one crash for it. A request by
+ * itself always counts once: few of the same content are sent at one moment. */
 #define COMMON_CAUSE_US 10000
 /* A runner that sends output this much later than a connection ended has not
  * crashed then. */
@@ -205,6 +206,8 @@
 			group += evidence;
 			strongest = MAX(strongest, evidence);
 		}
+		if (part->depth == PROMPT_DEPTH_REQUEST)
+			explains_all = false;
 		sum += explains_all ? group : strongest;
 	}
 	return sum;
@@ -459,21 +462,6 @@
 	return true;
 }
 
-void part_guard_retract(part_guard_t *guard, uint64_t runner, int64_t at_us)
-{
-	crash_t *crash = crash_log_at(&guard->log, runner, at_us);
-
-	if (!crash || !mark_survived(guard, crash))
-		return;
-	log_info("crash_retracted",
-		 "runner_key=%" PRIx64 " suspects=%u lost_age_ms=%" PRId64,
-		 runner, crash->count,
-		 (part_guard_now_us(guard) - crash->at_us) / 1000);
-	crash->sends_left = NEWS_SENDS;
-	decide(guard);
-	news_available(guard);
-}
-
 void part_guard_output(part_guard_t *guard, uint64_t runner, int64_t started_us)
 {
 	const crash_log_t *log = &guard->log;
@@ -486,9 +474,12 @@
 	if (now_us - log->crashes[log->count - 1].at_us > SURVIVAL_MAX_AGE_US)
 		return;
 	crash = crash_log_find(&guard->log, runner);
-	if (!crash || crash->survived || crash->at_us <= started_us ||
+	if (!crash || crash->survived ||
 	    now_us - crash->at_us < SURVIVAL_MARGIN_US)
 		return;
+	if (started_us >= crash->at_us &&
+	    now_us - crash->at_us >= CRASH_RESTART_MIN_US)
+		return;
 	log_info("runner_survived",
 		 "runner_key=%" PRIx64 " suspects=%u lost_age_ms=%" PRId64,
 		 runner, crash->count, (now_us - crash->at_us) / 1000);
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -81,12 +81,10 @@
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
 		     const prompt_parts_t *parts, part_loss_t loss);
 /* The runner sent output for a request that was sent at started_us. If that is
- * before a crash of it was noted, it has not crashed. */
+ * before a crash of it was noted, or if a runner cannot have started again since
+ * the crash, it has not crashed. */
 void part_guard_output(part_guard_t *guard, uint64_t runner,
 		       int64_t started_us);
-/* The runner has not crashed at about this time, of part_guard_now_us(): its
- * connections ended with the link to it. Ends holds that it is needed for. */
-void part_guard_retract(part_guard_t *guard, uint64_t runner, int64_t at_us);
 /* A runner has begun to answer a request with these parts. Clears the parts that
  * it shares with others; the request may still crash the runner. */
 void part_guard_begun(part_guard_t *guard, const prompt_parts_t *parts);
--- a/src/gateway/domain_contact.c
+++ b/src/gateway/domain_contact.c
@@ -19,11 +19,8 @@
 	return false;
 }
 
-static void add_witness(domain_contact_t *contact, uint64_t runner,
-			int64_t now_us)
+static void add_witness(domain_contact_t *contact, uint64_t runner)
 {
-	if (contact->witness_count == 0)
-		contact->first_failed_us = now_us;
 	if (contact->witness_count < DOMAIN_CONTACT_WITNESSES &&
 	    !domain_contact_is_witness(contact, runner))
 		contact->witnesses[contact->witness_count++] = runner;
@@ -39,7 +36,7 @@
 		contact->failures = 0;
 		contact->witness_count = 0;
 	}
-	add_witness(contact, runner, now_us);
+	add_witness(contact, runner);
 	if (contact->failures == 0 || contact->failed_runner != runner)
 		contact->failures++;
 	contact->failed_runner = runner;
@@ -54,11 +51,6 @@
 	return !was_ejected;
 }
 
-void domain_contact_doubted(domain_contact_t *contact)
-{
-	contact->doubted = true;
-}
-
 bool domain_contact_answered(domain_contact_t *contact)
 {
 	bool was_ejected = contact->ejected_until_us != 0;
@@ -86,12 +78,11 @@
 		      now_us - contact->failed_us <= FAILURE_SPAN_MS * 1000;
 	bool due = contact->ejected_until_us ?
 			   now_us >= contact->ejected_until_us :
-			   failed || contact->doubted;
+			   failed;
 
 	if (!due || now_us - contact->probed_us < PROBE_MS * 1000)
 		return false;
 	contact->probed_us = now_us;
-	contact->doubted = false;
 	domain_contact_probed(contact, now_us);
 	return true;
 }
--- a/src/gateway/domain_contact.h
+++ b/src/gateway/domain_contact.h
@@ -23,8 +23,6 @@
 	 * answer. */
 	uint64_t witnesses[DOMAIN_CONTACT_WITNESSES];
 	uint32_t witness_count;
-	int64_t first_failed_us; /* time of the first witness */
-	bool doubted; /* a probe is wanted without a failure */
 	uint64_t failed_runner; /* key of the last one */
 	int64_t failed_us;
 	int64_t ejected_until_us; /* 0: not ejected */
@@ -36,8 +34,6 @@
  * domain. */
 bool domain_contact_failed(domain_contact_t *contact, uint64_t runner,
 			   int64_t now_us);
-/* Records that a connection to a runner of the domain has ended early. */
-void domain_contact_doubted(domain_contact_t *contact);
 /* Records an answer of a runner. Returns true when this ends an ejection. */
 bool domain_contact_answered(domain_contact_t *contact);
 /* Records that a request is sent to a runner of the domain; at the end of an
@@ -46,8 +42,8 @@
 bool domain_contact_is_ejected(const domain_contact_t *contact, int64_t now_us);
 /*
  * Whether a connection should be tried for a sign of contact: when a probe of a
- * lost domain is due, and after a single failure or doubt. Records the probe;
- * the result is recorded like that of a request.
+ * lost domain is due, and after a single failure. Records the probe; the result
+ * is recorded like that of a request.
  */
 bool domain_contact_wants_probe(domain_contact_t *contact, int64_t now_us);
 /* Whether the runner has failed to connect, and none has answered since. */
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -415,9 +415,6 @@
 		loss = PART_LOSS_RUNNING;
 	part_guard_lost(execution->context->part_guard, execution->runner->key,
 			&execution->parts, loss);
-	if (execution->context->losses && !execution->relayed)
-		runner_losses_add(execution->context->losses,
-				  execution->runner);
 }
 
 /* Reports that the runner has answered the request. A body that ends with the
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -8,7 +8,6 @@
 
 #include "base/counter.h"
 #include "gateway/fleet.h"
-#include "gateway/runner_loss.h"
 #include "backend/part_guard.h"
 #include "gateway/runner_protocol.h"
 #include "gateway/runner_relay.h"
@@ -66,7 +65,6 @@
 	const clock_source_t *clock;
 	fleet_t *fleet;
 	part_guard_t *part_guard;
-	runner_losses_t *losses; /* NULL: a lost link counts as a crash */
 	const runner_protocol_t *protocol;
 	runner_relay_t *relay; /* for runners out of reach; NULL: none */
 	GQueue active; /* all executions in progress */
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -207,13 +207,6 @@
 
 /* Whether the direct path to the runner is lost. */
 bool fleet_is_cut_off(const fleet_runner_t *runner);
-/* A connection to the runner has ended early; its domain is probed. */
-void fleet_doubt_contact(fleet_runner_t *runner);
-/* Whether the runner's domain is lost since before or shortly after the time,
- * and another node reaches it, so that it is the link that was lost then and not
- * the runner. */
-bool fleet_has_lost_link(const fleet_t *fleet, const fleet_runner_t *runner,
-			 int64_t at_us);
 /* Whether this node has lost its own domain. */
 bool fleet_lost_local(const fleet_t *fleet);
 /* Finds out whether other nodes pass calls on to the lost domains. To be called
--- a/src/gateway/fleet_contact.c
+++ b/src/gateway/fleet_contact.c
@@ -1,10 +1,6 @@
 #include "base/log.h"
 #include "gateway/fleet_state.h"
 
-/* A lost link is noticed so long after the first connection that it ends: by the
- * probe that follows. */
-#define LINK_NOTICE_MS 1000
-
 /* Another node stands in for lost contact. */
 bool fleet_avoids_domain(const fleet_t *fleet, const fleet_domain_t *domain)
 {
@@ -99,29 +95,6 @@
 		update_relay(fleet, name, value);
 }
 
-void fleet_doubt_contact(fleet_runner_t *runner)
-{
-	domain_contact_doubted(&runner->domain_state->contact);
-}
-
-bool fleet_has_lost_link(const fleet_t *fleet, const fleet_runner_t *runner,
-			 int64_t at_us)
-{
-	const fleet_domain_t *domain = runner->domain_state;
-	uint32_t runners = 0;
-
-	if (!domain->has_relay || !domain_contact_is_lost(&domain->contact) ||
-	    domain->contact.first_failed_us > at_us + LINK_NOTICE_MS * 1000)
-		return false;
-	for (guint i = 0; i < fleet->listed->len; i++) {
-		const fleet_runner_t *other = fleet->listed->pdata[i];
-
-		runners += other->domain_state == domain && !other->draining;
-	}
-	return domain->contact.witness_count >=
-	       MIN(runners, DOMAIN_CONTACT_WITNESSES);
-}
-
 /* A runner of the domain at random, rather one that has not failed. */
 static const fleet_runner_t *draw_probe(fleet_t *fleet,
 					const fleet_domain_t *domain)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -313,7 +313,6 @@
 	report_relay(gateway);
 	fleet_update_relays(gateway->fleet);
 	contact_probe_tick(gateway->contact_probe);
-	runner_losses_tick(gateway->executions.losses);
 	part_guard_tick(gateway->part_guard);
 	stream_origins_expire(gateway->origins);
 	peer_load_tick(gateway->peer_load);
@@ -357,18 +356,10 @@
 static void init_executions(gateway_t *gateway,
 			    const gateway_options_t *options)
 {
-	const runner_losses_options_t losses = {
-		.clock = gateway->clock,
-		.fleet = gateway->fleet,
-		.part_guard = gateway->part_guard,
-		.counters = gateway->counters,
-	};
-
 	gateway->executions.base = gateway->base;
 	gateway->executions.clock = gateway->clock;
 	gateway->executions.fleet = gateway->fleet;
 	gateway->executions.part_guard = gateway->part_guard;
-	gateway->executions.losses = runner_losses_new(&losses);
 	gateway->executions.protocol = options->protocol;
 	g_queue_init(&gateway->executions.active);
 	gateway->executions.tries_total = counter_get(
--- a/tests/process/test_lost_links.py
+++ b/tests/process/test_lost_links.py
@@ -29,6 +29,7 @@
 PATHS = (*STREAM_PATHS, "/safe/a")
 REQUESTS = 20  # at each gateway in a round
 CONCURRENT = 3  # at each gateway
+RESET_S = 0.03  # until new connections are accepted again
 LONG_EVENTS, LONG_GAP_S = 40, 0.05  # well below the deadline
 
 Answer = namedtuple("Answer", "gateway request path status whole took_s retry")
@@ -209,6 +210,25 @@
         self.assertEqual(self.send(job).status, 200)
         self.check_runs()
 
+    def test_connections_reset_once(self):
+        """Connections that are reset at once, while new ones are accepted, must
+        not count as crashes of their runners for long: requests like those on
+        them were held at all gateways for a minute."""
+        events, gap_s = self.runners[0].events, self.runners[0].gap_s
+        self.long_streams()
+        for _ in range(4 * len(self.runners)):
+            self.start_request(self.gateways[0], "/unsafe/a")
+        time.sleep(2 * LONG_GAP_S)
+        for runner in self.runners:
+            runner.events, runner.gap_s = events, gap_s
+        self.cut(RESET, self.gateways[0])
+        time.sleep(RESET_S)
+        self.heal(self.gateways[0])
+        time.sleep(CONTACT_S)
+        for gateway in self.gateways:
+            answer = self.send((gateway, self.headers(), "/unsafe/a"))
+            self.assertEqual(answer.status, 200, gateway.name)
+
     def test_end_of_cut(self):
         """Requests must be served after a cut ends, and over the gateway's own
         connections again."""
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -195,6 +195,24 @@
 	fixture_free(f);
 }
 
+/* Guards against requests that are held for a minute after the connections of a
+ * node were reset: one that was in progress several times explains them all. */
+static void test_same_request_at_one_moment(void)
+{
+	fixture_t *f = fixture_new();
+	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
+	prompt_parts_t request = { 0 };
+
+	prompt_parts_add_request(&request, parts.ids[parts.count - 1]);
+	for (uint64_t i = 1; i <= 4; i++)
+		part_guard_lost(f->guard, i, &request, PART_LOSS_RUNNING);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &request), 0);
+	clock_manual_advance_ms(&f->clock, 100);
+	part_guard_lost(f->guard, 5, &request, PART_LOSS_RUNNING);
+	CU_ASSERT(part_guard_hold_ms(f->guard, &request) > 0);
+	fixture_free(f);
+}
+
 /* A runner that goes on with earlier requests has not crashed; connections that
  * were reset must not be held against a part. */
 static void test_survivors_do_not_count(void)
@@ -243,6 +261,23 @@
 	fixture_free(f);
 }
 
+/* Output of a later request must show it too, before the runner can have started
+ * again. */
+static void test_later_output_of_survivor(void)
+{
+	for (int late = 0; late <= 1; late++) {
+		fixture_t *f = fixture_new();
+
+		crash(f, FIRST, OTHER);
+		crash(f, FIRST, OTHER);
+		clock_manual_advance_ms(&f->clock, late ? 1510 : 60);
+		part_guard_output(f->guard, f->runner,
+				  part_guard_now_us(f->guard) - 5000);
+		CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER) > 0, late);
+		fixture_free(f);
+	}
+}
+
 /* A request that crashes runners by its own content must be held without the
  * parts that it shares. */
 static void test_single_request(void)
@@ -432,8 +467,11 @@
 		{ "output clears", test_output_clears },
 		{ "common cause", test_common_cause },
 		{ "crashes at one moment", test_crashes_at_one_moment },
+		{ "same request at one moment",
+		  test_same_request_at_one_moment },
 		{ "survivors do not count", test_survivors_do_not_count },
 		{ "survivors end long hold", test_survivors_end_long_hold },
+		{ "later output of survivor", test_later_output_of_survivor },
 		{ "single request", test_single_request },
 		{ "request before and after output",
 		  test_request_before_and_after_output },
