Avoid a domain only when enough of its runners cannot be reached

Cause: two runners that fail to connect without an answer between them have their domain lost, which the attempts of one request do within a millisecond. Without a node that passes calls on, a lost domain was avoided until the first probe, which was sent after 500 ms.

A domain is avoided now when three different runners of it have failed, or all that are present, and after each of the first failures the next runner is tried at once by a connection. One that fails again is waited for as before, so a small domain is not probed all the time. Runners whose entries are gone are neither probed nor counted.

--- a/src/gateway/domain_contact.c
+++ b/src/gateway/domain_contact.c
@@ -19,28 +19,38 @@
 	return false;
 }
 
-static void add_witness(domain_contact_t *contact, uint64_t runner)
+/* Returns whether the runner was none before. */
+static bool add_witness(domain_contact_t *contact, uint64_t runner)
 {
-	if (contact->witness_count < DOMAIN_CONTACT_WITNESSES &&
-	    !domain_contact_is_witness(contact, runner))
-		contact->witnesses[contact->witness_count++] = runner;
+	if (contact->witness_count == DOMAIN_CONTACT_WITNESSES ||
+	    domain_contact_is_witness(contact, runner))
+		return false;
+	contact->witnesses[contact->witness_count++] = runner;
+	return true;
 }
 
 bool domain_contact_failed(domain_contact_t *contact, uint64_t runner,
 			   int64_t now_us)
 {
 	bool was_ejected = contact->ejected_until_us != 0;
+	bool is_new;
 
 	if (now_us - contact->failed_us > FAILURE_SPAN_MS * 1000 &&
 	    !was_ejected) {
 		contact->failures = 0;
 		contact->witness_count = 0;
 	}
-	add_witness(contact, runner);
+	is_new = add_witness(contact, runner);
 	if (contact->failures == 0 || contact->failed_runner != runner)
 		contact->failures++;
 	contact->failed_runner = runner;
 	contact->failed_us = now_us;
+	contact->probed_us = 0;
+	/* The other runners are tried at once, then one from time to time. */
+	contact->probe_at_us =
+		is_new && contact->witness_count < DOMAIN_CONTACT_WITNESSES ?
+			now_us :
+			now_us + EJECTION_FIRST_MS * 1000;
 	if (contact->failures < FAILURES_TO_EJECT)
 		return false;
 	contact->ejection_ms =
@@ -48,6 +58,8 @@
 	if (contact->ejection_ms > EJECTION_MAX_MS)
 		contact->ejection_ms = EJECTION_MAX_MS;
 	contact->ejected_until_us = now_us + contact->ejection_ms * 1000;
+	if (contact->probe_at_us > now_us)
+		contact->probe_at_us = contact->ejected_until_us;
 	return !was_ejected;
 }
 
@@ -58,6 +70,7 @@
 	contact->failures = 0;
 	contact->witness_count = 0;
 	contact->ejected_until_us = 0;
+	contact->probed_us = 0;
 	return was_ejected;
 }
 
@@ -76,11 +89,12 @@
 {
 	bool failed = contact->failures > 0 &&
 		      now_us - contact->failed_us <= FAILURE_SPAN_MS * 1000;
-	bool due = contact->ejected_until_us ?
-			   now_us >= contact->ejected_until_us :
-			   failed;
 
-	if (!due || now_us - contact->probed_us < PROBE_MS * 1000)
+	if (!contact->ejected_until_us && !failed)
+		return false;
+	if (now_us < contact->probe_at_us ||
+	    (contact->probed_us &&
+	     now_us - contact->probed_us < PROBE_MS * 1000))
 		return false;
 	contact->probed_us = now_us;
 	domain_contact_probed(contact, now_us);
--- a/src/gateway/domain_contact.h
+++ b/src/gateway/domain_contact.h
@@ -27,7 +27,8 @@
 	int64_t failed_us;
 	int64_t ejected_until_us; /* 0: not ejected */
 	int64_t ejection_ms; /* until the next probe */
-	int64_t probed_us; /* time of the last probe by connection */
+	int64_t probe_at_us; /* the next probe by connection */
+	int64_t probed_us; /* time of the last one; 0: it has its result */
 } domain_contact_t;
 
 /* Records a failed connect to a runner. Returns true when this ejects the
@@ -41,8 +42,8 @@
 void domain_contact_probed(domain_contact_t *contact, int64_t now_us);
 bool domain_contact_is_ejected(const domain_contact_t *contact, int64_t now_us);
 /*
- * Whether a connection should be tried for a sign of contact: when a probe of a
- * lost domain is due, and after a single failure. Records the probe; the result
+ * Whether a connection should be tried for a sign of contact: at once after each
+ * of the first failures, and then when a probe of a lost domain is due. Records the probe; the result
  * is recorded like that of a request.
  */
 bool domain_contact_wants_probe(domain_contact_t *contact, int64_t now_us);
--- a/src/gateway/fleet_contact.c
+++ b/src/gateway/fleet_contact.c
@@ -1,15 +1,37 @@
 #include "base/log.h"
 #include "gateway/fleet_state.h"
 
+/* Whether the runner is expected to accept connections. */
+static bool is_present(const fleet_runner_t *runner)
+{
+	return !runner->draining && !runner->remove_at_us;
+}
+
+/* Whether enough runners of the domain have failed to connect to rule out that
+ * only these have ended. */
+static bool is_certain(const fleet_t *fleet, const fleet_domain_t *domain)
+{
+	uint32_t needed = 0;
+
+	for (guint i = 0;
+	     i < fleet->listed->len && needed < DOMAIN_CONTACT_WITNESSES; i++) {
+		const fleet_runner_t *runner = fleet->listed->pdata[i];
+
+		needed += runner->domain_state == domain && is_present(runner);
+	}
+	return domain->contact.witness_count >= needed;
+}
+
 /* Another node stands in for lost contact. */
 bool fleet_avoids_domain(const fleet_t *fleet, const fleet_domain_t *domain)
 {
 	if (domain->has_relay)
 		return false;
-	return fleet->probed ?
-		       domain_contact_is_lost(&domain->contact) :
-		       domain_contact_is_ejected(&domain->contact,
-						 clock_now_us(fleet->clock));
+	if (fleet->probed)
+		return domain_contact_is_lost(&domain->contact) &&
+		       is_certain(fleet, domain);
+	return domain_contact_is_ejected(&domain->contact,
+					 clock_now_us(fleet->clock));
 }
 
 void fleet_heard(fleet_t *fleet)
@@ -108,7 +130,7 @@
 		bool failed = domain_contact_is_witness(&domain->contact,
 							runner->key);
 
-		if (runner->domain_state != domain || runner->draining ||
+		if (runner->domain_state != domain || !is_present(runner) ||
 		    (failed && !drawn_failed))
 			continue;
 		if (drawn_failed && !failed)
