Apply the crashes of a summary before its holds

What callers would see: a gateway that has just started, or has missed the news, refuses requests for a minute (request_held) after all others have ended the hold, as its crashes turned out to be none.

Cause: the holds of a summary were applied before the crashes that came with them were decided on. A hold then counted as known from another node only, and such a hold is not ended with the crashes that it rests on.

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -777,8 +777,9 @@
 		changed |= apply_crash(guard, &news->crashes[i]);
 	for (uint32_t i = 0; i < news->clears_count; i++)
 		changed |= apply_clear(guard, &news->clears[i]);
-	for (uint32_t i = 0; i < news->holds_count; i++)
-		apply_hold(guard, &news->holds[i]);
+	/* Holds that these crashes justify are then known to be based on them. */
 	if (changed)
 		decide(guard);
+	for (uint32_t i = 0; i < news->holds_count; i++)
+		apply_hold(guard, &news->holds[i]);
 }
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -261,6 +261,35 @@
 	fixture_free(f);
 }
 
+/* Guards against requests that are held for a minute at a node that learned of
+ * the hold and of its crashes in one summary, after the crashes turned out to be
+ * none. */
+static void test_survivors_end_hold_of_summary(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	const int64_t before_us = part_guard_now_us(f->guard);
+	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
+	part_news_t news;
+
+	for (int i = 0; i < 3; i++)
+		crash(f, FIRST, OTHER);
+	while (part_guard_take_news(f->guard, &news))
+		continue;
+	CU_ASSERT(part_guard_summary(f->guard, &news));
+	part_guard_apply(peer, &news);
+	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 30000);
+	clock_manual_advance_ms(&f->clock, 60);
+	for (uint64_t runner = 1; runner <= 3; runner++)
+		part_guard_output(f->guard, runner, before_us);
+	while (part_guard_take_news(f->guard, &news))
+		part_guard_apply(peer, &news);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
 /* Output of a later request must show it too, before the runner can have started
  * again. */
 static void test_later_output_of_survivor(void)
@@ -472,6 +501,8 @@
 		{ "survivors do not count", test_survivors_do_not_count },
 		{ "survivors end long hold", test_survivors_end_long_hold },
 		{ "later output of survivor", test_later_output_of_survivor },
+		{ "survivors end hold of summary",
+		  test_survivors_end_hold_of_summary },
 		{ "single request", test_single_request },
 		{ "request before and after output",
 		  test_request_before_and_after_output },
