Test that one request does not have nodes avoided for all others

What callers would see: while a gateway is cut off from the runners, one request with more than 1024 headers, or with a body that the other node has no room for, has up to four nodes avoided for a second. Other requests at the gateway are refused meanwhile if these are all the nodes that pass calls on.

Cause: a call that cannot be encoded ends by the timer, and one whose body exceeds the room has its connection closed by the other node. Both are handled like the loss of the node (fail()), not like a refusal.

The fault is not fixed here.

--- a/tests/test_runner_relay.c
+++ b/tests/test_runner_relay.c
@@ -10,6 +10,10 @@
 #define PORT_FIRST 21700
 #define PORT_COUNT 200
 #define LOOP_MAX_MS 3000
+/* What one call can have. */
+#define MAX_HEADERS 1024
+/* Two of them exceed what a node takes for all calls together. */
+#define LARGE_BODY_BYTES (9 * 1024 * 1024)
 
 /* A call at the node that passes it on, which the test answers itself. */
 struct runner_call {
@@ -167,7 +171,9 @@
 	g_rand_free(fixture->random);
 }
 
-static void start_request(fixture_t *fixture, const char *runner)
+/* headers: consumed. */
+static void start_with(fixture_t *fixture, const char *runner,
+		       GPtrArray *headers, const char *body, size_t body_len)
 {
 	const runner_protocol_t *protocol =
 		runner_relay_protocol(fixture->relay);
@@ -180,9 +186,9 @@
 		.method = "POST",
 		.target = "/x?y",
 		.host = "h",
-		.headers = g_ptr_array_new(),
-		.body = "body",
-		.body_len = 4,
+		.headers = headers,
+		.body = body,
+		.body_len = body_len,
 		.deadline_ms = 2000,
 		.resume_after = -1,
 		.answer = on_answer,
@@ -195,6 +201,11 @@
 	g_ptr_array_unref(request.headers);
 }
 
+static void start_request(fixture_t *fixture, const char *runner)
+{
+	start_with(fixture, runner, g_ptr_array_new(), "body", 4);
+}
+
 /* Runs the loop until a callback ends it, or for the time. */
 static void run_for(fixture_t *fixture, int ms)
 {
@@ -324,6 +335,44 @@
 	}
 }
 
+/* Guards against a request that no node can pass on, which had each node that it
+ * asked avoided for the calls of all other requests. */
+static void test_too_many_headers(void)
+{
+	fixture_t *fixture = fixture_new();
+	GPtrArray *headers = g_ptr_array_new();
+	char expected[16];
+
+	g_snprintf(expected, sizeof(expected), "end %d", RUNNER_PEER_NOT_SENT);
+	for (int i = 0; i < 2 * (MAX_HEADERS + 1); i++)
+		g_ptr_array_add(headers, "x");
+	start_with(fixture, "r", headers, "body", 4);
+	run_for(fixture, LOOP_MAX_MS);
+	CU_ASSERT_STRING_EQUAL(fixture->seen->str, expected);
+	CU_ASSERT_FALSE(avoids(fixture, 0));
+	fixture_free(fixture);
+}
+
+/* The same for a request whose body the other node has no room for. */
+static void test_no_room_for_body(void)
+{
+	fixture_t *fixture = fixture_new();
+	char *body = g_malloc0(LARGE_BODY_BYTES);
+	char expected[16];
+
+	g_snprintf(expected, sizeof(expected), "end %d", RUNNER_PEER_NOT_SENT);
+	start_with(fixture, "r", g_ptr_array_new(), body, LARGE_BODY_BYTES);
+	run_until_started(fixture);
+	start_with(fixture, "r", g_ptr_array_new(), body, LARGE_BODY_BYTES);
+	run_for(fixture, LOOP_MAX_MS);
+	CU_ASSERT_STRING_EQUAL(fixture->seen->str, expected);
+	/* As long as any refusal has the node avoided. */
+	clock_manual_advance_ms(&fixture->clock, 100);
+	CU_ASSERT_FALSE(avoids(fixture, 0));
+	g_free(body);
+	fixture_free(fixture);
+}
+
 /* Opens a socket that accepts connections and never answers, like a frozen
  * process. */
 static int open_silent(fixture_t *fixture)
@@ -410,6 +459,8 @@
 		{ "answer arrives", test_answer_arrives },
 		{ "ends", test_ends },
 		{ "refused", test_refused },
+		{ "too many headers", test_too_many_headers },
+		{ "no room for body", test_no_room_for_body },
 		{ "frozen peer", test_frozen_peer },
 		{ "peer ends", test_peer_ends },
 		{ "cancel", test_cancel },
