Refuse a relayed call that does not fit instead of closing its connection

What callers would see: while a gateway is cut off from the runners, one request with more than 1024 headers, or with a body that the other node has no room for, has up to four nodes avoided for a second, so that requests of others are refused meanwhile.

Cause: a call that could not be encoded, and one whose connection the other node closed as its bodies take 16 MiB together, were handled like the loss of that node.

The node refuses a body that it has no room for, and reads the connection until the other one closes it, so that the refusal is not lost with unread bytes. A call that cannot be encoded ends without a node being at fault.

--- a/src/gateway/runner_relay.c
+++ b/src/gateway/runner_relay.c
@@ -55,6 +55,7 @@
 	int64_t started_us;
 	int32_t timeout_ms;
 	bool told_to_start;
+	bool unsendable; /* too large for a message */
 	bool in_callback; /* cancelled calls are freed afterwards */
 	bool cancelled;
 };
@@ -263,7 +264,11 @@
 {
 	runner_call_t *call = arg;
 
-	fail(call, call->bev ? "timeout" : "no_peer");
+	/* No other node can pass it on either. */
+	if (call->unsendable)
+		end_failed(call, "unsendable");
+	else
+		fail(call, call->bev ? "timeout" : "no_peer");
 }
 
 static bool send_call(runner_call_t *call, const runner_request_t *request)
@@ -321,11 +326,13 @@
 	bufferevent_setfd(call->bev, open_socket(call->relay->options.address));
 	bufferevent_setcb(call->bev, on_read, NULL, on_event, call);
 	bufferevent_enable(call->bev, EV_READ | EV_WRITE);
-	return evutil_parse_sockaddr_port(
-		       call->address, (struct sockaddr *)&address, &len) == 0 &&
-	       bufferevent_socket_connect(
-		       call->bev, (struct sockaddr *)&address, len) == 0 &&
-	       send_call(call, request);
+	if (evutil_parse_sockaddr_port(
+		    call->address, (struct sockaddr *)&address, &len) != 0 ||
+	    bufferevent_socket_connect(call->bev, (struct sockaddr *)&address,
+				       len) != 0)
+		return false;
+	call->unsendable = !send_call(call, request);
+	return !call->unsendable;
 }
 
 static runner_call_t *start(void *context, const runner_request_t *request)
--- a/src/gateway/runner_relay_server.c
+++ b/src/gateway/runner_relay_server.c
@@ -43,6 +43,7 @@
 	runner_call_t *call; /* NULL: not started, or done */
 	bool ready; /* the call and its body were received */
 	bool started;
+	bool refused; /* ends when the other node closes the connection */
 	bool closing; /* ends when all is sent */
 	GList link;
 } served_call_t;
@@ -175,7 +176,7 @@
 	(*served->server->refused_total)++;
 	log_info("relayed_call_refused", "request=%s runner=%s reason=%s",
 		 args_of(served)->id, args_of(served)->instance, reason);
-	served->closing = true;
+	served->refused = true;
 	message.runner_message_u.runner_unknown = runner_unknown;
 	runner_message_append(output_of(served), &message);
 }
@@ -245,22 +246,36 @@
 		runner_message_append_kind(output_of(served), RUNNER_READY);
 }
 
-/* Returns false for a message that is not due. Takes over the call. */
+/* Takes over the call. */
+static void take_call(served_call_t *served, runner_message *message)
+{
+	runner_call_args *args = &message->runner_message_u.call;
+	bool has_room =
+		args->body_bytes <= MAX_BODY_BYTES - served->server->body_bytes;
+
+	if (!has_room)
+		args->body_bytes = 0;
+	served->server->body_bytes += args->body_bytes;
+	served->message = *message;
+	*message = (runner_message){ 0 };
+	if (has_room)
+		check_ready(served);
+	else
+		refuse(served, "no_room", false);
+}
+
+/* Returns false for a message that is not due. */
 static bool handle_message(served_call_t *served, runner_message *message)
 {
 	switch (message->kind) {
 	case RUNNER_CALL:
-		if (served->message.kind == RUNNER_CALL ||
-		    message->runner_message_u.call.body_bytes >
-			    MAX_BODY_BYTES - served->server->body_bytes)
+		if (served->message.kind == RUNNER_CALL)
 			return false;
-		served->server->body_bytes +=
-			message->runner_message_u.call.body_bytes;
-		served->message = *message;
-		*message = (runner_message){ 0 };
-		check_ready(served);
+		take_call(served, message);
 		return true;
 	case RUNNER_BODY:
+		if (served->refused)
+			return true;
 		if (served->message.kind != RUNNER_CALL || served->ready ||
 		    message->runner_message_u.part.part_len >
 			    args_of(served)->body_bytes - served->body->len)
@@ -272,7 +287,7 @@
 		check_ready(served);
 		return true;
 	case RUNNER_GO:
-		if (!served->ready || served->started || served->closing ||
+		if (!served->ready || served->started || served->refused ||
 		    is_given_up(served))
 			return false;
 		start_call(served);
