End an engine call that has failed by its head

Seen by callers: an engine that answers with an error whose body does not end held a caller of `wasabilink entry` until the deadline (600 s by default), though the engine, or another one, could take the request. Each byte of the body refreshed the stall timer of a stream; other calls have none. The body was also collected without a limit.

Cause: the engine client classified a response only at its end, though a status other than 200 and the id of another call decide alone.

Why it works: the head decides, and the call ends in the same pass of the event loop. A body that came with the head is read before that, so a short error keeps its connection (test_short_errors_share_a_connection). Nothing read the body of an error, so it is not kept.

Ruled out: a time limit for bodies of errors (holds the caller without need); closing in the head's callback (a new connection for each short refusal). A caller gets 503 from the only engine when it is busy, with a short body too.

--- a/src/backend/engine_client.c
+++ b/src/backend/engine_client.c
@@ -20,11 +20,11 @@
 	engine_client_t *client;
 	http_call_t *http_call;
 	struct event *stall_timer;
+	struct event *failed_event; /* of a call that failed by its head */
 	int64_t last_progress_ms;
 	int32_t stall_ms;
 	char *request_id;
 	sse_t sse;
-	GString *body; /* error response to a streaming call */
 	engine_first_token_t first_token;
 	engine_events_t events;
 	engine_done_t done;
@@ -90,8 +90,8 @@
 {
 	if (call->stall_timer)
 		event_free(call->stall_timer);
-	if (call->body)
-		g_string_free(call->body, TRUE);
+	if (call->failed_event)
+		event_free(call->failed_event);
 	sse_clear(&call->sse);
 	g_free(call->request_id);
 	g_free(call);
@@ -101,10 +101,6 @@
 {
 	result->status = call->status;
 	result->events = call->events_seen;
-	if (call->body) {
-		result->body = call->body->str;
-		result->body_len = call->body->len;
-	}
 	call->done(result, call->user_data);
 	call_free(call);
 }
@@ -147,6 +143,60 @@
 	       strcmp(echo, call->request_id) == 0 && strcmp(mark, "1") == 0;
 }
 
+/*
+ * Returns the fault for a status by which an engine states that it did not run
+ * the call; ENGINE_FAULT_NONE for any other status.
+ */
+static engine_fault_t refusal_fault(int status)
+{
+	if (status == 409)
+		return ENGINE_FAULT_VERSION;
+	if (status == 429 || status == 503)
+		return ENGINE_FAULT_BUSY;
+	return ENGINE_FAULT_NONE;
+}
+
+/* Whether the call has failed whatever the body is. */
+static bool is_failed_by_head(const engine_call_t *call)
+{
+	return call->mismatch || call->status != 200;
+}
+
+/* Classifies a response for which is_failed_by_head() holds. */
+static void classify_head(const engine_call_t *call, const http_call_t *http,
+			  engine_result_t *result)
+{
+	const char *retry_after = http_response_header(http, "Retry-After");
+	engine_fault_t refusal = refusal_fault(call->status);
+
+	result->outcome = ENGINE_MAY_HAVE_RUN;
+	if (retry_after)
+		result->retry_after_s =
+			(int)g_ascii_strtoll(retry_after, NULL, 10);
+	if (call->mismatch) {
+		result->fault = ENGINE_FAULT_MISMATCH;
+	} else if (refusal != ENGINE_FAULT_NONE) {
+		result->outcome = ENGINE_REFUSED;
+		result->fault = refusal;
+	} else if (call->status >= 400 && call->status < 500) {
+		result->fault = ENGINE_FAULT_REJECTED;
+	} else {
+		if (call->not_run)
+			result->outcome = ENGINE_REFUSED;
+		result->fault = ENGINE_FAULT_ERROR;
+	}
+}
+
+static void on_failed_by_head(evutil_socket_t fd, short events, void *arg)
+{
+	engine_call_t *call = arg;
+	engine_result_t result = { 0 };
+
+	classify_head(call, call->http_call, &result);
+	http_call_cancel(call->http_call);
+	finish(call, &result);
+}
+
 static void on_headers(http_call_t *http, int status, void *user_data)
 {
 	engine_call_t *call = user_data;
@@ -155,6 +205,14 @@
 	call->last_progress_ms = clock_now_ms(call->client->clock);
 	call->mismatch = !echo_matches(call, http);
 	call->not_run = is_marked_not_run(call, http, status);
+	/* A status below 200 precedes the response. */
+	if (status < 200 || !is_failed_by_head(call))
+		return;
+	/* A body that came with the head is read first, which keeps the
+	 * connection. */
+	call->failed_event =
+		event_new(call->client->base, -1, 0, on_failed_by_head, call);
+	event_active(call->failed_event, EV_TIMEOUT, 0);
 }
 
 static void on_events(const char *events, size_t len, void *user_data)
@@ -182,12 +240,8 @@
 		fail_call(call, ENGINE_FAULT_MISMATCH);
 		return;
 	}
-	if (call->status != 200) {
-		if (!call->body)
-			call->body = g_string_new(NULL);
-		g_string_append_len(call->body, data, (gssize)len);
+	if (call->status != 200)
 		return;
-	}
 	call->in_callback = true;
 	sse_feed(&call->sse, data, len, on_events, call);
 	call->in_callback = false;
@@ -200,19 +254,6 @@
 		fail_call(call, ENGINE_FAULT_TRUNCATED);
 }
 
-/*
- * Returns the fault for a status by which an engine states that it did not run
- * the call; ENGINE_FAULT_NONE for any other status.
- */
-static engine_fault_t refusal_fault(int status)
-{
-	if (status == 409)
-		return ENGINE_FAULT_VERSION;
-	if (status == 429 || status == 503)
-		return ENGINE_FAULT_BUSY;
-	return ENGINE_FAULT_NONE;
-}
-
 /* Whether a completion came whole. The end of a body that ends with its
  * connection may be that of the engine. */
 static bool is_whole_completion(const http_response_t *response)
@@ -231,21 +272,13 @@
 			      const http_response_t *response,
 			      engine_result_t *result)
 {
-	engine_fault_t refusal = refusal_fault(response->status);
 	bool complete = call->stream ? sse_is_complete(&call->sse) :
 				       is_whole_completion(response);
 
 	result->outcome = ENGINE_MAY_HAVE_RUN;
-	if (call->mismatch) {
-		result->fault = ENGINE_FAULT_MISMATCH;
-	} else if (refusal != ENGINE_FAULT_NONE) {
-		result->outcome = ENGINE_REFUSED;
-		result->fault = refusal;
-	} else if (response->status >= 400 && response->status < 500) {
-		result->fault = ENGINE_FAULT_REJECTED;
-	} else if (response->status != 200 || call->sse.error_seen) {
-		if (call->not_run)
-			result->outcome = ENGINE_REFUSED;
+	if (is_failed_by_head(call)) {
+		classify_head(call, response->call, result);
+	} else if (call->sse.error_seen) {
 		result->fault = ENGINE_FAULT_ERROR;
 	} else if (!complete) {
 		result->fault = ENGINE_FAULT_TRUNCATED;
@@ -261,17 +294,11 @@
 	engine_result_t result = { .outcome = ENGINE_MAY_HAVE_RUN,
 				   .body = response->body,
 				   .body_len = response->body_len };
-	const char *retry_after;
 
 	call->http_call = NULL;
 	switch (response->outcome) {
 	case HTTP_COMPLETE:
 		call->status = response->status;
-		retry_after =
-			http_response_header(response->call, "Retry-After");
-		if (retry_after)
-			result.retry_after_s =
-				(int)g_ascii_strtoll(retry_after, NULL, 10);
 		classify_response(call, response, &result);
 		break;
 	case HTTP_NOT_SENT:
--- a/src/backend/engine_client.h
+++ b/src/backend/engine_client.h
@@ -16,7 +16,8 @@
  * Callbacks: first_token once, events for each block of complete server-sent
  * events (streams only, without the end marker), then done exactly once unless
  * the call is cancelled. The outcome states whether the engine can have run the
- * call; only ENGINE_NOT_SENT and ENGINE_REFUSED permit the response `not_run`.
+ * call; only ENGINE_NOT_SENT and ENGINE_REFUSED permit the response `not_run`. A
+ * call that has failed by the head of its response is done without its body.
  */
 typedef struct engine_client engine_client_t;
 typedef struct engine_call engine_call_t;
@@ -51,7 +52,7 @@
 	int status; /* 0 if no response started */
 	int retry_after_s; /* 0: no Retry-After header */
 	uint64_t events; /* events passed to the caller */
-	const char *body; /* response that is not a stream, errors included */
+	const char *body; /* complete response that is not a stream */
 	size_t body_len;
 } engine_result_t;
 
--- a/tests/process/scripted_engine.py
+++ b/tests/process/scripted_engine.py
@@ -5,6 +5,9 @@
 import time
 
 FLOOD_BYTES = 64 * 1024 * 1024
+# Bounds of the mode endless, whose callers are to leave before.
+ENDLESS_PART_S = 0.05
+ENDLESS_S = 6
 # Modes whose streams have neither length nor chunks.
 UNTIL_CLOSE = ("until_close", "until_close_cut")
 TOKENS = ["red ", "koi ", "pond "]
@@ -15,18 +18,21 @@
 
     runs counts, by prompt, the calls that were started on the model; calls
     counts all that came in; closed holds the prompts whose caller went away;
-    sent counts the bytes of the mode flood.
+    sent counts the bytes of the mode flood; connections those that were
+    accepted.
     """
 
     def __init__(self):
         self.mode = "whole"
         self.raw = b""  # answer of the mode raw, with %(id)s
+        self.head = b""  # that of the mode endless, with %(id)s
         self.first_only = False
         self.until_close = False
         self.runs = {}
         self.calls = {}
         self.closed = set()
         self.sent = {}
+        self.connections = 0
         self.headers = {}
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.port = self.listener.getsockname()[1]
@@ -48,6 +54,7 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
+            self.connections += 1
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
 
@@ -114,6 +121,9 @@
             self.reply(connection, 500, {}, {**echo, "X-Not-Run": "1"})
             return True
         self.runs[prompt] = self.runs.get(prompt, 0) + 1
+        if mode == "endless":
+            self.endless(connection, echo, prompt)
+            return False
         if mode == "error_after":
             self.reply(connection, 500, {}, echo)
             return True
@@ -186,6 +196,20 @@
         except OSError:
             self.closed.add(prompt)
 
+    def endless(self, connection, echo, prompt):
+        """Sends a body that does not end after `head`; in chunks if the head
+        says so."""
+        self.until_close = b"chunked" not in self.head
+        connection.sendall(self.head.replace(b"%(id)s",
+                                             echo["X-Request-Id"].encode()))
+        end = time.monotonic() + ENDLESS_S
+        try:
+            while time.monotonic() < end:
+                self.chunk(connection, b"no ")
+                time.sleep(ENDLESS_PART_S)
+        except OSError:
+            self.closed.add(prompt)
+
     def event(self, connection, event):
         self.chunk(connection, b"data: " + json.dumps(event).encode() +
                    b"\n\n")
--- a/tests/process/test_entry_broken_answer.py
+++ b/tests/process/test_entry_broken_answer.py
@@ -24,6 +24,22 @@
         CHUNKED + b"\r\n2\r\n{}\r\n0\r\n"]
 # Answers of engines that end with their connection, in the middle.
 SHORT = [OWN + b"\r\n", OWN + b"\r\n{\"choices\":"]
+ERROR = b"HTTP/1.1 %d X\r\nX-Request-Id: %%(id)s\r\n"
+IN_CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
+WITH_LENGTH = b"Content-Length: 1000000\r\n\r\n"
+UNTIL_CLOSE = b"Connection: close\r\n\r\n"
+# Heads by which an attempt has failed whatever follows, and what the caller gets
+# when a second attempt would be answered. The only engine gets none when it is
+# busy.
+FAILED_HEADS = [
+    (ERROR % 500 + IN_CHUNKS, 200),
+    (ERROR % 500 + b"X-Not-Run: 1\r\n" + WITH_LENGTH, 200),
+    (ERROR % 202 + UNTIL_CLOSE, 200),
+    (STATUS + b"X-Request-Id: another\r\n" + IN_CHUNKS, 200),
+    (ERROR % 400 + UNTIL_CLOSE, 400),
+    (ERROR % 503 + WITH_LENGTH, 503),
+]
+FAILED_HEAD_S = 2
 DRAIN_MS = 1500
 
 
@@ -75,6 +91,38 @@
             self.assertEqual([a.status for a in self.answers(raw)[:2]],
                              [502] * 2, raw)
 
+    def check_error_without_end(self, stream):
+        self.engine.mode, self.engine.first_only = "endless", True
+        for i, (head, status) in enumerate(FAILED_HEADS):
+            self.engine.head = head
+            begin = time.monotonic()
+            answer = f.chat(self.entry, "guild-key", "lantern-muse", f"koi {i}",
+                            stream=stream)
+            self.assertEqual(answer.status, status, head)
+            self.assertLess(time.monotonic() - begin, FAILED_HEAD_S, head)
+
+    def test_error_without_end_to_a_stream(self):
+        """Guards against an error whose body does not end, which keeps the
+        stall timer from ending the attempt and holds the caller."""
+        self.check_error_without_end(True)
+
+    def test_error_without_end_to_a_call(self):
+        """Guards against the same for a call that is not a stream, which has
+        no stall timer."""
+        self.check_error_without_end(False)
+
+    def test_short_errors_share_a_connection(self):
+        """Guards against a new connection for each call that an engine refuses,
+        when its whole answer comes at once."""
+        self.engine.mode = "error_before"
+        f.chat(self.entry, "guild-key", "lantern-muse", "red")
+        before = self.engine.connections
+        for i in range(10):
+            answer = f.chat(self.entry, "guild-key", "lantern-muse", f"koi {i}",
+                            stream=i % 2 == 0)
+            self.assertEqual(answer.status, 502)
+        self.assertEqual(self.engine.connections, before)
+
     def test_request_longer_than_the_stop(self):
         """Guards against a connection that is closed without an answer at the
         end of a planned stop while a backend has the request."""
--- a/tests/test_engine_client.c
+++ b/tests/test_engine_client.c
@@ -17,6 +17,7 @@
 	bool truncate; /* close without the final chunk */
 	bool not_run; /* mark the error as not run */
 	bool keep_open; /* send the events, then leave the stream open */
+	bool endless; /* an error whose body does not end */
 } script_t;
 
 typedef struct fixture {
@@ -57,6 +58,12 @@
 		http_reply_header(exchange, "X-Request-Id", id);
 	if (script->not_run)
 		http_reply_header(exchange, "X-Not-Run", "1");
+	if (script->endless) {
+		http_on_closed(exchange, on_peer_closed, f);
+		http_stream_start(exchange, script->status, NULL);
+		http_stream_write(exchange, "no", 2);
+		return;
+	}
 	if (script->status != 200) {
 		http_reply(exchange, script->status, "application/json", "{}",
 			   2);
@@ -121,14 +128,16 @@
 	g_string_free(f->received, TRUE);
 }
 
-static engine_call_t *start(fixture_t *f, const script_t *script)
+static engine_call_t *start_call(fixture_t *f, const script_t *script,
+				 bool stream)
 {
 	engine_call_options_t options = {
 		.address = f->address,
 		.request_id = "r-1",
 		.body = "{}",
 		.body_len = 2,
-		.stream = true,
+		.timeout_ms = 10000,
+		.stream = stream,
 		.stall_ms = 50,
 		.first_token = on_first_token,
 		.events = on_events,
@@ -140,6 +149,11 @@
 	return engine_call_start(f->client, &options);
 }
 
+static engine_call_t *start(fixture_t *f, const script_t *script)
+{
+	return start_call(f, script, true);
+}
+
 /*
  * Guards against an engine failure that is classified wrongly, so that work
  * that may have run is reported as not run, or the reverse.
@@ -220,6 +234,58 @@
 	}
 }
 
+/*
+ * Guards against a call that waits for the end of an error's body, which may not
+ * come, while the caller could be answered or another engine asked.
+ */
+static void test_error_without_end(void)
+{
+	static const struct {
+		script_t script;
+		engine_outcome_t outcome;
+		engine_fault_t fault;
+	} cases[] = {
+		{ { .status = 500, .endless = true },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_ERROR },
+		{ { .status = 500, .endless = true, .not_run = true },
+		  ENGINE_REFUSED,
+		  ENGINE_FAULT_ERROR },
+		{ { .status = 503, .endless = true },
+		  ENGINE_REFUSED,
+		  ENGINE_FAULT_BUSY },
+		{ { .status = 409, .endless = true },
+		  ENGINE_REFUSED,
+		  ENGINE_FAULT_VERSION },
+		{ { .status = 400, .endless = true },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_REJECTED },
+		{ { .status = 503, .endless = true, .echo = "r-2" },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_MISMATCH },
+		{ { .status = 200, .endless = true, .echo = "r-2" },
+		  ENGINE_MAY_HAVE_RUN,
+		  ENGINE_FAULT_MISMATCH },
+	};
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(cases); i++) {
+		size_t at = i / 2;
+		fixture_t f;
+
+		fixture_open(&f);
+		start_call(&f, &cases[at].script, i % 2 == 0);
+		event_base_dispatch(f.base);
+		CU_ASSERT_EQUAL(f.done, 1);
+		CU_ASSERT_EQUAL(f.result.outcome, cases[at].outcome);
+		CU_ASSERT_EQUAL(f.result.fault, cases[at].fault);
+		CU_ASSERT_EQUAL(f.result.status, cases[at].script.status);
+		for (int j = 0; j < 1000 && !f.closed; j++)
+			event_base_loop(f.base, EVLOOP_ONCE);
+		CU_ASSERT_EQUAL(f.closed, 1);
+		fixture_close(&f);
+	}
+}
+
 /*
  * Nothing listens at the address. This is the only failure after which the work
  * certainly did not run.
@@ -320,6 +386,7 @@
 {
 	static const unit_test_t tests[] = {
 		{ "outcomes", test_outcomes },
+		{ "error without end", test_error_without_end },
 		{ "connection refused", test_connection_refused },
 		{ "unanswered connect", test_unanswered_connect },
 		{ "cancel", test_cancel },
