Announce the close of connections while an entry process drains

Seen by callers: `wasabilink entry` answered requests on kept connections after SIGTERM without "Connection: close", so that clients and load balancers reused connections which the end of the process closed, under a request at worst.

Cause: only requests that outlast the drain time had the announcement (http_server_end_exchanges()).

Evidence: test_stop_announces_the_close failed before, with a 200 without the announcement on a kept connection.

Why it works: the HTTP server knows that it closes, and each response that begins asks it, so no handler can forget it.

Ruled out: a call in each handler (the responses of entry begin in nine files); refusing the requests (the load balancer still sends some, and they can be served).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -131,6 +131,8 @@
 	timers->drain_deadline_ms =
 		clock_now_ms(entry->clock) +
 		MAX(entry->options.drain_ms, LAST_ANSWER_MS);
+	http_server_announce_close(entry->callers);
+	http_server_announce_close(entry->operators);
 	membership_drain(entry->membership);
 	dispatch_drain(entry->dispatch);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
--- a/src/http/http_exchange.c
+++ b/src/http/http_exchange.c
@@ -94,6 +94,12 @@
 	exchange->close_after = true;
 }
 
+void http_exchange_begin_response(http_exchange_t *exchange)
+{
+	if (*exchange->closing)
+		http_close_after(exchange);
+}
+
 const char *http_body(http_exchange_t *exchange, size_t *len)
 {
 	struct evbuffer *input = exchange->request->buffer_in;
@@ -153,6 +159,7 @@
 {
 	if (exchange->state != EXCHANGE_PENDING)
 		return;
+	http_exchange_begin_response(exchange);
 	if (content_type)
 		http_reply_header(exchange, "Content-Type", content_type);
 	if (evhtp_request_get_method(exchange->request) == htp_method_HEAD) {
--- a/src/http/http_exchange.h
+++ b/src/http/http_exchange.h
@@ -26,6 +26,7 @@
 	struct event_base *base;
 	http_stream_buffer_t *stream_buffer;
 	uint32_t *active; /* the server's count of active exchanges */
+	const bool *closing; /* whether the server announces the close */
 	GQueue *released; /* the server's queue of release_link */
 	GList release_link; /* data is NULL outside the queue */
 	evhtp_request_t *request;
@@ -47,6 +48,8 @@
 	bool close_after; /* the server ends the connection */
 };
 
+/* To be called before the head of the response is sent. */
+void http_exchange_begin_response(http_exchange_t *exchange);
 /* Marks the response as decided; the exchange no longer counts as active. */
 void http_exchange_mark_answered(http_exchange_t *exchange);
 /* Closes the connection; the exchange ends later, when evhtp frees it. */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -51,6 +51,7 @@
 	uint16_t port;
 	uint32_t active;
 	bool listening;
+	bool closing; /* responses announce the close of their connections */
 };
 
 /* Lives as long as the evhtp connection. */
@@ -574,6 +575,7 @@
 	exchange->base = server->base;
 	exchange->stream_buffer = server->stream_buffer;
 	exchange->active = &server->active;
+	exchange->closing = &server->closing;
 	exchange->released = &server->released;
 	exchange->connection = connection;
 	connection->exchange = exchange;
@@ -805,6 +807,11 @@
 	evtimer_add(server->unbind, &next_pass);
 }
 
+void http_server_announce_close(http_server_t *server)
+{
+	server->closing = true;
+}
+
 void http_server_close_idle(http_server_t *server)
 {
 	GList *link = server->connections.head;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -60,9 +60,11 @@
 uint32_t http_server_active(const http_server_t *server);
 
 /*
- * For a graceful shutdown: stop accepting connections, and close persistent
+ * For a graceful shutdown: close the connection of each response that begins from
+ * now on and announce it there, stop accepting connections, and close persistent
  * connections that wait for their next request.
  */
+void http_server_announce_close(http_server_t *server);
 void http_server_stop_listening(http_server_t *server);
 void http_server_close_idle(http_server_t *server);
 /*
--- a/src/http/http_stream.c
+++ b/src/http/http_stream.c
@@ -91,6 +91,7 @@
 
 	if (exchange->state != EXCHANGE_PENDING)
 		return;
+	http_exchange_begin_response(exchange);
 	if (content_type)
 		http_reply_header(exchange, "Content-Type", content_type);
 	exchange->state = EXCHANGE_STREAMING;
--- a/tests/process/scripted_engine.py
+++ b/tests/process/scripted_engine.py
@@ -8,6 +8,7 @@
 # Bounds of the mode endless, whose callers are to leave before.
 ENDLESS_PART_S = 0.05
 ENDLESS_S = 6
+HELD_S = 20  # longest wait of the mode held
 # Modes whose streams have neither length nor chunks.
 UNTIL_CLOSE = ("until_close", "until_close_cut")
 TOKENS = ["red ", "koi ", "pond "]
@@ -25,6 +26,7 @@
     def __init__(self):
         self.mode = "whole"
         self.raw = b""  # answer of the mode raw, with %(id)s
+        self.released = threading.Event()  # ends the waits of the mode held
         self.head = b""  # that of the mode endless, with %(id)s
         self.first_only = False
         self.until_close = False
@@ -134,6 +136,8 @@
         if mode == "hang":
             self.wait_for_close(connection, prompt)
             return False
+        if mode == "held":
+            self.released.wait(HELD_S)
         if not request.get("stream"):
             return self.whole(connection, mode, echo)
         return self.stream(connection, mode, echo, prompt)
--- a/tests/process/test_entry_broken_answer.py
+++ b/tests/process/test_entry_broken_answer.py
@@ -1,8 +1,10 @@
 #!/usr/bin/env python3
 """Tests of the entry process with backends whose answers break off, and with
 requests that last longer than a planned stop."""
+import http.client
 import json
 import os
+import signal
 import sys
 import time
 import unittest
@@ -41,6 +43,7 @@
 ]
 FAILED_HEAD_S = 2
 DRAIN_MS = 1500
+DRAIN_STEP_S = 0.2  # some checks of a draining entry process
 
 
 class EntryBrokenAnswerTest(unittest.TestCase):
@@ -141,6 +144,41 @@
                 self.assertEqual(answer.json()["error"]["work"],
                                  "may_have_run")
 
+    def models(self, connection):
+        """A short request on this connection; its status and whether the
+        response announces the close."""
+        connection.request("GET", "/v1/models", None,
+                           {"Authorization": "Bearer guild-key"})
+        response = connection.getresponse()
+        response.read()
+        return response.status, response.getheader("Connection") == "close"
+
+    def test_stop_announces_the_close(self):
+        """Guards against requests on kept connections that meet the end of the
+        process, as nothing has told their callers that it stops."""
+        kept = [http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+                for port in (self.entry.port, self.entry.port,
+                             self.entry.operator_port)]
+        for connection in kept:
+            self.addCleanup(connection.close)
+        for connection in kept:
+            self.assertFalse(self.models(connection)[1])
+        self.engine.mode = "held"
+        with ThreadPoolExecutor() as pool:
+            calls = [pool.submit(self.chat, stream)
+                     for stream in (False, True)]
+            f.wait_for(lambda: self.engine.runs.get("koi") == 3, "the runs")
+            self.entry.send(signal.SIGTERM)
+            for connection, status in zip(kept, (200, 200, 404)):
+                time.sleep(DRAIN_STEP_S)
+                self.assertEqual(self.models(connection), (status, True))
+            self.engine.released.set()
+            for call in calls:
+                answer = call.result()
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.headers.get("connection"), "close")
+        self.assertEqual(self.entry.popen.wait(10), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -301,6 +301,37 @@
 	}
 }
 
+/* Guards against a shutdown of which callers on kept connections learn only by
+ * its end; also those whose requests came before it. */
+static void test_announce_close(void)
+{
+	static const char *const requests[] = {
+		GET, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n"
+	};
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(requests); i++) {
+		const char *request = requests[i / 2];
+		fixture_t fixture;
+		char response[1024] = "";
+		int fd;
+
+		start(&fixture);
+		fd = persistent_client_new(&fixture);
+		if (i % 2)
+			send_text(fd, request);
+		http_server_announce_close(fixture.server);
+		if (!(i % 2))
+			send_text(fd, request);
+		run(&fixture, 20);
+		CU_ASSERT_TRUE(recv(fd, response, sizeof(response) - 1, 0) > 0);
+		CU_ASSERT_PTR_NOT_NULL(strstr(response, "200 OK"));
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(response, "Connection: close\r\n"));
+		CU_ASSERT_EQUAL(response_status(&fixture, fd, 100), CLOSED);
+		stop(&fixture, fd);
+	}
+}
+
 /*
  * Guards against a last response that is cut off by a reset, because the next
  * request is in the socket's buffer when the connection is closed.
@@ -342,6 +373,7 @@
 		{ "empty line before a request", test_empty_line },
 		{ "drained", test_drained },
 		{ "close after a response", test_close_after },
+		{ "announced close", test_announce_close },
 		{ "pipelined request behind the last response",
 		  test_pipelined_close },
 		{ NULL, NULL },
