Let an entry process wait for requests that are arriving when it stops

Seen by callers: a request of which a part had arrived when `wasabilink entry` got SIGTERM had its connection closed without an answer 0.1 s later, when nothing else was in progress.

Cause: the process exits when no exchange is active, and an exchange begins with the complete request.

Evidence: test_stop_awaits_an_arriving_request failed in three of three runs before (RemoteDisconnected), and passed in three of three after, for requests that had sent a part of their head, the head, and the head with a part of the body. 8 tests of the file pass.

Why it works: the check asks http_server_is_drained(), as the gateway does: requests that arrive, bytes that are not read yet and responses that are not sent completely all count.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -91,6 +91,13 @@
 			"the server is stopping");
 }
 
+/* Whether no request is arriving, in progress or unsent, and no chunk runs. */
+static bool is_idle(const entry_t *entry)
+{
+	return http_server_is_drained(entry->callers) && entry->detached == 0 &&
+	       dispatch_is_idle(entry->dispatch);
+}
+
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
@@ -98,17 +105,14 @@
 	struct timeval period = { 0, DRAIN_CHECK_PERIOD_MS * 1000 };
 	int64_t remaining_ms =
 		timers->drain_deadline_ms - clock_now_ms(entry->clock);
-	bool idle =
-		http_server_active(entry->callers) == 0 && entry->detached == 0;
+	bool idle;
 
 	if (remaining_ms <= LAST_ANSWER_MS)
 		http_server_end_exchanges(entry->callers, answer_ended);
-	if (!dispatch_is_idle(entry->dispatch))
-		idle = false;
+	idle = is_idle(entry);
 	if (idle)
 		records_release(entry->records);
-	/* Stop only after a second idle check, because the response of a
-	 * finished exchange may still have unsent bytes. */
+	/* A request that the load balancer has sent may come a little later. */
 	if ((idle && timers->previously_idle &&
 	     records_is_released(entry->records)) ||
 	    remaining_ms <= 0)
--- a/tests/process/test_entry_broken_answer.py
+++ b/tests/process/test_entry_broken_answer.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 import unittest
@@ -179,6 +180,34 @@
                 self.assertEqual(answer.headers.get("connection"), "close")
         self.assertEqual(self.entry.popen.wait(10), 0)
 
+    def test_stop_awaits_an_arriving_request(self):
+        """Guards against a process that exits while a request arrives, whose
+        caller gets no answer."""
+        body = json.dumps({"model": "lantern-muse", "messages": [
+            {"role": "user", "content": "koi"}]}).encode()
+        head = (f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                f"Authorization: Bearer guild-key\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode()
+        parts = [(head[:40], head[40:] + body), (head, body),
+                 (head + body[:9], body[9:])]
+        callers = []
+        for first, _ in parts:
+            callers.append(socket.create_connection(
+                ("127.0.0.1", self.entry.port), 10))
+            self.addCleanup(callers[-1].close)
+            callers[-1].sendall(first)
+        time.sleep(DRAIN_STEP_S)
+        self.entry.send(signal.SIGTERM)
+        for caller, (_, rest) in zip(callers, parts):
+            time.sleep(DRAIN_STEP_S)
+            caller.sendall(rest)
+            response = http.client.HTTPResponse(caller)
+            response.begin()
+            self.assertEqual(response.status, 200)
+            response.read()
+            self.assertEqual(response.getheader("Connection"), "close")
+        self.assertEqual(self.entry.popen.wait(10), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
