Close the listening socket of an entry process before it exits

Seen by callers: connections that were made in the last moments before `wasabilink entry` exited were closed or reset with a request on them.

Cause: the exit closed the listening socket together with the connections in its backlog, and connections whose request had not been read yet.

Why it works: when all is done, the process accepts the backlog, closes the socket and the idle connections, and exits at the next check that finds nothing. Callers are refused from then on, and a load balancer tries another node.

Ruled out: closing the socket at SIGTERM (the load balancer still sends requests, which are to be served). A connection that comes between the last accept and the close of the socket may still be reset (by reading, not seen).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -33,6 +33,7 @@
 	struct event *drain;
 	int64_t drain_deadline_ms;
 	bool previously_idle; /* result of the previous check */
+	bool closing; /* takes no more connections */
 } entry_timers_t;
 
 static void on_vms_changed(const GArray *vms, void *user_data)
@@ -98,6 +99,15 @@
 	       dispatch_is_idle(entry->dispatch);
 }
 
+/* Takes the connections that the kernel has accepted, and no more. They would be
+ * reset when the process exits. */
+static void close_connections(entry_timers_t *timers)
+{
+	timers->closing = true;
+	http_server_stop_listening(timers->entry->callers);
+	http_server_close_idle(timers->entry->callers);
+}
+
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
@@ -105,6 +115,7 @@
 	struct timeval period = { 0, DRAIN_CHECK_PERIOD_MS * 1000 };
 	int64_t remaining_ms =
 		timers->drain_deadline_ms - clock_now_ms(entry->clock);
+	bool done;
 	bool idle;
 
 	if (remaining_ms <= LAST_ANSWER_MS)
@@ -113,13 +124,16 @@
 	if (idle)
 		records_release(entry->records);
 	/* A request that the load balancer has sent may come a little later. */
-	if ((idle && timers->previously_idle &&
-	     records_is_released(entry->records)) ||
-	    remaining_ms <= 0)
-		event_base_loopbreak(entry->base);
-	else
-		evtimer_add(timers->drain, &period);
+	done = idle && timers->previously_idle &&
+	       records_is_released(entry->records);
 	timers->previously_idle = idle;
+	if ((done && timers->closing) || remaining_ms <= 0) {
+		event_base_loopbreak(entry->base);
+		return;
+	}
+	if (done || remaining_ms <= LAST_ANSWER_MS)
+		close_connections(timers);
+	evtimer_add(timers->drain, &period);
 }
 
 static void on_terminate(evutil_socket_t fd, short events, void *arg)
