Count each node's answer about a stream once

Seen by callers: a client that takes a stream up at another node could be refused (503) before the node that knows the stream had answered. Found by reading; not seen between processes.

Cause: a request that waits asks the same nodes again at each tick (30 to 50 ms), as datagrams may be lost, and every negative answer counted as that of another node. Two of a node that answers fast stood for one that had not answered.

Why it works: an answer carries the address of its node, and a node that does not know a stream is counted once. At most as many nodes are kept as were asked.

Ruled out: a number in each question, echoed by the answer (nodes of the version before would not echo it); no second question (a lost datagram would mean 503).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -525,12 +525,12 @@
 	return peer_load_send_origin(gateway->peer_load, stream, data, len);
 }
 
-static void on_origin_answered(uint64_t stream, uint64_t version,
+static void on_origin_answered(uint64_t stream, uint64_t node, uint64_t version,
 			       void *user_data)
 {
 	gateway_t *gateway = user_data;
 
-	relay_origin_answered(gateway->relay, stream, version);
+	relay_origin_answered(gateway->relay, stream, node, version);
 }
 
 static void on_load_received(void *user_data)
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -409,12 +409,18 @@
 	       send_to_keepers(load, &local, &all, data, len);
 }
 
+static uint64_t socket_key(const struct sockaddr_in *socket)
+{
+	return (uint64_t)ntohl(socket->sin_addr.s_addr) << 16 |
+	       ntohs(socket->sin_port);
+}
+
 static void apply_origin_report(peer_load_t *load, const char *data, size_t len,
 				const struct sockaddr_in *from)
 {
 	char answer[STREAM_ORIGIN_MAX_BYTES];
-	size_t answer_len =
-		stream_origins_apply(load->options.origins, data, len, answer);
+	size_t answer_len = stream_origins_apply(
+		load->options.origins, socket_key(from), data, len, answer);
 
 	/* The node asks again when an answer does not come. */
 	if (answer_len > 0)
@@ -426,7 +432,7 @@
 {
 	peer_load_t *load = arg;
 	char data[DATAGRAM_MAX_BYTES];
-	struct sockaddr_in from;
+	struct sockaddr_in from = { 0 };
 	socklen_t from_len = sizeof(from);
 	bool load_received = false;
 	ssize_t len;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -600,9 +600,10 @@
 		take_ups_add(relay->take_ups, &take_up, stream);
 }
 
-void relay_origin_answered(relay_t *relay, uint64_t stream, uint64_t version)
+void relay_origin_answered(relay_t *relay, uint64_t stream, uint64_t node,
+			   uint64_t version)
 {
-	take_ups_answered(relay->take_ups, stream, version);
+	take_ups_answered(relay->take_ups, stream, node, version);
 }
 
 void relay_handle(relay_t *relay, path_table_t *paths,
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -48,9 +48,10 @@
 void relay_handle(relay_t *relay, path_table_t *paths,
 		  const path_route_t *route, http_exchange_t *exchange,
 		  const relay_request_t *request);
-/* Another node has answered which software began a stream; version 0: it does
- * not know. */
-void relay_origin_answered(relay_t *relay, uint64_t stream, uint64_t version);
+/* Another node, by its key, has answered which software began a stream; version
+ * 0: it does not know. */
+void relay_origin_answered(relay_t *relay, uint64_t stream, uint64_t node,
+			   uint64_t version);
 /* Ends expired requests and streams whose caller does not read. To be called
  * several times per second. */
 void relay_sweep(relay_t *relay);
--- a/src/gateway/stream_origin.c
+++ b/src/gateway/stream_origin.c
@@ -218,8 +218,8 @@
 	return encode(&report, data);
 }
 
-size_t stream_origins_apply(stream_origins_t *origins, const char *data,
-			    size_t len, char *answer)
+size_t stream_origins_apply(stream_origins_t *origins, uint64_t node,
+			    const char *data, size_t len, char *answer)
 {
 	origin_report report = { 0 };
 
@@ -231,7 +231,7 @@
 		return answer_to(origins, report.stream, answer);
 	keep(origins, report.stream, report.software, report.life_ms);
 	if (report.kind == ORIGIN_ANSWER)
-		origins->options.answered(report.stream, report.software,
+		origins->options.answered(report.stream, node, report.software,
 					  origins->options.user_data);
 	return 0;
 }
--- a/src/gateway/stream_origin.h
+++ b/src/gateway/stream_origin.h
@@ -34,8 +34,10 @@
 	 * their number. Every node selects mostly the same ones. */
 	uint32_t (*send)(uint64_t stream, const char *data, size_t len,
 			 void *user_data);
-	/* A node has answered; version 0: it does not know the stream. */
-	void (*answered)(uint64_t stream, uint64_t version, void *user_data);
+	/* A node, by its key, has answered; version 0: it does not know the
+	 * stream. */
+	void (*answered)(uint64_t stream, uint64_t node, uint64_t version,
+			 void *user_data);
 	void *user_data;
 } stream_origins_options_t;
 
@@ -57,9 +59,9 @@
 
 /* Whether a datagram is of this module, by its first bytes. */
 bool stream_origin_is_report(const char *data, size_t len);
-/* Applies another node's datagram. Writes an answer of up to
- * STREAM_ORIGIN_MAX_BYTES; returns its length, 0: none is due. */
-size_t stream_origins_apply(stream_origins_t *origins, const char *data,
-			    size_t len, char *answer);
+/* Applies another node's datagram. node tells the nodes apart. Writes an answer of
+ * up to STREAM_ORIGIN_MAX_BYTES; returns its length, 0: none is due. */
+size_t stream_origins_apply(stream_origins_t *origins, uint64_t node,
+			    const char *data, size_t len, char *answer);
 
 #endif
--- a/src/gateway/take_up.c
+++ b/src/gateway/take_up.c
@@ -12,7 +12,8 @@
 	take_up_t take_up;
 	uint64_t stream;
 	int64_t since_us;
-	uint32_t unanswered; /* nodes that have not answered yet */
+	uint32_t asked; /* number of nodes */
+	GArray *unknowing; /* uint64_t: nodes that do not know the stream */
 	GList link;
 } waiting_t;
 
@@ -58,6 +59,7 @@
 	g_queue_unlink(&waiting->take_ups->waiting, &waiting->link);
 	path_table_unref(waiting->take_up.paths);
 	clear_request(&waiting->take_up.request);
+	g_array_free(waiting->unknowing, TRUE);
 	g_free(waiting);
 }
 
@@ -75,7 +77,7 @@
 		 "waited_ms=%" G_GINT64_FORMAT,
 		 waiting->take_up.request.id,
 		 log_quote(waiting->take_up.request.resumes), version != 0,
-		 waiting->unanswered,
+		 waiting->asked - waiting->unknowing->len,
 		 (now_us(waiting->take_ups) - waiting->since_us) / 1000);
 	http_on_closed(waiting->take_up.exchange, NULL, NULL);
 	options->resolved(&waiting->take_up, version, options->user_data);
@@ -103,14 +105,24 @@
 	waiting->since_us = now_us(take_ups);
 	waiting->link.data = waiting;
 	g_queue_push_tail_link(&take_ups->waiting, &waiting->link);
+	waiting->unknowing = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	http_on_closed(take_up->exchange, on_closed, waiting);
-	waiting->unanswered =
-		stream_origins_ask(take_ups->options.origins, stream);
-	if (waiting->unanswered == 0)
+	waiting->asked = stream_origins_ask(take_ups->options.origins, stream);
+	if (waiting->asked == 0)
 		resolve(waiting, 0);
 }
 
-void take_ups_answered(take_ups_t *take_ups, uint64_t stream, uint64_t version)
+/* A node answers each question, and is asked again. */
+static void note_unknowing(waiting_t *waiting, uint64_t node)
+{
+	for (guint i = 0; i < waiting->unknowing->len; i++)
+		if (g_array_index(waiting->unknowing, uint64_t, i) == node)
+			return;
+	g_array_append_val(waiting->unknowing, node);
+}
+
+void take_ups_answered(take_ups_t *take_ups, uint64_t stream, uint64_t node,
+		       uint64_t version)
 {
 	GList *link = take_ups->waiting.head;
 
@@ -120,9 +132,9 @@
 		link = link->next;
 		if (waiting->stream != stream)
 			continue;
-		if (!version && waiting->unanswered > 0)
-			waiting->unanswered--;
-		if (version || waiting->unanswered == 0)
+		if (!version)
+			note_unknowing(waiting, node);
+		if (version || waiting->unknowing->len >= waiting->asked)
 			resolve(waiting, version);
 	}
 }
--- a/src/gateway/take_up.h
+++ b/src/gateway/take_up.h
@@ -39,8 +39,9 @@
  * stream_origin_key(). */
 void take_ups_add(take_ups_t *take_ups, const take_up_t *take_up,
 		  uint64_t stream);
-/* A node has answered; version 0: it does not know. */
-void take_ups_answered(take_ups_t *take_ups, uint64_t stream, uint64_t version);
+/* A node, by its key, has answered; version 0: it does not know. */
+void take_ups_answered(take_ups_t *take_ups, uint64_t stream, uint64_t node,
+		       uint64_t version);
 /* Asks again and ends waits. To be called several times per second. */
 void take_ups_tick(take_ups_t *take_ups);
 uint32_t take_ups_count(const take_ups_t *take_ups);
--- a/tests/fuzz/fuzz_target.c
+++ b/tests/fuzz/fuzz_target.c
@@ -433,7 +433,8 @@
 	return 0;
 }
 
-static void ignore_answer(uint64_t stream, uint64_t version, void *user_data)
+static void ignore_answer(uint64_t stream, uint64_t node, uint64_t version,
+			  void *user_data)
 {
 }
 
@@ -448,7 +449,8 @@
 	char answer[STREAM_ORIGIN_MAX_BYTES];
 
 	if (stream_origin_is_report((const char *)data, size))
-		stream_origins_apply(origins, (const char *)data, size, answer);
+		stream_origins_apply(origins, 1, (const char *)data, size,
+				     answer);
 	stream_origins_expire(origins);
 	stream_origins_free(origins);
 	counter_set_free(counters);
--- a/tests/test_stream_origin.c
+++ b/tests/test_stream_origin.c
@@ -9,7 +9,9 @@
 typedef struct node {
 	stream_origins_t *origins;
 	struct node *peer; /* gets what this node sends; NULL: is lost */
+	uint64_t key;
 	uint64_t answered;
+	uint64_t answered_by;
 	uint32_t answers;
 } node_t;
 
@@ -17,7 +19,7 @@
 {
 	char answer[STREAM_ORIGIN_MAX_BYTES];
 	size_t answer_len =
-		stream_origins_apply(to->origins, data, len, answer);
+		stream_origins_apply(to->origins, from->key, data, len, answer);
 
 	CU_ASSERT(stream_origin_is_report(data, len));
 	if (answer_len > 0)
@@ -35,12 +37,14 @@
 	return 1;
 }
 
-static void answered(uint64_t stream, uint64_t version, void *user_data)
+static void answered(uint64_t stream, uint64_t from, uint64_t version,
+		     void *user_data)
 {
 	node_t *node = user_data;
 
 	CU_ASSERT_EQUAL(stream, STREAM);
 	node->answered = version;
+	node->answered_by = from;
 	node->answers++;
 }
 
@@ -71,8 +75,10 @@
 	stream_origins_begin(a.origins, STREAM, VERSION, 1000);
 	CU_ASSERT_EQUAL(stream_origins_find(a.origins, STREAM), VERSION);
 	b.peer = &a;
+	a.key = 3;
 	CU_ASSERT_EQUAL(stream_origins_ask(b.origins, STREAM), 1);
 	CU_ASSERT_EQUAL(b.answered, VERSION);
+	CU_ASSERT_EQUAL(b.answered_by, a.key);
 	CU_ASSERT_EQUAL(stream_origins_find(b.origins, STREAM), VERSION);
 	stream_origins_begin(b.origins, STREAM + 1, VERSION + 1, 1000);
 	CU_ASSERT_EQUAL(stream_origins_find(a.origins, STREAM + 1),
@@ -158,9 +164,10 @@
 	CU_ASSERT_FALSE(stream_origin_is_report(data, 2));
 	memcpy(data, "WOR1", 4);
 	CU_ASSERT(stream_origin_is_report(data, sizeof(data)));
-	CU_ASSERT_EQUAL(stream_origins_apply(a.origins, data, 9, answer), 0);
+	CU_ASSERT_EQUAL(stream_origins_apply(a.origins, 1, data, 9, answer), 0);
 	CU_ASSERT_EQUAL(
-		stream_origins_apply(a.origins, data, sizeof(data), answer), 0);
+		stream_origins_apply(a.origins, 1, data, sizeof(data), answer),
+		0);
 	CU_ASSERT_EQUAL(stream_origins_size(a.origins), 0);
 	stream_origins_free(a.origins);
 	counter_set_free(counters);
