Close a listening socket only when its backlog is empty

Seen by callers: a connection was reset, with a request on it, when it was made while a stopping process handled the connections that it had just taken.

Cause: the socket was closed after one more pass of the event loop. The pass accepts what waits and then handles it, and what came meanwhile was in the backlog when the socket was closed.

Why it works: the backlog is looked at right before the close, and another pass follows while there is something in it, 1000 at most.

Ruled out: a filter on the socket that drops new connections first (their callers would wait for a second until they are refused).

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -28,6 +28,9 @@
  */
 #define PEER_CHECK_INTERVAL_MS 200
 #define MIN_LONG_LINE_BYTES 2048
+/* Passes of the event loop in which the listening socket may get connections
+ * until it is closed anyway; more than some callers at a time cause. */
+#define UNBIND_PASSES_MAX 1000
 /* A longer request line is passed to the parser, which rejects it. */
 #define MAX_REQUEST_LINE_BYTES 8192
 
@@ -50,6 +53,7 @@
 	int32_t read_timeout_ms;
 	uint16_t port;
 	uint32_t active;
+	uint32_t unbind_passes;
 	bool listening;
 	bool closing; /* responses announce the close of their connections */
 };
@@ -725,10 +729,24 @@
 	return ntohs(address.sin6_port);
 }
 
+/*
+ * Closing the socket resets the connections in its backlog. A pass of the event
+ * loop accepts these before it runs timers, but handles events in between.
+ */
 static void on_unbind(evutil_socket_t fd, short events, void *arg)
 {
 	http_server_t *server = arg;
-
+	const struct timeval next_pass = { 0, 0 };
+	struct pollfd backlog = {
+		.fd = evconnlistener_get_fd(server->htp->server),
+		.events = POLLIN,
+	};
+
+	if (++server->unbind_passes < UNBIND_PASSES_MAX &&
+	    poll(&backlog, 1, 0) > 0) {
+		evtimer_add(server->unbind, &next_pass);
+		return;
+	}
 	evhtp_unbind_socket(server->htp);
 }
 
@@ -800,10 +818,6 @@
 	if (!server->listening)
 		return;
 	server->listening = false;
-	/*
-	 * Closing the socket resets the connections in its backlog. A pass of
-	 * the event loop accepts these before it runs timers.
-	 */
 	evtimer_add(server->unbind, &next_pass);
 }
 
