Give each call of a test of broken answers its own prompt

test_answer_cut_in_its_head_or_body failed in 1 of 12 runs under AddressSanitizer beside load: a stream got 503 instead of 502. The log shows `part_held` with the evidence of two crashes, and `request_held`. All calls of the test had one prompt. Connections to a runner that are lost within 1.5 s count as one crash (SAME_CRASH_US); a run that takes longer shows two, and the prompt is held, as it should be.

The statuses that the test asks for are the same.

--- a/tests/process/test_entry_broken_answer.py
+++ b/tests/process/test_entry_broken_answer.py
@@ -70,8 +70,8 @@
         self.engine.close()
         self.service.close()
 
-    def chat(self, stream):
-        return f.chat(self.entry, "guild-key", "lantern-muse", "koi",
+    def chat(self, stream, prompt="koi"):
+        return f.chat(self.entry, "guild-key", "lantern-muse", prompt,
                       stream=stream)
 
     def look(self):
@@ -79,10 +79,12 @@
                          {"Authorization": "Bearer guild-key"})
 
     def answers(self, raw):
-        """Answers of all kinds when the backends send these bytes."""
+        """Answers of all kinds when the backends send these bytes. Each chat
+        has a prompt of its own, as one that loses its engine twice is held."""
         for backend in (self.engine, self.service):
             backend.mode, backend.raw = "raw", raw
-        return [self.chat(False), self.chat(True), self.look()]
+        return [self.chat(False, f"{raw} call"),
+                self.chat(True, f"{raw} stream"), self.look()]
 
     def test_answer_cut_in_its_head_or_body(self):
         """Guards against answers that end before their end and reach the caller
