--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -33,6 +33,7 @@
 	struct event *drain;
 	int64_t drain_deadline_ms;
 	bool previously_idle; /* result of the previous check */
+	bool closing; /* takes no more connections */
 } entry_timers_t;
 
 static void on_vms_changed(const GArray *vms, void *user_data)
@@ -91,6 +92,22 @@
 			"the server is stopping");
 }
 
+/* Whether no request is arriving, in progress or unsent, and no chunk runs. */
+static bool is_idle(const entry_t *entry)
+{
+	return http_server_is_drained(entry->callers) && entry->detached == 0 &&
+	       dispatch_is_idle(entry->dispatch);
+}
+
+/* Takes the connections that the kernel has accepted, and no more. They would be
+ * reset when the process exits. */
+static void close_connections(entry_timers_t *timers)
+{
+	timers->closing = true;
+	http_server_stop_listening(timers->entry->callers);
+	http_server_close_idle(timers->entry->callers);
+}
+
 static void on_drain_check(evutil_socket_t fd, short events, void *arg)
 {
 	entry_timers_t *timers = arg;
@@ -98,24 +115,25 @@
 	struct timeval period = { 0, DRAIN_CHECK_PERIOD_MS * 1000 };
 	int64_t remaining_ms =
 		timers->drain_deadline_ms - clock_now_ms(entry->clock);
-	bool idle =
-		http_server_active(entry->callers) == 0 && entry->detached == 0;
+	bool done;
+	bool idle;
 
 	if (remaining_ms <= LAST_ANSWER_MS)
 		http_server_end_exchanges(entry->callers, answer_ended);
-	if (!dispatch_is_idle(entry->dispatch))
-		idle = false;
+	idle = is_idle(entry);
 	if (idle)
 		records_release(entry->records);
-	/* Stop only after a second idle check, because the response of a
-	 * finished exchange may still have unsent bytes. */
-	if ((idle && timers->previously_idle &&
-	     records_is_released(entry->records)) ||
-	    remaining_ms <= 0)
-		event_base_loopbreak(entry->base);
-	else
-		evtimer_add(timers->drain, &period);
+	/* A request that the load balancer has sent may come a little later. */
+	done = idle && timers->previously_idle &&
+	       records_is_released(entry->records);
 	timers->previously_idle = idle;
+	if ((done && timers->closing) || remaining_ms <= 0) {
+		event_base_loopbreak(entry->base);
+		return;
+	}
+	if (done || remaining_ms <= LAST_ANSWER_MS)
+		close_connections(timers);
+	evtimer_add(timers->drain, &period);
 }
 
 static void on_terminate(evutil_socket_t fd, short events, void *arg)
@@ -131,6 +149,8 @@
 	timers->drain_deadline_ms =
 		clock_now_ms(entry->clock) +
 		MAX(entry->options.drain_ms, LAST_ANSWER_MS);
+	http_server_announce_close(entry->callers);
+	http_server_announce_close(entry->operators);
 	membership_drain(entry->membership);
 	dispatch_drain(entry->dispatch);
 	log_info("draining", "active=%u", http_server_active(entry->callers));
