Tell a node that starts which suspects of crashes were cleared

What callers saw: after runners had crashed, a node that was restarted refused requests for a minute that the other nodes served (request_held), and as it told its hold to nodes that were restarted later, a rolling restart spread the refusals to all of them.

Cause: a summary for a node that may have missed news tells the newest crashes with all suspects, but not the output that has cleared some of them since. A node without a memory took all requests that were at the runners for suspects. Lost links, which were suspected, are not the cause: their crashes were retracted or had no suspects.

The summary now tells for each suspect that was cleared after its crash when that was. Times are told as before, so a later crash counts.

Evidence: test_summary_tells_clears failed before (three assertions).

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -695,6 +695,38 @@
 	return news->crashes_count > 0 || news->clears_count > 0;
 }
 
+/* Adds the last output with a part. Returns false when there is no room. */
+static bool add_clear(part_news_t *news, const part_t *part)
+{
+	for (uint32_t i = 0; i < news->clears_count; i++)
+		if (news->clears[i].part == part->id)
+			return true;
+	if (news->clears_count == PART_NEWS_CLEARS_MAX)
+		return false;
+	news->clears[news->clears_count++] =
+		(part_clear_t){ part->id, part->cleared_us };
+	return true;
+}
+
+/* Adds a crash, with the output that has cleared its suspects since. Those whose
+ * output has no room are left out. */
+static void add_crash(const part_guard_t *guard, part_news_t *news,
+		      const crash_t *crash)
+{
+	crash_t *copy = &news->crashes[news->crashes_count++];
+
+	*copy = *crash;
+	copy->count = 0;
+	for (uint32_t i = 0; i < crash->count; i++) {
+		const part_t *part = find_part(guard, crash->suspects[i].part);
+
+		if (part && crash->at_us <= part->cleared_us &&
+		    !add_clear(news, part))
+			continue;
+		copy->suspects[copy->count++] = crash->suspects[i];
+	}
+}
+
 bool part_guard_summary(const part_guard_t *guard, part_news_t *news)
 {
 	int64_t now_us = part_guard_now_us(guard);
@@ -710,7 +742,7 @@
 
 		if (crash->count > 0 &&
 		    now_us - crash->at_us <= SUMMARY_MAX_AGE_US)
-			news->crashes[news->crashes_count++] = *crash;
+			add_crash(guard, news, crash);
 	}
 	g_hash_table_iter_init(&iter, guard->parts);
 	while (news->holds_count < PART_NEWS_HOLDS_MAX &&
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -110,8 +110,8 @@
 /* Takes news that all other nodes are to be told; false when there is none. To
  * be called until then. */
 bool part_guard_take_news(part_guard_t *guard, part_news_t *news);
-/* The holds and the newest crashes, for a node that may have missed news; false
- * when there are none. */
+/* The holds and the newest crashes with the parts cleared since, for a node that
+ * may have missed news; false when there are none. */
 bool part_guard_summary(const part_guard_t *guard, part_news_t *news);
 /* Applies another node's news. */
 void part_guard_apply(part_guard_t *guard, const part_news_t *news);
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -397,6 +397,43 @@
 	fixture_free(f);
 }
 
+/* A node that starts after crashes must not hold what has been answered since,
+ * also when more was answered than a summary has room for. */
+static void test_summary_tells_clears(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	part_news_t news;
+	prompt_parts_t sound[2 * CRASH_SUSPECTS_MAX];
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(sound); i++) {
+		sound[i] = (prompt_parts_t){ 0 };
+		prompt_parts_add_request(&sound[i], 0x10000 + i);
+	}
+	for (uint64_t runner = 1; runner <= PART_NEWS_CRASHES_MAX; runner++) {
+		uint32_t first = runner % 2 ? 0 : CRASH_SUSPECTS_MAX;
+
+		clock_manual_advance_ms(&f->clock, 100);
+		for (uint32_t i = 0; i < CRASH_SUSPECTS_MAX; i++)
+			part_guard_lost(f->guard, runner, &sound[first + i],
+					PART_LOSS_RUNNING);
+	}
+	clock_manual_advance_ms(&f->clock, 10);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(sound); i++) {
+		part_guard_completed(f->guard, &sound[i]);
+		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &sound[i]), 0);
+	}
+	clock_manual_advance_ms(&f->clock, 1000);
+	CU_ASSERT(part_guard_summary(f->guard, &news));
+	CU_ASSERT_EQUAL(news.crashes_count, PART_NEWS_CRASHES_MAX);
+	CU_ASSERT_EQUAL(news.clears_count, PART_NEWS_CLEARS_MAX);
+	part_guard_apply(peer, &news);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(sound); i++)
+		CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &sound[i]), 0);
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
 /* Random parts of lost requests must not grow the state without bound, and must
  * age out. */
 static void test_state_is_bounded(void)
@@ -443,6 +480,7 @@
 		{ "two parts", test_two_parts },
 		{ "news", test_news },
 		{ "summary", test_summary },
+		{ "summary_tells_clears", test_summary_tells_clears },
 		{ "state is bounded", test_state_is_bounded },
 		{ NULL, NULL },
 	};
