Do not suspect requests that were sent after their runner had ended

What callers saw: after a request had crashed several runners, other requests whose content came again were refused at all gateways for a minute (request_held), though no runner had begun to read them.

Cause: losses at one runner within 1.5 s count as one crash, as nodes notice it at different times, and each request that is lost then became a suspect. A request that is sent to a runner that has ended, and whose connection is accepted and reset (as by a proxy before it, or by a backlog), was thereby a suspect of the crash before it.

A request without any answer that was sent after the crash was noted is no suspect of it now. One that the runner has begun to answer is, as the runner was alive then. A runner that comes back within 1.5 s and is ended again before it answers is missed once; that such ends were one crash was so before.

Evidence: test_request_after_the_end failed before.

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -419,12 +419,15 @@
 }
 
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
-		     const prompt_parts_t *parts, part_loss_t loss)
+		     const prompt_parts_t *parts, part_loss_t loss,
+		     int64_t sent_us)
 {
 	crash_t *crash;
 	bool changed = false;
 
 	crash = note_crash(guard, runner, part_guard_now_us(guard));
+	if (sent_us > crash->at_us)
+		return;
 	for (uint32_t i = 0; i < parts->count; i++) {
 		crash_suspect_t suspect = {
 			.part = parts->ids[i],
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -77,9 +77,12 @@
 
 /* Time of the clock that the guard's times are of. */
 int64_t part_guard_now_us(const part_guard_t *guard);
-/* The connection of a request with these parts ended at the runner's side. */
+/* The connection of a request with these parts ended at the runner's side.
+ * sent_us: when it was sent, of part_guard_now_us(), or 0 if some of the answer
+ * came. Sent after a crash of the runner was noted, it is no suspect of that. */
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
-		     const prompt_parts_t *parts, part_loss_t loss);
+		     const prompt_parts_t *parts, part_loss_t loss,
+		     int64_t sent_us);
 /* The runner sent output for a request that was sent at started_us. If that is
  * before a crash of it was noted, it has not crashed. */
 void part_guard_output(part_guard_t *guard, uint64_t runner,
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -224,9 +224,11 @@
 				   PART_LOSS_RUNNING;
 
 	if (result->fault == ENGINE_FAULT_TRUNCATED)
-		part_guard_lost(chat->pool->part_guard,
-				runner_key(attempt->route.runner),
-				&chat->request.parts, loss);
+		part_guard_lost(
+			chat->pool->part_guard,
+			runner_key(attempt->route.runner), &chat->request.parts,
+			loss,
+			loss == PART_LOSS_ANSWERING ? 0 : attempt->started_us);
 }
 
 static void on_attempt_done(const engine_result_t *result, void *user_data)
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -414,7 +414,9 @@
 	else if (execution->answered || !execution->stream)
 		loss = PART_LOSS_RUNNING;
 	part_guard_lost(execution->context->part_guard, execution->runner->key,
-			&execution->parts, loss);
+			&execution->parts, loss,
+			execution->answered ? 0 :
+					      execution->started_elapsed_us);
 	if (execution->context->losses && !execution->relayed)
 		runner_losses_add(execution->context->losses,
 				  execution->runner);
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -732,7 +732,7 @@
 	for (int i = 0; i < 3; i++) {
 		part_guard_lost(fixture->context.part_guard, 100 + i,
 				&(prompt_parts_t){ .ids = { 7 }, .count = 1 },
-				PART_LOSS_RUNNING);
+				PART_LOSS_RUNNING, 0);
 		clock_manual_advance_ms(&fixture->clock, 100);
 	}
 	execution_check_timeouts(&fixture->context);
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -60,7 +60,7 @@
 	const prompt_parts_t parts = parts_of(f, first, second);
 
 	clock_manual_advance_ms(&f->clock, 100);
-	part_guard_lost(f->guard, ++f->runner, &parts, PART_LOSS_RUNNING);
+	part_guard_lost(f->guard, ++f->runner, &parts, PART_LOSS_RUNNING, 0);
 }
 
 static void begin(fixture_t *f, uint64_t first, uint64_t second)
@@ -120,7 +120,7 @@
 		const prompt_parts_t bystander = parts_of(f, OTHER, 50 + i);
 
 		crash(f, FIRST, DEADLY);
-		part_guard_lost(f->guard, f->runner, &bystander, i < 2);
+		part_guard_lost(f->guard, f->runner, &bystander, i < 2, 0);
 	}
 	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
 	CU_ASSERT_EQUAL(hold_ms(f, OTHER, 50), 0);
@@ -173,8 +173,8 @@
 			parts_of(f, i % 3 ? 1000 + i : FIRST, 2000 + i);
 
 		part_guard_lost(f->guard, i, &parts,
-				i % 2 ? PART_LOSS_RUNNING :
-					PART_LOSS_ANSWERING);
+				i % 2 ? PART_LOSS_RUNNING : PART_LOSS_ANSWERING,
+				0);
 	}
 	CU_ASSERT_EQUAL(hold_ms(f, FIRST, 1), 0);
 	fixture_free(f);
@@ -189,7 +189,7 @@
 	for (uint64_t i = 1; i <= 3; i++) {
 		const prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
 
-		part_guard_lost(f->guard, i, &parts, PART_LOSS_RUNNING);
+		part_guard_lost(f->guard, i, &parts, PART_LOSS_RUNNING, 0);
 	}
 	CU_ASSERT(hold_ms(f, FIRST, DEADLY) > 30000);
 	fixture_free(f);
@@ -243,6 +243,36 @@
 	fixture_free(f);
 }
 
+/* Guards against requests that are held because they were sent to runners that
+ * another one had crashed; one that the runner has begun to answer counts. */
+static void test_request_after_the_end(void)
+{
+	fixture_t *f = fixture_new();
+	prompt_parts_t deadly = { 0 };
+	prompt_parts_t late = { 0 };
+
+	prompt_parts_add_request(&deadly, DEADLY);
+	prompt_parts_add_request(&late, OTHER);
+	for (uint64_t runner = 1; runner <= 3; runner++) {
+		part_guard_lost(f->guard, runner, &deadly, PART_LOSS_RUNNING,
+				part_guard_now_us(f->guard));
+		clock_manual_advance_ms(&f->clock, 1000);
+		part_guard_lost(f->guard, runner, &late, PART_LOSS_RUNNING,
+				part_guard_now_us(f->guard));
+	}
+	CU_ASSERT(part_guard_hold_ms(f->guard, &deadly) > 30000);
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &late), 0);
+	for (uint64_t runner = 11; runner <= 13; runner++) {
+		clock_manual_advance_ms(&f->clock, 100);
+		part_guard_lost(f->guard, runner, &(prompt_parts_t){ 0 },
+				PART_LOSS_RUNNING, 0);
+		clock_manual_advance_ms(&f->clock, 100);
+		part_guard_lost(f->guard, runner, &late, PART_LOSS_RUNNING, 0);
+	}
+	CU_ASSERT(part_guard_hold_ms(f->guard, &late) > 1000);
+	fixture_free(f);
+}
+
 /* A request that crashes runners by its own content must be held without the
  * parts that it shares. */
 static void test_single_request(void)
@@ -250,9 +280,9 @@
 	fixture_t *f = fixture_new();
 	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
 
-	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING);
+	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING, 0);
 	clock_manual_advance_ms(&f->clock, 100);
-	part_guard_lost(f->guard, 2, &parts, PART_LOSS_RUNNING);
+	part_guard_lost(f->guard, 2, &parts, PART_LOSS_RUNNING, 0);
 	CU_ASSERT(part_guard_hold_ms(f->guard, &parts) > 0);
 	CU_ASSERT_EQUAL(hold_ms(f, FIRST, OTHER), 0);
 	fixture_free(f);
@@ -270,11 +300,12 @@
 	for (uint64_t i = 0; i < 3; i++) {
 		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &waiting), 0);
 		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &answering), 0);
-		part_guard_lost(f->guard, 10 + i, &waiting, PART_LOSS_WAITING);
+		part_guard_lost(f->guard, 10 + i, &waiting, PART_LOSS_WAITING,
+				0);
 		clock_manual_advance_ms(&f->clock, 100);
 		part_guard_begun(f->guard, &answering);
 		part_guard_lost(f->guard, 20 + i, &answering,
-				PART_LOSS_ANSWERING);
+				PART_LOSS_ANSWERING, 0);
 		clock_manual_advance_ms(&f->clock, 100);
 	}
 	CU_ASSERT(part_guard_hold_ms(f->guard, &waiting) > 0);
@@ -291,7 +322,7 @@
 	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
 
 	for (uint64_t i = 0; i < 3; i++) {
-		part_guard_lost(f->guard, 10 + i, &parts, PART_LOSS_RUNNING);
+		part_guard_lost(f->guard, 10 + i, &parts, PART_LOSS_RUNNING, 0);
 		clock_manual_advance_ms(&f->clock, 100);
 	}
 	part_guard_begun(f->guard, &parts);
@@ -351,15 +382,15 @@
 	prompt_parts_t parts = parts_of(f, FIRST, DEADLY);
 	part_news_t news;
 
-	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING);
-	part_guard_lost(peer, 1, &parts, PART_LOSS_RUNNING);
+	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING, 0);
+	part_guard_lost(peer, 1, &parts, PART_LOSS_RUNNING, 0);
 	while (part_guard_take_news(f->guard, &news))
 		part_guard_apply(peer, &news);
 	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
 	for (uint64_t runner = 2; runner <= 3; runner++) {
 		clock_manual_advance_ms(&f->clock, 100);
 		parts = parts_of(f, FIRST, DEADLY);
-		part_guard_lost(f->guard, runner, &parts, PART_LOSS_RUNNING);
+		part_guard_lost(f->guard, runner, &parts, PART_LOSS_RUNNING, 0);
 	}
 	while (part_guard_take_news(f->guard, &news))
 		part_guard_apply(peer, &news);
@@ -391,7 +422,7 @@
 	/* It must not need more crashes than the others after the hold. */
 	clock_manual_advance_ms(&f->clock, 80000);
 	CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &parts), 0);
-	part_guard_lost(peer, 99, &parts, PART_LOSS_RUNNING);
+	part_guard_lost(peer, 99, &parts, PART_LOSS_RUNNING, 0);
 	CU_ASSERT(part_guard_hold_ms(peer, &parts) > 100000);
 	part_guard_free(peer);
 	fixture_free(f);
@@ -416,7 +447,7 @@
 		clock_manual_advance_ms(&f->clock, 100);
 		for (uint32_t i = 0; i < CRASH_SUSPECTS_MAX; i++)
 			part_guard_lost(f->guard, runner, &sound[first + i],
-					PART_LOSS_RUNNING);
+					PART_LOSS_RUNNING, 0);
 	}
 	clock_manual_advance_ms(&f->clock, 10);
 	for (uint32_t i = 0; i < G_N_ELEMENTS(sound); i++) {
@@ -471,6 +502,7 @@
 		{ "crashes at one moment", test_crashes_at_one_moment },
 		{ "survivors do not count", test_survivors_do_not_count },
 		{ "survivors end long hold", test_survivors_end_long_hold },
+		{ "request after the end", test_request_after_the_end },
 		{ "single request", test_single_request },
 		{ "request before and after output",
 		  test_request_before_and_after_output },
@@ -480,7 +512,7 @@
 		{ "two parts", test_two_parts },
 		{ "news", test_news },
 		{ "summary", test_summary },
-		{ "summary_tells_clears", test_summary_tells_clears },
+		{ "summary tells clears", test_summary_tells_clears },
 		{ "state is bounded", test_state_is_bounded },
 		{ NULL, NULL },
 	};
