--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -77,9 +77,12 @@
 
 /* Time of the clock that the guard's times are of. */
 int64_t part_guard_now_us(const part_guard_t *guard);
-/* The connection of a request with these parts ended at the runner's side. */
+/* The connection of a request with these parts ended at the runner's side.
+ * sent_us: when it was sent, of part_guard_now_us(), or 0 if some of the answer
+ * came. Sent after a crash of the runner was noted, it is no suspect of that. */
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
-		     const prompt_parts_t *parts, part_loss_t loss);
+		     const prompt_parts_t *parts, part_loss_t loss,
+		     int64_t sent_us);
 /* The runner sent output for a request that was sent at started_us. If that is
  * before a crash of it was noted, or if a runner cannot have started again since
  * the crash, it has not crashed. */
@@ -108,8 +111,8 @@
 /* Takes news that all other nodes are to be told; false when there is none. To
  * be called until then. */
 bool part_guard_take_news(part_guard_t *guard, part_news_t *news);
-/* The holds and the newest crashes, for a node that may have missed news; false
- * when there are none. */
+/* The holds and the newest crashes with the parts cleared since, for a node that
+ * may have missed news; false when there are none. */
 bool part_guard_summary(const part_guard_t *guard, part_news_t *news);
 /* Applies another node's news. */
 void part_guard_apply(part_guard_t *guard, const part_news_t *news);
