Refuse requests at an entry VM that hears nothing of its runners

What callers saw: at an entry VM that is cut off from all engines of a deployment, while other entry VMs reach them, each caller waited until its deadline (504, may_have_run, after 3.0 s), or for the connects (503, not_run, after up to 2.7 s), for as long as the cut lasted.

Cause: the node knows after about two seconds that each runner is silent, but only selects silent runners last. When all are, requests go to one of them all the same.

A question for a runner's load that has no response of any kind is now told from one that has an answer without a report. When two questions in a row to each runner that the node may select had no response, over two seconds at least, and nothing else came from it, requests are refused at once, and those that wait in the queue too. Both are 503 and not_run; an attempt that would follow one that may have run says so. Retry-After is the time in which each of the silent runners is asked again: they have a pace of their own, one question in 100 ms, each once in 1.1 s. The first answer ends the refusals. Logged by runners_not_reached, runners_reached and request_cut_off, counted.

Ruled out: refusing by route_is_silent(), as runners that answer and have no load report would be refused for ever; a single question without a response, as a sound runner may stop for a second; probing with requests, whose callers wait.

Not covered: requests that were sent before the cut is known wait as before. A deployment with many engines takes longer, as those of which nothing is known are tried first. Plain services are not polled.

--- a/src/coord/admission.c
+++ b/src/coord/admission.c
@@ -457,6 +457,24 @@
 	return NULL;
 }
 
+void admission_expire_all(admission_t *admission)
+{
+	for (int i = 0; i < ADMISSION_PRIORITIES; i++) {
+		const GPtrArray *flows = admission->classes[i].backlogged;
+
+		for (guint j = 0; j < flows->len; j++) {
+			const admission_flow_t *flow = flows->pdata[j];
+
+			for (uint32_t k = 0; k < LANES; k++)
+				for (GList *link = flow->lanes[k].queue.head;
+				     link; link = link->next)
+					((admission_ticket_t *)link->data)
+						->expires_us = 0;
+		}
+	}
+	admission->next_expiry_us = 0;
+}
+
 static admission_ticket_t *find_expired(admission_t *admission,
 					const admission_flow_t *flow,
 					int64_t now_us)
--- a/src/coord/admission.h
+++ b/src/coord/admission.h
@@ -85,6 +85,8 @@
 /* Returns the next ticket that may run now, already counted as running, or
  * NULL. */
 admission_ticket_t *admission_next(admission_t *admission);
+/* Lets all queued tickets expire now. */
+void admission_expire_all(admission_t *admission);
 /* Returns an expired ticket, already removed from the queue, or NULL. */
 admission_ticket_t *admission_expired(admission_t *admission);
 
--- a/src/coord/route.c
+++ b/src/coord/route.c
@@ -26,6 +26,12 @@
 /* A runner that misses this many load reports in a row takes requests, if any,
  * without working on them. */
 #define SILENT_REPORTS 2
+/*
+ * A node that hears nothing of its runners refuses requests after this time. A
+ * sound runner, or the node itself, may stop for a second; a caller that is
+ * refused can go to another node.
+ */
+#define CUT_OFF_US 2000000
 /* Ejections no longer count after this time without a new one. */
 #define EJECTION_RESET_US 5000000
 /* Number of unanswered requests whose age is checked; the oldest ones show the
@@ -618,6 +624,7 @@
 		return took_us;
 	remove_unanswered(attempt);
 	runner->missed_reports = 0;
+	route_heard(runner);
 	observe(route, runner, attempt->class_index, took_us);
 	update_typical(route, attempt->class_index, took_us);
 	runner->refusals = 0;
@@ -667,6 +674,49 @@
 	return oldest ? now_us(route) - oldest->started_us : 0;
 }
 
+route_question_t route_ask(const route_t *route, const route_runner_t *runner)
+{
+	return (route_question_t){ .asked_us = now_us(route),
+				   .heard = runner->heard };
+}
+
+void route_unheard(route_runner_t *runner, const route_question_t *question)
+{
+	if (runner->heard != question->heard)
+		return;
+	if (runner->unheard_questions++ == 0)
+		runner->unheard_since_us = question->asked_us;
+}
+
+void route_heard(route_runner_t *runner)
+{
+	runner->heard++;
+	runner->unheard_questions = 0;
+}
+
+static bool are_unheard(const GPtrArray *runners, int64_t at_us)
+{
+	for (guint i = 0; i < runners->len; i++) {
+		const route_runner_t *runner = runners->pdata[i];
+
+		if (runner->unheard_questions < SILENT_REPORTS ||
+		    at_us - runner->unheard_since_us < CUT_OFF_US)
+			return false;
+	}
+	return true;
+}
+
+bool route_is_cut_off(const route_t *route)
+{
+	int64_t at_us;
+
+	if (route->local->len + route->spillover->len == 0)
+		return false;
+	at_us = now_us(route);
+	return are_unheard(route->local, at_us) &&
+	       are_unheard(route->spillover, at_us);
+}
+
 void route_report_missed(route_runner_t *runner)
 {
 	runner->missed_reports++;
@@ -683,6 +733,7 @@
 	 * is noise. */
 	others = total - runner->in_flight_mean * 1.2 - 1;
 	runner->missed_reports = 0;
+	route_heard(runner);
 	runner->reported_load = total;
 	runner->slots = slots;
 	runner->others_in_flight = others > 0 ? (uint32_t)others : 0;
--- a/src/coord/route.h
+++ b/src/coord/route.h
@@ -54,6 +54,9 @@
 	double failure_rate; /* recent, 0..1 */
 	uint32_t refusals; /* consecutive */
 	uint32_t missed_reports; /* load reports since its last answer */
+	uint32_t heard; /* counts what came from it, for route_question_t */
+	uint32_t unheard_questions; /* in a row, see route_unheard() */
+	int64_t unheard_since_us; /* when the first of them was sent */
 	uint32_t ejections; /* recent; determines the next ejection time */
 	int64_t blocked_until_us;
 	int64_t healthy_since_us;
@@ -72,6 +75,12 @@
 	GList link;
 } route_attempt_t;
 
+/* A question for a runner's load, see route_ask(). */
+typedef struct route_question {
+	int64_t asked_us;
+	uint32_t heard; /* of the runner, when it was asked */
+} route_question_t;
+
 typedef struct route_request {
 	uint32_t class_index;
 	uint64_t prefix_hash; /* 0: none */
@@ -136,6 +145,20 @@
 /* Time since the start of the oldest attempt without an answer; 0: none. */
 int64_t route_unanswered_us(const route_t *route, const route_runner_t *runner);
 
+/* To be called when a question for the runner's load is sent. */
+route_question_t route_ask(const route_t *route, const route_runner_t *runner);
+/* Records that the question had no response of any kind. Has no effect when
+ * something came from the runner meanwhile. */
+void route_unheard(route_runner_t *runner, const route_question_t *question);
+/* Records a response or a part of one, whatever it says. */
+void route_heard(route_runner_t *runner);
+/*
+ * Whether nothing comes from any runner that this node may select: each has
+ * left two questions in a row without a response, over two seconds at least, and
+ * has sent nothing meanwhile. False without runners.
+ */
+bool route_is_cut_off(const route_t *route);
+
 /* Records that the runner did not report its load in time. */
 void route_report_missed(route_runner_t *runner);
 /* Records a load report about the runner. */
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -20,8 +20,9 @@
 
 static void on_queue_timeout(void *owner)
 {
-	chat_state_fail(owner, API_OVERLOADED,
-			"the request has waited too long");
+	if (!chat_state_refuse_cut_off(owner))
+		chat_state_fail(owner, API_OVERLOADED,
+				"the request has waited too long");
 }
 
 /* A process without any runner has probably just started and reads the VM list
@@ -44,6 +45,8 @@
 		return;
 	}
 	chat_state_set(chat, REQUEST_QUEUED);
+	if (chat_state_refuse_cut_off(chat))
+		return;
 	chat->waiter.owner = chat;
 	chat->waiter.admitted = on_admitted;
 	chat->waiter.expired = on_queue_timeout;
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -85,6 +85,7 @@
 {
 	chat_attempt_t *attempt = user_data;
 
+	pool_heard(&attempt->route);
 	chat_response_relay_events(attempt->chat, events, len);
 }
 
@@ -214,6 +215,13 @@
 	chat->attempted_count = kept;
 }
 
+/* Whether the engine has sent a response. */
+static bool is_response(engine_fault_t fault)
+{
+	return fault != ENGINE_FAULT_CONNECT && fault != ENGINE_FAULT_TIMEOUT &&
+	       fault != ENGINE_FAULT_STALLED && fault != ENGINE_FAULT_TRUNCATED;
+}
+
 /* Reports an engine that ended the connection. */
 static void note_loss(const chat_attempt_t *attempt,
 		      const engine_result_t *result)
@@ -254,6 +262,8 @@
 		part_guard_completed(chat->pool->part_guard,
 				     &chat->request.parts);
 	}
+	if (is_response(result->fault))
+		pool_heard(&attempt->route);
 	note_loss(attempt, result);
 	finish_attempt(attempt, route_outcome_of(result->fault),
 		       result->retry_after_s * 1000LL);
@@ -411,7 +421,8 @@
 		.user_data = attempt,
 	};
 
-	if (!attempt->hedge && refuse_held(chat))
+	if (!attempt->hedge &&
+	    (refuse_held(chat) || chat_state_refuse_cut_off(chat)))
 		return;
 	if (attempt->hedge && part_guard_hold_ms(chat->pool->part_guard,
 						 &chat->request.parts) > 0)
--- a/src/entry/chat_state.c
+++ b/src/entry/chat_state.c
@@ -1,5 +1,6 @@
 #include "entry/chat_state.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/log.h"
@@ -117,6 +118,26 @@
 	chat_state_fail_with_retry(chat, error, 0, message);
 }
 
+bool chat_state_refuse_cut_off(chat_t *chat)
+{
+	int64_t recheck_ms;
+
+	if (!pool_is_cut_off(chat->pool))
+		return false;
+	recheck_ms = pool_recheck_ms(chat->pool);
+	log_info(
+		"request_cut_off",
+		"request=%s deployment=%s state=%s work=%d recheck_ms=%" PRId64,
+		chat->exchange ? http_id(chat->exchange) : "-",
+		chat->deployment->name, request_state_name(chat->state),
+		chat->may_have_run, recheck_ms);
+	++*chat->pool->refused_cut_off;
+	chat_state_fail_with_retry(chat, API_NO_RUNNER,
+				   (int)((recheck_ms + 999) / 1000),
+				   "no runner of the deployment is reached");
+	return true;
+}
+
 char *chat_state_budget_key(const chat_t *chat)
 {
 	return g_strconcat(chat->caller->partner->name, "/", chat->caller->name,
--- a/src/entry/chat_state.h
+++ b/src/entry/chat_state.h
@@ -99,5 +99,8 @@
 void chat_state_fail_with_retry(chat_t *chat, api_error_id_t error,
 				int retry_after_s, const char *message);
 void chat_state_fail(chat_t *chat, api_error_id_t error, const char *message);
+/* Refuses the request if this node hears nothing of the deployment's runners.
+ * Returns whether it did; the chat is then freed. */
+bool chat_state_refuse_cut_off(chat_t *chat);
 
 #endif
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -1,5 +1,6 @@
 #include "entry/pool.h"
 
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
@@ -39,7 +40,9 @@
 	GHashTable *pools; /* key -> pool_t */
 	GHashTable *polled_us; /* address -> time of the last poll, int64_t */
 	struct event *tick;
-	int64_t last_poll_us;
+	int64_t last_poll_us; /* of a runner that is not silent */
+	int64_t *silent_polls;
+	uint32_t silent_runners; /* by the last tick */
 	uint32_t polls_pending;
 	uint32_t nodes;
 	pool_pressure_t pressure;
@@ -50,6 +53,7 @@
 	pool_table_t *table;
 	pool_t *pool;
 	char *address;
+	route_question_t question;
 } pool_poll_t;
 
 static void pool_free(void *data)
@@ -129,6 +133,7 @@
 		{ &pool->retries_not_run, "online_retries_not_run_total" },
 		{ &pool->refused, "online_refused_total" },
 		{ &pool->failed, "online_failed_total" },
+		{ &pool->refused_cut_off, "online_refused_cut_off_total" },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
@@ -226,6 +231,18 @@
 	return pool;
 }
 
+bool pool_is_cut_off(const pool_t *pool)
+{
+	return route_is_cut_off(pool->route);
+}
+
+int64_t pool_recheck_ms(const pool_t *pool)
+{
+	int64_t round_ms = (int64_t)pool->table->silent_runners * TICK_MS;
+
+	return MAX(round_ms, POLL_TIMEOUT_MS) + TICK_MS;
+}
+
 static void note_missed_report(const pool_t *pool, route_runner_t *runner)
 {
 	bool was_silent = route_is_silent(runner);
@@ -252,6 +269,10 @@
 
 		if (strcmp(runner->address, poll->address) != 0)
 			continue;
+		if (response->outcome == HTTP_COMPLETE)
+			route_heard(runner);
+		else
+			route_unheard(runner, &poll->question);
 		if (!root) {
 			note_missed_report(poll->pool, runner);
 			continue;
@@ -271,6 +292,12 @@
 	g_free(poll);
 }
 
+/* Whether the runner left its last poll unanswered. */
+static bool misses_reports(const route_runner_t *runner)
+{
+	return runner->missed_reports > 0;
+}
+
 static int64_t last_polled_us(const pool_table_t *table,
 			      const route_runner_t *runner)
 {
@@ -298,7 +325,11 @@
 	poll->table = table;
 	poll->pool = pool;
 	poll->address = g_strdup(runner->address);
-	table->last_poll_us = now_us;
+	poll->question = route_ask(pool->route, runner);
+	if (misses_reports(runner))
+		++*table->silent_polls;
+	else
+		table->last_poll_us = now_us;
 	table->polls_pending++;
 	http_call_start(table->options.http, &options);
 }
@@ -311,7 +342,7 @@
 	int64_t polled_at_us = last_polled_us(table, runner);
 	bool is_due = now_us - polled_at_us > POLL_TIMEOUT_MS * 1000LL;
 	bool is_doubtful =
-		runner->missed_reports > 0 ||
+		misses_reports(runner) ||
 		route_unanswered_us(pool->route, runner) > POLL_UNANSWERED_US;
 
 	/* Admission depends on the slots. */
@@ -327,10 +358,11 @@
 	return polled_at_us;
 }
 
-/* Returns the runner that is to be polled next, or NULL. */
+/* Returns the runner that is to be polled next, or NULL. silent: of those that
+ * left their last poll unanswered, or of the others. */
 static const route_runner_t *find_runner_to_poll(const pool_table_t *table,
 						 pool_t **found_pool,
-						 int64_t now_us)
+						 bool silent, int64_t now_us)
 {
 	const route_runner_t *found = NULL;
 	int64_t found_order = INT64_MAX;
@@ -348,7 +380,8 @@
 			const route_runner_t *runner = runners->pdata[i];
 			int64_t order = poll_order(table, pool, runner, now_us);
 
-			if (order >= found_order)
+			if (order >= found_order ||
+			    misses_reports(runner) != silent)
 				continue;
 			found = runner;
 			found_order = order;
@@ -358,27 +391,84 @@
 	return found;
 }
 
+/* The two sorts are paced apart: runners that are silent neither keep the others
+ * from being polled nor wait for them. */
+static void poll_next(pool_table_t *table, int64_t now_us)
+{
+	pool_t *pool = NULL;
+	const route_runner_t *runner =
+		find_runner_to_poll(table, &pool, true, now_us);
+
+	if (runner)
+		poll_load(table, pool, runner, now_us);
+	runner = find_runner_to_poll(table, &pool, false, now_us);
+	/* Runners whose slots are unknown are polled faster, one per tick. */
+	if (runner && (runner->slots == 0 ||
+		       now_us - table->last_poll_us >= POLL_PERIOD_MS * 1000))
+		poll_load(table, pool, runner, now_us);
+}
+
+static uint32_t count_silent(const pool_t *pool)
+{
+	const GPtrArray *runners = route_runners(pool->route);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < runners->len; i++)
+		count += misses_reports(runners->pdata[i]);
+	return count;
+}
+
+static void note_cut_off(pool_t *pool, int64_t now_us)
+{
+	bool is_cut_off = pool_is_cut_off(pool);
+
+	if (is_cut_off && pool->cut_off_since_us == 0) {
+		log_warn("runners_not_reached",
+			 "deployment=%s runners=%u queued=%u in_flight=%u",
+			 pool->name, route_runners(pool->route)->len,
+			 admission_queued(pool->admission),
+			 admission_running(pool->admission));
+		pool->cut_off_since_us = now_us;
+	} else if (!is_cut_off && pool->cut_off_since_us > 0) {
+		log_info("runners_reached",
+			 "deployment=%s cut_off_ms=%" PRId64
+			 " refused_in_all=%" PRId64,
+			 pool->name, (now_us - pool->cut_off_since_us) / 1000,
+			 *pool->refused_cut_off);
+		pool->cut_off_since_us = 0;
+	}
+}
+
+static void refuse_queued(pool_t *pool)
+{
+	if (admission_queued(pool->admission) == 0)
+		return;
+	admission_expire_all(pool->admission);
+	expire_waiters(pool);
+}
+
 static void on_tick(evutil_socket_t fd, short events, void *arg)
 {
 	pool_table_t *table = arg;
 	int64_t now_us = clock_now_us(table->options.clock);
 	struct timeval period = { 0, TICK_MS * 1000 };
-	const route_runner_t *runner;
 	GHashTableIter iter;
-	pool_t *pool = NULL;
 	void *value;
 
+	table->silent_runners = 0;
 	g_hash_table_iter_init(&iter, table->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		refresh_capacity(value);
-		part_guard_tick(((pool_t *)value)->part_guard);
-		run_queue(value);
+		pool_t *pool = value;
+
+		refresh_capacity(pool);
+		part_guard_tick(pool->part_guard);
+		note_cut_off(pool, now_us);
+		if (pool->cut_off_since_us > 0)
+			refuse_queued(pool);
+		run_queue(pool);
+		table->silent_runners += count_silent(pool);
 	}
-	/* Runners whose slots are unknown are polled faster, one per tick. */
-	runner = find_runner_to_poll(table, &pool, now_us);
-	if (runner && (runner->slots == 0 ||
-		       now_us - table->last_poll_us >= POLL_PERIOD_MS * 1000))
-		poll_load(table, pool, runner, now_us);
+	poll_next(table, now_us);
 	evtimer_add(table->tick, &period);
 }
 
@@ -393,6 +483,8 @@
 					     pool_free);
 	table->polled_us =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->silent_polls = counter_get(options->counters, COUNTER_MONOTONIC,
+					  "silent_runner_polls_total", NULL);
 	table->tick = evtimer_new(options->base, on_tick, table);
 	evtimer_add(table->tick, &period);
 	return table;
@@ -524,6 +616,11 @@
 		histogram_age(histogram);
 }
 
+void pool_heard(const route_attempt_t *attempt)
+{
+	route_heard(attempt->runner);
+}
+
 void pool_answered(pool_t *pool, route_attempt_t *attempt)
 {
 	int64_t latency_us;
--- a/src/entry/pool.h
+++ b/src/entry/pool.h
@@ -23,7 +23,11 @@
  *
  * The table polls load reports of the runners in use. It limits the polls to a
  * few per second over all pools, so that their cost does not grow with the
- * fleet.
+ * fleet. A runner that does not answer is polled until it does, with or without
+ * requests.
+ *
+ * A node that hears nothing of any runner of a pool refuses the pool's requests,
+ * also the queued ones, as another node may reach the runners.
  */
 typedef struct pool_table pool_table_t;
 typedef struct pool pool_t;
@@ -48,6 +52,8 @@
 	int64_t *retries_not_run; /* those after errors marked as not run */
 	int64_t *refused;
 	int64_t *failed;
+	int64_t *refused_cut_off; /* part of those refused */
+	int64_t cut_off_since_us; /* 0: a runner is heard */
 	bool is_running_queue; /* guards against recursion */
 };
 
@@ -56,7 +62,8 @@
 typedef struct pool_waiter {
 	admission_ticket_t ticket;
 	void (*admitted)(void *owner);
-	void (*expired)(void *owner); /* waited longer than max_wait_ms */
+	/* Waited longer than max_wait_ms, or the pool is cut off. */
+	void (*expired)(void *owner);
 	void *owner;
 } pool_waiter_t;
 
@@ -104,8 +111,16 @@
  * admits queued requests. */
 void pool_release(pool_t *pool, pool_waiter_t *waiter);
 
+/* Whether nothing comes from any runner of the pool; always false for plain
+ * services, which are not polled. */
+bool pool_is_cut_off(const pool_t *pool);
+/* Returns the time in which each silent runner is polled again, in ms. */
+int64_t pool_recheck_ms(const pool_t *pool);
+
 void pool_begin(pool_t *pool, route_attempt_t *attempt, route_runner_t *runner,
 		uint32_t class_index);
+/* Records that something came from the attempt's runner. */
+void pool_heard(const route_attempt_t *attempt);
 void pool_answered(pool_t *pool, route_attempt_t *attempt);
 void pool_finish(pool_t *pool, route_attempt_t *attempt,
 		 route_outcome_t route_outcome, int64_t retry_after_ms);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -171,6 +171,37 @@
 	admission_free(admission);
 }
 
+/* All queued requests must expire at once when nothing can run, and later ones
+ * as usual. */
+static void test_expire_all(void)
+{
+	static const char *const workspaces[] = { "a", "b" };
+	admission_t *admission = open_admission(1, 10);
+	admission_ticket_t first;
+	admission_ticket_t waiting[6];
+	admission_ticket_t later;
+	int expired = 0;
+
+	offer(admission, &first, ADMISSION_ONLINE, "a", 16);
+	for (int i = 0; i < 6; i++)
+		offer(admission, &waiting[i],
+		      i < 4 ? ADMISSION_ONLINE : ADMISSION_BATCH,
+		      workspaces[i % 2], i < 2 ? 16 : 4096);
+	admission_expire_all(admission);
+	while (admission_expired(admission))
+		expired++;
+	CU_ASSERT_EQUAL(expired, 6);
+	CU_ASSERT_EQUAL(admission_queued(admission), 0);
+	CU_ASSERT_EQUAL(admission_running(admission), 1);
+	CU_ASSERT_EQUAL(offer(admission, &later, ADMISSION_ONLINE, "a", 16),
+			ADMISSION_QUEUED);
+	CU_ASSERT_PTR_NULL(admission_expired(admission));
+	admission_release(admission, &first);
+	CU_ASSERT_PTR_EQUAL(admission_next(admission), &later);
+	admission_release(admission, &later);
+	admission_free(admission);
+}
+
 /* Under overload a request must be refused on arrival, not after the wait. */
 static void test_early_refusal(void)
 {
@@ -341,6 +372,7 @@
 		{ "short passes long", test_short_passes_long },
 		{ "slots reserved for short", test_slots_reserved_for_short },
 		{ "expiry", test_expiry },
+		{ "expire all", test_expire_all },
 		{ "early refusal", test_early_refusal },
 		{ "standing queue", test_standing_queue },
 		{ "full queue is shared", test_full_queue_is_shared },
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -136,6 +136,85 @@
 	route_free(route);
 }
 
+/* Asks a runner and lets the question end without a response. */
+static void ask_in_vain(route_t *route, route_runner_t *runner, int64_t ms)
+{
+	route_question_t question = route_ask(route, runner);
+
+	clock_manual_advance_ms(&clock_manual, ms);
+	route_unheard(runner, &question);
+}
+
+/* Guards against callers that wait until their deadline at a node that is cut
+ * off from all runners, and against refusals while a runner is merely silent for
+ * a second. */
+static void test_cut_off(void)
+{
+	route_t *route = open_route(NULL, 3);
+	const GPtrArray *runners = route_runners(route);
+	route_runner_t *last = runners->pdata[RUNNERS - 1];
+	route_question_t question;
+
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	for (int round = 0; round < 2; round++)
+		for (guint i = 0; i < RUNNERS - 1; i++)
+			ask_in_vain(route, runners->pdata[i], 1000);
+	/* Of the last runner nothing is known. */
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	ask_in_vain(route, last, 1900);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	ask_in_vain(route, last, 99);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	clock_manual_advance_ms(&clock_manual, 1);
+	CU_ASSERT_TRUE(route_is_cut_off(route));
+	/* One that leaves does not count, whether it is heard or not. */
+	route_update(route, candidates, 3);
+	CU_ASSERT_TRUE(route_is_cut_off(route));
+	route_heard(runners->pdata[0]);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	/* What comes while a question is open is an answer. */
+	question = route_ask(route, runners->pdata[0]);
+	route_heard(runners->pdata[0]);
+	clock_manual_advance_ms(&clock_manual, 5000);
+	route_unheard(runners->pdata[0], &question);
+	ask_in_vain(route, runners->pdata[0], 2500);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	ask_in_vain(route, runners->pdata[0], 1000);
+	CU_ASSERT_TRUE(route_is_cut_off(route));
+	route_report(route, runners->pdata[0], 0, 0, 2);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	route_update(route, candidates, 0);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	route_free(route);
+}
+
+/* Runners that answer must be used, also when they have no load report to
+ * give. */
+static void test_not_cut_off_without_reports(void)
+{
+	route_t *route = open_route(NULL, 3);
+	const GPtrArray *runners = route_runners(route);
+
+	for (int round = 0; round < 5; round++) {
+		clock_manual_advance_ms(&clock_manual, 1000);
+		for (guint i = 0; i < RUNNERS; i++) {
+			route_heard(runners->pdata[i]);
+			route_report_missed(runners->pdata[i]);
+		}
+	}
+	CU_ASSERT_TRUE(route_is_silent(runners->pdata[0]));
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	CU_ASSERT_PTR_NOT_NULL(choose(route));
+	for (guint i = 0; i < RUNNERS; i++) {
+		ask_in_vain(route, runners->pdata[i], 1000);
+		ask_in_vain(route, runners->pdata[i], 1000);
+	}
+	CU_ASSERT_TRUE(route_is_cut_off(route));
+	run_request(route, runners->pdata[4], 10);
+	CU_ASSERT_FALSE(route_is_cut_off(route));
+	route_free(route);
+}
+
 /* Load reports of a straggler arrive late, so its unanswered requests must
  * already keep it from being selected. */
 static void test_unanswered_straggler_is_not_selected(void)
@@ -386,6 +465,9 @@
 		{ "spill when full", test_spill_when_full },
 		{ "silent runner is selected last",
 		  test_silent_runner_is_selected_last },
+		{ "cut off", test_cut_off },
+		{ "not cut off without reports",
+		  test_not_cut_off_without_reports },
 		{ "unanswered straggler is not selected",
 		  test_unanswered_straggler_is_not_selected },
 		{ "ejection and probe", test_ejection_and_probe },
