Wait for the slots of the engines in the test of a cut-off queue

test_queue_is_refused failed in 3 of 6 runs, two at a time, and once in a run of the whole file: it cut the links before the entry VM had the first load reports, so all twelve requests were sent (runners_not_reached queued=0 in_flight=12) and none waited. The checks are as they were.

The test now waits for load reports, which are counted for operators too (load_reports_total).

--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -41,6 +41,7 @@
 	GHashTable *polled_us; /* address -> time of the last poll, int64_t */
 	struct event *tick;
 	int64_t last_poll_us; /* of a runner that is not silent */
+	int64_t *reports;
 	int64_t *silent_polls;
 	uint32_t silent_runners; /* by the last tick */
 	uint32_t polls_pending;
@@ -277,6 +278,7 @@
 			note_missed_report(poll->pool, runner);
 			continue;
 		}
+		++*poll->table->reports;
 		route_report(poll->pool->route, runner,
 			     (uint32_t)json_integer_value(
 				     json_object_get(root, "running")),
@@ -483,6 +485,8 @@
 					     pool_free);
 	table->polled_us =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->reports = counter_get(options->counters, COUNTER_MONOTONIC,
+				     "load_reports_total", NULL);
 	table->silent_polls = counter_get(options->counters, COUNTER_MONOTONIC,
 					  "silent_runner_polls_total", NULL);
 	table->tick = evtimer_new(options->base, on_tick, table);
--- a/tests/process/test_entry_cut_off.py
+++ b/tests/process/test_entry_cut_off.py
@@ -21,6 +21,7 @@
 # A silence for which an entry VM may refuse nothing.
 PAUSE_S = 1.2
 POLLS = "wasabilink_silent_runner_polls_total"
+REPORTS = "wasabilink_load_reports_total"
 REFUSED = ('wasabilink_online_refused_cut_off_total'
            f'{{partner="guild",deployment="{b.MODEL}"}}')
 
@@ -130,6 +131,9 @@
     # Guards against requests that wait in the queue until their deadline, as
     # the slots of silent engines do not become free.
     def test_queue_is_refused(self):
+        # Nothing is queued before the number of slots is known.
+        f.wait_for(lambda: b.metric(self.entry, REPORTS) >=
+                   2 * len(self.engines), "load reports")
         self.cut()
         start = time.monotonic()
         with ThreadPoolExecutor(self.REQUESTS) as pool:
