Ask all runners of a deployment when half of the own ones are silent

What callers saw: at an entry VM that is cut off from twelve engines in two domains, with two requests a second, callers went on waiting for 7.5 s, after which requests were refused (a trial, one trace).

Cause: only runners with requests are polled. So the engines of the other domain were known to be silent only after a request had waited for each, when those of the own domain were.

When half of the runners that are used first, or more, have left a question without a report, the others of the node's subsets are polled too, at the pace of silent runners: one in 100 ms, each once in 1.1 s.

Weighed: polling the rest after the first silent runner (a single one that is stopped would have all polled for as long), or only when all used first are silent (later by the time in which the last of them is noticed).

--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -40,10 +40,10 @@
 	GHashTable *pools; /* key -> pool_t */
 	GHashTable *polled_us; /* address -> time of the last poll, int64_t */
 	struct event *tick;
-	int64_t last_poll_us; /* of a runner that is not silent */
+	int64_t last_poll_us; /* of a runner that is not checked */
 	int64_t *reports;
-	int64_t *silent_polls;
-	uint32_t silent_runners; /* by the last tick */
+	int64_t *check_polls;
+	uint32_t checked_runners; /* by the last tick */
 	uint32_t polls_pending;
 	uint32_t nodes;
 	pool_pressure_t pressure;
@@ -239,7 +239,7 @@
 
 int64_t pool_recheck_ms(const pool_t *pool)
 {
-	int64_t round_ms = (int64_t)pool->table->silent_runners * TICK_MS;
+	int64_t round_ms = (int64_t)pool->table->checked_runners * TICK_MS;
 
 	return MAX(round_ms, POLL_TIMEOUT_MS) + TICK_MS;
 }
@@ -300,6 +300,13 @@
 	return runner->missed_reports > 0;
 }
 
+/* Whether the runner is polled for whether it answers, and not for its load. */
+static bool is_checked(const pool_t *pool, const route_runner_t *runner)
+{
+	return misses_reports(runner) ||
+	       (pool->is_in_doubt && runner->in_subset);
+}
+
 static int64_t last_polled_us(const pool_table_t *table,
 			      const route_runner_t *runner)
 {
@@ -328,8 +335,8 @@
 	poll->pool = pool;
 	poll->address = g_strdup(runner->address);
 	poll->question = route_ask(pool->route, runner);
-	if (misses_reports(runner))
-		++*table->silent_polls;
+	if (is_checked(pool, runner))
+		++*table->check_polls;
 	else
 		table->last_poll_us = now_us;
 	table->polls_pending++;
@@ -344,7 +351,7 @@
 	int64_t polled_at_us = last_polled_us(table, runner);
 	bool is_due = now_us - polled_at_us > POLL_TIMEOUT_MS * 1000LL;
 	bool is_doubtful =
-		misses_reports(runner) ||
+		is_checked(pool, runner) ||
 		route_unanswered_us(pool->route, runner) > POLL_UNANSWERED_US;
 
 	/* Admission depends on the slots. */
@@ -360,11 +367,11 @@
 	return polled_at_us;
 }
 
-/* Returns the runner that is to be polled next, or NULL. silent: of those that
- * left their last poll unanswered, or of the others. */
+/* Returns the runner that is to be polled next, or NULL. checked: of those that
+ * are, or of the others. */
 static const route_runner_t *find_runner_to_poll(const pool_table_t *table,
 						 pool_t **found_pool,
-						 bool silent, int64_t now_us)
+						 bool checked, int64_t now_us)
 {
 	const route_runner_t *found = NULL;
 	int64_t found_order = INT64_MAX;
@@ -383,7 +390,7 @@
 			int64_t order = poll_order(table, pool, runner, now_us);
 
 			if (order >= found_order ||
-			    misses_reports(runner) != silent)
+			    is_checked(pool, runner) != checked)
 				continue;
 			found = runner;
 			found_order = order;
@@ -393,7 +400,7 @@
 	return found;
 }
 
-/* The two sorts are paced apart: runners that are silent neither keep the others
+/* The two sorts are paced apart: runners that are checked neither keep the others
  * from being polled nor wait for them. */
 static void poll_next(pool_table_t *table, int64_t now_us)
 {
@@ -410,13 +417,23 @@
 		poll_load(table, pool, runner, now_us);
 }
 
-static uint32_t count_silent(const pool_t *pool)
+static void update_doubt(pool_t *pool)
+{
+	const GPtrArray *runners = route_subset(pool->route);
+	uint32_t missing = 0;
+
+	for (guint i = 0; i < runners->len; i++)
+		missing += misses_reports(runners->pdata[i]);
+	pool->is_in_doubt = missing > 0 && 2 * missing >= runners->len;
+}
+
+static uint32_t count_checked(const pool_t *pool)
 {
 	const GPtrArray *runners = route_runners(pool->route);
 	uint32_t count = 0;
 
 	for (guint i = 0; i < runners->len; i++)
-		count += misses_reports(runners->pdata[i]);
+		count += is_checked(pool, runners->pdata[i]);
 	return count;
 }
 
@@ -457,7 +474,7 @@
 	GHashTableIter iter;
 	void *value;
 
-	table->silent_runners = 0;
+	table->checked_runners = 0;
 	g_hash_table_iter_init(&iter, table->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		pool_t *pool = value;
@@ -468,7 +485,8 @@
 		if (pool->cut_off_since_us > 0)
 			refuse_queued(pool);
 		run_queue(pool);
-		table->silent_runners += count_silent(pool);
+		update_doubt(pool);
+		table->checked_runners += count_checked(pool);
 	}
 	poll_next(table, now_us);
 	evtimer_add(table->tick, &period);
@@ -487,8 +505,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	table->reports = counter_get(options->counters, COUNTER_MONOTONIC,
 				     "load_reports_total", NULL);
-	table->silent_polls = counter_get(options->counters, COUNTER_MONOTONIC,
-					  "silent_runner_polls_total", NULL);
+	table->check_polls = counter_get(options->counters, COUNTER_MONOTONIC,
+					 "silent_runner_polls_total", NULL);
 	table->tick = evtimer_new(options->base, on_tick, table);
 	evtimer_add(table->tick, &period);
 	return table;
--- a/src/entry/pool.h
+++ b/src/entry/pool.h
@@ -24,7 +24,9 @@
  * The table polls load reports of the runners in use. It limits the polls to a
  * few per second over all pools, so that their cost does not grow with the
  * fleet. A runner that does not answer is polled until it does, with or without
- * requests.
+ * requests. When half of the runners that a pool uses first do not, the pool's
+ * other runners are polled as well, so that requests need not find out one by one
+ * which are silent.
  *
  * A node that hears nothing of any runner of a pool refuses the pool's requests,
  * also the queued ones, as another node may reach the runners.
@@ -54,6 +56,7 @@
 	int64_t *failed;
 	int64_t *refused_cut_off; /* part of those refused */
 	int64_t cut_off_since_us; /* 0: a runner is heard */
+	bool is_in_doubt; /* half of the runners used first are silent */
 	bool is_running_queue; /* guards against recursion */
 };
 
--- a/tests/process/test_entry_cut_off.py
+++ b/tests/process/test_entry_cut_off.py
@@ -28,6 +28,7 @@
 
 class CutOffCase(unittest.TestCase):
     engine_options = entry_options = ()
+    domains = [DOMAIN] * 3
 
     def setUp(self):
         self.fleet = f.Fleet()
@@ -35,8 +36,8 @@
         self.fleet.put_object("config/production",
                               f.json.dumps(f.sample_document()))
         self.engines = [self.fleet.start_engine(
-            f"muse-{i}", "guild", b.MODEL, DOMAIN, *self.engine_options)
-            for i in range(3)]
+            f"muse-{i}", "guild", b.MODEL, domain, *self.engine_options)
+            for i, domain in enumerate(self.domains)]
         self.group = Group(self.fleet.log_dir, DOMAIN)
         with self.group.started():
             self.entry = self.fleet.start_entry("entry-cut", DOMAIN,
@@ -120,6 +121,26 @@
         self.assertEqual(self.chat(self.entry).status, 200)
 
 
+class ManyEnginesTest(CutOffCase):
+    domains = [DOMAIN, "thu-bon"] * 6
+    PERIOD_S = 0.5
+
+    # Guards against callers that find out one by one which engines are silent,
+    # those of their own domain first.
+    def test_callers_do_not_wait_for_each_engine(self):
+        self.cut(SILENT)
+        calls = int(NOTICE_S / self.PERIOD_S)
+        with ThreadPoolExecutor(calls) as pool:
+            for _ in range(calls):
+                pool.submit(self.chat, self.entry)
+                time.sleep(self.PERIOD_S)
+            start = time.monotonic()
+            answer = self.chat(self.entry)
+            self.assertLess(time.monotonic() - start, ANSWER_MAX_S)
+        self.assert_refused(answer)
+        self.assertGreater(b.metric(self.entry, REFUSED), 0)
+
+
 class QueueTest(CutOffCase):
     SLOTS = 1
     REQUESTS = 12
