Count a request that was in progress at several runners once, not by time

An engine that ends as soon as it has the request takes less, so a request that is sent again after each crash counted once however often.

Whether a request was in progress at several runners at one moment is known by when it was sent: before the other loss, it is a suspect of the first only; after it, it counts again.

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -27,9 +27,8 @@
 /* Above the longest hold, after which the next crash is to be recognized. */
 #define CRASH_MAX_AGE_MS (30 * 60 * 1000)
 /* Runners that are lost within this time may have one cause that is not a
- * request, such as a lost link or power. Unless a part that requests share
- * explains the loss of all of them, they count as one crash for it. A request by
- * itself always counts once: few of the same content are sent at one moment. */
+ * request, such as a lost link or power. Unless a part explains the loss of all
+ * of them, they count as one crash for it. */
 #define COMMON_CAUSE_US 10000
 /* A runner that sends output this much later than a connection ended has not
  * crashed then. */
@@ -206,8 +205,6 @@
 			group += evidence;
 			strongest = MAX(strongest, evidence);
 		}
-		if (part->depth == PROMPT_DEPTH_REQUEST)
-			explains_all = false;
 		sum += explains_all ? group : strongest;
 	}
 	return sum;
@@ -421,15 +418,34 @@
 	return crash;
 }
 
+/* Whether the request was already sent when another runner was lost at about the
+ * same moment with the same request. A lost link ends all connections at one
+ * moment, and few requests of one content are in progress at one moment. */
+static bool is_concurrent(const part_guard_t *guard, const crash_t *crash,
+			  uint64_t request, const part_attempt_t *attempt)
+{
+	const crash_log_t *log = &guard->log;
+
+	for (uint32_t i = 0; attempt && i < log->count; i++) {
+		const crash_t *other = &log->crashes[i];
+
+		if (other != crash && attempt->sent_us < other->at_us &&
+		    ABS(crash->at_us - other->at_us) <= COMMON_CAUSE_US &&
+		    crash_suspect(other, request))
+			return true;
+	}
+	return false;
+}
+
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
 		     const prompt_parts_t *parts, part_loss_t loss,
-		     int64_t sent_us)
+		     const part_attempt_t *attempt)
 {
 	crash_t *crash;
 	bool changed = false;
 
 	crash = note_crash(guard, runner, part_guard_now_us(guard));
-	if (sent_us > crash->at_us)
+	if (attempt && !attempt->answered && attempt->sent_us > crash->at_us)
 		return;
 	for (uint32_t i = 0; i < parts->count; i++) {
 		crash_suspect_t suspect = {
@@ -441,6 +457,9 @@
 		if (loss == PART_LOSS_ANSWERING &&
 		    suspect.depth != PROMPT_DEPTH_REQUEST)
 			continue;
+		if (suspect.depth == PROMPT_DEPTH_REQUEST &&
+		    is_concurrent(guard, crash, suspect.part, attempt))
+			continue;
 		changed |= add_suspect(guard, crash, &suspect);
 	}
 	if (!changed || crash->survived)
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -39,6 +39,11 @@
 	PART_LOSS_ANSWERING /* some of the answer had come */
 } part_loss_t;
 
+typedef struct part_attempt {
+	int64_t sent_us; /* of part_guard_now_us() */
+	bool answered; /* some of the answer came */
+} part_attempt_t;
+
 typedef struct part_clear {
 	uint64_t part;
 	int64_t at_us; /* of the output */
@@ -77,12 +82,15 @@
 
 /* Time of the clock that the guard's times are of. */
 int64_t part_guard_now_us(const part_guard_t *guard);
-/* The connection of a request with these parts ended at the runner's side.
- * sent_us: when it was sent, of part_guard_now_us(), or 0 if some of the answer
- * came. Sent after a crash of the runner was noted, it is no suspect of that. */
+/*
+ * The connection of a request with these parts ended at the runner's side. Sent
+ * without an answer after a crash of the runner was noted, the request is no
+ * suspect of that; and when it was in progress at several runners that are lost
+ * at one moment, it is a suspect once. attempt: NULL if it is not known.
+ */
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
 		     const prompt_parts_t *parts, part_loss_t loss,
-		     int64_t sent_us);
+		     const part_attempt_t *attempt);
 /* The runner sent output for a request that was sent at started_us. If that is
  * before a crash of it was noted, or if a runner cannot have started again since
  * the crash, it has not crashed. */
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -230,13 +230,13 @@
 	part_loss_t loss = chat->state == REQUEST_STREAMING ?
 				   PART_LOSS_ANSWERING :
 				   PART_LOSS_RUNNING;
+	const part_attempt_t sent = { attempt->started_us,
+				      loss == PART_LOSS_ANSWERING };
 
 	if (result->fault == ENGINE_FAULT_TRUNCATED)
-		part_guard_lost(
-			chat->pool->part_guard,
-			runner_key(attempt->route.runner), &chat->request.parts,
-			loss,
-			loss == PART_LOSS_ANSWERING ? 0 : attempt->started_us);
+		part_guard_lost(chat->pool->part_guard,
+				runner_key(attempt->route.runner),
+				&chat->request.parts, loss, &sent);
 }
 
 static void on_attempt_done(const engine_result_t *result, void *user_data)
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -405,6 +405,8 @@
 /* Reports that the runner ended the connection. */
 static void note_loss(const execution_t *execution)
 {
+	const part_attempt_t attempt = { execution->started_elapsed_us,
+					 execution->answered };
 	part_loss_t loss = PART_LOSS_WAITING;
 
 	if (execution->begun)
@@ -414,9 +416,7 @@
 	else if (execution->answered || !execution->stream)
 		loss = PART_LOSS_RUNNING;
 	part_guard_lost(execution->context->part_guard, execution->runner->key,
-			&execution->parts, loss,
-			execution->answered ? 0 :
-					      execution->started_elapsed_us);
+			&execution->parts, loss, &attempt);
 }
 
 /* Reports that the runner has answered the request. A body that ends with the
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -196,21 +196,27 @@
 }
 
 /* Guards against requests that are held for a minute after the connections of a
- * node were reset: one that was in progress several times explains them all. */
+ * node were reset: one that was in progress several times explains them all. One
+ * that is sent again after each crash counts each time. */
 static void test_same_request_at_one_moment(void)
 {
-	fixture_t *f = fixture_new();
-	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
-	prompt_parts_t request = { 0 };
-
-	prompt_parts_add_request(&request, parts.ids[parts.count - 1]);
-	for (uint64_t i = 1; i <= 4; i++)
-		part_guard_lost(f->guard, i, &request, PART_LOSS_RUNNING, 0);
-	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &request), 0);
-	clock_manual_advance_ms(&f->clock, 100);
-	part_guard_lost(f->guard, 5, &request, PART_LOSS_RUNNING, 0);
-	CU_ASSERT(part_guard_hold_ms(f->guard, &request) > 0);
-	fixture_free(f);
+	for (int again = 0; again <= 1; again++) {
+		fixture_t *f = fixture_new();
+		prompt_parts_t request = { 0 };
+		part_attempt_t attempt = { part_guard_now_us(f->guard), true };
+
+		prompt_parts_add_request(&request, OTHER);
+		for (uint64_t i = 1; i <= 4; i++) {
+			clock_manual_advance_ms(&f->clock, 1);
+			part_guard_lost(f->guard, i, &request,
+					PART_LOSS_RUNNING, &attempt);
+			if (again)
+				attempt.sent_us = part_guard_now_us(f->guard);
+		}
+		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &request) > 0,
+				again);
+		fixture_free(f);
+	}
 }
 
 /* A runner that goes on with earlier requests has not crashed; connections that
@@ -319,10 +325,12 @@
 	prompt_parts_add_request(&late, OTHER);
 	for (uint64_t runner = 1; runner <= 3; runner++) {
 		part_guard_lost(f->guard, runner, &deadly, PART_LOSS_RUNNING,
-				part_guard_now_us(f->guard));
+				&(part_attempt_t){ part_guard_now_us(f->guard),
+						   false });
 		clock_manual_advance_ms(&f->clock, 1000);
 		part_guard_lost(f->guard, runner, &late, PART_LOSS_RUNNING,
-				part_guard_now_us(f->guard));
+				&(part_attempt_t){ part_guard_now_us(f->guard),
+						   false });
 	}
 	CU_ASSERT(part_guard_hold_ms(f->guard, &deadly) > 30000);
 	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &late), 0);
