--- a/tests/process/test_domain_crash.py
+++ b/tests/process/test_domain_crash.py
@@ -51,7 +51,7 @@
                 pass
             time.sleep(GAP_S)
         crashes = sum(runner.crashes for runner in self.runners)
-        retracted = self.gateways[0].log().count("runner_loss_retracted")
+        retracted = self.gateways[0].log().count("event=runner_survived")
         self.assertLessEqual(crashes, MAX_CRASHES, f"{retracted} retracted")
         self.assertEqual(retracted, 0)
 
