--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""The only runner of a service is lost for good while batch jobs of two services
-are open. The jobs of the other service must be done."""
+"""The only runner of a service is lost for good while batch jobs of two
+services are open. The jobs of the other service must be done."""
 import os
 import sys
 import time
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -66,7 +66,7 @@
 
 def rss_mb(pid):
     with open(f"/proc/{pid}/statm", encoding="ascii") as statm:
-        return int(statm.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+        return int(statm.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 2**20
 
 
 def main():
--- a/review/standin.py
+++ b/review/standin.py
@@ -24,6 +24,7 @@
 HOST = "nony24.example"
 SERVICE = "svc"
 HELD, BROKEN, UNABLE = 0, 1, 2
+HISTORY_S = 20
 
 # The bounds of the small site files.
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000,
@@ -128,13 +129,14 @@
 
 
 class Store(Server):
-    """The metadata store. loses(handler, parts, status) tells whether the answer
-    of a call, which has been executed, is lost."""
+    """The metadata store. loses(handler, parts, status) tells whether the
+    answer of a call, which has been executed, is lost."""
 
     def __init__(self):
         self.lock = threading.Condition()
         self.objects = {}
         self.events = []
+        self.dropped = 0  # last revision whose history is gone
         self.rev = 1
         self.closed = False
         self.answer_s = 0.004
@@ -158,9 +160,14 @@
         end = time.monotonic() + wait_ms / 1000
         with self.lock:
             while True:
-                found = [e for e in self.events[-4000:]
+                old = time.monotonic() - HISTORY_S
+                while self.events and self.events[0][4] < old:
+                    self.dropped = self.events.pop(0)[0]
+                found = [e[:4] for e in self.events
                          if e[0] > since and e[1] == kind]
                 left = end - time.monotonic()
+                if not found and left <= 0 and since < self.dropped:
+                    return 410, {}
                 if found or left <= 0 or self.closed:
                     return 200, {"as_of": self.rev, "events": [
                         {"object": o, "tombstone": t}
@@ -169,7 +176,7 @@
 
     def add_event(self, kind, obj, tombstone):
         self.events.append((self.rev, kind, json.loads(json.dumps(obj)),
-                            tombstone))
+                            tombstone, time.monotonic()))
         self.lock.notify_all()
 
     def change(self, method, parts, query, body):
@@ -245,8 +252,11 @@
             self.refuse(421, ("Instance-Id", runner.id))
             return
         if not runner.admit():
-            self.refuse(503, ("Not-Run", "1"),
-                        ("Server-Load", runner.load()))
+            closes = runner.random.random() < runner.close_share
+            runner.record.write("refuse", runner=runner.id, request=request,
+                                closes=int(closes))
+            self.refuse(503, ("Not-Run", "1"), ("Server-Load", runner.load()),
+                        *([("Connection", "close")] if closes else []))
             return
         try:
             with runner.slots:
@@ -270,7 +280,8 @@
 
 class Runner(Server):
     """A runner with 8 slots whose streams have `events` events."""
-    SLOTS, QUEUE = 8, 24
+    SLOTS = 8
+    queue = 24
 
     def __init__(self, store, record, name, zone, events=30, gap_s=0.025,
                  seed=0, service=SERVICE, prompt_s=0.0):
@@ -286,18 +297,23 @@
         self.slots = threading.Semaphore(self.SLOTS)
         self.lock = threading.Lock()
         self.requests = 0
-        self.sequence = 0
+        self.entry = None
+        self.close_share = 0.0  # of refusals that say Connection: close
         super().__init__(RunnerHandler)
         self.beat()
 
     def beat(self):
-        self.sequence += 1
-        self.store.put("servers", self.id, {
+        """The entry changes when more than the sequence changes."""
+        entry = {
             "service": self.service, "address": self.address,
             "zone": self.zone,
             "version": "v1", "slots": self.SLOTS, "state": "ready",
-            "cold_left_ms": 0, "stage": "mixed", "sequence": self.sequence,
-            "born": 1764900000000 + self.incarnation})
+            "cold_left_ms": 0, "stage": "mixed", "sequence": 1,
+            "born": 1764900000000 + self.incarnation}
+        if entry != self.entry or \
+                ("servers", self.id) not in self.store.objects:
+            self.entry = entry
+            self.store.put("servers", self.id, entry)
 
     def crash(self, back_s=None):
         """Is lost for good, or back after back_s as another incarnation. Its
@@ -343,7 +359,7 @@
 
     def admit(self):
         with self.lock:
-            if self.requests >= self.SLOTS + self.QUEUE:
+            if self.requests >= self.SLOTS + self.queue:
                 return False
             self.requests += 1
             return True
@@ -513,9 +529,9 @@
         self.record = Record(case)
         self.store = Store()
         self.store.put("config", "main", config(*routes))
-        self.runners = [
-            (kind or Runner)(self.store, self.record, f"i-{i}", self.zones[i % 3],
-                   seed=time.time_ns() + i, **runner) for i in range(runners)]
+        self.runners = [(kind or Runner)(
+            self.store, self.record, f"i-{i}", self.zones[i % 3],
+            seed=time.time_ns() + i, **runner) for i in range(runners)]
         self.stopped = threading.Event()
         threading.Thread(target=self.beat, daemon=True).start()
         addresses = [f"127.0.0.{11 + i}" for i in range(gateways)]
