Show that a batch item with a long prompt is never done

Rule LOST: when finish_s is over, an item of an open batch job is not listed, though no runner had it for more than a second and its runners are idle.

The prompt of one item in six has 90,000 tokens, which fit the memory of the site's engines and take them 1.06 s to read. Each attempt is ended after 0.9 s without an event and sent again, after a delay that doubles up to a minute.

At fault: is_stalled() and stays() in src/gateway/execution.c.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")" || exit 2
+command -v python3 >/dev/null || exit 2
+exec timeout -k 5 115 python3 case.py
