--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,8 @@
 sys.path.insert(0, os.path.join(HERE, ".."))
 import standin as s  # noqa: E402
 
+RECORD = os.path.join(HERE, "record.txt")
+
 JOBS = 24
 LOST_SHARE = 0.35  # of the answers to writes: the site's largest dose
 LOST_S = 4.5
@@ -39,7 +41,7 @@
 
 
 def main():
-    fleet = s.Fleet(HERE, [s.batch_route()])
+    fleet = s.Fleet(RECORD, [s.batch_route()])
     fleet.wait_ready()
     time.sleep(4)  # the nodes are in touch, and know each other
     breaks = []
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,6 +8,8 @@
 sys.path.insert(0, os.path.join(HERE, ".."))
 import standin as s  # noqa: E402
 
+RECORD = os.path.join(HERE, "record.txt")
+
 OTHER = "svc-b"
 OTHER_PREFIX = "/kemo118/"
 FINISH_S = 18
@@ -31,7 +33,7 @@
 
 
 def main():
-    fleet = s.Fleet(HERE, [
+    fleet = s.Fleet(RECORD, [
         s.batch_route(),
         s.batch_route("r-batch-b", OTHER_PREFIX, service=OTHER,
                       completion_target_ms=60000, retention_s=300)],
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,6 +10,8 @@
 sys.path.insert(0, os.path.join(HERE, ".."))
 import standin as s  # noqa: E402
 
+RECORD = os.path.join(HERE, "record.txt")
+
 # The engines of the site.
 READ_TOKENS_PER_MS = 85.2
 MEMORY_TOKENS = 106377
@@ -78,7 +80,7 @@
 
 
 def main():
-    fleet = s.Fleet(HERE, [s.batch_route()], events=EVENTS, gap_s=0.004,
+    fleet = s.Fleet(RECORD, [s.batch_route()], events=EVENTS, gap_s=0.004,
                     kind=Engine)
     fleet.wait_ready()
     time.sleep(4)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,6 +10,8 @@
 sys.path.insert(0, os.path.join(HERE, ".."))
 import standin as s  # noqa: E402
 
+RECORD = os.path.join(HERE, "record.txt")
+
 MEMORY_MB = 110  # of the edge machines of sgp-wasabilink
 SICK_S = 30.0
 LOAD_S = 36.0
@@ -70,7 +72,7 @@
 
 
 def main():
-    fleet = s.Fleet(HERE, [s.route("r-plain", "/lohu930/", "safe"),
+    fleet = s.Fleet(RECORD, [s.route("r-plain", "/lohu930/", "safe"),
                            s.batch_route()],
                     runners=6, memory_mb=MEMORY_MB, kind=Plain)
     fleet.wait_ready()
--- a/review/more/trailer.py
+++ b/review/more/trailer.py
@@ -10,6 +10,8 @@
 sys.path.insert(0, os.path.join(HERE, ".."))
 import standin as s  # noqa: E402
 
+RECORD = os.path.join(HERE, "record.txt")
+
 TRAILER = b"Checksum: 352441c2\r\n" if s.TROUBLE else b""
 
 
@@ -31,7 +33,7 @@
 
 
 def main():
-    fleet = s.Fleet(HERE, [s.route("r-plain", "/lohu930/", "unsafe")])
+    fleet = s.Fleet(RECORD, [s.route("r-plain", "/lohu930/", "unsafe")])
     fleet.wait_ready()
     time.sleep(4)
     breaks = []
--- a/review/more/unasked.py
+++ b/review/more/unasked.py
@@ -9,6 +9,8 @@
 sys.path.insert(0, os.path.join(HERE, ".."))
 import standin as s  # noqa: E402
 
+RECORD = os.path.join(HERE, "record.txt")
+
 REQUESTS = 10  # of each kind
 
 
@@ -47,7 +49,7 @@
 
 
 def main():
-    fleet = s.Fleet(HERE, [s.route("r-plain", "/lohu930/", "unsafe"),
+    fleet = s.Fleet(RECORD, [s.route("r-plain", "/lohu930/", "unsafe"),
                            s.batch_route()], kind=Plain)
     fleet.wait_ready()
     time.sleep(4)
--- a/review/standin.py
+++ b/review/standin.py
@@ -38,12 +38,11 @@
 class Record:
     """record.txt: what was sent, answered and run, with seconds since start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
         self.started = {}  # request id -> when it last began to run
         self.lock = threading.Lock()
-        self.out = open(os.path.join(folder, "record.txt"), "w",
-                        encoding="utf-8")
+        self.out = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.began
@@ -519,14 +518,14 @@
     """Store, runners and gateways of a small deployment of three zones."""
     zones = ("old-town", "thu-bon", "cam-kim")
 
-    def __init__(self, case, routes, gateways=3, runners=3, memory_mb=260,
+    def __init__(self, record, routes, gateways=3, runners=3, memory_mb=260,
                  store_of=None, kind=None, **runner):
         if not os.access(BINARY, os.X_OK):
             print("target/wasabilink is not built", file=sys.stderr)
             sys.exit(UNABLE)
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.case, self.memory_mb = case, memory_mb
-        self.record = Record(case)
+        self.memory_mb = memory_mb
+        self.record = Record(record)
         self.store = Store()
         self.store.put("config", "main", config(*routes))
         self.runners = [(kind or Runner)(
