Log which owner a job starts with, its segments and its reads

job_adopted now has the owner and the process that the record names, which tells a start from a record of another owner. segment_named has the positions that a write gave to a segment, and job_read the positions that a caller got, with the epoch and beat of the record that they came from. One line a write and one a page with results.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -313,10 +313,11 @@
 	g_ptr_array_sort(owner->jobs, by_deadline);
 	log_info("job_adopted",
 		 "job=%s epoch=%u version=%" PRIu64 " results=%u resumed=%u "
-		 "items=%u due_ms=%" PRId64,
+		 "items=%u due_ms=%" PRId64 " owner=%s instance=%s",
 		 id, record->epoch, version, job_record_results(record),
 		 resumed, record->items,
-		 (job->deadline_us - now_us(owner)) / 1000);
+		 (job->deadline_us - now_us(owner)) / 1000, record->owner,
+		 record->instance);
 }
 
 static void write_record(owned_job_t *job);
@@ -344,10 +345,31 @@
 	return false;
 }
 
+/* Position of the segment's first result. */
+static uint32_t first_position(const job_record_t *record, const char *key)
+{
+	uint32_t position = 0;
+
+	for (guint i = 0; i < record->segments->len; i++) {
+		const job_segment_t *segment = record->segments->pdata[i];
+
+		if (strcmp(segment->key, key) == 0)
+			break;
+		position += segment->items->len;
+	}
+	return position;
+}
+
 /* To be called when the stored record names the segment: moves its results to
  * the cache. */
 static void complete_segment(owned_job_t *job)
 {
+	log_info("segment_named",
+		 "job=%s segment=%s version=%" PRIu64
+		 " epoch=%u first=%u results=%u",
+		 job->id, job->segment_key, job->version, job->record->epoch,
+		 first_position(job->record, job->segment_key),
+		 job->segment->len);
 	segment_cache_put(job->owner->cache, job->segment_key, job->segment);
 	job->segment = NULL;
 	job->segment_stored = false;
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -289,6 +289,13 @@
 
 	if (found == JOB_FOUND)
 		fill_page(query, &page);
+	if (page.results->len > 0)
+		log_info("job_read",
+			 "job=%s after=%u next=%u epoch=%u beat=%u segments=%u "
+			 "ended=%d",
+			 query->id, query->after, page.next,
+			 query->record->epoch, query->record->beat,
+			 query->record->segments->len, query->record->ended);
 	query->page_done(&page, query->user_data);
 	g_ptr_array_free(page.results, TRUE);
 	query_free(query);
