Start a job that was taken over only while this node still owns it

Cause: a takeover wrote the record, read the items, and then started the job with whatever record its view held by then. When the reads lasted longer than the lease (many parts, a slow store, a frozen process), this could be the record of the node that had taken the job over since. The writes of the first node met the condition of that version, so the record of the second got results of items that the second was running too. Without a newer record in its view, the job counted as confirmed from the moment at which its items were read, and the node served and ran a job of which its lease was over.

The change: the job starts only if the record still has the owner, process and epoch of the takeover; a takeover that has taken longer than half of the lease is confirmed by a read of the record first; the confirmation counts from the start of the store call that gave it, at a takeover and at a submission. Why it works: the record and the version of a start now belong to the lease under which the node runs the job, so a later owner's version fails its first write. No form of a record, key or message changes.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -264,58 +264,69 @@
 	return resumed;
 }
 
-void job_owner_start_job(job_owner_t *owner, const char *id,
-			 job_record_t *record, uint64_t version,
-			 GPtrArray *items, const GPtrArray *progress)
+/* Makes the next write read the record of a job that this node already owns. */
+static void keep_owned(owned_job_t *job, const job_start_t *start)
 {
-	owned_job_t *job = find(owner, id);
-	const path_route_t *route;
+	log_warn("job_already_owned",
+		 "job=%s epoch=%u version=%" PRIu64
+		 " owned_epoch=%u owned_version=%" PRIu64,
+		 job->id, start->record->epoch, start->version,
+		 job->record->epoch, job->version);
+	job->refresh = true;
+	job_record_free(start->record);
+	g_ptr_array_unref(start->items);
+}
+
+static int64_t deadline_of(const owned_job_t *job)
+{
+	const job_owner_t *owner = job->owner;
+	const path_route_t *route = route_of(job);
+	int64_t due_ms = route ? route->due_ms : 0;
+	int64_t age_ms = clock_wall_ms(owner->context->clock) -
+			 job->record->submitted_ms;
+
+	/* The wall clocks of nodes may differ by a few seconds, which only
+	 * affects the order of jobs. */
+	return now_us(owner) + (due_ms - CLAMP(age_ms, 0, due_ms)) * 1000;
+}
+
+void job_owner_start_job(job_owner_t *owner, const job_start_t *start)
+{
+	owned_job_t *job = find(owner, start->id);
+	job_record_t *record = start->record;
 	uint32_t resumed;
-	int64_t age_ms =
-		clock_wall_ms(owner->context->clock) - record->submitted_ms;
 
 	if (job) {
-		log_warn("job_already_owned",
-			 "job=%s epoch=%u version=%" PRIu64
-			 " owned_epoch=%u owned_version=%" PRIu64,
-			 id, record->epoch, version, job->record->epoch,
-			 job->version);
-		job->refresh = true;
-		job_record_free(record);
-		g_ptr_array_unref(items);
+		keep_owned(job, start);
 		return;
 	}
 	job = g_new0(owned_job_t, 1);
 	job->owner = owner;
-	job->id = g_strdup(id);
+	job->id = g_strdup(start->id);
 	job->record = record;
-	job->version = version;
-	job->items = items;
-	job->owned_items = g_new0(owned_item_t, items->len);
+	job->version = start->version;
+	job->items = start->items;
+	job->owned_items = g_new0(owned_item_t, job->items->len);
 	job->pending = g_ptr_array_new_with_free_func(job_result_free);
 	job->written_us = now_us(owner);
 	job->progress_saved_us = job->written_us;
-	job->confirmed_us = clock_elapsed_us(owner->context->clock);
-	route = route_of(job);
-	/* The wall clocks of nodes may differ by a few seconds, which only
-	 * affects the order of jobs. */
-	age_ms = CLAMP(age_ms, 0, route ? route->due_ms : 0);
-	job->deadline_us =
-		now_us(owner) + ((route ? route->due_ms : 0) - age_ms) * 1000;
-	for (guint i = 0; i < items->len; i++) {
+	job->confirmed_us = start->confirmed_us;
+	job->deadline_us = deadline_of(job);
+	for (guint i = 0; i < job->items->len; i++) {
 		job_owner_item_init(&job->owned_items[i], owner->context,
-				    items->pdata[i], i, &item_callbacks, job);
+				    job->items->pdata[i], i, &item_callbacks,
+				    job);
 		if (job_record_has_item(record, i))
 			job->owned_items[i].state = JOB_ITEM_FINISHED;
 	}
-	resumed = resume_items(job, progress);
+	resumed = resume_items(job, start->progress);
 	g_ptr_array_add(owner->jobs, job);
 	g_ptr_array_sort(owner->jobs, by_deadline);
 	log_info("job_adopted",
 		 "job=%s epoch=%u version=%" PRIu64 " results=%u resumed=%u "
 		 "items=%u due_ms=%" PRId64 " owner=%s instance=%s",
-		 id, record->epoch, version, job_record_results(record),
-		 resumed, record->items,
+		 job->id, record->epoch, job->version,
+		 job_record_results(record), resumed, record->items,
 		 (job->deadline_us - now_us(owner)) / 1000, record->owner,
 		 record->instance);
 }
--- a/src/gateway/job_owner.h
+++ b/src/gateway/job_owner.h
@@ -20,12 +20,21 @@
 
 job_owner_t *job_owner_new(job_context_t *context, segment_cache_t *cache);
 
-/* Starts a job that the store names this node the owner of. Takes ownership of
- * the record and the items. progress is the output that a former owner saved,
- * an array of job_progress_t, or NULL when there is none. */
-void job_owner_start_job(job_owner_t *owner, const char *id,
-			 job_record_t *record, uint64_t version,
-			 GPtrArray *items, const GPtrArray *progress);
+/* A job to start. The owner takes the record and the items. */
+typedef struct job_start {
+	const char *id;
+	job_record_t *record; /* names this node the owner */
+	uint64_t version; /* of the record */
+	/* Start of the store call that confirmed the record, by
+	 * clock_elapsed_us(). */
+	int64_t confirmed_us;
+	GPtrArray *items;
+	/* Output that a former owner saved, job_progress_t; may be NULL. */
+	const GPtrArray *progress;
+} job_start_t;
+
+/* Starts a job that the store names this node the owner of. */
+void job_owner_start_job(job_owner_t *owner, const job_start_t *start);
 /* Starts and preempts items and makes the pending writes. To be called several
  * times per second. */
 void job_owner_tick(job_owner_t *owner);
--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -27,6 +27,7 @@
 	struct event *timer; /* of a retry */
 	int64_t deadline_us;
 	bool may_exist; /* a write of the record may have taken effect */
+	int64_t call_started_us; /* of the record, elapsed time */
 	job_submitted_done_t done;
 	void *user_data;
 } submit_t;
@@ -82,15 +83,19 @@
 
 static void accept_job(submit_t *submit, uint64_t version)
 {
+	job_start_t start = { .id = submit->id,
+			      .version = version,
+			      .confirmed_us = submit->call_started_us };
+
 	if (!is_for_this_node(submit, submit->record)) {
 		log_info("job_assigned", "job=%s owner=%s version=%" PRIu64,
 			 submit->id, submit->record->owner, version);
 		finish(submit, JOB_ACCEPTED);
 		return;
 	}
-	job_owner_start_job(submit->owner, submit->id,
-			    job_record_copy(submit->record), version,
-			    g_steal_pointer(&submit->items), NULL);
+	start.record = job_record_copy(submit->record);
+	start.items = g_steal_pointer(&submit->items);
+	job_owner_start_job(submit->owner, &start);
 	finish(submit, JOB_ACCEPTED);
 }
 
@@ -137,6 +142,11 @@
 	job_record_free(record);
 }
 
+static void start_record_call(submit_t *submit)
+{
+	submit->call_started_us = clock_elapsed_us(submit->context->clock);
+}
+
 static void on_created(const object_value_t *value, const GError *error,
 		       void *user_data)
 {
@@ -150,6 +160,7 @@
 	switch (error->code) {
 	case WL_ERROR_CONFLICT:
 		key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
+		start_record_call(submit);
 		object_get(submit->context->store, key, on_existing, submit);
 		g_free(key);
 		return;
@@ -169,6 +180,7 @@
 	char *key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
 	char *text = job_record_encode(submit->record);
 
+	start_record_call(submit);
 	object_put(submit->context->store, key, text, strlen(text),
 		   OBJECT_ABSENT, submit->context->writer, on_created, submit);
 	g_free(text);
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -20,6 +20,9 @@
  * later. */
 #define FIRST_TAKEOVER_MS 250
 #define TAKEOVER_RETRY_MS 1000
+/* Half of the lease time, which other nodes count from when they first see the
+ * takeover. */
+#define TAKEOVER_MAX_AGE_MS 2000
 
 typedef struct table_entry {
 	job_table_t *table;
@@ -29,7 +32,11 @@
 	int64_t first_seen_us; /* when this node first saw the version */
 	int64_t takeover_at_us; /* 0: no takeover is planned */
 	bool takeover_running;
+	uint32_t takeover_epoch; /* that the running takeover has written */
+	int64_t call_started_us; /* start of its last call, elapsed time */
+	int64_t confirmed_us; /* start of the last call that confirmed it */
 	GPtrArray *items; /* read during a takeover */
+	GPtrArray *progress; /* the same */
 } table_entry_t;
 
 struct job_table {
@@ -39,6 +46,7 @@
 	GHashTable *jobs; /* id -> seen_job_t */
 	bool stopping;
 	int64_t *takeovers_total;
+	int64_t *takeovers_abandoned_total;
 };
 
 static void entry_free(void *data)
@@ -126,6 +134,9 @@
 	table->takeovers_total =
 		counter_get(context->counters, COUNTER_MONOTONIC,
 			    "batch_takeovers_total", NULL);
+	table->takeovers_abandoned_total =
+		counter_get(context->counters, COUNTER_MONOTONIC,
+			    "batch_takeovers_abandoned_total", NULL);
 	table->follow = follow_new(&options);
 	return table;
 }
@@ -160,18 +171,112 @@
 	       now_us(table) - job->first_seen_us >= LEASE_MS * 1000;
 }
 
+bool job_table_names_process(const job_record_t *record, const char *node,
+			     const char *instance)
+{
+	return strcmp(record->owner, node) == 0 &&
+	       strcmp(record->instance, instance) == 0;
+}
+
+/* Whether the latest record that this node has seen is still that of the running
+ * takeover. */
+static bool holds_takeover(const table_entry_t *job)
+{
+	const job_context_t *context = job->table->context;
+
+	return job_table_names_process(job->record, context->node,
+				       context->writer) &&
+	       job->record->epoch == job->takeover_epoch &&
+	       !job_record_is_closed(job->record);
+}
+
+static void end_takeover(table_entry_t *job)
+{
+	job->takeover_running = false;
+	g_clear_pointer(&job->items, g_ptr_array_unref);
+	g_clear_pointer(&job->progress, g_ptr_array_unref);
+}
+
+static void retry_takeover(table_entry_t *job)
+{
+	end_takeover(job);
+	job->takeover_at_us = now_us(job->table) + TAKEOVER_RETRY_MS * 1000;
+}
+
+/* Another node has acquired the job, or its caller has ended it. */
+static void abandon_takeover(table_entry_t *job)
+{
+	(*job->table->takeovers_abandoned_total)++;
+	log_info("takeover_abandoned",
+		 "job=%s epoch=%u version=%" PRIu64
+		 " owner=%s record_epoch=%u ended=%d",
+		 job->id, job->takeover_epoch, job->version, job->record->owner,
+		 job->record->epoch, job->record->ended);
+	retry_takeover(job);
+}
+
+static void start_call(table_entry_t *job)
+{
+	job->call_started_us = clock_elapsed_us(job->table->context->clock);
+}
+
+static void finish_takeover(table_entry_t *job);
+
+static void on_takeover_confirmed(const object_value_t *value,
+				  const GError *error, void *user_data)
+{
+	table_entry_t *job = user_data;
+	job_record_t *record =
+		value ? job_record_decode(value->data, value->len) : NULL;
+
+	if (!record) {
+		log_warn("takeover_unconfirmed", "job=%s error=%s", job->id,
+			 error ? error_name(error->code) : "unreadable");
+		retry_takeover(job);
+		return;
+	}
+	update_entry(job->table, job->id, record, value->version);
+	job->confirmed_us = job->call_started_us;
+	finish_takeover(job);
+}
+
+/* Starts the job if this node still owns it. Others may take it over once the
+ * lease is over, so a takeover that took long is confirmed first. */
+static void finish_takeover(table_entry_t *job)
+{
+	job_table_t *table = job->table;
+	job_start_t start = { .id = job->id,
+			      .version = job->version,
+			      .confirmed_us = job->confirmed_us,
+			      .progress = job->progress };
+
+	if (!holds_takeover(job)) {
+		abandon_takeover(job);
+		return;
+	}
+	if (clock_elapsed_us(table->context->clock) - job->confirmed_us >
+	    TAKEOVER_MAX_AGE_MS * 1000) {
+		char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
+
+		start_call(job);
+		object_get(table->context->store, key, on_takeover_confirmed,
+			   job);
+		g_free(key);
+		return;
+	}
+	(*table->takeovers_total)++;
+	start.record = job_record_copy(job->record);
+	start.items = g_steal_pointer(&job->items);
+	job_owner_start_job(table->owner, &start);
+	end_takeover(job);
+}
+
 static void on_progress_loaded(GPtrArray *progress, void *user_data)
 {
 	table_entry_t *job = user_data;
-	GPtrArray *items = job->items;
 
-	job->takeover_running = false;
-	job->items = NULL;
-	(*job->table->takeovers_total)++;
-	job_owner_start_job(job->table->owner, job->id,
-			    job_record_copy(job->record), job->version, items,
-			    progress);
-	g_ptr_array_unref(progress);
+	job->progress = progress;
+	finish_takeover(job);
 }
 
 static void on_items_loaded(GPtrArray *items, void *user_data)
@@ -179,9 +284,7 @@
 	table_entry_t *job = user_data;
 
 	if (!items) {
-		job->takeover_running = false;
-		job->takeover_at_us =
-			now_us(job->table) + TAKEOVER_RETRY_MS * 1000;
+		retry_takeover(job);
 		return;
 	}
 	job->items = items;
@@ -189,13 +292,6 @@
 			  on_progress_loaded, job);
 }
 
-bool job_table_names_process(const job_record_t *record, const char *node,
-			     const char *instance)
-{
-	return strcmp(record->owner, node) == 0 &&
-	       strcmp(record->instance, instance) == 0;
-}
-
 static void on_takeover_written(const object_value_t *value,
 				const GError *error, void *user_data)
 {
@@ -213,13 +309,15 @@
 		 job->id, job->version, value ? value->version : 0,
 		 record ? record->owner : "-",
 		 error ? error_name(error->code) : "-");
-	if (record)
+	if (record) {
+		job->takeover_epoch = record->epoch;
 		update_entry(table, job->id, record, value->version);
+	}
 	if (!owned || job_record_is_closed(job->record)) {
-		job->takeover_running = false;
-		job->takeover_at_us = now_us(table) + TAKEOVER_RETRY_MS * 1000;
+		retry_takeover(job);
 		return;
 	}
+	job->confirmed_us = job->call_started_us;
 	job_load_items(table->context, job->id, job->record->payload_parts,
 		       on_items_loaded, job);
 }
@@ -246,6 +344,7 @@
 	record->instance = g_strdup(context->writer);
 	record->epoch++;
 	text = job_record_encode(record);
+	start_call(job);
 	object_put(context->store, key, text, strlen(text), job->version,
 		   context->writer, on_takeover_written, job);
 	job_record_free(record);
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -609,6 +609,21 @@
 	*(GPtrArray **)user_data = progress;
 }
 
+static void start_job(node_t *node, const stored_record_t *found,
+		      const GPtrArray *progress)
+{
+	const job_start_t start = {
+		.id = "j",
+		.record = found->record,
+		.version = found->version,
+		.confirmed_us = clock_elapsed_us(node->context.clock),
+		.items = items_new(),
+		.progress = progress,
+	};
+
+	job_owner_start_job(node->owner, &start);
+}
+
 /* Assigns the job to the node, which starts it with its saved progress. */
 static void start_assigned(cluster_t *cluster, node_t *node)
 {
@@ -622,8 +637,7 @@
 	while (!progress)
 		step(cluster);
 	CU_ASSERT_EQUAL(progress->len, ITEMS);
-	job_owner_start_job(node->owner, "j", found.record, found.version,
-			    items_new(), progress);
+	start_job(node, &found, progress);
 	g_ptr_array_unref(progress);
 }
 
@@ -909,8 +923,7 @@
 	submit(&cluster->nodes[0]);
 	run_ms(cluster, 300);
 	found = read_record(cluster);
-	job_owner_start_job(cluster->nodes[0].owner, "j", found.record,
-			    found.version, items_new(), NULL);
+	start_job(&cluster->nodes[0], &found, NULL);
 	run_ms(cluster, 3000);
 	CU_ASSERT_EQUAL(cluster->starts, ITEMS);
 	found = read_record(cluster);
--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -13,8 +13,8 @@
 #define STEP_MS 10
 /* Until a node that sees a record for the first time takes its job over. */
 #define TAKEOVER_MS 8000
-/* Until a node has seen a change of a record. */
-#define VISIBLE_MS 3000
+/* Within it no node takes the job of a live owner over. */
+#define BELOW_LEASE_MS 3000
 
 /* A store whose reads of payload parts can be held back. Watches are answered
  * with all objects after a while. */
@@ -448,9 +448,10 @@
 	stored_record_t found;
 	uint64_t version = take_over_elsewhere(node);
 
-	run_ms(node, VISIBLE_MS * 10);
+	while (g_strcmp0(job_table_owner(node->table, "j"), "n9") != 0)
+		step(node);
 	release_payload(node);
-	run_ms(node, VISIBLE_MS);
+	run_ms(node, BELOW_LEASE_MS);
 	CU_ASSERT_PTR_NULL(job_owner_record(node->owner, "j"));
 	CU_ASSERT_EQUAL(node->starts, 0);
 	found = read_record(node);
@@ -475,7 +476,7 @@
 	CU_ASSERT_PTR_NULL(job_owner_fresh_record(node->owner, "j"));
 	job_owner_tick(node->owner);
 	CU_ASSERT_EQUAL(node->starts, 0);
-	run_ms(node, VISIBLE_MS);
+	run_ms(node, BELOW_LEASE_MS);
 	CU_ASSERT_EQUAL(node->starts, ITEMS);
 }
 
