Give no second position to an item that the record has already

Cause: an owner that met a newer version of its record went on with its own list of unfinished items. Results that another process had added to the record were not taken into account, so the owner added the same items again.

The change: after each read of the record, items that have a result there which this owner did not add are finished here, their runs are cancelled, pending results of them are dropped, and a segment that has not been named is taken apart and written under a new key. This is logged and counted. Why it works: a write of the record is on condition of the version that was looked through, so what it adds is not in the record.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -75,6 +75,7 @@
 	int64_t *items_preempted_total;
 	int64_t *jobs_lost_total;
 	int64_t *segment_key_conflicts_total;
+	int64_t *foreign_results_total;
 };
 
 static int64_t now_us(const job_owner_t *owner)
@@ -104,6 +105,9 @@
 	owner->segment_key_conflicts_total =
 		counter_get(counters, COUNTER_MONOTONIC,
 			    "batch_segment_key_conflicts_total", NULL);
+	owner->foreign_results_total =
+		counter_get(counters, COUNTER_MONOTONIC,
+			    "batch_foreign_results_total", NULL);
 	return owner;
 }
 
@@ -316,8 +320,10 @@
 		job_owner_item_init(&job->owned_items[i], owner->context,
 				    job->items->pdata[i], i, &item_callbacks,
 				    job);
-		if (job_record_has_item(record, i))
-			job->owned_items[i].state = JOB_ITEM_FINISHED;
+		if (!job_record_has_item(record, i))
+			continue;
+		job->owned_items[i].state = JOB_ITEM_FINISHED;
+		job->owned_items[i].recorded = true;
 	}
 	resumed = resume_items(job, start->progress);
 	g_ptr_array_add(owner->jobs, job);
@@ -381,12 +387,70 @@
 		 job->id, job->segment_key, job->version, job->record->epoch,
 		 first_position(job->record, job->segment_key),
 		 job->segment->len);
+	for (guint i = 0; i < job->segment->len; i++) {
+		const job_result_t *result = job->segment->pdata[i];
+
+		job->owned_items[result->item].recorded = true;
+	}
 	segment_cache_put(job->owner->cache, job->segment_key, job->segment);
 	job->segment = NULL;
 	job->segment_stored = false;
 	g_clear_pointer(&job->segment_key, g_free);
 }
 
+/* Drops the results of items that the record has from others. */
+static void drop_recorded(GPtrArray *results, const job_record_t *record)
+{
+	for (guint i = results->len; i-- > 0;) {
+		const job_result_t *result = results->pdata[i];
+
+		if (job_record_has_item(record, result->item))
+			g_ptr_array_remove_index(results, i);
+	}
+}
+
+/* Makes the results of the segment that the record does not name pending
+ * again. They get another key. */
+static void withdraw_segment(owned_job_t *job)
+{
+	for (guint i = 0; i < job->segment->len; i++)
+		g_ptr_array_insert(job->pending, (gint)i,
+				   job->segment->pdata[i]);
+	g_ptr_array_set_free_func(job->segment, NULL);
+	g_ptr_array_unref(job->segment);
+	job->segment = NULL;
+	job->segment_stored = false;
+	g_clear_pointer(&job->segment_key, g_free);
+}
+
+/* Finishes the items that have results in the record which this owner did not
+ * add, so that no item gets two positions. */
+static void accept_foreign_results(owned_job_t *job)
+{
+	uint32_t foreign = 0;
+
+	for (guint i = 0; i < job->items->len; i++) {
+		owned_item_t *owned = &job->owned_items[i];
+
+		if (owned->recorded || !job_record_has_item(job->record, i))
+			continue;
+		job_owner_item_cancel(owned);
+		owned->state = JOB_ITEM_FINISHED;
+		owned->recorded = true;
+		foreign++;
+	}
+	if (foreign == 0)
+		return;
+	if (job->segment)
+		withdraw_segment(job);
+	drop_recorded(job->pending, job->record);
+	*job->owner->foreign_results_total += foreign;
+	log_error("foreign_results",
+		  "job=%s version=%" PRIu64 " epoch=%u items=%u results=%u",
+		  job->id, job->version, job->record->epoch, foreign,
+		  job_record_results(job->record));
+}
+
 static void apply_record(owned_job_t *job, job_record_t *record,
 			 uint64_t version)
 {
@@ -402,6 +466,7 @@
 	job->confirmed_us = job->call_started_us;
 	if (job->segment && names_segment(record, job->segment_key))
 		complete_segment(job);
+	accept_foreign_results(job);
 	if (record->ended) {
 		remove_job(job, "ended");
 	} else if (!still_owner) {
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -912,6 +912,38 @@
 	job_record_free(found.record);
 }
 
+static void add_foreign_result(job_record_t *record)
+{
+	const uint32_t item = 0;
+
+	if (job_record_has_item(record, item))
+		return;
+	job_record_add_segment(record, JOB_SEGMENT_PREFIX "j.1.0.n9", &item, 1);
+}
+
+/* Another process adds a result to the record of this owner, before the owner
+ * has results, with results pending, and with a segment that is being written.
+ * Guards against naming that item a second time: it stood at two positions. */
+static void test_foreign_results(void)
+{
+	for (int ms = 0; ms < 1200; ms += 40) {
+		cluster_t *cluster = cluster_new(16);
+		stored_record_t found;
+
+		object_memory_faults(cluster->memory)->delay_ms = 60;
+		submit(&cluster->nodes[0]);
+		while (!is_accepted(cluster))
+			step(cluster);
+		run_ms(cluster, ms);
+		change_record(cluster, add_foreign_result);
+		run_ms(cluster, 3000);
+		found = read_record(cluster);
+		CU_ASSERT(has_each_item_once(found.record));
+		CU_ASSERT_EQUAL(owners(cluster), 0);
+		job_record_free(found.record);
+	}
+}
+
 /* A takeover that completes after the job was started here by its submission
  * must not run each item twice at this node. */
 static void test_job_started_twice(void)
@@ -1035,6 +1067,7 @@
 		{ "failed progress write", test_failed_progress_write },
 		{ "completed job sent again", test_completed_job_sent_again },
 		{ "segment key in use", test_segment_key_in_use },
+		{ "foreign results", test_foreign_results },
 		{ "job started twice", test_job_started_twice },
 		{ "large results", test_large_results },
 		{ "release with large results",
