Serve only the results that a record names

A record named its segments by key and items, but a reader counted positions by the record and served whatever the object, the owner or its own cache had under the key: fewer results moved all positions behind them, and other results of the same items changed positions that callers had read. The owner also took any segment that the record named by its key for its own.

A segment is served, from the store, a peer or the cache, only if it has the items that the record names, in their order, and their digest. A reader that meets others from a peer reads the store, and answers unavailable when the store has others too; this is logged with both digests and counted. An owner compares items and digest as well. Why it works: what is served at a position is bound to the record, which only grows on condition of its version.

An older build ignores the digest and leaves it out of the records that it writes; such segments are checked by their items. test_job_record decodes a record as the build before wrote it.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -46,6 +46,7 @@
 	GPtrArray *pending; /* job_result_t, not yet in a segment */
 	GPtrArray *segment; /* job_result_t, being written */
 	char *segment_key;
+	char *segment_digest;
 	bool segment_stored; /* but not yet named by the record */
 	bool writing; /* a store call is in flight */
 	bool refresh; /* read the record before writing it */
@@ -132,6 +133,7 @@
 	if (job->segment)
 		g_ptr_array_unref(job->segment);
 	g_free(job->segment_key);
+	g_free(job->segment_digest);
 	g_free(job->progress_key);
 	job_record_free(job->record);
 	g_free(job->id);
@@ -353,15 +355,6 @@
 		now_us(job->owner) + WRITE_RETRY_DELAY_MS * 1000;
 }
 
-static bool names_segment(const job_record_t *record, const char *key)
-{
-	for (guint i = 0; i < record->segments->len; i++)
-		if (strcmp(((job_segment_t *)record->segments->pdata[i])->key,
-			   key) == 0)
-			return true;
-	return false;
-}
-
 /* Position of the segment's first result. */
 static uint32_t first_position(const job_record_t *record, const char *key)
 {
@@ -377,6 +370,16 @@
 	return position;
 }
 
+/* Whether the record names the results of the current segment. */
+static bool names_results(const owned_job_t *job)
+{
+	const job_segment_t *segment =
+		job_record_find_segment(job->record, job->segment_key);
+
+	return segment && job_segment_has_results(segment, job->segment,
+						  job->segment_digest);
+}
+
 /* To be called when the stored record names the segment: moves its results to
  * the cache. */
 static void complete_segment(owned_job_t *job)
@@ -396,6 +399,7 @@
 	job->segment = NULL;
 	job->segment_stored = false;
 	g_clear_pointer(&job->segment_key, g_free);
+	g_clear_pointer(&job->segment_digest, g_free);
 }
 
 /* Drops the results of items that the record has from others. */
@@ -421,6 +425,7 @@
 	job->segment = NULL;
 	job->segment_stored = false;
 	g_clear_pointer(&job->segment_key, g_free);
+	g_clear_pointer(&job->segment_digest, g_free);
 }
 
 /* Finishes the items that have results in the record which this owner did not
@@ -464,8 +469,11 @@
 	job->refresh = false;
 	job->written_us = now_us(job->owner);
 	job->confirmed_us = job->call_started_us;
-	if (job->segment && names_segment(record, job->segment_key))
+	if (job->segment && names_results(job))
 		complete_segment(job);
+	else if (job->segment &&
+		 job_record_find_segment(record, job->segment_key))
+		withdraw_segment(job);
 	accept_foreign_results(job);
 	if (record->ended) {
 		remove_job(job, "ended");
@@ -543,7 +551,7 @@
 	for (guint i = 0; i < job->segment->len; i++)
 		g_array_append_val(
 			items, ((job_result_t *)job->segment->pdata[i])->item);
-	job_record_add_segment(record, job->segment_key,
+	job_record_add_segment(record, job->segment_key, job->segment_digest,
 			       (uint32_t *)items->data, items->len);
 	record->waiting_tokens =
 		MAX(record->waiting_tokens - tokens_of(job, job->segment), 0);
@@ -769,6 +777,7 @@
 		g_ptr_array_add(job->segment,
 				g_ptr_array_steal_index(job->pending, 0));
 	job->segment_key = next_segment_key(job);
+	job->segment_digest = job_results_digest(job->segment);
 }
 
 static bool has_unfinished_items(const owned_job_t *job)
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -22,6 +22,7 @@
 	job_owner_t *owner;
 	segment_cache_t *cache;
 	GHashTable *closed; /* id -> job_record_t */
+	int64_t *segment_mismatches_total;
 };
 
 /* One call of job_read_results(), job_read_body() or job_end() in progress. */
@@ -105,6 +106,9 @@
 	reader->cache = options->cache;
 	register_procedure(reader, PEER_JOB_RECORD, handle_job_record);
 	register_procedure(reader, PEER_JOB_SEGMENT, handle_job_segment);
+	reader->segment_mismatches_total =
+		counter_get(options->context->counters, COUNTER_MONOTONIC,
+			    "batch_segment_mismatches_total", NULL);
 	reader->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       record_free);
 	return reader;
@@ -269,8 +273,8 @@
 		uint32_t end = first + segment->items->len;
 
 		if (end > query->after) {
-			results = segment_cache_get(query->reader->cache,
-						    segment->key);
+			results = segment_cache_find(query->reader->cache,
+						     segment);
 			if (!results ||
 			    !add_results(query, page, results, first, &bytes))
 				return;
@@ -303,6 +307,30 @@
 
 static void read_segments(query_t *query);
 
+/* Caches the results of the segment that is being read. Returns false when they
+ * are not the ones that the record names: other results would change positions
+ * that callers have read. */
+static bool cache_segment(query_t *query, GPtrArray *results,
+			  const char *source)
+{
+	segment_cache_t *cache = query->reader->cache;
+	const job_segment_t *segment =
+		query->record->segments->pdata[query->segment];
+	guint count = results->len;
+
+	segment_cache_put(cache, segment->key, results);
+	if (segment_cache_find(cache, segment))
+		return true;
+	(*query->reader->segment_mismatches_total)++;
+	log_error("segment_mismatch",
+		  "job=%s segment=%s source=%s epoch=%u beat=%u items=%u "
+		  "results=%u digest=%s named=%s",
+		  query->id, segment->key, source, query->record->epoch,
+		  query->record->beat, segment->items->len, count,
+		  segment_cache_digest(cache, segment->key), segment->digest);
+	return false;
+}
+
 static void on_segment(const object_value_t *value, const GError *error,
 		       void *user_data)
 {
@@ -319,8 +347,10 @@
 		finish_page(query, JOB_UNAVAILABLE);
 		return;
 	}
-	segment_cache_put(query->reader->cache, segment->key, results);
-	read_segments(query);
+	if (cache_segment(query, results, "store"))
+		read_segments(query);
+	else
+		finish_page(query, JOB_UNAVAILABLE);
 }
 
 static void read_segment(query_t *query)
@@ -337,18 +367,14 @@
 {
 	const store_job_result *result = data;
 	query_t *query = user_data;
-	const job_segment_t *segment =
-		query->record->segments->pdata[query->segment];
 	GPtrArray *results =
 		error ? NULL :
 			job_results_decode(result->text, strlen(result->text));
 
-	if (!results) {
+	if (results && cache_segment(query, results, query->record->owner))
+		read_segments(query);
+	else
 		read_segment(query);
-		return;
-	}
-	segment_cache_put(query->reader->cache, segment->key, results);
-	read_segments(query);
 }
 
 /* Reads the segments that the page needs into the cache, one at a time. */
@@ -365,7 +391,7 @@
 		position += segment->items->len;
 		if (position <= query->after)
 			continue;
-		cached = segment_cache_get(query->reader->cache, segment->key);
+		cached = segment_cache_find(query->reader->cache, segment);
 		if (!cached) {
 			query->segment = i;
 			if (!call_node(query, query->record->owner,
--- a/src/gateway/job_record.c
+++ b/src/gateway/job_record.c
@@ -3,6 +3,9 @@
 #include <jansson.h>
 #include <string.h>
 
+/* Of an item's index and the state of its result. */
+#define NUMBERS_TEXT_BYTES 32
+
 static char *dump(json_t *value)
 {
 	char *text = json_dumps(value, JSON_COMPACT);
@@ -30,6 +33,7 @@
 	job_segment_t *segment = data;
 
 	g_array_free(segment->items, TRUE);
+	g_free(segment->digest);
 	g_free(segment->key);
 	g_free(segment);
 }
@@ -70,7 +74,7 @@
 	for (guint i = 0; i < record->segments->len; i++) {
 		const job_segment_t *segment = record->segments->pdata[i];
 
-		job_record_add_segment(copy, segment->key,
+		job_record_add_segment(copy, segment->key, segment->digest,
 				       (uint32_t *)segment->items->data,
 				       segment->items->len);
 	}
@@ -78,11 +82,13 @@
 }
 
 void job_record_add_segment(job_record_t *record, const char *key,
-			    const uint32_t *items, uint32_t count)
+			    const char *digest, const uint32_t *items,
+			    uint32_t count)
 {
 	job_segment_t *segment = g_new0(job_segment_t, 1);
 
 	segment->key = g_strdup(key);
+	segment->digest = g_strdup(digest ? digest : "");
 	segment->items = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_array_append_vals(segment->items, items, count);
 	g_ptr_array_add(record->segments, segment);
@@ -96,7 +102,8 @@
 		json_array_append_new(items,
 				      json_integer(g_array_index(segment->items,
 								 uint32_t, i)));
-	return json_pack("{s:s, s:o}", "key", segment->key, "items", items);
+	return json_pack("{s:s, s:s, s:o}", "key", segment->key, "digest",
+			 segment->digest, "items", items);
 }
 
 char *job_record_encode(const job_record_t *record)
@@ -123,6 +130,7 @@
 static void decode_segment(job_record_t *record, const json_t *item)
 {
 	char *key = string_member(item, "key");
+	char *digest = string_member(item, "digest");
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	size_t index;
 	json_t *number;
@@ -132,9 +140,10 @@
 
 		g_array_append_val(items, value);
 	}
-	job_record_add_segment(record, key, (uint32_t *)items->data,
+	job_record_add_segment(record, key, digest, (uint32_t *)items->data,
 			       items->len);
 	g_array_free(items, TRUE);
+	g_free(digest);
 	g_free(key);
 }
 
@@ -168,6 +177,18 @@
 	return record;
 }
 
+const job_segment_t *job_record_find_segment(const job_record_t *record,
+					     const char *key)
+{
+	for (guint i = 0; i < record->segments->len; i++) {
+		const job_segment_t *segment = record->segments->pdata[i];
+
+		if (strcmp(segment->key, key) == 0)
+			return segment;
+	}
+	return NULL;
+}
+
 uint32_t job_record_results(const job_record_t *record)
 {
 	uint32_t count = 0;
@@ -361,3 +382,48 @@
 		g_ptr_array_unref(stored);
 	return equal;
 }
+
+static void add_text(GChecksum *checksum, const char *text)
+{
+	/* The zero byte separates it from what follows. */
+	g_checksum_update(checksum, (const guchar *)text,
+			  (gssize)strlen(text) + 1);
+}
+
+char *job_results_digest(const GPtrArray *results)
+{
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	char *digest;
+
+	for (guint i = 0; i < results->len; i++) {
+		const job_result_t *result = results->pdata[i];
+		char head[NUMBERS_TEXT_BYTES];
+
+		g_snprintf(head, sizeof(head), "%u %d", result->item,
+			   (int)result->state);
+		add_text(checksum, head);
+		add_text(checksum, result->id);
+		add_text(checksum, result->text);
+	}
+	digest = g_strdup(g_checksum_get_string(checksum));
+	g_checksum_free(checksum);
+	return digest;
+}
+
+static bool has_digest(const job_segment_t *segment, const char *digest)
+{
+	return !*segment->digest || !digest || !*digest ||
+	       strcmp(segment->digest, digest) == 0;
+}
+
+bool job_segment_has_results(const job_segment_t *segment,
+			     const GPtrArray *results, const char *digest)
+{
+	if (results->len != segment->items->len || !has_digest(segment, digest))
+		return false;
+	for (guint i = 0; i < results->len; i++)
+		if (((job_result_t *)results->pdata[i])->item !=
+		    g_array_index(segment->items, uint32_t, i))
+			return false;
+	return true;
+}
--- a/src/gateway/job_record.h
+++ b/src/gateway/job_record.h
@@ -48,6 +48,8 @@
 /* Results that were added to the record by one write. */
 typedef struct job_segment {
 	char *key; /* of the object with the results */
+	char *digest; /* of the results, see job_results_digest(); empty: not
+		       * known, as an older build wrote the record */
 	GArray *items; /* uint32_t, indexes in the job */
 } job_segment_t;
 
@@ -75,8 +77,13 @@
 /* Returns NULL when the text is not a record. text may be NULL. */
 job_record_t *job_record_decode(const char *text, size_t len);
 
+/* digest may be NULL. */
 void job_record_add_segment(job_record_t *record, const char *key,
-			    const uint32_t *items, uint32_t count);
+			    const char *digest, const uint32_t *items,
+			    uint32_t count);
+/* NULL when the record does not name the key. */
+const job_segment_t *job_record_find_segment(const job_record_t *record,
+					     const char *key);
 /* Number of results, which is also the position of the next one. */
 uint32_t job_record_results(const job_record_t *record);
 bool job_record_has_item(const job_record_t *record, uint32_t item);
@@ -101,6 +108,13 @@
 /* Bytes of a text in the encoded results. */
 size_t job_result_text_bytes(const char *text, size_t len);
 void job_result_free(void *result);
+/* SHA-256 over the results, not over their encoding, which the store may change;
+ * hexadecimal, freed by g_free(). */
+char *job_results_digest(const GPtrArray *results);
+/* Whether the results are of the segment's items, in their order, and have the
+ * digest, unless one of the two digests is empty. */
+bool job_segment_has_results(const job_segment_t *segment,
+			     const GPtrArray *results, const char *digest);
 /* Whether text holds the encoded results; false when it is invalid. */
 bool job_results_equal(const GPtrArray *results, const char *text, size_t len);
 
--- a/src/gateway/segment_cache.c
+++ b/src/gateway/segment_cache.c
@@ -2,10 +2,9 @@
 
 #include <string.h>
 
-#include "gateway/job_record.h"
-
 typedef struct cached_segment {
 	char *key;
+	char *digest;
 	GPtrArray *results;
 	size_t bytes;
 	GList link; /* least recently used first */
@@ -34,6 +33,7 @@
 	g_queue_unlink(&cache->order, &entry->link);
 	cache->bytes -= entry->bytes;
 	g_ptr_array_unref(entry->results);
+	g_free(entry->digest);
 	g_free(entry->key);
 	g_free(entry);
 }
@@ -55,6 +55,7 @@
 		evict(cache, entry);
 	entry = g_new0(cached_segment_t, 1);
 	entry->key = g_strdup(key);
+	entry->digest = job_results_digest(results);
 	entry->results = results;
 	entry->link.data = entry;
 	for (guint i = 0; i < results->len; i++)
@@ -77,3 +78,22 @@
 	g_queue_push_tail_link(&cache->order, &entry->link);
 	return entry->results;
 }
+
+const GPtrArray *segment_cache_find(segment_cache_t *cache,
+				    const job_segment_t *segment)
+{
+	const GPtrArray *results = segment_cache_get(cache, segment->key);
+
+	if (!results ||
+	    !job_segment_has_results(segment, results,
+				     segment_cache_digest(cache, segment->key)))
+		return NULL;
+	return results;
+}
+
+const char *segment_cache_digest(const segment_cache_t *cache, const char *key)
+{
+	const cached_segment_t *entry = g_hash_table_lookup(cache->by_key, key);
+
+	return entry ? entry->digest : "";
+}
--- a/src/gateway/segment_cache.h
+++ b/src/gateway/segment_cache.h
@@ -4,10 +4,12 @@
 #include <glib.h>
 #include <stddef.h>
 
+#include "gateway/job_record.h"
+
 /*
  * segment_cache - cache of batch job results by segment key. Evicts the least
- * recently used segment first. Segments never change, so an entry is never
- * stale.
+ * recently used segment first. An entry is served only for a segment of a record
+ * that has its items and its digest.
  */
 typedef struct segment_cache segment_cache_t;
 
@@ -19,5 +21,11 @@
 		       GPtrArray *results);
 /* NULL when not cached; valid until the next put. */
 const GPtrArray *segment_cache_get(segment_cache_t *cache, const char *key);
+/* Like segment_cache_get(), but NULL also when the cached results are not those
+ * that the segment names. */
+const GPtrArray *segment_cache_find(segment_cache_t *cache,
+				    const job_segment_t *segment);
+/* Digest of a cached segment; "" when not cached. */
+const char *segment_cache_digest(const segment_cache_t *cache, const char *key);
 
 #endif
--- a/tests/test_job_record.c
+++ b/tests/test_job_record.c
@@ -17,7 +17,8 @@
 	record->payload_parts = 1;
 	record->submitted_ms = 1700000000123;
 	record->waiting_tokens = 900;
-	job_record_add_segment(record, "batch-results/j.3.0.node-1", first, 2);
+	job_record_add_segment(record, "batch-results/j.3.0.node-1", "d1g",
+			       first, 2);
 	return record;
 }
 
@@ -47,7 +48,7 @@
 	job_record_t *copy = job_record_copy(record);
 	const uint32_t second[] = { 1 };
 
-	job_record_add_segment(copy, "s2", second, 1);
+	job_record_add_segment(copy, "s2", NULL, second, 1);
 	CU_ASSERT_EQUAL(job_record_results(record), 2);
 	CU_ASSERT_EQUAL(job_record_results(copy), 3);
 	CU_ASSERT_FALSE(job_record_is_closed(record));
@@ -58,6 +59,29 @@
 	job_record_free(record);
 }
 
+/* A record of the build before, as that build wrote it, must be read, and what
+ * it does not have must not be required of the results. */
+static void test_record_of_former_build(void)
+{
+	static const char text[] =
+		"{\"host\":\"a.example\",\"path\":\"/batch/\","
+		"\"owner\":\"node-1\",\"instance\":\"node-1-77\",\"epoch\":3,"
+		"\"beat\":5,\"items\":3,\"parts\":1,"
+		"\"submitted_ms\":1700000000123,\"waiting_tokens\":900,"
+		"\"ended\":false,\"progress\":\"\",\"segments\":["
+		"{\"key\":\"batch-results/j.3.0.node-1\",\"items\":[2,0]}]}";
+	job_record_t *record = job_record_decode(text, strlen(text));
+	const job_segment_t *segment =
+		job_record_find_segment(record, "batch-results/j.3.0.node-1");
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(segment);
+	CU_ASSERT_EQUAL(record->beat, 5);
+	CU_ASSERT_EQUAL(job_record_results(record), 2);
+	CU_ASSERT_STRING_EQUAL(segment->digest, "");
+	CU_ASSERT_PTR_NULL(job_record_find_segment(record, "other"));
+	job_record_free(record);
+}
+
 /* Invalid objects must not be decoded as records. */
 static void test_invalid(void)
 {
@@ -110,6 +134,7 @@
 	static const unit_test_t tests[] = {
 		{ "round trip", test_round_trip },
 		{ "positions", test_positions },
+		{ "record of former build", test_record_of_former_build },
 		{ "invalid", test_invalid },
 		{ "items", test_items },
 		{ NULL, NULL },
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -918,7 +918,8 @@
 
 	if (job_record_has_item(record, item))
 		return;
-	job_record_add_segment(record, JOB_SEGMENT_PREFIX "j.1.0.n9", &item, 1);
+	job_record_add_segment(record, JOB_SEGMENT_PREFIX "j.1.0.n9", NULL,
+			       &item, 1);
 }
 
 /* Another process adds a result to the record of this owner, before the owner
