Name the format of a job's record and leave later ones alone

What callers saw: nothing yet. A build beside a later one, as while VMs are upgraded, could meet records that it cannot read. An owner that met one kept its items running and asked the store for the record at each step.

The change: records carry format 1. A record with a higher format is not decoded: other nodes ignore it with a log line, and an owner drops the job. The build before writes no number and ignores it, so both read each other's records.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -497,11 +497,15 @@
 		return;
 	}
 	record = job_record_decode(value->data, value->len);
-	if (record)
+	if (record) {
 		apply_record(job, record, value->version);
-	else
-		log_error("job_unreadable", "job=%s version=%" PRIu64, job->id,
-			  value->version);
+		return;
+	}
+	/* A later build owns the job now. */
+	log_error("job_unreadable", "job=%s version=%" PRIu64, job->id,
+		  value->version);
+	(*job->owner->jobs_lost_total)++;
+	remove_job(job, "unreadable");
 }
 
 static void read_record(owned_job_t *job)
--- a/src/gateway/job_record.c
+++ b/src/gateway/job_record.c
@@ -114,17 +114,17 @@
 		json_array_append_new(
 			segments, encode_segment(record->segments->pdata[i]));
 	return dump(json_pack(
-		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:b, s:s, "
-		"s:o}",
-		"host", record->host, "path", record->path, "owner",
-		record->owner, "instance", record->instance, "epoch",
-		(int)record->epoch, "beat", (int)record->beat, "items",
-		(int)record->items, "parts", (int)record->payload_parts,
-		"submitted_ms", (json_int_t)record->submitted_ms,
-		"waiting_tokens", (json_int_t)record->waiting_tokens, "ended",
-		(int)record->ended, "progress",
-		record->progress ? record->progress : "", "segments",
-		segments));
+		"{s:i, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:b, "
+		"s:s, s:o}",
+		"format", JOB_RECORD_FORMAT, "host", record->host, "path",
+		record->path, "owner", record->owner, "instance",
+		record->instance, "epoch", (int)record->epoch, "beat",
+		(int)record->beat, "items", (int)record->items, "parts",
+		(int)record->payload_parts, "submitted_ms",
+		(json_int_t)record->submitted_ms, "waiting_tokens",
+		(json_int_t)record->waiting_tokens, "ended", (int)record->ended,
+		"progress", record->progress ? record->progress : "",
+		"segments", segments));
 }
 
 static void decode_segment(job_record_t *record, const json_t *item)
@@ -154,7 +154,8 @@
 	size_t index;
 	json_t *item;
 
-	if (json_is_string(json_object_get(root, "owner")) &&
+	if (integer_member(root, "format") <= JOB_RECORD_FORMAT &&
+	    json_is_string(json_object_get(root, "owner")) &&
 	    json_is_integer(json_object_get(root, "items"))) {
 		record = job_record_new();
 		record->host = string_member(root, "host");
--- a/src/gateway/job_record.h
+++ b/src/gateway/job_record.h
@@ -22,6 +22,10 @@
 #define JOB_PAYLOAD_PREFIX "batch-payloads/"
 #define JOB_SEGMENT_PREFIX "batch-results/"
 
+/* Of records that this build writes. It reads those without a number, which
+ * older builds write, and leaves those with a higher one alone. Members that
+ * older builds may ignore do not need a new number (docs/formats.md). */
+#define JOB_RECORD_FORMAT 1
 /* Epoch of a record as it is created. */
 #define JOB_RECORD_FIRST_EPOCH 1
 
@@ -74,7 +78,8 @@
 void job_record_free(job_record_t *record);
 /* Freed by g_free(). */
 char *job_record_encode(const job_record_t *record);
-/* Returns NULL when the text is not a record. text may be NULL. */
+/* Returns NULL when the text is not a record, or one of a later format. text may
+ * be NULL. */
 job_record_t *job_record_decode(const char *text, size_t len);
 
 /* digest may be NULL. */
--- a/tests/test_job_record.c
+++ b/tests/test_job_record.c
@@ -90,6 +90,8 @@
 					     "{}",
 					     "nonsense",
 					     "{\"owner\":1,\"items\":2}",
+					     "{\"format\":2,\"owner\":\"a\","
+					     "\"items\":2}",
 					     "{\"owner\":\"a\"}" };
 
 	CU_ASSERT_PTR_NULL(job_record_decode(NULL, 0));
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -358,10 +358,10 @@
 
 	found->done = true;
 	found->succeeded = !error;
-	if (!error && value->data) {
+	if (!error && value->data)
 		found->record = job_record_decode(value->data, value->len);
+	if (!error)
 		found->version = value->version;
-	}
 }
 
 typedef struct stored_segment {
@@ -556,6 +556,45 @@
 	job_record_free(found.record);
 }
 
+/* Stores a record of a later build in place of the current one. */
+static uint64_t store_later_format(cluster_t *cluster)
+{
+	static const char text[] =
+		"{\"format\":2,\"owner\":\"n9\",\"items\":4}";
+	stored_record_t written = { 0 };
+
+	while (!written.succeeded) {
+		stored_record_t found = read_record(cluster);
+
+		job_record_free(found.record);
+		written.done = false;
+		object_put(cluster->observer, JOB_RECORD_PREFIX "j", text,
+			   strlen(text), found.version, "n9", on_record_read,
+			   &written);
+		while (!written.done)
+			step(cluster);
+	}
+	return read_record(cluster).version;
+}
+
+/* A later build takes the job over with a record that this one cannot read.
+ * Guards against an owner that keeps running the job and asks for the record at
+ * each step. */
+static void test_record_of_later_build(void)
+{
+	cluster_t *cluster = cluster_new(17);
+	uint64_t version;
+
+	cluster->steps_per_item = 100000;
+	submit(&cluster->nodes[0]);
+	run_ms(cluster, 500);
+	CU_ASSERT_EQUAL(owners(cluster), 1);
+	version = store_later_format(cluster);
+	run_ms(cluster, 3000);
+	CU_ASSERT_EQUAL(owners(cluster), 0);
+	CU_ASSERT_EQUAL(read_record(cluster).version, version);
+}
+
 /* After another node has ended a job, its owner must stop starting items within
  * the promised 3 s. */
 static void test_end_at_another_node(void)
@@ -1058,6 +1097,7 @@
 		{ "same job at two nodes", test_same_job_at_two_nodes },
 		{ "job for other node", test_job_for_other_node },
 		{ "owner after takeover", test_owner_after_takeover },
+		{ "record of later build", test_record_of_later_build },
 		{ "end at another node", test_end_at_another_node },
 		{ "stale record", test_stale_record },
 		{ "consecutive stops", test_consecutive_stops },
