Do not refuse a job as not run whose record has been met

What callers saw: a batch job that is sent again beside an outage of the store may be answered 503 (no part of it runs) although it is accepted and runs.

Cause: a submission whose creation ended with a conflict reads the record. When the reads failed until its deadline, the submission counted as one without effect, as only a creation without an answer set may_exist.

The change: a conflict shows that the record exists, so such a submission ends as unknown (504), after which the caller sends it again.

--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -27,6 +27,7 @@
 	struct event *timer; /* of a retry */
 	int64_t deadline_us;
 	bool may_exist; /* a write of the record may have taken effect */
+	bool exists; /* a conflict has shown a record */
 	int64_t call_started_us; /* of the record, elapsed time */
 	job_submitted_done_t done;
 	void *user_data;
@@ -54,7 +55,8 @@
 
 static void fail(submit_t *submit)
 {
-	finish(submit, submit->may_exist ? JOB_UNKNOWN : JOB_REFUSED);
+	finish(submit,
+	       submit->may_exist || submit->exists ? JOB_UNKNOWN : JOB_REFUSED);
 }
 
 /* Retries the current step after a delay, or fails when the deadline comes
@@ -159,6 +161,7 @@
 	}
 	switch (error->code) {
 	case WL_ERROR_CONFLICT:
+		submit->exists = true;
 		key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
 		start_record_call(submit);
 		object_get(submit->context->store, key, on_existing, submit);
--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -3,18 +3,20 @@
 #include "base/counter.h"
 #include "gateway/job_load.h"
 #include "gateway/job_owner.h"
+#include "gateway/job_submit.h"
 #include "gateway/job_table.h"
 #include "object/object_memory.h"
 #include "unit.h"
 
-/* Tests takeovers of batch jobs whose reads of the store take longer than the
- * lease. */
+/* Tests takeovers and submissions of batch jobs while reads of the store fail or
+ * take longer than the lease. */
 #define ITEMS 2
 #define STEP_MS 10
 /* Until a node that sees a record for the first time takes its job over. */
 #define TAKEOVER_MS 8000
 /* Until a takeover is attempted again, with room for its calls. */
 #define RETRY_MS 1500
+#define SUBMIT_TIMEOUT_MS 2500
 /* Within it no node takes the job of a live owner over. */
 #define BELOW_LEASE_MS 3000
 
@@ -62,6 +64,7 @@
 	GQueue watches; /* held_watch_t */
 	GQueue calls; /* runner_call_t */
 	bool holds_payload;
+	bool hides_records; /* reads of records fail */
 	fleet_t *fleet;
 	path_table_t *paths;
 	runner_protocol_t protocol;
@@ -84,6 +87,11 @@
 	node_t *node = node_of(base);
 	held_get_t *get;
 
+	if (node->hides_records && g_str_has_prefix(key, JOB_RECORD_PREFIX)) {
+		object_get(node->direct, JOB_RECORD_PREFIX "none", done,
+			   user_data);
+		return;
+	}
 	if (!node->holds_payload ||
 	    !g_str_has_prefix(key, JOB_PAYLOAD_PREFIX)) {
 		object_get(node->direct, key, done, user_data);
@@ -228,6 +236,11 @@
 	return 2;
 }
 
+static const char *this_node(void *user_data, const char *service)
+{
+	return NULL;
+}
+
 static void no_domains(void *user_data, const char *service, GArray *domains)
 {
 }
@@ -376,12 +389,9 @@
 	g_free(text);
 }
 
-/* A job whose owner n8 is gone. */
-static void store_orphan(node_t *node)
+static GPtrArray *items_new(void)
 {
-	job_record_t *record = job_record_new();
 	GPtrArray *items = g_ptr_array_new_with_free_func(job_item_free);
-	char *key = job_load_key("j", 0);
 
 	for (int i = 0; i < ITEMS; i++) {
 		job_item_t *item = job_item_new();
@@ -392,6 +402,16 @@
 		item->tokens = 10;
 		g_ptr_array_add(items, item);
 	}
+	return items;
+}
+
+/* A job whose owner n8 is gone. */
+static void store_orphan(node_t *node)
+{
+	job_record_t *record = job_record_new();
+	GPtrArray *items = items_new();
+	char *key = job_load_key("j", 0);
+
 	put(node, key, job_items_encode(items, 0, ITEMS), OBJECT_ABSENT);
 	g_free(key);
 	g_ptr_array_unref(items);
@@ -482,6 +502,37 @@
 	CU_ASSERT_EQUAL(node->starts, ITEMS);
 }
 
+static void on_submitted(job_submitted_t outcome, void *user_data)
+{
+	*(int *)user_data = outcome;
+}
+
+/* A job that another node runs is sent again to this one, which meets its record
+ * and then cannot read it. Guards against refusing the job as not run. */
+static void test_existing_job_unread(void)
+{
+	node_t *node = node_new();
+	int outcome = -1;
+	const job_submission_t submission = {
+		.id = "j",
+		.host = "h",
+		.path = "/b/1",
+		.route = path_table_find(node->paths, "h", "/b/1"),
+		.items = items_new(),
+		.timeout_ms = SUBMIT_TIMEOUT_MS,
+		.done = on_submitted,
+		.user_data = &outcome,
+	};
+
+	store_orphan(node);
+	node->hides_records = true;
+	node->context.job_node = this_node;
+	job_submit(&node->context, node->owner, NULL, &submission);
+	while (outcome < 0)
+		step(node);
+	CU_ASSERT_EQUAL(outcome, JOB_UNKNOWN);
+}
+
 /* The store has no answer for the items once. Guards against waiting for the
  * lease that this node itself holds: the job stood still for its whole time. */
 static void test_unread_items(void)
@@ -501,6 +552,7 @@
 	static const unit_test_t tests[] = {
 		{ "slow takeover", test_slow_takeover },
 		{ "takeover beyond lease", test_takeover_beyond_lease },
+		{ "existing job unread", test_existing_job_unread },
 		{ "unread items", test_unread_items },
 		{ NULL, NULL },
 	};
