List the objects again after a watch answered in part

Cause: a node that makes store calls for another one passes on at most 2,000 entries, says that there are more, and gives the revision of all. The view of the other node took the first entries of a watch and watched on from that revision, so it never learned of the other changes: a job that had been taken over or ended, a runner that had left. So many changes come together when a node was frozen, or cut off without noticing, in a large system.

The change: when an answer to a watch has more, its entries are applied and the objects are listed, which goes on page by page.

Evidence: the test "capped watch lists again" failed in 3 assertions without the change (no second listing, and the next watch from the revision of the answer); test_follow passes with it (28 of 28). The answer of the relay itself was read, not run with 2,001 changes.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -150,6 +150,18 @@
 	}
 }
 
+/* The answer has only some of the changes up to its revision. */
+static void list_again(follow_t *follow, const object_listing_t *listing)
+{
+	log_info("watch_capped",
+		 "prefix=%s revision=%" PRIu64 " answered=%" PRIu64
+		 " entries=%u",
+		 follow->prefix, follow->revision, listing->revision,
+		 listing->entries->len);
+	relist(follow);
+	call_store(follow);
+}
+
 static void on_watched(const object_listing_t *listing, const GError *error,
 		       void *user_data)
 {
@@ -176,6 +188,10 @@
 	}
 	on_answer(follow, started_us);
 	apply(follow, listing);
+	if (listing->more) {
+		list_again(follow, listing);
+		return;
+	}
 	follow->revision = MAX(follow->revision, listing->revision);
 	if (listing->entries->len > 0)
 		pause_ms = MAX(pause_ms, follow->options.change_pause_ms);
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -59,11 +59,11 @@
 			       "listed %u|", g_hash_table_size(keys));
 }
 
-static void answer(scripted_store_t *scripted, uint64_t revision,
-		   const char *key, bool deleted)
+static void answer_part(scripted_store_t *scripted, uint64_t revision,
+			const char *key, bool deleted, bool more)
 {
 	object_entry_t entry = { (char *)key, revision, deleted, (char *)"v" };
-	object_listing_t listing = { .revision = revision };
+	object_listing_t listing = { .revision = revision, .more = more };
 
 	listing.entries = g_array_new(FALSE, FALSE, sizeof(object_entry_t));
 	if (key)
@@ -72,6 +72,12 @@
 	g_array_free(listing.entries, TRUE);
 }
 
+static void answer(scripted_store_t *scripted, uint64_t revision,
+		   const char *key, bool deleted)
+{
+	answer_part(scripted, revision, key, deleted, false);
+}
+
 static void fail(scripted_store_t *scripted, error_code_t code)
 {
 	GError *error = g_error_new(WL_ERROR, (int)code, "scripted");
@@ -169,6 +175,26 @@
 	event_base_free(base);
 }
 
+/* Guards against missed changes: a node that relays a watch passes on a limited
+ * number of them, and the revision is that of all. */
+static void test_capped_watch_lists_again(void)
+{
+	struct event_base *base = event_base_new();
+	scripted_store_t scripted = { 0 };
+
+	follow_store(&scripted, base);
+	answer(&scripted, 5, "k/a", false);
+	answer_part(&scripted, 8, "k/b", false, true);
+	CU_ASSERT_EQUAL(scripted.watches, 1);
+	CU_ASSERT_EQUAL(scripted.lists, 2);
+	answer_part(&scripted, 9, "k/a", false, true);
+	answer(&scripted, 9, "k/c", false);
+	CU_ASSERT_EQUAL(scripted.since, 9);
+	CU_ASSERT_STRING_EQUAL(scripted.delivered->str,
+			       "k/a=v|listed 1|k/b=v|k/a=v|k/c=v|listed 2|");
+	event_base_free(base);
+}
+
 /* Guards against a loop of listings without a pause, when a listing is older
  * than the store's history. */
 static void test_history_dropped(void)
@@ -256,6 +282,7 @@
 		{ "changes are batched", test_changes_are_batched },
 		{ "truncated watch lists again",
 		  test_truncated_watch_lists_again },
+		{ "capped watch lists again", test_capped_watch_lists_again },
 		{ "history dropped", test_history_dropped },
 		{ "watch is renewed after outage",
 		  test_watch_is_renewed_after_outage },
