Watch from the revision of the oldest page of a listing

Cause: the views of batch jobs and nodes are listed by stale reads, which may be seconds old, each page by itself. The watch after the listing started at the revision of the first page. If a later page was older, the changes of its objects between the two revisions were in neither, and the view kept the old state until the next change or listing.

The change: the watch starts at the lowest revision of the pages. Changes that a page has already come again and are passed over by their version, as after any listing by a stale read.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -28,7 +28,7 @@
 	GHashTable *keys; /* of the current listing; NULL: watching */
 	char *after; /* last key of the previous page */
 	uint64_t revision; /* to watch from */
-	uint64_t list_revision; /* of the first page */
+	uint64_t list_revision; /* of the oldest page */
 	follow_call_t *call; /* in flight; NULL: none */
 	int64_t answered_us;
 	int64_t steady_since_us;
@@ -214,7 +214,8 @@
 		return;
 	}
 	on_answer(follow, started_us);
-	if (!follow->after)
+	/* Stale pages may be of different ages. */
+	if (!follow->after || listing->revision < follow->list_revision)
 		follow->list_revision = listing->revision;
 	apply(follow, listing);
 	if (listing->more && listing->entries->len > 0) {
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -195,6 +195,23 @@
 	event_base_free(base);
 }
 
+/* Guards against missed changes: a stale page may be older than the first one,
+ * so a watch from the first page's revision has no changes of its objects that
+ * were made between the two. */
+static void test_older_page(void)
+{
+	struct event_base *base = event_base_new();
+	scripted_store_t scripted = { 0 };
+
+	follow_store(&scripted, base);
+	answer_part(&scripted, 9, "k/a", false, true);
+	answer_part(&scripted, 6, "k/b", false, true);
+	answer(&scripted, 12, "k/c", false);
+	CU_ASSERT_EQUAL(scripted.watches, 1);
+	CU_ASSERT_EQUAL(scripted.since, 6);
+	event_base_free(base);
+}
+
 /* Guards against a loop of listings without a pause, when a listing is older
  * than the store's history. */
 static void test_history_dropped(void)
@@ -283,6 +300,7 @@
 		{ "truncated watch lists again",
 		  test_truncated_watch_lists_again },
 		{ "capped watch lists again", test_capped_watch_lists_again },
+		{ "older page", test_older_page },
 		{ "history dropped", test_history_dropped },
 		{ "watch is renewed after outage",
 		  test_watch_is_renewed_after_outage },
