Keep a record that was created again while its segment was written

A claim could vanish after it was granted, so that the same call was granted, and could run, a second time.

Cause: when a segment is stored, the records in it leave the head. Those that have changed since are kept, by their revision. A record that expires and is created again starts at revision 1 again. If that happens while the write of the segment is repeated after a failure of the store (renewals of the head go on between its attempts), the new record was taken for the expired one in the segment and dropped from the head.

The change: the number of the change of the live entry, which is never used twice, tells whether the record is the one that was written. What is stored keeps its form.

--- a/src/coord/ledger_write.c
+++ b/src/coord/ledger_write.c
@@ -20,7 +20,7 @@
 
 typedef struct write_entry {
 	char key[LEDGER_KEY_BYTES];
-	uint64_t number; /* revision of the record, or segment id */
+	uint64_t number; /* of the live entry's change, or segment id */
 } write_entry_t;
 
 static bool is_small(const live_t *live)
@@ -76,10 +76,10 @@
 	uint32_t keep = ledger_seal_keep_bytes(ledger);
 
 	for (guint i = 0; i < candidates->len; i++) {
-		const ledger_record *record =
-			((live_t *)candidates->pdata[i])->record;
+		const live_t *live = candidates->pdata[i];
+		const ledger_record *record = live->record;
 		size_t bytes = ledger_record_bytes(record);
-		write_entry_t entry = { .number = record->revision };
+		write_entry_t entry = { .number = live->changed };
 
 		if (remaining <= keep || taken + bytes > MAX_SEGMENT_BYTES)
 			break;
@@ -240,13 +240,14 @@
 	return segment_from(write, ledger_cache_get(ledger, write->id));
 }
 
-/* Returns the live entry that was written, or NULL if it has changed since. */
+/* Returns the live entry that was written, or NULL if it has changed since. The
+ * revision does not tell: it starts again when the record has expired. */
 static live_t *find_unchanged(const ledger_t *ledger,
 			      const write_entry_t *entry)
 {
 	live_t *live = ledger_live_get(ledger, entry->key);
 
-	return live && live->record->revision == entry->number ? live : NULL;
+	return live && live->changed == entry->number ? live : NULL;
 }
 
 static void segment_written(ledger_t *ledger, const ledger_write_t *write)
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -289,6 +289,41 @@
 	ledger_free(ledger);
 }
 
+/* A record expires while its segment is being written, and is created again
+ * with the same revision. Guards against a lost record: the new one was taken
+ * for the one in the segment. */
+static void test_recreated_during_seal(void)
+{
+	enum { FIRST = 0, RECORDS = 300 };
+	ledger_t *ledger = ledger_new(NULL);
+	GHashTable *objects = objects_new();
+	ledger_record again = make_record(FIRST, 0, "again");
+	uint64_t later = T0 + 2 * HOUR_MS;
+	ledger_write_t *write;
+	ledger_lookup_t found;
+	ledger_t *new_owner;
+	char data[200];
+
+	memset(data, 'x', sizeof(data));
+	data[sizeof(data) - 1] = '\0';
+	for (uint32_t i = 0; i < RECORDS; i++)
+		put(ledger, i, 0, data, T0 + HOUR_MS);
+	write = ledger_write_next(ledger, ++next_id, T0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(write);
+	CU_ASSERT_EQUAL(apply(ledger, &again, 5, later), LEDGER_APPLIED);
+	objects_put(objects, write->id, write->data);
+	ledger_write_done(ledger, write);
+	CU_ASSERT_EQUAL(find(ledger, objects, FIRST, later, &found),
+			LEDGER_FOUND);
+	new_owner = replay(ledger, objects, later);
+	CU_ASSERT_EQUAL(find(new_owner, objects, FIRST, later, &found),
+			LEDGER_FOUND);
+	CU_ASSERT_EQUAL(apply(ledger, &again, 6, later), LEDGER_CONFLICT);
+	ledger_free(new_owner);
+	g_hash_table_destroy(objects);
+	ledger_free(ledger);
+}
+
 /* Records without expiry must survive the compaction of their segment, and a
  * removed segment must not be restored from an index object. */
 static void test_compaction(void)
@@ -404,6 +439,7 @@
 		{ "retention", test_retention },
 		{ "expired record hides older versions",
 		  test_expired_hides_older },
+		{ "recreated during a seal", test_recreated_during_seal },
 		{ "compaction", test_compaction },
 		{ "segment ahead of the head", test_write_ahead },
 		{ "malformed head", test_malformed_head },
