--- a/src/object/json_slice.c
+++ b/src/object/json_slice.c
@@ -117,3 +117,17 @@
 	element->len = (size_t)(at - element->text);
 	return true;
 }
+
+bool json_slice_is_whole(json_slice_t text)
+{
+	const char *end = text.text + text.len;
+	const char *at;
+
+	if (!text.text)
+		return false;
+	at = skip_space(text.text, end);
+	if (at == end || (*at != '{' && *at != '['))
+		return false;
+	at = skip_value(at, end);
+	return at && skip_space(at, end) == end;
+}
--- a/tests/test_json_slice.c
+++ b/tests/test_json_slice.c
@@ -79,8 +79,14 @@
 				;
 		CU_ASSERT_FALSE(json_slice_member((json_slice_t){ exact, len },
 						  "e", &value));
+		CU_ASSERT_FALSE(
+			json_slice_is_whole((json_slice_t){ exact, len }));
 		free(exact);
 	}
+	CU_ASSERT(json_slice_is_whole(slice(text)));
+	CU_ASSERT(json_slice_is_whole(slice(" [1e999, \"]\"]\n")));
+	CU_ASSERT_FALSE(json_slice_is_whole(slice("{}{}")));
+	CU_ASSERT_FALSE(json_slice_is_whole(slice("12")));
 }
 
 int main(void)
