Remove no results of a job that was submitted again

Results of an accepted job of the entry daemon could be removed while they were readable.

Cause: a job that is submitted again after its record was removed has the same id, so its results have the same keys. Three paths took the new job for the old one. The removal of a record whose answer was lost is repeated, and the new record, whose versions begin anew, passed for an older one. A node that no longer owned the record went on with the removal until a listing was empty. So did one that could not know yet whether it still owned it.

The change: records of a job are told apart by the time of its creation first; a removal whose record has gone or changed is stopped; and nothing is listed or removed without the lease on the record. Objects listed before are removed at their versions only, which a new result does not have.

--- a/src/batch/retention.c
+++ b/src/batch/retention.c
@@ -28,16 +28,23 @@
 	g_free(retained);
 }
 
+static remover_t *new_remover(const retention_options_t *options)
+{
+	const remover_options_t remover = {
+		.store = options->store,
+		.clock = options->clock,
+		.removals_per_s = options->removals_per_s,
+	};
+
+	return remover_new(&remover);
+}
+
 retention_t *retention_new(const retention_options_t *options)
 {
 	retention_t *retention = g_new0(retention_t, 1);
-	remover_options_t remover = { .store = options->store,
-				      .clock = options->clock,
-				      .removals_per_s =
-					      options->removals_per_s };
 
 	retention->options = *options;
-	retention->remover = remover_new(&remover);
+	retention->remover = new_remover(options);
 	retention->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						retained_job_free);
 	return retention;
@@ -53,6 +60,18 @@
 	g_free(retention);
 }
 
+/* A job that is submitted again after its record was removed has the same id,
+ * and the versions of its record begin anew. */
+static bool is_older(const retained_job_t *known, const job_t *job,
+		     uint64_t version)
+{
+	int64_t created_ms = job->at_ms[JOB_VALIDATING];
+	int64_t known_created_ms = known->job->at_ms[JOB_VALIDATING];
+
+	return created_ms != known_created_ms ? created_ms < known_created_ms :
+						version < known->version;
+}
+
 void retention_apply_record(retention_t *retention, job_t *job,
 			    uint64_t version)
 {
@@ -60,7 +79,7 @@
 		g_hash_table_lookup(retention->jobs, job->id);
 	retained_job_t *retained;
 
-	if (known && version < known->version) {
+	if (known && is_older(known, job, version)) {
 		job_free(job);
 		return;
 	}
@@ -176,15 +195,45 @@
 	g_free(prefix);
 }
 
+/* Whether the record that permitted the removal in progress is still that of
+ * the job. */
+static bool is_removal_valid(const retention_t *retention)
+{
+	const retained_job_t *retained =
+		g_hash_table_lookup(retention->jobs, retention->current);
+
+	return retained && retained->job->results_removed;
+}
+
+/* Objects that were listed before are removed at their versions only. */
+static void stop_removal(retention_t *retention)
+{
+	g_clear_pointer(&retention->current, g_free);
+	remover_free(retention->remover);
+	retention->remover = new_remover(&retention->options);
+}
+
+static bool has_record(const retention_t *retention)
+{
+	const retention_ops_t *ops = &retention->options.ops;
+
+	return !ops->has_record ||
+	       ops->has_record(retention->current, ops->user_data);
+}
+
 void retention_step(retention_t *retention)
 {
-	retained_job_t *due = remover_is_busy(retention->remover) ?
-				      NULL :
-				      find_due(retention);
+	retained_job_t *due;
 
+	if (retention->current && !is_removal_valid(retention))
+		stop_removal(retention);
+	due = retention->current ? NULL : find_due(retention);
 	if (due && !due->job->results_removed)
 		mark_results_removed(retention, due);
 	else if (due)
 		start_removal(retention, due);
-	remover_step(retention->remover);
+	/* The next owner may have removed the record, so that new results are
+	 * those of a job that was submitted again. */
+	if (retention->current && has_record(retention))
+		remover_step(retention->remover);
 }
--- a/src/batch/retention.h
+++ b/src/batch/retention.h
@@ -36,6 +36,9 @@
 	void (*update)(const job_t *job, uint64_t version, bool forget,
 		       void *user_data);
 	void (*removed)(const char *job, uint32_t objects, void *user_data);
+	/* Returns FALSE when another node may already own the job's record.
+	 * NULL: this node always owns it. */
+	gboolean (*has_record)(const char *job, void *user_data);
 	void *user_data;
 } retention_ops_t;
 
--- a/src/entry/removal.c
+++ b/src/entry/removal.c
@@ -122,6 +122,15 @@
 	log_info("job_results_removed", "job=%s objects=%u", job, objects);
 }
 
+static gboolean op_has_record(const char *job, void *user_data)
+{
+	const removal_t *removal = user_data;
+	record_key_t key;
+
+	return batch_id_key(job, &key) &&
+	       records_has_lease(removal->entry->records, &key);
+}
+
 /* Input files */
 
 static bool op_is_owner(void *user_data)
@@ -209,7 +218,7 @@
 {
 	removal_t *removal = g_new0(removal_t, 1);
 	retention_options_t options = {
-		.ops = { op_update, op_removed, removal },
+		.ops = { op_update, op_removed, op_has_record, removal },
 		.store = entry->store,
 		.clock = entry->clock,
 		.result_ms = entry->options.result_retention_ms,
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -94,7 +94,7 @@
 static void node_start(world_t *w)
 {
 	retention_options_t options = {
-		.ops = { op_update, op_removed, w },
+		.ops = { op_update, op_removed, NULL, w },
 		.store = w->store,
 		.clock = &w->clock.base,
 		.result_ms = RETENTION_MS,
@@ -345,10 +345,194 @@
 	       (int)total.jobs, (int)total.objects);
 }
 
+/* One job whose results are being removed. */
+typedef struct single {
+	clock_manual_t clock;
+	object_memory_t *memory;
+	object_store_t *store;
+	retention_t *retention;
+	retention_stats_t stats;
+	int forgets; /* updates that remove the record */
+	bool has_record;
+} single_t;
+
+/* Behind the results that single_put_results() writes. */
+static const char single_result[] = "result/job00/00000100";
+
+static void single_update(const job_t *job, uint64_t version, bool forget,
+			  void *user_data)
+{
+	((single_t *)user_data)->forgets += forget;
+}
+
+static gboolean single_has_record(const char *job, void *user_data)
+{
+	return ((single_t *)user_data)->has_record;
+}
+
+static gboolean keep_none(const char *job, void *user_data)
+{
+	return FALSE;
+}
+
+static job_t *single_job(job_state_t state, int64_t created_ms)
+{
+	world_t w = { .random = g_rand_new_with_seed(1) };
+	job_t *job;
+
+	w.memory = object_memory_new(clock_system(), 1);
+	w.other = object_memory_open(w.memory);
+	make_job(&w, 0);
+	job = w.models[0].job;
+	job->state = state;
+	job->at_ms[JOB_VALIDATING] = created_ms;
+	job->results_removed = job_state_is_final(state);
+	object_store_free(w.other);
+	object_memory_free(w.memory);
+	g_rand_free(w.random);
+	return job;
+}
+
+static void single_run(single_t *single, int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += STEP_MS) {
+		clock_manual_advance_ms(&single->clock, STEP_MS);
+		object_memory_step(single->memory);
+		object_memory_deliver(single->store);
+		retention_step(single->retention);
+	}
+}
+
+static void single_put(single_t *single)
+{
+	object_put(single->store, single_result, "x", 1, OBJECT_ABSENT, "w",
+		   on_ignored, NULL);
+	object_memory_step(single->memory);
+	object_memory_deliver(single->store);
+}
+
+static void on_found(const object_value_t *value, const GError *error,
+		     void *user_data)
+{
+	*(bool *)user_data = !error;
+}
+
+static bool single_has_result(single_t *single)
+{
+	bool found = false;
+
+	object_get(single->store, single_result, on_found, &found);
+	object_memory_step(single->memory);
+	object_memory_deliver(single->store);
+	return found;
+}
+
+/* The job's record is marked, and its results will be removed. */
+static void single_start(single_t *single)
+{
+	retention_options_t options = {
+		.ops = { .update = single_update,
+			 .removed = op_removed,
+			 .has_record = single_has_record,
+			 .user_data = single },
+		.clock = &single->clock.base,
+		.result_ms = RETENTION_MS,
+		.removals_per_s = REMOVALS_PER_S,
+		.stats = &single->stats,
+	};
+
+	single->has_record = true;
+	clock_manual_init(&single->clock, T0);
+	single->memory = object_memory_new(&single->clock.base, 1);
+	single->store = object_memory_open(single->memory);
+	options.store = single->store;
+	single->retention = retention_new(&options);
+	retention_apply_record(single->retention,
+			       single_job(JOB_COMPLETED, 1000), 7);
+}
+
+static void single_end(single_t *single)
+{
+	retention_free(single->retention);
+	object_store_free(single->store);
+	object_memory_free(single->memory);
+}
+
+/* The record was removed, but the answer was lost, and the same job was
+ * submitted again, which has the same id. Guards against a removal of its
+ * results: a new record begins at version 1, so it passed for an old one. */
+static void test_submitted_again(void)
+{
+	single_t single = { 0 };
+
+	single_start(&single);
+	single_run(&single, 15000);
+	CU_ASSERT_EQUAL(single.forgets, 1);
+	retention_update_failed(single.retention, "job00");
+	retention_apply_record(single.retention,
+			       single_job(JOB_IN_PROGRESS, 2000), 1);
+	single_put(&single);
+	single_run(&single, 20000);
+	CU_ASSERT(single_has_result(&single));
+	CU_ASSERT_EQUAL(single.forgets, 1);
+	single_end(&single);
+}
+
+static void single_put_results(single_t *single)
+{
+	for (int i = 0; i < RESULTS; i++) {
+		char *key = g_strdup_printf("result/job00/%08d", i);
+
+		object_put(single->store, key, "x", 1, OBJECT_ABSENT, "w",
+			   on_ignored, NULL);
+		g_free(key);
+	}
+}
+
+/* The record changes hands during a removal. The next owner ends it, and the
+ * same job is submitted again. Guards against the former owner removing the
+ * results of that one. */
+static void test_dropped_during_removal(void)
+{
+	single_t single = { 0 };
+
+	single_start(&single);
+	single_put_results(&single);
+	single_run(&single, 12000);
+	retention_drop_unless(single.retention, keep_none, NULL);
+	single_put(&single);
+	single_run(&single, 20000);
+	CU_ASSERT(single_has_result(&single));
+	single_end(&single);
+}
+
+/* As above, but the former owner does not know of the next one yet. When it
+ * still is the owner, it goes on. */
+static void test_uncertain_during_removal(void)
+{
+	single_t single = { 0 };
+
+	single_start(&single);
+	single_put_results(&single);
+	single_run(&single, 12000);
+	single.has_record = false;
+	single_put(&single);
+	single_run(&single, 20000);
+	CU_ASSERT(single_has_result(&single));
+	single.has_record = true;
+	single_run(&single, 20000);
+	CU_ASSERT_FALSE(single_has_result(&single));
+	CU_ASSERT_EQUAL(single.forgets, 1);
+	single_end(&single);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "results against a model", test_histories },
+		{ "submitted again", test_submitted_again },
+		{ "dropped during removal", test_dropped_during_removal },
+		{ "uncertain during removal", test_uncertain_during_removal },
 		{ NULL, NULL },
 	};
 
