Ignore answers that belong to a former start of a job

In the entry daemon, a chunk could run again though its results existed, and a finished job could stay unfinished until its record moved again.

Cause: the coordinator names a job by its id in the answers to its operations. When a record goes to another node and comes back, the job starts again here, and the answers to the operations of the first start counted for the second. A listing of results reads each of them and takes long for a large job; when the former one ended, chunks were granted before the new listing had found those that the other node finished. The answer to a former update ended the job here while its own update was in progress; when the outcome of that one was unknown, nobody repeated it. The model in test_dispatcher has one coordinator for each start, which the daemon has not.

The change: each start has a number, which the two operations carry and their answers give back. What the reading of a single result finds stays valid for any start, as result objects are created once.

--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -19,6 +19,7 @@
 	job_t *job;
 	uint64_t version;
 	chunk_plan_t plan;
+	uint64_t start; /* number of this start, of all jobs */
 	int64_t started_ms;
 	int64_t grant_after_ms; /* no grant before: holders renew first */
 	int64_t last_write_ms;
@@ -38,6 +39,7 @@
 	GHashTable *jobs; /* id -> entry_t */
 	GHashTable *service; /* "partner/workspace" -> double, finish tag */
 	double virtual_time;
+	uint64_t starts;
 	gboolean urgent_last;
 };
 
@@ -78,6 +80,14 @@
 	return g_hash_table_lookup(coordinator->jobs, job);
 }
 
+static entry_t *find_start(const coordinator_t *coordinator, const char *job,
+			   uint64_t start)
+{
+	entry_t *entry = find(coordinator, job);
+
+	return entry && entry->start == start ? entry : NULL;
+}
+
 static chunk_t *find_chunk(const entry_t *entry, uint32_t first)
 {
 	return entry ? chunk_plan_find(&entry->plan, first) : NULL;
@@ -96,6 +106,7 @@
 
 	entry->job = job;
 	entry->version = version;
+	entry->start = ++coordinator->starts;
 	entry->started_ms = now_ms;
 	if (job->state != JOB_VALIDATING)
 		entry->grant_after_ms =
@@ -149,9 +160,9 @@
 }
 
 void coordinator_updated(coordinator_t *coordinator, const char *job,
-			 gboolean ok, uint64_t version)
+			 uint64_t start, gboolean ok, uint64_t version)
 {
-	entry_t *entry = find(coordinator, job);
+	entry_t *entry = find_start(coordinator, job, start);
 
 	if (!entry || !entry->updating)
 		return;
@@ -202,9 +213,9 @@
 }
 
 void coordinator_results_listed(coordinator_t *coordinator, const char *job,
-				gboolean complete)
+				uint64_t start, gboolean complete)
 {
-	entry_t *entry = find(coordinator, job);
+	entry_t *entry = find_start(coordinator, job, start);
 
 	if (!entry)
 		return;
@@ -417,7 +428,7 @@
 	entry->updating = TRUE;
 	entry->dirty = FALSE;
 	entry->last_write_ms = clock_now_ms(coordinator->clock);
-	coordinator->ops.update(entry->job, entry->version,
+	coordinator->ops.update(entry->job, entry->version, entry->start,
 				coordinator->ops.user_data);
 }
 
@@ -520,7 +531,8 @@
 		if (!entry->listing && now_ms >= entry->retry_ms) {
 			entry->listing = TRUE;
 			coordinator->ops.find_results(
-				entry->job->id, coordinator->ops.user_data);
+				entry->job->id, entry->start,
+				coordinator->ops.user_data);
 		}
 	} else if (!has_record(coordinator, entry)) {
 		/* When the record is confirmed again, holders renew first. */
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -55,15 +55,20 @@
 	uint32_t failed;
 } coordinator_result_t;
 
-/* No operation may call back into the coordinator before it returns. */
+/*
+ * No operation may call back into the coordinator before it returns. start is
+ * the number of the job's start here; its answer is ignored when the job has
+ * been dropped and started again since.
+ */
 typedef struct coordinator_ops {
 	/* Writes the record if it still has the version; answered by
 	 * coordinator_updated(). */
-	void (*update)(const job_t *job, uint64_t version, void *user_data);
+	void (*update)(const job_t *job, uint64_t version, uint64_t start,
+		       void *user_data);
 	/* Lists the job's result objects, reports those for which
 	 * coordinator_needs_result() holds by coordinator_result_found(), then calls
 	 * coordinator_results_listed(). */
-	void (*find_results)(const char *job, void *user_data);
+	void (*find_results)(const char *job, uint64_t start, void *user_data);
 	/* Reads one result object; answered by coordinator_result_found() or
 	 * coordinator_result_missing(). */
 	void (*read_result)(const char *job, uint32_t first, void *user_data);
@@ -91,7 +96,7 @@
 			     coordinator_keep_t keep, void *user_data);
 
 void coordinator_updated(coordinator_t *coordinator, const char *job,
-			 gboolean ok, uint64_t version);
+			 uint64_t start, gboolean ok, uint64_t version);
 gboolean coordinator_needs_result(const coordinator_t *coordinator,
 				  const char *job, uint32_t first);
 void coordinator_result_found(coordinator_t *coordinator, const char *job,
@@ -100,7 +105,7 @@
 				uint32_t first);
 /* complete FALSE: the listing failed and is repeated. */
 void coordinator_results_listed(coordinator_t *coordinator, const char *job,
-				gboolean complete);
+				uint64_t start, gboolean complete);
 
 /* Returns FALSE when no chunk of the deployment's jobs is waiting. The grant is
  * valid until the next call. */
--- a/src/entry/chunks.c
+++ b/src/entry/chunks.c
@@ -39,6 +39,7 @@
 typedef struct job_call {
 	chunks_t *chunks;
 	char *job;
+	uint64_t start; /* of the job at the coordinator */
 	GArray *firsts; /* uint32_t: first items of the results to read */
 	guint next;
 	uint32_t first;
@@ -112,14 +113,16 @@
 			 "failed=%u total=%u at_risk=%d",
 			 call->job, job_state_name(job->state), job->completed,
 			 job->failed, job->total, job->at_risk);
-	coordinator_updated(coordinator, call->job, !error,
+	coordinator_updated(coordinator, call->job, call->start, !error,
 			    record ? record->version : 0);
 	job_call_free(call);
 }
 
-static void op_update(const job_t *job, uint64_t version, void *user_data)
+static void op_update(const job_t *job, uint64_t version, uint64_t start,
+		      void *user_data)
 {
 	chunks_t *chunks = user_data;
+	job_call_t *call = job_call_new(chunks, job->id);
 	char *tag = g_strconcat(job->partner, "/", job->workspace, NULL);
 	size_t len;
 	char *data = job_encode(job, &len);
@@ -133,9 +136,12 @@
 		.len = len,
 	};
 
+	call->start = start;
 	if (batch_id_key(job->id, &record.key))
 		records_update(chunks->entry->records, &record, on_updated,
-			       job_call_new(chunks, job->id));
+			       call);
+	else
+		job_call_free(call);
 	free(data);
 	g_free(tag);
 }
@@ -164,7 +170,7 @@
 
 	if (error && error->code != WL_ERROR_NOT_FOUND) {
 		coordinator_results_listed(call->chunks->coordinator, call->job,
-					   FALSE);
+					   call->start, FALSE);
 		job_call_free(call);
 		return;
 	}
@@ -189,7 +195,7 @@
 		g_free(key);
 		return;
 	}
-	coordinator_results_listed(coordinator, call->job, TRUE);
+	coordinator_results_listed(coordinator, call->job, call->start, TRUE);
 	job_call_free(call);
 }
 
@@ -202,7 +208,7 @@
 
 	if (error) {
 		coordinator_results_listed(call->chunks->coordinator, call->job,
-					   FALSE);
+					   call->start, FALSE);
 		job_call_free(call);
 		return;
 	}
@@ -232,10 +238,11 @@
 	g_free(prefix);
 }
 
-static void op_load_results(const char *job, void *user_data)
+static void op_load_results(const char *job, uint64_t start, void *user_data)
 {
 	job_call_t *call = job_call_new(user_data, job);
 
+	call->start = start;
 	call->firsts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	list_results(call, NULL);
 }
--- a/tests/test_coordinator.c
+++ b/tests/test_coordinator.c
@@ -6,13 +6,40 @@
 
 static gboolean store_reached;
 
-static void op_update(const job_t *job, uint64_t version, void *user_data)
+static void op_update(const job_t *job, uint64_t version, uint64_t start,
+		      void *user_data)
 {
 }
 
-static void op_learn(const char *job, void *user_data)
+static void op_learn(const char *job, uint64_t start, void *user_data)
 {
-	coordinator_results_listed(*(coordinator_t **)user_data, job, TRUE);
+	coordinator_results_listed(*(coordinator_t **)user_data, job, start,
+				   TRUE);
+}
+
+/* The operations of a job that wait for their answers. */
+typedef struct waiting_ops {
+	uint64_t listings[2];
+	guint listed;
+	uint64_t updates[2];
+	guint updated;
+} waiting_ops_t;
+
+static void op_keep_update(const job_t *job, uint64_t version, uint64_t start,
+			   void *user_data)
+{
+	waiting_ops_t *waiting = user_data;
+
+	CU_ASSERT_FATAL(waiting->updated < G_N_ELEMENTS(waiting->updates));
+	waiting->updates[waiting->updated++] = start;
+}
+
+static void op_keep_listing(const char *job, uint64_t start, void *user_data)
+{
+	waiting_ops_t *waiting = user_data;
+
+	CU_ASSERT_FATAL(waiting->listed < G_N_ELEMENTS(waiting->listings));
+	waiting->listings[waiting->listed++] = start;
 }
 
 static job_t *running_job(void)
@@ -151,12 +178,92 @@
 	coordinator_free(coordinator);
 }
 
+/* The job's record goes to another node and comes back while a listing of the
+ * results is in progress. Guards against a second run of the items that the
+ * other node finished meanwhile, which that listing need not have. */
+static void test_former_listing(void)
+{
+	clock_manual_t clock;
+	waiting_ops_t waiting = { 0 };
+	coordinator_ops_t ops = { .update = op_keep_update,
+				  .find_results = op_keep_listing,
+				  .user_data = &waiting };
+	const coordinator_result_t found = { .count = ITEMS,
+					     .completed = ITEMS };
+	coordinator_t *coordinator;
+	coordinator_grant_t grant;
+
+	clock_manual_init(&clock, 1000000);
+	coordinator = coordinator_new(&ops, &clock.base);
+	coordinator_apply_record(coordinator, running_job(), 1);
+	coordinator_tick(coordinator);
+	coordinator_drop(coordinator, "job");
+	coordinator_apply_record(coordinator, running_job(), 1);
+	coordinator_tick(coordinator);
+	CU_ASSERT_EQUAL(waiting.listed, 2);
+	clock_manual_advance_ms(&clock, 2 * COORDINATOR_LEASE_MS);
+	coordinator_results_listed(coordinator, "job", waiting.listings[0],
+				   TRUE);
+	CU_ASSERT_FALSE(
+		coordinator_pull(coordinator, "a", "guild", "muse", &grant));
+	coordinator_result_found(coordinator, "job", &found);
+	coordinator_results_listed(coordinator, "job", waiting.listings[1],
+				   TRUE);
+	CU_ASSERT_FALSE(
+		coordinator_pull(coordinator, "a", "guild", "muse", &grant));
+	CU_ASSERT_EQUAL(coordinator_find(coordinator, "job")->completed, ITEMS);
+	coordinator_free(coordinator);
+}
+
+static void finish_all(coordinator_t *coordinator, clock_manual_t *clock,
+		       const waiting_ops_t *waiting)
+{
+	const coordinator_result_t found = { .count = ITEMS,
+					     .completed = ITEMS };
+
+	coordinator_apply_record(coordinator, running_job(), 1);
+	coordinator_tick(coordinator);
+	coordinator_result_found(coordinator, "job", &found);
+	coordinator_results_listed(coordinator, "job",
+				   waiting->listings[waiting->listed - 1],
+				   TRUE);
+	clock_manual_advance_ms(clock, COORDINATOR_LEASE_MS);
+	coordinator_tick(coordinator);
+}
+
+/* The same with the last update of the record in progress. Guards against a job
+ * that nobody completes: the answer to the former update ended it here, while
+ * that to its own update was lost. */
+static void test_former_update(void)
+{
+	clock_manual_t clock;
+	waiting_ops_t waiting = { 0 };
+	coordinator_ops_t ops = { .update = op_keep_update,
+				  .find_results = op_keep_listing,
+				  .user_data = &waiting };
+	coordinator_t *coordinator;
+
+	clock_manual_init(&clock, 1000000);
+	coordinator = coordinator_new(&ops, &clock.base);
+	finish_all(coordinator, &clock, &waiting);
+	coordinator_drop(coordinator, "job");
+	finish_all(coordinator, &clock, &waiting);
+	CU_ASSERT_EQUAL(waiting.updated, 2);
+	coordinator_updated(coordinator, "job", waiting.updates[0], TRUE, 2);
+	CU_ASSERT_PTR_NOT_NULL(coordinator_find(coordinator, "job"));
+	coordinator_updated(coordinator, "job", waiting.updates[1], FALSE, 0);
+	CU_ASSERT_PTR_NOT_NULL(coordinator_find(coordinator, "job"));
+	coordinator_free(coordinator);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "release_to_successor", test_release_to_successor },
 		{ "release_by_former_holder", test_release_by_former_holder },
 		{ "store_unavailable", test_store_unavailable },
+		{ "former listing", test_former_listing },
+		{ "former update", test_former_update },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -47,6 +47,7 @@
 	void (*deliver)(world_t *world, message_t *message);
 	worker_t *worker; /* NULL: for the coordinator */
 	uint32_t generation;
+	uint64_t start;
 	char *job;
 	uint32_t first;
 	coordinator_result_t result;
@@ -188,7 +189,7 @@
 					 message->version);
 	}
 	coordinator_updated(world->owner->coordinator, message->job,
-			    message->status, message->version);
+			    message->start, message->status, message->version);
 }
 
 static void commit(world_t *world, job_t *job)
@@ -209,6 +210,7 @@
 	answer = post(world, deliver_updated);
 	answer->generation = message->generation;
 	answer->job = g_strdup(job->id);
+	answer->start = message->start;
 	if (ok)
 		commit(world, job);
 	answer->version = world->version;
@@ -223,7 +225,8 @@
 	job_free(job);
 }
 
-static void op_update(const job_t *job, uint64_t version, void *user_data)
+static void op_update(const job_t *job, uint64_t version, uint64_t start,
+		      void *user_data)
 {
 	const owner_t *owner = user_data;
 	message_t *message = post(owner->world, deliver_update);
@@ -231,6 +234,7 @@
 
 	message->text = job_encode(job, &len);
 	message->version = version;
+	message->start = start;
 	message->generation =
 		owner == owner->world->owner ? owner->generation : 0;
 }
@@ -282,14 +286,16 @@
 				      g_hash_table_lookup(world->objects,
 							  keys->pdata[i]));
 	g_ptr_array_free(keys, TRUE);
-	coordinator_results_listed(world->owner->coordinator, message->job, ok);
+	coordinator_results_listed(world->owner->coordinator, message->job,
+				   message->start, ok);
 }
 
-static void op_learn(const char *job, void *user_data)
+static void op_learn(const char *job, uint64_t start, void *user_data)
 {
 	const owner_t *owner = user_data;
 	message_t *message = post(owner->world, deliver_learn);
 
+	message->start = start;
 	message->job = g_strdup(job);
 	message->generation = owner->generation;
 }
