--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -28,7 +28,7 @@
 	GHashTable *keys; /* of the current listing; NULL: watching */
 	char *after; /* last key of the previous page */
 	uint64_t revision; /* to watch from */
-	uint64_t list_revision; /* of the first page */
+	uint64_t list_revision; /* of the oldest page */
 	follow_call_t *call; /* in flight; NULL: none */
 	int64_t answered_us;
 	int64_t steady_since_us;
@@ -150,6 +150,18 @@
 	}
 }
 
+/* The answer has only some of the changes up to its revision. */
+static void list_again(follow_t *follow, const object_listing_t *listing)
+{
+	log_info("watch_capped",
+		 "prefix=%s revision=%" PRIu64 " answered=%" PRIu64
+		 " entries=%u",
+		 follow->prefix, follow->revision, listing->revision,
+		 listing->entries->len);
+	relist(follow);
+	call_store(follow);
+}
+
 static void on_watched(const object_listing_t *listing, const GError *error,
 		       void *user_data)
 {
@@ -176,6 +188,10 @@
 	}
 	on_answer(follow, started_us);
 	apply(follow, listing);
+	if (listing->more) {
+		list_again(follow, listing);
+		return;
+	}
 	follow->revision = MAX(follow->revision, listing->revision);
 	if (listing->entries->len > 0)
 		pause_ms = MAX(pause_ms, follow->options.change_pause_ms);
@@ -198,7 +214,8 @@
 		return;
 	}
 	on_answer(follow, started_us);
-	if (!follow->after)
+	/* Stale pages may be of different ages. */
+	if (!follow->after || listing->revision < follow->list_revision)
 		follow->list_revision = listing->revision;
 	apply(follow, listing);
 	if (listing->more && listing->entries->len > 0) {
