Test that a relayed answer that is cut short says so

No change of the product. The test relays a watch and a listing of 2,001 entries through a node: 2,000 come, with the revision of all and the mark that there are more.

--- /dev/null
+++ b/tests/test_store_relay.c
@@ -0,0 +1,178 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "gateway/store_relay.h"
+#include "rpc/store_xdr.h"
+#include "unit.h"
+
+/* Above what one node passes on to another. */
+#define CHANGES (STORE_ENTRIES_MAX + 1)
+#define REVISION 9000
+
+/* A store that refuses reads of objects, and answers listings and watches with
+ * many entries. It answers within the call, which the relay permits. */
+typedef struct busy_store {
+	object_store_t base; /* first member */
+	int watches;
+} busy_store_t;
+
+static void busy_get(object_store_t *store, const char *key, object_done_t done,
+		     void *user_data)
+{
+	const GError error = { WL_ERROR, WL_ERROR_UNAVAILABLE, (char *)"busy" };
+
+	done(NULL, &error, user_data);
+}
+
+static void answer(object_list_done_t done, void *user_data)
+{
+	object_listing_t listing = { .revision = REVISION };
+
+	listing.entries = g_array_new(FALSE, TRUE, sizeof(object_entry_t));
+	for (int i = 0; i < CHANGES; i++) {
+		object_entry_t entry = { .version = 1 };
+
+		entry.key = g_strdup_printf("k/%05d", i);
+		entry.data = g_strdup("{}");
+		g_array_append_val(listing.entries, entry);
+	}
+	done(&listing, NULL, user_data);
+	for (int i = 0; i < CHANGES; i++) {
+		g_free(g_array_index(listing.entries, object_entry_t, i).key);
+		g_free(g_array_index(listing.entries, object_entry_t, i).data);
+	}
+	g_array_free(listing.entries, TRUE);
+}
+
+static void busy_list(object_store_t *store, const char *prefix,
+		      const char *after, uint32_t limit,
+		      object_list_done_t done, void *user_data)
+{
+	answer(done, user_data);
+}
+
+static void busy_watch(object_store_t *store, const char *prefix,
+		       uint64_t since, int32_t timeout_ms,
+		       object_list_done_t done, void *user_data)
+{
+	((busy_store_t *)store)->watches++;
+	answer(done, user_data);
+}
+
+static const object_store_ops_t busy_ops = { .get = busy_get,
+					     .list = busy_list,
+					     .watch = busy_watch };
+
+typedef struct fixture {
+	struct event_base *base;
+	clock_manual_t clock;
+	busy_store_t store;
+	rpc_server_t *server;
+	rpc_client_t *client;
+	store_relay_t *relay;
+	guint entries;
+	bool more;
+	uint64_t revision;
+} fixture_t;
+
+/* The node relays its calls to itself. */
+static bool find_self(void *user_data, char *address, size_t size)
+{
+	const fixture_t *fixture = user_data;
+
+	snprintf(address, size, "127.0.0.1:%u",
+		 rpc_server_port(fixture->server));
+	return true;
+}
+
+static void on_refused(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	CU_ASSERT_PTR_NOT_NULL(error);
+}
+
+static void on_answer(const object_listing_t *listing, const GError *error,
+		      void *user_data)
+{
+	fixture_t *fixture = user_data;
+
+	CU_ASSERT_PTR_NULL(error);
+	if (listing) {
+		fixture->entries = listing->entries->len;
+		fixture->more = listing->more;
+		fixture->revision = listing->revision;
+	}
+	event_base_loopbreak(fixture->base);
+}
+
+/* Starts a node whose calls are relayed. */
+static void start(fixture_t *fixture)
+{
+	store_relay_options_t options = {
+		.clock = &fixture->clock.base,
+		.store = &fixture->store.base,
+		.stale_store = &fixture->store.base,
+		.find_peer = find_self,
+		.user_data = fixture,
+	};
+
+	*fixture = (fixture_t){ .store.base.ops = &busy_ops };
+	clock_manual_init(&fixture->clock, 0);
+	clock_manual_advance_ms(&fixture->clock, 10000);
+	fixture->base = event_base_new();
+	fixture->server =
+		rpc_server_new(fixture->base, "127.0.0.1", 0, NULL, NULL);
+	fixture->client = rpc_client_new(fixture->base, NULL);
+	options.server = fixture->server;
+	options.client = fixture->client;
+	options.counters = counter_set_new();
+	fixture->relay = store_relay_new(&options);
+	for (int i = 0; store_relay_is_direct(fixture->relay) && i < 10; i++)
+		object_get(store_relay_store(fixture->relay), "k/0", on_refused,
+			   NULL);
+	/* The first call after that still goes to the store. */
+	object_get(store_relay_store(fixture->relay), "k/0", on_refused, NULL);
+	CU_ASSERT_FALSE(store_relay_is_direct(fixture->relay));
+}
+
+static void end(fixture_t *fixture)
+{
+	rpc_client_free(fixture->client);
+	rpc_server_free(fixture->server);
+	event_base_free(fixture->base);
+}
+
+/* Guards against a part of the changes that passes for all of them: the view of
+ * the other node would watch on from the revision of the rest. */
+static void test_capped_answers(void)
+{
+	fixture_t fixture;
+
+	start(&fixture);
+	object_watch(store_relay_store(fixture.relay), "k/", 1, 1000, on_answer,
+		     &fixture);
+	CU_ASSERT_EQUAL(fixture.store.watches, 0);
+	event_base_dispatch(fixture.base);
+	CU_ASSERT_EQUAL(fixture.store.watches, 1);
+	CU_ASSERT_EQUAL(fixture.entries, STORE_ENTRIES_MAX);
+	CU_ASSERT_EQUAL(fixture.revision, REVISION);
+	CU_ASSERT(fixture.more);
+	fixture.more = false;
+	object_list(store_relay_store(fixture.relay), "k/", NULL, CHANGES,
+		    on_answer, &fixture);
+	event_base_dispatch(fixture.base);
+	CU_ASSERT_EQUAL(fixture.entries, STORE_ENTRIES_MAX);
+	CU_ASSERT(fixture.more);
+	end(&fixture);
+}
+
+int main(void)
+{
+	static const unit_test_t tests[] = {
+		{ "capped answers", test_capped_answers },
+		{ NULL, NULL },
+	};
+
+	return unit_run("store_relay", tests);
+}
