Stop the items of a chunk whose second lease expires

In the entry daemon, items could go on running without a lease, for up to 30 s after the first one had expired, while another node ran them too or their job was cancelled.

Cause: a dispatcher stops the items of a chunk once, when its lease expires, and remembers that time until a renewal succeeds. When the coordinator grants the chunk to the same node again, items start again, but the time stayed. If the new lease expired without a renewal, the items passed for stopped.

The change: a grant that extends the lease begins it anew.

Evidence: the test "lease after recovery" failed without the change (one item running after the second lease); with it test_dispatcher passes (49,288 of 49,288).

--- a/src/batch/dispatcher_chunk.c
+++ b/src/batch/dispatcher_chunk.c
@@ -101,18 +101,27 @@
 	}
 }
 
+static void extend_lease(dispatch_chunk_t *chunk, int64_t until_ms)
+{
+	if (until_ms <= chunk->lease_until_ms)
+		return;
+	chunk->lease_until_ms = until_ms;
+	/* When this lease ends, the items are stopped again. */
+	chunk->no_lease_since_ms = 0;
+}
+
 void dispatcher_granted(dispatcher_t *dispatcher,
 			const dispatcher_grant_t *grant)
 {
 	dispatch_chunk_t *chunk =
 		find_chunk(dispatcher, grant->job, grant->first);
 
-	if (chunk || dispatcher->draining) {
-		if (chunk)
-			chunk->lease_until_ms = MAX(chunk->lease_until_ms,
-						    grant->lease_until_ms);
+	if (chunk) {
+		extend_lease(chunk, grant->lease_until_ms);
 		return;
 	}
+	if (dispatcher->draining)
+		return;
 	chunk = g_new0(dispatch_chunk_t, 1);
 	chunk->pool = dispatcher_get_pool(dispatcher, grant->partner,
 					  grant->deployment);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1048,9 +1048,95 @@
 		run_history(seed);
 }
 
+/* A dispatcher whose calls get no answers but those of the test. */
+typedef struct silent {
+	int running;
+} silent_t;
+
+static void silent_start(dispatch_item_t *item, json_t *body, void *user_data)
+{
+	((silent_t *)user_data)->running++;
+}
+
+static void silent_stop(dispatch_item_t *item, void *user_data)
+{
+	((silent_t *)user_data)->running--;
+}
+
+static void silent_pull(const char *partner, const char *deployment,
+			void *user_data)
+{
+}
+
+static void silent_load(const dispatch_chunk_t *chunk, void *user_data)
+{
+}
+
+static void silent_renew(const dispatch_chunk_t *chunk, const GArray *suspects,
+			 void *user_data)
+{
+}
+
+static void silent_run(dispatcher_t *dispatcher, clock_manual_t *clock,
+		       int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += 100) {
+		clock_manual_advance_ms(clock, 100);
+		dispatcher_tick(dispatcher);
+	}
+}
+
+/* A chunk whose lease has expired is granted to its holder again. Guards against
+ * items that run on without a lease when that one expires as well: another node
+ * may have the chunk, and the job may have been cancelled. */
+static void test_lease_after_recovery(void)
+{
+	static const char text[] =
+		"{\"custom_id\":\"i0\",\"method\":\"POST\","
+		"\"url\":\"/v1/chat/completions\",\"body\":{\"model\":"
+		"\"muse\",\"messages\":[{\"role\":\"user\","
+		"\"content\":\"c\"}]}}\n";
+	const slot_options_t slots = { .policy = SLOT_FIXED, .fixed = 2 };
+	const dispatcher_runner_info_t runner = { "r0", "guild", "muse" };
+	silent_t silent = { 0 };
+	const dispatcher_ops_t ops = { .start = silent_start,
+				       .stop = silent_stop,
+				       .pull = silent_pull,
+				       .load = silent_load,
+				       .renew = silent_renew,
+				       .user_data = &silent };
+	dispatcher_grant_t grant = { .partner = "guild",
+				     .deployment = "muse",
+				     .job = "job",
+				     .input_file_id = "file",
+				     .count = 1 };
+	GBytes *data = g_bytes_new_static(text, sizeof(text) - 1);
+	clock_manual_t clock;
+	dispatcher_t *dispatcher;
+
+	clock_manual_init(&clock, 1000000);
+	dispatcher = dispatcher_new(&ops, &clock.base, &slots);
+	dispatcher_set_runners(dispatcher, &runner, 1);
+	dispatcher_report_slots(dispatcher, "r0", 2);
+	for (int i = 0; i < 2; i++) {
+		grant.lease_until_ms =
+			clock_now_ms(&clock.base) + COORDINATOR_LEASE_MS;
+		dispatcher_granted(dispatcher, &grant);
+		dispatcher_loaded(dispatcher, "job", 0, data);
+		silent_run(dispatcher, &clock, 1000);
+		CU_ASSERT_EQUAL(silent.running, 1);
+		silent_run(dispatcher, &clock, COORDINATOR_LEASE_MS);
+		CU_ASSERT_EQUAL(silent.running, 0);
+	}
+	CU_ASSERT_EQUAL(dispatcher_chunks(dispatcher), 1);
+	dispatcher_free(dispatcher);
+	g_bytes_unref(data);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
+		{ "lease after recovery", test_lease_after_recovery },
 		{ "histories", test_histories },
 		{ NULL, NULL },
 	};
