Confirm a slow takeover by a write, which other nodes see

Cause: a takeover that has taken longer than half of the lease was confirmed by a read of the record. Other nodes count the lease from the version that they have seen, which a read does not change. A takeover confirmed shortly before the end of that lease counted as confirmed here for another 2 s, while another node took the job over and added results. Until its own first write failed, this node served the record as current, without those results, and started items.

The change: the takeover is confirmed by a write on condition of its version, like a renewal. Others see a new version and count from it; when another node has the job, the write fails and the takeover is abandoned, as before. An answer that only shows the record, because the version had changed, confirms nothing.

Evidence: the test "confirmation is seen" failed without the change: another node got the job 4 s after it had seen it, and this one still served it.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -215,9 +215,19 @@
 	retry_takeover(job);
 }
 
-static void start_call(table_entry_t *job)
+/* Writes the record if it still has the version that this node has seen. */
+static void put_record(table_entry_t *job, const job_record_t *record,
+		       object_done_t done)
 {
-	job->call_started_us = clock_elapsed_us(job->table->context->clock);
+	const job_context_t *context = job->table->context;
+	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
+	char *text = job_record_encode(record);
+
+	job->call_started_us = clock_elapsed_us(context->clock);
+	object_put(context->store, key, text, strlen(text), job->version,
+		   context->writer, done, job);
+	g_free(text);
+	g_free(key);
 }
 
 static void finish_takeover(table_entry_t *job);
@@ -236,10 +246,22 @@
 		return;
 	}
 	update_entry(job->table, job->id, record, value->version);
-	job->confirmed_us = job->call_started_us;
+	if (!error)
+		job->confirmed_us = job->call_started_us;
 	finish_takeover(job);
 }
 
+/* Renews the lease of the running takeover by a write: others count it from the
+ * version that they see, so a read would confirm nothing to them. */
+static void confirm_takeover(table_entry_t *job)
+{
+	job_record_t *record = job_record_copy(job->record);
+
+	record->beat++;
+	put_record(job, record, on_takeover_confirmed);
+	job_record_free(record);
+}
+
 /* Starts the job if this node still owns it. Others may take it over once the
  * lease is over, so a takeover that took long is confirmed first. */
 static void finish_takeover(table_entry_t *job)
@@ -256,12 +278,7 @@
 	}
 	if (clock_elapsed_us(table->context->clock) - job->confirmed_us >
 	    TAKEOVER_MAX_AGE_MS * 1000) {
-		char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
-
-		start_call(job);
-		object_get(table->context->store, key, on_takeover_confirmed,
-			   job);
-		g_free(key);
+		confirm_takeover(job);
 		return;
 	}
 	(*table->takeovers_total)++;
@@ -334,8 +351,6 @@
 {
 	const job_context_t *context = job->table->context;
 	job_record_t *record = job_record_copy(job->record);
-	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
-	char *text;
 
 	job->takeover_running = true;
 	g_free(record->owner);
@@ -343,13 +358,8 @@
 	g_free(record->instance);
 	record->instance = g_strdup(context->writer);
 	record->epoch++;
-	text = job_record_encode(record);
-	start_call(job);
-	object_put(context->store, key, text, strlen(text), job->version,
-		   context->writer, on_takeover_written, job);
+	put_record(job, record, on_takeover_written);
 	job_record_free(record);
-	g_free(text);
-	g_free(key);
 }
 
 void job_table_tick(job_table_t *table)
--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -15,6 +15,7 @@
 #define TAKEOVER_MS 8000
 /* Within it no node takes the job of a live owner over. */
 #define BELOW_LEASE_MS 3000
+#define LEASE_US 4000000
 
 /* A store whose reads of payload parts can be held back. Watches are answered
  * with all objects after a while. */
@@ -60,6 +61,7 @@
 	GQueue watches; /* held_watch_t */
 	GQueue calls; /* runner_call_t */
 	bool holds_payload;
+	bool holds_results;
 	fleet_t *fleet;
 	path_table_t *paths;
 	runner_protocol_t protocol;
@@ -322,7 +324,8 @@
 	job_owner_tick(node->owner);
 	if (node->table)
 		job_table_tick(node->table);
-	complete_items(node);
+	if (!node->holds_results)
+		complete_items(node);
 	/* The pauses of a view are of the event loop's clock. */
 	event_base_loop(node->base, EVLOOP_NONBLOCK);
 	g_usleep(STEP_MS * 100);
@@ -480,11 +483,60 @@
 	CU_ASSERT_EQUAL(node->starts, ITEMS);
 }
 
+static void on_attempt(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	stored_record_t *attempt = user_data;
+
+	attempt->done = true;
+	attempt->version = error ? 0 : value->version;
+}
+
+/* Whether node n9, which has seen the record at this version, gets the job. */
+static bool takes_over(node_t *node, const stored_record_t *seen)
+{
+	stored_record_t attempt = { 0 };
+	char *text;
+
+	g_free(seen->record->owner);
+	seen->record->owner = g_strdup("n9");
+	seen->record->epoch++;
+	text = job_record_encode(seen->record);
+	object_put(node->observer, JOB_RECORD_PREFIX "j", text, strlen(text),
+		   seen->version, "n9-1", on_attempt, &attempt);
+	object_memory_step(node->memory);
+	object_memory_deliver(node->observer);
+	CU_ASSERT(attempt.done);
+	g_free(text);
+	return attempt.version != 0;
+}
+
+/* A takeover is confirmed shortly before the lease ends that others count from
+ * its write. Guards against a confirmation that they do not see: the node served
+ * the job as its own when another one had it. */
+static void test_confirmation_is_seen(void)
+{
+	node_t *node = node_in_takeover();
+	stored_record_t seen = read_record(node);
+	int64_t seen_us = clock_now_us(&node->clock.base);
+
+	node->holds_results = true;
+	run_ms(node, BELOW_LEASE_MS);
+	release_payload(node);
+	while (clock_now_us(&node->clock.base) - seen_us < LEASE_US)
+		step(node);
+	CU_ASSERT_EQUAL(node->starts, ITEMS);
+	CU_ASSERT_FALSE(takes_over(node, &seen) &&
+			job_owner_fresh_record(node->owner, "j"));
+	job_record_free(seen.record);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "slow takeover", test_slow_takeover },
 		{ "takeover beyond lease", test_takeover_beyond_lease },
+		{ "confirmation is seen", test_confirmation_is_seen },
 		{ NULL, NULL },
 	};
 
