Count a takeover whose answer was lost from its own write

Cause: when the write of a takeover gets no answer and the next attempt meets the record that the first one has written, the lease counted from the second attempt. The record may be older by the timeout and the pause of each attempt since, 2 s for one, and other nodes count from then: the node served the job as confirmed when another one could have it.

The change: a record that is met confirms nothing; such a takeover is confirmed by a write before the job starts.

Evidence: the test "takeover without answer" failed without the change: another node got the job 4 s after it had seen the first write, and this one still served it.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -23,6 +23,8 @@
 /* Half of the lease time, which other nodes count from when they first see the
  * takeover. */
 #define TAKEOVER_MAX_AGE_MS 2000
+/* Longer ago than any call. */
+#define NOT_CONFIRMED_US (INT64_MIN / 2)
 
 typedef struct table_entry {
 	job_table_t *table;
@@ -334,7 +336,8 @@
 		retry_takeover(job);
 		return;
 	}
-	job->confirmed_us = job->call_started_us;
+	/* An earlier attempt may have written the record at any time. */
+	job->confirmed_us = error ? NOT_CONFIRMED_US : job->call_started_us;
 	job_load_items(table->context, job->id, job->record->payload_parts,
 		       on_items_loaded, job);
 }
--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/error.h"
 #include "gateway/job_load.h"
 #include "gateway/job_owner.h"
 #include "gateway/job_table.h"
@@ -16,6 +17,7 @@
 /* Within it no node takes the job of a live owner over. */
 #define BELOW_LEASE_MS 3000
 #define LEASE_US 4000000
+#define PUT_TIMEOUT_US 2500000
 
 /* A store whose reads of payload parts can be held back. Watches are answered
  * with all objects after a while. */
@@ -31,6 +33,8 @@
 } held_get_t;
 
 typedef struct held_put {
+	struct node *node;
+	char *key;
 	char *text;
 	object_done_t done;
 	void *user_data;
@@ -62,6 +66,10 @@
 	GQueue calls; /* runner_call_t */
 	bool holds_payload;
 	bool holds_results;
+	bool holds_watches;
+	held_put_t *unanswered; /* its answer is lost */
+	bool loses_answer; /* of the next write */
+	int64_t answer_lost_us;
 	fleet_t *fleet;
 	path_table_t *paths;
 	runner_protocol_t protocol;
@@ -94,21 +102,62 @@
 	g_queue_push_tail(&node->gets, get);
 }
 
-/* The users' store returns the object that a write stored. */
+static void free_put(held_put_t *put)
+{
+	g_free(put->key);
+	g_free(put->text);
+	g_free(put);
+}
+
+static void on_conflicting(const object_value_t *value, const GError *error,
+			   void *user_data)
+{
+	const GError conflict = { WL_ERROR, WL_ERROR_CONFLICT,
+				  (char *)"conflict" };
+	held_put_t *put = user_data;
+
+	put->done(value, &conflict, put->user_data);
+	free_put(put);
+}
+
+/* The users' store returns the object that a write stored, or that it met. */
 static void on_put(const object_value_t *value, const GError *error,
 		   void *user_data)
 {
 	held_put_t *put = user_data;
+	node_t *node = put->node;
 	object_value_t stored = { 0 };
 
+	if (node->loses_answer) {
+		node->loses_answer = false;
+		node->unanswered = put;
+		node->answer_lost_us = clock_now_us(&node->clock.base);
+		return;
+	}
+	if (error && error->code == WL_ERROR_CONFLICT) {
+		object_get(node->direct, put->key, on_conflicting, put);
+		return;
+	}
 	if (!error) {
 		stored = *value;
 		stored.data = put->text;
 		stored.len = strlen(put->text);
 	}
 	put->done(error ? value : &stored, error, put->user_data);
-	g_free(put->text);
-	g_free(put);
+	free_put(put);
+}
+
+static void time_out_put(node_t *node)
+{
+	const GError timeout = { WL_ERROR, WL_ERROR_TIMEOUT, (char *)"lost" };
+	held_put_t *put = node->unanswered;
+
+	if (!put || clock_now_us(&node->clock.base) - node->answer_lost_us <
+			    PUT_TIMEOUT_US)
+		return;
+	node->unanswered = NULL;
+	put->done(NULL, &timeout, put->user_data);
+	free_put(put);
 }
 
 static void held_put(object_store_t *base, const char *key, const void *data,
@@ -117,7 +166,8 @@
 {
 	held_put_t *put = g_new0(held_put_t, 1);
 
-	*put = (held_put_t){ g_strndup(data, len), done, user_data };
+	*put = (held_put_t){ node_of(base), g_strdup(key), g_strndup(data, len),
+			     done, user_data };
 	object_put(node_of(base)->direct, key, data, len, if_version, writer,
 		   on_put, put);
 }
@@ -154,7 +204,8 @@
 {
 	held_watch_t *watch = g_queue_peek_head(&node->watches);
 
-	if (!watch || watch->due_us > clock_now_us(&node->clock.base))
+	if (!watch || node->holds_watches ||
+	    watch->due_us > clock_now_us(&node->clock.base))
 		return;
 	g_queue_pop_head(&node->watches);
 	object_list(node->direct, watch->prefix, NULL, 100, watch->done,
@@ -321,6 +372,7 @@
 	object_memory_deliver(node->observer);
 	object_memory_deliver(node->direct);
 	answer_watches(node);
+	time_out_put(node);
 	job_owner_tick(node->owner);
 	if (node->table)
 		job_table_tick(node->table);
@@ -531,12 +583,43 @@
 	job_record_free(seen.record);
 }
 
+/* The answer to the write of a takeover is lost, and the next attempt meets the
+ * record that the first one has written. Guards against a lease that counts from
+ * the second. */
+static void test_takeover_without_answer(void)
+{
+	node_t *node = node_new();
+	stored_record_t seen;
+	int64_t seen_us;
+
+	store_orphan(node);
+	node->holds_results = true;
+	node->table = job_table_new(&node->context, node->owner);
+	run_ms(node, 500);
+	node->loses_answer = true;
+	while (!node->unanswered) {
+		/* The view is as old as a stale read may be. */
+		node->holds_watches = clock_now_us(&node->clock.base) > 4000000;
+		step(node);
+	}
+	seen = read_record(node);
+	seen_us = clock_now_us(&node->clock.base);
+	CU_ASSERT_STRING_EQUAL(seen.record->owner, "n0");
+	while (clock_now_us(&node->clock.base) - seen_us < LEASE_US)
+		step(node);
+	CU_ASSERT_EQUAL(node->starts, ITEMS);
+	CU_ASSERT_FALSE(takes_over(node, &seen) &&
+			job_owner_fresh_record(node->owner, "j"));
+	job_record_free(seen.record);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "slow takeover", test_slow_takeover },
 		{ "takeover beyond lease", test_takeover_beyond_lease },
 		{ "confirmation is seen", test_confirmation_is_seen },
+		{ "takeover without answer", test_takeover_without_answer },
 		{ NULL, NULL },
 	};
 
