Count the lease of an accepted job from its creation

Cause: when the answer to the creation of a record is lost, a submission finds its record by a read and starts the job. The lease counted from that read. Other nodes count from the creation, so with an outage between the two (up to the 2.5 s of a submission) this node served the job as confirmed for longer than it held it.

The change: the lease counts from the start of the first write that may have created the record. A job that is accepted late is renewed by its first write, as before; until then, reads of it go to the store.

Evidence: the test "acceptance by read" failed without the change (the record counted as fresh 2.2 s after its creation); with it test_job_store (210 of 210), test_job_takeover (32 of 32) and test_job_table (18 of 18) pass.

--- a/src/gateway/job_submit.c
+++ b/src/gateway/job_submit.c
@@ -27,7 +27,9 @@
 	struct event *timer; /* of a retry */
 	int64_t deadline_us;
 	bool may_exist; /* a write of the record may have taken effect */
-	int64_t call_started_us; /* of the record, elapsed time */
+	/* Start of the first write of the record that may have taken effect,
+	 * elapsed time. */
+	int64_t write_started_us;
 	job_submitted_done_t done;
 	void *user_data;
 } submit_t;
@@ -85,7 +87,7 @@
 {
 	job_start_t start = { .id = submit->id,
 			      .version = version,
-			      .confirmed_us = submit->call_started_us };
+			      .confirmed_us = submit->write_started_us };
 
 	if (!is_for_this_node(submit, submit->record)) {
 		log_info("job_assigned", "job=%s owner=%s version=%" PRIu64,
@@ -142,11 +144,6 @@
 	job_record_free(record);
 }
 
-static void start_record_call(submit_t *submit)
-{
-	submit->call_started_us = clock_elapsed_us(submit->context->clock);
-}
-
 static void on_created(const object_value_t *value, const GError *error,
 		       void *user_data)
 {
@@ -160,7 +157,6 @@
 	switch (error->code) {
 	case WL_ERROR_CONFLICT:
 		key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
-		start_record_call(submit);
 		object_get(submit->context->store, key, on_existing, submit);
 		g_free(key);
 		return;
@@ -180,7 +176,9 @@
 	char *key = g_strconcat(JOB_RECORD_PREFIX, submit->id, NULL);
 	char *text = job_record_encode(submit->record);
 
-	start_record_call(submit);
+	if (!submit->may_exist)
+		submit->write_started_us =
+			clock_elapsed_us(submit->context->clock);
 	object_put(submit->context->store, key, text, strlen(text),
 		   OBJECT_ABSENT, submit->context->writer, on_created, submit);
 	g_free(text);
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -597,6 +597,33 @@
 	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
 }
 
+/* The answer to the creation of a record is lost, and an outage follows. Guards
+ * against an owner that counts its lease from the read that found the record:
+ * another node, which counts from the creation, may have the job by then. */
+static void test_acceptance_by_read(void)
+{
+	enum { OUTAGE_MS = 2200 };
+	cluster_t *cluster = cluster_new(17);
+	node_t *node = &cluster->nodes[0];
+	object_memory_faults_t *faults = object_memory_faults(cluster->memory);
+
+	faults->timeout_ms = 1000;
+	cluster->steps_per_item = 100000;
+	submit(node);
+	faults->lose_answers = 1;
+	while (object_memory_stats(cluster->memory)->writes < 2)
+		step(cluster);
+	faults->lose_answers = 0;
+	faults->outage_until_ms =
+		clock_now_ms(&cluster->clock.base) + OUTAGE_MS;
+	while (!is_accepted(cluster))
+		step(cluster);
+	CU_ASSERT_PTR_NOT_NULL(job_owner_record(node->owner, "j"));
+	CU_ASSERT_PTR_NULL(job_owner_fresh_record(node->owner, "j"));
+	run_ms(cluster, 2000);
+	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
+}
+
 static void assign_to_n1(job_record_t *record)
 {
 	g_free(record->owner);
@@ -1068,6 +1095,7 @@
 		{ "completed job sent again", test_completed_job_sent_again },
 		{ "segment key in use", test_segment_key_in_use },
 		{ "foreign results", test_foreign_results },
+		{ "acceptance by read", test_acceptance_by_read },
 		{ "job started twice", test_job_started_twice },
 		{ "large results", test_large_results },
 		{ "release with large results",
