Show that a read renews the lease of an owner

An owner counts its lease from the last call that returned its record. Other nodes count from the version that they see, which a read does not change, and neither does a write that only meets the record. When the store refuses writes but answers reads (as above the rate of writes), and the owner reads its record, say after an end of the job that failed, the owner serves the record as current, and passes items on to other nodes, for up to 2 s while another node may have taken the job over and added results.

--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -624,6 +624,30 @@
 	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
 }
 
+/* The store refuses writes but not reads, as above a rate, and something makes
+ * the owner read its record, such as an end of the job that failed. Guards
+ * against a lease that counts from that read: another node counts from the last
+ * version and may have the job by then. */
+static void test_read_is_no_renewal(void)
+{
+	cluster_t *cluster = cluster_new(18);
+	node_t *node = &cluster->nodes[0];
+
+	cluster->steps_per_item = 100000;
+	submit(node);
+	run_ms(cluster, 500);
+	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
+	object_memory_faults(cluster->memory)->writes_per_s = 0.001;
+	run_ms(cluster, 3500);
+	CU_ASSERT_PTR_NULL(job_owner_fresh_record(node->owner, "j"));
+	job_owner_refresh(node->owner, "j");
+	run_ms(cluster, 500);
+	CU_ASSERT_PTR_NULL(job_owner_fresh_record(node->owner, "j"));
+	object_memory_faults(cluster->memory)->writes_per_s = 0;
+	run_ms(cluster, 2000);
+	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
+}
+
 static void assign_to_n1(job_record_t *record)
 {
 	g_free(record->owner);
@@ -1096,6 +1120,7 @@
 		{ "segment key in use", test_segment_key_in_use },
 		{ "foreign results", test_foreign_results },
 		{ "acceptance by read", test_acceptance_by_read },
+		{ "read is no renewal", test_read_is_no_renewal },
 		{ "job started twice", test_job_started_twice },
 		{ "large results", test_large_results },
 		{ "release with large results",
