--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/error.h"
 #include "gateway/job_load.h"
 #include "gateway/job_owner.h"
 #include "gateway/job_submit.h"
@@ -19,6 +20,8 @@
 #define SUBMIT_TIMEOUT_MS 2500
 /* Within it no node takes the job of a live owner over. */
 #define BELOW_LEASE_MS 3000
+#define LEASE_US 4000000
+#define PUT_TIMEOUT_US 2500000
 
 /* A store whose reads of payload parts can be held back. Watches are answered
  * with all objects after a while. */
@@ -34,6 +37,8 @@
 } held_get_t;
 
 typedef struct held_put {
+	struct node *node;
+	char *key;
 	char *text;
 	object_done_t done;
 	void *user_data;
@@ -65,6 +70,11 @@
 	GQueue calls; /* runner_call_t */
 	bool holds_payload;
 	bool hides_records; /* reads of records fail */
+	bool holds_results;
+	bool holds_watches;
+	held_put_t *unanswered; /* its answer is lost */
+	bool loses_answer; /* of the next write */
+	int64_t answer_lost_us;
 	fleet_t *fleet;
 	path_table_t *paths;
 	runner_protocol_t protocol;
@@ -102,21 +112,62 @@
 	g_queue_push_tail(&node->gets, get);
 }
 
-/* The users' store returns the object that a write stored. */
+static void free_put(held_put_t *put)
+{
+	g_free(put->key);
+	g_free(put->text);
+	g_free(put);
+}
+
+static void on_conflicting(const object_value_t *value, const GError *error,
+			   void *user_data)
+{
+	const GError conflict = { WL_ERROR, WL_ERROR_CONFLICT,
+				  (char *)"conflict" };
+	held_put_t *put = user_data;
+
+	put->done(value, &conflict, put->user_data);
+	free_put(put);
+}
+
+/* The users' store returns the object that a write stored, or that it met. */
 static void on_put(const object_value_t *value, const GError *error,
 		   void *user_data)
 {
 	held_put_t *put = user_data;
+	node_t *node = put->node;
 	object_value_t stored = { 0 };
 
+	if (node->loses_answer) {
+		node->loses_answer = false;
+		node->unanswered = put;
+		node->answer_lost_us = clock_now_us(&node->clock.base);
+		return;
+	}
+	if (error && error->code == WL_ERROR_CONFLICT) {
+		object_get(node->direct, put->key, on_conflicting, put);
+		return;
+	}
 	if (!error) {
 		stored = *value;
 		stored.data = put->text;
 		stored.len = strlen(put->text);
 	}
 	put->done(error ? value : &stored, error, put->user_data);
-	g_free(put->text);
-	g_free(put);
+	free_put(put);
+}
+
+static void time_out_put(node_t *node)
+{
+	const GError timeout = { WL_ERROR, WL_ERROR_TIMEOUT, (char *)"lost" };
+	held_put_t *put = node->unanswered;
+
+	if (!put || clock_now_us(&node->clock.base) - node->answer_lost_us <
+			    PUT_TIMEOUT_US)
+		return;
+	node->unanswered = NULL;
+	put->done(NULL, &timeout, put->user_data);
+	free_put(put);
 }
 
 static void held_put(object_store_t *base, const char *key, const void *data,
@@ -125,7 +176,8 @@
 {
 	held_put_t *put = g_new0(held_put_t, 1);
 
-	*put = (held_put_t){ g_strndup(data, len), done, user_data };
+	*put = (held_put_t){ node_of(base), g_strdup(key), g_strndup(data, len),
+			     done, user_data };
 	object_put(node_of(base)->direct, key, data, len, if_version, writer,
 		   on_put, put);
 }
@@ -162,7 +214,8 @@
 {
 	held_watch_t *watch = g_queue_peek_head(&node->watches);
 
-	if (!watch || watch->due_us > clock_now_us(&node->clock.base))
+	if (!watch || node->holds_watches ||
+	    watch->due_us > clock_now_us(&node->clock.base))
 		return;
 	g_queue_pop_head(&node->watches);
 	object_list(node->direct, watch->prefix, NULL, 100, watch->done,
@@ -334,10 +387,12 @@
 	object_memory_deliver(node->observer);
 	object_memory_deliver(node->direct);
 	answer_watches(node);
+	time_out_put(node);
 	job_owner_tick(node->owner);
 	if (node->table)
 		job_table_tick(node->table);
-	complete_items(node);
+	if (!node->holds_results)
+		complete_items(node);
 	/* The pauses of a view are of the event loop's clock. */
 	event_base_loop(node->base, EVLOOP_NONBLOCK);
 	g_usleep(STEP_MS * 100);
@@ -547,6 +602,84 @@
 	CU_ASSERT_EQUAL(node->starts, ITEMS);
 }
 
+static void on_attempt(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	stored_record_t *attempt = user_data;
+
+	attempt->done = true;
+	attempt->version = error ? 0 : value->version;
+}
+
+/* Whether node n9, which has seen the record at this version, gets the job. */
+static bool takes_over(node_t *node, const stored_record_t *seen)
+{
+	stored_record_t attempt = { 0 };
+	char *text;
+
+	g_free(seen->record->owner);
+	seen->record->owner = g_strdup("n9");
+	seen->record->epoch++;
+	text = job_record_encode(seen->record);
+	object_put(node->observer, JOB_RECORD_PREFIX "j", text, strlen(text),
+		   seen->version, "n9-1", on_attempt, &attempt);
+	object_memory_step(node->memory);
+	object_memory_deliver(node->observer);
+	CU_ASSERT(attempt.done);
+	g_free(text);
+	return attempt.version != 0;
+}
+
+/* A takeover is confirmed shortly before the lease ends that others count from
+ * its write. Guards against a confirmation that they do not see: the node served
+ * the job as its own when another one had it. */
+static void test_confirmation_is_seen(void)
+{
+	node_t *node = node_in_takeover();
+	stored_record_t seen = read_record(node);
+	int64_t seen_us = clock_now_us(&node->clock.base);
+
+	node->holds_results = true;
+	run_ms(node, BELOW_LEASE_MS);
+	release_payload(node);
+	while (clock_now_us(&node->clock.base) - seen_us < LEASE_US)
+		step(node);
+	CU_ASSERT_EQUAL(node->starts, ITEMS);
+	CU_ASSERT_FALSE(takes_over(node, &seen) &&
+			job_owner_fresh_record(node->owner, "j"));
+	job_record_free(seen.record);
+}
+
+/* The answer to the write of a takeover is lost, and the next attempt meets the
+ * record that the first one has written. Guards against a lease that counts from
+ * the second. */
+static void test_takeover_without_answer(void)
+{
+	node_t *node = node_new();
+	stored_record_t seen;
+	int64_t seen_us;
+
+	store_orphan(node);
+	node->holds_results = true;
+	node->table = job_table_new(&node->context, node->owner);
+	run_ms(node, 500);
+	node->loses_answer = true;
+	while (!node->unanswered) {
+		/* The view is as old as a stale read may be. */
+		node->holds_watches = clock_now_us(&node->clock.base) > 4000000;
+		step(node);
+	}
+	seen = read_record(node);
+	seen_us = clock_now_us(&node->clock.base);
+	CU_ASSERT_STRING_EQUAL(seen.record->owner, "n0");
+	while (clock_now_us(&node->clock.base) - seen_us < LEASE_US)
+		step(node);
+	CU_ASSERT_EQUAL(node->starts, ITEMS);
+	CU_ASSERT_FALSE(takes_over(node, &seen) &&
+			job_owner_fresh_record(node->owner, "j"));
+	job_record_free(seen.record);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -554,6 +687,8 @@
 		{ "takeover beyond lease", test_takeover_beyond_lease },
 		{ "existing job unread", test_existing_job_unread },
 		{ "unread items", test_unread_items },
+		{ "confirmation is seen", test_confirmation_is_seen },
+		{ "takeover without answer", test_takeover_without_answer },
 		{ NULL, NULL },
 	};
 
