Renew the lease of an owner by writes only

A node could serve the record of a job, without its latest results, and pass items on, while another node had taken the job over.

Cause: an owner counted its lease from the last call that returned its record. Others count from the version that they see, which neither a read nor a write that meets a conflict changes. A read also put the next renewal off.

The change: only a write that the store has taken renews the lease and sets the time of the next renewal.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -58,9 +58,9 @@
 	bool removed; /* to be freed when no call is in flight */
 	uint32_t segments; /* segment keys used by this owner */
 	int64_t pending_since_us;
-	int64_t written_us; /* when the store last returned the record */
+	int64_t written_us; /* when the store last took the record */
 	int64_t call_started_us; /* start of the call in flight, elapsed time */
-	int64_t confirmed_us; /* start of the last call that confirmed it */
+	int64_t confirmed_us; /* start of the last write that renewed it */
 	int64_t write_not_before_us;
 	int64_t deadline_us;
 };
@@ -456,6 +456,14 @@
 		  job_record_results(job->record));
 }
 
+/* A write of this owner renews the lease. Others count it from the version that
+ * they see, so a read does not. */
+static void renew_lease(owned_job_t *job)
+{
+	job->written_us = now_us(job->owner);
+	job->confirmed_us = job->call_started_us;
+}
+
 static void apply_record(owned_job_t *job, job_record_t *record,
 			 uint64_t version)
 {
@@ -467,8 +475,6 @@
 	job->record = record;
 	job->version = version;
 	job->refresh = false;
-	job->written_us = now_us(job->owner);
-	job->confirmed_us = job->call_started_us;
 	if (job->segment && names_results(job))
 		complete_segment(job);
 	else if (job->segment &&
@@ -525,6 +531,8 @@
 		value ? job_record_decode(value->data, value->len) : NULL;
 
 	job->writing = false;
+	if (!error)
+		renew_lease(job);
 	if (error && error->code != WL_ERROR_CONFLICT) {
 		delay_retry(job, error);
 	} else if (record) {
