--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -206,8 +206,12 @@
 static void end_takeover(table_entry_t *job)
 {
 	job->takeover_running = false;
-	g_clear_pointer(&job->items, g_ptr_array_unref);
-	g_clear_pointer(&job->progress, g_ptr_array_unref);
+	if (job->items)
+		g_ptr_array_unref(job->items);
+	if (job->progress)
+		g_ptr_array_unref(job->progress);
+	job->items = NULL;
+	job->progress = NULL;
 }
 
 static void retry_takeover(table_entry_t *job)
