Move the evidence against a prompt part into a file of its own

What the crashes in a log say against one part depends on the log and the part's last output only. No change of behaviour.

--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -2,18 +2,9 @@
 
 #include <inttypes.h>
 
+#include "backend/part_evidence.h"
 #include "base/log.h"
 
-/* Evidence of a crash for a part: full if the runner was processing the
- * request, less if the request may still have been in its queue. */
-#define EVIDENCE_RUNNING 10
-#define EVIDENCE_QUEUED 4
-/* The same for the request itself, of which few come again by chance. */
-#define EVIDENCE_REQUEST 7
-/* Evidence from which a part is held briefly, and for long: of two and of three
- * crashes. */
-#define EVIDENCE_SUSPECTED 20
-#define EVIDENCE_CERTAIN 30
 #define HOLD_SUSPECTED_MS 2000
 #define HOLD_CERTAIN_MS 60000
 #define HOLD_DOUBLINGS_MAX 4
@@ -26,10 +17,6 @@
 #define TRIAL_MS 2000
 /* Above the longest hold, after which the next crash is to be recognized. */
 #define CRASH_MAX_AGE_MS (30 * 60 * 1000)
-/* Runners that are lost within this time may have one cause that is not a
- * request, such as a lost link or power. Unless a part explains the loss of all
- * of them, they count as one crash for it. */
-#define COMMON_CAUSE_US 10000
 /* A runner that sends output this much later than a connection ended has not
  * crashed then. */
 #define SURVIVAL_MARGIN_US 50000
@@ -152,62 +139,9 @@
 				     g_rand_double(guard->options.random));
 }
 
-/* Whether a crash speaks against a part: no output with the part came later. */
-static bool counts_against(const crash_t *crash, const part_t *part)
+static evidence_part_t evidence_part(const part_t *part)
 {
-	return !crash->survived && crash->at_us > part->cleared_us;
-}
-
-static uint32_t evidence_of(const crash_t *crash, const part_t *part)
-{
-	const crash_suspect_t *suspect = crash_suspect(crash, part->id);
-
-	if (!suspect || !counts_against(crash, part))
-		return 0;
-	if (suspect->running)
-		return EVIDENCE_RUNNING;
-	return suspect->depth == PROMPT_DEPTH_REQUEST ? EVIDENCE_REQUEST :
-							EVIDENCE_QUEUED;
-}
-
-static bool is_same_moment(const crash_log_t *log, uint32_t first,
-			   uint32_t other)
-{
-	return log->crashes[other].at_us - log->crashes[first].at_us <=
-	       COMMON_CAUSE_US;
-}
-
-/* Sums up the evidence against a part from the crashes that are not explained
- * yet. */
-static uint32_t evidence_against(const part_guard_t *guard, const part_t *part,
-				 const bool *explained)
-{
-	const crash_log_t *log = &guard->log;
-	uint32_t sum = 0;
-	uint32_t next;
-
-	for (uint32_t i = 0; i < log->count; i = next) {
-		uint32_t strongest = 0;
-		uint32_t group = 0;
-		bool explains_all = true;
-
-		for (next = i;
-		     next < log->count && is_same_moment(log, i, next);
-		     next++) {
-			uint32_t evidence = 0;
-
-			if (log->crashes[next].survived)
-				continue;
-			if (!explained[next])
-				evidence =
-					evidence_of(&log->crashes[next], part);
-			explains_all &= evidence > 0;
-			group += evidence;
-			strongest = MAX(strongest, evidence);
-		}
-		sum += explains_all ? group : strongest;
-	}
-	return sum;
+	return (evidence_part_t){ part->id, part->cleared_us };
 }
 
 static uint32_t total_evidence(const part_guard_t *guard, const part_t *part,
@@ -215,12 +149,13 @@
 {
 	bool crashed_on_trial =
 		part->certain && part->newest_us > part->held_crash_us;
+	const evidence_part_t suspect = evidence_part(part);
 	uint32_t evidence;
 
 	/* One crash alone is not enough; most parts have no other. */
 	if (part->blamed || (part->mentions < 2 && !crashed_on_trial))
 		return 0;
-	evidence = evidence_against(guard, part, explained);
+	evidence = part_evidence_sum(&guard->log, &suspect, explained);
 	/* The crashes before the hold may not be in the log any more. */
 	if (crashed_on_trial && evidence > 0)
 		evidence = MAX(evidence, EVIDENCE_SUSPECTED);
@@ -314,11 +249,13 @@
 static void explain(const part_guard_t *guard, const part_t *part,
 		    bool *explained)
 {
+	const evidence_part_t suspect = evidence_part(part);
+
 	for (uint32_t i = 0; i < guard->log.count; i++) {
 		const crash_t *crash = &guard->log.crashes[i];
 
 		if (crash_suspect(crash, part->id) &&
-		    counts_against(crash, part))
+		    part_evidence_counts(crash, &suspect))
 			explained[i] = true;
 	}
 }
