Count runners that are lost at one moment as one crash for each part

Cause: runners that are lost within 10 ms counted as one crash for a part, but as several if the part explains the loss of all of them. A part that all requests share always does, so one common cause was the evidence of three crashes. Log of the case: three runners lost within 3 ms, the first part_held after the second of them, evidence=30 certain=1 after the third, while other requests with the part had had events from the same runners.

Now they count as one crash for each part and each request. Only a request that was sent after another of these runners had been lost with the same part counts by itself, as nothing but the part was at both. So that a part which does crash runners together is not sent to all of them again, a part with which all runners of a moment were lost is put on trial without a hold: each node sends one request with it at a time until there is output. Datagrams are unchanged. New logs runner_crashes_joined and part_on_trial, runners in part_held, and two counters.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -80,6 +80,8 @@
 		bool changed = suspect->running && !known->running;
 
 		known->running |= suspect->running;
+		changed |= known->sent_again && !suspect->sent_again;
+		known->sent_again &= suspect->sent_again;
 		return changed;
 	}
 	if (crash->count < CRASH_SUSPECTS_MAX) {
--- a/src/backend/part_evidence.c
+++ b/src/backend/part_evidence.c
@@ -28,34 +28,53 @@
 	       COMMON_CAUSE_US;
 }
 
-/* Unless a part explains the loss of all runners of a moment, they count as one
- * crash for it. */
-uint32_t part_evidence_sum(const crash_log_t *log, const evidence_part_t *part,
-			   const bool *explained)
+/* What the crashes of one moment say against a part. */
+typedef struct moment {
+	uint32_t runners; /* that were lost */
+	uint32_t suspected; /* of these, with the part */
+	uint32_t sent_again; /* evidence of crashes that count by themselves */
+	uint32_t strongest; /* evidence of one of the other crashes */
+	uint32_t running; /* crashes while a request was processed */
+	int64_t last_us;
+} moment_t;
+
+static void add_crash(moment_t *moment, const crash_t *crash,
+		      const evidence_part_t *part, bool explained)
+{
+	uint32_t evidence = explained ? 0 : evidence_of(crash, part);
+
+	moment->runners++;
+	moment->last_us = crash->at_us;
+	if (evidence == 0)
+		return;
+	moment->suspected++;
+	if (evidence == EVIDENCE_RUNNING)
+		moment->running++;
+	if (crash_suspect(crash, part->id)->sent_again)
+		moment->sent_again += evidence;
+	else
+		moment->strongest = MAX(moment->strongest, evidence);
+}
+
+part_evidence_t part_evidence_sum(const crash_log_t *log,
+				  const evidence_part_t *part,
+				  const bool *explained)
 {
-	uint32_t sum = 0;
+	part_evidence_t evidence = { 0 };
 	uint32_t next;
 
 	for (uint32_t i = 0; i < log->count; i = next) {
-		uint32_t strongest = 0;
-		uint32_t group = 0;
-		bool explains_all = true;
+		moment_t moment = { 0 };
 
 		for (next = i;
-		     next < log->count && is_same_moment(log, i, next);
-		     next++) {
-			uint32_t evidence = 0;
-
-			if (log->crashes[next].survived)
-				continue;
-			if (!explained[next])
-				evidence =
-					evidence_of(&log->crashes[next], part);
-			explains_all &= evidence > 0;
-			group += evidence;
-			strongest = MAX(strongest, evidence);
-		}
-		sum += explains_all ? group : strongest;
+		     next < log->count && is_same_moment(log, i, next); next++)
+			if (!log->crashes[next].survived)
+				add_crash(&moment, &log->crashes[next], part,
+					  explained[next]);
+		evidence.sum += moment.sent_again + moment.strongest;
+		evidence.runners += moment.suspected;
+		if (moment.runners > 1 && moment.running == moment.runners)
+			evidence.shared_us = moment.last_us;
 	}
-	return sum;
+	return evidence;
 }
--- a/src/backend/part_evidence.h
+++ b/src/backend/part_evidence.h
@@ -9,11 +9,14 @@
 /*
  * part_evidence - what the crashes in a log say against one prompt part.
  *
- * A crash says nothing against a part that had output later.
+ * A crash says nothing against a part that had output later. Runners that are
+ * lost at one moment may have one cause that is not a request, so they count as
+ * one crash for each part: one that all of their requests share explains no more
+ * than that cause does. Only a request that was sent after another one of these
+ * runners was lost with the same part counts by itself.
  */
 
-/* Runners that are lost within this time may have one cause that is not a
- * request, such as a lost link or power. */
+/* Runners that are lost within this time are lost at one moment. */
 #define COMMON_CAUSE_US 10000
 
 /* Evidence of a crash for a part: full if the runner was processing the
@@ -35,9 +38,18 @@
 
 /* Whether a crash speaks against a part that is a suspect of it. */
 bool part_evidence_counts(const crash_t *crash, const evidence_part_t *part);
+typedef struct part_evidence {
+	uint32_t sum;
+	uint32_t runners; /* whose crashes speak against the part */
+	/* Last crash of the newest moment at which several runners were lost,
+	 * all while they processed a request with the part; 0: none. */
+	int64_t shared_us;
+} part_evidence_t;
+
 /* Sums up the evidence against a part from the crashes that are not explained
  * by another one. explained: one value for each crash of the log. */
-uint32_t part_evidence_sum(const crash_log_t *log, const evidence_part_t *part,
-			   const bool *explained);
+part_evidence_t part_evidence_sum(const crash_log_t *log,
+				  const evidence_part_t *part,
+				  const bool *explained);
 
 #endif
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -12,6 +12,8 @@
 /* Part of a hold over which the nodes spread their first requests after it, so
  * that a crash of one is known before most others send theirs. */
 #define HOLD_JITTER_SHARE 0.25
+/* The same after runners were lost at one moment with a part that is not held. */
+#define TRIAL_SPREAD_MS 500
 /* Time after which a request on trial without output or crash is followed by
  * the next one. */
 #define TRIAL_MS 2000
@@ -34,13 +36,15 @@
 typedef struct part {
 	uint64_t id;
 	uint32_t depth;
-	uint32_t evidence; /* of the crashes that no other part explains */
+	part_evidence_t evidence; /* of what no other part explains */
 	uint32_t mentions; /* crashes that it was a suspect of; never reduced */
 	uint32_t crashes;
 	uint32_t doublings;
 	int64_t cleared_us; /* last output; 0: none known */
 	int64_t newest_us; /* last crash with the part */
 	int64_t held_crash_us; /* last crash that the hold is based on */
+	/* Crash since which requests are sent one at a time, without a hold. */
+	int64_t trial_crash_us;
 	int64_t hold_until_us; /* 0: not held */
 	int64_t send_at_us; /* when this node may send the next request */
 	uint32_t clear_sends_left;
@@ -48,6 +52,7 @@
 	bool told; /* held by another node's crashes, which are not in the log */
 	bool retracted; /* a crash with it was none; until the next decision */
 	bool blamed; /* explains crashes, by the last decision */
+	bool on_trial; /* runners were lost at one moment, by that decision */
 } part_t;
 
 struct part_guard {
@@ -55,6 +60,8 @@
 	crash_log_t log;
 	GHashTable *parts; /* id -> part_t; those of the log, and held ones */
 	int64_t *crashes_total;
+	int64_t *joined_total;
+	int64_t *trials_total;
 	int64_t *holds_total;
 	int64_t *clears_total;
 	int64_t *held; /* sum over the guards of a process */
@@ -70,6 +77,10 @@
 					     g_free);
 	guard->crashes_total = counter_get(options->counters, COUNTER_MONOTONIC,
 					   "runner_crashes_total", NULL);
+	guard->joined_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					  "runner_crashes_joined_total", NULL);
+	guard->trials_total = counter_get(options->counters, COUNTER_MONOTONIC,
+					  "part_trials_total", NULL);
 	guard->holds_total = counter_get(options->counters, COUNTER_MONOTONIC,
 					 "part_holds_total", NULL);
 	guard->clears_total = counter_get(options->counters, COUNTER_MONOTONIC,
@@ -123,10 +134,16 @@
 	return part->hold_until_us > now_us;
 }
 
+/* Last crash because of which requests are held back; 0: none. */
+static int64_t cause_us(const part_t *part)
+{
+	return MAX(part->held_crash_us, part->trial_crash_us);
+}
+
 /* Whether there was no output with the part since it was held. */
 static bool is_on_trial(const part_t *part)
 {
-	return part->held_crash_us > part->cleared_us;
+	return cause_us(part) > part->cleared_us;
 }
 
 static void set_hold(part_guard_t *guard, part_t *part, int64_t until_us)
@@ -144,28 +161,28 @@
 	return (evidence_part_t){ part->id, part->cleared_us };
 }
 
-static uint32_t total_evidence(const part_guard_t *guard, const part_t *part,
-			       const bool *explained)
+static part_evidence_t total_evidence(const part_guard_t *guard,
+				      const part_t *part, const bool *explained)
 {
 	bool crashed_on_trial =
 		part->certain && part->newest_us > part->held_crash_us;
 	const evidence_part_t suspect = evidence_part(part);
-	uint32_t evidence;
+	part_evidence_t evidence = { 0 };
 
 	/* One crash alone is not enough; most parts have no other. */
 	if (part->blamed || (part->mentions < 2 && !crashed_on_trial))
-		return 0;
+		return evidence;
 	evidence = part_evidence_sum(&guard->log, &suspect, explained);
 	/* The crashes before the hold may not be in the log any more. */
-	if (crashed_on_trial && evidence > 0)
-		evidence = MAX(evidence, EVIDENCE_SUSPECTED);
+	if (crashed_on_trial && evidence.sum > 0)
+		evidence.sum = MAX(evidence.sum, EVIDENCE_SUSPECTED);
 	return evidence;
 }
 
 static bool is_stronger(const part_t *part, const part_t *than)
 {
-	if (!than || part->evidence != than->evidence)
-		return !than || part->evidence > than->evidence;
+	if (!than || part->evidence.sum != than->evidence.sum)
+		return !than || part->evidence.sum > than->evidence.sum;
 	if (part->depth != than->depth)
 		return part->depth > than->depth;
 	return part->id < than->id;
@@ -177,7 +194,7 @@
 {
 	double share = part->depth == PROMPT_DEPTH_REQUEST ? 1.0 : DEEPER_SHARE;
 
-	return part->evidence >= share * strongest->evidence;
+	return part->evidence.sum >= share * strongest->evidence.sum;
 }
 
 /* The part that explains the most crashes, or a deeper one that explains nearly
@@ -195,7 +212,7 @@
 		part_t *part = value;
 
 		part->evidence = total_evidence(guard, part, explained);
-		if (part->evidence >= EVIDENCE_SUSPECTED &&
+		if (part->evidence.sum >= EVIDENCE_SUSPECTED &&
 		    is_stronger(part, strongest))
 			strongest = part;
 	}
@@ -204,7 +221,7 @@
 	while (strongest && g_hash_table_iter_next(&iter, NULL, &value)) {
 		part_t *part = value;
 
-		if (part->evidence >= EVIDENCE_SUSPECTED &&
+		if (part->evidence.sum >= EVIDENCE_SUSPECTED &&
 		    explains_enough(part, strongest) &&
 		    (part->depth > chosen->depth ||
 		     (part->depth == chosen->depth &&
@@ -217,7 +234,7 @@
 static void hold(part_guard_t *guard, part_t *part)
 {
 	int64_t now_us = part_guard_now_us(guard);
-	bool certain = part->evidence >= EVIDENCE_CERTAIN;
+	bool certain = part->evidence.sum >= EVIDENCE_CERTAIN;
 	int64_t hold_ms = certain ? HOLD_CERTAIN_MS : HOLD_SUSPECTED_MS;
 
 	part->blamed = true;
@@ -231,7 +248,7 @@
 		hold_ms = (int64_t)HOLD_CERTAIN_MS << part->doublings;
 	part->certain = certain;
 	part->told = false;
-	part->crashes = part->evidence / EVIDENCE_RUNNING;
+	part->crashes = part->evidence.sum / EVIDENCE_RUNNING;
 	part->held_crash_us = part->newest_us;
 	set_hold(guard, part,
 		 MAX(part->hold_until_us, part->newest_us + hold_ms * 1000));
@@ -239,9 +256,10 @@
 		return;
 	(*guard->holds_total)++;
 	log_warn("part_held",
-		 "part=%" PRIx64 " depth=%u evidence=%u certain=%d "
+		 "part=%" PRIx64 " depth=%u evidence=%u runners=%u certain=%d "
 		 "crash_age_ms=%" PRId64 " hold_ms=%" PRId64 " doublings=%u",
-		 part->id, part->depth, part->evidence, certain,
+		 part->id, part->depth, part->evidence.sum,
+		 part->evidence.runners, certain,
 		 (now_us - part->newest_us) / 1000,
 		 (part->hold_until_us - now_us) / 1000, part->doublings);
 }
@@ -265,6 +283,7 @@
 	part->hold_until_us = 0;
 	part->send_at_us = 0;
 	part->held_crash_us = 0;
+	part->trial_crash_us = 0;
 }
 
 /* Whether a long hold is based on crashes that were none. Those that it is
@@ -305,7 +324,7 @@
 			continue;
 		log_info("part_released",
 			 "part=%" PRIx64 " evidence=%u certain=%d", part->id,
-			 part->evidence, part->certain);
+			 part->evidence.sum, part->certain);
 		if (part->certain)
 			end_unfounded(part);
 		else
@@ -313,7 +332,73 @@
 	}
 }
 
-/* Decides which parts are held, by all crashes that are known. */
+/* The deepest part with which several runners were lost at one moment, which
+ * nothing else explains; NULL when there is none. */
+static part_t *deepest_shared(const part_guard_t *guard, const bool *explained)
+{
+	GHashTableIter iter;
+	part_t *deepest = NULL;
+	void *value;
+
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		part_t *part = value;
+
+		if (part->depth == PROMPT_DEPTH_REQUEST || part->on_trial)
+			continue;
+		part->evidence = total_evidence(guard, part, explained);
+		if (part->evidence.shared_us == 0)
+			continue;
+		if (!deepest || part->depth > deepest->depth ||
+		    (part->depth == deepest->depth && part->id < deepest->id))
+			deepest = part;
+	}
+	return deepest;
+}
+
+static void put_on_trial(part_guard_t *guard, part_t *part)
+{
+	int64_t shared_us = part->evidence.shared_us;
+	bool known = shared_us - part->trial_crash_us <= COMMON_CAUSE_US;
+
+	part->on_trial = true;
+	if (shared_us <= part->trial_crash_us)
+		return;
+	part->trial_crash_us = shared_us;
+	if (known)
+		return;
+	part->send_at_us =
+		MAX(part->send_at_us,
+		    shared_us + g_rand_int_range(guard->options.random, 0,
+						 TRIAL_SPREAD_MS * 1000));
+	(*guard->trials_total)++;
+	log_info("part_on_trial",
+		 "part=%" PRIx64 " depth=%u evidence=%u runners=%u "
+		 "crash_age_ms=%" PRId64,
+		 part->id, part->depth, part->evidence.sum,
+		 part->evidence.runners,
+		 (part_guard_now_us(guard) - shared_us) / 1000);
+}
+
+/* Ends the trial of parts whose crashes have another explanation now. */
+static void end_trials(part_guard_t *guard)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, guard->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		part_t *part = value;
+
+		if (part->on_trial || part->blamed || part->trial_crash_us == 0)
+			continue;
+		part->trial_crash_us = 0;
+		if (!is_on_trial(part))
+			part->send_at_us = 0;
+	}
+}
+
+/* Decides which parts are held or on trial, by all crashes that are known. */
 static void decide(part_guard_t *guard)
 {
 	bool explained[CRASH_LOG_MAX] = { false };
@@ -322,13 +407,21 @@
 	void *value;
 
 	g_hash_table_iter_init(&iter, guard->parts);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((part_t *)value)->blamed = false;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		part = value;
+		part->blamed = false;
+		part->on_trial = false;
+	}
 	while ((part = strongest_suspect(guard, explained))) {
 		hold(guard, part);
 		explain(guard, part, explained);
 	}
 	release_others(guard);
+	while ((part = deepest_shared(guard, explained))) {
+		put_on_trial(guard, part);
+		explain(guard, part, explained);
+	}
+	end_trials(guard);
 }
 
 static bool add_suspect(part_guard_t *guard, crash_t *crash,
@@ -345,13 +438,42 @@
 	return true;
 }
 
+static bool is_one_moment(const crash_t *crash, const crash_t *other)
+{
+	return ABS(crash->at_us - other->at_us) <= COMMON_CAUSE_US;
+}
+
+/* Tells of a crash that counts as one with another. */
+static void log_joined(part_guard_t *guard, const crash_t *crash)
+{
+	const crash_log_t *log = &guard->log;
+
+	for (uint32_t i = 0; i < log->count; i++) {
+		const crash_t *other = &log->crashes[i];
+
+		if (other == crash || other->survived ||
+		    !is_one_moment(crash, other))
+			continue;
+		(*guard->joined_total)++;
+		log_info("runner_crashes_joined",
+			 "runner_key=%" PRIx64 " with_key=%" PRIx64
+			 " after_us=%" PRId64,
+			 crash->runner, other->runner,
+			 crash->at_us - other->at_us);
+		return;
+	}
+}
+
 static crash_t *note_crash(part_guard_t *guard, uint64_t runner, int64_t at_us)
 {
 	uint32_t known = guard->log.count;
 	crash_t *crash = crash_log_note(&guard->log, runner, at_us);
+	bool replaced = known == CRASH_LOG_MAX && crash->count == 0;
 
-	if (guard->log.count > known)
-		(*guard->crashes_total)++;
+	if (guard->log.count == known && !replaced)
+		return crash;
+	(*guard->crashes_total)++;
+	log_joined(guard, crash);
 	return crash;
 }
 
@@ -367,13 +489,34 @@
 		const crash_t *other = &log->crashes[i];
 
 		if (other != crash && attempt->sent_us < other->at_us &&
-		    ABS(crash->at_us - other->at_us) <= COMMON_CAUSE_US &&
+		    is_one_moment(crash, other) &&
 		    crash_suspect(other, request))
 			return true;
 	}
 	return false;
 }
 
+/* Whether the request was sent after all other runners were lost that are lost
+ * at this moment with the part, and there are such. */
+static bool is_sent_again(const part_guard_t *guard, const crash_t *crash,
+			  uint64_t part, const part_attempt_t *attempt)
+{
+	const crash_log_t *log = &guard->log;
+	bool again = false;
+
+	for (uint32_t i = 0; attempt && i < log->count; i++) {
+		const crash_t *other = &log->crashes[i];
+
+		if (other == crash || !is_one_moment(crash, other) ||
+		    !crash_suspect(other, part))
+			continue;
+		if (attempt->sent_us < other->at_us)
+			return false;
+		again = true;
+	}
+	return again;
+}
+
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
 		     const prompt_parts_t *parts, part_loss_t loss,
 		     const part_attempt_t *attempt)
@@ -397,6 +540,8 @@
 		if (suspect.depth == PROMPT_DEPTH_REQUEST &&
 		    is_concurrent(guard, crash, suspect.part, attempt))
 			continue;
+		suspect.sent_again =
+			is_sent_again(guard, crash, suspect.part, attempt);
 		changed |= add_suspect(guard, crash, &suspect);
 	}
 	if (!changed || crash->survived)
@@ -453,15 +598,16 @@
 {
 	int64_t now_us = part_guard_now_us(guard);
 
-	part->cleared_us = at_us;
-	if (part->held_crash_us >= at_us)
-		return;
-	if (is_held(part, now_us)) {
-		(*guard->clears_total)++;
+	if (at_us > cause_us(part) &&
+	    (is_held(part, now_us) || is_on_trial(part)))
 		log_info("part_cleared",
 			 "part=%" PRIx64 " source=%s age_ms=%" PRId64, part->id,
 			 source, (now_us - at_us) / 1000);
-	}
+	part->cleared_us = at_us;
+	if (cause_us(part) >= at_us)
+		return;
+	if (is_held(part, now_us))
+		(*guard->clears_total)++;
 	end_hold(part);
 	part->certain = false;
 	part->doublings = 0;
@@ -521,7 +667,7 @@
 		if (!part || !is_on_trial(part))
 			continue;
 		log_info("part_tried", "part=%" PRIx64 " held_ms=%" PRId64,
-			 part->id, (now_us - part->held_crash_us) / 1000);
+			 part->id, (now_us - cause_us(part)) / 1000);
 		part->send_at_us = now_us + TRIAL_MS * 1000;
 	}
 }
@@ -590,7 +736,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const part_t *part = value;
 
-		if (is_on_trial(part) && part->held_crash_us >= oldest_us)
+		if (is_on_trial(part) && cause_us(part) >= oldest_us)
 			held++;
 		else if (!is_in_log(guard, part))
 			g_hash_table_iter_remove(&iter);
@@ -719,7 +865,10 @@
 
 	for (uint32_t i = 0; i < from->count; i++) {
 		crash_suspect_t suspect = from->suspects[i];
+		const crash_suspect_t *known =
+			crash_suspect(crash, suspect.part);
 
+		suspect.sent_again = known && known->sent_again;
 		changed |= add_suspect(guard, crash, &suspect);
 	}
 	if (from->survived)
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -23,6 +23,10 @@
  * after the hold has ended. After a hold a node sends one request at a time with
  * the part until there is output; nodes begin at different times.
  *
+ * Runners that are lost at one moment count as one crash (part_evidence). When
+ * all of them were processing requests with one part that is not held, it is put
+ * on trial as after a hold, without one.
+ *
  * The nodes exchange what they observe (part_report), so that each decides by
  * the crashes that all have seen.
  */
