Count a crash once that is told of after the runner's next one

Cause: a crash that another node tells of was looked for in the runner's last entry only. When the runner had been lost once more since, a summary of the crash before, which may be up to 10 s old, added another entry, and each further summary one more. One crash was the evidence of several.

The entry that is nearest in time is looked for now. Failed before, pass now: test_earlier_crash_is_told_again (test_crash_log) and test_crash_is_told_again (test_part_guard).

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -26,12 +26,30 @@
 	return NULL;
 }
 
+/* Returns the runner's entry that is nearest to the time, if it is of the same
+ * crash, or NULL. Nodes also report crashes before the last one. */
+static crash_t *find_at(crash_log_t *log, uint64_t runner, int64_t at_us)
+{
+	int64_t nearest_us = CRASH_RESTART_MIN_US;
+	crash_t *nearest = NULL;
+
+	for (uint32_t i = log->count; i-- > 0;) {
+		int64_t apart_us = llabs(at_us - log->crashes[i].at_us);
+
+		if (log->crashes[i].runner != runner || apart_us > nearest_us)
+			continue;
+		nearest_us = apart_us;
+		nearest = &log->crashes[i];
+	}
+	return nearest;
+}
+
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us)
 {
-	crash_t *known = crash_log_find(log, runner);
+	crash_t *known = find_at(log, runner, at_us);
 	uint32_t index;
 
-	if (known && llabs(at_us - known->at_us) <= CRASH_RESTART_MIN_US)
+	if (known)
 		return known;
 	if (!log->crashes)
 		log->crashes = g_new0(crash_t, CRASH_LOG_MAX);
--- a/tests/test_crash_log.c
+++ b/tests/test_crash_log.c
@@ -18,6 +18,21 @@
 	crash_log_clear(&log);
 }
 
+/* Guards against a crash that counts twice: another node may tell of it again
+ * after the runner has crashed once more. */
+static void test_earlier_crash_is_told_again(void)
+{
+	crash_log_t log = { 0 };
+	crash_t *first;
+
+	crash_log_note(&log, 1, 10 * SECOND_US);
+	crash_log_note(&log, 1, 14 * SECOND_US);
+	first = crash_log_note(&log, 1, 10 * SECOND_US + 5000);
+	CU_ASSERT_EQUAL(log.count, 2);
+	CU_ASSERT_EQUAL(first->at_us, 10 * SECOND_US);
+	crash_log_clear(&log);
+}
+
 /* Crashes that are heard of late must be in order of time, and a full log must
  * drop the oldest. */
 static void test_order_and_bound(void)
@@ -78,6 +93,8 @@
 {
 	static const unit_test_t tests[] = {
 		{ "same crash", test_same_crash },
+		{ "earlier crash is told again",
+		  test_earlier_crash_is_told_again },
 		{ "order and bound", test_order_and_bound },
 		{ "running suspects first", test_running_suspects_first },
 		{ "repeated suspect is kept", test_repeated_suspect_is_kept },
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -654,6 +654,33 @@
 	fixture_free(f);
 }
 
+/* Guards against requests that are held by crashes that are told again: a runner
+ * has crashed twice, and each summary of the first crash is of that one. */
+static void test_crash_is_told_again(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	const prompt_parts_t parts = parts_of(f, FIRST, OTHER);
+	part_news_t news;
+
+	part_guard_lost(f->guard, 1, &parts, PART_LOSS_RUNNING, 0);
+	CU_ASSERT(part_guard_summary(f->guard, &news));
+	part_guard_apply(peer, &news);
+	clock_manual_advance_ms(&f->clock, 3000);
+	part_guard_lost(f->guard, 1, &(prompt_parts_t){ 0 }, PART_LOSS_RUNNING,
+			0);
+	for (int i = 0; i < 3; i++) {
+		CU_ASSERT(part_guard_summary(peer, &news));
+		/* Ages are in milliseconds, and datagrams take time. */
+		for (uint32_t j = 0; j < news.crashes_count; j++)
+			news.crashes[j].at_us += 20000 * (i + 1);
+		part_guard_apply(f->guard, &news);
+	}
+	CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &parts), 0);
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
 /* Random parts of lost requests must not grow the state without bound, and must
  * age out. */
 static void test_state_is_bounded(void)
@@ -710,6 +737,7 @@
 		{ "news", test_news },
 		{ "summary", test_summary },
 		{ "summary tells clears", test_summary_tells_clears },
+		{ "crash is told again", test_crash_is_told_again },
 		{ "state is bounded", test_state_is_bounded },
 		{ NULL, NULL },
 	};
