Do not take a job over again that has been started and completed

What callers saw: nothing; found by reading. The store saw a refused write, which is charged, for most jobs that complete after a takeover.

Cause: a node retries a takeover at once whose job it could not start, and took a job for one of these when its latest view of the record was still that of the takeover. The view is up to some seconds old. A job that was started, completed and dropped in that time was written again from the old version, which the store refuses.

The change: a takeover whose job has started is not retried.

Evidence: the test "completed takeover" failed without the change (a further write of the record); with it test_job_takeover (43 of 43), test_job_table (18 of 18), test_job_store (217 of 217) and test_job_read (37 of 37) pass.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -34,7 +34,8 @@
 	int64_t first_seen_us; /* when this node first saw the version */
 	int64_t takeover_at_us; /* 0: no takeover is planned */
 	bool takeover_running;
-	uint32_t takeover_epoch; /* that the running takeover has written */
+	uint32_t
+		takeover_epoch; /* that it has written; 0: the job has started */
 	int64_t call_started_us; /* start of its last call, elapsed time */
 	int64_t confirmed_us; /* start of the last call that confirmed it */
 	GPtrArray *items; /* read during a takeover */
@@ -298,6 +299,7 @@
 	start.record = job_record_copy(job->record);
 	start.items = g_steal_pointer(&job->items);
 	job_owner_start_job(table->owner, &start);
+	job->takeover_epoch = 0;
 	end_takeover(job);
 }
 
--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -73,8 +73,9 @@
 	bool holds_results;
 	bool holds_watches;
 	held_put_t *unanswered; /* its answer is lost */
-	bool loses_answer; /* of the next write */
+	bool loses_answer; /* of the next write of a record */
 	int64_t answer_lost_us;
+	int record_puts; /* writes of records */
 	fleet_t *fleet;
 	path_table_t *paths;
 	runner_protocol_t protocol;
@@ -138,7 +139,8 @@
 	node_t *node = put->node;
 	object_value_t stored = { 0 };
 
-	if (node->loses_answer) {
+	if (node->loses_answer &&
+	    g_str_has_prefix(put->key, JOB_RECORD_PREFIX)) {
 		node->loses_answer = false;
 		node->unanswered = put;
 		node->answer_lost_us = clock_now_us(&node->clock.base);
@@ -176,8 +178,12 @@
 {
 	held_put_t *put = g_new0(held_put_t, 1);
 
-	*put = (held_put_t){ node_of(base), g_strdup(key), g_strndup(data, len),
-			     done, user_data };
+	*put = (held_put_t){ .node = node_of(base),
+			     .key = g_strdup(key),
+			     .text = g_strndup(data, len),
+			     .done = done,
+			     .user_data = user_data };
+	put->node->record_puts += g_str_has_prefix(key, JOB_RECORD_PREFIX);
 	object_put(node_of(base)->direct, key, data, len, if_version, writer,
 		   on_put, put);
 }
@@ -680,6 +686,24 @@
 	job_record_free(seen.record);
 }
 
+/* A job that was taken over is complete before this node's view shows it.
+ * Guards against taking it over again: each such job cost a refused write. */
+static void test_completed_takeover(void)
+{
+	node_t *node = node_in_takeover();
+	int puts;
+
+	release_payload(node);
+	while (!job_owner_record(node->owner, "j"))
+		step(node);
+	node->holds_watches = true;
+	while (job_owner_count(node->owner) > 0)
+		step(node);
+	puts = node->record_puts;
+	run_ms(node, BELOW_LEASE_MS);
+	CU_ASSERT_EQUAL(node->record_puts, puts);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -689,6 +713,7 @@
 		{ "unread items", test_unread_items },
 		{ "confirmation is seen", test_confirmation_is_seen },
 		{ "takeover without answer", test_takeover_without_answer },
+		{ "completed takeover", test_completed_takeover },
 		{ NULL, NULL },
 	};
 
