Confirm a job that was accepted late before its items run

Cause: a process that was suspended while it created a job's record, or while it read it after a lost answer, started the job's items when it went on. The lease is over then: another node may have taken the job over, or its caller, who found it through another node, may have ended it. The items ran until the first renewal, 1.5 s later, failed.

The change: a job that starts with a lease that is too old reads its record first, and no item starts while a read of the record is due. The latter also holds for an owner whose view shows that the job has another owner or was ended.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -317,6 +317,8 @@
 	job->written_us = now_us(owner);
 	job->progress_saved_us = job->written_us;
 	job->confirmed_us = start->confirmed_us;
+	/* It may have been taken over or ended since. */
+	job->refresh = !is_confirmed(job);
 	job->deadline_us = deadline_of(job);
 	for (guint i = 0; i < job->items->len; i++) {
 		job_owner_item_init(&job->owned_items[i], owner->context,
@@ -928,7 +930,8 @@
 	for (guint i = 0; i < owner->jobs->len; i++) {
 		owned_job_t *job = owner->jobs->pdata[i];
 		const path_route_t *route = route_of(job);
-		bool starts = !job->removed && !job->release && route;
+		bool starts = !job->removed && !job->release && !job->refresh &&
+			      route;
 
 		for (guint j = 0; j < job->items->len; j++) {
 			owned_item_t *owned = &job->owned_items[j];
--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -40,6 +40,7 @@
 	struct node *node;
 	char *key;
 	char *text;
+	uint64_t version; /* that the store gave it */
 	object_done_t done;
 	void *user_data;
 } held_put_t;
@@ -143,6 +144,7 @@
 	    g_str_has_prefix(put->key, JOB_RECORD_PREFIX)) {
 		node->loses_answer = false;
 		node->unanswered = put;
+		put->version = error ? 0 : value->version;
 		node->answer_lost_us = clock_now_us(&node->clock.base);
 		return;
 	}
@@ -172,6 +174,20 @@
 	free_put(put);
 }
 
+/* The answer was late, not lost. */
+static void answer_put(node_t *node)
+{
+	held_put_t *put = node->unanswered;
+	const object_value_t stored = { .key = put->key,
+					.version = put->version,
+					.data = put->text,
+					.len = strlen(put->text) };
+
+	node->unanswered = NULL;
+	put->done(&stored, NULL, put->user_data);
+	free_put(put);
+}
+
 static void held_put(object_store_t *base, const char *key, const void *data,
 		     size_t len, uint64_t if_version, const char *writer,
 		     object_done_t done, void *user_data)
@@ -704,6 +720,50 @@
 	CU_ASSERT_EQUAL(node->record_puts, puts);
 }
 
+/* Ends the job at another node. */
+static void end_elsewhere(node_t *node)
+{
+	stored_record_t found = read_record(node);
+
+	found.record->ended = true;
+	put(node, JOB_RECORD_PREFIX "j", job_record_encode(found.record),
+	    found.version);
+	job_record_free(found.record);
+}
+
+/* The process is suspended while it creates a record, and the job, which the
+ * caller found at another node, is ended in the meantime. Guards against running
+ * items of a job that was ended long before. */
+static void test_acceptance_after_suspension(void)
+{
+	node_t *node = node_new();
+	int outcome = -1;
+	const job_submission_t submission = {
+		.id = "j",
+		.host = "h",
+		.path = "/b/1",
+		.route = path_table_find(node->paths, "h", "/b/1"),
+		.items = items_new(),
+		.timeout_ms = SUBMIT_TIMEOUT_MS,
+		.done = on_submitted,
+		.user_data = &outcome,
+	};
+
+	node->context.job_node = this_node;
+	node->loses_answer = true;
+	job_submit(&node->context, node->owner, NULL, &submission);
+	while (!node->unanswered)
+		step(node);
+	end_elsewhere(node);
+	node->clock.suspended_us += TAKEOVER_MS * 1000;
+	answer_put(node);
+	run_ms(node, RETRY_MS);
+	CU_ASSERT_EQUAL(outcome, JOB_ACCEPTED);
+	CU_ASSERT_EQUAL(node->starts, 0);
+	run_ms(node, RETRY_MS);
+	CU_ASSERT_EQUAL(job_owner_count(node->owner), 0);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -714,6 +774,8 @@
 		{ "confirmation is seen", test_confirmation_is_seen },
 		{ "takeover without answer", test_takeover_without_answer },
 		{ "completed takeover", test_completed_takeover },
+		{ "acceptance after suspension",
+		  test_acceptance_after_suspension },
 		{ NULL, NULL },
 	};
 
