Show that a record of a later format is taken over again and again

What callers saw: nothing; found by reading. A later build that writes a higher number beside this one would meet one refused write a second for each job and node.

Cause: the view of the jobs logs a record that it cannot read and keeps the one before, which looks like that of an owner who is gone. The takeover from it is refused and retried each second.

--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -764,6 +764,31 @@
 	CU_ASSERT_EQUAL(job_owner_count(node->owner), 0);
 }
 
+/* Replaces the record by one of a later format. */
+static void upgrade_record(node_t *node)
+{
+	stored_record_t found = read_record(node);
+
+	put(node, JOB_RECORD_PREFIX "j", g_strdup("{\"format\":99}"),
+	    found.version);
+	job_record_free(found.record);
+}
+
+/* A job that this node knows gets a record of a later format. Guards against a
+ * takeover from the older record that is tried each second for good. */
+static void test_later_format(void)
+{
+	node_t *node = node_new();
+
+	store_orphan(node);
+	node->table = job_table_new(&node->context, node->owner);
+	run_ms(node, RETRY_MS);
+	upgrade_record(node);
+	run_ms(node, 4 * TAKEOVER_MS);
+	CU_ASSERT_EQUAL(node->starts, 0);
+	CU_ASSERT(node->record_puts <= 1);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -776,6 +801,7 @@
 		{ "completed takeover", test_completed_takeover },
 		{ "acceptance after suspension",
 		  test_acceptance_after_suspension },
+		{ "later format", test_later_format },
 		{ NULL, NULL },
 	};
 
