Show that no node runs a job whose items take longer to read than the lease

What callers saw: nothing that is recorded; found by reading. It needs a job of many payload parts (up to about 36 for a body of 16 MB) and a slow store.

Cause: a takeover reads the parts one after the other and does not renew its lease meanwhile. Another node takes the job over in that time; since the first then abandons its takeover, which is right, and later takes the job over from the second, and so on.

--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -22,6 +22,8 @@
 #define BELOW_LEASE_MS 3000
 #define LEASE_US 4000000
 #define PUT_TIMEOUT_US 2500000
+/* Longer than the lease and the delay until another node sees a takeover. */
+#define LOAD_US 7000000
 
 /* A store whose reads of payload parts can be held back. Watches are answered
  * with all objects after a while. */
@@ -789,6 +791,56 @@
 	CU_ASSERT(node->record_puts <= 1);
 }
 
+/* Another node that reads the items of the job for as long as this one. */
+typedef struct other_node {
+	uint64_t version;
+	int64_t seen_us;
+	bool loads;
+	bool started;
+} other_node_t;
+
+static void run_other(node_t *node, other_node_t *other)
+{
+	stored_record_t found = read_record(node);
+	int64_t now = clock_now_us(&node->clock.base);
+
+	job_record_free(found.record);
+	if (found.version != other->version) {
+		other->version = found.version;
+		other->seen_us = now;
+		other->loads = false;
+	} else if (other->loads) {
+		other->started = now - other->seen_us >= LOAD_US;
+	} else if (now - other->seen_us >= LEASE_US) {
+		other->version = take_over_elsewhere(node);
+		other->seen_us = now;
+		other->loads = true;
+	}
+}
+
+/* The items of a large job take longer to read than the lease. Guards against
+ * nodes that take the job over from each other for good and never run it. */
+static void test_long_load(void)
+{
+	node_t *node = node_in_takeover();
+	other_node_t other = { 0 };
+	int64_t started_us = clock_now_us(&node->clock.base);
+	int64_t held_us = started_us;
+
+	while (node->starts == 0 && !other.started &&
+	       clock_now_us(&node->clock.base) - started_us < 20 * LEASE_US) {
+		if (node->gets.length == 0)
+			held_us = clock_now_us(&node->clock.base);
+		if (clock_now_us(&node->clock.base) - held_us >= LOAD_US) {
+			release_payload(node);
+			node->holds_payload = true;
+		}
+		run_other(node, &other);
+		run_ms(node, 100);
+	}
+	CU_ASSERT(node->starts > 0 || other.started);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -802,6 +854,7 @@
 		{ "acceptance after suspension",
 		  test_acceptance_after_suspension },
 		{ "later format", test_later_format },
+		{ "long load", test_long_load },
 		{ NULL, NULL },
 	};
 
