--- a/tests/test_job_takeover.c
+++ b/tests/test_job_takeover.c
@@ -22,6 +22,8 @@
 #define BELOW_LEASE_MS 3000
 #define LEASE_US 4000000
 #define PUT_TIMEOUT_US 2500000
+/* Longer than the lease and the delay until another node sees a takeover. */
+#define LOAD_US 7000000
 
 /* A store whose reads of payload parts can be held back. Watches are answered
  * with all objects after a while. */
@@ -40,6 +42,7 @@
 	struct node *node;
 	char *key;
 	char *text;
+	uint64_t version; /* that the store gave it */
 	object_done_t done;
 	void *user_data;
 } held_put_t;
@@ -73,8 +76,9 @@
 	bool holds_results;
 	bool holds_watches;
 	held_put_t *unanswered; /* its answer is lost */
-	bool loses_answer; /* of the next write */
+	bool loses_answer; /* of the next write of a record */
 	int64_t answer_lost_us;
+	int record_puts; /* writes of records */
 	fleet_t *fleet;
 	path_table_t *paths;
 	runner_protocol_t protocol;
@@ -138,9 +142,11 @@
 	node_t *node = put->node;
 	object_value_t stored = { 0 };
 
-	if (node->loses_answer) {
+	if (node->loses_answer &&
+	    g_str_has_prefix(put->key, JOB_RECORD_PREFIX)) {
 		node->loses_answer = false;
 		node->unanswered = put;
+		put->version = error ? 0 : value->version;
 		node->answer_lost_us = clock_now_us(&node->clock.base);
 		return;
 	}
@@ -170,14 +176,32 @@
 	free_put(put);
 }
 
+/* The answer was late, not lost. */
+static void answer_put(node_t *node)
+{
+	held_put_t *put = node->unanswered;
+	const object_value_t stored = { .key = put->key,
+					.version = put->version,
+					.data = put->text,
+					.len = strlen(put->text) };
+
+	node->unanswered = NULL;
+	put->done(&stored, NULL, put->user_data);
+	free_put(put);
+}
+
 static void held_put(object_store_t *base, const char *key, const void *data,
 		     size_t len, uint64_t if_version, const char *writer,
 		     object_done_t done, void *user_data)
 {
 	held_put_t *put = g_new0(held_put_t, 1);
 
-	*put = (held_put_t){ node_of(base), g_strdup(key), g_strndup(data, len),
-			     done, user_data };
+	*put = (held_put_t){ .node = node_of(base),
+			     .key = g_strdup(key),
+			     .text = g_strndup(data, len),
+			     .done = done,
+			     .user_data = user_data };
+	put->node->record_puts += g_str_has_prefix(key, JOB_RECORD_PREFIX);
 	object_put(node_of(base)->direct, key, data, len, if_version, writer,
 		   on_put, put);
 }
@@ -680,6 +704,143 @@
 	job_record_free(seen.record);
 }
 
+/* A job that was taken over is complete before this node's view shows it.
+ * Guards against taking it over again: each such job cost a refused write. */
+static void test_completed_takeover(void)
+{
+	node_t *node = node_in_takeover();
+	int puts;
+
+	release_payload(node);
+	while (!job_owner_record(node->owner, "j"))
+		step(node);
+	node->holds_watches = true;
+	while (job_owner_count(node->owner) > 0)
+		step(node);
+	puts = node->record_puts;
+	run_ms(node, BELOW_LEASE_MS);
+	CU_ASSERT_EQUAL(node->record_puts, puts);
+}
+
+/* Ends the job at another node. */
+static void end_elsewhere(node_t *node)
+{
+	stored_record_t found = read_record(node);
+
+	found.record->ended = true;
+	put(node, JOB_RECORD_PREFIX "j", job_record_encode(found.record),
+	    found.version);
+	job_record_free(found.record);
+}
+
+/* The process is suspended while it creates a record, and the job, which the
+ * caller found at another node, is ended in the meantime. Guards against running
+ * items of a job that was ended long before. */
+static void test_acceptance_after_suspension(void)
+{
+	node_t *node = node_new();
+	int outcome = -1;
+	const job_submission_t submission = {
+		.id = "j",
+		.host = "h",
+		.path = "/b/1",
+		.route = path_table_find(node->paths, "h", "/b/1"),
+		.items = items_new(),
+		.timeout_ms = SUBMIT_TIMEOUT_MS,
+		.done = on_submitted,
+		.user_data = &outcome,
+	};
+
+	node->context.job_node = this_node;
+	node->loses_answer = true;
+	job_submit(&node->context, node->owner, NULL, &submission);
+	while (!node->unanswered)
+		step(node);
+	end_elsewhere(node);
+	node->clock.suspended_us += TAKEOVER_MS * 1000;
+	answer_put(node);
+	run_ms(node, RETRY_MS);
+	CU_ASSERT_EQUAL(outcome, JOB_ACCEPTED);
+	CU_ASSERT_EQUAL(node->starts, 0);
+	run_ms(node, RETRY_MS);
+	CU_ASSERT_EQUAL(job_owner_count(node->owner), 0);
+}
+
+/* Replaces the record by one of a later format. */
+static void upgrade_record(node_t *node)
+{
+	stored_record_t found = read_record(node);
+
+	put(node, JOB_RECORD_PREFIX "j", g_strdup("{\"format\":99}"),
+	    found.version);
+	job_record_free(found.record);
+}
+
+/* A job that this node knows gets a record of a later format. Guards against a
+ * takeover from the older record that is tried each second for good. */
+static void test_later_format(void)
+{
+	node_t *node = node_new();
+
+	store_orphan(node);
+	node->table = job_table_new(&node->context, node->owner);
+	run_ms(node, RETRY_MS);
+	upgrade_record(node);
+	run_ms(node, 4 * TAKEOVER_MS);
+	CU_ASSERT_EQUAL(node->starts, 0);
+	CU_ASSERT(node->record_puts <= 1);
+}
+
+/* Another node that reads the items of the job for as long as this one. */
+typedef struct other_node {
+	uint64_t version;
+	int64_t seen_us;
+	bool loads;
+	bool started;
+} other_node_t;
+
+static void run_other(node_t *node, other_node_t *other)
+{
+	stored_record_t found = read_record(node);
+	int64_t now = clock_now_us(&node->clock.base);
+
+	job_record_free(found.record);
+	if (found.version != other->version) {
+		other->version = found.version;
+		other->seen_us = now;
+		other->loads = false;
+	} else if (other->loads) {
+		other->started = now - other->seen_us >= LOAD_US;
+	} else if (now - other->seen_us >= LEASE_US) {
+		other->version = take_over_elsewhere(node);
+		other->seen_us = now;
+		other->loads = true;
+	}
+}
+
+/* The items of a large job take longer to read than the lease. Guards against
+ * nodes that take the job over from each other for good and never run it. */
+static void test_long_load(void)
+{
+	node_t *node = node_in_takeover();
+	other_node_t other = { 0 };
+	int64_t started_us = clock_now_us(&node->clock.base);
+	int64_t held_us = started_us;
+
+	while (node->starts == 0 && !other.started &&
+	       clock_now_us(&node->clock.base) - started_us < 20 * LEASE_US) {
+		if (node->gets.length == 0)
+			held_us = clock_now_us(&node->clock.base);
+		if (clock_now_us(&node->clock.base) - held_us >= LOAD_US) {
+			release_payload(node);
+			node->holds_payload = true;
+		}
+		run_other(node, &other);
+		run_ms(node, 100);
+	}
+	CU_ASSERT(node->starts > 0 || other.started);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -689,6 +850,11 @@
 		{ "unread items", test_unread_items },
 		{ "confirmation is seen", test_confirmation_is_seen },
 		{ "takeover without answer", test_takeover_without_answer },
+		{ "completed takeover", test_completed_takeover },
+		{ "acceptance after suspension",
+		  test_acceptance_after_suspension },
+		{ "later format", test_later_format },
+		{ "long load", test_long_load },
 		{ NULL, NULL },
 	};
 
