Renew the lease of a takeover while its items are read

What callers saw: nothing that is recorded; found by the review. A batch job of many payload parts beside a slow store could be taken over by nodes in turn and run by none.

Cause: a takeover reads the parts one after the other. When that lasted longer than the lease, another node took the job over, and this one gave its takeover up, as it must.

Its end waits for a renewal that is in flight, so the job starts from the version that was written last. Why it works: others see a new version before the lease is over.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -26,6 +26,14 @@
 /* Longer ago than any call. */
 #define NOT_CONFIRMED_US (INT64_MIN / 2)
 
+/* What a takeover reads after its write. */
+typedef enum takeover_load {
+	LOAD_NONE, /* the write has no answer yet */
+	LOAD_RUNNING,
+	LOAD_DONE,
+	LOAD_FAILED
+} takeover_load_t;
+
 typedef struct table_entry {
 	job_table_t *table;
 	char *id;
@@ -34,8 +42,10 @@
 	int64_t first_seen_us; /* when this node first saw the version */
 	int64_t takeover_at_us; /* 0: no takeover is planned */
 	bool takeover_running;
-	uint32_t
-		takeover_epoch; /* that it has written; 0: the job has started */
+	takeover_load_t load; /* of the running takeover */
+	bool confirming; /* a write that renews it is in flight */
+	/* That the takeover has written; 0: the job has started. */
+	uint32_t takeover_epoch;
 	int64_t call_started_us; /* start of its last call, elapsed time */
 	int64_t confirmed_us; /* start of the last call that confirmed it */
 	GPtrArray *items; /* read during a takeover */
@@ -248,7 +258,7 @@
 	g_free(key);
 }
 
-static void finish_takeover(table_entry_t *job);
+static void continue_takeover(table_entry_t *job);
 
 static void on_takeover_confirmed(const object_value_t *value,
 				  const GError *error, void *user_data)
@@ -257,16 +267,18 @@
 	job_record_t *record =
 		value ? job_record_decode(value->data, value->len) : NULL;
 
+	job->confirming = false;
 	if (!record) {
 		log_warn("takeover_unconfirmed", "job=%s error=%s", job->id,
 			 error ? error_name(error->code) : "unreadable");
-		retry_takeover(job);
+		if (job->load != LOAD_RUNNING)
+			retry_takeover(job);
 		return;
 	}
 	update_entry(job->table, job->id, record, value->version);
 	if (!error)
 		job->confirmed_us = job->call_started_us;
-	finish_takeover(job);
+	continue_takeover(job);
 }
 
 /* Renews the lease of the running takeover by a write: others count it from the
@@ -276,13 +288,34 @@
 	job_record_t *record = job_record_copy(job->record);
 
 	record->beat++;
+	job->confirming = true;
 	put_record(job, record, on_takeover_confirmed);
 	job_record_free(record);
 }
 
-/* Starts the job if this node still owns it. Others may take it over once the
- * lease is over, so a takeover that took long is confirmed first. */
-static void finish_takeover(table_entry_t *job)
+static bool needs_confirmation(const table_entry_t *job)
+{
+	return clock_elapsed_us(job->table->context->clock) -
+		       job->confirmed_us >
+	       TAKEOVER_MAX_AGE_MS * 1000;
+}
+
+/* Keeps the lease of a takeover whose reads take long, so that nodes do not take
+ * the job over from each other in turn. */
+static void renew_takeover(table_entry_t *job)
+{
+	int64_t now = clock_elapsed_us(job->table->context->clock);
+
+	if (job->load == LOAD_RUNNING && !job->confirming &&
+	    holds_takeover(job) && needs_confirmation(job) &&
+	    now - job->call_started_us >= TAKEOVER_RETRY_MS * 1000)
+		confirm_takeover(job);
+}
+
+/* Starts the job, once its items are read, if this node still owns it. Others
+ * may take it over once the lease is over, so a takeover that took long is
+ * confirmed first. */
+static void continue_takeover(table_entry_t *job)
 {
 	job_table_t *table = job->table;
 	job_start_t start = { .id = job->id,
@@ -290,12 +323,17 @@
 			      .confirmed_us = job->confirmed_us,
 			      .progress = job->progress };
 
+	if (job->confirming || job->load == LOAD_RUNNING)
+		return;
+	if (job->load == LOAD_FAILED) {
+		retry_takeover(job);
+		return;
+	}
 	if (!holds_takeover(job)) {
 		abandon_takeover(job);
 		return;
 	}
-	if (clock_elapsed_us(table->context->clock) - job->confirmed_us >
-	    TAKEOVER_MAX_AGE_MS * 1000) {
+	if (needs_confirmation(job)) {
 		confirm_takeover(job);
 		return;
 	}
@@ -312,7 +350,8 @@
 	table_entry_t *job = user_data;
 
 	job->progress = progress;
-	finish_takeover(job);
+	job->load = LOAD_DONE;
+	continue_takeover(job);
 }
 
 static void on_items_loaded(GPtrArray *items, void *user_data)
@@ -320,7 +359,8 @@
 	table_entry_t *job = user_data;
 
 	if (!items) {
-		retry_takeover(job);
+		job->load = LOAD_FAILED;
+		continue_takeover(job);
 		return;
 	}
 	job->items = items;
@@ -355,6 +395,7 @@
 	}
 	/* An earlier attempt may have written the record at any time. */
 	job->confirmed_us = error ? NOT_CONFIRMED_US : job->call_started_us;
+	job->load = LOAD_RUNNING;
 	job_load_items(table->context, job->id, job->record->payload_parts,
 		       on_items_loaded, job);
 }
@@ -373,6 +414,7 @@
 	job_record_t *record = job_record_copy(job->record);
 
 	job->takeover_running = true;
+	job->load = LOAD_NONE;
 	g_free(record->owner);
 	record->owner = g_strdup(context->node);
 	g_free(record->instance);
@@ -395,6 +437,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		table_entry_t *job = value;
 
+		if (job->takeover_running)
+			renew_takeover(job);
 		if (job->takeover_running || !is_orphan(table, job))
 			continue;
 		if (!job->takeover_at_us)
