Do not take a job over from a record that is known to be old

What callers saw: nothing; found by the review. Each node would make one refused write a second for each job whose record a later build has replaced.

Cause: the view logs a record that it cannot read and keeps the one before, which looks like that of an owner who is gone.

The change: the view notes that the store has a later version, also when a takeover meets it, and takes the job over only from the latest one. Why it works: a takeover from an older version is always refused.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -41,6 +41,7 @@
 	uint64_t version;
 	int64_t first_seen_us; /* when this node first saw the version */
 	int64_t takeover_at_us; /* 0: no takeover is planned */
+	bool outdated; /* the store has a later record, which is not known */
 	bool takeover_running;
 	takeover_load_t load; /* of the running takeover */
 	bool confirming; /* a write that renews it is in flight */
@@ -94,20 +95,32 @@
 	job_record_free(job->record);
 	job->record = record;
 	job->version = version;
+	job->outdated = false;
 	job->first_seen_us = now_us(table);
 	job->takeover_at_us = 0;
 	if (strcmp(record->owner, table->context->node) != 0 || record->ended)
 		job_owner_refresh(table->owner, id);
 }
 
+/* A later build may have written it; the known record is no longer current. */
+static void note_unreadable(job_table_t *table, const object_entry_t *entry)
+{
+	table_entry_t *job = g_hash_table_lookup(
+		table->jobs, entry->key + strlen(JOB_RECORD_PREFIX));
+
+	log_error("job_unreadable", "key=%s version=%" PRIu64, entry->key,
+		  entry->version);
+	if (job && job->version < entry->version)
+		job->outdated = true;
+}
+
 static void on_changed(const object_entry_t *entry, void *user_data)
 {
 	job_record_t *record =
 		job_record_decode(entry->data, strlen(entry->data));
 
 	if (!record) {
-		log_error("job_unreadable", "key=%s version=%" PRIu64,
-			  entry->key, entry->version);
+		note_unreadable(user_data, entry);
 		return;
 	}
 	update_entry(user_data, entry->key + strlen(JOB_RECORD_PREFIX), record,
@@ -190,7 +203,7 @@
 
 static bool is_orphan(const job_table_t *table, const table_entry_t *job)
 {
-	if (job_record_is_closed(job->record) ||
+	if (job->outdated || job_record_is_closed(job->record) ||
 	    job_owner_record(table->owner, job->id))
 		return false;
 	/* Released, assigned to this node, or owned by a former process of this
@@ -208,7 +221,8 @@
 {
 	const job_context_t *context = job->table->context;
 
-	return job_table_names_process(job->record, context->node,
+	return !job->outdated &&
+	       job_table_names_process(job->record, context->node,
 				       context->writer) &&
 	       job->record->epoch == job->takeover_epoch &&
 	       !job_record_is_closed(job->record);
@@ -389,6 +403,8 @@
 		job->takeover_epoch = record->epoch;
 		update_entry(table, job->id, record, value->version);
 	}
+	if (value && value->version > job->version)
+		job->outdated = true;
 	if (!owned || job_record_is_closed(job->record)) {
 		retry_takeover(job);
 		return;
