Send batch jobs again in the soak while the store is hostile

The store loses answers of writes, executes writes 1 to 6 s late if their condition holds, answers with stale reads and lists, pages its lists, drops its history, refuses some gateways, and all calls are cut at one moment. Gateways freeze for longer than a lease, are killed, and start beside a former process of their name; runners fall silent. Each event of an item's output is unique, so a second run shows.

Checks: a position keeps its result at all gateways, no item is at two positions, total and next_token are right, what was read and bodies of items that did not run are found again 5 s later, no item of an ended job begins 3 s after the acknowledgement, accepted jobs are complete in the end.

A gateway that is not ready in time fails its seed instead of ending the soak.

--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -81,6 +81,8 @@
                 self.close_connection = True
                 self.connection.close()
                 return
+        if store.intercepts(self, parts, query, body):
+            return
         if self.command == "GET" and "watch" in query:
             self.answer(*store.watch(parts[0], int(query["watch"]),
                                      int(query["wait_ms"])))
@@ -130,6 +132,10 @@
         self.raw = {}
         super().__init__(StoreHandler)
 
+    def intercepts(self, handler, parts, query, body):
+        """Whether it has answered a call itself, or lost the answer."""
+        return False
+
     def set_silent(self, silent):
         with self.lock:
             self.silent = silent
@@ -264,6 +270,7 @@
                               ("Request-Id", self.headers["Request-Id"]))
             return
         runner.ran.append(self.headers["Request-Id"])
+        runner.ran_at.append((self.headers["Request-Id"], time.monotonic()))
         is_deadly = (runner.crash_body is not None and
                      runner.crash_body in body)
         if is_deadly and runner.crash_events < 0:
@@ -287,11 +294,12 @@
                 self.close_connection = True
                 self.connection.close()
                 return
-            time.sleep(runner.gap_s)
+            time.sleep(runner.pause_s(self.headers["Request-Id"]))
             if number == runner.silent_at:
                 time.sleep(runner.silent_s)
             self.chunk(b"id: %d\ndata: %s\n\n" % (
-                number, runner.text(number).encode()))
+                number, runner.text(
+                    number, self.headers["Request-Id"]).encode()))
         if runner.until_close:
             self.wfile.write(runner.cut_event)
             self.close_connection = True
@@ -354,13 +362,18 @@
         self.seen_at = []  # times of the same, monotonic
         self.limit = None  # requests per second that it names in answers
         self.ran = []  # ids of requests that were neither refused nor failed
+        self.ran_at = []  # (id, monotonic time) of the same
         self.sources = {}  # request id -> address that its last attempt is from
         self.broken_at = {}  # request id -> when its connection was found closed
         super().__init__(RunnerHandler)
         self.address = f"127.0.0.1:{port or self.port}"
         self.register("ready")
 
-    def text(self, number):
+    def pause_s(self, request):
+        """Time before an event."""
+        return self.gap_s
+
+    def text(self, number, request=None):
         """Data of an event, which tells a version other than the first."""
         return f"e{number}" + ("" if self.version == "v1" else self.version)
 
@@ -445,32 +458,46 @@
 class Gateway:
     """A `wasabilink gateway` process."""
     logs = tempfile.mkdtemp()
+    ports_lock = threading.Lock()
 
     def __init__(self, store, name, grace_s=8, store_port=None, zone="z",
                  source=None):
         """source: the address that its connections come from; such a gateway
         has a list of cut ports (cut.py)."""
-        front, ready = f.free_ports(2)
-        peers = consecutive_ports(PEER_PORTS)
-        self.name = name
+        self.name, self.zone, self.grace_s = name, zone, grace_s
         self.source = source
         self.group = Group(self.logs, name)
-        self.port, self.ready_port = front, ready
         self.store_port = store_port or store.port
-        settings = os.path.join(self.logs, f"{name}.json")
-        with open(settings, "w", encoding="utf-8") as out:
+        self.write_settings()
+        self.log_path = os.path.join(self.logs, f"{name}.log")
+        self.run()
+
+    def write_settings(self):
+        """Writes settings with new ports. A process that was just started may
+        still read the former file."""
+        with self.ports_lock:
+            front, ready = f.free_ports(2)
+            peers = consecutive_ports(PEER_PORTS)
+        self.port, self.ready_port = front, ready
+        self.settings = os.path.join(self.logs, f"{self.name}.{front}.json")
+        with open(self.settings, "w", encoding="utf-8") as out:
             json.dump({
-                "node_name": name, "ip": "127.0.0.1", "zone": zone,
+                "node_name": self.name, "ip": "127.0.0.1", "zone": self.zone,
                 "serves": ["edge", "storage"],
                 "listen": {"front": f"127.0.0.1:{front}",
                            "ready": f"127.0.0.1:{ready}"},
                 "port_range": [peers[0], peers[-1]], "limits": {"memory_mb": 100},
-                "bounds": {"grace_s": grace_s, "drain_ms": 2000,
+                "bounds": {"grace_s": self.grace_s, "drain_ms": 2000,
                            "cancel_ms": 3000, "quota_overage": 0.1},
                 "platform": {"address": f"127.0.0.1:{self.store_port}"}}, out)
-        self.settings = settings
-        self.log_path = os.path.join(self.logs, f"{name}.log")
+
+    def succeed(self):
+        """Starts another process of the same name, at other ports. Returns the
+        former one, which still runs."""
+        former = self.process
+        self.write_settings()
         self.run()
+        return former
 
     def run(self):
         """Starts the process, or restarts it after it has ended."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -49,7 +49,9 @@
 
     def serve(self, caller):
         try:
-            target = socket.create_connection(("127.0.0.1", self.target), 5)
+            # The target sees the address of the caller.
+            target = socket.create_connection(
+                ("127.0.0.1", self.target), 5, (caller.getpeername()[0], 0))
         except OSError:
             reset(caller)
             return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,9 +9,8 @@
     tests/soak/soak.py --fresh --minutes 5   new seeds for some minutes
 """
 import argparse
-import base64
+import contextlib
 import http.client
-import json
 import os
 import random
 import signal
@@ -26,6 +25,8 @@
 import gateway_standin as s  # noqa: E402
 from cut import KINDS  # noqa: E402
 from gateway_standin import f  # noqa: E402
+import hostile  # noqa: E402
+import jobs as j  # noqa: E402
 import proxy as p  # noqa: E402
 
 GATEWAYS = 3
@@ -61,9 +62,6 @@
 # A sound runner may be silent for a second or so.
 SILENCE_S = 1.2
 DEADLINE_S = 3
-# Whole answers, of either version.
-OUTPUTS = ["\n".join(f"e{i}{end}" for i in range(1, EVENTS + 1))
-           for end in ("", "v2")]
 
 
 class World:
@@ -76,10 +74,15 @@
         self.cut_random = random.Random(f"cut {seed}")
         self.more_random = random.Random(f"more {seed}")
         self.deadly_random = random.Random(f"deadly {seed}")
+        self.hostile_random = random.Random(f"hostile {seed}")
+        self.job_random = random.Random(f"job {seed}")
+        self.grace_s = GRACE_S
         self.cut_lock = threading.Lock()
+        self.started_at = time.monotonic()
+        self.disturbed = []  # begins and ends of faults of gateways and store
         self.problems = []
         self.over = threading.Event()
-        self.store = s.Store()
+        self.store = hostile.Store(seed)
         self.version = 1
         self.extra_routes = []
         self.store.put("config", "main", self.config())
@@ -87,7 +90,7 @@
         self.runners = []
         for i in range(RUNNERS):
             proxy = self.proxy()
-            runner = s.Runner(self.store, f"r{i}", EVENTS, proxy.port)
+            runner = j.Runner(self.store, f"r{i}", EVENTS, proxy.port)
             runner.proxy = proxy
             runner.crash_body = DEADLY
             proxy.connect(runner.port)
@@ -106,6 +109,7 @@
             self.gateways.append(gateway)
         for gateway in self.gateways:
             f.wait_for(gateway.is_ready, f"{gateway.name} ready")
+        self.started_at = time.monotonic()
 
     def proxy(self):
         proxy = p.Proxy(f.free_ports(1)[0])
@@ -147,6 +151,20 @@
         count = self.cut_random.choice([1, len(self.gateways) - 1])
         return self.cut_random.sample(self.gateways, count)
 
+    @contextlib.contextmanager
+    def disturbance(self):
+        period = [time.monotonic(), float("inf")]
+        self.disturbed.append(period)
+        try:
+            yield
+        finally:
+            period[1] = time.monotonic()
+
+    def is_calm(self, begin, end):
+        """Whether gateways and the store were sound in that time."""
+        return not any(first <= end and begin <= last
+                       for first, last in list(self.disturbed))
+
     def problem(self, text):
         self.problems.append(text)
 
@@ -377,13 +395,24 @@
           runner_drains, runner_lapses, configuration, gateway_killed,
           gateway_killed, gateway_stopped, gateways_rolled, gateway_paused,
           reload_signal]
+# Faults beside which gateways stay in touch with the store and each other.
+HARMLESS = (runner_network, runner_fails, runner_drains, runner_lapses,
+            configuration, configurations, reload_signal, crashing_part,
+            deadly_request, runner_released, runners_name_limit,
+            runners_silent)
 
 
 def play_fault(world, fault, begin_s, seconds, names):
     time.sleep(begin_s)
-    names.append(f"{begin_s:.1f} {fault.__name__} {seconds:.1f}")
-    for pause_s in fault(world, seconds):
-        time.sleep(pause_s)
+    at_s = time.monotonic() - world.started_at
+    names.append(f"{at_s:.1f} {fault.__name__} {seconds:.1f}")
+    if fault in HARMLESS:
+        for pause_s in fault(world, seconds):
+            time.sleep(pause_s)
+        return
+    with world.disturbance():
+        for pause_s in fault(world, seconds):
+            time.sleep(pause_s)
 
 
 def start_faults(world, names):
@@ -407,6 +436,7 @@
         threads.append(threading.Thread(target=play_fault, args=(
             world, fault, world.more_random.uniform(0, FAULT_SECONDS),
             world.more_random.uniform(2, 6), names)))
+    threads += hostile.series(world, play_fault, names)
     for thread in threads:
         thread.start()
     return threads
@@ -451,7 +481,7 @@
             events = [x for x in body.decode().splitlines()
                       if x.startswith("data: ")]
             if events not in [[f"data: {x}" for x in output.split("\n")]
-                              for output in OUTPUTS]:
+                              for output in j.outputs(EVENTS)]:
                 self.world.problem(f"{request}: complete answer {events}")
             if not answer.getheader("Response-Stamp"):
                 self.world.problem(f"{request}: 200 without a stamp")
@@ -483,75 +513,6 @@
         self.drop()
 
 
-class Job:
-    """One batch job, sent again until it is accepted, and read until done."""
-
-    def __init__(self, world, number):
-        self.world = world
-        self.id = f"job{number}"
-        self.items = world.random.randint(1, 6)
-        self.accepted = False
-        self.results = []
-
-    def request(self, method, path, body=None):
-        gateway = random.choice(self.world.gateways)
-        try:
-            return f.request(gateway.port, method, path, body, {
-                "Host": s.HOST, "Request-Id": self.id}, timeout_s=4)
-        except (OSError, http.client.HTTPException):
-            return None
-
-    def submit(self):
-        body = json.dumps({"items": [
-            {"id": f"{self.id}-{i}", "path": "/batch/x", "headers": {},
-             "body": base64.b64encode(b"b").decode(), "tokens": 10}
-            for i in range(self.items)]}).encode()
-        answer = self.request("POST", f"/batch/{self.id}", body)
-        self.accepted |= answer is not None and answer.status == 202
-
-    def read(self):
-        """Reads from an earlier position on, which must not have changed."""
-        after = random.randint(0, len(self.results))
-        answer = self.request("GET", f"/api/lots/{self.id}?after={after}")
-        if not answer or answer.status == 503:
-            return
-        if answer.status != 200:
-            self.world.problem(f"{self.id}: read answered {answer.status}")
-            return
-        for i, result in enumerate(answer.json()["results"], after):
-            if i < len(self.results):
-                if result != self.results[i]:
-                    self.world.problem(f"{self.id}: position {i} changed")
-            else:
-                self.results.append(result)
-
-    def is_done(self):
-        return self.accepted and len(self.results) >= self.items
-
-    def check(self):
-        ids = sorted(x["id"] for x in self.results)
-        if ids != sorted(f"{self.id}-{i}" for i in range(self.items)):
-            self.world.problem(f"{self.id}: results {ids} of {self.items}")
-        for result in self.results:
-            if (result["state"] == "completed" and
-                    result["output"] not in OUTPUTS):
-                self.world.problem(f"{self.id}: output {result['output']!r}")
-
-
-def run_jobs(world, jobs):
-    number = 0
-    while not world.over.is_set():
-        if number < 12:
-            number += 1
-            jobs.append(Job(world, number))
-        for job in list(jobs):
-            if not job.accepted:
-                job.submit()
-            elif not job.is_done():
-                job.read()
-        time.sleep(0.3)
-
-
 def check_versions(world, stop):
     """A process must not serve an older configuration after a newer one."""
     newest = {}
@@ -666,7 +627,8 @@
     count = max(CALLERS, len(world.gateways) // 2)
     callers = [Caller(world, i) for i in range(count)]
     threads = callers + [
-        threading.Thread(target=run_jobs, args=(world, jobs), daemon=True),
+        threading.Thread(target=j.run_jobs, args=(world, jobs), daemon=True),
+        *j.clients(world, jobs),
         threading.Thread(target=check_versions, args=(world, stop),
                          daemon=True)]
     try:
@@ -676,24 +638,23 @@
             thread.join()
         check_ends(world)
         end = time.monotonic() + SETTLE_S
-        while time.monotonic() < end and not (
-                len(jobs) == 12 and all(job.is_done() for job in jobs)):
+        while time.monotonic() < end and not j.are_done(jobs):
             time.sleep(0.2)
         settle(world)
         check_silence(world, callers)
         check_leaving(world)
         check_cut(world, callers)
+        j.read_all(world, jobs)
         stop.set()
         world.over.set()
         for thread in threads:
             thread.join(10)
         check_ends(world)
         for job in jobs:
-            if not job.accepted:
-                world.problem(f"{job.id} was never accepted")
-            else:
-                job.check()
+            job.check()
         check_requests(world, callers)
+    except TimeoutError as error:
+        world.problem(str(error))
     finally:
         world.close()
     return sorted(names, key=lambda x: float(x.split()[0])), world.problems
