Test jobs that are sent again while the store cuts all calls

All watches of the store had ended at one moment, at one revision.

The stand-in of the store gets these faults: cut(), latency_s, lost_share and late_s. Its backlog is longer, as all gateways connect again at once.

--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -2,6 +2,7 @@
 loopback, with fault injection."""
 import json
 import os
+import random
 import socket
 import struct
 import subprocess
@@ -32,7 +33,23 @@
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
 
 
+class TrackedHandler(QuietHandler):
+    """Keeps its connection in the server's set."""
+
+    def handle(self):
+        with self.owner.connections_lock:
+            self.owner.connections.add(self.connection)
+        try:
+            super().handle()
+        finally:
+            with self.owner.connections_lock:
+                self.owner.connections.discard(self.connection)
+
+
 class QuietServer(ThreadingHTTPServer):
+    # All gateways connect again at once after a cut.
+    request_queue_size = 128
+
     def handle_error(self, request, client_address):
         """Ignores errors: gateways may close connections at any time."""
 
@@ -44,6 +61,8 @@
     def __init__(self, handler):
         self.port = f.free_ports(1)[0]
         self.kind = type("Handler", (handler,), {"owner": self})
+        self.connections = set()
+        self.connections_lock = threading.Lock()
         self.listen()
 
     def listen(self):
@@ -56,7 +75,7 @@
         self.http.server_close()
 
 
-class StoreHandler(QuietHandler):
+class StoreHandler(TrackedHandler):
     def answer(self, status, value):
         text = json.dumps(value).encode()
         for marker, raw in self.owner.raw.items():
@@ -81,14 +100,24 @@
                 self.close_connection = True
                 self.connection.close()
                 return
+            cuts = store.cuts
         if self.command == "GET" and "watch" in query:
-            self.answer(*store.watch(parts[0], int(query["watch"]),
-                                     int(query["wait_ms"])))
+            found = store.watch(parts[0], int(query["watch"]),
+                                int(query["wait_ms"]))
+            if found:
+                self.answer(*found)
+            else:
+                self.close_connection = True
         elif self.command == "GET" and len(parts) == 1:
             self.answer(200, store.listing(parts[0]))
         else:
-            status, value = store.change(self.command, parts, query,
-                                         json.loads(body) if body else {})
+            change = (self.command, parts, query,
+                      json.loads(body) if body else {})
+            answer = store.pass_call(cuts, change)
+            if not answer:
+                self.close_connection = True
+                return
+            status, value = answer
             with store.lock:
                 lost = (store.lose_answers > 0 and self.command != "GET" and
                         parts[0] == store.lose_kind)
@@ -125,6 +154,18 @@
         self.malform_answers = 0  # of successful calls of a kind
         self.malform_kind = ""
         self.malformed_answer = "no object"
+        # Of a call of one object, in equal parts before and after it is
+        # executed.
+        self.latency_s = 0.0
+        self.cuts = 0
+        # Share of writes that get no answer, as long as their callers wait.
+        self.lost_share = 0.0
+        # Until a write whose call has ended is executed, if it is at all.
+        self.late_s = 0.0
+        self.random = random.Random(0)
+        # Writes without an answer, those of them that were executed late, and
+        # those of the latter whose condition still held.
+        self.unanswered_writes = self.late_writes = self.late_changes = 0
         # String -> bytes that stand for it in answers, such as a value that
         # Python cannot encode.
         self.raw = {}
@@ -136,6 +177,60 @@
             self.outages += silent
             self.lock.notify_all()
 
+    def cut(self):
+        """Closes all connections at one moment. Calls in progress get no
+        answer; a write that has not been executed is executed late, or not."""
+        with self.lock:
+            self.cuts += 1
+            self.lock.notify_all()
+        with self.connections_lock:
+            for connection in self.connections:
+                try:
+                    connection.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # closed by the gateway
+
+    def is_cut_within(self, cuts, time_s):
+        with self.lock:
+            return time_s > 0 and self.lock.wait_for(
+                lambda: self.cuts > cuts or self.closed, time_s)
+
+    def pass_call(self, cuts, change):
+        """Executes a call that began after so many cuts. Returns None when it
+        gets no answer."""
+        is_write = change[0] != "GET"
+        with self.lock:
+            is_lost = is_write and self.random.random() < self.lost_share
+            is_late = is_lost and self.random.random() < 0.5
+        answer = None
+        if not is_late and not self.is_cut_within(cuts, self.latency_s / 2):
+            answer = self.change(*change)
+        elif is_write:
+            self.change_late(change)
+        if is_lost:
+            # No caller waits for longer.
+            self.is_cut_within(cuts, 3)
+        elif answer and not self.is_cut_within(cuts, self.latency_s / 2):
+            return answer
+        with self.lock:
+            self.unanswered_writes += is_write
+        return None
+
+    def change_late(self, change):
+        def execute():
+            status, _ = self.change(*change)
+            with self.lock:
+                self.late_writes += 1
+                self.late_changes += status < 300
+        with self.lock:
+            if self.random.random() < 0.3:
+                return
+            # Mostly soon, when the condition may still hold.
+            delay_s = self.late_s * self.random.random() ** 3
+        timer = threading.Timer(delay_s, execute)
+        timer.daemon = True
+        timer.start()
+
     def close(self):
         with self.lock:
             self.closed = True
@@ -149,10 +244,13 @@
             return {"items": items, "has_more": False, "as_of": self.rev}
 
     def watch(self, kind, since, wait_ms):
+        """Returns status and value, or None when the call was cut."""
         end = time.monotonic() + wait_ms / 1000
         with self.lock:
-            outages = self.outages
+            outages, cuts = self.outages, self.cuts
             while True:
+                if self.cuts > cuts:
+                    return None
                 if self.outages > outages:
                     self.lock.wait_for(lambda: self.closed)
                 found = [e for e in self.events if e[0] > since and
@@ -210,16 +308,7 @@
         self.change("DELETE", [kind, name], {}, {})
 
 
-class RunnerHandler(QuietHandler):
-    def handle(self):
-        with self.owner.connections_lock:
-            self.owner.connections.add(self.connection)
-        try:
-            super().handle()
-        finally:
-            with self.owner.connections_lock:
-                self.owner.connections.discard(self.connection)
-
+class RunnerHandler(TrackedHandler):
     def start_answer(self, status, *headers):
         self.send_response(status)
         for name, value in headers:
@@ -335,8 +424,6 @@
         # after these bytes of a further event.
         self.until_close = False
         self.cut_event = b""
-        self.connections = set()
-        self.connections_lock = threading.Lock()
         self.store = store
         self.events = events
         self.gap_s = 0.005
