Count results of the next owner as no fault

What callers saw: nothing.

The change: results are looked for only in a record that still names this owner and epoch and whose job has not ended.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -482,7 +482,8 @@
 	else if (job->segment &&
 		 job_record_find_segment(record, job->segment_key))
 		withdraw_segment(job);
-	accept_foreign_results(job);
+	if (still_owner && !record->ended)
+		accept_foreign_results(job);
 	if (record->ended) {
 		remove_job(job, "ended");
 	} else if (!still_owner) {
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -687,6 +687,40 @@
 	CU_ASSERT_PTR_NOT_NULL(job_owner_fresh_record(node->owner, "j"));
 }
 
+static void add_foreign_result(job_record_t *record)
+{
+	const uint32_t item = 0;
+
+	if (job_record_has_item(record, item))
+		return;
+	job_record_add_segment(record, JOB_SEGMENT_PREFIX "j.1.0.n9", NULL,
+			       &item, 1);
+}
+
+static void take_over_with_result(job_record_t *record)
+{
+	change_owner(record);
+	add_foreign_result(record);
+}
+
+/* The next owner has added results when this one meets its record. Guards
+ * against counting them as results in the record of this owner, which is a
+ * fault. */
+static void test_results_of_next_owner(void)
+{
+	cluster_t *cluster = cluster_new(19);
+
+	cluster->steps_per_item = 100000;
+	submit(&cluster->nodes[0]);
+	run_ms(cluster, 500);
+	change_record(cluster, take_over_with_result);
+	run_ms(cluster, 3000);
+	CU_ASSERT_EQUAL(owners(cluster), 0);
+	CU_ASSERT_EQUAL(*counter_get(cluster->counters, COUNTER_MONOTONIC,
+				     "batch_foreign_results_total", NULL),
+			0);
+}
+
 static void assign_to_n1(job_record_t *record)
 {
 	g_free(record->owner);
@@ -1002,16 +1036,6 @@
 	job_record_free(found.record);
 }
 
-static void add_foreign_result(job_record_t *record)
-{
-	const uint32_t item = 0;
-
-	if (job_record_has_item(record, item))
-		return;
-	job_record_add_segment(record, JOB_SEGMENT_PREFIX "j.1.0.n9", NULL,
-			       &item, 1);
-}
-
 /* Another process adds a result to the record of this owner, before the owner
  * has results, with results pending, and with a segment that is being written.
  * Guards against naming that item a second time: it stood at two positions. */
@@ -1162,6 +1186,7 @@
 		{ "foreign results", test_foreign_results },
 		{ "acceptance by read", test_acceptance_by_read },
 		{ "read is no renewal", test_read_is_no_renewal },
+		{ "results of next owner", test_results_of_next_owner },
 		{ "job started twice", test_job_started_twice },
 		{ "large results", test_large_results },
 		{ "release with large results",
