Check the batch protocol with random histories

Nodes crash at a call to the store, freeze, are suspended, restart beside their former process, stop and are cut off from each other; runners fail and fall silent; clients submit, send again, read, ask for bodies and end jobs. Each write of a record and each answer to a client is checked.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,10 @@
 FUZZ_TARGET_OBJ := $(BUILD)/tests/fuzz/fuzz_target.o
 $(BUILD)/tests/test_fuzz_corpus: $(FUZZ_TARGET_OBJ)
 $(BUILD)/tests/%.o: CPPFLAGS += -Itests
+# Calls between the nodes of the model go to the test.
+$(BUILD)/tests/test_job_protocol: $(BUILD)/tests/model_store.o
+$(BUILD)/tests/test_job_protocol: override LDFLAGS += \
+	-Wl,--wrap=rpc_client_call,--wrap=rpc_server_register,--wrap=rpc_reply
 
 $(BUILD)/fuzzer: $(BUILD)/tests/fuzz/fuzzer.o $(FUZZ_TARGET_OBJ) $(OBJS)
 	$(CC) $(CFLAGS) -fsanitize=fuzzer $(LDFLAGS) -o $@ $^ $(LDLIBS)
