Let the model's events happen beside each other and at the owner

Events come in groups at one job, and hit its owner; items take longer; small payloads have several parts. Only the process that a record names may renew it or add results: a takeover that went on with another owner's record is now seen at once, and not only when an item stands at two positions.

--- a/tests/test_job_protocol.c
+++ b/tests/test_job_protocol.c
@@ -38,6 +38,7 @@
 #define ITEMS_MAX 5
 #define PROCESSES_MAX 64
 #define EVENTS_MAX 48
+#define TRAPS_MAX 4
 #define SETTLE_MS 90000
 /* After the acknowledgement of its end a job starts nothing. */
 #define END_BOUND_MS 3000
@@ -53,10 +54,12 @@
 #define PAGE_BYTES (1024 * 1024)
 #define CACHE_BYTES (8 * 1024 * 1024)
 #define TRACE_LINES 150
-#define FIXED_HISTORIES 150
+#define FIXED_HISTORIES 300
 #define CHUNK_HISTORIES 100
 #define CHILD_FAILED 1
 #define USAGE_STATUS 2
+/* Of a seed, a number of histories or seconds. */
+#define NUMBER_MAX 1000000000000LL
 #define LOG_NOTHING ((log_level_t)(LOG_LEVEL_ERROR + 1))
 
 typedef enum event_kind {
@@ -116,6 +119,7 @@
 	int job;
 	int argument;
 	int32_t length_ms;
+	bool at_owner; /* at the job's owner, if it has one, not at the node */
 	bool skipped; /* left out to shorten the history */
 } model_event_t;
 
@@ -147,7 +151,9 @@
 	char *id;
 	int items;
 	int events; /* of each item's output */
-	bool large;
+	int pace_ms; /* between events, at most */
+	bool large; /* results exceed one object together */
+	bool parts; /* the payload has a part for each item */
 	bool accepted; /* acknowledged to a client */
 	int submissions;
 	int refusals;
@@ -250,7 +256,8 @@
 	int64_t runners_fail_until_us;
 	int64_t runners_silent_until_us;
 	int fail_percent;
-	trap_t trap;
+	trap_t traps[TRAPS_MAX];
+	int next_trap;
 	bool settling;
 	uint64_t steps;
 	char *violation;
@@ -497,6 +504,11 @@
 				     former->segments->pdata[i]))
 			violate(world, "job %s has another segment %u", job->id,
 				i);
+	/* Only the process that the record names renews it and adds results. */
+	if (former && record->beat != former->beat &&
+	    strcmp(writer, former->instance) != 0)
+		violate(world, "job %s of %s has a record of its owner by %s",
+			job->id, former->instance, writer);
 	if (former && former->ended && !record->ended)
 		violate(world, "job %s is open again", job->id);
 	for (guint i = kept; i < record->segments->len && !world->violation;
@@ -565,8 +577,8 @@
 			     world->now_us < world->runners_fail_until_us ? 80 :
 			     world->settling				  ? 0 :
 					       world->fail_percent);
-	call->due_us = world->now_us + draw(world, 20, 400) * 1000;
 	job = &world->jobs[call->job];
+	call->due_us = world->now_us + draw(world, 20, job->pace_ms) * 1000;
 	if (job->large)
 		call->due_us = world->now_us + 300000;
 	record = job_owner_record(process->owner, job->id);
@@ -662,7 +674,7 @@
 		send_event(call);
 	if (!call->ended && call->next_event >= job->events)
 		complete_run(call);
-	call->due_us = world->now_us + draw(world, 20, 400) * 1000;
+	call->due_us = world->now_us + draw(world, 20, job->pace_ms) * 1000;
 }
 
 /* Calls between nodes; the linker puts these in the place of the real ones. */
@@ -766,23 +778,32 @@
 	process->suspended = suspended;
 }
 
+static bool springs(trap_t *trap, const process_t *process, const char *key,
+		    bool write)
+{
+	return trap->kind && write == trap->kind->write &&
+	       g_str_has_prefix(key, trap->kind->prefix) &&
+	       (trap->node < 0 || trap->node == process->node) &&
+	       trap->calls-- <= 0;
+}
+
 static bool on_call(void *user_data, const char *key, bool write)
 {
 	process_t *process = user_data;
 	world_t *world = process->world;
-	trap_t *trap = &world->trap;
 
-	if (!trap->kind || write != trap->kind->write ||
-	    !g_str_has_prefix(key, trap->kind->prefix) ||
-	    (trap->node >= 0 && trap->node != process->node) ||
-	    trap->calls-- > 0)
-		return true;
-	trap->kind = NULL;
-	note(world, "%s %s at its call for %s", process->context.writer,
-	     trap->crash ? "crashes" : "freezes", key);
-	if (trap->crash)
-		return false;
-	freeze(process, trap->length_ms, trap->suspend);
+	for (int i = 0; i < TRAPS_MAX; i++) {
+		trap_t *trap = &world->traps[i];
+
+		if (!springs(trap, process, key, write))
+			continue;
+		trap->kind = NULL;
+		note(world, "%s %s at its call for %s", process->context.writer,
+		     trap->crash ? "crashes" : "freezes", key);
+		if (trap->crash)
+			return false;
+		freeze(process, trap->length_ms, trap->suspend);
+	}
 	return true;
 }
 
@@ -1035,9 +1056,11 @@
 
 		item->id = g_strdup_printf("i%d", i);
 		item->target = g_strdup_printf("/b/%d", index);
-		if (job->large) {
+		if (job->parts) {
+			size_t len = strlen(body);
+
 			body = g_realloc(body, LARGE_BODY_BYTES);
-			memset(body + 8, 'x', LARGE_BODY_BYTES - 8);
+			memset(body + len, 'x', LARGE_BODY_BYTES - len);
 			body[LARGE_BODY_BYTES - 1] = '\0';
 		}
 		item->body = g_bytes_new_take(body, strlen(body));
@@ -1264,12 +1287,13 @@
 {
 	const int kinds = G_N_ELEMENTS(call_kinds);
 
-	world->trap = (trap_t){ .kind = &call_kinds[event->argument % kinds],
-				.crash = event->kind == EVENT_CRASH_AT_CALL,
-				.suspend = event->argument / kinds % 3 == 0,
-				.node = event->job == 0 ? event->node : -1,
-				.calls = event->argument / kinds % 2,
-				.length_ms = event->length_ms };
+	world->traps[world->next_trap++ % TRAPS_MAX] =
+		(trap_t){ .kind = &call_kinds[event->argument % kinds],
+			  .crash = event->kind == EVENT_CRASH_AT_CALL,
+			  .suspend = event->argument / kinds % 3 == 0,
+			  .node = event->job == 0 ? event->node : -1,
+			  .calls = event->argument / kinds % 2,
+			  .length_ms = event->length_ms };
 }
 
 static void stop(process_t *process)
@@ -1332,10 +1356,30 @@
 	}
 }
 
-static void apply(world_t *world, const model_event_t *event)
+/* The node that owns the job by its record, or the other one. */
+static int owner_of(const world_t *world, const model_job_t *job, int other)
 {
-	process_t *process = process_of(world, event->node);
+	char *key = g_strconcat(JOB_RECORD_PREFIX, job->id, NULL);
+	const model_object_t *object = model_store_find(world->store, key);
+	job_record_t *record =
+		object ? job_record_decode(object->data, object->len) : NULL;
+	int node = other;
 
+	if (record && record->owner[0] == 'n' && !job->closed)
+		node = record->owner[1] - '0';
+	job_record_free(record);
+	g_free(key);
+	return node;
+}
+
+static void apply(world_t *world, model_event_t *event)
+{
+	process_t *process;
+
+	if (event->at_owner)
+		event->node =
+			owner_of(world, &world->jobs[event->job], event->node);
+	process = process_of(world, event->node);
 	note(world, "event %s node=%d job=%d argument=%d length_ms=%d",
 	     event_names[event->kind], event->node, event->job, event->argument,
 	     event->length_ms);
@@ -1403,6 +1447,27 @@
 	return EVENT_READ;
 }
 
+/* Draws an event, often beside the former one: what happens at one time to one
+ * job shows more. */
+static void draw_event(world_t *world, model_event_t *event,
+		       const model_event_t *former, int length_ms)
+{
+	event->kind = draw_kind(world);
+	event->at_ms = draw(world, 100, length_ms);
+	event->node = draw(world, 0, world->nodes_count - 1);
+	event->job = draw(world, 0, world->jobs_count - 1);
+	event->argument = draw(world, 0, 1000);
+	event->length_ms = draw(world, 200, 12000);
+	if (chance(world, 50)) {
+		event->at_ms = former->at_ms + draw(world, 0, 1000);
+		event->job = former->job;
+	}
+	event->at_owner = event->kind > EVENT_END && chance(world, 40);
+	/* Clients prefer one node for each job. */
+	if (event->kind <= EVENT_END && chance(world, 40))
+		event->node = event->job % world->nodes_count;
+}
+
 static void draw_events(world_t *world)
 {
 	int length_ms = draw(world, 6000, 25000);
@@ -1411,20 +1476,13 @@
 	for (int i = 0; i < world->events_count; i++) {
 		model_event_t *event = &world->events[i];
 
-		event->kind =
-			i < world->jobs_count ? EVENT_SUBMIT : draw_kind(world);
-		event->at_ms = draw(world, 100, length_ms);
-		event->node = draw(world, 0, world->nodes_count - 1);
-		event->job = i < world->jobs_count ?
-				     i :
-				     draw(world, 0, world->jobs_count - 1);
-		event->argument = draw(world, 0, 1000);
-		event->length_ms = draw(world, 200, 12000);
-		/* Clients prefer one node for each job. */
-		if (event->kind <= EVENT_END && chance(world, 40))
-			event->node = event->job % world->nodes_count;
-		if (i < world->jobs_count)
-			event->at_ms = draw(world, 100, length_ms / 3);
+		draw_event(world, event, event - (i > 0), length_ms);
+		if (i >= world->jobs_count)
+			continue;
+		event->kind = EVENT_SUBMIT;
+		event->job = i;
+		event->at_owner = false;
+		event->at_ms = draw(world, 100, length_ms / 2);
 	}
 	qsort(world->events, (size_t)world->events_count, sizeof(model_event_t),
 	      by_time);
@@ -1432,16 +1490,19 @@
 
 static void draw_jobs(world_t *world)
 {
-	bool large = chance(world, 8);
+	bool large = chance(world, 3);
+	bool parts = chance(world, 3);
 
-	world->jobs_count = large ? 1 : draw(world, 1, JOBS_MAX);
+	world->jobs_count = large || parts ? 1 : draw(world, 1, JOBS_MAX);
 	for (int i = 0; i < world->jobs_count; i++) {
 		model_job_t *job = &world->jobs[i];
 
 		job->id = g_strdup_printf("j%d", i);
 		job->large = large;
-		job->items = large ? 3 : draw(world, 1, ITEMS_MAX);
-		job->events = large ? 1 : draw(world, 1, 4);
+		job->parts = parts;
+		job->items = large || parts ? 3 : draw(world, 1, ITEMS_MAX);
+		job->events = large ? 1 : draw(world, 1, 12);
+		job->pace_ms = draw(world, 30, 700);
 		job->positions = g_ptr_array_new_with_free_func(position_free);
 	}
 }
@@ -1567,7 +1628,8 @@
 
 	note(world, "faults end");
 	world->settling = true;
-	world->trap.kind = NULL;
+	for (int i = 0; i < TRAPS_MAX; i++)
+		world->traps[i].kind = NULL;
 	world->calm = fair;
 	world->runners_fail_until_us = 0;
 	world->runners_silent_until_us = 0;
@@ -1886,6 +1948,17 @@
 			return USAGE_STATUS;
 		}
 		has_seed |= option == 0;
+		if (*values[option] < 1 || *values[option] > NUMBER_MAX) {
+			fprintf(stderr, "%s is not from 1 to %lld\n", argv[i],
+				NUMBER_MAX);
+			return USAGE_STATUS;
+		}
+	}
+	if ((has_seed && argc > 3) || (histories && seconds)) {
+		fprintf(stderr,
+			"--seed, --histories and --seconds exclude each "
+			"other\n");
+		return USAGE_STATUS;
 	}
 	if (has_seed)
 		return play_seed(seed) ? 0 : 1;
