--- a/tests/test_job_protocol.c
+++ b/tests/test_job_protocol.c
@@ -1577,7 +1577,8 @@
 		}
 		if (node->start_at_us && world->now_us >= node->start_at_us) {
 			node->start_at_us = 0;
-			start_process(world, i);
+			if (!process_of(world, i))
+				start_process(world, i);
 		}
 	}
 }
