--- a/Makefile
+++ b/Makefile
@@ -150,4 +150,4 @@
 .PHONY: all install tests check check-asan fuzz soak demo bench format lint clean deps xdr
 .SECONDARY:
 -include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d) \
-	$(FUZZ_TARGET_OBJ:.o=.d)
+	$(FUZZ_TARGET_OBJ:.o=.d) $(BUILD)/tests/model_store.d
--- a/tests/test_job_protocol.c
+++ b/tests/test_job_protocol.c
@@ -858,10 +858,14 @@
 {
 	const process_t *process = user_data;
 	const world_t *world = process->world;
-	int node = name[1] - '0';
 	const process_t *found;
+	int node;
 
-	if (name[0] != 'n' || node == process->node)
+	/* A job that was released has no owner. */
+	if (!*name)
+		return false;
+	node = name[1] - '0';
+	if (node == process->node)
 		return false;
 	found = process_of(world, node);
 	/* A node that is cut off is forgotten after a while. */
