--- a/tests/test_job_protocol.c
+++ b/tests/test_job_protocol.c
@@ -1746,9 +1746,10 @@
 		const model_event_t *event = &world->events[i];
 
 		if (!event->skipped)
-			printf("event %2d at %6d ms: %s node=%d job=%d "
+			printf("event %2d at %6d ms: %s %s=%d job=%d "
 			       "argument=%d length_ms=%d\n",
 			       i, (int)event->at_ms, event_names[event->kind],
+			       event->at_owner ? "owner_or" : "node",
 			       event->node, event->job, event->argument,
 			       event->length_ms);
 	}
