Give the runner of a test the request that its stand-in passes

Cause: two changes of the stand-in met. Runner.text() now gets the id of the request, and the override in this test did not take it, so each stream of its runners ended with an exception. The test checks what it did.

--- a/tests/process/test_job_resent.py
+++ b/tests/process/test_job_resent.py
@@ -52,7 +52,7 @@
     """A runner whose events differ at each run, at all runners."""
     numbers = itertools.count()
 
-    def text(self, number):
+    def text(self, number, request=None):
         return f"e{number}.{next(self.numbers)}"
 
 
