Tell through whom each view of the store is read

view_source names the store or the node through which a view is listed and watched, when that changes. route_missing has, for a 404, the version, since when it is in force, the revision up to which changes are known, how long ago an answer came, how long the present call waits, and its source. The same as gauges of each view. A configuration that cannot be decoded is counted.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -273,11 +273,10 @@
 		       void *user_data)
 {
 	for (guint i = 0; i < group->follows->len; i++) {
-		const follow_t *follow = group->follows->pdata[i];
-		int64_t now_us = clock_now_us(follow->options.clock);
+		follow_state_t state;
 
-		each(follow->prefix, (now_us - follow->answered_us) / 1000,
-		     user_data);
+		follow_get_state(group->follows->pdata[i], &state);
+		each(&state, user_data);
 	}
 }
 
@@ -301,6 +300,22 @@
 	return follow->synced;
 }
 
+void follow_get_state(const follow_t *follow, follow_state_t *state)
+{
+	int64_t now_us = clock_now_us(follow->options.clock);
+
+	*state = (follow_state_t){
+		.prefix = follow->prefix,
+		.revision = follow->revision,
+		.heard_ms = (now_us - follow->answered_us) / 1000,
+		.waiting_ms =
+			follow->call ?
+				(now_us - follow->call->started_us) / 1000 :
+				-1,
+		.lost = follow->lost,
+	};
+}
+
 int64_t follow_steady_since_us(const follow_t *follow)
 {
 	return follow->steady_since_us;
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -27,9 +27,16 @@
 
 follow_group_t *follow_group_new(void);
 void follow_group_free(follow_group_t *group);
-typedef void (*follow_each_t)(const char *prefix, int64_t age_ms,
-			      void *user_data);
-/* Calls each with the time since a view's last answer. */
+/* What a view is based on. */
+typedef struct follow_state {
+	const char *prefix;
+	uint64_t revision; /* changes up to it are known */
+	int64_t heard_ms; /* since the last answer */
+	int64_t waiting_ms; /* of the call in flight; -1: none is */
+	bool lost;
+} follow_state_t;
+
+typedef void (*follow_each_t)(const follow_state_t *state, void *user_data);
 void follow_group_each(const follow_group_t *group, follow_each_t each,
 		       void *user_data);
 
@@ -53,6 +60,7 @@
 follow_t *follow_new(const follow_options_t *options);
 /* True once the objects have been listed completely. */
 bool follow_is_synced(const follow_t *follow);
+void follow_get_state(const follow_t *follow, follow_state_t *state);
 /* Time of the first answer since the last failure; 0: none since. */
 int64_t follow_steady_since_us(const follow_t *follow);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -50,6 +50,7 @@
 			  "revision=%" PRIu64 " message=%s", entry->version,
 			  log_quote(error->message));
 		g_error_free(error);
+		(*gateway->config_unreadable_total)++;
 		return;
 	}
 	if (gateway->paths && paths->version <= gateway->paths->version) {
@@ -638,6 +639,9 @@
 	gateway->clock = options->clock;
 	gateway->random = g_rand_new();
 	gateway->counters = counter_set_new();
+	gateway->config_unreadable_total =
+		counter_get(gateway->counters, COUNTER_MONOTONIC,
+			    "config_unreadable_total", NULL);
 	gateway->follows = follow_group_new();
 	gateway->codec = options->codec;
 	gateway->grace_ms = options->grace_ms;
@@ -703,12 +707,94 @@
 	job_owner_stop(gateway->job_owner);
 }
 
-static void write_view_age(const char *prefix, int64_t age_ms, void *user_data)
+void gateway_describe_config(const gateway_t *gateway, GString *out)
 {
-	g_string_append_printf(user_data,
-			       "wasabilink_view_age_seconds{view=\"%s\"} "
-			       "%.3f\n",
-			       prefix, (double)age_ms / 1000);
+	const path_table_t *paths = gateway->paths;
+	const char *source = store_relay_source(gateway->store_relay,
+						gateway->codec->config_prefix);
+	follow_state_t state;
+
+	follow_get_state(gateway->config, &state);
+	g_string_append_printf(
+		out,
+		"config=%" PRIu64 " adopted_ms=%" PRId64 " revision=%" PRIu64
+		" heard_ms=%" PRId64 " waiting_ms=%" PRId64 " source=%s",
+		paths ? paths->version : 0,
+		paths ? (clock_now_us(gateway->clock) - paths->adopted_us) /
+				1000 :
+			-1,
+		state.revision, state.heard_ms, state.waiting_ms,
+		source ? source : "store");
+}
+
+/* A gauge of each view of the store. */
+typedef struct view_gauge {
+	const char *name;
+	double (*value)(const gateway_t *gateway, const follow_state_t *state);
+} view_gauge_t;
+
+static double view_age_s(const gateway_t *gateway, const follow_state_t *state)
+{
+	return (double)state->heard_ms / 1000;
+}
+
+static double view_waiting_s(const gateway_t *gateway,
+			     const follow_state_t *state)
+{
+	return (double)MAX(state->waiting_ms, 0) / 1000;
+}
+
+static double view_revision(const gateway_t *gateway,
+			    const follow_state_t *state)
+{
+	return (double)state->revision;
+}
+
+static double view_is_lost(const gateway_t *gateway,
+			   const follow_state_t *state)
+{
+	return state->lost;
+}
+
+static double view_is_relayed(const gateway_t *gateway,
+			      const follow_state_t *state)
+{
+	return store_relay_source(gateway->store_relay, state->prefix) != NULL;
+}
+
+static const view_gauge_t view_gauges[] = {
+	{ "view_age_seconds", view_age_s },
+	{ "view_waiting_seconds", view_waiting_s },
+	{ "view_revision", view_revision },
+	{ "view_lost", view_is_lost },
+	{ "view_relayed", view_is_relayed },
+};
+
+typedef struct view_writer {
+	const gateway_t *gateway;
+	const view_gauge_t *gauge;
+	GString *out;
+} view_writer_t;
+
+static void write_view(const follow_state_t *state, void *user_data)
+{
+	const view_writer_t *writer = user_data;
+
+	g_string_append_printf(writer->out,
+			       "wasabilink_%s{view=\"%s\"} %.15g\n",
+			       writer->gauge->name, state->prefix,
+			       writer->gauge->value(writer->gateway, state));
+}
+
+static void write_views(const gateway_t *gateway, GString *out)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(view_gauges); i++) {
+		view_writer_t writer = { gateway, &view_gauges[i], out };
+
+		g_string_append_printf(out, "# TYPE wasabilink_%s gauge\n",
+				       view_gauges[i].name);
+		follow_group_each(gateway->follows, write_view, &writer);
+	}
 }
 
 void gateway_write_metrics(const gateway_t *gateway, GString *out)
@@ -725,13 +811,15 @@
 		"wasabilink_requests_active %u\n"
 		"# TYPE wasabilink_batch_jobs_owned gauge\n"
 		"wasabilink_batch_jobs_owned %u\n"
+		"# TYPE wasabilink_config_version gauge\n"
+		"wasabilink_config_version %" PRIu64 "\n"
 		"# TYPE wasabilink_log_lines_dropped_total "
 		"counter\n"
 		"wasabilink_log_lines_dropped_total %" PRIu64 "\n",
 		fleet_size(gateway->fleet), relay_active(gateway->relay),
-		job_owner_count(gateway->job_owner), log_dropped());
-	g_string_append(out, "# TYPE wasabilink_view_age_seconds gauge\n");
-	follow_group_each(gateway->follows, write_view_age, out);
+		job_owner_count(gateway->job_owner),
+		gateway->paths ? gateway->paths->version : 0, log_dropped());
+	write_views(gateway, out);
 	g_string_append(out,
 			"# TYPE wasabilink_first_answer_seconds summary\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,7 @@
 	int64_t runner_hold_ms;
 	int64_t limits_logged_us;
 	int64_t contacts_logged_us;
+	int64_t *config_unreadable_total;
 	int64_t stopping_since_us; /* 0: not stopping */
 	http_server_t *callers; /* set by the adapter */
 } gateway_t;
@@ -108,6 +109,10 @@
 /* Begins a graceful shutdown. The event loop ends when all requests are
  * served, at the latest shortly before the grace period ends. */
 void gateway_stop(gateway_t *gateway);
+/* Appends the fields of a log line that tell the configuration by which a request
+ * is judged: its version, since when it is in force, and how and when the store
+ * was last heard about it. */
+void gateway_describe_config(const gateway_t *gateway, GString *out);
 /* Appends counters, gauges and latencies in the Prometheus text format. */
 void gateway_write_metrics(const gateway_t *gateway, GString *out);
 
--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -27,6 +27,9 @@
 	relay_store_t stale_store;
 	uint32_t failures; /* consecutive */
 	int64_t probed_us;
+	/* Prefix -> address of the node through which it was last listed or
+	 * watched; "": the store itself. */
+	GHashTable *sources;
 	int64_t *relayed_total;
 	int64_t *served_total;
 };
@@ -177,6 +180,21 @@
 					ADDRESS_BYTES);
 }
 
+/* Records through whom a view is read; address is "" for the store itself. */
+static void note_source(store_relay_t *relay, const char *operation,
+			const char *prefix, const char *address)
+{
+	const char *former = g_hash_table_lookup(relay->sources, prefix);
+
+	if (former && strcmp(former, address) == 0)
+		return;
+	log_info("view_source", "prefix=%s source=%s former=%s operation=%s",
+		 prefix, *address ? address : "store",
+		 former && *former ? former : "store", operation);
+	g_hash_table_insert(relay->sources, g_strdup(prefix),
+			    g_strdup(address));
+}
+
 static void send_call(store_relay_t *relay, const char *address,
 		      store_call_args *args, rpc_done_t done, own_call_t *call)
 {
@@ -296,9 +314,11 @@
 	args.after = (char *)(after ? after : "");
 	args.limit = limit;
 	if (takes_relay(store->relay, address)) {
+		note_source(store->relay, "list", prefix, address);
 		send_call(store->relay, address, &args, on_relayed_list, call);
 		return;
 	}
+	note_source(store->relay, "list", prefix, "");
 	count_direct(store, "list", prefix);
 	object_list(store->direct, prefix, after, limit, on_direct_list, call);
 }
@@ -316,9 +336,11 @@
 	args.revision = since;
 	args.timeout_ms = timeout_ms;
 	if (takes_relay(store->relay, address)) {
+		note_source(store->relay, "watch", prefix, address);
 		send_call(store->relay, address, &args, on_relayed_list, call);
 		return;
 	}
+	note_source(store->relay, "watch", prefix, "");
 	count_direct(store, "watch", prefix);
 	object_watch(store->direct, prefix, since, timeout_ms, on_direct_list,
 		     call);
@@ -439,6 +461,8 @@
 	};
 
 	relay->options = *options;
+	relay->sources =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	relay->relayed_total = counter_get(options->counters, COUNTER_MONOTONIC,
 					   "store_calls_relayed_total", NULL);
 	relay->served_total = counter_get(options->counters, COUNTER_MONOTONIC,
@@ -449,6 +473,13 @@
 	return relay;
 }
 
+const char *store_relay_source(const store_relay_t *relay, const char *prefix)
+{
+	const char *address = g_hash_table_lookup(relay->sources, prefix);
+
+	return address && *address ? address : NULL;
+}
+
 object_store_t *store_relay_store(store_relay_t *relay)
 {
 	return &relay->store.base;
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -38,6 +38,9 @@
  * seconds. */
 object_store_t *store_relay_store(store_relay_t *relay);
 object_store_t *store_relay_stale_store(store_relay_t *relay);
+/* Address of the node through which the prefix was last listed or watched; NULL:
+ * the store itself, or never. */
+const char *store_relay_source(const store_relay_t *relay, const char *prefix);
 /* Whether the store answers this node's own calls. */
 bool store_relay_is_direct(const store_relay_t *relay);
 
