Show that a node misses changes while its watch has no answer

Callers get 404 for a route that is in force, and requests go to runners that have left, at nodes that reach the store.

--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -314,6 +314,28 @@
         self.change("DELETE", [kind, name], {}, {})
 
 
+class StoreDoor(Server):
+    """The store as some gateways reach it: it may be silent for these only."""
+
+    def __init__(self, store):
+        self.store = store
+        self.silent = False
+        self.outages = 0
+        super().__init__(StoreHandler)
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    set_silent = Store.set_silent
+    watch = Store.watch
+
+    def drop_watches(self):
+        """Watches that wait now are never answered."""
+        with self.lock:
+            self.outages += 1
+            self.lock.notify_all()
+
+
 class RunnerHandler(TrackedHandler):
     def start_answer(self, status, *headers):
         self.send_response(status)
