Read the store directly again as soon as it answers

Callers got 404 for routes that were in force, and requests reached runners that had left, at nodes that had long had the store again.

Cause: while a node's store is silent, its reads go through another node. A watch that was sent that way ended by its own limit (26.5 s) or by its answer, whatever became of the other node: when that one lost the store or stood still, the view of the first heard nothing, although its own store answered.

When the store answers a node again, the reads that others make for it are made anew by itself, from the same revision; a late answer of the other node is dropped. Writes are not: they could take effect twice.

--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -30,36 +30,73 @@
 	/* Prefix -> address of the node through which it was last listed or
 	 * watched; "": the store itself. */
 	GHashTable *sources;
+	GQueue relayed_reads; /* own_call_t, reads that another node makes */
 	int64_t *relayed_total;
+	int64_t *recalled_total;
 	int64_t *served_total;
 };
 
+typedef struct own_call own_call_t;
+
+/* The part of a call that another node makes. */
+typedef struct relayed_leg {
+	own_call_t *call; /* NULL: its answer is not awaited any more */
+} relayed_leg_t;
+
 /* A call of this node, direct or relayed. */
-typedef struct own_call {
-	store_relay_t *relay;
+struct own_call {
+	const relay_store_t *store;
+	store_operation operation;
 	char *key;
+	char *after; /* of a listing */
+	uint32_t limit; /* the same */
+	uint64_t since; /* of a watch */
+	int32_t timeout_ms; /* the same */
 	object_done_t done;
 	object_list_done_t list_done;
 	void *user_data;
-} own_call_t;
+	relayed_leg_t *leg; /* NULL: direct */
+	GList link; /* in relayed_reads, if in_list */
+	bool in_list;
+};
 
-static own_call_t *own_call_new(store_relay_t *relay, const char *key,
+static own_call_t *own_call_new(const relay_store_t *store,
+				store_operation operation, const char *key,
 				void *user_data)
 {
 	own_call_t *call = g_new0(own_call_t, 1);
 
-	call->relay = relay;
+	call->store = store;
+	call->operation = operation;
 	call->key = g_strdup(key);
 	call->user_data = user_data;
+	call->link.data = call;
 	return call;
 }
 
 static void own_call_free(own_call_t *call)
 {
 	g_free(call->key);
+	g_free(call->after);
 	g_free(call);
 }
 
+/* Its answer from another node has come, or is not awaited any more. */
+static void detach_leg(own_call_t *call)
+{
+	call->leg->call = NULL;
+	call->leg = NULL;
+	if (call->in_list)
+		g_queue_unlink(&call->store->relay->relayed_reads, &call->link);
+	call->in_list = false;
+}
+
+static bool is_read(const own_call_t *call)
+{
+	return call->operation == STORE_GET || call->operation == STORE_LIST ||
+	       call->operation == STORE_WATCH;
+}
+
 bool store_relay_is_direct(const store_relay_t *relay)
 {
 	return relay->failures < FAILURES_BEFORE_RELAY;
@@ -77,15 +114,19 @@
 	       error->code == WL_ERROR_TRUNCATED;
 }
 
+static void recall_reads(store_relay_t *relay);
+
 static void note_direct(store_relay_t *relay, const GError *error)
 {
 	bool was_direct = store_relay_is_direct(relay);
 
 	relay->failures = is_out_of_contact(error) ? relay->failures + 1 : 0;
-	if (was_direct != store_relay_is_direct(relay))
-		log_info("store_contact", "direct=%d failures=%u error=%s",
-			 !was_direct, relay->failures,
-			 error ? error_name(error->code) : "-");
+	if (was_direct == store_relay_is_direct(relay))
+		return;
+	log_info("store_contact", "direct=%d failures=%u error=%s", !was_direct,
+		 relay->failures, error ? error_name(error->code) : "-");
+	if (!was_direct)
+		recall_reads(relay);
 }
 
 static void on_direct(const object_value_t *value, const GError *error,
@@ -93,7 +134,7 @@
 {
 	own_call_t *call = user_data;
 
-	note_direct(call->relay, error);
+	note_direct(call->store->relay, error);
 	call->done(value, error, call->user_data);
 	own_call_free(call);
 }
@@ -103,7 +144,7 @@
 {
 	own_call_t *call = user_data;
 
-	note_direct(call->relay, error);
+	note_direct(call->store->relay, error);
 	call->list_done(listing, error, call->user_data);
 	own_call_free(call);
 }
@@ -116,13 +157,29 @@
 			   "relayed store call failed at another node");
 }
 
+/* Returns the call, or NULL when the answer is not awaited any more. */
+static own_call_t *end_leg(relayed_leg_t *leg)
+{
+	own_call_t *call = leg->call;
+
+	if (call)
+		detach_leg(call);
+	g_free(leg);
+	return call;
+}
+
 static void on_relayed(const void *data, const GError *error, void *user_data)
 {
 	const store_call_result *result = data;
-	own_call_t *call = user_data;
+	own_call_t *call = end_leg(user_data);
 	GError *answer = error ? NULL : error_of(result);
-	object_value_t value = { .key = call->key };
+	object_value_t value = { 0 };
 
+	if (!call) {
+		g_clear_error(&answer);
+		return;
+	}
+	value.key = call->key;
 	if (!error && result->has_value) {
 		value.version = result->revision;
 		value.writer = result->writer;
@@ -139,10 +196,14 @@
 			    void *user_data)
 {
 	const store_call_result *result = data;
-	own_call_t *call = user_data;
+	own_call_t *call = end_leg(user_data);
 	GError *answer = error ? NULL : error_of(result);
 	object_listing_t listing = { 0 };
 
+	if (!call) {
+		g_clear_error(&answer);
+		return;
+	}
 	if (error || answer) {
 		call->list_done(NULL, error ? error : answer, call->user_data);
 		g_clear_error(&answer);
@@ -195,10 +256,12 @@
 			    g_strdup(address));
 }
 
-static void send_call(store_relay_t *relay, const char *address,
-		      store_call_args *args, rpc_done_t done, own_call_t *call)
+static void send_call(own_call_t *call, const char *address,
+		      store_call_args *args)
 {
-	const rpc_call_options_t options = {
+	store_relay_t *relay = call->store->relay;
+	bool lists = call->list_done != NULL;
+	rpc_call_options_t options = {
 		.address = address,
 		.program = PEER_PROGRAM,
 		.procedure = PEER_STORE_CALL,
@@ -209,63 +272,156 @@
 		.timeout_ms = args->operation == STORE_WATCH ?
 				      args->timeout_ms + WATCH_GRACE_MS :
 				      CALL_TIMEOUT_MS,
-		.done = done,
-		.user_data = call,
+		.done = lists ? on_relayed_list : on_relayed,
 	};
 
+	call->leg = g_new0(relayed_leg_t, 1);
+	call->leg->call = call;
+	options.user_data = call->leg;
+	if (is_read(call)) {
+		call->in_list = true;
+		g_queue_push_tail_link(&relay->relayed_reads, &call->link);
+	}
 	(*relay->relayed_total)++;
 	rpc_client_call(relay->options.client, &options);
 }
 
+static const char *operation_name(store_operation operation)
+{
+	static const char *const names[] = {
+		[STORE_GET] = "get",	   [STORE_PUT] = "put",
+		[STORE_REMOVE] = "remove", [STORE_LIST] = "list",
+		[STORE_WATCH] = "watch",
+	};
+
+	return names[operation];
+}
+
 /* Counts a call to the store itself, as each one is charged. */
-static void count_direct(const relay_store_t *store, const char *operation,
-			 const char *key)
+static void count_direct(const own_call_t *call)
 {
 	char *labels = g_strdup_printf(
-		"operation=\"%s\",kind=\"%.*s\",stale=\"%d\"", operation,
-		(int)strcspn(key, "/"), key, store->stale);
+		"operation=\"%s\",kind=\"%.*s\",stale=\"%d\"",
+		operation_name(call->operation), (int)strcspn(call->key, "/"),
+		call->key, call->store->stale);
 
-	(*counter_get(store->relay->options.counters, COUNTER_MONOTONIC,
+	(*counter_get(call->store->relay->options.counters, COUNTER_MONOTONIC,
 		      "store_calls_total", labels))++;
 	g_free(labels);
 }
 
-static store_call_args args_of(const relay_store_t *store,
-			       store_operation operation, const char *key)
+/* Makes a read of the store itself. */
+static void read_directly(own_call_t *call)
+{
+	object_store_t *store = call->store->direct;
+
+	count_direct(call);
+	if (call->list_done)
+		note_source(call->store->relay, operation_name(call->operation),
+			    call->key, "");
+	switch (call->operation) {
+	case STORE_LIST:
+		object_list(store, call->key, call->after, call->limit,
+			    on_direct_list, call);
+		return;
+	case STORE_WATCH:
+		object_watch(store, call->key, call->since, call->timeout_ms,
+			     on_direct_list, call);
+		return;
+	default:
+		object_get(store, call->key, on_direct, call);
+	}
+}
+
+/* Makes the reads itself that other nodes make for this one. These may have lost
+ * the store meanwhile, or stand still. */
+static void recall_reads(store_relay_t *relay)
+{
+	GList *link;
+
+	while ((link = g_queue_peek_head_link(&relay->relayed_reads))) {
+		own_call_t *call = link->data;
+
+		detach_leg(call);
+		(*relay->recalled_total)++;
+		read_directly(call);
+	}
+}
+
+static store_call_args args_of(const own_call_t *call)
 {
 	return (store_call_args){
-		.operation = operation,
-		.stale = store->stale,
-		.key = (char *)key,
-		.after = (char *)"",
+		.operation = call->operation,
+		.stale = call->store->stale,
+		.key = call->key,
+		.after = call->after ? call->after : (char *)"",
 		.writer = (char *)"",
+		.limit = call->limit,
+		.revision = call->since,
+		.timeout_ms = call->timeout_ms,
 	};
 }
 
-static void relay_get(object_store_t *base, const char *key, object_done_t done,
-		      void *user_data)
+/* Makes a read of the store itself or through another node. */
+static void start_read(own_call_t *call)
 {
-	relay_store_t *store = (relay_store_t *)base;
-	own_call_t *call = own_call_new(store->relay, key, user_data);
-	store_call_args args = args_of(store, STORE_GET, key);
+	store_relay_t *relay = call->store->relay;
+	store_call_args args = args_of(call);
 	char address[ADDRESS_BYTES];
 
-	call->done = done;
-	if (takes_relay(store->relay, address)) {
-		send_call(store->relay, address, &args, on_relayed, call);
+	if (!takes_relay(relay, address)) {
+		read_directly(call);
 		return;
 	}
-	count_direct(store, "get", key);
-	object_get(store->direct, key, on_direct, call);
+	if (call->list_done)
+		note_source(relay, operation_name(call->operation), call->key,
+			    address);
+	send_call(call, address, &args);
+}
+
+static void relay_get(object_store_t *base, const char *key, object_done_t done,
+		      void *user_data)
+{
+	own_call_t *call =
+		own_call_new((relay_store_t *)base, STORE_GET, key, user_data);
+
+	call->done = done;
+	start_read(call);
+}
+
+static void relay_list(object_store_t *base, const char *prefix,
+		       const char *after, uint32_t limit,
+		       object_list_done_t done, void *user_data)
+{
+	own_call_t *call = own_call_new((relay_store_t *)base, STORE_LIST,
+					prefix, user_data);
+
+	call->list_done = done;
+	call->after = g_strdup(after);
+	call->limit = limit;
+	start_read(call);
+}
+
+static void relay_watch(object_store_t *base, const char *prefix,
+			uint64_t since, int32_t timeout_ms,
+			object_list_done_t done, void *user_data)
+{
+	own_call_t *call = own_call_new((relay_store_t *)base, STORE_WATCH,
+					prefix, user_data);
+
+	call->list_done = done;
+	call->since = since;
+	call->timeout_ms = timeout_ms;
+	start_read(call);
 }
 
 static void relay_put(object_store_t *base, const char *key, const void *data,
 		      size_t len, uint64_t if_version, const char *writer,
 		      object_done_t done, void *user_data)
 {
-	relay_store_t *store = (relay_store_t *)base;
-	own_call_t *call = own_call_new(store->relay, key, user_data);
-	store_call_args args = args_of(store, STORE_PUT, key);
+	own_call_t *call =
+		own_call_new((relay_store_t *)base, STORE_PUT, key, user_data);
+	store_call_args args = args_of(call);
 	char address[ADDRESS_BYTES];
 
 	call->done = done;
@@ -273,77 +429,32 @@
 	args.writer = (char *)(writer ? writer : "");
 	args.data.data_val = (char *)data;
 	args.data.data_len = (u_int)len;
-	if (takes_relay(store->relay, address)) {
-		send_call(store->relay, address, &args, on_relayed, call);
+	if (takes_relay(call->store->relay, address)) {
+		send_call(call, address, &args);
 		return;
 	}
-	count_direct(store, "put", key);
-	object_put(store->direct, key, data, len, if_version, writer, on_direct,
-		   call);
+	count_direct(call);
+	object_put(call->store->direct, key, data, len, if_version, writer,
+		   on_direct, call);
 }
 
 static void relay_remove(object_store_t *base, const char *key,
 			 uint64_t if_version, object_done_t done,
 			 void *user_data)
 {
-	relay_store_t *store = (relay_store_t *)base;
-	own_call_t *call = own_call_new(store->relay, key, user_data);
-	store_call_args args = args_of(store, STORE_REMOVE, key);
+	own_call_t *call = own_call_new((relay_store_t *)base, STORE_REMOVE,
+					key, user_data);
+	store_call_args args = args_of(call);
 	char address[ADDRESS_BYTES];
 
 	call->done = done;
 	args.revision = if_version;
-	if (takes_relay(store->relay, address)) {
-		send_call(store->relay, address, &args, on_relayed, call);
-		return;
-	}
-	count_direct(store, "remove", key);
-	object_remove(store->direct, key, if_version, on_direct, call);
-}
-
-static void relay_list(object_store_t *base, const char *prefix,
-		       const char *after, uint32_t limit,
-		       object_list_done_t done, void *user_data)
-{
-	relay_store_t *store = (relay_store_t *)base;
-	own_call_t *call = own_call_new(store->relay, prefix, user_data);
-	store_call_args args = args_of(store, STORE_LIST, prefix);
-	char address[ADDRESS_BYTES];
-
-	call->list_done = done;
-	args.after = (char *)(after ? after : "");
-	args.limit = limit;
-	if (takes_relay(store->relay, address)) {
-		note_source(store->relay, "list", prefix, address);
-		send_call(store->relay, address, &args, on_relayed_list, call);
-		return;
-	}
-	note_source(store->relay, "list", prefix, "");
-	count_direct(store, "list", prefix);
-	object_list(store->direct, prefix, after, limit, on_direct_list, call);
-}
-
-static void relay_watch(object_store_t *base, const char *prefix,
-			uint64_t since, int32_t timeout_ms,
-			object_list_done_t done, void *user_data)
-{
-	relay_store_t *store = (relay_store_t *)base;
-	own_call_t *call = own_call_new(store->relay, prefix, user_data);
-	store_call_args args = args_of(store, STORE_WATCH, prefix);
-	char address[ADDRESS_BYTES];
-
-	call->list_done = done;
-	args.revision = since;
-	args.timeout_ms = timeout_ms;
-	if (takes_relay(store->relay, address)) {
-		note_source(store->relay, "watch", prefix, address);
-		send_call(store->relay, address, &args, on_relayed_list, call);
+	if (takes_relay(call->store->relay, address)) {
+		send_call(call, address, &args);
 		return;
 	}
-	note_source(store->relay, "watch", prefix, "");
-	count_direct(store, "watch", prefix);
-	object_watch(store->direct, prefix, since, timeout_ms, on_direct_list,
-		     call);
+	count_direct(call);
+	object_remove(call->store->direct, key, if_version, on_direct, call);
 }
 
 static const object_store_ops_t relay_ops = {
@@ -463,6 +574,10 @@
 	relay->options = *options;
 	relay->sources =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_queue_init(&relay->relayed_reads);
+	relay->recalled_total =
+		counter_get(options->counters, COUNTER_MONOTONIC,
+			    "store_calls_recalled_total", NULL);
 	relay->relayed_total = counter_get(options->counters, COUNTER_MONOTONIC,
 					   "store_calls_relayed_total", NULL);
 	relay->served_total = counter_get(options->counters, COUNTER_MONOTONIC,
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -16,7 +16,9 @@
  *
  * Calls go to the store itself as long as it answers. After several consecutive
  * failures they go to a node that reaches the store, while single calls probe
- * the store directly. A call is never sent both ways.
+ * the store directly. When the store answers this node again, the reads that
+ * other nodes make for it are made anew by itself. A write is never sent both
+ * ways.
  */
 typedef struct store_relay store_relay_t;
 
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -10,17 +10,34 @@
 #define CHANGES (STORE_ENTRIES_MAX + 1)
 #define REVISION 9000
 
+#define WATCHES_MAX 4
+
+/* A watch that waits. */
+typedef struct held_watch {
+	object_list_done_t done;
+	void *user_data;
+} held_watch_t;
+
 /* A store that refuses reads of objects, and answers listings and watches with
- * many entries. It answers within the call, which the relay permits. */
+ * many entries, unless it holds watches. It answers within the call, which the
+ * relay permits. */
 typedef struct busy_store {
 	object_store_t base; /* first member */
 	int watches;
+	bool serves; /* reads of objects: there is none */
+	bool holds;
+	held_watch_t held[WATCHES_MAX];
+	int held_count;
 } busy_store_t;
 
 static void busy_get(object_store_t *store, const char *key, object_done_t done,
 		     void *user_data)
 {
-	const GError error = { WL_ERROR, WL_ERROR_UNAVAILABLE, (char *)"busy" };
+	const busy_store_t *busy = (busy_store_t *)store;
+	const GError error = { WL_ERROR,
+			       busy->serves ? WL_ERROR_NOT_FOUND :
+					      WL_ERROR_UNAVAILABLE,
+			       (char *)"busy" };
 
 	done(NULL, &error, user_data);
 }
@@ -56,8 +73,14 @@
 		       uint64_t since, int32_t timeout_ms,
 		       object_list_done_t done, void *user_data)
 {
-	((busy_store_t *)store)->watches++;
-	answer(done, user_data);
+	busy_store_t *busy = (busy_store_t *)store;
+
+	busy->watches++;
+	if (busy->holds)
+		busy->held[busy->held_count++] =
+			(held_watch_t){ done, user_data };
+	else
+		answer(done, user_data);
 }
 
 static const object_store_ops_t busy_ops = { .get = busy_get,
@@ -74,6 +97,7 @@
 	guint entries;
 	bool more;
 	uint64_t revision;
+	int answers;
 } fixture_t;
 
 /* The node relays its calls to itself. */
@@ -98,6 +122,7 @@
 	fixture_t *fixture = user_data;
 
 	CU_ASSERT_PTR_NULL(error);
+	fixture->answers++;
 	if (listing) {
 		fixture->entries = listing->entries->len;
 		fixture->more = listing->more;
@@ -167,10 +192,49 @@
 	end(&fixture);
 }
 
+static void loop_until_watches(fixture_t *fixture, int watches)
+{
+	for (int i = 0; fixture->store.watches < watches && i < 1000; i++)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(fixture->store.watches, watches);
+}
+
+/* Guards against a view that waits for another node although the store answers
+ * this one again: the other node may have lost the store or stand still. */
+static void test_own_contact_ends_relayed_watch(void)
+{
+	fixture_t fixture;
+
+	start(&fixture);
+	fixture.store.holds = true;
+	object_watch(store_relay_store(fixture.relay), "k/", 7, 1000, on_answer,
+		     &fixture);
+	loop_until_watches(&fixture, 1);
+	CU_ASSERT_PTR_NOT_NULL(store_relay_source(fixture.relay, "k/"));
+	fixture.store.serves = true;
+	clock_manual_advance_ms(&fixture.clock, 1000);
+	object_get(store_relay_store(fixture.relay), "k/0", on_refused, NULL);
+	CU_ASSERT(store_relay_is_direct(fixture.relay));
+	CU_ASSERT_EQUAL(fixture.store.watches, 2);
+	CU_ASSERT_PTR_NULL(store_relay_source(fixture.relay, "k/"));
+	/* The other node's answer comes late. */
+	answer(fixture.store.held[0].done, fixture.store.held[0].user_data);
+	for (int i = 0; i < 10; i++)
+		event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+	CU_ASSERT_EQUAL(fixture.answers, 0);
+	if (fixture.store.held_count == 2)
+		answer(fixture.store.held[1].done,
+		       fixture.store.held[1].user_data);
+	CU_ASSERT_EQUAL(fixture.answers, 1);
+	end(&fixture);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "capped answers", test_capped_answers },
+		{ "own contact ends relayed watch",
+		  test_own_contact_ends_relayed_watch },
 		{ NULL, NULL },
 	};
 
