Do not take the late end of an old watch for lost contact

A node whose store answered read through other nodes, and was the staler for it: views that wait when the store falls silent for a moment end by their limit 26 s later, one after the other, and two failures in a row counted as a loss of contact, whatever had been answered in between.

A failure counts only if no call that started later has been answered: only such a one tells something of the store now. test_late_end_of_old_watches failed before.

--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -26,6 +26,8 @@
 	relay_store_t store;
 	relay_store_t stale_store;
 	uint32_t failures; /* consecutive */
+	/* Start of the last call that the store itself has answered. */
+	int64_t answered_us;
 	int64_t probed_us;
 	/* Prefix -> address of the node through which it was last listed or
 	 * watched; "": the store itself. */
@@ -55,6 +57,7 @@
 	object_done_t done;
 	object_list_done_t list_done;
 	void *user_data;
+	int64_t started_us;
 	relayed_leg_t *leg; /* NULL: direct */
 	GList link; /* in relayed_reads, if in_list */
 	bool in_list;
@@ -116,11 +119,19 @@
 
 static void recall_reads(store_relay_t *relay);
 
-static void note_direct(store_relay_t *relay, const GError *error)
+/* A failure tells nothing if a call that started later has been answered, such as
+ * that of a watch that was waiting when a short outage began. */
+static void note_direct(store_relay_t *relay, const GError *error,
+			int64_t started_us)
 {
 	bool was_direct = store_relay_is_direct(relay);
 
-	relay->failures = is_out_of_contact(error) ? relay->failures + 1 : 0;
+	if (!is_out_of_contact(error)) {
+		relay->failures = 0;
+		relay->answered_us = MAX(relay->answered_us, started_us);
+	} else if (started_us >= relay->answered_us) {
+		relay->failures++;
+	}
 	if (was_direct == store_relay_is_direct(relay))
 		return;
 	log_info("store_contact", "direct=%d failures=%u error=%s", !was_direct,
@@ -134,7 +145,7 @@
 {
 	own_call_t *call = user_data;
 
-	note_direct(call->store->relay, error);
+	note_direct(call->store->relay, error, call->started_us);
 	call->done(value, error, call->user_data);
 	own_call_free(call);
 }
@@ -144,7 +155,7 @@
 {
 	own_call_t *call = user_data;
 
-	note_direct(call->store->relay, error);
+	note_direct(call->store->relay, error, call->started_us);
 	call->list_done(listing, error, call->user_data);
 	own_call_free(call);
 }
@@ -298,7 +309,7 @@
 }
 
 /* Counts a call to the store itself, as each one is charged. */
-static void count_direct(const own_call_t *call)
+static void begin_direct(own_call_t *call)
 {
 	char *labels = g_strdup_printf(
 		"operation=\"%s\",kind=\"%.*s\",stale=\"%d\"",
@@ -308,6 +319,7 @@
 	(*counter_get(call->store->relay->options.counters, COUNTER_MONOTONIC,
 		      "store_calls_total", labels))++;
 	g_free(labels);
+	call->started_us = clock_now_us(call->store->relay->options.clock);
 }
 
 /* Makes a read of the store itself. */
@@ -315,7 +327,7 @@
 {
 	object_store_t *store = call->store->direct;
 
-	count_direct(call);
+	begin_direct(call);
 	if (call->list_done)
 		note_source(call->store->relay, operation_name(call->operation),
 			    call->key, "");
@@ -433,7 +445,7 @@
 		send_call(call, address, &args);
 		return;
 	}
-	count_direct(call);
+	begin_direct(call);
 	object_put(call->store->direct, key, data, len, if_version, writer,
 		   on_direct, call);
 }
@@ -453,7 +465,7 @@
 		send_call(call, address, &args);
 		return;
 	}
-	count_direct(call);
+	begin_direct(call);
 	object_remove(call->store->direct, key, if_version, on_direct, call);
 }
 
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -229,12 +229,50 @@
 	end(&fixture);
 }
 
+static void on_ended(const object_listing_t *listing, const GError *error,
+		     void *user_data)
+{
+	CU_ASSERT_PTR_NOT_NULL(error);
+}
+
+/* Guards against a node that reads through others although its store answers, as
+ * watches from before a short outage end late, one after the other. */
+static void test_late_end_of_old_watches(void)
+{
+	const GError timeout = { WL_ERROR, WL_ERROR_TIMEOUT, (char *)"late" };
+	fixture_t fixture;
+
+	start(&fixture);
+	fixture.store.serves = true;
+	clock_manual_advance_ms(&fixture.clock, 1000);
+	object_get(store_relay_store(fixture.relay), "k/0", on_refused, NULL);
+	CU_ASSERT(store_relay_is_direct(fixture.relay));
+	fixture.store.holds = true;
+	for (int i = 0; i < 2; i++)
+		object_watch(store_relay_store(fixture.relay), "k/", 7, 25000,
+			     on_ended, NULL);
+	clock_manual_advance_ms(&fixture.clock, 26000);
+	object_get(store_relay_store(fixture.relay), "k/0", on_refused, NULL);
+	for (int i = 0; i < 2; i++)
+		fixture.store.held[i].done(NULL, &timeout,
+					   fixture.store.held[i].user_data);
+	CU_ASSERT(store_relay_is_direct(fixture.relay));
+	/* Calls that started since then are evidence. */
+	fixture.store.serves = false;
+	for (int i = 0; i < 2; i++)
+		object_get(store_relay_store(fixture.relay), "k/0", on_refused,
+			   NULL);
+	CU_ASSERT_FALSE(store_relay_is_direct(fixture.relay));
+	end(&fixture);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "capped answers", test_capped_answers },
 		{ "own contact ends relayed watch",
 		  test_own_contact_ends_relayed_watch },
+		{ "late end of old watches", test_late_end_of_old_watches },
 		{ NULL, NULL },
 	};
 
