Find out by a read of its own whether the store answers a node again

While a node reads through others, every half second one of its calls, of any kind, went to the store itself. When that was a watch of a view, the view waited for a store that may not answer, up to 26 s, and contact was not noticed until then; a write lost a second and its certainty.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -309,6 +309,7 @@
 	fleet_remove_expired(gateway->fleet);
 	log_limits(gateway);
 	log_contacts(gateway);
+	store_relay_tick(gateway->store_relay);
 	peer_load_set_store(gateway->peer_load,
 			    store_relay_is_direct(gateway->store_relay));
 	report_relay(gateway);
@@ -449,6 +450,7 @@
 		.store = options->store,
 		.stale_store = options->stale_store,
 		.counters = gateway->counters,
+		.probe_key = gateway->codec->config_key,
 		.find_peer = find_store_peer,
 		.user_data = gateway,
 	};
--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -8,6 +8,8 @@
 
 /* A single lost or refused call is not evidence of an outage. */
 #define FAILURES_BEFORE_RELAY 2
+/* While calls go through other nodes, a call to the store itself finds out this
+ * long after the last one whether it answers again. */
 #define PROBE_MS 500
 #define CALL_TIMEOUT_MS 1200
 #define WATCH_GRACE_MS 1500
@@ -28,7 +30,8 @@
 	uint32_t failures; /* consecutive */
 	/* Start of the last call that the store itself has answered. */
 	int64_t answered_us;
-	int64_t probed_us;
+	int64_t direct_us; /* start of the last call to the store itself */
+	bool probing;
 	/* Prefix -> address of the node through which it was last listed or
 	 * watched; "": the store itself. */
 	GHashTable *sources;
@@ -237,18 +240,11 @@
 	own_call_free(call);
 }
 
-/* Whether this call goes to another node, whose address is then stored. */
-static bool takes_relay(store_relay_t *relay, char *address)
+/* Whether a call goes to another node, whose address is then stored. */
+static bool takes_relay(const store_relay_t *relay, char *address)
 {
-	int64_t now_us = clock_now_us(relay->options.clock);
-
-	if (store_relay_is_direct(relay))
-		return false;
-	if (now_us - relay->probed_us >= PROBE_MS * 1000) {
-		relay->probed_us = now_us;
-		return false;
-	}
-	return relay->options.find_peer(relay->options.user_data, address,
+	return !store_relay_is_direct(relay) &&
+	       relay->options.find_peer(relay->options.user_data, address,
 					ADDRESS_BYTES);
 }
 
@@ -320,6 +316,7 @@
 		      "store_calls_total", labels))++;
 	g_free(labels);
 	call->started_us = clock_now_us(call->store->relay->options.clock);
+	call->store->relay->direct_us = call->started_us;
 }
 
 /* Makes a read of the store itself. */
@@ -360,6 +357,29 @@
 	}
 }
 
+static void on_probed(const object_value_t *value, const GError *error,
+		      void *user_data)
+{
+	store_relay_t *relay = user_data;
+
+	relay->probing = false;
+}
+
+void store_relay_tick(store_relay_t *relay)
+{
+	int64_t now_us = clock_now_us(relay->options.clock);
+	own_call_t *call;
+
+	if (store_relay_is_direct(relay) || relay->probing ||
+	    now_us - relay->direct_us < PROBE_MS * 1000)
+		return;
+	relay->probing = true;
+	call = own_call_new(&relay->store, STORE_GET, relay->options.probe_key,
+			    relay);
+	call->done = on_probed;
+	read_directly(call);
+}
+
 static store_call_args args_of(const own_call_t *call)
 {
 	return (store_call_args){
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -15,8 +15,8 @@
  * store is unavailable to this one.
  *
  * Calls go to the store itself as long as it answers. After several consecutive
- * failures they go to a node that reaches the store, while single calls probe
- * the store directly. When the store answers this node again, the reads that
+ * failures they go to a node that reaches the store, while reads of one object
+ * find out whether the store answers this node again. When the store answers this node again, the reads that
  * other nodes make for it are made anew by itself. A write is never sent both
  * ways.
  */
@@ -29,6 +29,7 @@
 	rpc_client_t *client;
 	rpc_server_t *server;
 	counter_set_t *counters;
+	const char *probe_key; /* of an object that is read as a probe */
 	/* Writes the address of a node that reaches the store to the buffer;
 	 * false when none is known. */
 	bool (*find_peer)(void *user_data, char *address, size_t size);
@@ -36,6 +37,8 @@
 } store_relay_options_t;
 
 store_relay_t *store_relay_new(const store_relay_options_t *options);
+/* Probes the store if it is due. To be called often. */
+void store_relay_tick(store_relay_t *relay);
 /* The store, and its variant with cheaper reads that may be stale by
  * seconds. */
 object_store_t *store_relay_store(store_relay_t *relay);
