Refuse and end reads for other nodes when the store is lost

A node without contact waited up to 26.5 s for a node that had lost the store as well, and its views and its callers' reads of batch jobs with it.

Cause: a node that makes calls for others passed them to its store, whatever it knew of it, and a call in progress ended by its own limit; nothing ended it when the other node was gone or had its store back. Class: a wait on another process that is bounded by the wait alone.

A node that has lost the store refuses calls for others at once (without effect), ends the reads that it makes, and a watch for another node waits 5 s at most. What the store answers or does not answer to these calls counts for the node's own contact, too. test_other_node_loses_contact fails without the refusal and without the end, test_relayed_watch_is_short without the bound. test_store_relay.c had one node that passed calls on to itself, which a node without contact now refuses; it has two now, with the same checks.

--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -142,6 +142,8 @@
 		 relay->failures, error ? error_name(error->code) : "-");
 	if (!was_direct)
 		recall_reads(relay);
+	else
+		store_relay_server_end_reads(relay->server);
 }
 
 static void on_direct(const object_value_t *value, const GError *error,
@@ -391,7 +393,7 @@
 		.writer = (char *)"",
 		.limit = call->limit,
 		.revision = call->since,
-		.timeout_ms = call->timeout_ms,
+		.timeout_ms = MIN(call->timeout_ms, STORE_RELAY_WATCH_MS),
 	};
 }
 
@@ -498,6 +500,17 @@
 	.watch = relay_watch,
 };
 
+static bool serves_others(void *user_data)
+{
+	return store_relay_is_direct(user_data);
+}
+
+static void on_served_end(void *user_data, const GError *error,
+			  int64_t started_us)
+{
+	note_direct(user_data, error, started_us);
+}
+
 static void init_store(relay_store_t *store, store_relay_t *relay,
 		       object_store_t *direct, bool stale)
 {
@@ -514,7 +527,11 @@
 		.server = options->server,
 		.store = options->store,
 		.stale_store = options->stale_store,
+		.clock = options->clock,
 		.counters = options->counters,
+		.is_direct = serves_others,
+		.ended = on_served_end,
+		.user_data = relay,
 	};
 
 	relay->options = *options;
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "gateway/store_relay.h"
+#include "gateway/store_relay_server.h"
 #include "rpc/store_xdr.h"
 #include "unit.h"
 
@@ -28,6 +29,7 @@
 	bool holds;
 	held_watch_t held[WATCHES_MAX];
 	int held_count;
+	int32_t waits_ms; /* of the last watch */
 } busy_store_t;
 
 static void busy_get(object_store_t *store, const char *key, object_done_t done,
@@ -76,6 +78,7 @@
 	busy_store_t *busy = (busy_store_t *)store;
 
 	busy->watches++;
+	busy->waits_ms = timeout_ms;
 	if (busy->holds)
 		busy->held[busy->held_count++] =
 			(held_watch_t){ done, user_data };
@@ -87,26 +90,31 @@
 					     .list = busy_list,
 					     .watch = busy_watch };
 
-typedef struct fixture {
-	struct event_base *base;
-	clock_manual_t clock;
+/* A node with the store as it sees it. */
+typedef struct node {
 	busy_store_t store;
 	rpc_server_t *server;
 	rpc_client_t *client;
 	store_relay_t *relay;
+} node_t;
+
+typedef struct fixture {
+	struct event_base *base;
+	clock_manual_t clock;
+	node_t own;
+	node_t other;
 	guint entries;
 	bool more;
 	uint64_t revision;
 	int answers;
 } fixture_t;
 
-/* The node relays its calls to itself. */
-static bool find_self(void *user_data, char *address, size_t size)
+static bool find_other(void *user_data, char *address, size_t size)
 {
 	const fixture_t *fixture = user_data;
 
 	snprintf(address, size, "127.0.0.1:%u",
-		 rpc_server_port(fixture->server));
+		 rpc_server_port(fixture->other.server));
 	return true;
 }
 
@@ -131,39 +139,53 @@
 	event_base_loopbreak(fixture->base);
 }
 
-/* Starts a node whose calls are relayed. */
-static void start(fixture_t *fixture)
+static void start_node(fixture_t *fixture, node_t *node)
 {
 	store_relay_options_t options = {
 		.clock = &fixture->clock.base,
-		.store = &fixture->store.base,
-		.stale_store = &fixture->store.base,
+		.store = &node->store.base,
+		.stale_store = &node->store.base,
 		.probe_key = "k/0",
-		.find_peer = find_self,
+		.find_peer = find_other,
 		.user_data = fixture,
 	};
 
-	*fixture = (fixture_t){ .store.base.ops = &busy_ops };
-	clock_manual_init(&fixture->clock, 0);
-	clock_manual_advance_ms(&fixture->clock, 10000);
-	fixture->base = event_base_new();
-	fixture->server =
+	node->store.base.ops = &busy_ops;
+	node->server =
 		rpc_server_new(fixture->base, "127.0.0.1", 0, NULL, NULL);
-	fixture->client = rpc_client_new(fixture->base, NULL);
-	options.server = fixture->server;
-	options.client = fixture->client;
+	node->client = rpc_client_new(fixture->base, NULL);
+	options.server = node->server;
+	options.client = node->client;
 	options.counters = counter_set_new();
-	fixture->relay = store_relay_new(&options);
-	for (int i = 0; store_relay_is_direct(fixture->relay) && i < 10; i++)
-		object_get(store_relay_store(fixture->relay), "k/0", on_refused,
+	node->relay = store_relay_new(&options);
+}
+
+static void lose_contact(const node_t *node)
+{
+	for (int i = 0; store_relay_is_direct(node->relay) && i < 10; i++)
+		object_get(store_relay_store(node->relay), "k/0", on_refused,
 			   NULL);
-	CU_ASSERT_FALSE(store_relay_is_direct(fixture->relay));
+	CU_ASSERT_FALSE(store_relay_is_direct(node->relay));
+}
+
+/* Starts a node whose calls are relayed to another one. */
+static void start(fixture_t *fixture)
+{
+	*fixture = (fixture_t){ 0 };
+	clock_manual_init(&fixture->clock, 0);
+	clock_manual_advance_ms(&fixture->clock, 10000);
+	fixture->base = event_base_new();
+	start_node(fixture, &fixture->own);
+	start_node(fixture, &fixture->other);
+	lose_contact(&fixture->own);
 }
 
 static void end(fixture_t *fixture)
 {
-	rpc_client_free(fixture->client);
-	rpc_server_free(fixture->server);
+	rpc_client_free(fixture->own.client);
+	rpc_client_free(fixture->other.client);
+	rpc_server_free(fixture->own.server);
+	rpc_server_free(fixture->other.server);
 	event_base_free(fixture->base);
 }
 
@@ -174,16 +196,17 @@
 	fixture_t fixture;
 
 	start(&fixture);
-	object_watch(store_relay_store(fixture.relay), "k/", 1, 1000, on_answer,
-		     &fixture);
-	CU_ASSERT_EQUAL(fixture.store.watches, 0);
+	object_watch(store_relay_store(fixture.own.relay), "k/", 1, 1000,
+		     on_answer, &fixture);
+	CU_ASSERT_EQUAL(fixture.other.store.watches, 0);
 	event_base_dispatch(fixture.base);
-	CU_ASSERT_EQUAL(fixture.store.watches, 1);
+	CU_ASSERT_EQUAL(fixture.other.store.watches, 1);
+	CU_ASSERT_EQUAL(fixture.own.store.watches, 0);
 	CU_ASSERT_EQUAL(fixture.entries, STORE_ENTRIES_MAX);
 	CU_ASSERT_EQUAL(fixture.revision, REVISION);
 	CU_ASSERT(fixture.more);
 	fixture.more = false;
-	object_list(store_relay_store(fixture.relay), "k/", NULL, CHANGES,
+	object_list(store_relay_store(fixture.own.relay), "k/", NULL, CHANGES,
 		    on_answer, &fixture);
 	event_base_dispatch(fixture.base);
 	CU_ASSERT_EQUAL(fixture.entries, STORE_ENTRIES_MAX);
@@ -191,11 +214,12 @@
 	end(&fixture);
 }
 
-static void loop_until_watches(fixture_t *fixture, int watches)
+/* Until the other node makes a watch. */
+static void loop_until_watch(const fixture_t *fixture)
 {
-	for (int i = 0; fixture->store.watches < watches && i < 1000; i++)
+	for (int i = 0; fixture->other.store.watches == 0 && i < 1000; i++)
 		event_base_loop(fixture->base, EVLOOP_ONCE);
-	CU_ASSERT_EQUAL(fixture->store.watches, watches);
+	CU_ASSERT_EQUAL(fixture->other.store.watches, 1);
 }
 
 /* Guards against a watch that waits as the only evidence of whether the store
@@ -205,20 +229,20 @@
 	fixture_t fixture;
 
 	start(&fixture);
-	fixture.store.holds = true;
+	fixture.own.store.holds = true;
 	clock_manual_advance_ms(&fixture.clock, 1000);
-	object_watch(store_relay_store(fixture.relay), "k/", 7, 25000,
+	object_watch(store_relay_store(fixture.own.relay), "k/", 7, 25000,
 		     on_answer, &fixture);
-	CU_ASSERT_EQUAL(fixture.store.watches, 0);
-	store_relay_tick(fixture.relay);
-	CU_ASSERT_FALSE(store_relay_is_direct(fixture.relay));
-	fixture.store.serves = true;
+	CU_ASSERT_EQUAL(fixture.own.store.watches, 0);
+	store_relay_tick(fixture.own.relay);
+	CU_ASSERT_FALSE(store_relay_is_direct(fixture.own.relay));
+	fixture.own.store.serves = true;
 	/* Not yet due. */
-	store_relay_tick(fixture.relay);
-	CU_ASSERT_FALSE(store_relay_is_direct(fixture.relay));
+	store_relay_tick(fixture.own.relay);
+	CU_ASSERT_FALSE(store_relay_is_direct(fixture.own.relay));
 	clock_manual_advance_ms(&fixture.clock, 500);
-	store_relay_tick(fixture.relay);
-	CU_ASSERT(store_relay_is_direct(fixture.relay));
+	store_relay_tick(fixture.own.relay);
+	CU_ASSERT(store_relay_is_direct(fixture.own.relay));
 	end(&fixture);
 }
 
@@ -227,27 +251,28 @@
 static void test_own_contact_ends_relayed_watch(void)
 {
 	fixture_t fixture;
+	const held_watch_t *held = fixture.own.store.held;
 
 	start(&fixture);
-	fixture.store.holds = true;
-	object_watch(store_relay_store(fixture.relay), "k/", 7, 1000, on_answer,
-		     &fixture);
-	loop_until_watches(&fixture, 1);
-	CU_ASSERT_PTR_NOT_NULL(store_relay_source(fixture.relay, "k/"));
-	fixture.store.serves = true;
+	fixture.own.store.holds = fixture.other.store.holds = true;
+	object_watch(store_relay_store(fixture.own.relay), "k/", 7, 1000,
+		     on_answer, &fixture);
+	loop_until_watch(&fixture);
+	CU_ASSERT_PTR_NOT_NULL(store_relay_source(fixture.own.relay, "k/"));
+	fixture.own.store.serves = true;
 	clock_manual_advance_ms(&fixture.clock, 1000);
-	store_relay_tick(fixture.relay);
-	CU_ASSERT(store_relay_is_direct(fixture.relay));
-	CU_ASSERT_EQUAL(fixture.store.watches, 2);
-	CU_ASSERT_PTR_NULL(store_relay_source(fixture.relay, "k/"));
+	store_relay_tick(fixture.own.relay);
+	CU_ASSERT(store_relay_is_direct(fixture.own.relay));
+	CU_ASSERT_EQUAL(fixture.own.store.watches, 1);
+	CU_ASSERT_PTR_NULL(store_relay_source(fixture.own.relay, "k/"));
 	/* The other node's answer comes late. */
-	answer(fixture.store.held[0].done, fixture.store.held[0].user_data);
+	answer(fixture.other.store.held[0].done,
+	       fixture.other.store.held[0].user_data);
 	for (int i = 0; i < 10; i++)
 		event_base_loop(fixture.base, EVLOOP_NONBLOCK);
 	CU_ASSERT_EQUAL(fixture.answers, 0);
-	if (fixture.store.held_count == 2)
-		answer(fixture.store.held[1].done,
-		       fixture.store.held[1].user_data);
+	if (fixture.own.store.held_count > 0)
+		answer(held[0].done, held[0].user_data);
 	CU_ASSERT_EQUAL(fixture.answers, 1);
 	end(&fixture);
 }
@@ -266,26 +291,80 @@
 	fixture_t fixture;
 
 	start(&fixture);
-	fixture.store.serves = true;
+	fixture.own.store.serves = true;
 	clock_manual_advance_ms(&fixture.clock, 1000);
-	store_relay_tick(fixture.relay);
-	CU_ASSERT(store_relay_is_direct(fixture.relay));
-	fixture.store.holds = true;
+	store_relay_tick(fixture.own.relay);
+	CU_ASSERT(store_relay_is_direct(fixture.own.relay));
+	fixture.own.store.holds = true;
 	for (int i = 0; i < 2; i++)
-		object_watch(store_relay_store(fixture.relay), "k/", 7, 25000,
-			     on_ended, NULL);
+		object_watch(store_relay_store(fixture.own.relay), "k/", 7,
+			     25000, on_ended, NULL);
 	clock_manual_advance_ms(&fixture.clock, 26000);
-	object_get(store_relay_store(fixture.relay), "k/0", on_refused, NULL);
+	object_get(store_relay_store(fixture.own.relay), "k/0", on_refused,
+		   NULL);
 	for (int i = 0; i < 2; i++)
-		fixture.store.held[i].done(NULL, &timeout,
-					   fixture.store.held[i].user_data);
-	CU_ASSERT(store_relay_is_direct(fixture.relay));
+		fixture.own.store.held[i].done(
+			NULL, &timeout, fixture.own.store.held[i].user_data);
+	CU_ASSERT(store_relay_is_direct(fixture.own.relay));
 	/* Calls that started since then are evidence. */
-	fixture.store.serves = false;
+	fixture.own.store.serves = false;
 	for (int i = 0; i < 2; i++)
-		object_get(store_relay_store(fixture.relay), "k/0", on_refused,
-			   NULL);
-	CU_ASSERT_FALSE(store_relay_is_direct(fixture.relay));
+		object_get(store_relay_store(fixture.own.relay), "k/0",
+			   on_refused, NULL);
+	CU_ASSERT_FALSE(store_relay_is_direct(fixture.own.relay));
+	end(&fixture);
+}
+
+static void on_unavailable(const object_listing_t *listing, const GError *error,
+			   void *user_data)
+{
+	fixture_t *fixture = user_data;
+
+	CU_ASSERT_PTR_NULL(listing);
+	CU_ASSERT(error && error->code == WL_ERROR_UNAVAILABLE);
+	fixture->answers++;
+	event_base_loopbreak(fixture->base);
+}
+
+/* Guards against a view that waits for a node that has lost the store itself, and
+ * against a call to such a node that waits for it. */
+static void test_other_node_loses_contact(void)
+{
+	fixture_t fixture;
+
+	start(&fixture);
+	fixture.other.store.holds = true;
+	object_watch(store_relay_store(fixture.own.relay), "k/", 7, 1000,
+		     on_unavailable, &fixture);
+	loop_until_watch(&fixture);
+	lose_contact(&fixture.other);
+	event_base_dispatch(fixture.base);
+	CU_ASSERT_EQUAL(fixture.answers, 1);
+	object_watch(store_relay_store(fixture.own.relay), "k/", 7, 1000,
+		     on_unavailable, &fixture);
+	event_base_dispatch(fixture.base);
+	CU_ASSERT_EQUAL(fixture.answers, 2);
+	CU_ASSERT_EQUAL(fixture.other.store.watches, 1);
+	/* The store's answer comes late. */
+	answer(fixture.other.store.held[0].done,
+	       fixture.other.store.held[0].user_data);
+	for (int i = 0; i < 10; i++)
+		event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+	CU_ASSERT_EQUAL(fixture.answers, 2);
+	end(&fixture);
+}
+
+/* Guards against calls that are made for long for a node that is gone, or that
+ * does not need them any more. */
+static void test_relayed_watch_is_short(void)
+{
+	fixture_t fixture;
+
+	start(&fixture);
+	object_watch(store_relay_store(fixture.own.relay), "k/", 7, 25000,
+		     on_answer, &fixture);
+	event_base_dispatch(fixture.base);
+	CU_ASSERT_EQUAL(fixture.other.store.waits_ms, STORE_RELAY_WATCH_MS);
 	end(&fixture);
 }
 
@@ -297,6 +376,8 @@
 		{ "own contact ends relayed watch",
 		  test_own_contact_ends_relayed_watch },
 		{ "late end of old watches", test_late_end_of_old_watches },
+		{ "other node loses contact", test_other_node_loses_contact },
+		{ "relayed watch is short", test_relayed_watch_is_short },
 		{ NULL, NULL },
 	};
 
