Check that a view is current instead of waiting for its watch

Callers got 404 for routes that were in force, at nodes that reach the store and have no other view of it that failed.

Cause: a watch that will not be answered looks like one without changes. It ends 26 s later, or when another view of the node is lost and back. A silence that falls between two calls of the other views, or an answer that is lost, is seen by none.

An answered call tells that a view had all changes when the call began. The configuration and the runner list, which are not confirmed for 600 to 900 ms, are checked by a watch that does not wait. If it brings changes, these are applied and the waiting watch is replaced; its late answer is dropped, and so is a check that was overtaken. How long ago a view was current is now known apart from when it last changed (confirmed_ms, view_confirmed_seconds).

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -10,6 +10,9 @@
  * it. */
 #define MAX_RETRY_MS 400
 #define LIST_LIMIT 500
+/* Between looks at whether a check is due while the objects are listed, or between
+ * two watches. */
+#define CHECK_POLL_MS 100
 
 struct follow_group {
 	GPtrArray *follows;
@@ -21,6 +24,13 @@
 	int64_t started_us;
 } follow_call_t;
 
+/* A call that is answered at once, beside a watch. */
+typedef struct follow_check {
+	follow_t *follow;
+	int64_t started_us;
+	uint64_t since;
+} follow_check_t;
+
 struct follow {
 	follow_options_t options;
 	char *prefix;
@@ -29,7 +39,13 @@
 	char *after; /* last key of the previous page */
 	uint64_t revision; /* to watch from */
 	uint64_t list_revision; /* of the oldest page */
+	uint64_t list_last; /* highest version of its objects */
+	int64_t list_started_us; /* start of the first call for it */
 	follow_call_t *call; /* in flight; NULL: none */
+	view_age_t age; /* of a checked view */
+	struct event *check_timer; /* NULL: not checked */
+	bool checking;
+	bool check_failing;
 	int64_t answered_us;
 	int64_t steady_since_us;
 	int32_t retry_ms;
@@ -133,6 +149,32 @@
 		renew_others(follow, started_us);
 }
 
+/* What a watch that began at the revision has brought. */
+static view_changes_t changes_of(const object_listing_t *listing,
+				 uint64_t since)
+{
+	view_changes_t changes = { .revision = listing->revision };
+
+	for (guint i = 0; i < listing->entries->len; i++) {
+		const object_entry_t *entry =
+			&g_array_index(listing->entries, object_entry_t, i);
+
+		changes.last = MAX(changes.last, entry->version);
+		changes.removals |= entry->deleted && entry->version <= since;
+	}
+	return changes;
+}
+
+static void note_watched(follow_t *follow, int64_t started_us,
+			 const object_listing_t *listing)
+{
+	const view_changes_t changes = changes_of(listing, follow->revision);
+
+	follow->revision = MAX(follow->revision, listing->revision);
+	if (follow->check_timer)
+		view_age_watched(&follow->age, started_us, &changes);
+}
+
 static void apply(follow_t *follow, const object_listing_t *listing)
 {
 	for (guint i = 0; i < listing->entries->len; i++) {
@@ -192,7 +234,7 @@
 		list_again(follow, listing);
 		return;
 	}
-	follow->revision = MAX(follow->revision, listing->revision);
+	note_watched(follow, started_us, listing);
 	if (listing->entries->len > 0)
 		pause_ms = MAX(pause_ms, follow->options.change_pause_ms);
 	if (pause_ms)
@@ -201,6 +243,36 @@
 		call_store(follow);
 }
 
+/* Begins a listing with the first page, and adds the other ones. */
+static void add_page(follow_t *follow, int64_t started_us,
+		     const object_listing_t *listing)
+{
+	const view_changes_t page = changes_of(listing, 0);
+
+	if (!follow->after) {
+		follow->list_started_us = started_us;
+		follow->list_last = 0;
+	}
+	follow->list_last = MAX(follow->list_last, page.last);
+	/* Stale pages may be of different ages. */
+	if (!follow->after || listing->revision < follow->list_revision)
+		follow->list_revision = listing->revision;
+}
+
+static void note_listed(follow_t *follow)
+{
+	const view_changes_t changes = {
+		.revision = follow->list_revision,
+		.last = follow->list_last,
+	};
+
+	follow->revision = follow->list_revision;
+	follow->synced = true;
+	if (follow->check_timer)
+		view_age_listed(&follow->age, follow->list_started_us,
+				&changes);
+}
+
 static void on_listed(const object_listing_t *listing, const GError *error,
 		      void *user_data)
 {
@@ -214,9 +286,7 @@
 		return;
 	}
 	on_answer(follow, started_us);
-	/* Stale pages may be of different ages. */
-	if (!follow->after || listing->revision < follow->list_revision)
-		follow->list_revision = listing->revision;
+	add_page(follow, started_us, listing);
 	apply(follow, listing);
 	if (listing->more && listing->entries->len > 0) {
 		g_free(follow->after);
@@ -227,8 +297,7 @@
 		call_store(follow);
 		return;
 	}
-	follow->revision = follow->list_revision;
-	follow->synced = true;
+	note_listed(follow);
 	if (follow->options.listed)
 		follow->options.listed(follow->keys, follow->options.user_data);
 	g_hash_table_destroy(follow->keys);
@@ -253,6 +322,115 @@
 			     on_watched, call);
 }
 
+/* Whether the view waits for a watch, which a check can be compared with. */
+static bool is_watching(const follow_t *follow)
+{
+	return follow->call && !follow->keys && !follow->lost;
+}
+
+static void schedule_check(follow_t *follow)
+{
+	int64_t now_us = clock_now_us(follow->options.clock);
+	int64_t due_us = now_us + CHECK_POLL_MS * 1000;
+	struct timeval pause;
+
+	if (is_watching(follow) && !follow->checking)
+		due_us = MAX(view_age_check_us(&follow->age,
+					       follow->call->started_us),
+			     now_us);
+	/* News may make it due sooner. */
+	due_us = MIN(due_us, now_us + CHECK_POLL_MS * 1000);
+	pause.tv_sec = 0;
+	pause.tv_usec = (suseconds_t)(due_us - now_us);
+	evtimer_add(follow->check_timer, &pause);
+}
+
+/* The watch that waits will not bring the changes that a check has found. */
+static void replace_watch(follow_t *follow, const object_listing_t *listing)
+{
+	int64_t waited_us =
+		clock_now_us(follow->options.clock) - follow->call->started_us;
+
+	log_warn("watch_missed",
+		 "prefix=%s revision=%" PRIu64 " answered=%" PRIu64
+		 " changes=%u waited_ms=%" PRId64,
+		 follow->prefix, follow->revision, listing->revision,
+		 listing->entries->len, waited_us / 1000);
+	follow->call->follow = NULL;
+	follow->call = NULL;
+}
+
+static void apply_check(follow_t *follow, int64_t started_us,
+			const object_listing_t *listing)
+{
+	if (listing->entries->len == 0) {
+		note_watched(follow, started_us, listing);
+		return;
+	}
+	replace_watch(follow, listing);
+	on_answer(follow, started_us);
+	apply(follow, listing);
+	if (listing->more) {
+		list_again(follow, listing);
+		return;
+	}
+	note_watched(follow, started_us, listing);
+	call_store(follow);
+}
+
+static void on_check_failed(follow_t *follow, const GError *error)
+{
+	if (!follow->check_failing)
+		log_info("view_check_failed",
+			 "prefix=%s error=%s revision=%" PRIu64, follow->prefix,
+			 error_name(error->code), follow->revision);
+	follow->check_failing = true;
+	view_age_check_failed(&follow->age);
+}
+
+static void on_checked(const object_listing_t *listing, const GError *error,
+		       void *user_data)
+{
+	follow_check_t *check = user_data;
+	follow_t *follow = check->follow;
+
+	follow->checking = false;
+	if (error && error->code != WL_ERROR_NOT_FOUND)
+		on_check_failed(follow, error);
+	else
+		follow->check_failing = false;
+	/* The watch may have been answered meanwhile. */
+	if (is_watching(follow) && follow->revision == check->since) {
+		if (!error)
+			apply_check(follow, check->started_us, listing);
+		else if (error->code == WL_ERROR_NOT_FOUND)
+			renew(follow, INT64_MAX);
+	}
+	g_free(check);
+	schedule_check(follow);
+}
+
+static void on_check_timer(evutil_socket_t fd, short events, void *arg)
+{
+	follow_t *follow = arg;
+	int64_t now_us = clock_now_us(follow->options.clock);
+	follow_check_t *check;
+
+	if (!is_watching(follow) ||
+	    now_us <
+		    view_age_check_us(&follow->age, follow->call->started_us)) {
+		schedule_check(follow);
+		return;
+	}
+	check = g_new0(follow_check_t, 1);
+	check->follow = follow;
+	check->started_us = now_us;
+	check->since = follow->revision;
+	follow->checking = true;
+	object_watch(follow->options.store, follow->prefix, check->since, 0,
+		     on_checked, check);
+}
+
 follow_group_t *follow_group_new(void)
 {
 	follow_group_t *group = g_new0(follow_group_t, 1);
@@ -290,6 +468,12 @@
 	follow->timer = evtimer_new(options->base, on_timer, follow);
 	if (options->group)
 		g_ptr_array_add(options->group->follows, follow);
+	if (options->random) {
+		view_age_init(&follow->age, options->clock, options->random);
+		follow->check_timer =
+			evtimer_new(options->base, on_check_timer, follow);
+		schedule_check(follow);
+	}
 	relist(follow);
 	call_store(follow);
 	return follow;
@@ -312,8 +496,19 @@
 			follow->call ?
 				(now_us - follow->call->started_us) / 1000 :
 				-1,
+		.confirmed_ms = -1,
 		.lost = follow->lost,
 	};
+	if (!follow->check_timer)
+		return;
+	state->confirmed_ms = (now_us - follow->age.confirmed_us) / 1000;
+	state->behind = view_age_is_behind(&follow->age);
+}
+
+bool follow_may_be_behind(const follow_t *follow)
+{
+	return follow->check_timer && (view_age_is_behind(&follow->age) ||
+				       view_age_is_stale(&follow->age));
 }
 
 int64_t follow_steady_since_us(const follow_t *follow)
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "gateway/view_age.h"
 #include "object/object_store.h"
 
 /*
@@ -15,6 +16,9 @@
  * The objects are listed again when the store no longer has the history from a
  * watch's revision. Failures are retried with backoff; each change between a
  * reachable and an unavailable store is logged once.
+ *
+ * A checked view does not rely on its watch being answered: view_age decides when
+ * a call that is answered at once tells whether the watch has missed changes.
  */
 typedef struct follow follow_t;
 
@@ -33,6 +37,8 @@
 	uint64_t revision; /* changes up to it are known */
 	int64_t heard_ms; /* since the last answer */
 	int64_t waiting_ms; /* of the call in flight; -1: none is */
+	int64_t confirmed_ms; /* since it was known to be current; -1: not checked */
+	bool behind; /* another node has a change that this view lacks */
 	bool lost;
 } follow_state_t;
 
@@ -49,6 +55,7 @@
 	int32_t wait_ms; /* of a watch */
 	int32_t pause_ms; /* between watches, to batch changes; 0: none */
 	int32_t change_pause_ms; /* least pause after a watch that brought changes */
+	GRand *random; /* NULL: the view is not checked; its reads may be stale */
 	/* An object exists with this value: listed, created or changed. */
 	void (*changed)(const object_entry_t *entry, void *user_data);
 	void (*removed)(const char *key, void *user_data);
@@ -61,6 +68,9 @@
 /* True once the objects have been listed completely. */
 bool follow_is_synced(const follow_t *follow);
 void follow_get_state(const follow_t *follow, follow_state_t *state);
+/* Whether the view may lack changes that are in force at other nodes; false for
+ * one that is not checked. */
+bool follow_may_be_behind(const follow_t *follow);
 /* Time of the first answer since the last failure; 0: none since. */
 int64_t follow_steady_since_us(const follow_t *follow);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -341,6 +341,7 @@
 		.prefix = gateway->codec->config_prefix,
 		.group = gateway->follows,
 		.wait_ms = wait_ms,
+		.random = gateway->random,
 		.changed = on_config_changed,
 		.removed = on_config_removed,
 		.user_data = gateway,
@@ -720,13 +721,14 @@
 	g_string_append_printf(
 		out,
 		"config=%" PRIu64 " adopted_ms=%" PRId64 " revision=%" PRIu64
-		" heard_ms=%" PRId64 " waiting_ms=%" PRId64 " source=%s",
+		" heard_ms=%" PRId64 " confirmed_ms=%" PRId64
+		" behind=%d waiting_ms=%" PRId64 " source=%s",
 		paths ? paths->version : 0,
 		paths ? (clock_now_us(gateway->clock) - paths->adopted_us) /
 				1000 :
 			-1,
-		state.revision, state.heard_ms, state.waiting_ms,
-		source ? source : "store");
+		state.revision, state.heard_ms, state.confirmed_ms,
+		state.behind, state.waiting_ms, source ? source : "store");
 }
 
 /* A gauge of each view of the store. */
@@ -746,6 +748,12 @@
 	return (double)MAX(state->waiting_ms, 0) / 1000;
 }
 
+static double view_confirmed_s(const gateway_t *gateway,
+			       const follow_state_t *state)
+{
+	return (double)state->confirmed_ms / 1000;
+}
+
 static double view_revision(const gateway_t *gateway,
 			    const follow_state_t *state)
 {
@@ -767,6 +775,7 @@
 static const view_gauge_t view_gauges[] = {
 	{ "view_age_seconds", view_age_s },
 	{ "view_waiting_seconds", view_waiting_s },
+	{ "view_confirmed_seconds", view_confirmed_s },
 	{ "view_revision", view_revision },
 	{ "view_lost", view_is_lost },
 	{ "view_relayed", view_is_relayed },
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -12,6 +12,11 @@
 	uint64_t since;
 	int lists;
 	int watches;
+	/* A watch that does not wait, beside another one. */
+	object_list_done_t check_done;
+	void *check_user_data;
+	uint64_t check_since;
+	int checks;
 	GString *delivered;
 } scripted_store_t;
 
@@ -32,6 +37,13 @@
 {
 	scripted_store_t *scripted = (scripted_store_t *)store;
 
+	if (timeout_ms == 0) {
+		scripted->checks++;
+		scripted->check_since = since;
+		scripted->check_done = done;
+		scripted->check_user_data = user_data;
+		return;
+	}
 	scripted->watches++;
 	scripted->since = since;
 	scripted->done = done;
@@ -59,8 +71,9 @@
 			       "listed %u|", g_hash_table_size(keys));
 }
 
-static void answer_part(scripted_store_t *scripted, uint64_t revision,
-			const char *key, bool deleted, bool more)
+static void answer_call(object_list_done_t done, void *user_data,
+			uint64_t revision, const char *key, bool deleted,
+			bool more)
 {
 	object_entry_t entry = { (char *)key, revision, deleted, (char *)"v" };
 	object_listing_t listing = { .revision = revision, .more = more };
@@ -68,10 +81,24 @@
 	listing.entries = g_array_new(FALSE, FALSE, sizeof(object_entry_t));
 	if (key)
 		g_array_append_val(listing.entries, entry);
-	scripted->done(&listing, NULL, scripted->user_data);
+	done(&listing, NULL, user_data);
 	g_array_free(listing.entries, TRUE);
 }
 
+static void answer_part(scripted_store_t *scripted, uint64_t revision,
+			const char *key, bool deleted, bool more)
+{
+	answer_call(scripted->done, scripted->user_data, revision, key, deleted,
+		    more);
+}
+
+static void answer_check(scripted_store_t *scripted, uint64_t revision,
+			 const char *key)
+{
+	answer_call(scripted->check_done, scripted->check_user_data, revision,
+		    key, false, false);
+}
+
 static void answer(scripted_store_t *scripted, uint64_t revision,
 		   const char *key, bool deleted)
 {
@@ -292,6 +319,122 @@
 	event_base_free(base);
 }
 
+typedef struct checked {
+	struct event_base *base;
+	clock_manual_t clock;
+	GRand *random;
+	scripted_store_t store;
+	follow_t *follow;
+} checked_t;
+
+/* A checked view that waits for its first watch. */
+static void start_checked(checked_t *checked)
+{
+	follow_options_t options = {
+		.store = &checked->store.base,
+		.prefix = "k/",
+		.wait_ms = 25000,
+		.changed = on_changed,
+		.removed = on_removed,
+		.listed = on_listed,
+		.user_data = &checked->store,
+	};
+
+	*checked = (checked_t){ .base = event_base_new() };
+	clock_manual_init(&checked->clock, 0);
+	clock_manual_advance_ms(&checked->clock, 1000);
+	checked->random = g_rand_new_with_seed(1);
+	checked->store.base.ops = &ops;
+	checked->store.delivered = g_string_new(NULL);
+	options.base = checked->base;
+	options.clock = &checked->clock.base;
+	options.random = checked->random;
+	checked->follow = follow_new(&options);
+	answer(&checked->store, 5, "k/a", false);
+	g_string_truncate(checked->store.delivered, 0);
+}
+
+static void pass_time(checked_t *checked, int32_t time_ms)
+{
+	clock_manual_advance_ms(&checked->clock, time_ms);
+	event_base_loop(checked->base, EVLOOP_ONCE);
+}
+
+static void end_checked(checked_t *checked)
+{
+	g_string_free(checked->store.delivered, TRUE);
+	g_rand_free(checked->random);
+	event_base_free(checked->base);
+}
+
+/* Guards against a view that misses changes for as long as its watch waits, when
+ * the store will not answer that watch. */
+static void test_missed_changes_are_found(void)
+{
+	checked_t checked;
+	scripted_store_t old_watch;
+
+	start_checked(&checked);
+	pass_time(&checked, 500);
+	CU_ASSERT_EQUAL(checked.store.checks, 0);
+	pass_time(&checked, 500);
+	CU_ASSERT_EQUAL(checked.store.checks, 1);
+	CU_ASSERT_EQUAL(checked.store.check_since, 5);
+	/* No change: the watch waits on. */
+	answer_check(&checked.store, 6, NULL);
+	CU_ASSERT_EQUAL(checked.store.watches, 1);
+	pass_time(&checked, 1000);
+	CU_ASSERT_EQUAL(checked.store.checks, 2);
+	CU_ASSERT_EQUAL(checked.store.check_since, 6);
+	old_watch = checked.store;
+	answer_check(&checked.store, 9, "k/b");
+	CU_ASSERT_STRING_EQUAL(checked.store.delivered->str, "k/b=v|");
+	CU_ASSERT_EQUAL(checked.store.watches, 2);
+	CU_ASSERT_EQUAL(checked.store.since, 9);
+	answer(&old_watch, 8, "k/old", false);
+	CU_ASSERT_STRING_EQUAL(checked.store.delivered->str, "k/b=v|");
+	CU_ASSERT_EQUAL(checked.store.lists, 1);
+	end_checked(&checked);
+}
+
+/* Guards against an older object in place of a newer one: a check may be answered
+ * after a watch that has brought more. */
+static void test_late_check(void)
+{
+	checked_t checked;
+
+	start_checked(&checked);
+	pass_time(&checked, 1000);
+	CU_ASSERT_EQUAL(checked.store.checks, 1);
+	answer(&checked.store, 9, "k/new", false);
+	answer_check(&checked.store, 8, "k/old");
+	CU_ASSERT_STRING_EQUAL(checked.store.delivered->str, "k/new=v|");
+	CU_ASSERT_EQUAL(checked.store.watches, 2);
+	CU_ASSERT_EQUAL(checked.store.since, 9);
+	end_checked(&checked);
+}
+
+/* Guards against a view that is listed again, or taken for lost, as a check of it
+ * has no answer, and against one that keeps a watch whose history is gone. */
+static void test_failed_check(void)
+{
+	const GError timeout = { WL_ERROR, WL_ERROR_TIMEOUT, (char *)"late" };
+	const GError gone = { WL_ERROR, WL_ERROR_NOT_FOUND, (char *)"gone" };
+	checked_t checked;
+
+	start_checked(&checked);
+	pass_time(&checked, 1000);
+	checked.store.check_done(NULL, &timeout, checked.store.check_user_data);
+	CU_ASSERT_EQUAL(checked.store.lists, 1);
+	CU_ASSERT(follow_steady_since_us(checked.follow) > 0);
+	pass_time(&checked, 100);
+	CU_ASSERT_EQUAL(checked.store.checks, 2);
+	checked.store.check_done(NULL, &gone, checked.store.check_user_data);
+	CU_ASSERT_EQUAL(checked.store.lists, 2);
+	CU_ASSERT_EQUAL(checked.store.watches, 1);
+	end_checked(&checked);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -304,6 +447,9 @@
 		{ "history dropped", test_history_dropped },
 		{ "watch is renewed after outage",
 		  test_watch_is_renewed_after_outage },
+		{ "missed changes are found", test_missed_changes_are_found },
+		{ "late check", test_late_check },
+		{ "failed check", test_failed_check },
 		{ NULL, NULL },
 	};
 
