Let the nodes share what they know of the views of the store

Load reports carry, for each checked view, between which revisions the last change lies as of a time, by the node's own calls. A view that is known beyond the later revision is confirmed as of then and not checked for that time; one that lacks the earlier one is behind: its watch has 150 ms to bring the change, then it is checked. A listing does not show when objects were removed, so a node that has listed its objects does not vouch for them until another one has. The time of the next check is drawn so that about one node makes it, whatever the size of the fleet. The build before ignores the part.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "gateway/fleet.h"
 
 #define FIRST_RETRY_MS 50
 /* With this limit the store's recovery is noticed soon, without adding load to
@@ -16,6 +17,8 @@
 
 struct follow_group {
 	GPtrArray *follows;
+	void (*checked)(void *user_data); /* NULL: nobody is told */
+	void *user_data;
 };
 
 /* A call in flight. The answer to one that was given up is ignored. */
@@ -34,6 +37,7 @@
 struct follow {
 	follow_options_t options;
 	char *prefix;
+	uint64_t key; /* of the prefix, see follow_group_told() */
 	struct event *timer;
 	GHashTable *keys; /* of the current listing; NULL: watching */
 	char *after; /* last key of the previous page */
@@ -46,6 +50,8 @@
 	struct event *check_timer; /* NULL: not checked */
 	bool checking;
 	bool check_failing;
+	uint64_t checks;
+	uint64_t missed;
 	int64_t answered_us;
 	int64_t steady_since_us;
 	int32_t retry_ms;
@@ -356,6 +362,7 @@
 		 " changes=%u waited_ms=%" PRId64,
 		 follow->prefix, follow->revision, listing->revision,
 		 listing->entries->len, waited_us / 1000);
+	follow->missed++;
 	follow->call->follow = NULL;
 	follow->call = NULL;
 }
@@ -378,6 +385,14 @@
 	call_store(follow);
 }
 
+static void tell_checked(const follow_t *follow)
+{
+	const follow_group_t *group = follow->options.group;
+
+	if (group && group->checked)
+		group->checked(group->user_data);
+}
+
 static void on_check_failed(follow_t *follow, const GError *error)
 {
 	if (!follow->check_failing)
@@ -401,10 +416,12 @@
 		follow->check_failing = false;
 	/* The watch may have been answered meanwhile. */
 	if (is_watching(follow) && follow->revision == check->since) {
-		if (!error)
+		if (!error) {
 			apply_check(follow, check->started_us, listing);
-		else if (error->code == WL_ERROR_NOT_FOUND)
+			tell_checked(follow);
+		} else if (error->code == WL_ERROR_NOT_FOUND) {
 			renew(follow, INT64_MAX);
+		}
 	}
 	g_free(check);
 	schedule_check(follow);
@@ -427,6 +444,7 @@
 	check->started_us = now_us;
 	check->since = follow->revision;
 	follow->checking = true;
+	follow->checks++;
 	object_watch(follow->options.store, follow->prefix, check->since, 0,
 		     on_checked, check);
 }
@@ -458,12 +476,53 @@
 	}
 }
 
+void follow_group_each_news(const follow_group_t *group,
+			    follow_each_news_t each, void *user_data)
+{
+	view_news_t news;
+
+	for (guint i = 0; i < group->follows->len; i++) {
+		const follow_t *follow = group->follows->pdata[i];
+
+		if (follow->check_timer && view_age_news(&follow->age, &news))
+			each(follow->prefix, &news, user_data);
+	}
+}
+
+void follow_group_told(follow_group_t *group, uint64_t view,
+		       const view_news_t *news)
+{
+	for (guint i = 0; i < group->follows->len; i++) {
+		follow_t *follow = group->follows->pdata[i];
+
+		if (follow->check_timer && follow->key == view)
+			view_age_told(&follow->age, news);
+	}
+}
+
+void follow_group_set_nodes(follow_group_t *group, uint32_t nodes)
+{
+	for (guint i = 0; i < group->follows->len; i++) {
+		follow_t *follow = group->follows->pdata[i];
+
+		view_age_set_nodes(&follow->age, nodes);
+	}
+}
+
+void follow_group_set_checked(follow_group_t *group,
+			      void (*checked)(void *user_data), void *user_data)
+{
+	group->checked = checked;
+	group->user_data = user_data;
+}
+
 follow_t *follow_new(const follow_options_t *options)
 {
 	follow_t *follow = g_new0(follow_t, 1);
 
 	follow->options = *options;
 	follow->prefix = g_strdup(options->prefix);
+	follow->key = fleet_key(options->prefix);
 	follow->answered_us = clock_now_us(options->clock);
 	follow->timer = evtimer_new(options->base, on_timer, follow);
 	if (options->group)
@@ -498,6 +557,8 @@
 				-1,
 		.confirmed_ms = -1,
 		.lost = follow->lost,
+		.checks = follow->checks,
+		.missed = follow->missed,
 	};
 	if (!follow->check_timer)
 		return;
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -40,12 +40,31 @@
 	int64_t confirmed_ms; /* since it was known to be current; -1: not checked */
 	bool behind; /* another node has a change that this view lacks */
 	bool lost;
+	uint64_t checks;
+	uint64_t missed; /* checks that found what the watch did not bring */
 } follow_state_t;
 
 typedef void (*follow_each_t)(const follow_state_t *state, void *user_data);
 void follow_group_each(const follow_group_t *group, follow_each_t each,
 		       void *user_data);
 
+/* Calls each with what this node knows of a checked view by its own calls. */
+typedef void (*follow_each_news_t)(const char *prefix, const view_news_t *news,
+				   void *user_data);
+void follow_group_each_news(const follow_group_t *group,
+			    follow_each_news_t each, void *user_data);
+/* Another node has told what it knows of a view; view is fleet_key() of its
+ * prefix. */
+void follow_group_told(follow_group_t *group, uint64_t view,
+		       const view_news_t *news);
+/* Sets the number of nodes that share their checks, this one included. */
+void follow_group_set_nodes(follow_group_t *group, uint32_t nodes);
+/* Sets whom to call when a check of this node has been answered, so that the
+ * others need not make it. */
+void follow_group_set_checked(follow_group_t *group,
+			      void (*checked)(void *user_data),
+			      void *user_data);
+
 typedef struct follow_options {
 	struct event_base *base;
 	const clock_source_t *clock;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -731,11 +731,12 @@
 		state.behind, state.waiting_ms, source ? source : "store");
 }
 
-/* A gauge of each view of the store. */
-typedef struct view_gauge {
+/* A metric of each view of the store. */
+typedef struct view_metric {
 	const char *name;
+	const char *type;
 	double (*value)(const gateway_t *gateway, const follow_state_t *state);
-} view_gauge_t;
+} view_metric_t;
 
 static double view_age_s(const gateway_t *gateway, const follow_state_t *state)
 {
@@ -772,18 +773,30 @@
 	return store_relay_source(gateway->store_relay, state->prefix) != NULL;
 }
 
-static const view_gauge_t view_gauges[] = {
-	{ "view_age_seconds", view_age_s },
-	{ "view_waiting_seconds", view_waiting_s },
-	{ "view_confirmed_seconds", view_confirmed_s },
-	{ "view_revision", view_revision },
-	{ "view_lost", view_is_lost },
-	{ "view_relayed", view_is_relayed },
+static double view_checks(const gateway_t *gateway, const follow_state_t *state)
+{
+	return (double)state->checks;
+}
+
+static double view_missed(const gateway_t *gateway, const follow_state_t *state)
+{
+	return (double)state->missed;
+}
+
+static const view_metric_t view_metrics[] = {
+	{ "view_age_seconds", "gauge", view_age_s },
+	{ "view_waiting_seconds", "gauge", view_waiting_s },
+	{ "view_confirmed_seconds", "gauge", view_confirmed_s },
+	{ "view_revision", "gauge", view_revision },
+	{ "view_lost", "gauge", view_is_lost },
+	{ "view_relayed", "gauge", view_is_relayed },
+	{ "view_checks_total", "counter", view_checks },
+	{ "view_missed_total", "counter", view_missed },
 };
 
 typedef struct view_writer {
 	const gateway_t *gateway;
-	const view_gauge_t *gauge;
+	const view_metric_t *metric;
 	GString *out;
 } view_writer_t;
 
@@ -793,17 +806,18 @@
 
 	g_string_append_printf(writer->out,
 			       "wasabilink_%s{view=\"%s\"} %.15g\n",
-			       writer->gauge->name, state->prefix,
-			       writer->gauge->value(writer->gateway, state));
+			       writer->metric->name, state->prefix,
+			       writer->metric->value(writer->gateway, state));
 }
 
 static void write_views(const gateway_t *gateway, GString *out)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(view_gauges); i++) {
-		view_writer_t writer = { gateway, &view_gauges[i], out };
+	for (size_t i = 0; i < G_N_ELEMENTS(view_metrics); i++) {
+		view_writer_t writer = { gateway, &view_metrics[i], out };
 
-		g_string_append_printf(out, "# TYPE wasabilink_%s gauge\n",
-				       view_gauges[i].name);
+		g_string_append_printf(out, "# TYPE wasabilink_%s %s\n",
+				       view_metrics[i].name,
+				       view_metrics[i].type);
 		follow_group_each(gateway->follows, write_view, &writer);
 	}
 }
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -7,6 +7,7 @@
 
 G_STATIC_ASSERT(BATCH_URGENCIES == LOAD_URGENCIES);
 G_STATIC_ASSERT(BATCH_DEMANDS_MAX == LOAD_DEMANDS_MAX);
+G_STATIC_ASSERT(LOAD_NEWS_MAX == LOAD_VIEWS_MAX);
 
 /* Spans several consecutive lost reports at the rate of an idle node. */
 #define PEER_TIMEOUT_MS 2000
@@ -36,6 +37,8 @@
 	GArray *failures; /* load_failure */
 	GHashTable *sent; /* runner key -> requests sent, as last reported */
 	load_contact contact; /* its arrays are from XDR */
+	load_news_t news[LOAD_NEWS_MAX];
+	uint32_t news_count;
 } peer_t;
 
 /* Sums over all peers for one runner. */
@@ -184,9 +187,28 @@
 		sum->items[i] += waiting->items[i];
 }
 
-/* Leaves the demands out if they do not fit; returns the length of the
- * datagram. */
-static size_t encode_demands(XDR *xdrs, const load_own_t *own)
+/* Leaves the news out if they do not fit; returns the length of the datagram. */
+static size_t encode_news(XDR *xdrs, const load_own_t *own, int64_t now_us)
+{
+	size_t len = xdr_getpos(xdrs);
+	load_view_news entries[LOAD_VIEWS_MAX];
+	load_views views = { { own->news_count, entries } };
+
+	for (uint32_t i = 0; i < own->news_count; i++) {
+		const view_news_t *news = &own->news[i].news;
+		int64_t age_ms = (now_us - news->as_of_us) / 1000;
+
+		entries[i].view = own->news[i].view;
+		entries[i].change_min = news->change_min;
+		entries[i].change_max = news->change_max;
+		entries[i].age_ms = (u_int)CLAMP(age_ms, 0, G_MAXINT32);
+	}
+	return xdr_load_views(xdrs, &views) ? xdr_getpos(xdrs) : len;
+}
+
+/* Leaves the demands, and what follows, out if they do not fit; returns the length
+ * of the datagram. */
+static size_t encode_demands(XDR *xdrs, const load_own_t *own, int64_t now_us)
 {
 	size_t len = xdr_getpos(xdrs);
 	load_demand entries[LOAD_DEMANDS_MAX];
@@ -197,7 +219,9 @@
 		memcpy(entries[i].batch_waiting, own->demands[i].waiting.items,
 		       sizeof(entries[i].batch_waiting));
 	}
-	return xdr_load_demands(xdrs, &demands) ? xdr_getpos(xdrs) : len;
+	return xdr_load_demands(xdrs, &demands) ?
+		       encode_news(xdrs, own, now_us) :
+		       len;
 }
 
 size_t load_view_encode(load_view_t *view, const load_own_t *own, char *data,
@@ -238,7 +262,7 @@
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
 	if (xdr_load_report(&xdrs, &report) &&
 	    xdr_load_contact(&xdrs, &contact))
-		len = encode_demands(&xdrs, own);
+		len = encode_demands(&xdrs, own, collected.now_us);
 	xdr_destroy(&xdrs);
 	return len;
 }
@@ -414,6 +438,25 @@
 	xdr_free((xdrproc_t)xdr_load_demands, &demands);
 }
 
+/* A report without demands has no news either. */
+static void apply_news(const load_view_t *view, peer_t *peer, XDR *xdrs)
+{
+	int64_t now_us = clock_now_us(view->clock);
+	load_views views = { 0 };
+	bool decoded = peer->reports_demands && xdr_load_views(xdrs, &views);
+
+	peer->news_count = 0;
+	for (u_int i = 0; decoded && i < views.views.views_len; i++) {
+		const load_view_news *entry = &views.views.views_val[i];
+
+		peer->news[peer->news_count++] =
+			(load_news_t){ entry->view,
+				       { entry->change_min, entry->change_max,
+					 now_us - entry->age_ms * 1000LL } };
+	}
+	xdr_free((xdrproc_t)xdr_load_views, &views);
+}
+
 const char *load_view_apply(load_view_t *view, char *data, size_t len)
 {
 	load_report report = { 0 };
@@ -446,6 +489,7 @@
 		apply_leaving(view, &report);
 		apply_contact(peer, &xdrs);
 		apply_demands(peer, &xdrs);
+		apply_news(view, peer, &xdrs);
 		peer->incarnation = report.incarnation;
 		peer->sequence = report.sequence;
 		g_free(peer->domain);
@@ -460,6 +504,15 @@
 	return peer ? peer->node : NULL;
 }
 
+void load_view_each_news(const load_view_t *view, const char *node,
+			 load_view_each_news_t each, void *user_data)
+{
+	const peer_t *peer = g_hash_table_lookup(view->peers, node);
+
+	for (uint32_t i = 0; peer && i < peer->news_count; i++)
+		each(&peer->news[i], user_data);
+}
+
 bool load_view_take_started(load_view_t *view, const char *node)
 {
 	peer_t *peer = g_hash_table_lookup(view->peers, node);
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -10,6 +10,7 @@
 #include "gateway/batch_rule.h"
 #include "gateway/fleet.h"
 #include "gateway/relay_choice.h"
+#include "gateway/view_age.h"
 
 /*
  * load_view - load of the runners from the other nodes, from their reports.
@@ -25,6 +26,14 @@
 			   uint64_t incarnation);
 void load_view_free(load_view_t *view);
 
+/* What a node knows of a view of the store. */
+typedef struct load_news {
+	uint64_t view; /* fleet_key() of the prefix of its objects */
+	view_news_t news;
+} load_news_t;
+
+#define LOAD_NEWS_MAX 8
+
 typedef struct load_own {
 	batch_demand_t demands[BATCH_DEMANDS_MAX];
 	uint32_t demand_count;
@@ -33,6 +42,8 @@
 	uint32_t relay_calls; /* in progress for other nodes */
 	bool relay_draining; /* this node stops soon */
 	bool relay_repeatable_only; /* it takes only calls that may run again */
+	load_news_t news[LOAD_NEWS_MAX];
+	uint32_t news_count;
 } load_own_t;
 
 /* Encodes this node's report; returns its length in bytes, 0 when it does not
@@ -59,6 +70,10 @@
 /* Applies another node's report. Returns the node's name, or NULL for a report
  * that cannot be decoded, is this node's own or is not newer than the last. */
 const char *load_view_apply(load_view_t *view, char *data, size_t len);
+typedef void (*load_view_each_news_t)(const load_news_t *news, void *user_data);
+/* Calls each for what a node told in its last report. */
+void load_view_each_news(const load_view_t *view, const char *node,
+			 load_view_each_news_t each, void *user_data);
 /* Whether the process of a node is new since the last call for it. */
 bool load_view_take_started(load_view_t *view, const char *node);
 /* Removes nodes without a recent report. */
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -25,7 +25,7 @@
 #define REPORT_BATCH_DELAY_MS 1
 /* Reports are repeated, since datagrams may be lost. */
 #define REPORT_INTERVAL_MS 400
-#define DATAGRAM_MAX_BYTES 4096
+#define DATAGRAM_MAX_BYTES 8192
 /* In a system of up to this many nodes, each gets every report. The traffic
  * between domains grows with the square of the number of nodes. */
 #define SMALL_SYSTEM_MAX_NODES 16
@@ -65,6 +65,7 @@
 	bool parts_pending;
 	load_own_t own;
 	bool send_pending;
+	bool send_to_all; /* the next report goes to all domains */
 };
 
 static bool parse_address(const char *text, struct sockaddr_in *address)
@@ -184,18 +185,31 @@
 	g_free(key);
 }
 
+static void add_news(const char *prefix, const view_news_t *news,
+		     void *user_data)
+{
+	load_own_t *own = user_data;
+
+	if (own->news_count < LOAD_NEWS_MAX)
+		own->news[own->news_count++] =
+			(load_news_t){ fleet_key(prefix), *news };
+}
+
 static void send_report(peer_load_t *load)
 {
 	char data[DATAGRAM_MAX_BYTES];
-	size_t len =
-		load_view_encode(load->view, &load->own, data, sizeof(data));
 	int64_t now_us = clock_now_us(load->options.clock);
-	bool to_remote =
-		!is_large(load) || now_us - load->remote_sent_us >=
-					   REMOTE_REPORT_INTERVAL_MS * 1000;
+	bool to_remote = !is_large(load) || load->send_to_all ||
+			 now_us - load->remote_sent_us >=
+				 REMOTE_REPORT_INTERVAL_MS * 1000;
 	GHashTableIter iter;
 	void *value;
+	size_t len;
 
+	load->own.news_count = 0;
+	follow_group_each_news(load->options.follows, add_news, &load->own);
+	len = load_view_encode(load->view, &load->own, data, sizeof(data));
+	load->send_to_all = false;
 	load->sent_us = now_us;
 	if (to_remote)
 		load->remote_sent_us = now_us;
@@ -428,6 +442,21 @@
 			     (const struct sockaddr *)from, sizeof(*from));
 }
 
+static void on_news(const load_news_t *news, void *user_data)
+{
+	const peer_load_t *load = user_data;
+
+	follow_group_told(load->options.follows, news->view, &news->news);
+}
+
+static void on_checked(void *user_data)
+{
+	peer_load_t *load = user_data;
+
+	load->send_to_all = true;
+	peer_load_changed(load);
+}
+
 static void on_readable(evutil_socket_t fd, short events, void *arg)
 {
 	peer_load_t *load = arg;
@@ -453,8 +482,10 @@
 		if (node && !g_hash_table_contains(load->addresses, node))
 			add_address(load, node,
 				    load_view_domain(load->view, node), &from);
-		if (node)
+		if (node) {
 			greet_started(load, node, &from);
+			load_view_each_news(load->view, node, on_news, load);
+		}
 		load_received |= node != NULL;
 		from_len = sizeof(from);
 	}
@@ -528,6 +559,7 @@
 	event_add(load->readable, NULL);
 	register_node(load, OBJECT_ABSENT);
 	follow_nodes(load);
+	follow_group_set_checked(load->options.follows, on_checked, load);
 	return load;
 }
 
@@ -763,6 +795,8 @@
 {
 	load_view_expire(load->view);
 	update_limit_share(load);
+	follow_group_set_nodes(load->options.follows,
+			       load_view_peers(load->view) + 1);
 	if (clock_now_us(load->options.clock) - load->parts_summary_us >=
 	    PART_SUMMARY_INTERVAL_MS * 1000)
 		send_parts_summary(load);
--- a/src/gateway/view_age.c
+++ b/src/gateway/view_age.c
@@ -1,6 +1,6 @@
 #include "gateway/view_age.h"
 
-#include <string.h>
+#include <math.h>
 
 /* Time for a view's own watch to bring the change that others have told. */
 #define BEHIND_GRACE_MS 150
@@ -23,10 +23,18 @@
 	if (as_of_us <= age->confirmed_us)
 		return;
 	age->confirmed_us = as_of_us;
-	age->check_at_us = as_of_us + (VIEW_AGE_CHECK_MS +
-				       g_rand_int_range(age->random, 0,
-							VIEW_AGE_SPREAD_MS)) *
-					      (int64_t)1000;
+	age->draw = g_rand_double(age->random);
+}
+
+/* Addition to the time of the next check. Its density grows exponentially: about
+ * one of any number of nodes draws a time before the first one's news have
+ * reached the others. */
+static int64_t spread_us(const view_age_t *age)
+{
+	double growth = 1 + log(MAX(age->nodes, 1));
+
+	return (int64_t)(log1p(age->draw * expm1(growth)) / growth *
+			 VIEW_AGE_SPREAD_MS * 1000);
 }
 
 /* An own call that began at the time tells that the view has all changes. */
@@ -94,6 +102,11 @@
 		clock_now_us(age->clock) + age->retry_ms * (int64_t)1000;
 }
 
+void view_age_set_nodes(view_age_t *age, uint32_t nodes)
+{
+	age->nodes = nodes;
+}
+
 void view_age_told(view_age_t *age, const view_news_t *news)
 {
 	int64_t now_us = clock_now_us(age->clock);
@@ -137,7 +150,8 @@
 
 int64_t view_age_check_us(const view_age_t *age, int64_t waiting_since_us)
 {
-	int64_t due_us = age->check_at_us;
+	int64_t due_us =
+		age->confirmed_us + VIEW_AGE_CHECK_MS * 1000 + spread_us(age);
 
 	if (view_age_is_behind(age))
 		due_us = MIN(due_us, MAX(age->told_us, waiting_since_us) +
--- a/src/gateway/view_age.h
+++ b/src/gateway/view_age.h
@@ -21,12 +21,12 @@
  * that is known beyond the later one is confirmed as of that time, and one that
  * is not known up to the earlier one is behind and is checked soon. Of the nodes
  * that follow the same objects, mostly the one with the earliest check makes
- * it.
+ * it: the more nodes there are, the fewer of them draw an early time.
  */
 /* An acknowledged change is to be known everywhere within a second, the time of
  * the check's own call included. */
 #define VIEW_AGE_CHECK_MS 600
-/* Random addition, so that nodes do not check at the same moment. */
+/* Random addition, at most. */
 #define VIEW_AGE_SPREAD_MS 300
 /* A view that has not been confirmed for so long may lack changes that are in
  * force at other nodes; over two failed checks. */
@@ -49,7 +49,8 @@
 	int64_t change_max_us; /* when change_max was found */
 	int64_t own_us; /* confirmed as of then by an own call; 0: never */
 	int64_t confirmed_us; /* the same, or by news */
-	int64_t check_at_us; /* unless it is confirmed again or behind */
+	double draw; /* of the time of the next check, in [0, 1) */
+	uint32_t nodes; /* that check the same objects and are heard */
 	uint64_t told; /* highest change_min told that is unknown; 0: none */
 	int64_t told_us; /* when it was first told */
 	int64_t retry_at_us; /* after a failed check */
@@ -74,6 +75,8 @@
 void view_age_watched(view_age_t *age, int64_t started_us,
 		      const view_changes_t *changes);
 void view_age_check_failed(view_age_t *age);
+/* Sets the number of nodes that check the same objects, this one included. */
+void view_age_set_nodes(view_age_t *age, uint32_t nodes);
 /* Another node has told what it knows. */
 void view_age_told(view_age_t *age, const view_news_t *news);
 /* What to tell the others; false: nothing yet. */
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -77,3 +77,19 @@
 struct load_demands {
 	load_demand demands<LOAD_DEMANDS_MAX>;
 };
+
+/* What the sender knows by its own calls of a view of the store: as of age_ms
+ * ago, the last change has a revision between the two. */
+struct load_view_news {
+	unsigned hyper view; /* hash of the prefix of its objects */
+	unsigned hyper change_min;
+	unsigned hyper change_max;
+	unsigned int age_ms;
+};
+
+/* Follows the demands in a report's datagram, if there is room. */
+const LOAD_VIEWS_MAX = 8;
+
+struct load_views {
+	load_view_news views<LOAD_VIEWS_MAX>;
+};
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -399,3 +399,30 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_load_view_news (XDR *xdrs, load_view_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->view))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change_min))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_load_views (XDR *xdrs, load_views *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->views.views_val, (u_int *) &objp->views.views_len, LOAD_VIEWS_MAX,
+		sizeof (load_view_news), (xdrproc_t) xdr_load_view_news))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -103,6 +103,23 @@
 };
 typedef struct load_demands load_demands;
 
+struct load_view_news {
+	u_quad_t view;
+	u_quad_t change_min;
+	u_quad_t change_max;
+	u_int age_ms;
+};
+typedef struct load_view_news load_view_news;
+#define LOAD_VIEWS_MAX 8
+
+struct load_views {
+	struct {
+		u_int views_len;
+		load_view_news *views_val;
+	} views;
+};
+typedef struct load_views load_views;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -114,6 +131,8 @@
 extern  bool_t xdr_load_contact (XDR *, load_contact*);
 extern  bool_t xdr_load_demand (XDR *, load_demand*);
 extern  bool_t xdr_load_demands (XDR *, load_demands*);
+extern  bool_t xdr_load_view_news (XDR *, load_view_news*);
+extern  bool_t xdr_load_views (XDR *, load_views*);
 
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
@@ -124,6 +143,8 @@
 extern bool_t xdr_load_contact ();
 extern bool_t xdr_load_demand ();
 extern bool_t xdr_load_demands ();
+extern bool_t xdr_load_view_news ();
+extern bool_t xdr_load_views ();
 
 #endif /* K&R C */
 
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -7,7 +7,11 @@
 #define OTHER_SERVICE 0x07
 /* A count, and a hash and nine numbers for each of two services. */
 #define DEMANDS_BYTES (4 + 2 * (8 + 9 * 4))
+/* A count, and a hash, two revisions and an age for each of two views. */
+#define NEWS_BYTES (4 + 2 * (3 * 8 + 4))
 #define REPORT_BYTES 2048
+#define VIEW 0xc0
+#define OTHER_VIEW 0x5e
 
 /* One node with a fleet of a single runner. */
 typedef struct node {
@@ -52,7 +56,10 @@
 					      { OTHER_SERVICE,
 						{ { 0, 0, 7 } } } },
 				 .demand_count = 2,
-				 .reaches_store = true };
+				 .reaches_store = true,
+				 .news = { { VIEW, { 90, 95, 1000 } },
+					   { OTHER_VIEW, { 7, 7, 0 } } },
+				 .news_count = 2 };
 
 	return load_view_encode(node->view, &own, data, size);
 }
@@ -116,7 +123,7 @@
 	CU_ASSERT_EQUAL(before.items[2], 7);
 	load_view_domain_waiting(b.view, SERVICE, "d", &before);
 	CU_ASSERT_EQUAL(before.items[2], 0);
-	len = report(&a, data) - DEMANDS_BYTES;
+	len = report(&a, data) - NEWS_BYTES - DEMANDS_BYTES;
 	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len));
 	load_view_batch_waiting(b.view, OTHER_SERVICE, false, &before, &after);
 	CU_ASSERT_EQUAL(before.items[0], 2);
@@ -125,7 +132,8 @@
 	node_free(&b);
 }
 
-/* A report that leaves no room for the waiting items must still be sent. */
+/* A report that leaves no room for the waiting items, or for the news of views,
+ * must still be sent. */
 static void test_full_report(void)
 {
 	clock_manual_t clock;
@@ -136,7 +144,9 @@
 	clock_manual_init(&clock, 0);
 	a = node_new(&clock, "a", 1);
 	b = node_new(&clock, "b", 1);
-	len = report(&a, data);
+	len = report(&a, data) - NEWS_BYTES;
+	CU_ASSERT_EQUAL(report_into(&a, data, len + NEWS_BYTES - 1), len);
+	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len));
 	CU_ASSERT_EQUAL(report_into(&a, data, len - 1), len - DEMANDS_BYTES);
 	CU_ASSERT_PTR_NOT_NULL(
 		load_view_apply(b.view, data, len - DEMANDS_BYTES));
@@ -305,6 +315,61 @@
 	node_free(&b);
 }
 
+static void add_news(const load_news_t *news, void *user_data)
+{
+	g_string_append_printf(user_data, "%x:%d-%d@%d ", (int)news->view,
+			       (int)news->news.change_min,
+			       (int)news->news.change_max,
+			       (int)(news->news.as_of_us / 1000));
+}
+
+static void assert_news(const node_t *node, const char *expected)
+{
+	GString *all = g_string_new(NULL);
+
+	load_view_each_news(node->view, "a", add_news, all);
+	CU_ASSERT_STRING_EQUAL(all->str, expected);
+	g_string_free(all, TRUE);
+}
+
+/* What a node knows of its views must reach the others with its age, by the clock
+ * of the receiver, and must not outlive its report. Reports of the build before
+ * have none. */
+static void test_news(void)
+{
+	clock_manual_t clock, other_clock;
+	node_t a, b;
+	char data[REPORT_BYTES];
+	size_t len;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_init(&other_clock, 0);
+	clock_manual_advance_ms(&clock, 51);
+	clock_manual_advance_ms(&other_clock, 9000);
+	a = node_new(&clock, "a", 1);
+	b = node_new(&other_clock, "b", 1);
+	assert_news(&b, "");
+	load_view_apply(b.view, data, report(&a, data));
+	assert_news(&b, "c0:90-95@8950 5e:7-7@8949 ");
+	len = report(&a, data);
+	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len - 1));
+	assert_news(&b, "");
+	load_view_apply(b.view, data, report(&a, data));
+	len = report(&a, data) - NEWS_BYTES;
+	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len));
+	assert_news(&b, "");
+	len = report(&a, data) - NEWS_BYTES - DEMANDS_BYTES;
+	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len));
+	assert_news(&b, "");
+	/* A number of views that is not there, or too high. */
+	len = report(&a, data) - NEWS_BYTES;
+	memset(data + len, 0xff, 4);
+	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len + 4));
+	assert_news(&b, "");
+	node_free(&a);
+	node_free(&b);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -316,6 +381,7 @@
 		{ "limits", test_limits },
 		{ "started node", test_started_node },
 		{ "leaving runner", test_leaving_runner },
+		{ "news", test_news },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_view_age.c
+++ b/tests/test_view_age.c
@@ -107,6 +107,52 @@
 	end(&fixture);
 }
 
+#define FLEET_MAX 400
+/* Time until the news of one node's check has reached the others. */
+#define NEWS_DELAY_MS 10
+#define CHECKS_AT_ONCE_MAX 2.0
+
+/* Checks that a fleet makes for each time that the view is confirmed. */
+static double checks_each_time(uint32_t nodes)
+{
+	static fixture_t fixtures[FLEET_MAX];
+	const int rounds = 200;
+	int checks = 0;
+
+	for (uint32_t i = 0; i < nodes; i++) {
+		start(&fixtures[i]);
+		g_rand_set_seed(fixtures[i].random, i);
+		view_age_set_nodes(&fixtures[i].age, nodes);
+		listed(&fixtures[i], 100, 90);
+	}
+	for (int round = 0; round < rounds; round++) {
+		int64_t first_ms = CHECK_MAX_MS;
+
+		for (uint32_t i = 0; i < nodes; i++)
+			first_ms = MIN(first_ms, check_in_ms(&fixtures[i]));
+		CU_ASSERT(first_ms >= VIEW_AGE_CHECK_MS);
+		for (uint32_t i = 0; i < nodes; i++) {
+			checks += check_in_ms(&fixtures[i]) <=
+				  first_ms + NEWS_DELAY_MS;
+			clock_manual_advance_ms(&fixtures[i].clock, first_ms);
+			listed(&fixtures[i], 100, 90);
+		}
+	}
+	for (uint32_t i = 0; i < nodes; i++)
+		end(&fixtures[i]);
+	return (double)checks / rounds;
+}
+
+/* Guards against a cost that grows with the fleet: the store is charged for each
+ * call. */
+static void test_checks_of_a_fleet(void)
+{
+	CU_ASSERT(checks_each_time(1) == 1);
+	CU_ASSERT(checks_each_time(7) < CHECKS_AT_ONCE_MAX);
+	CU_ASSERT(checks_each_time(60) < CHECKS_AT_ONCE_MAX);
+	CU_ASSERT(checks_each_time(FLEET_MAX) < CHECKS_AT_ONCE_MAX);
+}
+
 /* Guards against a node that misses a change that others have. The view's own
  * watch has a moment to bring it. */
 static void test_behind(void)
@@ -251,6 +297,7 @@
 	static const unit_test_t tests[] = {
 		{ "own checks", test_own_checks },
 		{ "checks of others serve", test_checks_of_others_serve },
+		{ "checks of a fleet", test_checks_of_a_fleet },
 		{ "behind", test_behind },
 		{ "false news", test_false_news },
 		{ "check before news", test_check_before_news },
