Bound how long the entry's watch of its configuration may be dead

Operators' changes were not in force for over 30 s when the store left the watches of the domains' watchers without an answer: the nodes' other news of a version comes from a watcher, and a watch that waits looks like one without changes. The requirement is 12 s.

The watchers, one in each domain, watch for 4 s at a time; with the time-out of the answer and another listing, a dead watch is replaced in some 7 s. Six domains make 1.5 calls a second for it.

test_lost_watches failed before (no change in 12 s) and passes; the stand-in of the platform can leave its watches unanswered (drop_watches).

--- a/src/emulator/platform_standin.c
+++ b/src/emulator/platform_standin.c
@@ -206,6 +206,8 @@
 	text = json_dumps(root, JSON_COMPACT);
 	log_info("fault_set", "fault=%s", log_quote(text));
 	free(text);
+	if (json_is_true(json_object_get(root, "drop_watches")))
+		standin_watches_drop(standin->watches);
 	json_decref(root);
 	standin_held_release(standin->held);
 	standin_watches_check(standin->watches);
--- a/src/emulator/standin_watch.c
+++ b/src/emulator/standin_watch.c
@@ -155,6 +155,16 @@
 	}
 }
 
+void standin_watches_drop(standin_watches_t *watches)
+{
+	watch_t *watch;
+
+	while ((watch = g_queue_peek_head(&watches->waiting))) {
+		http_on_closed(watch->exchange, NULL, NULL);
+		watch_free(watch);
+	}
+}
+
 void standin_watches_check(standin_watches_t *watches)
 {
 	const standin_watches_options_t *options = &watches->options;
--- a/src/emulator/standin_watch.h
+++ b/src/emulator/standin_watch.h
@@ -27,6 +27,8 @@
 			 uint16_t port);
 /* Answers the watches that a change of this key concerns. */
 void standin_watches_notify(standin_watches_t *watches, const char *key);
+/* Leaves the watches that wait without an answer, for good. */
+void standin_watches_drop(standin_watches_t *watches);
 /* After a change of faults: ends watches in an outage, holds blocked ones. */
 void standin_watches_check(standin_watches_t *watches);
 uint32_t standin_watches_count(const standin_watches_t *watches);
--- a/src/entry/config_follow.c
+++ b/src/entry/config_follow.c
@@ -12,7 +12,10 @@
 #include "coord/follower.h"
 #include "rpc/config_xdr.h"
 
-#define WATCH_TIMEOUT_MS 30000
+/* A watch that the store does not answer looks like one without changes. This
+ * bounds for how long, with the time for another listing, if no other node has
+ * the change either. */
+#define WATCH_TIMEOUT_MS 4000
 #define FETCH_TIMEOUT_MS 3000
 /* Versions kept as bases of differences; at most 1 MB each. */
 #define MAX_HISTORY_VERSIONS 8
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -12,6 +12,8 @@
                                 "..", "..", "scripts"))
 import fleet as f  # noqa: E402
 
+# The requirement for a change of the configuration (docs/design.md).
+IN_FORCE_S = 12
 DOMAINS = ["old-town", "thu-bon", "munster-a"]
 
 
@@ -75,6 +77,18 @@
             version = self.accept("production", self.limited(number), version)
             self.wait_in_force(entries, version)
 
+    # Guards against watchers that wait for an answer that the store will not
+    # send, while no other node knows of the change either.
+    def test_lost_watches(self):
+        entries = self.start_entries(3)
+        f.wait_for(lambda: f.request(self.fleet.platform.port, "GET",
+                                     "/stats").json()["waiting_watches"] >=
+                   len(entries), "a watch in each domain")
+        self.fleet.fault(self.fleet.platform, drop_watches=True)
+        version = self.accept("production", self.limited(1), self.version)
+        f.wait_for(lambda: all(self.in_force(e) == version for e in entries),
+                   "the change", IN_FORCE_S)
+
     def large(self, number):
         document = self.limited(number)
         workspaces = document["partners"]["guild"]["workspaces"]
