Pass on no VM list that the watcher has not read of late

A watcher whose last answer is older than three periods (3 s) says that it has no list; the others then read it themselves, as they do without a watcher. test_watcher_that_has_lost_the_platform failed before (no answer in 10 s) and passes.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -365,6 +365,7 @@
 {
 	vm_follow_options_t options = {
 		.base = entry->base,
+		.clock = entry->clock,
 		.store = entry->store,
 		.members = entry->members,
 		.rpc_client = entry->rpc_client,
--- a/src/entry/vm_follow.c
+++ b/src/entry/vm_follow.c
@@ -12,6 +12,9 @@
 #define FLEET_FETCH 1
 #define FETCH_TIMEOUT_MS 1000
 #define WATCHER_KEY "vm-list"
+/* A watcher whose last answer of the platform is older passes nothing on: the other
+ * nodes may reach the platform. */
+#define READ_VALID_PERIODS 3
 
 struct vm_follow {
 	vm_follow_options_t options;
@@ -19,6 +22,7 @@
 	vm_view_t *local_view; /* read from the platform by this node */
 	vm_view_t *watcher_view; /* fetched from the watcher */
 	bool is_watcher;
+	int64_t read_ms; /* time of the last answer of the platform; 0: none */
 	int64_t *store_reads;
 	int64_t *peer_fetches;
 };
@@ -45,6 +49,15 @@
 	g_ptr_array_add(builder->removed, (char *)address);
 }
 
+static bool has_recent_read(const vm_follow_t *follow)
+{
+	int64_t age_ms = clock_now_ms(follow->options.clock) - follow->read_ms;
+
+	return follow->read_ms &&
+	       age_ms <=
+		       READ_VALID_PERIODS * (int64_t)follow->options.period_ms;
+}
+
 static void handle_fetch(rpc_call_t *call, const void *args, void *user_data)
 {
 	vm_follow_t *follow = user_data;
@@ -53,9 +66,7 @@
 	builder_t builder = { g_array_new(FALSE, FALSE, sizeof(fleet_vm)),
 			      g_ptr_array_new() };
 
-	/* Before the first read from the platform the local view is empty and
-	 * must not be sent. */
-	result.available = vm_view_sequence(follow->local_view) > 0;
+	result.available = has_recent_read(follow);
 	if (result.available) {
 		result.whole = !vm_view_since(follow->local_view, fetch->view,
 					      fetch->sequence, add_changed,
@@ -96,6 +107,7 @@
 			 error_name((error_code_t)error->code));
 		return;
 	}
+	follow->read_ms = clock_now_ms(follow->options.clock);
 	if (vm_view_update(follow->local_view, vms))
 		publish(follow, follow->local_view);
 }
--- a/src/entry/vm_follow.h
+++ b/src/entry/vm_follow.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/clock.h"
 #include "base/counter.h"
 #include "coord/member.h"
 #include "object/object_store.h"
@@ -19,8 +20,8 @@
  * platform. At the design size the list has about 1,100 entries, and 380 nodes
  * reading it every second would use a fifth of the platform's read rate and far
  * more than a node's bandwidth budget for control traffic. The other nodes
- * fetch the changes from the watcher. A node that cannot reach the watcher
- * reads the list itself. If the platform does not answer either, the last list
+ * fetch the changes from the watcher. A node that cannot reach the watcher, or
+ * whose watcher has not read the list for some periods, reads it itself. If the platform does not answer either, the last list
  * stays in use.
  */
 typedef struct vm_follow vm_follow_t;
@@ -30,6 +31,7 @@
 
 typedef struct vm_follow_options {
 	struct event_base *base;
+	const clock_source_t *clock;
 	object_store_t *store;
 	member_table_t *members;
 	rpc_client_t *rpc_client;
