Share the play of random histories between model tests

The command line, the shortening of failing histories, the trace and the clock are in model_run. The model store gains removals, silence and the number of calls in progress, for a model of views.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,8 @@
 $(BUILD)/tests/test_fuzz_corpus: $(FUZZ_TARGET_OBJ)
 $(BUILD)/tests/%.o: CPPFLAGS += -Itests
 # Calls between the nodes of the model go to the test.
-$(BUILD)/tests/test_job_protocol: $(BUILD)/tests/model_store.o
+$(BUILD)/tests/test_job_protocol: $(BUILD)/tests/model_store.o \
+	$(BUILD)/tests/model_run.o
 $(BUILD)/tests/test_job_protocol: override LDFLAGS += \
 	-Wl,--wrap=rpc_client_call,--wrap=rpc_server_register,--wrap=rpc_reply
 
@@ -150,4 +151,4 @@
 .PHONY: all install tests check check-asan fuzz soak demo bench format lint clean deps xdr
 .SECONDARY:
 -include $(OBJS:.o=.d) $(MAIN_OBJ:.o=.d) $(TESTS:=.d) $(EXAMPLES:=.d) \
-	$(FUZZ_TARGET_OBJ:.o=.d) $(BUILD)/tests/model_store.d
+	$(FUZZ_TARGET_OBJ:.o=.d) $(BUILD)/tests/model_store.d $(BUILD)/tests/model_run.d
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -13,7 +13,13 @@
 /* Of the users' store, below OBJECT_MAX_BYTES. */
 #define VALUE_MAX_BYTES (1000 * 1000)
 
-typedef enum call_op { CALL_GET, CALL_PUT, CALL_LIST, CALL_WATCH } call_op_t;
+typedef enum call_op {
+	CALL_GET,
+	CALL_PUT,
+	CALL_REMOVE,
+	CALL_LIST,
+	CALL_WATCH
+} call_op_t;
 
 typedef struct model_call {
 	model_client_t *client;
@@ -29,7 +35,9 @@
 	int64_t execute_us;
 	int64_t answer_us;
 	int64_t stale_us;
-	int64_t wait_until_us; /* of a watch */
+	int64_t started_us;
+	int32_t timeout_ms; /* of a watch */
+	int64_t wait_until_us; /* the same */
 	int32_t answer_delay_us;
 	bool executed;
 	int error; /* code of the answer; -1: none */
@@ -151,6 +159,7 @@
 {
 	const object_entry_t entry = { .key = g_strdup(object->key),
 				       .version = object->version,
+				       .deleted = object->removed,
 				       .data = g_strndup(object->data,
 							 object->len) };
 
@@ -190,6 +199,29 @@
 	store->options.written(store->options.user_data, object, former);
 }
 
+static void execute_remove(model_call_t *call)
+{
+	model_store_t *store = call->client->store;
+	model_object_t *former = g_hash_table_lookup(store->objects, call->key);
+	model_object_t *object;
+
+	if (!former || call->if_version != former->version) {
+		call->error = former ? WL_ERROR_CONFLICT : WL_ERROR_NOT_FOUND;
+		call->object = former;
+		return;
+	}
+	object = g_new0(model_object_t, 1);
+	object->key = g_strdup(call->key);
+	object->data = g_strdup("");
+	object->version = ++store->revision;
+	object->written_us = now_us(store);
+	object->removed = true;
+	g_ptr_array_add(store->log, object);
+	g_hash_table_remove(store->objects, object->key);
+	call->object = object;
+	store->options.written(store->options.user_data, object, former);
+}
+
 /* The revision that an answer of that age shows. */
 static uint64_t visible_revision(const model_store_t *store, int64_t stale_us)
 {
@@ -227,7 +259,8 @@
 		    (call->after && strcmp(object->key, call->after) <= 0) ||
 		    !g_hash_table_add(seen, object->key))
 			continue;
-		g_ptr_array_add(found, object);
+		if (!object->removed)
+			g_ptr_array_add(found, object);
 	}
 	g_ptr_array_sort(found, by_key);
 	call->listing.revision = visible;
@@ -288,6 +321,9 @@
 	case CALL_PUT:
 		execute_put(call);
 		break;
+	case CALL_REMOVE:
+		execute_remove(call);
+		break;
 	case CALL_LIST:
 		execute_list(call);
 		break;
@@ -301,6 +337,11 @@
 		call->answer_us = now_us(store) + call->answer_delay_us;
 }
 
+static bool is_write(const model_call_t *call)
+{
+	return call->op == CALL_PUT || call->op == CALL_REMOVE;
+}
+
 /* A call whose fault is drawn has its answer already, which is not that of its
  * execution. */
 static bool is_answer_fixed(const model_call_t *call)
@@ -331,7 +372,7 @@
 
 		if (((call->done || call->list_done) &&
 		     !call->client->closed) ||
-		    (call->op == CALL_PUT && !call->executed &&
+		    (is_write(call) && !call->executed &&
 		     call->execute_us != NEVER))
 			continue;
 		g_ptr_array_remove_index(store->calls, i);
@@ -377,6 +418,37 @@
 	}
 }
 
+void model_client_silence(model_client_t *client)
+{
+	const model_store_t *store = client->store;
+
+	for (guint i = 0; i < store->calls->len; i++) {
+		model_call_t *call = store->calls->pdata[i];
+
+		if (call->client != client || call->executed ||
+		    call->answer_us != NEVER)
+			continue;
+		call->execute_us = NEVER;
+		call->error = WL_ERROR_TIMEOUT;
+		call->answer_us = call->started_us +
+				  (call->timeout_ms + CALL_TIMEOUT_MS) * 1000LL;
+	}
+}
+
+uint32_t model_client_calls(const model_client_t *client)
+{
+	const model_store_t *store = client->store;
+	uint32_t count = 0;
+
+	for (guint i = 0; i < store->calls->len; i++) {
+		const model_call_t *call = store->calls->pdata[i];
+
+		count += call->client == client &&
+			 (call->done || call->list_done);
+	}
+	return count;
+}
+
 void model_client_set_hook(model_client_t *client, model_call_hook_t hook,
 			   void *user_data)
 {
@@ -418,9 +490,13 @@
 
 	call->error = -1;
 	call->answer_us = NEVER;
+	call->started_us = now_us(store);
 	call->execute_us = now_us(store) + draw_us(store, weather->delay_ms);
 	call->answer_delay_us = (int32_t)draw_us(store, weather->delay_ms);
-	if (draw_percent(store, weather->refused)) {
+	if (weather->silent) {
+		call->execute_us = NEVER;
+		fix_answer(call, WL_ERROR_TIMEOUT, CALL_TIMEOUT_MS * 1000);
+	} else if (draw_percent(store, weather->refused)) {
 		fix_answer(call,
 			   draw_percent(store, 50) ? WL_ERROR_RATE_LIMITED :
 						     WL_ERROR_UNAVAILABLE,
@@ -431,8 +507,7 @@
 	} else if (draw_percent(store, weather->lost_call)) {
 		lose_answer(call);
 		call->execute_us = NEVER;
-	} else if (call->op == CALL_PUT &&
-		   draw_percent(store, weather->late_write)) {
+	} else if (is_write(call) && draw_percent(store, weather->late_write)) {
 		lose_answer(call);
 		call->execute_us =
 			now_us(store) + LATE_WRITE_MIN_MS * 1000 +
@@ -455,8 +530,8 @@
 	call->key = g_strdup(key);
 	call->user_data = user_data;
 	plan(call);
-	if (client->hook &&
-	    !client->hook(client->hook_data, key, op == CALL_PUT))
+	if (client->hook && !client->hook(client->hook_data, key,
+					  op == CALL_PUT || op == CALL_REMOVE))
 		client->closed = true;
 	if (client->closed)
 		call->execute_us = NEVER;
@@ -486,6 +561,16 @@
 	call->done = done;
 }
 
+static void remove_object(object_store_t *base, const char *key,
+			  uint64_t if_version, object_done_t done,
+			  void *user_data)
+{
+	model_call_t *call = add_call(base, CALL_REMOVE, key, user_data);
+
+	call->if_version = if_version;
+	call->done = done;
+}
+
 static void list(object_store_t *base, const char *prefix, const char *after,
 		 uint32_t limit, object_list_done_t done, void *user_data)
 {
@@ -510,6 +595,10 @@
 				      NEVER :
 				      call->execute_us + timeout_ms * 1000LL;
 	call->list_done = done;
+	call->timeout_ms = timeout_ms;
+	if (client->weather->silent)
+		fix_answer(call, WL_ERROR_TIMEOUT,
+			   (timeout_ms + CALL_TIMEOUT_MS) * 1000LL);
 	if (call->answer_us != NEVER)
 		return;
 	if (draw_percent(store, client->weather->watch_cut)) {
@@ -526,6 +615,7 @@
 static const object_store_ops_t ops = {
 	.get = get,
 	.put = put,
+	.remove = remove_object,
 	.list = list,
 	.watch = watch,
 };
--- a/tests/model_store.h
+++ b/tests/model_store.h
@@ -28,10 +28,12 @@
 	char *writer;
 	uint64_t version;
 	int64_t written_us;
+	bool removed; /* this version is its removal */
 } model_object_t;
 
 /* Parts of 100 of a client's calls; may change at any time. */
 typedef struct model_weather {
+	bool silent; /* calls have no answer until their time limit */
 	int refused; /* 429 or 503: without effect */
 	int lost_answer; /* executed, the answer is lost */
 	int late_write; /* executed 1 to 6 s later */
@@ -45,7 +47,7 @@
 typedef struct model_store_options {
 	GRand *random;
 	const int64_t *now_us;
-	/* A write took effect; former is NULL for a creation. */
+	/* A write or removal took effect; former is NULL for a creation. */
 	void (*written)(void *user_data, const model_object_t *object,
 			const model_object_t *former);
 	void *user_data;
@@ -68,6 +70,11 @@
 object_store_t *model_client_object(model_client_t *client);
 /* Runs the completions that are due. */
 void model_client_deliver(model_client_t *client);
+/* Leaves the calls in progress without an answer until their time limit, as when
+ * the store falls silent for this client. */
+void model_client_silence(model_client_t *client);
+/* Number of calls in progress. */
+uint32_t model_client_calls(const model_client_t *client);
 /* Is told of each call before it is sent; returns false when the process ends
  * with it, so that it is not sent. */
 typedef bool (*model_call_hook_t)(void *user_data, const char *key, bool write);
--- a/tests/test_job_protocol.c
+++ b/tests/test_job_protocol.c
@@ -1,12 +1,6 @@
-#include <errno.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/syscall.h>
-#include <sys/wait.h>
-#include <time.h>
-#include <unistd.h>
 
 #include "base/counter.h"
 #include "base/error.h"
@@ -17,6 +11,7 @@
 #include "gateway/job_read.h"
 #include "gateway/job_submit.h"
 #include "gateway/job_table.h"
+#include "model_run.h"
 #include "model_store.h"
 #include "rpc/store_xdr.h"
 
@@ -24,12 +19,7 @@
  * Checks the batch protocol with random histories: the modules of some nodes
  * run in one process on a clock of their own, over a hostile store, with
  * crashes, freezes, cuts and failing runners. Each history follows from its
- * seed alone.
- *
- *   test_job_protocol                 a few seconds of fixed seeds
- *   test_job_protocol --seed N        one history; its trace if it fails
- *   test_job_protocol --histories N [--from SEED]
- *   test_job_protocol --seconds N [--from SEED]
+ * seed alone. Arguments: model_run.h.
  */
 #define STEP_MS 20
 #define NODES_MIN 3
@@ -37,7 +27,7 @@
 #define JOBS_MAX 4
 #define ITEMS_MAX 5
 #define PROCESSES_MAX 64
-#define EVENTS_MAX 48
+#define EVENTS_MAX 48 /* at most MODEL_EVENTS_MAX */
 #define TRAPS_MAX 4
 #define SETTLE_MS 90000
 /* After the acknowledgement of its end a job starts nothing. */
@@ -55,14 +45,7 @@
 #define MAX_FAILURES 3
 #define PAGE_BYTES (1024 * 1024)
 #define CACHE_BYTES (8 * 1024 * 1024)
-#define TRACE_LINES 150
 #define FIXED_HISTORIES 300
-#define CHUNK_HISTORIES 100
-#define CHILD_FAILED 1
-#define USAGE_STATUS 2
-/* Of a seed, a number of histories or seconds. */
-#define NUMBER_MAX 1000000000000LL
-#define LOG_NOTHING ((log_level_t)(LOG_LEVEL_ERROR + 1))
 
 typedef enum event_kind {
 	EVENT_SUBMIT,
@@ -263,88 +246,9 @@
 	int next_trap;
 	bool settling;
 	uint64_t steps;
-	char *violation;
-	bool traces;
-	GQueue trace; /* char * */
+	model_trace_t trace;
 };
 
-/* The clock that libevent and the modules see. */
-static const clock_manual_t *current_clock;
-
-/* Replaces that of the C library, so that the timers of the event loops run on
- * the current process's clock. */
-int clock_gettime(clockid_t id, struct timespec *time)
-{
-	int64_t us;
-
-	if (!current_clock)
-		return (int)syscall(SYS_clock_gettime, id, time);
-	if (id == CLOCK_REALTIME || id == CLOCK_REALTIME_COARSE)
-		us = current_clock->wall_ms * 1000;
-	else if (id == CLOCK_BOOTTIME)
-		us = current_clock->monotonic_us + current_clock->suspended_us;
-	else
-		us = current_clock->monotonic_us;
-	time->tv_sec = us / 1000000;
-	time->tv_nsec = us % 1000000 * 1000;
-	return 0;
-}
-
-static int64_t real_ms(void)
-{
-	struct timespec now;
-
-	syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
-	return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
-}
-
-static void trace_line(const char *line, void *user_data)
-{
-	world_t *world = user_data;
-
-	if (!world->traces)
-		return;
-	g_queue_push_tail(&world->trace, g_strdup(line));
-	if (world->trace.length > TRACE_LINES)
-		g_free(g_queue_pop_head(&world->trace));
-}
-
-static void note(world_t *world, const char *format, ...)
-	__attribute__((format(printf, 2, 3)));
-
-static void note(world_t *world, const char *format, ...)
-{
-	char *text;
-	char *line;
-	va_list args;
-
-	if (!world->traces)
-		return;
-	va_start(args, format);
-	text = g_strdup_vprintf(format, args);
-	va_end(args);
-	line = g_strdup_printf("%8.2f -- %s", (double)world->now_us / 1e6,
-			       text);
-	trace_line(line, world);
-	g_free(line);
-	g_free(text);
-}
-
-static void violate(world_t *world, const char *format, ...)
-	__attribute__((format(printf, 2, 3)));
-
-static void violate(world_t *world, const char *format, ...)
-{
-	va_list args;
-
-	if (world->violation)
-		return;
-	va_start(args, format);
-	world->violation = g_strdup_vprintf(format, args);
-	va_end(args);
-	note(world, "VIOLATION %s", world->violation);
-}
-
 static int draw(world_t *world, int from, int to)
 {
 	return g_rand_int_range(world->random, from, to + 1);
@@ -365,8 +269,8 @@
 
 static void enter(process_t *process)
 {
-	current_clock = &process->clock;
-	if (process->world->traces) {
+	model_run_set_clock(&process->clock);
+	if (process->world->trace.on) {
 		char name[32];
 
 		g_snprintf(name, sizeof(name), "%s/%d",
@@ -422,9 +326,10 @@
 		object ? job_results_decode(object->data, object->len) : NULL;
 
 	if (!results || results->len != segment->items->len) {
-		violate(world, "job %s names segment %s, which the store %s",
-			job->id, segment->key,
-			object ? "has otherwise" : "does not have");
+		model_violate(&world->trace,
+			      "job %s names segment %s, which the store %s",
+			      job->id, segment->key,
+			      object ? "has otherwise" : "does not have");
 		return;
 	}
 	for (guint i = 0; i < results->len; i++) {
@@ -438,21 +343,23 @@
 		    result->item >= (uint32_t)job->items ||
 		    !is_output(job, result->item, result->text,
 			       result->state == JOB_RESULT_COMPLETED))
-			violate(world, "job %s segment %s has a foreign result",
-				job->id, segment->key);
+			model_violate(&world->trace,
+				      "job %s segment %s has a foreign result",
+				      job->id, segment->key);
 		g_free(id);
 		if (result->state == JOB_RESULT_GIVEN_UP &&
 		    result->item < (uint32_t)job->items &&
 		    job->failures[result->item] < MAX_FAILURES)
-			violate(world,
-				"job %s item %u is given up after %d "
-				"failures",
-				job->id, result->item,
-				job->failures[result->item]);
+			model_violate(&world->trace,
+				      "job %s item %u is given up after %d "
+				      "failures",
+				      job->id, result->item,
+				      job->failures[result->item]);
 		for (guint j = 0; j < job->positions->len; j++)
 			if (((position_t *)job->positions->pdata[j])->item ==
 			    result->item)
-				violate(world,
+				model_violate(
+					&world->trace,
 					"job %s item %u at positions %u and %u",
 					job->id, result->item, j,
 					job->positions->len);
@@ -484,7 +391,8 @@
 		    completion->epoch == record->epoch &&
 		    strcmp(completion->process->context.writer, writer) == 0 &&
 		    !job_record_has_item(record, completion->item))
-			violate(world,
+			model_violate(
+				&world->trace,
 				"job %s released without the result of item %u",
 				job->id, completion->item);
 	}
@@ -497,25 +405,29 @@
 	guint kept = former ? former->segments->len : 0;
 
 	if (record->items != (uint32_t)job->items)
-		violate(world, "job %s has %u items", job->id, record->items);
+		model_violate(&world->trace, "job %s has %u items", job->id,
+			      record->items);
 	if (record->segments->len < kept) {
-		violate(world, "job %s has lost segments", job->id);
+		model_violate(&world->trace, "job %s has lost segments",
+			      job->id);
 		return;
 	}
 	for (guint i = 0; i < kept; i++)
 		if (!is_same_segment(record->segments->pdata[i],
 				     former->segments->pdata[i]))
-			violate(world, "job %s has another segment %u", job->id,
-				i);
+			model_violate(&world->trace,
+				      "job %s has another segment %u", job->id,
+				      i);
 	/* Only the process that the record names renews it and adds results. */
 	if (former && record->beat != former->beat &&
 	    strcmp(writer, former->instance) != 0)
-		violate(world, "job %s of %s has a record of its owner by %s",
-			job->id, former->instance, writer);
+		model_violate(&world->trace,
+			      "job %s of %s has a record of its owner by %s",
+			      job->id, former->instance, writer);
 	if (former && former->ended && !record->ended)
-		violate(world, "job %s is open again", job->id);
-	for (guint i = kept; i < record->segments->len && !world->violation;
-	     i++)
+		model_violate(&world->trace, "job %s is open again", job->id);
+	for (guint i = kept;
+	     i < record->segments->len && !world->trace.violation; i++)
 		add_positions(world, job, record->segments->pdata[i]);
 	job->ended = record->ended;
 	job->closed = job_record_is_closed(record);
@@ -532,19 +444,20 @@
 	model_job_t *job;
 
 	if (!g_str_has_prefix(object->key, JOB_RECORD_PREFIX)) {
-		note(world, "stored %s version %" G_GUINT64_FORMAT " by %s",
-		     object->key, object->version, object->writer);
+		model_note(&world->trace,
+			   "stored %s version %" G_GUINT64_FORMAT " by %s",
+			   object->key, object->version, object->writer);
 		return;
 	}
 	job = find_job(world, object->key + strlen(JOB_RECORD_PREFIX));
 	record = job_record_decode(object->data, object->len);
 	last = former ? job_record_decode(former->data, former->len) : NULL;
-	note(world,
-	     "stored %s version %" G_GUINT64_FORMAT
-	     " by %s owner=%s epoch=%u beat=%u results=%u ended=%d",
-	     object->key, object->version, object->writer, record->owner,
-	     record->epoch, record->beat, job_record_results(record),
-	     record->ended);
+	model_note(&world->trace,
+		   "stored %s version %" G_GUINT64_FORMAT
+		   " by %s owner=%s epoch=%u beat=%u results=%u ended=%d",
+		   object->key, object->version, object->writer, record->owner,
+		   record->epoch, record->beat, job_record_results(record),
+		   record->ended);
 	check_record(world, job, record, last, object->writer);
 	job_record_free(record);
 	job_record_free(last);
@@ -586,15 +499,16 @@
 		call->due_us = world->now_us + 300000;
 	record = job_owner_record(process->owner, job->id);
 	call->epoch = record ? record->epoch : 0;
-	note(world, "run %d of %s/i%d by %s epoch=%u after=%d", call->run,
-	     job->id, call->item, process->context.writer, call->epoch,
-	     (int)request->resume_after);
+	model_note(&world->trace, "run %d of %s/i%d by %s epoch=%u after=%d",
+		   call->run, job->id, call->item, process->context.writer,
+		   call->epoch, (int)request->resume_after);
 	if (job->end_acknowledged_us && is_in_touch(process) &&
 	    world->now_us - job->end_acknowledged_us > END_BOUND_MS * 1000)
-		violate(world, "job %s item %d starts %d ms after its end",
-			job->id, call->item,
-			(int)((world->now_us - job->end_acknowledged_us) /
-			      1000));
+		model_violate(&world->trace,
+			      "job %s item %d starts %d ms after its end",
+			      job->id, call->item,
+			      (int)((world->now_us - job->end_acknowledged_us) /
+				    1000));
 	g_ptr_array_add(world->runner_calls, call);
 	return call;
 }
@@ -801,8 +715,9 @@
 		if (!springs(trap, process, key, write))
 			continue;
 		trap->kind = NULL;
-		note(world, "%s %s at its call for %s", process->context.writer,
-		     trap->crash ? "crashes" : "freezes", key);
+		model_note(&world->trace, "%s %s at its call for %s",
+			   process->context.writer,
+			   trap->crash ? "crashes" : "freezes", key);
 		if (trap->crash)
 			return false;
 		freeze(process, trap->length_ms, trap->suspend);
@@ -988,16 +903,16 @@
 	add_executions(process);
 	add_modules(process);
 	g_ptr_array_add(world->processes, process);
-	note(world, "process %s/%d starts", world->nodes[node].name,
-	     process->index);
+	model_note(&world->trace, "process %s/%d starts",
+		   world->nodes[node].name, process->index);
 }
 
 static void kill_process(process_t *process)
 {
 	if (process->dead)
 		return;
-	note(process->world, "process %s/%d ends",
-	     process->world->nodes[process->node].name, process->index);
+	model_note(&process->world->trace, "process %s/%d ends",
+		   process->world->nodes[process->node].name, process->index);
 	process->dead = true;
 	if (!process_of(process->world, process->node))
 		process->world->nodes[process->node].start_at_us =
@@ -1091,14 +1006,16 @@
 	client_call_t *call = user_data;
 	world_t *world = call->process->world;
 
-	note(world, "client: %s submitted: %d", call->job->id, outcome);
+	model_note(&world->trace, "client: %s submitted: %d", call->job->id,
+		   outcome);
 	if (outcome == JOB_REFUSED)
 		call->job->refusals++;
 	if (outcome == JOB_ACCEPTED) {
 		call->job->accepted = true;
 		if (!is_stored(world, call->job))
-			violate(world, "job %s is accepted, but not stored",
-				call->job->id);
+			model_violate(&world->trace,
+				      "job %s is accepted, but not stored",
+				      call->job->id);
 	}
 	g_free(call);
 }
@@ -1154,24 +1071,28 @@
 	model_job_t *job = call->job;
 
 	if (page->found == JOB_MISSING && call->accepted)
-		violate(world, "accepted job %s is missing", job->id);
+		model_violate(&world->trace, "accepted job %s is missing",
+			      job->id);
 	if (page->found != JOB_FOUND)
 		return;
 	if (page->total != (uint32_t)job->items)
-		violate(world, "job %s has total %u", job->id, page->total);
+		model_violate(&world->trace, "job %s has total %u", job->id,
+			      page->total);
 	if (page->next != call->after + page->results->len)
-		violate(world, "job %s page from %u ends at %u", job->id,
-			call->after, page->next);
+		model_violate(&world->trace, "job %s page from %u ends at %u",
+			      job->id, call->after, page->next);
 	if (page->results->len == 0 && call->after < call->known)
-		violate(world, "job %s position %u was read and is missing",
-			job->id, call->after);
+		model_violate(&world->trace,
+			      "job %s position %u was read and is missing",
+			      job->id, call->after);
 	for (guint i = 0; i < page->results->len; i++) {
 		const job_result_t *result = page->results->pdata[i];
 		position_t *position;
 
 		if (call->after + i >= job->positions->len) {
-			violate(world, "job %s position %u is not recorded",
-				job->id, call->after + i);
+			model_violate(&world->trace,
+				      "job %s position %u is not recorded",
+				      job->id, call->after + i);
 			return;
 		}
 		position = job->positions->pdata[call->after + i];
@@ -1180,9 +1101,10 @@
 		if (position->item != result->item ||
 		    position->state != result->state ||
 		    strcmp(position->text, result->text) != 0)
-			violate(world, "job %s position %u is other: %u for %u",
-				job->id, call->after + i, result->item,
-				position->item);
+			model_violate(&world->trace,
+				      "job %s position %u is other: %u for %u",
+				      job->id, call->after + i, result->item,
+				      position->item);
 	}
 	job->known = MAX(job->known, page->next);
 }
@@ -1191,10 +1113,10 @@
 {
 	client_call_t *call = user_data;
 
-	note(call->process->world,
-	     "client: %s read at %s from %u: %d, %u of %u", call->job->id,
-	     call->process->context.writer, call->after, page->found,
-	     page->results->len, page->total);
+	model_note(&call->process->world->trace,
+		   "client: %s read at %s from %u: %d, %u of %u", call->job->id,
+		   call->process->context.writer, call->after, page->found,
+		   page->results->len, page->total);
 	check_page(call, page);
 	g_free(call);
 }
@@ -1224,14 +1146,14 @@
 	world_t *world = call->process->world;
 	char *prefix = g_strdup_printf("%s/i%d", call->job->id, call->item);
 
-	note(world, "client: body of %s: %d", prefix, found);
+	model_note(&world->trace, "client: body of %s: %d", prefix, found);
 	if (found == JOB_FOUND &&
 	    (g_bytes_get_size(body) < strlen(prefix) ||
 	     memcmp(g_bytes_get_data(body, NULL), prefix, strlen(prefix)) != 0))
-		violate(world, "body of %s is another", prefix);
+		model_violate(&world->trace, "body of %s is another", prefix);
 	if (found == JOB_MISSING && call->accepted && !call->job->ended &&
 	    !has_position(call->job, call->item))
-		violate(world, "body of %s is missing", prefix);
+		model_violate(&world->trace, "body of %s is missing", prefix);
 	g_free(prefix);
 	g_free(call);
 }
@@ -1251,15 +1173,17 @@
 	client_call_t *call = user_data;
 	world_t *world = call->process->world;
 
-	note(world, "client: %s ended: %d", call->job->id, found);
+	model_note(&world->trace, "client: %s ended: %d", call->job->id, found);
 	if (found == JOB_FOUND && !call->job->ended)
-		violate(world, "job %s is acknowledged as ended, but open",
-			call->job->id);
+		model_violate(&world->trace,
+			      "job %s is acknowledged as ended, but open",
+			      call->job->id);
 	if (found == JOB_FOUND && !call->job->end_acknowledged_us)
 		call->job->end_acknowledged_us = world->now_us;
 	if (found == JOB_MISSING && call->accepted)
-		violate(world, "accepted job %s is missing to its end",
-			call->job->id);
+		model_violate(&world->trace,
+			      "accepted job %s is missing to its end",
+			      call->job->id);
 	g_free(call);
 }
 
@@ -1404,9 +1328,10 @@
 		event->node =
 			owner_of(world, &world->jobs[event->job], event->node);
 	process = process_of(world, event->node);
-	note(world, "event %s node=%d job=%d argument=%d length_ms=%d",
-	     event_names[event->kind], event->node, event->job, event->argument,
-	     event->length_ms);
+	model_note(&world->trace,
+		   "event %s node=%d job=%d argument=%d length_ms=%d",
+		   event_names[event->kind], event->node, event->job,
+		   event->argument, event->length_ms);
 	switch (event->kind) {
 	case EVENT_RESTART:
 		restart(world, event);
@@ -1550,7 +1475,7 @@
 	world->runner_calls = g_ptr_array_new_with_free_func(g_free);
 	world->peer_calls = g_ptr_array_new();
 	world->completions = g_array_new(FALSE, FALSE, sizeof(completion_t));
-	g_queue_init(&world->trace);
+	model_trace_init(&world->trace, &world->now_us);
 	noisy = chance(world, 50);
 	world->fail_percent = chance(world, 30) ? 10 : 0;
 	world->calm = (model_weather_t){ .refused = noisy ? 2 : 0,
@@ -1576,15 +1501,14 @@
  * the history. */
 static void world_free(world_t *world)
 {
-	current_clock = NULL;
+	model_run_set_clock(NULL);
 	for (guint i = 0; i < world->processes->len; i++)
 		event_base_free(
 			((process_t *)world->processes->pdata[i])->base);
 	model_store_free(world->store);
 	for (int i = 0; i < world->jobs_count; i++)
 		g_ptr_array_unref(world->jobs[i].positions);
-	g_free(world->violation);
-	g_queue_clear_full(&world->trace, g_free);
+	model_trace_clear(&world->trace);
 }
 
 static void step_nodes(world_t *world)
@@ -1651,7 +1575,7 @@
 {
 	const model_weather_t fair = { .delay_ms = 10, .stale_ms = 500 };
 
-	note(world, "faults end");
+	model_note(&world->trace, "faults end");
 	world->settling = true;
 	for (int i = 0; i < TRAPS_MAX; i++)
 		world->traps[i].kind = NULL;
@@ -1689,16 +1613,17 @@
 static void check_outcome(world_t *world, const model_job_t *job)
 {
 	if (job->accepted && !is_stored(world, job))
-		violate(world, "accepted job %s is lost", job->id);
+		model_violate(&world->trace, "accepted job %s is lost",
+			      job->id);
 	if (must_close(world, job) && !job->closed)
-		violate(world,
-			"job %s is open %d s after the last fault, "
-			"with %u of %d results",
-			job->id, SETTLE_MS / 1000, job->positions->len,
-			job->items);
+		model_violate(&world->trace,
+			      "job %s is open %d s after the last fault, "
+			      "with %u of %d results",
+			      job->id, SETTLE_MS / 1000, job->positions->len,
+			      job->items);
 	if (job->submissions > 0 && job->refusals == job->submissions &&
 	    is_stored(world, job))
-		violate(world, "refused job %s exists", job->id);
+		model_violate(&world->trace, "refused job %s exists", job->id);
 }
 
 /* Reads each job at each node. */
@@ -1716,23 +1641,24 @@
 			read_job(process, i, 0);
 		}
 	}
-	for (int ms = 0; ms < 2000 && !world->violation; ms += STEP_MS)
+	for (int ms = 0; ms < 2000 && !world->trace.violation; ms += STEP_MS)
 		step(world);
 	for (int i = 0; i < world->jobs_count; i++)
 		if (world->jobs[i].known < results[i] && !world->jobs[i].large)
-			violate(world, "job %s has %u results, %u were read",
-				world->jobs[i].id, results[i],
-				world->jobs[i].known);
+			model_violate(&world->trace,
+				      "job %s has %u results, %u were read",
+				      world->jobs[i].id, results[i],
+				      world->jobs[i].known);
 }
 
 static void play(world_t *world)
 {
 	int next = 0;
 
-	log_set_sink(trace_line, world);
+	log_set_sink(model_trace_line, &world->trace);
 	for (int i = 0; i < world->nodes_count; i++)
 		start_process(world, i);
-	while (next < world->events_count && !world->violation) {
+	while (next < world->events_count && !world->trace.violation) {
 		step(world);
 		while (next < world->events_count &&
 		       world->events[next].at_ms * 1000 <=
@@ -1742,23 +1668,23 @@
 			next++;
 		}
 	}
-	for (int ms = 0; ms < 2000 && !world->violation; ms += STEP_MS)
+	for (int ms = 0; ms < 2000 && !world->trace.violation; ms += STEP_MS)
 		step(world);
 	heal(world);
 	for (int ms = 0;
-	     ms < SETTLE_MS && !world->violation && !all_closed(world);
+	     ms < SETTLE_MS && !world->trace.violation && !all_closed(world);
 	     ms += STEP_MS)
 		step(world);
 	for (int i = 0; i < world->jobs_count; i++)
 		check_outcome(world, &world->jobs[i]);
 	/* Writes that come late and jobs that run anew. */
-	for (int ms = 0; ms < 7000 && !world->violation; ms += STEP_MS)
+	for (int ms = 0; ms < 7000 && !world->trace.violation; ms += STEP_MS)
 		step(world);
 	read_all(world);
-	current_clock = NULL;
+	model_run_set_clock(NULL);
 }
 
-/* Command line */
+/* What the history is played by */
 
 static void print_events(const world_t *world)
 {
@@ -1775,241 +1701,65 @@
 	}
 }
 
-/* Plays a history without the events of the mask in a process of its own. */
-static bool fails_without(uint64_t seed, uint64_t skipped)
+static void *create_world(uint64_t seed)
 {
-	int status = 0;
-	pid_t child;
-
-	fflush(stdout);
-	child = fork();
-	if (child == 0) {
-		world_t *world = world_new(seed);
-
-		log_init("-", LOG_NOTHING);
-		for (int i = 0; i < world->events_count; i++)
-			world->events[i].skipped = skipped >> i & 1;
-		play(world);
-		_exit(world->violation ? CHILD_FAILED : 0);
-	}
-	if (child < 0 || waitpid(child, &status, 0) < 0)
-		return false;
-	return status != 0;
+	return world_new(seed);
 }
 
-/* Leaves out events as long as the history fails. */
-static uint64_t shrink(uint64_t seed, int events)
+static void skip_events(void *data, uint64_t events)
 {
-	uint64_t skipped = 0;
-	bool shorter = true;
+	world_t *world = data;
 
-	while (shorter) {
-		shorter = false;
-		for (int i = events; i-- > 0;) {
-			uint64_t further = skipped | 1ULL << i;
-
-			if (further == skipped || !fails_without(seed, further))
-				continue;
-			skipped = further;
-			shorter = true;
-		}
-	}
-	return skipped;
+	for (int i = 0; i < world->events_count; i++)
+		world->events[i].skipped = events >> i & 1;
 }
 
-/* Returns whether the history holds. */
-static bool play_seed(uint64_t seed)
+static void play_world(void *data)
 {
-	world_t *world = world_new(seed);
-	uint64_t skipped;
-	char *line;
-
-	log_init("-", LOG_NOTHING);
-	if (!fails_without(seed, 0)) {
-		printf("seed %" G_GUINT64_FORMAT " holds\n", seed);
-		return true;
-	}
-	skipped = shrink(seed, world->events_count);
-	for (int i = 0; i < world->events_count; i++)
-		world->events[i].skipped = skipped >> i & 1;
-	world->traces = true;
-	print_events(world);
-	/* The log lines are printed with the events of the model. */
-	if (!freopen("/dev/null", "w", stderr))
-		printf("the log is on standard error, too\n");
-	play(world);
-	while ((line = g_queue_pop_head(&world->trace)) != NULL) {
-		printf("%s\n", line);
-		g_free(line);
-	}
-	printf("seed %" G_GUINT64_FORMAT " fails: %s\n", seed,
-	       world->violation ? world->violation : "without its trace");
-	return false;
+	play(data);
 }
 
-/* What a process reports that plays several histories. */
-typedef struct chunk_report {
-	uint64_t histories;
-	uint64_t steps;
-	uint64_t failed; /* seed of the last history begun */
-} chunk_report_t;
-
-static void play_chunk(uint64_t from, uint64_t count, int64_t until_ms, int fd)
+static void destroy_world(void *data)
 {
-	chunk_report_t report = { 0 };
-
-	log_init("-", LOG_NOTHING);
-	for (uint64_t i = 0; i < count; i++) {
-		world_t *world = world_new(from + i);
-
-		play(world);
-		report.histories++;
-		report.steps += world->steps;
-		if (world->violation) {
-			fprintf(stderr,
-				"seed %" G_GUINT64_FORMAT " fails: %s\n",
-				from + i, world->violation);
-			report.failed++;
-		}
-		world_free(world);
-		if (until_ms && real_ms() >= until_ms)
-			break;
-	}
-	if (write(fd, &report, sizeof(report)) != (ssize_t)sizeof(report))
-		_exit(USAGE_STATUS);
-	_exit(report.failed ? CHILD_FAILED : 0);
+	world_free(data);
 }
 
-static bool run_chunk(uint64_t from, uint64_t count, int64_t until_ms,
-		      chunk_report_t *total)
+static void print_world(const void *data)
 {
-	chunk_report_t report = { 0 };
-	int status = 0;
-	int fds[2];
-	pid_t child;
-
-	fflush(stdout);
-	if (pipe(fds) != 0)
-		return false;
-	child = fork();
-	if (child == 0)
-		play_chunk(from, count, until_ms, fds[1]);
-	close(fds[1]);
-	if (read(fds[0], &report, sizeof(report)) != (ssize_t)sizeof(report)) {
-		fprintf(stderr,
-			"a history of seeds %" G_GUINT64_FORMAT
-			" to %" G_GUINT64_FORMAT " ended its process\n",
-			from, from + count - 1);
-		report.failed++;
-	}
-	close(fds[0]);
-	if (child > 0)
-		waitpid(child, &status, 0);
-	total->histories += report.histories;
-	total->steps += report.steps;
-	total->failed += report.failed;
-	return status == 0 && !report.failed;
+	print_events(data);
 }
 
-/* Histories that failed on a build with a fault since fixed, beyond the fixed
- * ones. */
-static const uint64_t regressions[] = { 479, 725, 1150, 1208 };
-
-static bool play_regressions(void)
+static model_trace_t *trace_of(void *data)
 {
-	chunk_report_t total = { 0 };
-	bool hold = true;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
-		hold &= run_chunk(regressions[i], 1, 0, &total);
-	return hold;
+	return &((world_t *)data)->trace;
 }
 
-/* Plays histories from a seed on, until their number or the time is over. */
-static int play_histories(uint64_t from, uint64_t histories, int64_t seconds)
+static int count_events(const void *data)
 {
-	chunk_report_t total = { 0 };
-	int64_t started_ms = real_ms();
-	int64_t until_ms = seconds ? started_ms + seconds * 1000 : 0;
-	double elapsed_s;
-
-	while (until_ms ? real_ms() < until_ms : total.histories < histories) {
-		uint64_t count = CHUNK_HISTORIES;
-		uint64_t before = total.histories;
-
-		if (!until_ms)
-			count = MIN(count, histories - total.histories);
-		run_chunk(from + total.histories, count, until_ms, &total);
-		if (total.histories == before)
-			break;
-	}
-	elapsed_s = (double)(real_ms() - started_ms) / 1000;
-	printf("%" G_GUINT64_FORMAT " histories in %.1f s (%.1f per second), "
-	       "%.0f steps a history, %" G_GUINT64_FORMAT " failed\n",
-	       total.histories, elapsed_s, (double)total.histories / elapsed_s,
-	       (double)total.steps / (double)MAX(total.histories, 1),
-	       total.failed);
-	return total.failed ? 1 : 0;
+	return ((const world_t *)data)->events_count;
 }
 
-static bool parse_number(const char *text, uint64_t *number)
+static uint64_t count_steps(const void *data)
 {
-	char *end = NULL;
-
-	if (!text || !g_ascii_isdigit(*text))
-		return false;
-	errno = 0;
-	*number = g_ascii_strtoull(text, &end, 10);
-	return errno == 0 && *end == '\0';
+	return ((const world_t *)data)->steps;
 }
 
 int main(int argc, char **argv)
 {
-	uint64_t seed = 0, histories = 0, seconds = 0, from = 1;
-	bool has_seed = false;
-	bool holds = true;
-
-	for (int i = 1; i < argc; i += 2) {
-		static const char *const names[] = { "--seed", "--histories",
-						     "--seconds", "--from" };
-		uint64_t *const values[] = { &seed, &histories, &seconds,
-					     &from };
-		size_t option = 0;
-
-		while (option < G_N_ELEMENTS(names) &&
-		       strcmp(argv[i], names[option]) != 0)
-			option++;
-		if (option == G_N_ELEMENTS(names)) {
-			fprintf(stderr, "unknown argument: %s\n", argv[i]);
-			return USAGE_STATUS;
-		}
-		if (!parse_number(argv[i + 1], values[option])) {
-			fprintf(stderr, "%s needs a number, not \"%s\"\n",
-				argv[i], argv[i + 1] ? argv[i + 1] : "");
-			return USAGE_STATUS;
-		}
-		has_seed |= option == 0;
-		if (*values[option] < 1 || *values[option] > NUMBER_MAX) {
-			fprintf(stderr, "%s is not from 1 to %lld\n", argv[i],
-				NUMBER_MAX);
-			return USAGE_STATUS;
-		}
-	}
-	if ((has_seed && argc > 3) || (histories && seconds)) {
-		fprintf(stderr,
-			"--seed, --histories and --seconds exclude each "
-			"other\n");
-		return USAGE_STATUS;
-	}
-	if (has_seed)
-		return play_seed(seed) ? 0 : 1;
-	if (!histories && !seconds) {
-		histories = FIXED_HISTORIES;
-		holds = play_regressions();
-	}
-	if (!holds) {
-		play_histories(from, histories, (int64_t)seconds);
-		return 1;
-	}
-	return play_histories(from, histories, (int64_t)seconds);
+	static const uint64_t regressions[] = { 479, 725, 1150, 1208 };
+	static const model_run_t run = {
+		.create = create_world,
+		.skip = skip_events,
+		.play = play_world,
+		.destroy = destroy_world,
+		.print_events = print_world,
+		.trace = trace_of,
+		.events = count_events,
+		.steps = count_steps,
+		.regressions = regressions,
+		.regressions_count = G_N_ELEMENTS(regressions),
+		.fixed = FIXED_HISTORIES,
+	};
+
+	return model_run_main(&run, argc, argv);
 }
