Cancel reads that nobody waits for

A watch that had been given up went on for up to 26 s: at the store, on a connection of its own, and at a node that made it for another one.

A node that loses the store cancels the reads that it makes for others, and makes at most 2,000 at one time. Tests of each failed or did not compile before.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -99,6 +99,18 @@
 	call_later(follow, follow->retry_ms);
 }
 
+/* Ends the call in flight. */
+static void cancel_call(follow_t *follow)
+{
+	follow_call_t *call = follow->call;
+
+	follow->call = NULL;
+	if (object_cancel(follow->options.store, call))
+		g_free(call);
+	else
+		call->follow = NULL;
+}
+
 /* Gives up the watch of a view that has waited since before the time and lists
  * its objects. */
 static void renew(follow_t *follow, int64_t before_us)
@@ -111,8 +123,7 @@
 		 follow->prefix,
 		 (clock_now_us(follow->options.clock) - call->started_us) /
 			 1000);
-	call->follow = NULL;
-	follow->call = NULL;
+	cancel_call(follow);
 	relist(follow);
 	call_store(follow);
 }
@@ -363,8 +374,7 @@
 		 follow->prefix, follow->revision, listing->revision,
 		 listing->entries->len, waited_us / 1000);
 	follow->missed++;
-	follow->call->follow = NULL;
-	follow->call = NULL;
+	cancel_call(follow);
 }
 
 static void apply_check(follow_t *follow, int64_t started_us,
--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -37,7 +37,7 @@
 	 * watched; "": the store itself. */
 	GHashTable *sources;
 	store_relay_server_t *server; /* of calls of other nodes */
-	GQueue relayed_reads; /* own_call_t, reads that another node makes */
+	GQueue reads; /* own_call_t, in progress */
 	int64_t *relayed_total;
 	int64_t *recalled_total;
 };
@@ -63,10 +63,15 @@
 	void *user_data;
 	int64_t started_us;
 	relayed_leg_t *leg; /* NULL: direct */
-	GList link; /* in relayed_reads, if in_list */
-	bool in_list;
+	GList link; /* in the relay's reads, if it is one */
 };
 
+static bool is_read(const own_call_t *call)
+{
+	return call->operation == STORE_GET || call->operation == STORE_LIST ||
+	       call->operation == STORE_WATCH;
+}
+
 static own_call_t *own_call_new(const relay_store_t *store,
 				store_operation operation, const char *key,
 				void *user_data)
@@ -78,11 +83,15 @@
 	call->key = g_strdup(key);
 	call->user_data = user_data;
 	call->link.data = call;
+	if (is_read(call))
+		g_queue_push_tail_link(&store->relay->reads, &call->link);
 	return call;
 }
 
 static void own_call_free(own_call_t *call)
 {
+	if (is_read(call))
+		g_queue_unlink(&call->store->relay->reads, &call->link);
 	g_free(call->key);
 	g_free(call->after);
 	g_free(call);
@@ -93,15 +102,6 @@
 {
 	call->leg->call = NULL;
 	call->leg = NULL;
-	if (call->in_list)
-		g_queue_unlink(&call->store->relay->relayed_reads, &call->link);
-	call->in_list = false;
-}
-
-static bool is_read(const own_call_t *call)
-{
-	return call->operation == STORE_GET || call->operation == STORE_LIST ||
-	       call->operation == STORE_WATCH;
 }
 
 bool store_relay_is_direct(const store_relay_t *relay)
@@ -288,10 +288,6 @@
 	call->leg = g_new0(relayed_leg_t, 1);
 	call->leg->call = call;
 	options.user_data = call->leg;
-	if (is_read(call)) {
-		call->in_list = true;
-		g_queue_push_tail_link(&relay->relayed_reads, &call->link);
-	}
 	(*relay->relayed_total)++;
 	rpc_client_call(relay->options.client, &options);
 }
@@ -349,15 +345,39 @@
  * the store meanwhile, or stand still. */
 static void recall_reads(store_relay_t *relay)
 {
-	GList *link;
+	GQueue *reads = &relay->reads;
+	GPtrArray *relayed = g_ptr_array_new();
 
-	while ((link = g_queue_peek_head_link(&relay->relayed_reads))) {
-		own_call_t *call = link->data;
+	for (GList *link = reads->head; link; link = link->next)
+		if (((own_call_t *)link->data)->leg)
+			g_ptr_array_add(relayed, link->data);
+	for (guint i = 0; i < relayed->len; i++) {
+		own_call_t *call = relayed->pdata[i];
 
 		detach_leg(call);
 		(*relay->recalled_total)++;
 		read_directly(call);
 	}
+	g_ptr_array_free(relayed, TRUE);
+}
+
+static bool relay_cancel(object_store_t *base, void *user_data)
+{
+	store_relay_t *relay = ((relay_store_t *)base)->relay;
+
+	for (GList *link = relay->reads.head; link; link = link->next) {
+		own_call_t *call = link->data;
+
+		if (call->user_data != user_data)
+			continue;
+		if (call->leg)
+			detach_leg(call);
+		else if (!object_cancel(call->store->direct, call))
+			return false;
+		own_call_free(call);
+		return true;
+	}
+	return false;
 }
 
 static void on_probed(const object_value_t *value, const GError *error,
@@ -498,6 +518,7 @@
 	.remove = relay_remove,
 	.list = relay_list,
 	.watch = relay_watch,
+	.cancel = relay_cancel,
 };
 
 static bool serves_others(void *user_data)
@@ -537,7 +558,7 @@
 	relay->options = *options;
 	relay->sources =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g_queue_init(&relay->relayed_reads);
+	g_queue_init(&relay->reads);
 	relay->recalled_total =
 		counter_get(options->counters, COUNTER_MONOTONIC,
 			    "store_calls_recalled_total", NULL);
--- a/src/gateway/store_relay_server.c
+++ b/src/gateway/store_relay_server.c
@@ -14,6 +14,7 @@
 
 typedef struct served_call {
 	store_relay_server_t *server;
+	object_store_t *store;
 	rpc_call_t *call; /* NULL: has been answered */
 	int64_t started_us;
 	GList link; /* in reads, if it is one */
@@ -101,11 +102,13 @@
 }
 
 static served_call_t *served_call_new(store_relay_server_t *server,
-				      rpc_call_t *call, bool read)
+				      object_store_t *store, rpc_call_t *call,
+				      bool read)
 {
 	served_call_t *served = g_new0(served_call_t, 1);
 
 	served->server = server;
+	served->store = store;
 	served->call = call;
 	served->started_us = clock_now_us(server->options.clock);
 	served->read = read;
@@ -126,13 +129,14 @@
 	served_call_t *served;
 
 	if (args->operation < STORE_GET || args->operation > STORE_WATCH ||
+	    (!write && server->reads.length >= STORE_RELAY_READS_MAX) ||
 	    !server->options.is_direct(server->options.user_data)) {
 		(*server->refused_total)++;
 		rpc_reply_unavailable(call);
 		return;
 	}
 	(*server->served_total)++;
-	served = served_call_new(server, call, !write);
+	served = served_call_new(server, store, call, !write);
 	switch (args->operation) {
 	case STORE_GET:
 		object_get(store, args->key, on_served, served);
@@ -172,8 +176,12 @@
 		log_info("served_reads_ended", "count=%u",
 			 server->reads.length);
 	while ((link = g_queue_peek_head_link(&server->reads))) {
+		served_call_t *served = link->data;
+
 		(*server->ended_total)++;
-		send_result(link->data, &result);
+		send_result(served, &result);
+		if (object_cancel(served->store, served))
+			g_free(served);
 	}
 }
 
--- a/src/gateway/store_relay_server.h
+++ b/src/gateway/store_relay_server.h
@@ -17,6 +17,9 @@
 /* Longest wait of a watch for another node. It is not ended when that node needs
  * it no more. */
 #define STORE_RELAY_WATCH_MS 5000
+/* Reads that are made at one time; further ones are refused. Enough for the views of
+ * a few hundred nodes. */
+#define STORE_RELAY_READS_MAX 2000
 
 typedef struct store_relay_server store_relay_server_t;
 
--- a/src/object/object_store.h
+++ b/src/object/object_store.h
@@ -2,14 +2,15 @@
 #define WASABILINK_PLATFORM_OBJECT_STORE_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /*
  * object_store - the platform's object API as a table of operations.
  *
- * Calls are asynchronous: each completion runs exactly once, never before the
- * call returns. Errors are of the domain WL_ERROR:
+ * Calls are asynchronous: each completion runs exactly once, unless the call is
+ * cancelled, never before the call returns. Errors are of the domain WL_ERROR:
  *   WL_ERROR_NOT_FOUND     no such object
  *   WL_ERROR_CONFLICT      version mismatch; version and writer tell whose
  *   WL_ERROR_TOO_LARGE     value above OBJECT_MAX_BYTES
@@ -82,6 +83,8 @@
 		      void *user_data);
 	void (*vms)(object_store_t *store, object_vms_done_t done,
 		    void *user_data);
+	/* NULL: reads are not cancelled. */
+	bool (*cancel)(object_store_t *store, void *user_data);
 	void (*destroy)(object_store_t *store);
 } object_store_ops_t;
 
@@ -131,6 +134,13 @@
 	store->ops->vms(store, done, user_data);
 }
 
+/* Ends the read with the user data. Returns false if the store cannot; the
+ * completion then still runs. */
+static inline bool object_cancel(object_store_t *store, void *user_data)
+{
+	return store->ops->cancel && store->ops->cancel(store, user_data);
+}
+
 static inline void object_store_free(object_store_t *store)
 {
 	if (store)
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -14,7 +14,8 @@
 	struct event_base *base;
 	struct evconnlistener *listener;
 	char address[32];
-	const char *body;
+	const char *body; /* NULL: requests have no answer */
+	int closed; /* connections that the client has closed */
 } stand_in_t;
 
 /* What the client made of the answer. */
@@ -33,6 +34,8 @@
 
 	evbuffer_drain(bufferevent_get_input(bev),
 		       evbuffer_get_length(bufferevent_get_input(bev)));
+	if (!store->body)
+		return;
 	evbuffer_add_printf(bufferevent_get_output(bev),
 			    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
 			    strlen(store->body), store->body);
@@ -40,6 +43,9 @@
 
 static void on_closed(struct bufferevent *bev, short events, void *arg)
 {
+	stand_in_t *store = arg;
+
+	store->closed++;
 	bufferevent_free(bev);
 }
 
@@ -144,11 +150,45 @@
 	}
 }
 
+/* Guards against calls that go on at the store, and hold a connection, when
+ * nobody waits for them. */
+static void test_cancelled_watch(void)
+{
+	store_client_options_t options = { .timeout_ms = 5000 };
+	outcome_t outcome = { 0 };
+	outcome_t other = { 0 };
+	object_store_t *store;
+	stand_in_t server = { 0 };
+
+	stand_in_init(&server, NULL);
+	outcome.base = other.base = server.base;
+	options.client = http_client_new(server.base);
+	options.address = server.address;
+	store = store_client_new(&options);
+	object_watch(store, "runners/", 1, 25000, on_listed, &outcome);
+	object_watch(store, "runners/", 2, 25000, on_listed, &other);
+	for (int i = 0; i < 20; i++)
+		event_base_loop(server.base, EVLOOP_NONBLOCK);
+	CU_ASSERT(object_cancel(store, &outcome));
+	CU_ASSERT_FALSE(object_cancel(store, &outcome));
+	for (int i = 0; i < 1000 && !server.closed; i++)
+		event_base_loop(server.base, EVLOOP_NONBLOCK);
+	CU_ASSERT_EQUAL(server.closed, 1);
+	CU_ASSERT_EQUAL(outcome.calls, 0);
+	CU_ASSERT_EQUAL(other.calls, 0);
+	CU_ASSERT(object_cancel(store, &other));
+	object_store_free(store);
+	http_client_free(options.client);
+	evconnlistener_free(server.listener);
+	event_base_free(server.base);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "odd object", test_odd_object },
 		{ "cut page", test_cut_page },
+		{ "cancelled watch", test_cancelled_watch },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -11,7 +11,7 @@
 #define CHANGES (STORE_ENTRIES_MAX + 1)
 #define REVISION 9000
 
-#define WATCHES_MAX 4
+#define WATCHES_MAX (STORE_RELAY_READS_MAX + 1)
 
 /* A watch that waits. */
 typedef struct held_watch {
@@ -30,6 +30,8 @@
 	held_watch_t held[WATCHES_MAX];
 	int held_count;
 	int32_t waits_ms; /* of the last watch */
+	int cancelled;
+	bool keeps; /* does not cancel */
 } busy_store_t;
 
 static void busy_get(object_store_t *store, const char *key, object_done_t done,
@@ -86,9 +88,26 @@
 		answer(done, user_data);
 }
 
+static bool busy_cancel(object_store_t *store, void *user_data)
+{
+	busy_store_t *busy = (busy_store_t *)store;
+
+	for (int i = 0; i < busy->held_count; i++) {
+		if (busy->held[i].user_data != user_data)
+			continue;
+		busy->cancelled++;
+		if (busy->keeps)
+			return false;
+		busy->held[i].user_data = NULL;
+		return true;
+	}
+	return false;
+}
+
 static const object_store_ops_t busy_ops = { .get = busy_get,
 					     .list = busy_list,
-					     .watch = busy_watch };
+					     .watch = busy_watch,
+					     .cancel = busy_cancel };
 
 /* A node with the store as it sees it. */
 typedef struct node {
@@ -333,7 +352,7 @@
 	fixture_t fixture;
 
 	start(&fixture);
-	fixture.other.store.holds = true;
+	fixture.other.store.holds = fixture.other.store.keeps = true;
 	object_watch(store_relay_store(fixture.own.relay), "k/", 7, 1000,
 		     on_unavailable, &fixture);
 	loop_until_watch(&fixture);
@@ -345,7 +364,8 @@
 	event_base_dispatch(fixture.base);
 	CU_ASSERT_EQUAL(fixture.answers, 2);
 	CU_ASSERT_EQUAL(fixture.other.store.watches, 1);
-	/* The store's answer comes late. */
+	CU_ASSERT_EQUAL(fixture.other.store.cancelled, 1);
+	/* A store that cannot cancel answers late. */
 	answer(fixture.other.store.held[0].done,
 	       fixture.other.store.held[0].user_data);
 	for (int i = 0; i < 10; i++)
@@ -368,6 +388,82 @@
 	end(&fixture);
 }
 
+/* Guards against calls that go on when nobody waits for them: at the store, or as
+ * an answer of another node that is passed on. */
+static void test_cancelled_reads(void)
+{
+	fixture_t fixture;
+	object_store_t *store;
+
+	start(&fixture);
+	store = store_relay_store(fixture.own.relay);
+	fixture.own.store.holds = fixture.other.store.holds = true;
+	object_watch(store, "k/", 7, 1000, on_answer, &fixture);
+	loop_until_watch(&fixture);
+	CU_ASSERT(object_cancel(store, &fixture));
+	CU_ASSERT_FALSE(object_cancel(store, &fixture));
+	answer(fixture.other.store.held[0].done,
+	       fixture.other.store.held[0].user_data);
+	for (int i = 0; i < 10; i++)
+		event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+	CU_ASSERT_EQUAL(fixture.answers, 0);
+	fixture.own.store.serves = true;
+	clock_manual_advance_ms(&fixture.clock, 1000);
+	store_relay_tick(fixture.own.relay);
+	CU_ASSERT_EQUAL(fixture.own.store.watches, 0);
+	object_watch(store, "k/", 7, 1000, on_answer, &fixture);
+	CU_ASSERT_EQUAL(fixture.own.store.watches, 1);
+	CU_ASSERT(object_cancel(store, &fixture));
+	CU_ASSERT_EQUAL(fixture.own.store.cancelled, 1);
+	end(&fixture);
+}
+
+static void on_refused_call(const void *result, const GError *error,
+			    void *user_data)
+{
+	fixture_t *fixture = user_data;
+
+	CU_ASSERT(error && error->code == WL_ERROR_UNAVAILABLE);
+	fixture->answers++;
+	event_base_loopbreak(fixture->base);
+}
+
+/* Guards against other nodes that fill this one's memory with calls. */
+static void test_served_reads_are_bounded(void)
+{
+	const store_call_args args = {
+		.operation = STORE_WATCH,
+		.key = (char *)"k/",
+		.after = (char *)"",
+		.writer = (char *)"",
+		.timeout_ms = 1000,
+	};
+	fixture_t fixture;
+	char address[32];
+	rpc_call_options_t call = {
+		.address = address,
+		.program = PEER_PROGRAM,
+		.procedure = PEER_STORE_CALL,
+		.encode = (xdrproc_t)xdr_store_call_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_store_call_result,
+		.result_size = sizeof(store_call_result),
+		.timeout_ms = 5000,
+		.done = on_refused_call,
+	};
+
+	start(&fixture);
+	fixture.other.store.holds = true;
+	call.user_data = &fixture;
+	find_other(&fixture, address, sizeof(address));
+	for (int i = 0; i <= STORE_RELAY_READS_MAX; i++)
+		rpc_client_call(fixture.own.client, &call);
+	event_base_dispatch(fixture.base);
+	CU_ASSERT_EQUAL(fixture.other.store.watches, STORE_RELAY_READS_MAX);
+	CU_ASSERT_EQUAL(fixture.answers, 1);
+	end(&fixture);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -378,6 +474,8 @@
 		{ "late end of old watches", test_late_end_of_old_watches },
 		{ "other node loses contact", test_other_node_loses_contact },
 		{ "relayed watch is short", test_relayed_watch_is_short },
+		{ "cancelled reads", test_cancelled_reads },
+		{ "served reads are bounded", test_served_reads_are_bounded },
 		{ NULL, NULL },
 	};
 
