Check the views of the store with random histories

The views get a check that searches: whole gateways of one to seven nodes on a clock of their own, over a store that falls silent or refuses calls for some of them, leaves watches unanswered and drops its history; nodes freeze, crash, and are cut off from each other; datagrams are lost, late and doubled. A node that has run and reached the store for 3 s must have each change of the configuration and of the runners within a second of its acknowledgement, goes back to nothing older, and has a bounded number of calls in progress.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,14 @@
 	$(BUILD)/tests/model_run.o
 $(BUILD)/tests/test_job_protocol: override LDFLAGS += \
 	-Wl,--wrap=rpc_client_call,--wrap=rpc_server_register,--wrap=rpc_reply
+# So do the sockets and random sources of whole gateways.
+$(BUILD)/tests/test_view_protocol: $(BUILD)/tests/model_store.o \
+	$(BUILD)/tests/model_run.o
+$(BUILD)/tests/test_view_protocol: override LDFLAGS += -Wl,--wrap=g_rand_new \
+	-Wl,--wrap=socket,--wrap=bind,--wrap=sendto,--wrap=recvfrom \
+	-Wl,--wrap=rpc_client_new,--wrap=rpc_server_new \
+	-Wl,--wrap=rpc_client_call,--wrap=rpc_server_register \
+	-Wl,--wrap=rpc_reply,--wrap=rpc_reply_unavailable
 
 $(BUILD)/fuzzer: $(BUILD)/tests/fuzz/fuzzer.o $(FUZZ_TARGET_OBJ) $(OBJS)
 	$(CC) $(CFLAGS) -fsanitize=fuzzer $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- a/src/gateway/view_age.h
+++ b/src/gateway/view_age.h
@@ -25,7 +25,7 @@
  */
 /* An acknowledged change is to be known everywhere within a second, the time of
  * the check's own call included. */
-#define VIEW_AGE_CHECK_MS 600
+#define VIEW_AGE_CHECK_MS 500
 /* Random addition, at most. */
 #define VIEW_AGE_SPREAD_MS 300
 /* A view that has not been confirmed for so long may lack changes that are in
--- a/tests/model_store.c
+++ b/tests/model_store.c
@@ -418,7 +418,7 @@
 	}
 }
 
-void model_client_silence(model_client_t *client)
+void model_client_silence(model_client_t *client, bool watches_only)
 {
 	const model_store_t *store = client->store;
 
@@ -426,7 +426,8 @@
 		model_call_t *call = store->calls->pdata[i];
 
 		if (call->client != client || call->executed ||
-		    call->answer_us != NEVER)
+		    call->answer_us != NEVER ||
+		    (watches_only && call->timeout_ms == 0))
 			continue;
 		call->execute_us = NEVER;
 		call->error = WL_ERROR_TIMEOUT;
@@ -599,7 +600,8 @@
 	if (client->weather->silent)
 		fix_answer(call, WL_ERROR_TIMEOUT,
 			   (timeout_ms + CALL_TIMEOUT_MS) * 1000LL);
-	if (call->answer_us != NEVER)
+	/* A watch that does not wait is answered as any read. */
+	if (call->answer_us != NEVER || timeout_ms == 0)
 		return;
 	if (draw_percent(store, client->weather->watch_cut)) {
 		fix_answer(call, WL_ERROR_TRUNCATED,
@@ -612,12 +614,31 @@
 	}
 }
 
+static bool cancel(object_store_t *base, void *user_data)
+{
+	const model_client_t *client = (model_client_t *)base;
+	const model_store_t *store = client->store;
+
+	for (guint i = 0; i < store->calls->len; i++) {
+		model_call_t *call = store->calls->pdata[i];
+
+		if (call->client != client || call->user_data != user_data ||
+		    (!call->done && !call->list_done))
+			continue;
+		call->done = NULL;
+		call->list_done = NULL;
+		return true;
+	}
+	return false;
+}
+
 static const object_store_ops_t ops = {
 	.get = get,
 	.put = put,
 	.remove = remove_object,
 	.list = list,
 	.watch = watch,
+	.cancel = cancel,
 };
 
 model_client_t *model_client_new(model_store_t *store,
--- a/tests/model_store.h
+++ b/tests/model_store.h
@@ -70,9 +70,9 @@
 object_store_t *model_client_object(model_client_t *client);
 /* Runs the completions that are due. */
 void model_client_deliver(model_client_t *client);
-/* Leaves the calls in progress without an answer until their time limit, as when
- * the store falls silent for this client. */
-void model_client_silence(model_client_t *client);
+/* Leaves the calls in progress, or the watches that wait, without an answer until
+ * their time limit, as when the store falls silent for this client. */
+void model_client_silence(model_client_t *client, bool watches_only);
 /* Number of calls in progress. */
 uint32_t model_client_calls(const model_client_t *client);
 /* Is told of each call before it is sent; returns false when the process ends
