Do not take late news of a view for fresh ones

A node had a change 1,020 ms after its acknowledgement, over the bound of a second: of test_view_protocol, one of some 25,000 histories.

Cause: news of a view tell how long ago they were known, counted from the arrival of the report. A report that is held up on its way, 20 to 300 ms in that model, makes the view seem confirmed that much later than it was, and its check is put off as long.

Reports carry the time of the sender's clock. The least difference to the receiver's is that of the fastest reports; what a report takes beyond it is added to the age of its news. Another process of the node begins anew, and the difference may grow by 0.2 per thousand, for clocks that differ. The part of the report is not released yet, so its form may change.

--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -20,6 +20,8 @@
  * tells all that the node has sent, most of it long ago if this node is the one
  * that has just started. */
 #define FIRST_SENT_MAX 2
+/* Clocks of VMs differ by less than 1 in this. */
+#define CLOCK_DRIFT_DIVISOR 5000
 
 typedef struct peer {
 	char *node;
@@ -39,6 +41,10 @@
 	load_contact contact; /* its arrays are from XDR */
 	load_news_t news[LOAD_NEWS_MAX];
 	uint32_t news_count;
+	/* Least difference between this clock and the peer's when a report came:
+	 * a greater one is the time that a report was held up on its way. */
+	int64_t clock_offset_us; /* INT64_MAX: no report came yet */
+	int64_t offset_us; /* time of the last report */
 } peer_t;
 
 /* Sums over all peers for one runner. */
@@ -192,7 +198,7 @@
 {
 	size_t len = xdr_getpos(xdrs);
 	load_view_news entries[LOAD_VIEWS_MAX];
-	load_views views = { { own->news_count, entries } };
+	load_views views = { now_us, { own->news_count, entries } };
 
 	for (uint32_t i = 0; i < own->news_count; i++) {
 		const view_news_t *news = &own->news[i].news;
@@ -378,6 +384,7 @@
 		return peer;
 	peer = g_new0(peer_t, 1);
 	peer->node = g_strdup(node);
+	peer->clock_offset_us = INT64_MAX;
 	peer->entries = g_array_new(FALSE, FALSE, sizeof(load_entry));
 	peer->failures = g_array_new(FALSE, FALSE, sizeof(load_failure));
 	peer->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -438,21 +445,38 @@
 	xdr_free((xdrproc_t)xdr_load_demands, &demands);
 }
 
+/* Time for which a report was held up on its way, beyond the fastest ones. */
+static int64_t delay_of(peer_t *peer, int64_t sent_us, int64_t now_us)
+{
+	int64_t offset_us = now_us - sent_us;
+
+	/* The peer's clock may run slower than this one. */
+	if (peer->clock_offset_us != INT64_MAX)
+		peer->clock_offset_us +=
+			(now_us - peer->offset_us) / CLOCK_DRIFT_DIVISOR;
+	peer->clock_offset_us = MIN(peer->clock_offset_us, offset_us);
+	peer->offset_us = now_us;
+	return offset_us - peer->clock_offset_us;
+}
+
 /* A report without demands has no news either. */
 static void apply_news(const load_view_t *view, peer_t *peer, XDR *xdrs)
 {
 	int64_t now_us = clock_now_us(view->clock);
 	load_views views = { 0 };
-	bool decoded = peer->reports_demands && xdr_load_views(xdrs, &views);
+	bool decoded = peer->reports_demands && xdr_load_views(xdrs, &views) &&
+		       views.sent_us >= 0;
+	int64_t left_us =
+		decoded ? now_us - delay_of(peer, views.sent_us, now_us) : 0;
 
 	peer->news_count = 0;
 	for (u_int i = 0; decoded && i < views.views.views_len; i++) {
 		const load_view_news *entry = &views.views.views_val[i];
+		const view_news_t news = { entry->change_min, entry->change_max,
+					   left_us - entry->age_ms * 1000LL };
 
 		peer->news[peer->news_count++] =
-			(load_news_t){ entry->view,
-				       { entry->change_min, entry->change_max,
-					 now_us - entry->age_ms * 1000LL } };
+			(load_news_t){ entry->view, news };
 	}
 	xdr_free((xdrproc_t)xdr_load_views, &views);
 }
@@ -482,6 +506,7 @@
 		add_load(view, peer, true);
 		apply_slowness(view, peer->entries);
 		if (report.incarnation != peer->incarnation) {
+			peer->clock_offset_us = INT64_MAX;
 			g_hash_table_remove_all(peer->sent);
 			peer->started = true;
 		}
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -91,5 +91,6 @@
 const LOAD_VIEWS_MAX = 8;
 
 struct load_views {
+	hyper sent_us; /* by the sender's monotonic clock */
 	load_view_news views<LOAD_VIEWS_MAX>;
 };
--- a/src/rpc/load_xdr.c
+++ b/src/rpc/load_xdr.c
@@ -421,6 +421,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_quad_t (xdrs, &objp->sent_us))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->views.views_val, (u_int *) &objp->views.views_len, LOAD_VIEWS_MAX,
 		sizeof (load_view_news), (xdrproc_t) xdr_load_view_news))
 		 return FALSE;
--- a/src/rpc/load_xdr.h
+++ b/src/rpc/load_xdr.h
@@ -113,6 +113,7 @@
 #define LOAD_VIEWS_MAX 8
 
 struct load_views {
+	quad_t sent_us;
 	struct {
 		u_int views_len;
 		load_view_news *views_val;
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -7,8 +7,8 @@
 #define OTHER_SERVICE 0x07
 /* A count, and a hash and nine numbers for each of two services. */
 #define DEMANDS_BYTES (4 + 2 * (8 + 9 * 4))
-/* A count, and a hash, two revisions and an age for each of two views. */
-#define NEWS_BYTES (4 + 2 * (3 * 8 + 4))
+/* A time, a count, and a hash, two revisions and an age for each of two views. */
+#define NEWS_BYTES (8 + 4 + 2 * (3 * 8 + 4))
 #define REPORT_BYTES 2048
 #define VIEW 0xc0
 #define OTHER_VIEW 0x5e
@@ -363,13 +363,44 @@
 	assert_news(&b, "");
 	/* A number of views that is not there, or too high. */
 	len = report(&a, data) - NEWS_BYTES;
-	memset(data + len, 0xff, 4);
-	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len + 4));
+	memset(data + len, 0xff, 12);
+	CU_ASSERT_PTR_NOT_NULL(load_view_apply(b.view, data, len + 12));
 	assert_news(&b, "");
 	node_free(&a);
 	node_free(&b);
 }
 
+/* Guards against news that pass for fresher than they are, as their report was held
+ * up on its way. */
+static void test_late_news(void)
+{
+	clock_manual_t clock, other_clock;
+	node_t a, b;
+	char data[REPORT_BYTES];
+	size_t len;
+
+	clock_manual_init(&clock, 0);
+	clock_manual_init(&other_clock, 0);
+	clock_manual_advance_ms(&clock, 51);
+	clock_manual_advance_ms(&other_clock, 9000);
+	a = node_new(&clock, "a", 1);
+	b = node_new(&other_clock, "b", 1);
+	load_view_apply(b.view, data, report(&a, data));
+	len = report(&a, data);
+	clock_manual_advance_ms(&other_clock, 300);
+	load_view_apply(b.view, data, len);
+	assert_news(&b, "c0:90-95@8950 5e:7-7@8949 ");
+	/* The clock of another process of the node has begun anew. */
+	node_free(&a);
+	clock_manual_init(&clock, 0);
+	clock_manual_advance_ms(&clock, 21);
+	a = node_new(&clock, "a", 2);
+	load_view_apply(b.view, data, report(&a, data));
+	assert_news(&b, "c0:90-95@9280 5e:7-7@9279 ");
+	node_free(&a);
+	node_free(&b);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -382,6 +413,7 @@
 		{ "started node", test_started_node },
 		{ "leaving runner", test_leaving_runner },
 		{ "news", test_news },
+		{ "late news", test_late_news },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_view_protocol.c
+++ b/tests/test_view_protocol.c
@@ -1124,6 +1124,7 @@
 
 int main(int argc, char **argv)
 {
+	static const uint64_t regressions[] = { 1009393 };
 	static const model_run_t run = {
 		.create = world_new,
 		.skip = skip_events,
@@ -1133,6 +1134,8 @@
 		.trace = trace_of,
 		.events = count_events,
 		.steps = count_steps,
+		.regressions = regressions,
+		.regressions_count = G_N_ELEMENTS(regressions),
 		.fixed = FIXED_HISTORIES,
 	};
 
