Let the soak look for gateways that lack a change

The soak changed the configuration, but only checked that no gateway goes back. A 503 tells no longer whether a gateway has a route, as one that may lack it answers so too.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,6 +53,8 @@
 # All gateways know by then that a runner leaves, once one has its answer.
 LEAVING_S = 2
 RUNNER_LIMIT = 20.0  # requests per second
+# A change of the configuration is in force by then.
+APPLY_S = 2
 # First requests at a gateway without links to the runners are served so long
 # after the cut began, and so many of them, while another gateway has links.
 CONTACT_S = 3
@@ -75,6 +77,7 @@
         self.more_random = random.Random(f"more {seed}")
         self.deadly_random = random.Random(f"deadly {seed}")
         self.hostile_random = random.Random(f"hostile {seed}")
+        self.view_random = random.Random(f"view {seed}")
         self.job_random = random.Random(f"job {seed}")
         self.grace_s = GRACE_S
         self.cut_lock = threading.Lock()
@@ -85,6 +88,7 @@
         self.store = hostile.Store(seed)
         self.version = 1
         self.extra_routes = []
+        self.changed_at = {}  # version -> when the store had it
         self.store.put("config", "main", self.config())
         self.proxies = []
         self.runners = []
@@ -127,6 +131,7 @@
             self.version += step
             self.extra_routes.append(s.route(f"/new-{self.version}/", "safe"))
             self.store.put("config", "main", self.config())
+            self.changed_at[self.version] = time.monotonic()
 
     def cut(self, gateways, kind):
         """Cuts the gateways from all runners."""
@@ -513,28 +518,42 @@
         self.drop()
 
 
+def probe(gateway, prefix):
+    return f.request(gateway.port, "POST", prefix + "x", b"", {
+        "Host": s.HOST, "Request-Id": "probe", "Deadline-Ms": "500"},
+        timeout_s=2).status
+
+
+def is_due(world, version, sent):
+    """Whether each gateway has the version at that time, as all have long been
+    sound."""
+    changed = world.changed_at.get(version)
+    return (changed and sent - changed > APPLY_S and
+            world.is_calm(sent - CONTACT_S, sent))
+
+
 def check_versions(world, stop):
-    """A process must not serve an older configuration after a newer one."""
+    """A process must not serve an older configuration after a newer one, and have
+    the newest one in time."""
     newest = {}
     while not stop.is_set():
         for gateway in world.gateways:
             pid = gateway.process.pid
             for route in list(world.extra_routes):
                 version = int(route["path_prefix"].split("-")[1].strip("/"))
+                sent = time.monotonic()
                 try:
-                    status = f.request(gateway.port, "POST",
-                                       route["path_prefix"] + "x", b"", {
-                                           "Host": s.HOST,
-                                           "Request-Id": "probe",
-                                           "Deadline-Ms": "500"},
-                                       timeout_s=2).status
+                    status = probe(gateway, route["path_prefix"])
                 except (OSError, http.client.HTTPException):
                     continue
                 if gateway.process.pid != pid:
                     continue
-                if status != 404:
+                if status == 404 and is_due(world, version, sent):
+                    world.problem(f"{gateway.name} lacks version {version}")
+                # A node that may lack the route answers 503.
+                if status not in (404, 503):
                     newest[pid] = max(newest.get(pid, 0), version)
-                elif newest.get(pid, 0) >= version:
+                elif status == 404 and newest.get(pid, 0) >= version:
                     world.problem(f"{gateway.name} went back to before "
                                   f"version {version}")
         stop.wait(0.2)
@@ -585,7 +604,7 @@
 
 def check_cut(world, callers):
     """First requests at gateways without links to the runners are served."""
-    def probe(caller):
+    def send_probes(caller):
         for _ in range(PROBES):
             caller.send()
         caller.drop()
@@ -596,7 +615,7 @@
     probes = [Caller(world, len(callers) + i, [gateway])
               for i, gateway in enumerate(victims[:PROBED_GATEWAYS])]
     with ThreadPoolExecutor(PROBED_GATEWAYS) as pool:
-        list(pool.map(probe, probes))
+        list(pool.map(send_probes, probes))
     world.end_cut(victims, kind)
     for caller in probes:
         if caller.served < SERVED_SHARE * PROBES:
@@ -606,6 +625,29 @@
     callers += probes
 
 
+def check_change(world):
+    """A change reaches gateways whose watches of the store are never answered, and
+    those that have read through others."""
+    victims = world.view_random.sample(
+        world.gateways, world.view_random.randint(1, len(world.gateways)))
+    for gateway in victims:
+        gateway.proxy.mode = p.SILENT
+    time.sleep(world.view_random.choice([0.1, 0.3, 2, 5]))
+    # The answers to their watches are lost.
+    world.change_config(1)
+    time.sleep(0.3)
+    for gateway in victims:
+        gateway.proxy.mode = p.PASS
+    time.sleep(CONTACT_S)
+    world.change_config(1)
+    time.sleep(APPLY_S)
+    for gateway in world.gateways:
+        status = probe(gateway, f"/new-{world.version}/")
+        if status != 200:
+            world.problem(f"{gateway.name} answers {status} for a new route, "
+                          f"{len(victims)} had a silent store")
+
+
 def check_requests(world, callers):
     for runner in world.runners:
         for request in runner.ran:
@@ -644,6 +686,7 @@
         check_silence(world, callers)
         check_leaving(world)
         check_cut(world, callers)
+        check_change(world)
         j.read_all(world, jobs)
         stop.set()
         world.over.set()
