--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -341,24 +341,25 @@
 	}
 }
 
+static own_call_t *first_relayed_read(const store_relay_t *relay)
+{
+	for (GList *link = relay->reads.head; link; link = link->next)
+		if (((own_call_t *)link->data)->leg)
+			return link->data;
+	return NULL;
+}
+
 /* Makes the reads itself that other nodes make for this one. These may have lost
  * the store meanwhile, or stand still. */
 static void recall_reads(store_relay_t *relay)
 {
-	GQueue *reads = &relay->reads;
-	GPtrArray *relayed = g_ptr_array_new();
-
-	for (GList *link = reads->head; link; link = link->next)
-		if (((own_call_t *)link->data)->leg)
-			g_ptr_array_add(relayed, link->data);
-	for (guint i = 0; i < relayed->len; i++) {
-		own_call_t *call = relayed->pdata[i];
+	own_call_t *call;
 
+	while ((call = first_relayed_read(relay))) {
 		detach_leg(call);
 		(*relay->recalled_total)++;
 		read_directly(call);
 	}
-	g_ptr_array_free(relayed, TRUE);
 }
 
 static bool relay_cancel(object_store_t *base, void *user_data)
