Wait for the first request of a new connection at the end of a drain

Cause: an exit waits for requests that arrive, not for those that are a moment behind their connection.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -35,6 +35,9 @@
 #define UNBIND_PASSES_MAX 1000
 /* A longer request line is passed to the parser, which rejects it. */
 #define MAX_REQUEST_LINE_BYTES 8192
+/* A client sends its first request within this time of its connection, or may be
+ * closed at the end of a drain. */
+#define FIRST_REQUEST_MS 300
 
 struct http_server {
 	evhtp_t *htp;
@@ -586,6 +589,14 @@
 	       !connection->arriving && !has_unread_input(connection);
 }
 
+/* Whether the first request of a new connection may still be on its way. */
+static bool awaits_first_request(const http_connection_t *connection)
+{
+	return !connection->persistent &&
+	       clock_now_ms(clock_system()) - connection->read_start_ms <
+		       FIRST_REQUEST_MS;
+}
+
 /* True when a part of a request has been received. */
 static bool is_receiving(const http_connection_t *connection)
 {
@@ -959,6 +970,7 @@
 
 		if (connection->handling || connection->arriving ||
 		    has_unread_input(connection) ||
+		    awaits_first_request(connection) ||
 		    evbuffer_get_length(output) > 0)
 			return false;
 	}
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -81,8 +81,9 @@
  */
 void http_server_end_exchanges(http_server_t *server, http_handler_t answer);
 /*
- * True when no request is arriving or being handled, and all responses have been
- * passed to the kernel completely.
+ * True when no request is arriving or being handled, no new connection waits for
+ * its first request since a moment ago, and all responses have been passed to the
+ * kernel completely.
  */
 bool http_server_is_drained(const http_server_t *server);
 
--- a/tests/process/test_stop_backlog.py
+++ b/tests/process/test_stop_backlog.py
@@ -12,6 +12,7 @@
 import test_entry_broken_answer as base  # noqa: E402
 
 CALLERS = 8
+REQUEST_DELAY_S = 0.1
 
 
 class StopBacklogTest(unittest.TestCase):
@@ -19,9 +20,10 @@
     tearDown = base.EntryBrokenAnswerTest.tearDown
     chat = base.EntryBrokenAnswerTest.chat
 
-    def call_until_refused(self, cut):
-        """Makes short requests on new connections until these are refused;
-        appends those that were sent and had no answer."""
+    def call_until_refused(self, cut, pause_s=0.0):
+        """Makes short requests on new connections, each so long after its
+        connection, until these are refused; appends those that were sent and had
+        no answer."""
         request = (b"GET /v1/models HTTP/1.1\r\nHost: x\r\n"
                    b"Authorization: Bearer guild-key\r\n\r\n")
         while True:
@@ -31,6 +33,7 @@
             except OSError:
                 return
             with caller:
+                time.sleep(pause_s)
                 try:
                     caller.sendall(request)
                     if not caller.recv(1):
@@ -38,11 +41,10 @@
                 except OSError as error:
                     cut.append(error)
 
-    def test_new_connections_at_the_end_of_a_stop(self):
-        """Guards against connections that are accepted by the kernel and reset
-        when the process exits, with a request on them."""
+    def stop_beside_calls(self, pause_s):
         cut = []
-        callers = [threading.Thread(target=self.call_until_refused, args=(cut,))
+        callers = [threading.Thread(target=self.call_until_refused,
+                                    args=(cut, pause_s))
                    for _ in range(CALLERS)]
         for caller in callers:
             caller.start()
@@ -52,6 +54,16 @@
             caller.join()
         self.assertEqual(cut, [])
 
+    def test_new_connections_at_the_end_of_a_stop(self):
+        """Guards against connections that are accepted by the kernel and reset
+        when the process exits, with a request on them."""
+        self.stop_beside_calls(0)
+
+    def test_requests_a_moment_after_their_connection(self):
+        """Guards against connections that are closed at the end of a stop while
+        their first request is on its way."""
+        self.stop_beside_calls(REQUEST_DELAY_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -276,6 +276,22 @@
 	}
 }
 
+/* Guards against a process exit that cuts the first request of a new connection,
+ * and against one that waits for connections without requests for long. */
+static void test_drained_of_new_connections(void)
+{
+	fixture_t fixture;
+	int fd;
+
+	start(&fixture);
+	fd = client_new(&fixture);
+	run(&fixture, 10);
+	CU_ASSERT_FALSE(http_server_is_drained(fixture.server));
+	run(&fixture, 400);
+	CU_ASSERT_TRUE(http_server_is_drained(fixture.server));
+	stop(&fixture, fd);
+}
+
 /* Guards against callers that reuse a connection which is going to close. */
 static void test_close_after(void)
 {
@@ -372,6 +388,8 @@
 		{ "idle connections", test_idle },
 		{ "empty line before a request", test_empty_line },
 		{ "drained", test_drained },
+		{ "drained of new connections",
+		  test_drained_of_new_connections },
 		{ "close after a response", test_close_after },
 		{ "announced close", test_announce_close },
 		{ "pipelined request behind the last response",
