End no read of the store a second time in its own completion

A gateway ended by itself when it lost the store with the failure of a read that it made for another node: "double free detected", or as memory happened to be used anything else.

The client of the store kept a call in its list while the completion ran. The completion tells store_relay of the failure, which is the second in a row, and the node ends all reads that it makes for others, the same one among them: it was freed, and once more when the completion returned.

Both new tests end with a double free before (glibc, and heap-use-after-free in pending_free under AddressSanitizer), and pass now.

--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -63,7 +63,8 @@
 	void *user_data;
 	int64_t started_us;
 	relayed_leg_t *leg; /* NULL: direct */
-	GList link; /* in the relay's reads, if it is one */
+	GList link; /* in the relay's reads, if it is one in progress */
+	bool listed; /* there */
 };
 
 static bool is_read(const own_call_t *call)
@@ -83,15 +84,23 @@
 	call->key = g_strdup(key);
 	call->user_data = user_data;
 	call->link.data = call;
-	if (is_read(call))
+	call->listed = is_read(call);
+	if (call->listed)
 		g_queue_push_tail_link(&store->relay->reads, &call->link);
 	return call;
 }
 
-static void own_call_free(own_call_t *call)
+/* Its completion is about to run, or never will. */
+static void leave_reads(own_call_t *call)
 {
-	if (is_read(call))
+	if (call->listed)
 		g_queue_unlink(&call->store->relay->reads, &call->link);
+	call->listed = false;
+}
+
+static void own_call_free(own_call_t *call)
+{
+	leave_reads(call);
 	g_free(call->key);
 	g_free(call->after);
 	g_free(call);
@@ -151,6 +160,7 @@
 {
 	own_call_t *call = user_data;
 
+	leave_reads(call);
 	note_direct(call->store->relay, error, call->started_us);
 	call->done(value, error, call->user_data);
 	own_call_free(call);
@@ -161,6 +171,7 @@
 {
 	own_call_t *call = user_data;
 
+	leave_reads(call);
 	note_direct(call->store->relay, error, call->started_us);
 	call->list_done(listing, error, call->user_data);
 	own_call_free(call);
@@ -179,8 +190,10 @@
 {
 	own_call_t *call = leg->call;
 
-	if (call)
+	if (call) {
 		detach_leg(call);
+		leave_reads(call);
+	}
 	g_free(leg);
 	return call;
 }
--- a/src/gateway/store_relay_server.c
+++ b/src/gateway/store_relay_server.c
@@ -21,11 +21,16 @@
 	bool read;
 } served_call_t;
 
-static void send_result(served_call_t *served, const store_call_result *result)
+/* The store has answered, or its answer is not awaited any more. */
+static void leave_reads(served_call_t *served)
 {
 	if (served->read)
 		g_queue_unlink(&served->server->reads, &served->link);
 	served->read = false;
+}
+
+static void send_result(served_call_t *served, const store_call_result *result)
+{
 	rpc_reply(served->call, result);
 	served->call = NULL;
 }
@@ -35,11 +40,13 @@
 	return error ? (unsigned int)error->code + 1 : 0;
 }
 
-/* Whether the call still waits for its result. */
-static bool note_end(const served_call_t *served, const GError *error)
+/* Whether the call still waits for its result. The failure may be the one by which
+ * this node loses the store, and ends the other reads. */
+static bool note_end(served_call_t *served, const GError *error)
 {
 	const store_relay_server_options_t *options = &served->server->options;
 
+	leave_reads(served);
 	options->ended(options->user_data, error, served->started_us);
 	return served->call != NULL;
 }
@@ -179,6 +186,7 @@
 		served_call_t *served = link->data;
 
 		(*server->ended_total)++;
+		leave_reads(served);
 		send_result(served, &result);
 		if (object_cancel(served->store, served))
 			g_free(served);
--- a/src/object/object_store.h
+++ b/src/object/object_store.h
@@ -134,8 +134,8 @@
 	store->ops->vms(store, done, user_data);
 }
 
-/* Ends the read with the user data. Returns false if the store cannot; the
- * completion then still runs. */
+/* Ends the read in progress with the user data: its completion does not run.
+ * Returns false if the store cannot, or if the completion has begun. */
 static inline bool object_cancel(object_store_t *store, void *user_data)
 {
 	return store->ops->cancel && store->ops->cancel(store, user_data);
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -183,9 +183,54 @@
 	event_base_free(server.base);
 }
 
+/* A call whose completion ends all calls in progress. */
+typedef struct ending_call {
+	outcome_t outcome; /* first member */
+	object_store_t *store;
+	bool ended_itself;
+} ending_call_t;
+
+static void on_end_all(const object_listing_t *listing, const GError *error,
+		       void *user_data)
+{
+	ending_call_t *call = user_data;
+
+	call->ended_itself = object_cancel(call->store, call);
+	on_listed(listing, error, user_data);
+}
+
+/* Guards against a process that ends by itself: a node that lost the store with
+ * the failure of a read for another node freed that read twice. */
+static void test_cancel_in_completion(void)
+{
+	static const char *const bodies[] = { BEGIN FIRST "]}", "{}" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		store_client_options_t options = { .timeout_ms = 5000 };
+		ending_call_t call = { 0 };
+		stand_in_t server;
+
+		stand_in_init(&server, bodies[i]);
+		call.outcome.base = server.base;
+		options.client = http_client_new(server.base);
+		options.address = server.address;
+		call.store = store_client_new(&options);
+		object_list(call.store, "runners/", NULL, 500, on_end_all,
+			    &call);
+		event_base_dispatch(server.base);
+		CU_ASSERT_FALSE(call.ended_itself);
+		CU_ASSERT_EQUAL(call.outcome.calls, 1);
+		object_store_free(call.store);
+		http_client_free(options.client);
+		evconnlistener_free(server.listener);
+		event_base_free(server.base);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
+		{ "cancel in completion", test_cancel_in_completion },
 		{ "odd object", test_odd_object },
 		{ "cut page", test_cut_page },
 		{ "cancelled watch", test_cancelled_watch },
--- a/tests/test_store_relay.c
+++ b/tests/test_store_relay.c
@@ -233,12 +233,17 @@
 	end(&fixture);
 }
 
-/* Until the other node makes a watch. */
-static void loop_until_watch(const fixture_t *fixture)
+/* Until the other node makes so many watches. */
+static void loop_until_watches(const fixture_t *fixture, int count)
 {
-	for (int i = 0; fixture->other.store.watches == 0 && i < 1000; i++)
+	for (int i = 0; fixture->other.store.watches < count && i < 1000; i++)
 		event_base_loop(fixture->base, EVLOOP_ONCE);
-	CU_ASSERT_EQUAL(fixture->other.store.watches, 1);
+	CU_ASSERT_EQUAL(fixture->other.store.watches, count);
+}
+
+static void loop_until_watch(const fixture_t *fixture)
+{
+	loop_until_watches(fixture, 1);
 }
 
 /* Guards against a watch that waits as the only evidence of whether the store
@@ -374,6 +379,33 @@
 	end(&fixture);
 }
 
+/* Guards against a process that ends by itself: a node that lost the store with
+ * the failure of a read for another node ended that read once more. */
+static void test_served_read_loses_contact(void)
+{
+	const GError error = { WL_ERROR, WL_ERROR_UNAVAILABLE, (char *)"down" };
+	fixture_t fixture;
+	object_store_t *store;
+	const held_watch_t *held = fixture.other.store.held;
+
+	start(&fixture);
+	store = store_relay_store(fixture.own.relay);
+	fixture.other.store.holds = true;
+	for (int i = 0; i < 3; i++)
+		object_watch(store, "k/", 7, 1000, on_unavailable, &fixture);
+	loop_until_watches(&fixture, 3);
+	for (int i = 0; i < 2; i++)
+		held[i].done(NULL, &error, held[i].user_data);
+	CU_ASSERT_FALSE(store_relay_is_direct(fixture.other.relay));
+	for (int i = 0; i < 1000 && fixture.answers < 3; i++)
+		event_base_loop(fixture.base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(fixture.answers, 3);
+	CU_ASSERT_EQUAL(fixture.other.store.cancelled, 1);
+	CU_ASSERT_PTR_NOT_NULL(held[1].user_data);
+	CU_ASSERT_PTR_NULL(held[2].user_data);
+	end(&fixture);
+}
+
 /* Guards against calls that are made for long for a node that is gone, or that
  * does not need them any more. */
 static void test_relayed_watch_is_short(void)
@@ -473,6 +505,7 @@
 		  test_own_contact_ends_relayed_watch },
 		{ "late end of old watches", test_late_end_of_old_watches },
 		{ "other node loses contact", test_other_node_loses_contact },
+		{ "served read loses contact", test_served_read_loses_contact },
 		{ "relayed watch is short", test_relayed_watch_is_short },
 		{ "cancelled reads", test_cancelled_reads },
 		{ "served reads are bounded", test_served_reads_are_bounded },
