Tell in the soak why a gateway ended by itself

The problem now holds what the process wrote of its end. A gateway that had crashed before a fault killed it was not noticed either: each fault that ends a process looks first whether it runs.

--- a/tests/soak/hostile.py
+++ b/tests/soak/hostile.py
@@ -150,6 +150,7 @@
 def gateway_ended(world, seconds):
     gateway = world.hostile_random.choice(world.gateways)
     with gateway.lock:
+        world.check_alive(gateway)
         gateway.process.kill()
         gateway.process.wait()
         yield world.hostile_random.uniform(0, seconds)
@@ -160,6 +161,7 @@
     """Another process of the same name starts beside one that still runs."""
     gateway = world.hostile_random.choice(world.gateways)
     with gateway.lock:
+        world.check_alive(gateway)
         former = gateway.succeed()
         try:
             yield seconds
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -173,6 +173,12 @@
     def problem(self, text):
         self.problems.append(text)
 
+    def check_alive(self, gateway):
+        """For before a fault ends the process."""
+        if gateway.process.poll() is not None:
+            self.problem(f"{gateway.name} ended by itself with "
+                         f"{end_of(gateway)}")
+
     def crashes(self, prefix):
         """Crashes by requests whose ids have the prefix."""
         return sum(request.startswith(prefix) for r in self.runners
@@ -265,9 +271,18 @@
     return "event=started" in gateway.log()[gateway.log_start:]
 
 
+def end_of(gateway):
+    """The exit status, and what the process wrote of its end."""
+    lines = gateway.log()[gateway.log_start:].splitlines() or ["no log"]
+    errors = [x for x in lines if "ERROR: " in x or "SUMMARY: " in x or
+              "runtime error: " in x or "level=error" in x]
+    return f"{gateway.process.returncode}: {' '.join(errors or lines[-1:])}"
+
+
 def restart(world, gateway, number):
     """Ends the process by the signal and starts it again."""
     with gateway.lock:
+        world.check_alive(gateway)
         gateway.expected_end = True
         gateway.process.send_signal(signal.SIGCONT)
         gateway.process.send_signal(number)
@@ -277,7 +292,8 @@
             # Before main() the signal has its default effect.
             if (number == signal.SIGTERM and code != 0 and
                     has_started(gateway)):
-                world.problem(f"{gateway.name} ended with {code} on SIGTERM")
+                world.problem(
+                    f"{gateway.name} ended with {end_of(gateway)} on SIGTERM")
         except s.subprocess.TimeoutExpired:
             world.problem(f"{gateway.name} still runs {limit} s after SIGTERM")
             gateway.process.kill()
@@ -562,9 +578,7 @@
 def check_ends(world):
     for gateway in world.gateways:
         with gateway.lock:
-            if gateway.process.poll() is not None:
-                world.problem(f"{gateway.name} ended by itself with "
-                              f"{gateway.process.returncode}")
+            world.check_alive(gateway)
 
 
 def settle(world):
