Count suspensions of a VM in the age of what it knows

A node whose VM was suspended held its configuration and its runner list to be current when it went on: for 0.8 s after that it could answer 404 for a route that had been added meanwhile, where it must answer 503 and ask, and it told the others so, whose checks came that much later.

Ages of views, calls in flight and news go by clock_elapsed_us() now. What a contact must have lasted before a takeover (follow_steady_since_us) still goes by the monotonic clock: a suspension is no contact.

test_suspended of test_view_age and test_news_of_suspended_node failed before (1 and 2 assertions), the latter also when the suspended node's reports had expired at the others, which forgot the difference of the clocks then.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -61,6 +61,13 @@
 
 static void call_store(follow_t *follow);
 
+/* The age of a view, and how long a call has waited, count the time for which the
+ * VM was suspended. */
+static int64_t elapsed_us(const follow_t *follow)
+{
+	return clock_elapsed_us(follow->options.clock);
+}
+
 static void on_timer(evutil_socket_t fd, short events, void *arg)
 {
 	call_store(arg);
@@ -121,8 +128,7 @@
 		return;
 	log_info("watch_renewed", "prefix=%s waited_ms=%" PRId64,
 		 follow->prefix,
-		 (clock_now_us(follow->options.clock) - call->started_us) /
-			 1000);
+		 (elapsed_us(follow) - call->started_us) / 1000);
 	cancel_call(follow);
 	relist(follow);
 	call_store(follow);
@@ -151,7 +157,7 @@
 
 static void on_answer(follow_t *follow, int64_t started_us)
 {
-	int64_t now_us = clock_now_us(follow->options.clock);
+	int64_t now_us = elapsed_us(follow);
 	bool was_lost = follow->lost;
 
 	if (follow->lost)
@@ -161,7 +167,7 @@
 	follow->retry_ms = 0;
 	follow->answered_us = now_us;
 	if (!follow->steady_since_us)
-		follow->steady_since_us = now_us;
+		follow->steady_since_us = clock_now_us(follow->options.clock);
 	if (was_lost)
 		renew_others(follow, started_us);
 }
@@ -328,7 +334,7 @@
 	follow_call_t *call = g_new0(follow_call_t, 1);
 
 	call->follow = follow;
-	call->started_us = clock_now_us(follow->options.clock);
+	call->started_us = elapsed_us(follow);
 	follow->call = call;
 	if (follow->keys)
 		object_list(follow->options.store, follow->prefix,
@@ -347,7 +353,7 @@
 
 static void schedule_check(follow_t *follow)
 {
-	int64_t now_us = clock_now_us(follow->options.clock);
+	int64_t now_us = elapsed_us(follow);
 	int64_t due_us = now_us + CHECK_POLL_MS * 1000;
 	struct timeval pause;
 
@@ -365,8 +371,7 @@
 /* The watch that waits will not bring the changes that a check has found. */
 static void replace_watch(follow_t *follow, const object_listing_t *listing)
 {
-	int64_t waited_us =
-		clock_now_us(follow->options.clock) - follow->call->started_us;
+	int64_t waited_us = elapsed_us(follow) - follow->call->started_us;
 
 	log_warn("watch_missed",
 		 "prefix=%s revision=%" PRIu64 " answered=%" PRIu64
@@ -440,7 +445,7 @@
 static void on_check_timer(evutil_socket_t fd, short events, void *arg)
 {
 	follow_t *follow = arg;
-	int64_t now_us = clock_now_us(follow->options.clock);
+	int64_t now_us = elapsed_us(follow);
 	follow_check_t *check;
 
 	if (!is_watching(follow) ||
@@ -533,7 +538,7 @@
 	follow->options = *options;
 	follow->prefix = g_strdup(options->prefix);
 	follow->key = fleet_key(options->prefix);
-	follow->answered_us = clock_now_us(options->clock);
+	follow->answered_us = elapsed_us(follow);
 	follow->timer = evtimer_new(options->base, on_timer, follow);
 	if (options->group)
 		g_ptr_array_add(options->group->follows, follow);
@@ -555,7 +560,7 @@
 
 void follow_get_state(const follow_t *follow, follow_state_t *state)
 {
-	int64_t now_us = clock_now_us(follow->options.clock);
+	int64_t now_us = elapsed_us(follow);
 
 	*state = (follow_state_t){
 		.prefix = follow->prefix,
--- a/src/gateway/follow.h
+++ b/src/gateway/follow.h
@@ -90,7 +90,8 @@
 /* Whether the view may lack changes that are in force at other nodes; false for
  * one that is not checked. */
 bool follow_may_be_behind(const follow_t *follow);
-/* Time of the first answer since the last failure; 0: none since. */
+/* Time of the first answer since the last failure, by clock_now_us(): a suspension
+ * is no contact. 0: none since. */
 int64_t follow_steady_since_us(const follow_t *follow);
 
 #endif
--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -44,7 +44,7 @@
 	/* Least difference between this clock and the peer's when a report came:
 	 * a greater one is the time that a report was held up on its way. */
 	int64_t clock_offset_us; /* INT64_MAX: no report came yet */
-	int64_t offset_us; /* time of the last report */
+	int64_t offset_us; /* time of the last report, by clock_elapsed_us() */
 } peer_t;
 
 /* Sums over all peers for one runner. */
@@ -194,8 +194,10 @@
 }
 
 /* Leaves the news out if they do not fit; returns the length of the datagram. */
-static size_t encode_news(XDR *xdrs, const load_own_t *own, int64_t now_us)
+static size_t encode_news(XDR *xdrs, const load_own_t *own,
+			  const clock_source_t *clock)
 {
+	int64_t now_us = clock_elapsed_us(clock);
 	size_t len = xdr_getpos(xdrs);
 	load_view_news entries[LOAD_VIEWS_MAX];
 	load_views views = { now_us, { own->news_count, entries } };
@@ -214,7 +216,8 @@
 
 /* Leaves the demands, and what follows, out if they do not fit; returns the length
  * of the datagram. */
-static size_t encode_demands(XDR *xdrs, const load_own_t *own, int64_t now_us)
+static size_t encode_demands(XDR *xdrs, const load_own_t *own,
+			     const clock_source_t *clock)
 {
 	size_t len = xdr_getpos(xdrs);
 	load_demand entries[LOAD_DEMANDS_MAX];
@@ -226,7 +229,7 @@
 		       sizeof(entries[i].batch_waiting));
 	}
 	return xdr_load_demands(xdrs, &demands) ?
-		       encode_news(xdrs, own, now_us) :
+		       encode_news(xdrs, own, clock) :
 		       len;
 }
 
@@ -268,7 +271,7 @@
 	xdrmem_create(&xdrs, data, (u_int)size, XDR_ENCODE);
 	if (xdr_load_report(&xdrs, &report) &&
 	    xdr_load_contact(&xdrs, &contact))
-		len = encode_demands(&xdrs, own, collected.now_us);
+		len = encode_demands(&xdrs, own, view->clock);
 	xdr_destroy(&xdrs);
 	return len;
 }
@@ -462,7 +465,7 @@
 /* A report without demands has no news either. */
 static void apply_news(const load_view_t *view, peer_t *peer, XDR *xdrs)
 {
-	int64_t now_us = clock_now_us(view->clock);
+	int64_t now_us = clock_elapsed_us(view->clock);
 	load_views views = { 0 };
 	bool decoded = peer->reports_demands && xdr_load_views(xdrs, &views) &&
 		       views.sent_us >= 0;
--- a/src/gateway/view_age.c
+++ b/src/gateway/view_age.c
@@ -59,7 +59,7 @@
 			return;
 		age->disbelief_ms = CLAMP(age->disbelief_ms * 2,
 					  DISBELIEF_MIN_MS, DISBELIEF_MAX_MS);
-		age->believe_at_us = clock_now_us(age->clock) +
+		age->believe_at_us = clock_elapsed_us(age->clock) +
 				     age->disbelief_ms * (int64_t)1000;
 	}
 	age->told = 0;
@@ -72,7 +72,7 @@
 	age->change_min = MAX(age->change_min, changes->last);
 	age->revision = MAX(age->revision, changes->revision);
 	age->change_max = age->revision;
-	age->change_max_us = clock_now_us(age->clock);
+	age->change_max_us = clock_elapsed_us(age->clock);
 	confirm_own(age, started_us);
 	review_told(age, started_us);
 }
@@ -86,7 +86,7 @@
 	if (changes->removals) {
 		age->change_min = MAX(known + 1, changes->last);
 		age->change_max = age->revision;
-		age->change_max_us = clock_now_us(age->clock);
+		age->change_max_us = clock_elapsed_us(age->clock);
 	} else if (changes->last > 0) {
 		age->change_min = MAX(age->change_min, changes->last);
 		age->change_max = age->change_min;
@@ -99,7 +99,7 @@
 {
 	age->retry_ms = CLAMP(age->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
 	age->retry_at_us =
-		clock_now_us(age->clock) + age->retry_ms * (int64_t)1000;
+		clock_elapsed_us(age->clock) + age->retry_ms * (int64_t)1000;
 }
 
 void view_age_set_nodes(view_age_t *age, uint32_t nodes)
@@ -109,7 +109,7 @@
 
 void view_age_told(view_age_t *age, const view_news_t *news)
 {
-	int64_t now_us = clock_now_us(age->clock);
+	int64_t now_us = clock_elapsed_us(age->clock);
 
 	if (!age->revision || news->change_min > news->change_max)
 		return;
@@ -144,7 +144,7 @@
 
 bool view_age_is_stale(const view_age_t *age)
 {
-	return clock_now_us(age->clock) - age->confirmed_us >
+	return clock_elapsed_us(age->clock) - age->confirmed_us >
 	       VIEW_AGE_STALE_MS * (int64_t)1000;
 }
 
--- a/src/gateway/view_age.h
+++ b/src/gateway/view_age.h
@@ -22,6 +22,9 @@
  * is not known up to the earlier one is behind and is checked soon. Of the nodes
  * that follow the same objects, mostly the one with the earliest check makes
  * it: the more nodes there are, the fewer of them draw an early time.
+ *
+ * Times are by clock_elapsed_us(): what was known before the VM was suspended is
+ * as old as the suspension was long.
  */
 /* An acknowledged change is to be known everywhere within a second, the time of
  * the check's own call included. */
@@ -37,7 +40,7 @@
 	/* The last change has a revision from change_min to change_max, */
 	uint64_t change_min;
 	uint64_t change_max;
-	int64_t as_of_us; /* as of this time, by the clock of this process */
+	int64_t as_of_us; /* as of this time, by this node's clock_elapsed_us() */
 } view_news_t;
 
 typedef struct view_age {
--- a/src/rpc/load.x
+++ b/src/rpc/load.x
@@ -91,6 +91,6 @@
 const LOAD_VIEWS_MAX = 8;
 
 struct load_views {
-	hyper sent_us; /* by the sender's monotonic clock */
+	hyper sent_us; /* by the sender's clock; counts suspensions of its VM */
 	load_view_news views<LOAD_VIEWS_MAX>;
 };
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -401,6 +401,34 @@
 	node_free(&b);
 }
 
+/* Guards against news that pass for fresh although they are from before the
+ * suspension of the VM that tells them, whether or not it counts as lost. */
+static void test_news_of_suspended_node(void)
+{
+	for (int expired = 0; expired < 2; expired++) {
+		clock_manual_t clock, other_clock;
+		node_t a, b;
+		char data[REPORT_BYTES];
+
+		clock_manual_init(&clock, 0);
+		clock_manual_init(&other_clock, 0);
+		clock_manual_advance_ms(&clock, 51);
+		clock_manual_advance_ms(&other_clock, 9000);
+		a = node_new(&clock, "a", 1);
+		b = node_new(&other_clock, "b", 1);
+		load_view_apply(b.view, data, report(&a, data));
+		assert_news(&b, "c0:90-95@8950 5e:7-7@8949 ");
+		clock.suspended_us += 5000 * 1000;
+		clock_manual_advance_ms(&other_clock, 5000);
+		if (expired)
+			load_view_expire(b.view);
+		load_view_apply(b.view, data, report(&a, data));
+		assert_news(&b, "c0:90-95@8950 5e:7-7@8949 ");
+		node_free(&a);
+		node_free(&b);
+	}
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -414,6 +442,7 @@
 		{ "leaving runner", test_leaving_runner },
 		{ "news", test_news },
 		{ "late news", test_late_news },
+		{ "news of suspended node", test_news_of_suspended_node },
 		{ NULL, NULL },
 	};
 
--- a/tests/test_view_age.c
+++ b/tests/test_view_age.c
@@ -15,7 +15,7 @@
 
 static int64_t now_us(const fixture_t *fixture)
 {
-	return clock_now_us(&fixture->clock.base);
+	return clock_elapsed_us(&fixture->clock.base);
 }
 
 static void listed(fixture_t *fixture, uint64_t revision, uint64_t last)
@@ -292,6 +292,20 @@
 	end(&fixture);
 }
 
+/* Guards against a node that answers 404 for a route that was added while its VM
+ * was suspended: it held what it had known before to be current. */
+static void test_suspended(void)
+{
+	fixture_t fixture;
+
+	start_listed(&fixture);
+	CU_ASSERT_FALSE(view_age_is_stale(&fixture.age));
+	fixture.clock.suspended_us += 5000 * MS;
+	CU_ASSERT(view_age_is_stale(&fixture.age));
+	CU_ASSERT(check_in_ms(&fixture) <= 0);
+	end(&fixture);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -305,6 +319,7 @@
 		  test_listing_does_not_show_removals },
 		{ "unclear news", test_unclear_news },
 		{ "failing checks", test_failing_checks },
+		{ "suspended", test_suspended },
 		{ NULL, NULL },
 	};
 
