Leave out news of views with a time that no clock has

The time of a load report comes from another process. With one near the end of the range the difference to this node's clock overflowed, which is undefined: test_times_out_of_range ended with "signed integer overflow" in delay_of under UndefinedBehaviorSanitizer before. Such news are left out; the rest of the report holds. Found by reading.

--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -22,6 +22,8 @@
 #define FIRST_SENT_MAX 2
 /* Clocks of VMs differ by less than 1 in this. */
 #define CLOCK_DRIFT_DIVISOR 5000
+/* A later time is none of a sound node's clock; differences stay in range. */
+#define CLOCK_MAX_US (INT64_MAX / 4)
 
 typedef struct peer {
 	char *node;
@@ -468,7 +470,7 @@
 	int64_t now_us = clock_elapsed_us(view->clock);
 	load_views views = { 0 };
 	bool decoded = peer->reports_demands && xdr_load_views(xdrs, &views) &&
-		       views.sent_us >= 0;
+		       views.sent_us >= 0 && views.sent_us <= CLOCK_MAX_US;
 	int64_t left_us =
 		decoded ? now_us - delay_of(peer, views.sent_us, now_us) : 0;
 
--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -332,6 +332,13 @@
 	g_string_free(all, TRUE);
 }
 
+static void assert_not_late(const load_news_t *news, void *user_data)
+{
+	const node_t *node = user_data;
+
+	CU_ASSERT(news->news.as_of_us <= clock_elapsed_us(&node->clock->base));
+}
+
 /* What a node knows of its views must reach the others with its age, by the clock
  * of the receiver, and must not outlive its report. Reports of the build before
  * have none. */
@@ -429,6 +436,31 @@
 	}
 }
 
+/* Guards against undefined arithmetic with times that a faulty node tells. */
+static void test_times_out_of_range(void)
+{
+	static const int64_t times[] = { INT64_MAX, 0, INT64_MAX / 2, 0 };
+	clock_manual_t clock, other_clock;
+	node_t a, b;
+	char data[REPORT_BYTES];
+
+	clock_manual_init(&clock, 0);
+	clock_manual_init(&other_clock, 0);
+	clock_manual_advance_ms(&other_clock, 9000);
+	a = node_new(&clock, "a", 1);
+	b = node_new(&other_clock, "b", 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+		clock.monotonic_us = times[i];
+		CU_ASSERT_PTR_NOT_NULL(
+			load_view_apply(b.view, data, report(&a, data)));
+		/* Never taken for later than they came. */
+		load_view_each_news(b.view, "a", assert_not_late, &b);
+		clock_manual_advance_ms(&other_clock, 100);
+	}
+	node_free(&a);
+	node_free(&b);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -443,6 +475,7 @@
 		{ "news", test_news },
 		{ "late news", test_late_news },
 		{ "news of suspended node", test_news_of_suspended_node },
+		{ "times out of range", test_times_out_of_range },
 		{ NULL, NULL },
 	};
 
