Count losses at runners that stay down as one crash

Cause: a runner was taken to have started again 1.5 s after a crash, whatever it showed of itself. A crash is now unproven if nothing was seen of the runner since its crash before: no answer to a later request, no start in the list, no load report. Unproven crashes count as one for each part and request, whenever they were: that runners stay down is one cause. The first crash of each process counts as before, and a runner that comes back under another id, or with a later start, is seen by its entry. Datagrams are unchanged; each node judges by what it has seen, and takes holds of the others as before.

test_runners_stay_down fails with the flag ignored (20 assertions), and so does the check in test_only_runner_crashes_again that one of two unproven crashes does not count; that a request which crashes the only runner is held for long when the runner was seen in between holds before and after.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -44,6 +44,45 @@
 	return nearest;
 }
 
+/* Finds out which crashes of the runner are unproven. */
+static void review(crash_log_t *log, uint64_t runner)
+{
+	const crash_t *before = NULL;
+
+	for (uint32_t i = 0; i < log->count; i++) {
+		crash_t *crash = &log->crashes[i];
+
+		if (crash->runner != runner)
+			continue;
+		crash->unproven =
+			before && !before->survived && !before->seen_after;
+		before = crash;
+	}
+}
+
+void crash_log_seen(crash_log_t *log, uint64_t runner, int64_t at_us)
+{
+	bool changed = false;
+
+	for (uint32_t i = 0; i < log->count; i++) {
+		crash_t *crash = &log->crashes[i];
+
+		if (crash->runner != runner || crash->at_us >= at_us ||
+		    crash->seen_after)
+			continue;
+		crash->seen_after = true;
+		changed = true;
+	}
+	if (changed)
+		review(log, runner);
+}
+
+void crash_log_survived(crash_log_t *log, crash_t *crash)
+{
+	crash->survived = true;
+	review(log, crash->runner);
+}
+
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us)
 {
 	crash_t *known = find_at(log, runner, at_us);
@@ -62,6 +101,7 @@
 		(log->count - index) * sizeof(log->crashes[0]));
 	log->count++;
 	log->crashes[index] = (crash_t){ .runner = runner, .at_us = at_us };
+	review(log, runner);
 	return &log->crashes[index];
 }
 
--- a/src/backend/crash_log.h
+++ b/src/backend/crash_log.h
@@ -11,6 +11,10 @@
  * Nodes that report the same crash add to the same entry, so it counts once
  * however often it is reported. Entries are ordered by time; a full log drops
  * the oldest. Times are in microseconds, of one clock.
+ *
+ * Where a proxy accepts connections for a runner that is down, requests to it are
+ * lost as by another crash, for as long as it is down. A crash of a runner of which
+ * nothing was seen since its crash before is unproven.
  */
 #define CRASH_LOG_MAX 64
 /* A runner that has ended takes longer than this to start again. Other nodes
@@ -35,6 +39,8 @@
 	crash_suspect_t suspects[CRASH_SUSPECTS_MAX];
 	uint32_t count;
 	bool survived; /* the runner goes on with earlier requests: no crash */
+	bool seen_after; /* the runner was up after it */
+	bool unproven; /* the runner may be down since its crash before */
 	uint32_t sends_left; /* reports to other nodes that are still to come */
 } crash_t;
 
@@ -49,6 +55,11 @@
 /* Returns the entry of the runner's crash at about this time, or a new one. The
  * pointer is valid until the next call. */
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us);
+/* The runner was up at a time: it has answered a request that was sent then, or has
+ * started. */
+void crash_log_seen(crash_log_t *log, uint64_t runner, int64_t at_us);
+/* The crash was none. */
+void crash_log_survived(crash_log_t *log, crash_t *crash);
 /* Returns the runner's last entry, or NULL. */
 crash_t *crash_log_find(crash_log_t *log, uint64_t runner);
 void crash_log_expire(crash_log_t *log, int64_t before_us);
--- a/src/backend/part_evidence.c
+++ b/src/backend/part_evidence.c
@@ -61,20 +61,32 @@
 				  const bool *explained)
 {
 	part_evidence_t evidence = { 0 };
+	uint32_t unproven = 0;
 	uint32_t next;
 
 	for (uint32_t i = 0; i < log->count; i = next) {
 		moment_t moment = { 0 };
 
 		for (next = i;
-		     next < log->count && is_same_moment(log, i, next); next++)
-			if (!log->crashes[next].survived)
-				add_crash(&moment, &log->crashes[next], part,
+		     next < log->count && is_same_moment(log, i, next);
+		     next++) {
+			const crash_t *crash = &log->crashes[next];
+
+			if (crash->survived)
+				continue;
+			if (!crash->unproven)
+				add_crash(&moment, crash, part,
 					  explained[next]);
+			else if (!explained[next])
+				unproven =
+					MAX(unproven, evidence_of(crash, part));
+		}
 		evidence.sum += moment.sent_again + moment.strongest;
 		evidence.runners += moment.suspected;
 		if (moment.runners > 1 && moment.running == moment.runners)
 			evidence.shared_us = moment.last_us;
 	}
+	/* Runners that stay down are one cause. */
+	evidence.sum += unproven;
 	return evidence;
 }
--- a/src/backend/part_evidence.h
+++ b/src/backend/part_evidence.h
@@ -13,7 +13,8 @@
  * lost at one moment may have one cause that is not a request, so they count as
  * one crash for each part: one that all of their requests share explains no more
  * than that cause does. Only a request that was sent after another one of these
- * runners was lost with the same part counts by itself.
+ * runners was lost with the same part counts by itself. Unproven crashes count as
+ * one, whenever they were.
  */
 
 /* Runners that are lost within this time are lost at one moment. */
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -524,6 +524,8 @@
 	crash_t *crash;
 	bool changed = false;
 
+	if (attempt && attempt->answered)
+		crash_log_seen(&guard->log, runner, attempt->sent_us);
 	crash = note_crash(guard, runner, part_guard_now_us(guard));
 	if (attempt && !attempt->answered && attempt->sent_us > crash->at_us)
 		return;
@@ -552,11 +554,11 @@
 }
 
 /* Records that a crash was none. Returns whether that is new. */
-static bool mark_survived(const part_guard_t *guard, crash_t *crash)
+static bool mark_survived(part_guard_t *guard, crash_t *crash)
 {
 	if (crash->survived)
 		return false;
-	crash->survived = true;
+	crash_log_survived(&guard->log, crash);
 	for (uint32_t i = 0; i < crash->count; i++) {
 		part_t *part = find_part(guard, crash->suspects[i].part);
 
@@ -566,6 +568,11 @@
 	return true;
 }
 
+void part_guard_seen(part_guard_t *guard, uint64_t runner, int64_t at_us)
+{
+	crash_log_seen(&guard->log, runner, at_us);
+}
+
 void part_guard_output(part_guard_t *guard, uint64_t runner, int64_t started_us)
 {
 	const crash_log_t *log = &guard->log;
--- a/src/backend/part_guard.h
+++ b/src/backend/part_guard.h
@@ -95,6 +95,9 @@
 void part_guard_lost(part_guard_t *guard, uint64_t runner,
 		     const prompt_parts_t *parts, part_loss_t loss,
 		     const part_attempt_t *attempt);
+/* The runner was up at a time: it has answered a request that was sent then, or has
+ * started. Without that a crash that follows another one may be none. */
+void part_guard_seen(part_guard_t *guard, uint64_t runner, int64_t at_us);
 /* The runner sent output for a request that was sent at started_us. If that is
  * before a crash of it was noted, or if a runner cannot have started again since
  * the crash, it has not crashed. */
--- a/src/entry/chat_attempt.c
+++ b/src/entry/chat_attempt.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "coord/rendezvous.h"
 #include "entry/chat_response.h"
 
 #define MAX_EXCLUDED_RUNNERS 64
@@ -13,7 +12,6 @@
  * not serve the model version. */
 #define MAX_SENT_ATTEMPTS 12
 #define UPSTREAM_ID_BYTES 96
-#define RUNNER_HASH_SEED 4
 /* Time after which a request without an answer is looked at again when no second
  * attempt was permitted. */
 #define HEDGE_RECHECK_US 500000
@@ -41,19 +39,16 @@
 		cancel_attempt(&chat->attempts[i]);
 }
 
-static uint64_t runner_key(const route_runner_t *runner)
-{
-	return rendezvous_hash(runner->address, strlen(runner->address),
-			       RUNNER_HASH_SEED);
-}
-
 static void set_winner(chat_attempt_t *attempt)
 {
 	chat_t *chat = attempt->chat;
 
 	part_guard_output(chat->pool->part_guard,
-			  runner_key(attempt->route.runner),
+			  pool_runner_key(attempt->route.runner),
 			  attempt->started_us);
+	part_guard_seen(chat->pool->part_guard,
+			pool_runner_key(attempt->route.runner),
+			attempt->started_us);
 	part_guard_begun(chat->pool->part_guard, &chat->request.parts);
 
 	pool_answered(chat->pool, &attempt->route);
@@ -235,7 +230,7 @@
 
 	if (result->fault == ENGINE_FAULT_TRUNCATED)
 		part_guard_lost(chat->pool->part_guard,
-				runner_key(attempt->route.runner),
+				pool_runner_key(attempt->route.runner),
 				&chat->request.parts, loss, &sent);
 }
 
--- a/src/entry/pool.c
+++ b/src/entry/pool.c
@@ -6,12 +6,14 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "coord/rendezvous.h"
 
 #define TICK_MS 100
 #define QUEUE_TICK_MS 10
 /* A few load reports per second over all pools bound the bytes per node. */
 #define POLL_PERIOD_MS 400
 #define POLL_TIMEOUT_MS 1000
+#define RUNNER_HASH_SEED 4
 /* A runner without requests of this node for this time is not polled. */
 #define POLL_IDLE_LIMIT_US 10000000
 /* A runner whose oldest request has no answer for this time is polled before
@@ -55,6 +57,7 @@
 	pool_t *pool;
 	char *address;
 	route_question_t question;
+	int64_t asked_us; /* by part_guard_now_us() */
 } pool_poll_t;
 
 static void pool_free(void *data)
@@ -244,6 +247,12 @@
 	return MAX(round_ms, POLL_TIMEOUT_MS) + TICK_MS;
 }
 
+uint64_t pool_runner_key(const route_runner_t *runner)
+{
+	return rendezvous_hash(runner->address, strlen(runner->address),
+			       RUNNER_HASH_SEED);
+}
+
 static void note_missed_report(const pool_t *pool, route_runner_t *runner)
 {
 	bool was_silent = route_is_silent(runner);
@@ -279,6 +288,8 @@
 			continue;
 		}
 		++*poll->table->reports;
+		part_guard_seen(poll->pool->part_guard, pool_runner_key(runner),
+				poll->asked_us);
 		route_report(poll->pool->route, runner,
 			     (uint32_t)json_integer_value(
 				     json_object_get(root, "running")),
@@ -335,6 +346,7 @@
 	poll->pool = pool;
 	poll->address = g_strdup(runner->address);
 	poll->question = route_ask(pool->route, runner);
+	poll->asked_us = part_guard_now_us(pool->part_guard);
 	if (is_checked(pool, runner))
 		++*table->check_polls;
 	else
--- a/src/entry/pool.h
+++ b/src/entry/pool.h
@@ -122,6 +122,8 @@
 
 void pool_begin(pool_t *pool, route_attempt_t *attempt, route_runner_t *runner,
 		uint32_t class_index);
+/* The key by which the part guard knows the runner. */
+uint64_t pool_runner_key(const route_runner_t *runner);
 /* Records that something came from the attempt's runner. */
 void pool_heard(const route_attempt_t *attempt);
 void pool_answered(pool_t *pool, route_attempt_t *attempt);
--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -152,6 +152,8 @@
 	if (execution->begun)
 		return;
 	execution->begun = true;
+	part_guard_seen(guard, execution->runner->key,
+			execution->started_elapsed_us);
 	part_guard_begun(guard, &execution->parts);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -91,7 +91,9 @@
 {
 	gateway_t *gateway = user_data;
 	const char *id = runner_id(gateway, entry->key);
-	const fleet_runner_t *runner;
+	const fleet_runner_t *runner =
+		fleet_find(gateway->fleet, fleet_key(id));
+	int64_t former_start_ms = runner ? runner->started_ms : -1;
 
 	if (!gateway->codec->decode_runner(id, entry->data, gateway->fleet)) {
 		log_warn("runner_entry_unusable", "runner=%s revision=%" PRIu64,
@@ -99,12 +101,16 @@
 		return;
 	}
 	runner = fleet_find(gateway->fleet, fleet_key(id));
-	if (runner)
-		log_info("runner_entry",
-			 "runner=%s revision=%" PRIu64 " runners=%u "
-			 "software=%s draining=%d",
-			 id, entry->version, fleet_size(gateway->fleet),
-			 log_quote(runner->version), runner->draining);
+	if (!runner)
+		return;
+	log_info("runner_entry",
+		 "runner=%s revision=%" PRIu64 " runners=%u "
+		 "software=%s draining=%d",
+		 id, entry->version, fleet_size(gateway->fleet),
+		 log_quote(runner->version), runner->draining);
+	if (runner->started_ms > former_start_ms)
+		part_guard_seen(gateway->part_guard, runner->key,
+				part_guard_now_us(gateway->part_guard));
 }
 
 static void schedule_removal(gateway_t *gateway, const char *id)
--- a/tests/test_crash_log.c
+++ b/tests/test_crash_log.c
@@ -33,6 +33,30 @@
 	crash_log_clear(&log);
 }
 
+/* A crash of a runner that was not seen since its crash before must be unproven,
+ * until it is, in whatever order that is heard of. */
+static void test_unproven(void)
+{
+	crash_log_t log = { 0 };
+
+	crash_log_note(&log, 1, 14 * SECOND_US);
+	CU_ASSERT_FALSE(log.crashes[0].unproven);
+	crash_log_note(&log, 2, 15 * SECOND_US);
+	CU_ASSERT_FALSE(log.crashes[1].unproven);
+	crash_log_note(&log, 1, 10 * SECOND_US);
+	CU_ASSERT_FALSE(log.crashes[0].unproven);
+	CU_ASSERT(log.crashes[1].unproven);
+	crash_log_seen(&log, 1, 10 * SECOND_US);
+	CU_ASSERT(log.crashes[1].unproven);
+	crash_log_seen(&log, 1, 12 * SECOND_US);
+	CU_ASSERT_FALSE(log.crashes[1].unproven);
+	crash_log_note(&log, 1, 18 * SECOND_US);
+	CU_ASSERT(log.crashes[3].unproven);
+	crash_log_survived(&log, &log.crashes[1]);
+	CU_ASSERT_FALSE(log.crashes[3].unproven);
+	crash_log_clear(&log);
+}
+
 /* Crashes that are heard of late must be in order of time, and a full log must
  * drop the oldest. */
 static void test_order_and_bound(void)
@@ -95,6 +119,7 @@
 		{ "same crash", test_same_crash },
 		{ "earlier crash is told again",
 		  test_earlier_crash_is_told_again },
+		{ "unproven", test_unproven },
 		{ "order and bound", test_order_and_bound },
 		{ "running suspects first", test_running_suspects_first },
 		{ "repeated suspect is kept", test_repeated_suspect_is_kept },
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -462,6 +462,60 @@
 	fixture_free(f);
 }
 
+/* A request is lost at the runner. */
+static void lose(fixture_t *f, uint64_t runner, const prompt_parts_t *parts)
+{
+	part_guard_lost(
+		f->guard, runner, parts, PART_LOSS_RUNNING,
+		&(part_attempt_t){ part_guard_now_us(f->guard), false });
+}
+
+/* Guards against sound requests that are held as runners stay down after a crash,
+ * behind something that accepts connections for them (soak seeds 11, 17, 40). */
+static void test_runners_stay_down(void)
+{
+	fixture_t *f = fixture_new();
+	prompt_parts_t sound = { 0 };
+
+	prompt_parts_add_request(&sound, OTHER);
+	for (uint64_t runner = 1; runner <= 3; runner++)
+		crash(f, FIRST, DEADLY);
+	for (int second = 0; second < 8; second++) {
+		clock_manual_advance_ms(&f->clock, 1000);
+		for (uint64_t runner = 1; runner <= 3; runner++) {
+			clock_manual_advance_ms(&f->clock, 100);
+			lose(f, runner, &sound);
+			CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &sound),
+					0);
+		}
+	}
+	fixture_free(f);
+}
+
+/* A request that crashes the only runner must be held when it does so again, if
+ * the runner was seen in between or has started. */
+static void test_only_runner_crashes_again(void)
+{
+	for (int seen = 0; seen <= 1; seen++) {
+		fixture_t *f = fixture_new();
+		prompt_parts_t deadly = { 0 };
+
+		prompt_parts_add_request(&deadly, DEADLY);
+		for (int i = 0; i < 3; i++) {
+			clock_manual_advance_ms(&f->clock, 2000);
+			if (seen)
+				part_guard_seen(f->guard, 1,
+						part_guard_now_us(f->guard));
+			clock_manual_advance_ms(&f->clock, 10);
+			lose(f, 1, &deadly);
+		}
+		CU_ASSERT(part_guard_hold_ms(f->guard, &deadly) > 1000);
+		CU_ASSERT_EQUAL(part_guard_is_certain(f->guard, &deadly),
+				seen == 1);
+		fixture_free(f);
+	}
+}
+
 /* A request that crashes runners by its own content must be held without the
  * parts that it shares. */
 static void test_single_request(void)
@@ -727,6 +781,8 @@
 		{ "survivors end hold of summary",
 		  test_survivors_end_hold_of_summary },
 		{ "request after the end", test_request_after_the_end },
+		{ "runners stay down", test_runners_stay_down },
+		{ "only runner crashes again", test_only_runner_crashes_again },
 		{ "single request", test_single_request },
 		{ "request before and after output",
 		  test_request_before_and_after_output },
