Do not suspect requests that were sent after a crash that others saw

Cause: the node that lost a request judged whether it had been sent after the crash by its own notice of it alone, and the others not at all. A suspect now carries the time before which the runner cannot have begun it. When another node has noticed the crash more than 20 ms before, the entry is moved there and loses the suspects that came later; their holds end. News of a crash that come with a time more than 20 ms later than the known one bring no suspects: the node that sent them, told of the earlier time, tells again of those that remain.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -77,6 +77,30 @@
 		review(log, runner);
 }
 
+static void remove_late_suspects(crash_t *crash)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < crash->count; i++)
+		if (crash->suspects[i].begun_us <= crash->at_us)
+			crash->suspects[kept++] = crash->suspects[i];
+	crash->count = kept;
+}
+
+crash_t *crash_log_predate(crash_log_t *log, crash_t *crash, int64_t at_us)
+{
+	uint32_t index = (uint32_t)(crash - log->crashes);
+	crash_t moved = *crash;
+
+	moved.at_us = at_us;
+	remove_late_suspects(&moved);
+	for (; index > 0 && log->crashes[index - 1].at_us > at_us; index--)
+		log->crashes[index] = log->crashes[index - 1];
+	log->crashes[index] = moved;
+	review(log, moved.runner);
+	return &log->crashes[index];
+}
+
 void crash_log_survived(crash_log_t *log, crash_t *crash)
 {
 	crash->survived = true;
@@ -140,6 +164,7 @@
 		known->running |= suspect->running;
 		changed |= known->sent_again && !suspect->sent_again;
 		known->sent_again &= suspect->sent_again;
+		known->begun_us = MIN(known->begun_us, suspect->begun_us);
 		return changed;
 	}
 	if (crash->count < CRASH_SUSPECTS_MAX) {
--- a/src/backend/crash_log.h
+++ b/src/backend/crash_log.h
@@ -31,6 +31,10 @@
 	 * lost with the part at the same moment; known to the node that sent
 	 * them. */
 	bool sent_again;
+	/* The runner has begun no request with the part before this time: when the
+	 * first one was sent, or when another node noticed the crash with it. 0: not
+	 * known. */
+	int64_t begun_us;
 } crash_suspect_t;
 
 typedef struct crash {
@@ -42,6 +46,7 @@
 	bool seen_after; /* the runner was up after it */
 	bool unproven; /* the runner may be down since its crash before */
 	uint32_t sends_left; /* reports to other nodes that are still to come */
+	bool told; /* other nodes have had one */
 } crash_t;
 
 typedef struct crash_log {
@@ -55,6 +60,9 @@
 /* Returns the entry of the runner's crash at about this time, or a new one. The
  * pointer is valid until the next call. */
 crash_t *crash_log_note(crash_log_t *log, uint64_t runner, int64_t at_us);
+/* The crash was at an earlier time than it was noted for. Removes the suspects that
+ * the runner had not begun by then. Returns the entry, which may have moved. */
+crash_t *crash_log_predate(crash_log_t *log, crash_t *crash, int64_t at_us);
 /* The runner was up at a time: it has answered a request that was sent then, or has
  * started. */
 void crash_log_seen(crash_log_t *log, uint64_t runner, int64_t at_us);
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -27,6 +27,9 @@
 /* Summaries hold crashes up to this age; older ones are only needed by nodes
  * that know of them, and holds are sent by themselves. */
 #define SUMMARY_MAX_AGE_US 10000000
+/* All nodes notice a crash within this time. One that notices it later has sent its
+ * requests to a runner that was down, or stood still itself. */
+#define NOTICE_MAX_US 20000
 /* Each news is sent this often, as datagrams may be lost. */
 #define NEWS_SENDS 3
 /* Share of the crashes of a part that a deeper part must explain to be held
@@ -534,6 +537,9 @@
 			.part = parts->ids[i],
 			.depth = prompt_parts_depth(parts, i),
 			.running = loss == PART_LOSS_RUNNING,
+			.begun_us = attempt && !attempt->answered ?
+					    attempt->sent_us :
+					    0,
 		};
 
 		if (loss == PART_LOSS_ANSWERING &&
@@ -764,6 +770,7 @@
 		if (crash->sends_left != sends_left)
 			continue;
 		crash->sends_left--;
+		crash->told = true;
 		news->crashes[news->crashes_count++] = *crash;
 	}
 }
@@ -865,19 +872,60 @@
 	return news->crashes_count > 0 || news->holds_count > 0;
 }
 
+/* Another node has noticed the crash before this one did. */
+static crash_t *predate(part_guard_t *guard, crash_t *crash, int64_t at_us)
+{
+	const crash_t noted = *crash;
+
+	crash = crash_log_predate(&guard->log, crash, at_us);
+	for (uint32_t i = 0; i < noted.count; i++) {
+		part_t *part = find_part(guard, noted.suspects[i].part);
+
+		if (part && !crash_suspect(crash, part->id))
+			part->retracted = true;
+	}
+	/* Nodes that know the earlier time have not taken the suspects. */
+	crash->sends_left = NEWS_SENDS;
+	news_available(guard);
+	log_info("runner_crash_predated",
+		 "runner_key=%" PRIx64 " suspects=%u former_suspects=%u",
+		 crash->runner, crash->count, noted.count);
+	return crash;
+}
+
+/* A node that has noticed the crash late can tell only then which of its requests
+ * the runner had begun by this node's time. */
+static void tell_time(part_guard_t *guard, crash_t *crash)
+{
+	if (crash->told)
+		return;
+	crash->told = true;
+	crash->sends_left = NEWS_SENDS;
+	news_available(guard);
+}
+
 static bool apply_crash(part_guard_t *guard, const crash_t *from)
 {
 	crash_t *crash = note_crash(guard, from->runner, from->at_us);
+	bool late = from->at_us > crash->at_us + NOTICE_MAX_US;
 	bool changed = false;
 
+	if (from->at_us < crash->at_us - NOTICE_MAX_US) {
+		crash = predate(guard, crash, from->at_us);
+		changed = true;
+	}
 	for (uint32_t i = 0; i < from->count; i++) {
 		crash_suspect_t suspect = from->suspects[i];
 		const crash_suspect_t *known =
 			crash_suspect(crash, suspect.part);
 
+		suspect.begun_us = from->at_us;
 		suspect.sent_again = known && known->sent_again;
-		changed |= add_suspect(guard, crash, &suspect);
+		if (!late)
+			changed |= add_suspect(guard, crash, &suspect);
 	}
+	if (late && from->count > 0)
+		tell_time(guard, crash);
 	if (from->survived)
 		changed |= mark_survived(guard, crash);
 	return changed;
--- a/tests/test_crash_log.c
+++ b/tests/test_crash_log.c
@@ -57,6 +57,28 @@
 	crash_log_clear(&log);
 }
 
+/* An entry whose crash was earlier than noted must move, without the suspects that
+ * the runner had not begun by then. */
+static void test_predated(void)
+{
+	crash_log_t log = { 0 };
+	crash_suspect_t suspect = { .part = 7 };
+	crash_t *crash = crash_log_note(&log, 1, 10 * SECOND_US + 70000);
+
+	crash_add_suspect(crash, &suspect);
+	suspect =
+		(crash_suspect_t){ .part = 8, .begun_us = 10 * SECOND_US + 5 };
+	crash_add_suspect(crash, &suspect);
+	crash_log_note(&log, 2, 10 * SECOND_US + 50000);
+	crash = crash_log_predate(&log, &log.crashes[1], 10 * SECOND_US);
+	CU_ASSERT_PTR_EQUAL(crash, &log.crashes[0]);
+	CU_ASSERT_EQUAL(crash->runner, 1);
+	CU_ASSERT_EQUAL(log.crashes[1].runner, 2);
+	CU_ASSERT_EQUAL(crash->count, 1);
+	CU_ASSERT_EQUAL(crash->suspects[0].part, 7);
+	crash_log_clear(&log);
+}
+
 /* Crashes that are heard of late must be in order of time, and a full log must
  * drop the oldest. */
 static void test_order_and_bound(void)
@@ -120,6 +142,7 @@
 		{ "earlier crash is told again",
 		  test_earlier_crash_is_told_again },
 		{ "unproven", test_unproven },
+		{ "predated", test_predated },
 		{ "order and bound", test_order_and_bound },
 		{ "running suspects first", test_running_suspects_first },
 		{ "repeated suspect is kept", test_repeated_suspect_is_kept },
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -462,12 +462,21 @@
 	fixture_free(f);
 }
 
-/* A request is lost at the runner. */
+/* A request of a node that was sent some time ago is lost at the runner. */
+static void lose_at(fixture_t *f, part_guard_t *guard, uint64_t runner,
+		    const prompt_parts_t *parts, int64_t age_ms)
+{
+	const part_attempt_t attempt = {
+		part_guard_now_us(f->guard) - age_ms * 1000, false
+	};
+
+	part_guard_lost(guard, runner, parts, PART_LOSS_RUNNING, &attempt);
+}
+
+/* A request that was just sent is lost at the runner. */
 static void lose(fixture_t *f, uint64_t runner, const prompt_parts_t *parts)
 {
-	part_guard_lost(
-		f->guard, runner, parts, PART_LOSS_RUNNING,
-		&(part_attempt_t){ part_guard_now_us(f->guard), false });
+	lose_at(f, f->guard, runner, parts, 0);
 }
 
 /* Guards against sound requests that are held as runners stay down after a crash,
@@ -646,6 +655,68 @@
 	fixture_free(f);
 }
 
+static void tell(part_guard_t *from, part_guard_t *to)
+{
+	part_news_t news;
+
+	while (part_guard_take_news(from, &news))
+		part_guard_apply(to, &news);
+}
+
+/* Guards against sound requests that are held as they were sent to a runner of
+ * whose crash only another node knew: at the node that sent them, and at those
+ * that it tells of them. */
+static void test_request_to_crashed_runner(void)
+{
+	for (int told_first = 0; told_first <= 1; told_first++) {
+		fixture_t *f = fixture_new();
+		part_guard_t *peer = guard_new(f);
+		prompt_parts_t deadly = { 0 };
+		prompt_parts_t sound = { 0 };
+
+		prompt_parts_add_request(&deadly, DEADLY);
+		prompt_parts_add_request(&sound, OTHER);
+		lose_at(f, peer, 1, &deadly, 0);
+		clock_manual_advance_ms(&f->clock, 70);
+		lose(f, 2, &sound);
+		clock_manual_advance_ms(&f->clock, 2);
+		lose(f, 1, &sound);
+		CU_ASSERT(part_guard_hold_ms(f->guard, &sound) > 0);
+		if (told_first)
+			tell(f->guard, peer);
+		tell(peer, f->guard);
+		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &sound), 0);
+		tell(f->guard, peer);
+		CU_ASSERT_EQUAL(part_guard_hold_ms(peer, &sound), 0);
+		part_guard_free(peer);
+		fixture_free(f);
+	}
+}
+
+/* A request that was at a runner when it crashed must count as well if its node
+ * notices the crash after others. */
+static void test_crash_is_noticed_late(void)
+{
+	fixture_t *f = fixture_new();
+	part_guard_t *peer = guard_new(f);
+	prompt_parts_t deadly = { 0 };
+
+	prompt_parts_add_request(&deadly, DEADLY);
+	for (uint64_t runner = 1; runner <= 3; runner++) {
+		lose_at(f, peer, runner, &(prompt_parts_t){ 0 }, 0);
+		clock_manual_advance_ms(&f->clock, 300);
+		lose_at(f, f->guard, runner, &deadly, 310);
+		tell(f->guard, peer);
+		tell(peer, f->guard);
+		tell(f->guard, peer);
+		clock_manual_advance_ms(&f->clock, 300);
+	}
+	CU_ASSERT(part_guard_hold_ms(f->guard, &deadly) > 30000);
+	CU_ASSERT(part_guard_hold_ms(peer, &deadly) > 30000);
+	part_guard_free(peer);
+	fixture_free(f);
+}
+
 /* A node that starts or rejoins later must learn of a hold. */
 static void test_summary(void)
 {
@@ -791,6 +862,8 @@
 		{ "trial after hold", test_trial_after_hold },
 		{ "two parts", test_two_parts },
 		{ "news", test_news },
+		{ "request to crashed runner", test_request_to_crashed_runner },
+		{ "crash is noticed late", test_crash_is_noticed_late },
 		{ "summary", test_summary },
 		{ "summary tells clears", test_summary_tells_clears },
 		{ "crash is told again", test_crash_is_told_again },
