Report ready only when the other nodes have had time to tell what is held

Cause: a gateway was ready with its configuration and the runner list. What is held it learns from other nodes, which answer its first load report, and that needs the list of nodes, a read of its own.

A gateway is ready 200 ms after its first report to another node, or when there are none, or 2 s after its start at the latest. The balancer asks once a second, so a restart takes no notable time more.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -701,6 +701,7 @@
 bool gateway_is_ready(const gateway_t *gateway)
 {
 	return gateway->paths && follow_is_synced(gateway->runners) &&
+	       peer_load_is_introduced(gateway->peer_load) &&
 	       !gateway->stopping_since_us;
 }
 
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -41,6 +41,11 @@
 #define ORIGIN_DOMAIN_KEEPERS 3
 /* Number of nodes that send a summary to one that has started. */
 #define PART_STARTED_SENDERS 4
+/* The answer of another node to the first report of a process comes within this
+ * time, if it has anything to tell. */
+#define GREETING_MS 200
+/* No longer after its start does a process wait for that. */
+#define INTRODUCTION_MAX_MS 2000
 
 typedef struct node_address {
 	struct sockaddr_in socket;
@@ -58,6 +63,8 @@
 	struct event *register_retry; /* retries the registration */
 	GHashTable *addresses; /* node -> node_address_t */
 	char *own_entry;
+	int64_t created_us;
+	int64_t introduced_us; /* first report to another node; 0: none yet */
 	int64_t sent_us;
 	int64_t remote_sent_us;
 	struct event *send_parts; /* the next send of news about parts */
@@ -225,6 +232,8 @@
 			   (const struct sockaddr *)&address->socket,
 			   sizeof(address->socket)) < 0)
 			continue;
+		if (!load->introduced_us)
+			load->introduced_us = now_us;
 	}
 }
 
@@ -539,6 +548,7 @@
 	struct event_base *base = options->base;
 
 	load->options = *options;
+	load->created_us = clock_now_us(options->clock);
 	if (!bind_socket(load, error)) {
 		g_free(load);
 		return NULL;
@@ -791,6 +801,18 @@
 			      alone ? 1.0 / (others + 1) : 1.0);
 }
 
+bool peer_load_is_introduced(const peer_load_t *load)
+{
+	int64_t now_us = clock_now_us(load->options.clock);
+
+	if (now_us - load->created_us >= INTRODUCTION_MAX_MS * 1000)
+		return true;
+	if (load->introduced_us)
+		return now_us - load->introduced_us >= GREETING_MS * 1000;
+	return follow_is_synced(load->follow) &&
+	       g_hash_table_size(load->addresses) == 0;
+}
+
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -93,6 +93,9 @@
 			  size_t size);
 /* Sends the part guard's news to all nodes soon. */
 void peer_load_part_news(peer_load_t *load);
+/* Whether the other nodes have had time to tell this process, since its start, which
+ * requests crash runners; or there are none. */
+bool peer_load_is_introduced(const peer_load_t *load);
 void peer_load_tick(peer_load_t *load);
 
 /* Writes the address of a node as IP:port to the buffer; false when it is not
