Do not suspect a request that had answers until the crashes

Cause: evidence did not regard how often a request is sent. One that is always in progress is there at each crash, and explains all of them, while each cause explains only its own. A node does not take the hold of another node for a request that it had answered then. Each node goes by its own answers; datagrams are unchanged.

--- a/src/backend/crash_log.c
+++ b/src/backend/crash_log.c
@@ -165,6 +165,7 @@
 		changed |= known->sent_again && !suspect->sent_again;
 		known->sent_again &= suspect->sent_again;
 		known->begun_us = MIN(known->begun_us, suspect->begun_us);
+		known->sound |= suspect->sound;
 		return changed;
 	}
 	if (crash->count < CRASH_SUSPECTS_MAX) {
--- a/src/backend/crash_log.h
+++ b/src/backend/crash_log.h
@@ -27,6 +27,7 @@
 	uint32_t depth; /* position of the part in the prompt */
 	bool running; /* the runner had begun to process the request */
 	bool repeated; /* also a suspect of an earlier crash */
+	bool sound; /* a request that had a complete answer shortly before */
 	/* All requests with the part were sent to the runner after others were
 	 * lost with the part at the same moment; known to the node that sent
 	 * them. */
--- a/src/backend/part_evidence.c
+++ b/src/backend/part_evidence.c
@@ -15,6 +15,8 @@
 
 	if (!suspect || !part_evidence_counts(crash, part))
 		return 0;
+	if (suspect->sound)
+		return EVIDENCE_SOUND;
 	if (suspect->running)
 		return EVIDENCE_RUNNING;
 	return suspect->depth == PROMPT_DEPTH_REQUEST ? EVIDENCE_REQUEST :
--- a/src/backend/part_evidence.h
+++ b/src/backend/part_evidence.h
@@ -26,6 +26,9 @@
 #define EVIDENCE_QUEUED 4
 /* The same for the request itself, of which few come again by chance. */
 #define EVIDENCE_REQUEST 7
+/* The same for a request that had a complete answer shortly before: not none, as
+ * the runners' software may have changed. */
+#define EVIDENCE_SOUND 3
 /* Evidence from which a part is held briefly, and for long: of two and of three
  * crashes. */
 #define EVIDENCE_SUSPECTED 20
--- a/src/backend/part_guard.c
+++ b/src/backend/part_guard.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "backend/part_evidence.h"
+#include "backend/sound_requests.h"
 #include "base/log.h"
 
 #define HOLD_SUSPECTED_MS 2000
@@ -62,6 +63,7 @@
 	part_guard_options_t options;
 	crash_log_t log;
 	GHashTable *parts; /* id -> part_t; those of the log, and held ones */
+	sound_requests_t *sound;
 	int64_t *crashes_total;
 	int64_t *joined_total;
 	int64_t *trials_total;
@@ -78,6 +80,7 @@
 	guard->options = *options;
 	guard->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     g_free);
+	guard->sound = sound_requests_new();
 	guard->crashes_total = counter_get(options->counters, COUNTER_MONOTONIC,
 					   "runner_crashes_total", NULL);
 	guard->joined_total = counter_get(options->counters, COUNTER_MONOTONIC,
@@ -98,6 +101,7 @@
 	if (!guard)
 		return;
 	g_hash_table_destroy(guard->parts);
+	sound_requests_free(guard->sound);
 	crash_log_clear(&guard->log);
 	g_free(guard);
 }
@@ -427,11 +431,21 @@
 	end_trials(guard);
 }
 
+/* Whether it is a request that had a complete answer shortly before. */
+static bool is_sound(const part_guard_t *guard, uint64_t part, uint32_t depth,
+		     int64_t at_us)
+{
+	return depth == PROMPT_DEPTH_REQUEST &&
+	       sound_requests_has(guard->sound, part, at_us);
+}
+
 static bool add_suspect(part_guard_t *guard, crash_t *crash,
 			crash_suspect_t *suspect)
 {
 	part_t *part = find_part(guard, suspect->part);
 
+	suspect->sound =
+		is_sound(guard, suspect->part, suspect->depth, crash->at_us);
 	suspect->repeated = part && part->mentions > 0;
 	if (!crash_add_suspect(crash, suspect))
 		return false;
@@ -664,6 +678,10 @@
 
 void part_guard_completed(part_guard_t *guard, const prompt_parts_t *parts)
 {
+	for (uint32_t i = 0; i < parts->count; i++)
+		if (prompt_parts_depth(parts, i) == PROMPT_DEPTH_REQUEST)
+			sound_requests_note(guard->sound, parts->ids[i],
+					    part_guard_now_us(guard));
 	clear_parts(guard, parts, true);
 }
 
@@ -943,9 +961,12 @@
 
 static void apply_hold(part_guard_t *guard, const part_hold_t *from)
 {
-	part_t *part = find_or_add_part(guard, from->part, from->depth);
 	int64_t now_us = part_guard_now_us(guard);
+	part_t *part;
 
+	if (is_sound(guard, from->part, from->depth, from->last_crash_us))
+		return;
+	part = find_or_add_part(guard, from->part, from->depth);
 	if (from->last_crash_us <= part->cleared_us ||
 	    from->until_us <= part->hold_until_us)
 		return;
--- a/tests/test_part_guard.c
+++ b/tests/test_part_guard.c
@@ -525,6 +525,56 @@
 	}
 }
 
+/* Guards against a request that is held as it is always in progress when runners
+ * crash, by several requests: it had complete answers until then (soak seed 40). A
+ * hold of a node that has not seen these is not taken either. */
+static void test_request_that_is_always_sent(void)
+{
+	for (int answered = 0; answered <= 1; answered++) {
+		fixture_t *f = fixture_new();
+		part_guard_t *peer = guard_new(f);
+		prompt_parts_t sound = { 0 };
+		part_news_t news;
+
+		prompt_parts_add_request(&sound, OTHER);
+		if (answered)
+			part_guard_completed(f->guard, &sound);
+		for (uint64_t runner = 1; runner <= 5; runner++) {
+			prompt_parts_t deadly = { 0 };
+
+			prompt_parts_add_request(&deadly, DEADLY + runner % 2);
+			clock_manual_advance_ms(&f->clock, 70);
+			lose_at(f, f->guard, runner, &sound, 20);
+			lose_at(f, f->guard, runner, &deadly, 20);
+			lose_at(f, peer, runner, &sound, 20);
+		}
+		CU_ASSERT(part_guard_is_certain(peer, &sound));
+		if (part_guard_summary(peer, &news))
+			part_guard_apply(f->guard, &news);
+		CU_ASSERT_EQUAL(part_guard_hold_ms(f->guard, &sound) == 0,
+				answered);
+		part_guard_free(peer);
+		fixture_free(f);
+	}
+}
+
+/* A request that was answered before must be held nevertheless when runners go on
+ * to crash with it and nothing else, as those of another version may. */
+static void test_answered_request_crashes_runners(void)
+{
+	fixture_t *f = fixture_new();
+	prompt_parts_t deadly = { 0 };
+
+	prompt_parts_add_request(&deadly, DEADLY);
+	part_guard_completed(f->guard, &deadly);
+	for (uint64_t runner = 1; runner <= 10; runner++) {
+		clock_manual_advance_ms(&f->clock, 500);
+		lose_at(f, f->guard, runner, &deadly, 20);
+	}
+	CU_ASSERT(part_guard_hold_ms(f->guard, &deadly) > 1000);
+	fixture_free(f);
+}
+
 /* A request that crashes runners by its own content must be held without the
  * parts that it shares. */
 static void test_single_request(void)
@@ -854,6 +904,10 @@
 		{ "request after the end", test_request_after_the_end },
 		{ "runners stay down", test_runners_stay_down },
 		{ "only runner crashes again", test_only_runner_crashes_again },
+		{ "request that is always sent",
+		  test_request_that_is_always_sent },
+		{ "answered request crashes runners",
+		  test_answered_request_crashes_runners },
 		{ "single request", test_single_request },
 		{ "request before and after output",
 		  test_request_before_and_after_output },
