Count suspensions in the age of a watcher's VM list

Found by reading; no process test can suspend a VM, so none shows it. test_vm_list.py passes as before.

--- a/src/entry/vm_follow.c
+++ b/src/entry/vm_follow.c
@@ -22,7 +22,7 @@
 	vm_view_t *local_view; /* read from the platform by this node */
 	vm_view_t *watcher_view; /* fetched from the watcher */
 	bool is_watcher;
-	int64_t read_ms; /* time of the last answer of the platform; 0: none */
+	int64_t read_us; /* clock_elapsed_us() of the platform's last answer; 0: none */
 	int64_t *store_reads;
 	int64_t *peer_fetches;
 };
@@ -51,11 +51,11 @@
 
 static bool has_recent_read(const vm_follow_t *follow)
 {
-	int64_t age_ms = clock_now_ms(follow->options.clock) - follow->read_ms;
+	int64_t age_us =
+		clock_elapsed_us(follow->options.clock) - follow->read_us;
 
-	return follow->read_ms &&
-	       age_ms <=
-		       READ_VALID_PERIODS * (int64_t)follow->options.period_ms;
+	return follow->read_us && age_us <= READ_VALID_PERIODS * 1000LL *
+						    follow->options.period_ms;
 }
 
 static void handle_fetch(rpc_call_t *call, const void *args, void *user_data)
@@ -107,7 +107,7 @@
 			 error_name((error_code_t)error->code));
 		return;
 	}
-	follow->read_ms = clock_now_ms(follow->options.clock);
+	follow->read_us = clock_elapsed_us(follow->options.clock);
 	if (vm_view_update(follow->local_view, vms))
 		publish(follow, follow->local_view);
 }
