--- a/tests/process/gateway_standin.py
+++ b/tests/process/gateway_standin.py
@@ -574,6 +574,7 @@
         """source: the address that its connections come from; such a gateway
         has a list of cut ports (cut.py)."""
         self.name, self.zone, self.grace_s = name, zone, grace_s
+        self.binary = f.BINARY  # from the next start on
         self.source = source
         self.group = Group(self.logs, name)
         self.store_port = store_port or store.port
@@ -615,7 +616,7 @@
         with open(self.log_path, "ab") as log:
             self.log_start = log.tell()
             self.process = subprocess.Popen(
-                [f.BINARY, "gateway"], stdout=log, stderr=log,
+                [self.binary, "gateway"], stdout=log, stderr=log,
                 env={**environment, "WASABILINK_CONFIG": self.settings})
 
     def is_ready(self):
