--- a/src/tool/timeline_tool.c
+++ b/src/tool/timeline_tool.c
@@ -7,12 +7,14 @@
 #include "base/error.h"
 #include "base/setting.h"
 #include "base/timeline.h"
+#include "tool/job_timeline.h"
 #include "tool/tool_client.h"
 
 typedef struct timeline_options {
 	char *nodes;
 	char *key;
 	char *match;
+	char *job;
 	int64_t since_ms;
 	int64_t timeout_ms;
 	GPtrArray *files;
@@ -90,6 +92,26 @@
 	return 0;
 }
 
+static void print_lines(const GArray *entries)
+{
+	for (guint i = 0; i < entries->len; i++)
+		puts(g_array_index(entries, entry_t, i).line);
+}
+
+static void print_job(const GArray *entries, const char *job)
+{
+	job_timeline_t *timeline = job_timeline_new(job);
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < entries->len; i++)
+		job_timeline_add(timeline,
+				 g_array_index(entries, entry_t, i).line, text);
+	job_timeline_end(timeline, text);
+	fputs(text->str, stdout);
+	g_string_free(text, TRUE);
+	job_timeline_free(timeline);
+}
+
 static int run(const timeline_options_t *options)
 {
 	GArray *entries = g_array_new(FALSE, FALSE, sizeof(entry_t));
@@ -112,8 +134,10 @@
 		status = status ? status : rc;
 	}
 	g_array_sort(entries, compare_entries);
-	for (guint i = 0; i < entries->len; i++)
-		puts(g_array_index(entries, entry_t, i).line);
+	if (options->job[0])
+		print_job(entries, options->job);
+	else
+		print_lines(entries);
 	g_strfreev(nodes);
 	tool_client_free(client);
 	g_array_free(entries, TRUE);
@@ -131,6 +155,9 @@
 		{ "match", SETTING_STRING, &options.match, "", "TEXT",
 		  "only lines that hold this text, such as request=r-17", 0, 0,
 		  0 },
+		{ "job", SETTING_STRING, &options.job, "", "ID",
+		  "the life of a batch job of a gateway, with its gaps", 0, 0,
+		  0 },
 		{ "since", SETTING_INT, &options.since_ms, "0", "MS",
 		  "only lines from this time on, ms since the epoch", 0,
 		  INT64_MAX, 0 },
