Let the model of the views receive in builds with checked buffers

Cause, from a debugger: gcc -O1 with _FORTIFY_SOURCE calls __recvfrom_chk where -O2 calls recvfrom, so the test's recvfrom, which takes a datagram of the model, was not called. The real one failed on the model's pipe, which stayed readable, and the event loop never came to an end.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(BUILD)/tests/model_run.o
 $(BUILD)/tests/test_view_protocol: override LDFLAGS += -Wl,--wrap=g_rand_new \
 	-Wl,--wrap=socket,--wrap=bind,--wrap=sendto,--wrap=recvfrom \
+	-Wl,--wrap=__recvfrom_chk \
 	-Wl,--wrap=rpc_client_new,--wrap=rpc_server_new \
 	-Wl,--wrap=rpc_client_call,--wrap=rpc_server_register \
 	-Wl,--wrap=rpc_reply,--wrap=rpc_reply_unavailable
--- a/tests/test_view_protocol.c
+++ b/tests/test_view_protocol.c
@@ -242,6 +242,10 @@
 		      const struct sockaddr *to, socklen_t to_len);
 ssize_t __wrap_recvfrom(int fd, void *data, size_t size, int flags,
 			struct sockaddr *from, socklen_t *from_len);
+/* What a build with checks of buffer sizes calls in its place. */
+ssize_t __wrap___recvfrom_chk(int fd, void *data, size_t size,
+			      size_t buffer_size, int flags,
+			      struct sockaddr *from, socklen_t *from_len);
 rpc_client_t *__wrap_rpc_client_new(struct event_base *base, peer_key_t *key);
 rpc_server_t *__wrap_rpc_server_new(struct event_base *base,
 				    const char *address, uint16_t port,
@@ -351,6 +355,14 @@
 	return len;
 }
 
+ssize_t __wrap___recvfrom_chk(int fd, void *data, size_t size,
+			      size_t buffer_size, int flags,
+			      struct sockaddr *from, socklen_t *from_len)
+{
+	return __wrap_recvfrom(fd, data, MIN(size, buffer_size), flags, from,
+			       from_len);
+}
+
 rpc_client_t *__wrap_rpc_client_new(struct event_base *base, peer_key_t *key)
 {
 	return (rpc_client_t *)current_world->starting;
