--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,7 +12,7 @@
 RUNNERS = 5
 # The largest dose of `garble` on the users' pages: share = 0.6, x = 0.2.
 SPOILING = 3  # of 5 runners
-SPOILED_SHARE = 0.2  # of their answers, drawn at random
+SPOILED_SHARE = 0.2  # of their answers at most, drawn at random
 SEED = 1
 JOBS = 16
 ITEMS = 200  # the most that a job may have
@@ -27,13 +27,16 @@
     draw = random.Random(SEED)
     spoils = False
     answers = 0
+    own_spoiled = 0
     spoiled = {}  # item -> runners
 
     def answer(self, handler, request, after, body):
         with self.lock:
             self.answers += 1
             spoil = (s.TROUBLE and self.spoils and
-                     self.draw.random() < SPOILED_SHARE)
+                     self.draw.random() < SPOILED_SHARE and
+                     self.own_spoiled + 1 <= SPOILED_SHARE * self.answers)
+            self.own_spoiled += spoil
             if spoil:
                 self.spoiled.setdefault(request, []).append(self.id)
         if not spoil:
