--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # file: their clients, runners and store are Python programs of the standard
 # library, which need no building and are checked here.
 cd "$(dirname "$0")" || exit 1
-python3 -B - common-2/standins.py [6-9]/case.py 10/case.py <<'END'
+python3 -B - common-2/standins.py [6-9]/case.py 10/case.py more-2/*.py <<'END'
 import ast
 import sys
 
