Keep streams' versions at nodes that stay

What callers saw: a stream that a client takes up soon after nodes have been stopped was refused.

Evidence: test_streams_right_after_replacements: 14 of 24 streams went on before.

Change: keepers are drawn among the nodes that the load reports show: heard within 2 s, and not stopping by their last report. Only when there is none are they drawn among all that are not silent for 10 s.

Why it works: a node says that it stops seconds before it ends, and reports every 400 ms, so that others know in time whom to leave out.

--- a/src/gateway/load_view.c
+++ b/src/gateway/load_view.c
@@ -579,6 +579,13 @@
 	return peer ? peer->domain : NULL;
 }
 
+bool load_view_is_staying(const load_view_t *view, const char *node)
+{
+	const peer_t *peer = g_hash_table_lookup(view->peers, node);
+
+	return peer && !peer->contact.relay_draining;
+}
+
 static void add_peer_waiting(const peer_t *peer, uint64_t service,
 			     batch_waiting_t *sum)
 {
--- a/src/gateway/load_view.h
+++ b/src/gateway/load_view.h
@@ -65,6 +65,8 @@
  * a draw in [0, 1), or NULL without one. */
 const char *load_view_store_peer(const load_view_t *view, const char *domain,
 				 double draw);
+/* Whether a node has a recent report, by which it does not stop soon. */
+bool load_view_is_staying(const load_view_t *view, const char *node);
 /* Returns the domain of a node with a recent report, else NULL. */
 const char *load_view_domain(const load_view_t *view, const char *node);
 /* Applies another node's report. Returns the node's name, or NULL for a report
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -469,26 +469,40 @@
 	return sent;
 }
 
-uint32_t peer_load_send_origin(const peer_load_t *load, uint64_t stream,
-			       const char *data, size_t len)
+/* Draws the keepers of a stream among the nodes that stay, or among all that are
+ * not silent. */
+static void draw_keepers(const peer_load_t *load, uint64_t stream, bool staying,
+			 keepers_t *all, keepers_t *local)
 {
-	static const keepers_t none = { 0 };
-	keepers_t all = { .max = ORIGIN_KEEPERS };
-	keepers_t local = { .max = ORIGIN_DOMAIN_KEEPERS };
 	GHashTableIter iter;
+	void *name;
 	void *value;
 
 	g_hash_table_iter_init(&iter, load->addresses);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const node_address_t *node = value;
 		uint64_t weight = rendezvous_weight_of(node->hash, stream);
 
-		if (is_silent(load, node))
+		if (staying ? !load_view_is_staying(load->view, name) :
+			      is_silent(load, node))
 			continue;
-		add_keeper(&all, node, weight);
+		add_keeper(all, node, weight);
 		if (strcmp(node->domain, load->options.domain) == 0)
-			add_keeper(&local, node, weight);
+			add_keeper(local, node, weight);
 	}
+}
+
+uint32_t peer_load_send_origin(const peer_load_t *load, uint64_t stream,
+			       const char *data, size_t len)
+{
+	static const keepers_t none = { 0 };
+	keepers_t all = { .max = ORIGIN_KEEPERS };
+	keepers_t local = { .max = ORIGIN_DOMAIN_KEEPERS };
+
+	draw_keepers(load, stream, true, &all, &local);
+	/* None is heard yet, or all stop. */
+	if (all.count == 0)
+		draw_keepers(load, stream, false, &all, &local);
 	return send_to_keepers(load, &all, &none, data, len) +
 	       send_to_keepers(load, &local, &all, data, len);
 }
--- a/tests/process/test_gone_nodes.py
+++ b/tests/process/test_gone_nodes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import re
+import signal
 import sys
 import time
 import unittest
@@ -16,6 +17,9 @@
 STREAMS = 24
 # Nodes that are silent for 10 s count as gone; checked twice a second.
 SILENT_S = 11.5
+REPLACED = 12
+# Until the reports of a node that has started have reached the others.
+HEARD_S = 1
 
 
 class GoneNodesTest(unittest.TestCase):
@@ -27,13 +31,15 @@
                      version="v1" if i % 2 else "v2") for i in range(4)]
         for runner in self.runners:
             runner.gap_s = 0.02
+        self.stopping = []
         self.gateways = [s.Gateway(self.store, f"gone-g{i}")
                          for i in range(3)]
         for gateway in self.gateways:
             f.wait_for(gateway.is_ready, f"{gateway.name} ready")
 
     def tearDown(self):
-        for each in self.gateways + self.runners + [self.store]:
+        for each in (self.gateways + self.stopping + self.runners +
+                     [self.store]):
             each.close()
 
     def add_gone(self):
@@ -55,6 +61,22 @@
         chosen among the nodes that live."""
         self.add_gone()
         time.sleep(SILENT_S)
+        self.take_up_streams()
+
+    def test_streams_right_after_replacements(self):
+        """A stream goes on though nodes have just been stopped: these are no
+        keepers from the moment at which they say that they stop."""
+        for number in range(REPLACED):
+            new = s.Gateway(self.store, f"gone-n{number}")
+            f.wait_for(new.is_ready, f"{new.name} ready")
+            old = self.gateways.pop(0)
+            self.gateways.append(new)
+            self.stopping.append(old)
+            old.process.send_signal(signal.SIGTERM)
+        time.sleep(HEARD_S)
+        self.take_up_streams()
+
+    def take_up_streams(self):
         gone_on = 0
         for number in range(STREAMS):
             first = Stream(self.gateways[number % 3], f"s{number}.0")
