--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "coord/rendezvous.h"
 #include "gateway/follow.h"
+#include "gateway/node_registration.h"
 #include "gateway/part_report.h"
 
 #define NODE_PREFIX "gateway-nodes/"
@@ -20,7 +21,6 @@
 /* New nodes are discovered by their reports; the store is read for the
  * others. */
 #define NODE_WATCH_PAUSE_MS 5000
-#define REGISTER_RETRY_MS 1000
 /* Changes within this time are sent in one report. Until it arrives, other
  * nodes may use the same slot. */
 #define REPORT_BATCH_DELAY_MS 1
@@ -77,12 +77,11 @@
 	int socket;
 	struct event *readable;
 	struct event *send; /* the scheduled report */
-	struct event *register_retry; /* retries the registration */
+	node_registration_t *registration;
 	GHashTable *addresses; /* node -> node_address_t */
 	uint32_t silent_nodes; /* of these, for long, as last counted */
 	int64_t silent_counted_us;
 	int64_t *entries_removed_total;
-	char *own_entry;
 	int64_t created_us;
 	int64_t introduced_us; /* first report to another node; 0: none yet */
 	int64_t sent_us;
@@ -169,22 +168,23 @@
 
 static void on_node_changed(const object_entry_t *entry, void *user_data)
 {
+	peer_load_t *load = user_data;
 	json_t *value = json_loads(entry->data, JSON_DECODE_ANY, NULL);
 	const char *text = json_string_value(json_object_get(value, "address"));
 	const char *domain =
 		json_string_value(json_object_get(value, "domain"));
+	const char *node = entry->key + strlen(NODE_PREFIX);
 	struct sockaddr_in address = { 0 };
 
-	if (text && domain && parse_address(text, &address))
-		add_address(user_data, entry->key + strlen(NODE_PREFIX), domain,
-			    &address, entry->version);
+	if (strcmp(node, load->options.node) == 0)
+		node_registration_seen(load->registration, entry);
+	else if (text && domain && parse_address(text, &address))
+		add_address(load, node, domain, &address, entry->version);
 	else
 		log_warn("node_unreadable", "key=%s", entry->key);
 	json_decref(value);
 }
 
-static void register_node(peer_load_t *load, uint64_t version);
-
 static void on_node_removed(const char *key, void *user_data)
 {
 	peer_load_t *load = user_data;
@@ -192,58 +192,11 @@
 
 	/* Another node has not heard this one for long. */
 	if (strcmp(node, load->options.node) == 0)
-		register_node(load, OBJECT_ABSENT);
+		node_registration_removed(load->registration);
 	else
 		g_hash_table_remove(load->addresses, node);
 }
 
-static void on_registered(const object_value_t *value, const GError *error,
-			  void *user_data)
-{
-	const struct timeval pause = { REGISTER_RETRY_MS / 1000, 0 };
-	peer_load_t *load = user_data;
-
-	if (!error)
-		return;
-	if (error->code == WL_ERROR_CONFLICT && value && value->data) {
-		if (strcmp(value->data, load->own_entry) != 0)
-			register_node(load, value->version);
-		return;
-	}
-	evtimer_add(load->register_retry, &pause);
-}
-
-/* Registers again after an error, or a conflict whose answer lacked the
- * version. */
-static void on_entry_read(const object_value_t *value, const GError *error,
-			  void *user_data)
-{
-	peer_load_t *load = user_data;
-
-	if (!error && strcmp(value->data, load->own_entry) == 0)
-		return;
-	register_node(load, error ? OBJECT_ABSENT : value->version);
-}
-
-static void on_register_retry(evutil_socket_t fd, short events, void *arg)
-{
-	peer_load_t *load = arg;
-	char *key = g_strconcat(NODE_PREFIX, load->options.node, NULL);
-
-	object_get(load->options.store, key, on_entry_read, load);
-	g_free(key);
-}
-
-static void register_node(peer_load_t *load, uint64_t version)
-{
-	char *key = g_strconcat(NODE_PREFIX, load->options.node, NULL);
-
-	object_put(load->options.store, key, load->own_entry,
-		   strlen(load->own_entry), version, load->options.writer,
-		   on_registered, load);
-	g_free(key);
-}
-
 static void add_news(const char *prefix, const view_news_t *news,
 		     void *user_data)
 {
@@ -649,6 +602,27 @@
 	load->follow = follow_new(&options);
 }
 
+static void register_node(peer_load_t *load)
+{
+	const peer_load_options_t *options = &load->options;
+	char *key = g_strconcat(NODE_PREFIX, options->node, NULL);
+	char *entry = g_strdup_printf(
+		"{\"address\":\"%s:%u\",\"domain\":\"%s\"}", options->address,
+		options->port, options->domain);
+	const node_registration_options_t registration = {
+		.base = options->base,
+		.store = options->store,
+		.key = key,
+		.entry = entry,
+		.writer = options->writer,
+		.counters = options->counters,
+	};
+
+	load->registration = node_registration_new(&registration);
+	g_free(entry);
+	g_free(key);
+}
+
 peer_load_t *peer_load_new(const peer_load_options_t *options, GError **error)
 {
 	peer_load_t *load = g_new0(peer_load_t, 1);
@@ -668,16 +642,12 @@
 	load->entries_removed_total =
 		counter_get(options->counters, COUNTER_MONOTONIC,
 			    "node_entries_removed_total", NULL);
-	load->own_entry = g_strdup_printf(
-		"{\"address\":\"%s:%u\",\"domain\":\"%s\"}", options->address,
-		options->port, options->domain);
 	load->send = evtimer_new(base, on_send, load);
 	load->send_parts = evtimer_new(base, on_send_parts, load);
-	load->register_retry = evtimer_new(base, on_register_retry, load);
 	load->readable = event_new(base, load->socket, EV_READ | EV_PERSIST,
 				   on_readable, load);
 	event_add(load->readable, NULL);
-	register_node(load, OBJECT_ABSENT);
+	register_node(load);
 	follow_nodes(load);
 	follow_group_set_checked(load->options.follows, on_checked, load);
 	return load;
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "gateway/fleet_state.h"
 #include "object/object_memory.h"
 #include "unit.h"
 
@@ -12,7 +13,9 @@
 #define GONE_KEY "gateway-nodes/c"
 #define GONE_ENTRY "{\"address\":\"127.0.1.1:9\",\"domain\":\"d\"}"
 
-/* Two nodes that hear each other, and the entry of one that is gone. */
+#define NODES_MAX 3
+
+/* Nodes that hear each other, two at first, and entries of some that are gone. */
 typedef struct fixture {
 	struct event_base *base;
 	clock_manual_t clock;
@@ -20,8 +23,9 @@
 	counter_set_t *counters;
 	object_memory_t *memory;
 	object_store_t *observer;
-	object_store_t *stores[2];
-	peer_load_t *nodes[2];
+	object_store_t *stores[NODES_MAX];
+	peer_load_t *nodes[NODES_MAX];
+	fleet_t *fleets[NODES_MAX];
 	bool hears; /* the second node runs */
 	bool found; /* the last read of the entry */
 	uint64_t version;
@@ -47,7 +51,9 @@
 	clock_manual_advance_ms(&fixture->clock, STEP_MS);
 	object_memory_step(fixture->memory);
 	object_memory_deliver(fixture->observer);
-	for (int i = 0; i < (fixture->hears ? 2 : 1); i++) {
+	for (int i = 0; i < NODES_MAX; i++) {
+		if (!fixture->nodes[i] || (i == 1 && !fixture->hears))
+			continue;
 		object_memory_deliver(fixture->stores[i]);
 		peer_load_tick(fixture->nodes[i]);
 	}
@@ -72,10 +78,13 @@
 
 static void node_init(fixture_t *fixture, int index)
 {
-	static const char *const names[] = { "a", "b" };
+	static const char *const names[] = { "a", "b", "e" };
+	static const char *const addresses[] = { "127.0.0.1", "127.0.0.1",
+						 "127.0.0.3" };
 	const fleet_options_t fleet = { .clock = &fixture->clock.base,
 					.random = fixture->random,
 					.domain = "d" };
+	fixture->fleets[index] = fleet_new(&fleet);
 	const part_guard_options_t guard = { .clock = &fixture->clock.base,
 					     .random = fixture->random,
 					     .counters = fixture->counters };
@@ -83,12 +92,12 @@
 		.base = fixture->base,
 		.clock = &fixture->clock.base,
 		.random = fixture->random,
-		.fleet = fleet_new(&fleet),
+		.fleet = fixture->fleets[index],
 		.part_guard = part_guard_new(&guard),
 		.follows = follow_group_new(),
 		.node = names[index],
 		.domain = "d",
-		.address = "127.0.0.1",
+		.address = addresses[index],
 		.writer = names[index],
 		.load_received = count_load,
 		.user_data = index == 1 ? &fixture->heard : NULL,
@@ -106,7 +115,19 @@
 	}
 }
 
-static fixture_t *fixture_new(void)
+static void add_gone(fixture_t *fixture, int number)
+{
+	char *key = g_strdup_printf("gateway-nodes/gone%d", number);
+	char *entry = g_strdup_printf(
+		"{\"address\":\"127.0.2.%d:9\",\"domain\":\"d\"}", number + 1);
+
+	object_put(fixture->observer, key, entry, strlen(entry), OBJECT_ABSENT,
+		   "c", on_put, NULL);
+	g_free(entry);
+	g_free(key);
+}
+
+static fixture_t *fixture_with_gone(int gone)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 
@@ -119,6 +140,8 @@
 	fixture->observer = object_memory_open(fixture->memory);
 	object_put(fixture->observer, GONE_KEY, GONE_ENTRY, strlen(GONE_ENTRY),
 		   OBJECT_ABSENT, "c", on_put, NULL);
+	for (int i = 0; i < gone; i++)
+		add_gone(fixture, i);
 	for (int i = 0; i < 5; i++) {
 		object_memory_step(fixture->memory);
 		object_memory_deliver(fixture->observer);
@@ -129,6 +152,11 @@
 	return fixture;
 }
 
+static fixture_t *fixture_new(void)
+{
+	return fixture_with_gone(0);
+}
+
 static void on_read(const object_value_t *value, const GError *error,
 		    void *user_data)
 {
@@ -171,6 +199,18 @@
 	CU_ASSERT(has_entry(fixture, "gateway-nodes/b"));
 }
 
+/* Entries of nodes that are gone must not make a system large: other domains got
+ * reports seldom, and batch items kept to their own one. */
+static void test_gone_nodes_and_size(void)
+{
+	fixture_t *fixture = fixture_with_gone(20);
+
+	run_s(fixture, 5);
+	CU_ASSERT(fixture->fleets[0]->remote_load_stale);
+	run_s(fixture, 70);
+	CU_ASSERT_FALSE(fixture->fleets[0]->remote_load_stale);
+}
+
 /* The entry of a process may be overwritten by that of another one with its name,
  * which has ended since. The others must go on by the address that its reports come
  * from: it heard none of them. */
@@ -198,6 +238,7 @@
 		{ "entry of gone node", test_entry_of_gone_node },
 		{ "node that hears none", test_node_that_hears_none },
 		{ "entry with former address", test_entry_with_former_address },
+		{ "gone nodes and size", test_gone_nodes_and_size },
 		{ NULL, NULL },
 	};
 
