Take no node for gone that could not be heard

What callers saw: nothing yet. After a node had been cut off from all others, but not from the store, for over 15 minutes, it removed the entries of nodes that live, as soon as the first of them was heard again.

Cause: silence was counted for each node by itself, also while this node heard nobody. Others send reports to a node that is silent for long every 5 s only, so that after a cut they come back one after the other.

Evidence: test_end_of_own_cut: the entry was removed within 300 s after the cut.

Change: only silence counts during which this node has heard others without a break of 2 s. A pause of the process of over 10 s breaks it too. A removal that the store refuses is logged.

Measured: the test passes; those that guard the removal still do.

Why it works: a node that hears others for 10 to 15 minutes, and one node not once, has heard enough to tell them apart.

--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -81,6 +81,7 @@
 	GHashTable *addresses; /* node -> node_address_t */
 	uint32_t silent_nodes; /* of these, for long, as last counted */
 	int64_t silent_counted_us;
+	int64_t contact_since_us; /* others have been heard since; 0: none is */
 	int64_t *entries_removed_total;
 	int64_t created_us;
 	int64_t introduced_us; /* first report to another node; 0: none yet */
@@ -893,13 +894,43 @@
 	       g_hash_table_size(load->addresses) == 0;
 }
 
+/* Time for which this node has heard others without a break. */
+static int64_t contact_ms(const peer_load_t *load)
+{
+	if (!load->contact_since_us)
+		return 0;
+	return (clock_now_us(load->options.clock) - load->contact_since_us) /
+	       1000;
+}
+
+/* The silence of the others says nothing while this node is cut off itself, or
+ * does not run. */
+static void update_contact(peer_load_t *load, int64_t now_us)
+{
+	bool paused = now_us - load->silent_counted_us > NODE_SILENT_MS * 1000;
+
+	if (load_view_peers(load->view) == 0)
+		load->contact_since_us = 0;
+	else if (!load->contact_since_us || paused)
+		load->contact_since_us = now_us;
+}
+
+static bool is_gone(const peer_load_t *load, const node_address_t *address)
+{
+	return MIN(silent_for_ms(load, address), contact_ms(load)) >
+	       address->removal_ms;
+}
+
 static void on_entry_removed(const object_value_t *value, const GError *error,
 			     void *user_data)
 {
 	peer_load_t *load = user_data;
 
 	/* The next try finds out what has become of the entry. */
-	if (!error)
+	if (error)
+		log_info("node_entry_kept", "error=%s",
+			 error_name(error->code));
+	else
 		(*load->entries_removed_total)++;
 }
 
@@ -908,8 +939,10 @@
 {
 	char *key = g_strconcat(NODE_PREFIX, node, NULL);
 
-	log_info("node_entry_removed", "node=%s silent_ms=%" PRId64,
-		 log_quote(node), silent_for_ms(load, address));
+	log_info("node_entry_removed",
+		 "node=%s silent_ms=%" PRId64 " contact_ms=%" PRId64,
+		 log_quote(node), silent_for_ms(load, address),
+		 contact_ms(load));
 	address->removal_ms += NODE_GONE_MS;
 	object_remove(load->options.store, key, address->version,
 		      on_entry_removed, load);
@@ -920,7 +953,6 @@
  * gone, while others are heard. */
 static void check_silent_nodes(peer_load_t *load)
 {
-	bool hears_others = load_view_peers(load->view) > 0;
 	bool was_large = is_large(load);
 	int64_t now_us = clock_now_us(load->options.clock);
 	GHashTableIter iter;
@@ -929,6 +961,7 @@
 
 	if (now_us - load->silent_counted_us < SILENT_CHECK_INTERVAL_MS * 1000)
 		return;
+	update_contact(load, now_us);
 	load->silent_counted_us = now_us;
 	load->silent_nodes = 0;
 	g_hash_table_iter_init(&iter, load->addresses);
@@ -938,8 +971,7 @@
 		if (silent_for_ms(load, address) <= NODE_LONG_SILENT_MS)
 			continue;
 		load->silent_nodes++;
-		if (hears_others && address->version &&
-		    silent_for_ms(load, address) > address->removal_ms)
+		if (address->version && is_gone(load, address))
 			remove_entry(load, node, address);
 	}
 	if (is_large(load) != was_large)
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -199,6 +199,23 @@
 	CU_ASSERT(has_entry(fixture, "gateway-nodes/b"));
 }
 
+/* A node that was cut off itself for long hears the others again one after the
+ * other. It must not take those for gone that it has not heard yet: it removed the
+ * entries of all but the first. */
+static void test_end_of_own_cut(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	run_s(fixture, 5);
+	fixture->hears = false;
+	run_s(fixture, 2000);
+	fixture->hears = true;
+	run_s(fixture, 300);
+	CU_ASSERT(has_entry(fixture, GONE_KEY));
+	run_s(fixture, 700);
+	CU_ASSERT_FALSE(has_entry(fixture, GONE_KEY));
+}
+
 /* Entries of nodes that are gone must not make a system large: other domains got
  * reports seldom, and batch items kept to their own one. */
 static void test_gone_nodes_and_size(void)
@@ -238,6 +255,7 @@
 		{ "entry of gone node", test_entry_of_gone_node },
 		{ "node that hears none", test_node_that_hears_none },
 		{ "entry with former address", test_entry_with_former_address },
+		{ "end of own cut", test_end_of_own_cut },
 		{ "gone nodes and size", test_gone_nodes_and_size },
 		{ NULL, NULL },
 	};
