Share limits with the nodes that live, not with all entries

What callers saw: while a node heard no other one, it sent less to a runner with a limit than its share, and refused the rest: beside 40 entries of nodes that are gone a thirtieth or less of it in a system of three.

Cause: such a node keeps to 1 / (1 + entries) of each limit. The entries of nodes that are gone counted, though they no longer count for the size of the system.

Evidence: test_limit_share_beside_gone_node: the share was a third instead of half.

Change: the share is by the number of nodes in use when the others were last heard. It never grows while none is heard, as the others then fall silent too.

Measured: the test passes.

Why it works: the others that are cut off still use the limits; gone ones do not.

--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -82,6 +82,7 @@
 	uint32_t silent_nodes; /* of these, for long, as last counted */
 	int64_t silent_counted_us;
 	int64_t contact_since_us; /* others have been heard since; 0: none is */
+	uint32_t limit_nodes; /* other nodes that share the runners' limits */
 	int64_t *entries_removed_total;
 	int64_t created_us;
 	int64_t introduced_us; /* first report to another node; 0: none yet */
@@ -872,14 +873,16 @@
 	return load_view_peers(load->view);
 }
 
-/* A node that hears no other keeps to an equal share of the runners' limits. */
-static void update_limit_share(const peer_load_t *load)
+/* A node that hears no other keeps to an equal share of the runners' limits. The
+ * others then fall silent at once, and still have their shares. */
+static void update_limit_share(peer_load_t *load)
 {
-	uint32_t others = g_hash_table_size(load->addresses);
-	bool alone = others > 0 && load_view_peers(load->view) == 0;
+	bool alone = load_view_peers(load->view) == 0;
+	uint32_t nodes = nodes_in_use(load);
 
+	load->limit_nodes = alone ? MAX(load->limit_nodes, nodes) : nodes;
 	fleet_set_limit_share(load->options.fleet,
-			      alone ? 1.0 / (others + 1) : 1.0);
+			      alone ? 1.0 / (load->limit_nodes + 1) : 1.0);
 }
 
 bool peer_load_is_introduced(const peer_load_t *load)
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -228,6 +228,21 @@
 	CU_ASSERT_FALSE(fixture->fleets[0]->remote_load_stale);
 }
 
+/* A node that hears no other must share the runners' limits with those that it
+ * heard until then, not with the entries of nodes that are gone. */
+static void test_limit_share_beside_gone_node(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	run_s(fixture, 70);
+	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 1.0, 0.001);
+	fixture->hears = false;
+	run_s(fixture, 5);
+	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 0.5, 0.001);
+	run_s(fixture, 100);
+	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 0.5, 0.001);
+}
+
 /* The entry of a process may be overwritten by that of another one with its name,
  * which has ended since. The others must go on by the address that its reports come
  * from: it heard none of them. */
@@ -257,6 +272,8 @@
 		{ "entry with former address", test_entry_with_former_address },
 		{ "end of own cut", test_end_of_own_cut },
 		{ "gone nodes and size", test_gone_nodes_and_size },
+		{ "limit share beside gone node",
+		  test_limit_share_beside_gone_node },
 		{ NULL, NULL },
 	};
 
