Forget nodes that are known by their reports alone

What callers saw: nothing yet. A node whose entry was removed, and that did not register again, as the build before does not, stayed in the memory of the others for ever once it was gone, and got a report from each every 5 s.

Cause: a node is forgotten when the removal of its entry is seen. One without an entry has none.

Evidence: test_gone_node_without_entry: the node was still known after 20 minutes.

Change: a node without an entry is forgotten after the silence after which an entry is removed.

Measured: the test passes.

Why it works: if it lives after all, its next report makes it known again.

--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -953,7 +953,7 @@
 }
 
 /* Counts the nodes that are silent for long. Removes the entries of those that are
- * gone, while others are heard. */
+ * gone, and forgets those that are known by their reports alone. */
 static void check_silent_nodes(peer_load_t *load)
 {
 	bool was_large = is_large(load);
@@ -974,8 +974,17 @@
 		if (silent_for_ms(load, address) <= NODE_LONG_SILENT_MS)
 			continue;
 		load->silent_nodes++;
-		if (address->version && is_gone(load, address))
+		if (!is_gone(load, address))
+			continue;
+		if (address->version) {
 			remove_entry(load, node, address);
+			continue;
+		}
+		/* It has no entry whose removal would tell. */
+		log_info("node_forgotten", "node=%s silent_ms=%" PRId64,
+			 log_quote(node), silent_for_ms(load, address));
+		load->silent_nodes--;
+		g_hash_table_iter_remove(&iter);
 	}
 	if (is_large(load) != was_large)
 		fleet_set_remote_load_stale(load->options.fleet,
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -243,6 +243,33 @@
 	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 0.5, 0.001);
 }
 
+static bool knows_other(const fixture_t *fixture)
+{
+	const struct in_addr address = { htonl(INADDR_LOOPBACK) };
+
+	return peer_load_knows(fixture->nodes[0], &address);
+}
+
+/* A node without an entry, as of the build before, must not be kept for ever once
+ * it is gone: no removal of an entry tells of it. */
+static void test_gone_node_without_entry(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	node_init(fixture, 2);
+	run_s(fixture, 5);
+	CU_ASSERT(has_entry(fixture, "gateway-nodes/b"));
+	object_memory_cut(fixture->stores[1], true);
+	object_remove(fixture->observer, "gateway-nodes/b", fixture->version,
+		      on_put, NULL);
+	run_machine_s(fixture, WATCH_S);
+	CU_ASSERT_FALSE(has_entry(fixture, "gateway-nodes/b"));
+	CU_ASSERT(knows_other(fixture));
+	fixture->hears = false;
+	run_s(fixture, 1200);
+	CU_ASSERT_FALSE(knows_other(fixture));
+}
+
 /* The entry of a process may be overwritten by that of another one with its name,
  * which has ended since. The others must go on by the address that its reports come
  * from: it heard none of them. */
@@ -274,6 +301,7 @@
 		{ "gone nodes and size", test_gone_nodes_and_size },
 		{ "limit share beside gone node",
 		  test_limit_share_beside_gone_node },
+		{ "gone node without entry", test_gone_node_without_entry },
 		{ NULL, NULL },
 	};
 
