Remove a node's entry when the node stops

What callers saw: nothing by itself; the entry of each node that was stopped for good stayed for 10 to 15 minutes, until another node removed it. A node that starts meanwhile takes it for one that may live, sends it reports and counts it for the size of the system for a minute.

Evidence: test_entry_of_a_node_that_stops: the entry was there after the process had ended.

Change: a gateway that stops removes its entry by its version, once it takes no new connections, and does not write it again. An entry that another process of its name has written is left (test_entry_of_the_next_process).

Why it works: the version ties the removal to the entry that this process has written; a process that starts with the same entry meanwhile sees it removed and writes it again.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -225,6 +225,13 @@
 	http_server_end_exchanges(gateway->callers, answer_ended);
 }
 
+/* Until the end of the process, for the answer of the store. */
+static void withdraw(gateway_t *gateway)
+{
+	if (stopping_ms(gateway) >= BALANCER_REMOVAL_MS)
+		peer_load_withdraw(gateway->peer_load);
+}
+
 /*
  * Until new requests are refused, one on an idle connection is served, and its
  * response announces the close.
@@ -338,6 +345,7 @@
 	execution_check_timeouts(&gateway->executions);
 	relay_sweep(gateway->relay);
 	if (gateway->stopping_since_us) {
+		withdraw(gateway);
 		close_connections(gateway);
 		drain_relay(gateway);
 	}
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -991,6 +991,11 @@
 					    is_large(load));
 }
 
+void peer_load_withdraw(peer_load_t *load)
+{
+	node_registration_withdraw(load->registration);
+}
+
 void peer_load_tick(peer_load_t *load)
 {
 	load_view_expire(load->view);
--- a/src/gateway/peer_load.h
+++ b/src/gateway/peer_load.h
@@ -24,7 +24,8 @@
  *
  * A node that has sent no report for 10 s is chosen for nothing. After a minute it
  * does not count for the size of the system and is told every 5 s only; after 10 to
- * 15 minutes its object is removed. One that was cut off registers again.
+ * 15 minutes its object is removed. One that was cut off registers again. A node
+ * that stops removes its object itself.
  *
  * News of the part guard goes to all nodes at once, a few times, as datagrams
  * may be lost. A node chosen at random gets a summary from time to time, so that
@@ -103,6 +104,8 @@
  * requests crash runners; or there are none. */
 bool peer_load_is_introduced(const peer_load_t *load);
 void peer_load_tick(peer_load_t *load);
+/* Removes this node's entry, as it stops; its reports go on until it has. */
+void peer_load_withdraw(peer_load_t *load);
 
 /* Writes the address of a node as IP:port to the buffer; false when it is not
  * known. The port is the same for UDP and TCP. */
--- a/tests/process/test_gone_nodes.py
+++ b/tests/process/test_gone_nodes.py
@@ -99,6 +99,33 @@
         self.store.remove(*key)
         f.wait_for(lambda: key in self.store.objects, "the entry again")
 
+    def test_entry_of_a_node_that_stops(self):
+        """A node that stops leaves no entry behind, and writes it again when it
+        starts under its name."""
+        gateway = self.gateways[0]
+        key = ("gateway-nodes", gateway.name)
+        f.wait_for(lambda: key in self.store.objects, "the entry")
+        gateway.process.send_signal(signal.SIGTERM)
+        gateway.process.wait(10)
+        self.assertNotIn(key, self.store.objects)
+        gateway.run()
+        f.wait_for(lambda: key in self.store.objects, "the entry again")
+
+    def test_entry_of_the_next_process(self):
+        """A process that stops leaves the entry of the next one of its name,
+        which has another address."""
+        gateway = self.gateways[0]
+        key = ("gateway-nodes", gateway.name)
+        f.wait_for(lambda: key in self.store.objects, "the entry")
+        entry = self.store.objects[key]["spec"]
+        former = gateway.succeed()
+        f.wait_for(lambda: self.store.objects[key]["spec"] != entry,
+                   "the next entry")
+        former.send_signal(signal.SIGTERM)
+        former.wait(10)
+        time.sleep(1)
+        self.assertIn(key, self.store.objects)
+
 
 if __name__ == "__main__":
     unittest.main()
