Drop a job whose record is gone

An owner that was paused or cut off until its job was closed and its record removed would write the record again and again, run the job's items, and never end the job.

Cause: the answer that there is no such record counted as a failed write, like any other error, and was followed by the next try.

Evidence: test_record_removed: the job was still owned 3 s later.

Change: the owner then reads the record, and drops the job if it is not there.

Why it works: records are only removed once closed, and a closed job has no owner.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -512,6 +512,11 @@
 	job_record_t *record;
 
 	job->writing = false;
+	if (error && error->code == WL_ERROR_NOT_FOUND) {
+		(*job->owner->jobs_lost_total)++;
+		remove_job(job, "removed");
+		return;
+	}
 	if (error) {
 		delay_retry(job, error);
 		return;
@@ -547,6 +552,9 @@
 	job->writing = false;
 	if (!error)
 		renew_lease(job);
+	/* It is read before the next write, which tells whether it is gone. */
+	if (error && error->code == WL_ERROR_NOT_FOUND)
+		job->refresh = true;
 	if (error && error->code != WL_ERROR_CONFLICT) {
 		delay_retry(job, error);
 	} else if (record) {
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -1198,6 +1198,38 @@
 				       false, "1" });
 }
 
+static void on_record_removed(const object_value_t *value, const GError *error,
+			      void *user_data)
+{
+	CU_ASSERT_PTR_NULL(error);
+}
+
+/* An owner that was cut off for so long that its job was closed and its record
+ * removed must drop the job. It wrote the record again and again, and ran the
+ * items. */
+static void test_record_removed(void)
+{
+	cluster_t *cluster = cluster_new(19);
+	node_t *node = &cluster->nodes[0];
+	stored_record_t found;
+	int starts;
+
+	cluster->steps_per_item = 100000;
+	submit(node);
+	run_ms(cluster, 500);
+	CU_ASSERT_EQUAL(owners(cluster), 1);
+	found = read_record(cluster);
+	object_remove(cluster->observer, JOB_RECORD_PREFIX "j", found.version,
+		      on_record_removed, NULL);
+	job_record_free(found.record);
+	run_ms(cluster, 3000);
+	CU_ASSERT_EQUAL(owners(cluster), 0);
+	starts = cluster->starts;
+	run_ms(cluster, 3000);
+	CU_ASSERT_EQUAL(cluster->starts, starts);
+	CU_ASSERT_EQUAL(job_owner_count(node->owner), 0);
+}
+
 /* A node has an open job of a service without a runner. Guards against sharing
  * the free slots of that service only: the jobs of all others were not run. */
 static void test_service_without_runner(void)
@@ -1369,6 +1401,7 @@
 		{ "release with large results",
 		  test_release_with_large_results },
 		{ "long prompt", test_long_prompt },
+		{ "record removed", test_record_removed },
 		{ "service without runner", test_service_without_runner },
 		{ "slots of two services", test_slots_of_two_services },
 		{ "items that fit nowhere", test_items_that_fit_nowhere },
