Remove what batch jobs leave behind in the store

What callers saw: nothing at first.

Cause: nobody removed any object of a job, whoever had written it.

Change: the module job_removal. Payload and progress go once the job is closed for as long.

Why it works: ages come from what a node has seen and from revisions, so that clocks and restarts matter little: a restart only delays a removal. The record is looked up in the store right before an object without one is removed.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -351,6 +351,7 @@
 	}
 	job_owner_tick(gateway->job_owner);
 	job_table_tick(gateway->job_table);
+	job_removal_tick(gateway->job_removal);
 	if (gateway->stopping_since_us)
 		end_requests(gateway);
 	if (gateway->stopping_since_us && may_exit(gateway))
@@ -454,6 +455,13 @@
 	return peer_load_peers(gateway->peer_load);
 }
 
+static void on_job_forgotten(void *user_data, const char *id)
+{
+	const gateway_t *gateway = user_data;
+
+	job_reader_forget(gateway->job_reader, id);
+}
+
 static bool find_store_peer(void *user_data, char *address, size_t size)
 {
 	const gateway_t *gateway = user_data;
@@ -513,6 +521,10 @@
 		.find_node = find_node,
 		.user_data = gateway,
 	};
+	job_removal_options_t removal = {
+		.context = &gateway->jobs,
+		.readable_ms = options->results_readable_ms,
+	};
 
 	gateway->jobs = (job_context_t){
 		.base = gateway->base,
@@ -533,6 +545,7 @@
 		.batch_domains = list_batch_domains,
 		.peers = count_peers,
 		.job_node = choose_job_node,
+		.job_forgotten = on_job_forgotten,
 		.user_data = gateway,
 	};
 	gateway->job_owner = job_owner_new(&gateway->jobs, cache);
@@ -540,6 +553,8 @@
 	reader.table = gateway->job_table;
 	reader.owner = gateway->job_owner;
 	gateway->job_reader = job_reader_new(&reader);
+	removal.table = gateway->job_table;
+	gateway->job_removal = job_removal_new(&removal);
 }
 
 static void on_load_changed(void *user_data)
@@ -748,6 +763,7 @@
 	gateway->stopping_since_us = clock_now_us(gateway->clock);
 	relay_stop(gateway->relay);
 	job_table_stop(gateway->job_table);
+	job_removal_stop(gateway->job_removal);
 	job_owner_stop(gateway->job_owner);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/job_context.h"
 #include "gateway/job_owner.h"
 #include "gateway/job_read.h"
+#include "gateway/job_removal.h"
 #include "gateway/job_submit.h"
 #include "gateway/job_table.h"
 #include "gateway/path_table.h"
@@ -53,6 +54,9 @@
 	int64_t grace_ms; /* time from SIGTERM until the process is killed */
 	int64_t runner_hold_ms; /* time for which a runner that was
 				 * removed from the list may be used */
+	/* For which the results of a batch job stay readable after its
+	 * submission, at least. */
+	int64_t results_readable_ms;
 	int32_t watch_wait_ms; /* longest time of a watch on the store */
 	const gateway_codec_t *codec;
 	const runner_protocol_t *protocol;
@@ -93,6 +97,7 @@
 	job_owner_t *job_owner;
 	job_table_t *job_table;
 	job_reader_t *job_reader;
+	job_removal_t *job_removal;
 	follow_t *config;
 	follow_t *runners;
 	struct event *tick;
--- a/src/gateway/job_context.h
+++ b/src/gateway/job_context.h
@@ -45,6 +45,8 @@
 			      GArray *domains);
 	/* The node that is to own a job submitted here; NULL: this one. */
 	const char *(*job_node)(void *user_data, const char *service);
+	/* The record of a job was removed from the store; NULL: nobody asks. */
+	void (*job_forgotten)(void *user_data, const char *id);
 	void *user_data;
 } job_context_t;
 
--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -144,6 +144,11 @@
 			    job_record_copy(query->record));
 }
 
+void job_reader_forget(job_reader_t *reader, const char *id)
+{
+	g_hash_table_remove(reader->closed, id);
+}
+
 static void on_record(const object_value_t *value, const GError *error,
 		      void *user_data)
 {
--- a/src/gateway/job_read.h
+++ b/src/gateway/job_read.h
@@ -52,6 +52,8 @@
 } job_reader_options_t;
 
 job_reader_t *job_reader_new(const job_reader_options_t *options);
+/* Drops what is kept of a job whose record was removed. */
+void job_reader_forget(job_reader_t *reader, const char *id);
 
 /* Reads the results from a position on. A page has at most max_bytes of text,
  * but at least one result if there is any. */
--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -42,6 +42,7 @@
 	int64_t first_seen_us; /* when this node first saw the version */
 	int64_t takeover_at_us; /* 0: no takeover is planned */
 	bool outdated; /* the store has a later record, which is not known */
+	bool removed; /* the store has none; to be freed after the takeover */
 	bool takeover_running;
 	takeover_load_t load; /* of the running takeover */
 	bool confirming; /* a write that renews it is in flight */
@@ -96,6 +97,7 @@
 	job->record = record;
 	job->version = version;
 	job->outdated = false;
+	job->removed = false;
 	job->first_seen_us = now_us(table);
 	job->takeover_at_us = 0;
 	if (strcmp(record->owner, table->context->node) != 0 || record->ended)
@@ -127,14 +129,25 @@
 		     entry->version);
 }
 
+static void forget(job_table_t *table, table_entry_t *job)
+{
+	const job_context_t *context = table->context;
+
+	if (context->job_forgotten)
+		context->job_forgotten(context->user_data, job->id);
+	g_hash_table_remove(table->jobs, job->id);
+}
+
 static void on_removed(const char *key, void *user_data)
 {
 	job_table_t *table = user_data;
 	table_entry_t *job = g_hash_table_lookup(
 		table->jobs, key + strlen(JOB_RECORD_PREFIX));
 
+	if (job)
+		job->removed = true;
 	if (job && !job->takeover_running)
-		g_hash_table_remove(table->jobs, job->id);
+		forget(table, job);
 }
 
 job_table_t *job_table_new(job_context_t *context, job_owner_t *owner)
@@ -449,6 +462,19 @@
 	       context->item_bytes < context->max_item_bytes;
 }
 
+static gboolean is_removed(void *id, void *value, void *user_data)
+{
+	const table_entry_t *job = value;
+
+	return job->removed && !job->takeover_running;
+}
+
+/* Records that were removed while a takeover of their job was in progress. */
+static void forget_removed(job_table_t *table)
+{
+	g_hash_table_foreach_remove(table->jobs, is_removed, NULL);
+}
+
 void job_table_tick(job_table_t *table)
 {
 	const job_context_t *context = table->context;
@@ -458,6 +484,7 @@
 
 	if (table->stopping)
 		return;
+	forget_removed(table);
 	g_hash_table_iter_init(&iter, table->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		table_entry_t *job = value;
@@ -514,6 +541,61 @@
 	return job && job_record_is_closed(job->record) ? job->record : NULL;
 }
 
+bool job_table_has(const job_table_t *table, const char *id)
+{
+	return g_hash_table_contains(table->jobs, id);
+}
+
+static bool describe_closed(const job_table_t *table, const table_entry_t *job,
+			    job_table_closed_t *closed)
+{
+	if (job->outdated || !job_record_is_closed(job->record))
+		return false;
+	*closed = (job_table_closed_t){
+		.id = job->id,
+		.version = job->version,
+		.unchanged_ms = (now_us(table) - job->first_seen_us) / 1000,
+		.submitted_ms = job->record->submitted_ms,
+	};
+	return true;
+}
+
+bool job_table_find_closed(const job_table_t *table, const char *id,
+			   job_table_closed_t *closed)
+{
+	const table_entry_t *job = g_hash_table_lookup(table->jobs, id);
+
+	return job && describe_closed(table, job, closed);
+}
+
+void job_table_each_closed(const job_table_t *table,
+			   job_table_each_closed_t each, void *user_data)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		job_table_closed_t closed;
+
+		if (describe_closed(table, value, &closed))
+			each(&closed, user_data);
+	}
+}
+
+bool job_table_is_steady(const job_table_t *table)
+{
+	return follow_is_synced(table->follow) && has_steady_contact(table);
+}
+
+uint64_t job_table_revision(const job_table_t *table)
+{
+	follow_state_t state;
+
+	follow_get_state(table->follow, &state);
+	return state.revision;
+}
+
 void job_table_stop(job_table_t *table)
 {
 	table->stopping = true;
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -42,6 +42,28 @@
  * not know that the job is closed. Borrowed until the event loop runs again. */
 const job_record_t *job_table_closed_record(const job_table_t *table,
 					    const char *id);
+/* Whether the table has a record of the job, open or closed. */
+bool job_table_has(const job_table_t *table, const char *id);
+/* A closed job. */
+typedef struct job_table_closed {
+	const char *id; /* borrowed until the event loop runs again */
+	uint64_t version; /* of the record */
+	int64_t unchanged_ms; /* for which this node has seen the version */
+	int64_t submitted_ms; /* by the clock of the node that accepted it */
+} job_table_closed_t;
+
+/* False when the table has no closed record of the job. */
+bool job_table_find_closed(const job_table_t *table, const char *id,
+			   job_table_closed_t *closed);
+typedef void (*job_table_each_closed_t)(const job_table_closed_t *closed,
+					void *user_data);
+void job_table_each_closed(const job_table_t *table,
+			   job_table_each_closed_t each, void *user_data);
+/* Whether the table has had all records, and has followed their changes for the
+ * lease time. */
+bool job_table_is_steady(const job_table_t *table);
+/* Revision of the store that the table shows at least. */
+uint64_t job_table_revision(const job_table_t *table);
 /* Starts no more takeovers. */
 void job_table_stop(job_table_t *table);
 
