--- a/src/gateway/job_removal.c
+++ b/src/gateway/job_removal.c
@@ -32,8 +32,8 @@
 typedef struct leftover {
 	char *key;
 	uint64_t version;
-	GPtrArray *jobs; /* ids that the key may belong to, not yet looked up;
-			  * NULL: its job need not be looked up */
+	GPtrArray *jobs; /* ids that the key may belong to, to be looked up;
+			  * NULL: none */
 } leftover_t;
 
 /* A point in the history of the store. */
@@ -291,7 +291,7 @@
 		return;
 	}
 	if (state == JOB_STATE_CLOSED)
-		g_clear_pointer(&jobs, g_ptr_array_unref);
+		g_ptr_array_set_size(jobs, 0);
 	push(removal, g_strdup(entry->key), entry->version, jobs);
 }
 
