Take the refusal of a large request for one of its size

Cause: a runner refuses what is larger than its memory as if it were full. Until its third refusal, an item kept a runner from the others for 400 ms.

Change: a refusal of a request with more tokens than the runner has served (or its service, while it has served none) is taken for one of its size. Requests as large or larger are kept from that runner for 400 ms, doubled up to 3.2 s, and then one at a time finds out; smaller ones are not affected. Other refusals count as before. Items that no runner takes are no demand, those that were refused come after the others, and they are given up after retention_s also if they were tried less than three times. The tokens are those of the headers, by which runners go. Gauge batch_items_too_large, event runner_refuses_size.

Why it works: a runner that serves a size has the memory for it, so what it refuses beyond says nothing of less; and one attempt a runner in 3.2 s costs nothing.

Not covered: a request without tokens in its headers, and sizes that fit only while a runner is empty once it has served one.

--- a/src/gateway/execution.c
+++ b/src/gateway/execution.c
@@ -24,6 +24,7 @@
 #define MIN_ATTEMPT_MS 50
 /* Deadline sent to the runner for a request without one. */
 #define DEFAULT_DEADLINE_MS 600000
+#define STATUS_BAD_REQUEST 400
 #define STATUS_MISDIRECTED 421
 
 struct execution {
@@ -77,6 +78,7 @@
 	bool was_unreachable; /* an attempt found no connection to its runner */
 	bool was_refused; /* a runner has refused an attempt */
 	uint32_t refusals; /* executions before that ended so, in a row */
+	int64_t tokens; /* 0: not known */
 	stream_patience_t *patience;
 	stream_patience_t own_patience; /* unless the caller keeps one */
 	prompt_parts_t parts;
@@ -234,6 +236,8 @@
 		fleet_report_slowness(fleet, execution->runner,
 				      answer->slowness_percent);
 	fleet_report_rate(fleet, execution->runner, &answer->rate);
+	if (answer->status < STATUS_BAD_REQUEST && !answer->not_run)
+		fleet_served(execution->runner, execution->tokens);
 	if (answer->other_instance)
 		fleet_set_draining(fleet, execution->runner);
 	if (answer->leaving)
@@ -290,6 +294,19 @@
 	       !execution->answer.other_instance;
 }
 
+static void report_refusal(const execution_t *execution)
+{
+	const fleet_refusal_t refusal = {
+		.tokens = execution->tokens,
+		.batch = execution->batch,
+		.repeated = execution->refusals >= EXECUTION_OWN_REFUSALS,
+	};
+
+	if (!is_refused_expectation(execution))
+		fleet_refused(execution->context->fleet, execution->runner,
+			      &refusal);
+}
+
 static void report_failure(execution_t *execution, attempt_outcome_t outcome)
 {
 	static const char *const names[] = { "unreachable",   "refused",
@@ -315,12 +332,8 @@
 	if (outcome == ATTEMPT_WITHDRAWN || outcome == ATTEMPT_PEER_NOT_SENT ||
 	    outcome == ATTEMPT_PEER_LOST)
 		return;
-	if (outcome == ATTEMPT_REFUSED &&
-	    (is_refused_expectation(execution) ||
-	     execution->refusals >= EXECUTION_OWN_REFUSALS))
-		return;
-	if (outcome == ATTEMPT_REFUSED && execution->batch) {
-		fleet_refused_item(fleet, execution->runner);
+	if (outcome == ATTEMPT_REFUSED) {
+		report_refusal(execution);
 		return;
 	}
 	if (outcome == ATTEMPT_UNREACHABLE && !execution->relayed)
@@ -646,6 +659,7 @@
 		.repeated = execution->resumes,
 		.preferred = execution->preferred_runner,
 		.version_key = execution->version_key,
+		.tokens = execution->tokens,
 	};
 }
 
@@ -782,6 +796,10 @@
 	execution->resumable = options->resumable;
 	execution->batch = options->batch;
 	execution->refusals = options->refusals;
+	execution->tokens = options->tokens;
+	if (!options->tokens && context->protocol->decode_tokens)
+		execution->tokens =
+			context->protocol->decode_tokens(options->headers);
 	execution->require_healthy = options->require_healthy;
 	execution->version_key = options->version_key;
 	execution->patience = options->patience ? options->patience :
--- a/src/gateway/execution.h
+++ b/src/gateway/execution.h
@@ -81,8 +81,8 @@
 	int64_t *resumes_total;
 } execution_context_t;
 
-/* After so many refused executions in a row a batch item is taken to be too large,
- * and further refusals say nothing about the runners. */
+/* After so many refused executions in a row a batch item is likely at fault, and
+ * further refusals say nothing about the runners. */
 #define EXECUTION_OWN_REFUSALS 3
 
 typedef struct execution_options {
@@ -103,6 +103,7 @@
 	bool batch;
 	uint32_t refusals; /* executions of a batch item before that ended with
 			    * EXECUTION_REFUSED, in a row */
+	int64_t tokens; /* read and written; 0: as the headers tell */
 	uint64_t preferred_runner; /* of the first attempt; 0: none */
 	bool require_healthy; /* see fleet_pick_options_t */
 	uint32_t max_runners; /* limit of the runners that may have run it */
--- a/src/gateway/fleet.c
+++ b/src/gateway/fleet.c
@@ -366,7 +366,9 @@
 		    !has_version(runner, pick) ||
 		    fleet_avoids_domain(fleet, runner->domain_state))
 			continue;
-		if (!filter->ejected && fleet_is_ejected(fleet, runner))
+		if (!filter->ejected &&
+		    (fleet_is_ejected(fleet, runner) ||
+		     fleet_refuses_size(fleet, runner, pick->tokens)))
 			continue;
 		/* Batch items without a failed attempt may go to runners that
 		 * lose requests: a loss costs them little time, and they leave
@@ -417,6 +419,7 @@
 
 	if (!runner || !fleet_is_usable(runner, pick->service) ||
 	    !has_version(runner, pick) || fleet_is_ejected(fleet, runner) ||
+	    fleet_refuses_size(fleet, runner, pick->tokens) ||
 	    !has_free_slot(runner) || has_failed_attempt(pick, runner) ||
 	    limit_room(fleet, runner, reserve) == 0 ||
 	    (pick->require_healthy &&
@@ -482,6 +485,7 @@
 		domain_contact_probed(&runner->domain_state->contact,
 				      clock_now_us(fleet->clock));
 	note_sent(fleet, runner, pick->tried_count > 0 || pick->repeated);
+	fleet_try_size(fleet, runner, pick->tokens);
 	if (pick->batch)
 		runner->own.batch++;
 	else
@@ -586,7 +590,7 @@
 		clock_now_us(fleet->clock) + duration_ms * 1000;
 }
 
-void fleet_refused_item(fleet_t *fleet, fleet_runner_t *runner)
+void fleet_eject_briefly(fleet_t *fleet, fleet_runner_t *runner)
 {
 	runner->ejected_until_us =
 		MAX(runner->ejected_until_us,
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -64,6 +64,12 @@
 	runner_limit_t limit;
 	int64_t ejected_until_us;
 	uint32_t failures; /* consecutive */
+	int64_t served_tokens; /* of the largest request it has served */
+	/* Requests of as many tokens or more are kept from it for a while, as it
+	 * has refused one; 0: none are. */
+	int64_t refused_tokens;
+	int64_t refused_until_us;
+	uint32_t size_refusals; /* consecutive */
 	fleet_domain_t *domain_state; /* its domain, owned by the fleet */
 	int refs;
 } fleet_runner_t;
@@ -105,6 +111,7 @@
 	uint64_t preferred; /* key of the runner to take if it has a free slot;
 			       0: none */
 	uint64_t version_key; /* only runners of this software; 0: any */
+	int64_t tokens; /* of the request; 0: not known */
 } fleet_pick_options_t;
 
 fleet_t *fleet_new(const fleet_options_t *options);
@@ -172,11 +179,36 @@
 void fleet_answered(fleet_t *fleet, fleet_runner_t *runner);
 /* The runner served a request; resets its consecutive failures. */
 void fleet_succeeded(fleet_t *fleet, fleet_runner_t *runner);
-/* The runner failed or refused a request; ejects it. */
+/* The runner failed a request; ejects it. */
 void fleet_failed(fleet_t *fleet, fleet_runner_t *runner);
-/* As fleet_failed(), for a batch item. The time does not double, as items that fit
- * nowhere would eject the runner for long. */
-void fleet_refused_item(fleet_t *fleet, fleet_runner_t *runner);
+/* A request that a runner has refused. */
+typedef struct fleet_refusal {
+	int64_t tokens; /* of the request; 0: not known */
+	bool batch;
+	bool repeated; /* runners have refused it several times before */
+} fleet_refusal_t;
+
+/*
+ * The runner refused a request. If it has served none as large, it may lack the
+ * memory: requests of this size are kept from it for a while, and smaller ones are
+ * not affected. Otherwise it is ejected: for a batch item briefly, and not at all
+ * when the item itself is likely at fault, for an online request as by
+ * fleet_failed().
+ */
+void fleet_refused(fleet_t *fleet, fleet_runner_t *runner,
+		   const fleet_refusal_t *refusal);
+/* The runner has begun to serve a request. */
+void fleet_served(fleet_runner_t *runner, int64_t tokens);
+/* Whether requests of this size are kept from the runner now. */
+bool fleet_refuses_size(const fleet_t *fleet, const fleet_runner_t *runner,
+			int64_t tokens);
+/* Sizes of requests that the usable runners of a service take now, in tokens. */
+typedef struct fleet_sizes {
+	int64_t all_take; /* up to here, all of them */
+	int64_t some_take; /* up to here, at least one */
+} fleet_sizes_t;
+
+fleet_sizes_t fleet_sizes(const fleet_t *fleet, const char *service);
 /* As fleet_failed(), for a request lost after the runner received it. */
 void fleet_lost_request(fleet_t *fleet, fleet_runner_t *runner);
 /* As fleet_failed() and fleet_no_contact(), for a request. */
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -41,6 +41,11 @@
 bool fleet_is_remote(const fleet_t *fleet, const fleet_runner_t *runner);
 bool fleet_is_usable(const fleet_runner_t *runner, const char *service);
 bool fleet_is_ejected(const fleet_t *fleet, const fleet_runner_t *runner);
+/* Ejects the runner for a time that does not grow. */
+void fleet_eject_briefly(fleet_t *fleet, fleet_runner_t *runner);
+/* A request is sent to the runner. If one of its size was refused, others of the
+ * size wait for the outcome. */
+void fleet_try_size(fleet_t *fleet, fleet_runner_t *runner, int64_t tokens);
 /* Whether the domain's runners are out of reach, also through other nodes. */
 bool fleet_avoids_domain(const fleet_t *fleet, const fleet_domain_t *domain);
 
--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -79,6 +79,7 @@
 	int64_t *items_completed_total;
 	int64_t *items_given_up_total;
 	int64_t *items_preempted_total;
+	int64_t *items_too_large;
 	int64_t *jobs_lost_total;
 	int64_t *segment_key_conflicts_total;
 	int64_t *foreign_results_total;
@@ -106,6 +107,8 @@
 			    "batch_items_given_up_total", NULL);
 	owner->items_preempted_total = counter_get(
 		counters, COUNTER_MONOTONIC, "batch_items_yielded_total", NULL);
+	owner->items_too_large = counter_get(counters, COUNTER_GAUGE,
+					     "batch_items_too_large", NULL);
 	owner->jobs_lost_total = counter_get(counters, COUNTER_MONOTONIC,
 					     "batch_jobs_lost_total", NULL);
 	owner->segment_key_conflicts_total =
@@ -855,6 +858,7 @@
 /* A service that items wait for, with their numbers. */
 typedef struct service_demand {
 	const char *service; /* valid while the free slots are shared out */
+	fleet_sizes_t sizes; /* that its runners take */
 	batch_demand_t demand;
 } service_demand_t;
 
@@ -862,6 +866,7 @@
 typedef struct slot_range {
 	const char *service;
 	uint32_t demand; /* index of the service's */
+	fleet_sizes_t sizes; /* that the service's runners take */
 	const char *domain; /* only runners there; NULL: the fleet selects */
 	const GArray *slots; /* keys of the runners; NULL: any runner */
 	uint32_t next; /* index of the next slot, modulo their number */
@@ -879,10 +884,13 @@
 	return place;
 }
 
-/* Starts items of one urgency in the slots, which it removes from the range. */
-static void start_items(owned_job_t *job, uint32_t urgency, slot_range_t *range)
+/* Starts items of one urgency, those that were refused or the others, in the slots,
+ * which it removes from the range. */
+static void start_items(owned_job_t *job, uint32_t urgency, bool refused,
+			slot_range_t *range)
 {
 	const path_route_t *route = route_of(job);
+	int64_t no_room_tokens = INT64_MAX; /* no runner takes as many now */
 
 	if (job->removed || job->release)
 		return;
@@ -892,21 +900,39 @@
 
 		if (owned->demand != range->demand ||
 		    owned->urgency != urgency ||
+		    (owned->refusals > 0) != refused ||
+		    owned->tokens >= no_room_tokens ||
 		    !job_owner_item_wants_slot(owned))
 			continue;
 		if (!job_owner_item_start(owned, route, &place)) {
 			/* Other items may go to runners of other software. */
 			if (owned->version_key)
 				continue;
-			return;
+			/* Smaller ones may go to runners that refused it. */
+			if (owned->tokens <= range->sizes.all_take)
+				return;
+			no_room_tokens = owned->tokens;
+			continue;
 		}
 		range->next++;
 		range->count--;
 	}
 }
 
+/* Starts items of one urgency of all jobs. Those that were refused come last, so
+ * that they do not keep the others from the only runner that may take them. */
+static void start_urgency(const job_owner_t *owner, uint32_t urgency,
+			  slot_range_t *range)
+{
+	for (int refused = 0; refused <= 1 && range->count > 0; refused++)
+		for (guint i = 0; i < owner->jobs->len; i++)
+			start_items(owner->jobs->pdata[i], urgency, refused,
+				    range);
+}
+
 /* Index of the service's demand, which is added if it is new. */
-static uint32_t find_demand(GArray *demands, const char *service)
+static uint32_t find_demand(const job_owner_t *owner, GArray *demands,
+			    const char *service)
 {
 	service_demand_t *found;
 
@@ -920,6 +946,7 @@
 	found = &g_array_index(demands, service_demand_t, demands->len - 1);
 	found->service = service;
 	found->demand.service = fleet_key(service);
+	found->sizes = fleet_sizes(owner->context->executions->fleet, service);
 	return demands->len - 1;
 }
 
@@ -928,14 +955,19 @@
 {
 	const char *service;
 	service_demand_t *entry;
+	uint32_t demand;
 
 	if (!job_owner_item_wants_slot(owned))
 		return;
 	service = job_owner_item_service(owned, route);
 	if (!service)
 		return;
-	owned->demand = find_demand(demands, service);
-	entry = &g_array_index(demands, service_demand_t, owned->demand);
+	demand = find_demand(job->owner, demands, service);
+	entry = &g_array_index(demands, service_demand_t, demand);
+	owned->too_large = owned->tokens > entry->sizes.some_take;
+	if (owned->too_large)
+		return;
+	owned->demand = demand;
 	job_owner_item_update_urgency(
 		owned, job->deadline_us,
 		item_estimates_get(job->owner->estimates,
@@ -985,13 +1017,15 @@
 /* Starts items that get no slot in the local domain in a remote domain that has
  * free slots. */
 static void start_remote(job_owner_t *owner, const char *service,
-			 uint32_t demand)
+			 const fleet_sizes_t *sizes, uint32_t demand)
 {
 	job_context_t *context = owner->context;
 	GArray *domains = g_array_new(FALSE, FALSE, sizeof(batch_domain_t));
 	const double draws[2] = { g_rand_double(context->random),
 				  g_rand_double(context->random) };
-	slot_range_t range = { .service = service, .demand = demand };
+	slot_range_t range = { .service = service,
+			       .demand = demand,
+			       .sizes = *sizes };
 	guint chosen = 0;
 
 	context->batch_domains(context->user_data, service, domains);
@@ -1003,8 +1037,7 @@
 			g_array_index(domains, batch_domain_t, chosen).name;
 	}
 	for (uint32_t i = 0; i < BATCH_URGENCIES && range.count > 0; i++)
-		for (guint j = 0; j < owner->jobs->len; j++)
-			start_items(owner->jobs->pdata[j], i, &range);
+		start_urgency(owner, i, &range);
 	g_array_free(domains, TRUE);
 }
 
@@ -1039,15 +1072,31 @@
 	for (uint32_t i = 0; i < BATCH_URGENCIES; i++) {
 		slot_range_t range = { .service = entry->service,
 				       .demand = demand,
+				       .sizes = entry->sizes,
 				       .slots = keys,
 				       .next = starts.first_slot[i],
 				       .count = starts.items[i] };
 
-		for (guint j = 0; j < owner->jobs->len; j++)
-			start_items(owner->jobs->pdata[j], i, &range);
+		start_urgency(owner, i, &range);
 	}
 	g_array_free(keys, TRUE);
-	start_remote(owner, entry->service, demand);
+	start_remote(owner, entry->service, &entry->sizes, demand);
+}
+
+/* Counts the items that no runner takes now because of their size. */
+static void count_too_large(const job_owner_t *owner)
+{
+	int64_t items = 0;
+
+	for (guint i = 0; i < owner->jobs->len; i++) {
+		const owned_job_t *job = owner->jobs->pdata[i];
+
+		for (guint j = 0; j < job->items->len; j++)
+			items +=
+				job->owned_items[j].state == JOB_ITEM_WAITING &&
+				job->owned_items[j].too_large;
+	}
+	*owner->items_too_large = items;
 }
 
 static void report_demands(const job_context_t *context, const GArray *demands)
@@ -1069,6 +1118,7 @@
 
 	if (!owner->stopping)
 		count_waiting(owner, demands);
+	count_too_large(owner);
 	report_demands(owner->context, demands);
 	for (guint i = 0; i < demands->len; i++)
 		start_service(owner,
@@ -1144,7 +1194,7 @@
 		if (owned->state == JOB_ITEM_WAITING &&
 		    (owned->unsendable || owned->unreadable_runs > 0 ||
 		     owned->refusals >= EXECUTION_OWN_REFUSALS ||
-		     job_owner_item_is_held(owned)))
+		     owned->too_large || job_owner_item_is_held(owned)))
 			job_owner_item_give_up(owned, "item_held_too_long");
 	}
 }
--- a/src/gateway/job_owner_item.c
+++ b/src/gateway/job_owner_item.c
@@ -38,6 +38,16 @@
 	set_backoff(owned);
 }
 
+/* Runners go by the headers of the item. */
+static int64_t tokens_of(const job_context_t *context, const job_item_t *item)
+{
+	const runner_protocol_t *protocol = context->executions->protocol;
+
+	if (protocol->decode_tokens)
+		return protocol->decode_tokens(item->headers);
+	return item->tokens;
+}
+
 void job_owner_item_init(owned_item_t *owned, job_context_t *context,
 			 const job_item_t *item, uint32_t index,
 			 const job_item_callbacks_t *callbacks, void *user_data)
@@ -45,6 +55,7 @@
 	owned->context = context;
 	owned->item = item;
 	owned->index = index;
+	owned->tokens = tokens_of(context, item);
 	owned->last_event = EVENT_READER_NONE;
 	owned->saved_event = EVENT_READER_NONE;
 	owned->callbacks = callbacks;
@@ -128,6 +139,7 @@
 	owned->version_key = execution_version_key(owned->execution);
 	owned->losses = 0;
 	owned->refusals = 0;
+	owned->too_large = false;
 	owned->empty_ends = 0;
 	owned->progressed = true;
 }
@@ -400,6 +412,7 @@
 		.service = place->service,
 		.domain = place->domain,
 		.preferred_runner = place->runner,
+		.tokens = owned->tokens,
 		.require_healthy = owned->failures > 0,
 		.max_runners = UINT32_MAX,
 		.patience = &owned->patience,
--- a/src/gateway/job_owner_item.h
+++ b/src/gateway/job_owner_item.h
@@ -46,6 +46,7 @@
 	job_context_t *context;
 	const job_item_t *item;
 	uint32_t index;
+	int64_t tokens; /* that a runner needs memory for; 0: not known */
 	job_item_state_t state;
 	execution_t *execution;
 	prompt_parts_t parts;
@@ -76,6 +77,8 @@
 	bool resumed; /* started at another owner */
 	bool unsendable; /* a build before has accepted it */
 	bool recorded; /* the job's record has its result */
+	bool too_large; /* no runner of its service took its size, as last
+			 * counted */
 	bool was_infeasible; /* at some time; its duration is not typical */
 	const job_item_callbacks_t *callbacks;
 	void *user_data;
--- a/src/gateway/runner_protocol.h
+++ b/src/gateway/runner_protocol.h
@@ -73,6 +73,9 @@
 	/* Decodes the shared parts of a request's prompt from its headers (name,
 	 * value, ...). */
 	void (*decode_parts)(const GPtrArray *headers, prompt_parts_t *parts);
+	/* Returns the tokens of a request, read and written, by its headers; 0:
+	 * they do not tell. */
+	int64_t (*decode_tokens)(const GPtrArray *headers);
 	void *context;
 } runner_protocol_t;
 
--- a/src/gateway/runner_relay.c
+++ b/src/gateway/runner_relay.c
@@ -398,8 +398,10 @@
 	runner_relay_t *relay = g_new0(runner_relay_t, 1);
 
 	relay->options = *options;
-	relay->protocol =
-		(runner_protocol_t){ start, cancel, decode_nothing, relay };
+	relay->protocol = (runner_protocol_t){ .start = start,
+					       .cancel = cancel,
+					       .decode_parts = decode_nothing,
+					       .context = relay };
 	relay->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	relay->calls_total = counter_get(options->counters, COUNTER_MONOTONIC,
--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -161,6 +161,41 @@
 	g_free(fixture);
 }
 
+static execution_t *start_batch(fixture_t *fixture, int64_t tokens,
+				uint32_t refusals)
+{
+	GPtrArray *headers = g_ptr_array_new();
+	GBytes *body = g_bytes_new("x", 1);
+	const execution_options_t options = {
+		.id = "i1",
+		.method = "POST",
+		.target = "/p",
+		.host = "h",
+		.service = "s",
+		.headers = headers,
+		.body = body,
+		.stream = true,
+		.resumable = true,
+		.batch = true,
+		.tokens = tokens,
+		.refusals = refusals,
+		.max_runners = UINT32_MAX,
+		.resume_after = -1,
+		.sink = &sink,
+		.user_data = fixture,
+	};
+	execution_t *execution = execution_start(&fixture->context, &options);
+
+	g_ptr_array_unref(headers);
+	g_bytes_unref(body);
+	return execution;
+}
+
+static int64_t decode_large(const GPtrArray *headers)
+{
+	return 110000;
+}
+
 static execution_t *start_execution(fixture_t *fixture, bool stream,
 				    bool idempotent, bool resumable)
 {
@@ -285,6 +320,55 @@
 	}
 }
 
+/* All runners refuse an online request, which is larger than their memory. Guards
+ * against keeping batch items from them, for seconds: with such requests all the
+ * time, no item was run. */
+static void test_batch_after_large_request(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	for (int round = 0; round < 5; round++) {
+		int first = fixture->count;
+
+		fixture->protocol.decode_tokens = decode_large;
+		start_execution(fixture, true, false, true);
+		for (int i = first; i < fixture->count; i++) {
+			answer(fixture, i, 503, true);
+			done(fixture, i, RUNNER_COMPLETE);
+		}
+		CU_ASSERT(fixture->count > first);
+	}
+	CU_ASSERT_EQUAL(fixture->end, EXECUTION_NOT_RUN);
+	CU_ASSERT_PTR_NOT_NULL(start_batch(fixture, 100, 0));
+	CU_ASSERT_PTR_NULL(start_batch(fixture, 110000, 0));
+	execution_cancel(fixture->context.active.head->data);
+	fixture_free(fixture);
+}
+
+/* The refusals of an item of unknown size that runners have refused several times
+ * say nothing about the runners. */
+static void test_item_refused_again(void)
+{
+	for (uint32_t refusals = EXECUTION_OWN_REFUSALS - 1;
+	     refusals <= EXECUTION_OWN_REFUSALS; refusals++) {
+		fixture_t *fixture = fixture_new();
+		execution_t *next;
+
+		start_batch(fixture, 0, refusals);
+		for (int i = 0; i < fixture->count; i++) {
+			answer(fixture, i, 503, true);
+			done(fixture, i, RUNNER_COMPLETE);
+		}
+		CU_ASSERT_EQUAL(fixture->end, EXECUTION_NOT_RUN);
+		next = start_batch(fixture, 0, 0);
+		CU_ASSERT_EQUAL(next != NULL,
+				refusals == EXECUTION_OWN_REFUSALS);
+		if (next)
+			execution_cancel(next);
+		fixture_free(fixture);
+	}
+}
+
 /* When every runner refuses, the outcome must be that it has not run. */
 static void test_all_refuse(void)
 {
@@ -839,6 +923,8 @@
 		{ "refused is retried", test_refused_is_retried },
 		{ "refusal at ejected runners",
 		  test_refusal_at_ejected_runners },
+		{ "batch after large request", test_batch_after_large_request },
+		{ "item refused again", test_item_refused_again },
 		{ "all refuse", test_all_refuse },
 		{ "resumption", test_resumption },
 		{ "resumption keeps version", test_resumption_keeps_version },
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -153,6 +153,102 @@
 	g_rand_free(random);
 }
 
+static fleet_runner_t *acquire_size(fleet_t *fleet, int64_t tokens, bool batch)
+{
+	const fleet_pick_options_t pick = { .service = "s",
+					    .batch = batch,
+					    .tokens = tokens };
+
+	return fleet_acquire(fleet, &pick);
+}
+
+static bool takes(fleet_t *fleet, int64_t tokens)
+{
+	fleet_runner_t *runner = acquire_size(fleet, tokens, true);
+
+	if (runner)
+		fleet_release(fleet, runner, true);
+	return runner != NULL;
+}
+
+/* A runner refuses what is larger than its memory as if it were full. Guards
+ * against keeping smaller requests from it: a node whose clients sent such requests
+ * ran no batch item any more. */
+static void test_refused_size(void)
+{
+	const fleet_refusal_t online = { .tokens = 1000 };
+	const fleet_refusal_t batch = { .tokens = 2000, .batch = true };
+	GRand *random = g_rand_new_with_seed(1);
+	fleet_runner_t *runner;
+	fleet_t *fleet;
+
+	clock_manual_init(&manual, 0);
+	fleet = fleet_of(random, "d");
+	add(fleet, "a", 8, 1, false);
+	runner = fleet_find(fleet, fleet_key("a"));
+	fleet_served(runner, 100);
+	for (int i = 0; i < 5; i++) {
+		fleet_refused(fleet, runner, &online);
+		fleet_refused(fleet, runner, &batch);
+	}
+	CU_ASSERT(takes(fleet, 999));
+	CU_ASSERT_FALSE(takes(fleet, 1000));
+	CU_ASSERT_EQUAL(fleet_sizes(fleet, "s").some_take, 999);
+	CU_ASSERT_EQUAL(free_slots(fleet), 8);
+	/* An online request has no other runner to wait for. */
+	runner = acquire_size(fleet, 1000, false);
+	CU_ASSERT_PTR_NOT_NULL(runner);
+	fleet_release(fleet, runner, false);
+	/* After a while one request finds out whether it fits now. */
+	clock_manual_advance_ms(&manual, 3300);
+	runner = acquire_size(fleet, 1000, true);
+	CU_ASSERT_PTR_NOT_NULL(runner);
+	CU_ASSERT_FALSE(takes(fleet, 1000));
+	fleet_served(runner, 1000);
+	CU_ASSERT(takes(fleet, 2000));
+	fleet_release(fleet, runner, true);
+	fleet_free(fleet);
+	g_rand_free(random);
+}
+
+/* The refusal of a request of a size that the runner serves tells that it is full:
+ * it is ejected, briefly for a batch item, and not for one that is refused again
+ * and again. So for a request of unknown size. */
+static void test_refusal_of_served_size(void)
+{
+	static const int64_t sizes[] = { 100, 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		fleet_refusal_t refusal = { .tokens = sizes[i],
+					    .batch = true,
+					    .repeated = true };
+		GRand *random = g_rand_new_with_seed(1);
+		fleet_runner_t *runner;
+		fleet_t *fleet;
+
+		clock_manual_init(&manual, 0);
+		fleet = fleet_of(random, "d");
+		add(fleet, "a", 8, 1, false);
+		runner = fleet_find(fleet, fleet_key("a"));
+		fleet_served(runner, 100);
+		fleet_refused(fleet, runner, &refusal);
+		CU_ASSERT(takes(fleet, 10));
+		refusal.repeated = false;
+		for (int j = 0; j < 5; j++)
+			fleet_refused(fleet, runner, &refusal);
+		CU_ASSERT_FALSE(takes(fleet, 10));
+		clock_manual_advance_ms(&manual, 401);
+		CU_ASSERT(takes(fleet, 10));
+		refusal.batch = false;
+		fleet_refused(fleet, runner, &refusal);
+		fleet_refused(fleet, runner, &refusal);
+		clock_manual_advance_ms(&manual, 401);
+		CU_ASSERT_FALSE(takes(fleet, 10));
+		fleet_free(fleet);
+		g_rand_free(random);
+	}
+}
+
 /* Batch work must not queue, and must be preempted for online requests. */
 static void test_batch_excess(void)
 {
@@ -697,6 +793,8 @@
 		{ "delayed removal", test_delayed_removal },
 		{ "restart", test_restart },
 		{ "ejection", test_ejection },
+		{ "refused size", test_refused_size },
+		{ "refusal of served size", test_refusal_of_served_size },
 		{ "batch excess", test_batch_excess },
 		{ "spread over free slots", test_spread_over_free_slots },
 		{ "stale load of other domains",
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -74,6 +74,7 @@
 	int invalid_starts; /* that many first attempts send invalid UTF-8 */
 	bool fails; /* each attempt is answered with an error */
 	uint32_t too_large; /* bits of the items that runners refuse */
+	const char *large_runner; /* has memory for these; NULL: none */
 	uint32_t refused; /* attempts */
 	bool checks_timeouts; /* of executions, as a gateway does */
 	bool resumes_exactly; /* each request resumed after the last event */
@@ -131,7 +132,8 @@
 {
 	runner_answer_t answer = { .status = 503, .not_run = true };
 
-	if (!(call->cluster->too_large & 1U << item_index(&call->request)))
+	if (!(call->cluster->too_large & 1U << item_index(&call->request)) ||
+	    g_strcmp0(call->request.instance, call->cluster->large_runner) == 0)
 		return false;
 	call->cluster->refused++;
 	answer.headers = g_ptr_array_new();
@@ -1191,6 +1193,11 @@
 						    slots, 1, false, "1" });
 }
 
+static path_route_t *path_route_of(const node_t *node, const char *path)
+{
+	return (path_route_t *)path_table_find(node->paths, "h", path);
+}
+
 static void add_runner_of_late_service(node_t *node, uint32_t slots)
 {
 	fleet_update(node->fleet,
@@ -1303,6 +1310,86 @@
 	return count;
 }
 
+/* A job with items of a size that no runner has memory for, all but the last. */
+static void submit_large(node_t *node, int64_t tokens)
+{
+	GPtrArray *items = items_new();
+
+	node->cluster->too_large = (1U << (ITEMS - 1)) - 1;
+	for (guint i = 0; i + 1 < items->len; i++)
+		((job_item_t *)items->pdata[i])->tokens = tokens;
+	submit_items(node, "j", "/b/1", items);
+}
+
+/* The first refusals of items that fit nowhere kept the others from the runner for
+ * 400 ms each. */
+static void test_first_refusals(void)
+{
+	cluster_t *cluster = cluster_new(20);
+	node_t *node = &cluster->nodes[0];
+	stored_record_t found;
+
+	add_runner(node, "r", 2);
+	cluster->steps_per_item = 1;
+	submit_large(node, 1000);
+	run_ms(cluster, 100);
+	CU_ASSERT_EQUAL(cluster->starts, 3);
+	run_ms(cluster, 800);
+	found = read_record(cluster);
+	CU_ASSERT(job_record_has_item(found.record, ITEMS - 1));
+	job_record_free(found.record);
+	/* Once its size is known to be refused, an item is tried seldom. */
+	run_ms(cluster, 10000);
+	CU_ASSERT(cluster->refused >= 4);
+	CU_ASSERT(cluster->refused <= 10);
+}
+
+/* Items that fit one runner only must be done there, and must not be tried at the
+ * others all the time. */
+static void test_items_that_fit_one_runner(void)
+{
+	cluster_t *cluster = cluster_new(21);
+	node_t *node = &cluster->nodes[0];
+	stored_record_t found;
+
+	add_runner(node, "r", 8);
+	add_runner(node, "q", 1);
+	cluster->large_runner = "q";
+	submit_large(node, 1000);
+	run_ms(cluster, 5000);
+	found = read_record(cluster);
+	CU_ASSERT(has_each_item_once(found.record));
+	CU_ASSERT_EQUAL(given_up(node, found.record), 0);
+	CU_ASSERT(cluster->refused <= 2 * ITEMS);
+	job_record_free(found.record);
+}
+
+/* Items that fit nowhere are given up after the time from which the route permits
+ * it, also those that were tried seldom or whose size is not known; not before. */
+static void test_large_items_are_given_up(void)
+{
+	static const int64_t sizes[] = { 1000, 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		cluster_t *cluster = cluster_new(22);
+		node_t *node = &cluster->nodes[0];
+		stored_record_t found;
+
+		path_route_of(node, "/b/")->give_up_ms = 20000;
+		add_runner(node, "r", 2);
+		submit_large(node, sizes[i]);
+		run_ms(cluster, 20000);
+		found = read_record(cluster);
+		CU_ASSERT_EQUAL(job_record_results(found.record), 1);
+		job_record_free(found.record);
+		run_ms(cluster, 15000);
+		found = read_record(cluster);
+		CU_ASSERT(has_each_item_once(found.record));
+		CU_ASSERT_EQUAL(given_up(node, found.record), ITEMS - 1);
+		job_record_free(found.record);
+	}
+}
+
 /* The operator removes the route of a job whose items wait, or another route gets
  * its path. Guards against items that are never listed. */
 static void test_route_removed(void)
@@ -1405,6 +1492,9 @@
 		{ "service without runner", test_service_without_runner },
 		{ "slots of two services", test_slots_of_two_services },
 		{ "items that fit nowhere", test_items_that_fit_nowhere },
+		{ "first refusals", test_first_refusals },
+		{ "items that fit one runner", test_items_that_fit_one_runner },
+		{ "large items are given up", test_large_items_are_given_up },
 		{ "route removed", test_route_removed },
 		{ "route comes back", test_route_comes_back },
 		{ "route removed while running",
