Count the time until items may be given up from their submission

After a takeover of an old job it came late, and later with each further one.

Cause: the time was derived from the deadline, which was computed once, by the route as the job started here. Without a route the deadline was the start itself.

Evidence: test_changed_due_time: given up 31 s after the submission where 60 s must pass; test_route_not_known_at_start: after less than 30 s.

Change: the owner keeps the time of the submission, gives items up by it, and updates the deadline when the route's time changes.

Why it works: the submission does not change, whatever the operator does.

--- a/src/gateway/job_owner.c
+++ b/src/gateway/job_owner.c
@@ -66,6 +66,7 @@
 	int64_t call_started_us; /* start of the call in flight, elapsed time */
 	int64_t confirmed_us; /* start of the last write that renewed it */
 	int64_t write_not_before_us;
+	int64_t submitted_us; /* monotonic */
 	int64_t deadline_us;
 	int64_t no_route_since_us; /* 0: the route is known */
 };
@@ -295,17 +296,42 @@
 	g_ptr_array_unref(start->items);
 }
 
-static int64_t deadline_of(const owned_job_t *job)
+/* By the clock of this node. The wall clocks of nodes may differ by a few seconds:
+ * nothing is given up within GIVE_UP_MARGIN_MS. */
+static int64_t submitted_us(const owned_job_t *job)
 {
 	const job_owner_t *owner = job->owner;
-	const path_route_t *route = route_of(job);
-	int64_t due_ms = route ? route->due_ms : 0;
 	int64_t age_ms = clock_wall_ms(owner->context->clock) -
 			 job->record->submitted_ms;
 
-	/* The wall clocks of nodes may differ by a few seconds, which only
-	 * affects the order of jobs. */
-	return now_us(owner) + (due_ms - CLAMP(age_ms, 0, due_ms)) * 1000;
+	return now_us(owner) - MAX(age_ms, 0) * 1000;
+}
+
+/* The operator may change the time until results are due, and bring back a route
+ * that was not known as the job was taken over. Returns whether it has changed. */
+static bool update_deadline(owned_job_t *job)
+{
+	const path_route_t *route = route_of(job);
+	int64_t deadline_us = job->submitted_us;
+
+	if (!route && job->deadline_us)
+		return false;
+	if (route)
+		deadline_us += route->due_ms * 1000;
+	if (deadline_us == job->deadline_us)
+		return false;
+	job->deadline_us = deadline_us;
+	return true;
+}
+
+static void update_deadlines(job_owner_t *owner)
+{
+	bool changed = false;
+
+	for (guint i = 0; i < owner->jobs->len; i++)
+		changed |= update_deadline(owner->jobs->pdata[i]);
+	if (changed)
+		g_ptr_array_sort(owner->jobs, by_deadline);
 }
 
 void job_owner_start_job(job_owner_t *owner, const job_start_t *start)
@@ -333,7 +359,8 @@
 	job->confirmed_us = start->confirmed_us;
 	/* It may have been taken over or ended since. */
 	job->refresh = !is_confirmed(job);
-	job->deadline_us = deadline_of(job);
+	job->submitted_us = submitted_us(job);
+	update_deadline(job);
 	for (guint i = 0; i < job->items->len; i++) {
 		job_owner_item_init(&job->owned_items[i], owner->context,
 				    job->items->pdata[i], i, &item_callbacks,
@@ -1179,14 +1206,10 @@
 static void give_up_held(owned_job_t *job, int64_t now)
 {
 	const path_route_t *route = route_of(job);
-	int64_t give_up_us;
 
-	if (!route || route->give_up_ms == 0 || job->release)
-		return;
-	give_up_us =
-		job->deadline_us +
-		(route->give_up_ms - route->due_ms + GIVE_UP_MARGIN_MS) * 1000;
-	if (now < give_up_us)
+	if (!route || route->give_up_ms == 0 || job->release ||
+	    now - job->submitted_us <
+		    (route->give_up_ms + GIVE_UP_MARGIN_MS) * 1000)
 		return;
 	for (guint i = 0; i < job->items->len; i++) {
 		owned_item_t *owned = &job->owned_items[i];
@@ -1237,6 +1260,7 @@
 	int64_t now = now_us(owner);
 
 	check_items(owner);
+	update_deadlines(owner);
 	job_owner_preempt(owner);
 	start_share(owner);
 	for (guint i = 0; i < owner->jobs->len; i++) {
--- a/tests/test_job_store.c
+++ b/tests/test_job_store.c
@@ -1442,6 +1442,79 @@
 	job_record_free(found.record);
 }
 
+static void check_given_up(cluster_t *cluster, uint32_t expected)
+{
+	stored_record_t found = read_record(cluster);
+
+	CU_ASSERT_EQUAL(given_up(&cluster->nodes[0], found.record), expected);
+	job_record_free(found.record);
+}
+
+/* The operator changes when results are due. Items that fit nowhere must be given up
+ * by the time of the route that is in force, not sooner. */
+static void test_changed_due_time(void)
+{
+	cluster_t *cluster = cluster_new(23);
+	node_t *node = &cluster->nodes[0];
+
+	path_route_of(node, "/b/")->give_up_ms = 60000;
+	add_runner(node, "r", 2);
+	submit_large(node, 1000);
+	run_ms(cluster, 5000);
+	path_route_of(node, "/b/")->due_ms = 60000;
+	run_ms(cluster, 54000);
+	check_given_up(cluster, 0);
+	run_ms(cluster, 16000);
+	check_given_up(cluster, ITEMS - 1);
+}
+
+/* A job is started while its route is not known, which then comes back. The time of
+ * its submission must count, not that of the start. */
+static void test_route_not_known_at_start(void)
+{
+	cluster_t *cluster = cluster_new(24);
+	node_t *node = &cluster->nodes[0];
+	path_table_t *paths = node->paths;
+
+	path_route_of(node, "/b/")->give_up_ms = 30000;
+	add_runner(node, "r", 2);
+	submit_large(node, 1000);
+	node->paths = path_table_new(2);
+	run_ms(cluster, 1000);
+	CU_ASSERT_EQUAL(owners(cluster), 1);
+	node->paths = paths;
+	run_ms(cluster, 28000);
+	check_given_up(cluster, 0);
+	run_ms(cluster, 16000);
+	check_given_up(cluster, ITEMS - 1);
+}
+
+/* The owner cannot renew the record, as the store is out, and the route is missing
+ * for long: another node may own the job, and know the route. */
+static void test_route_removed_in_outage(void)
+{
+	cluster_t *cluster = cluster_new(25);
+	node_t *node = &cluster->nodes[0];
+	path_table_t *paths = node->paths;
+	stored_record_t found;
+
+	submit_as(node, "j", "/c/1");
+	run_ms(cluster, 500);
+	object_memory_faults(cluster->memory)->outage_until_ms =
+		clock_now_ms(&cluster->clock.base) + 15000;
+	node->paths = path_table_new(2);
+	run_ms(cluster, 14000);
+	node->paths = paths;
+	run_ms(cluster, 3000);
+	check_given_up(cluster, 0);
+	add_runner_of_late_service(node, 64);
+	run_ms(cluster, 3000);
+	found = read_record(cluster);
+	CU_ASSERT(has_each_item_once(found.record));
+	job_record_free(found.record);
+	check_given_up(cluster, 0);
+}
+
 /* Items of a removed route that run are done. */
 static void test_route_removed_while_running(void)
 {
@@ -1497,6 +1570,9 @@
 		{ "large items are given up", test_large_items_are_given_up },
 		{ "route removed", test_route_removed },
 		{ "route comes back", test_route_comes_back },
+		{ "changed due time", test_changed_due_time },
+		{ "route not known at start", test_route_not_known_at_start },
+		{ "route removed in outage", test_route_removed_in_outage },
 		{ "route removed while running",
 		  test_route_removed_while_running },
 		{ NULL, NULL },
