Take an address that is listed for another deployment for another runner

What callers saw (`wasabilink entry`): when the operator put VMs under another deployment, name or partner at the addresses that they had, calls and batch items of the new deployment got no runner, for as long as the addresses stayed listed, and those of the former one were still sent there, also when it was another partner's.

Cause: the runner set and the dispatcher know runners by their address, and kept the deployment of the first listing.

Change: an entry of the VM list with another deployment, partner, domain or role replaces the runner of its address. The dispatcher stops its items there, which are run elsewhere.

Why it works: nothing keeps a pointer to a runner over a change of the list.

--- a/src/backend/runner.c
+++ b/src/backend/runner.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/log.h"
 #include "object/object_store.h"
 
 struct runner_set {
@@ -39,17 +40,39 @@
 	g_free(set);
 }
 
+static bool is_service(const platform_vm_t *vm)
+{
+	return strcmp(vm->role, "service") == 0;
+}
+
+/* Whether the address still belongs to the same deployment or service. */
+static bool is_same(const runner_t *runner, const platform_vm_t *vm)
+{
+	return runner->is_service == is_service(vm) &&
+	       strcmp(runner->partner, vm->partner) == 0 &&
+	       strcmp(runner->deployment, vm->deployment) == 0 &&
+	       strcmp(runner->domain, vm->domain) == 0;
+}
+
 static void add_or_update(runner_set_t *set, const platform_vm_t *vm)
 {
 	runner_t *runner = g_hash_table_lookup(set->by_address, vm->address);
 
+	if (runner && !is_same(runner, vm)) {
+		log_info("runner_reassigned",
+			 "runner=%s partner=%s deployment=%s former=%s",
+			 vm->address, vm->partner, vm->deployment,
+			 runner->deployment);
+		g_hash_table_remove(set->by_address, vm->address);
+		runner = NULL;
+	}
 	if (!runner) {
 		runner = g_new0(runner_t, 1);
 		runner->address = g_strdup(vm->address);
 		runner->domain = g_strdup(vm->domain);
 		runner->partner = g_strdup(vm->partner);
 		runner->deployment = g_strdup(vm->deployment);
-		runner->is_service = strcmp(vm->role, "service") == 0;
+		runner->is_service = is_service(vm);
 		g_hash_table_insert(set->by_address, runner->address, runner);
 	}
 	runner->state =
--- a/src/backend/runner.h
+++ b/src/backend/runner.h
@@ -9,7 +9,8 @@
  * runner - the runners that this node knows: engines and plain services.
  *
  * The set follows the VM list of the platform. A runner that is no longer
- * listed is kept until its requests in flight have ended.
+ * listed is kept until its requests in flight have ended. An address that is listed
+ * for another deployment than before is another runner.
  */
 typedef enum runner_state {
 	RUNNER_LIVE,
--- a/src/batch/dispatcher.c
+++ b/src/batch/dispatcher.c
@@ -130,6 +130,13 @@
 	return TRUE;
 }
 
+static bool serves(const dispatch_pool_t *pool,
+		   const dispatcher_runner_info_t *info)
+{
+	return strcmp(pool->partner, info->partner) == 0 &&
+	       strcmp(pool->deployment, info->deployment) == 0;
+}
+
 void dispatcher_set_runners(dispatcher_t *dispatcher,
 			    const dispatcher_runner_info_t *runners,
 			    guint count)
@@ -142,8 +149,13 @@
 			dispatcher->runners, runners[i].address);
 
 		g_hash_table_add(listed, (void *)runners[i].address);
-		if (runner)
+		if (runner && serves(runner->pool, &runners[i]))
 			continue;
+		if (runner) {
+			remove_runner(dispatcher, runner);
+			g_hash_table_remove(dispatcher->runners,
+					    runners[i].address);
+		}
 		runner = g_new0(dispatch_runner_t, 1);
 		runner->address = g_strdup(runners[i].address);
 		runner->pool = dispatcher_get_pool(
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1133,10 +1133,48 @@
 	g_bytes_unref(data);
 }
 
+static void note_pull(const char *partner, const char *deployment,
+		      void *user_data)
+{
+	GString *pulled = user_data;
+
+	g_string_append_printf(pulled, "%s ", deployment);
+}
+
+/* A runner is listed for another deployment than before. Guards against running
+ * items of the former one there, and none of its own. */
+static void test_runner_of_another_deployment(void)
+{
+	const slot_options_t slots = { .policy = SLOT_FIXED, .fixed = 2 };
+	const dispatcher_runner_info_t former = { "r0", "guild", "muse" };
+	const dispatcher_runner_info_t next = { "r0", "guild", "other" };
+	GString *pulled = g_string_new(NULL);
+	const dispatcher_ops_t ops = { .pull = note_pull, .user_data = pulled };
+	clock_manual_t clock;
+	dispatcher_t *dispatcher;
+
+	clock_manual_init(&clock, 1000000);
+	dispatcher = dispatcher_new(&ops, &clock.base, &slots);
+	dispatcher_set_runners(dispatcher, &former, 1);
+	dispatcher_report_slots(dispatcher, "r0", 2);
+	dispatcher_tick(dispatcher);
+	CU_ASSERT_STRING_EQUAL(pulled->str, "muse ");
+	g_string_set_size(pulled, 0);
+	dispatcher_set_runners(dispatcher, &next, 1);
+	dispatcher_report_slots(dispatcher, "r0", 2);
+	clock_manual_advance_ms(&clock, 5000);
+	dispatcher_tick(dispatcher);
+	CU_ASSERT_STRING_EQUAL(pulled->str, "other ");
+	dispatcher_free(dispatcher);
+	g_string_free(pulled, TRUE);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
 		{ "lease after recovery", test_lease_after_recovery },
+		{ "runner of another deployment",
+		  test_runner_of_another_deployment },
 		{ "histories", test_histories },
 		{ NULL, NULL },
 	};
