Answer that a closed job has no body without its payload

What callers saw: nothing yet. The payload of a closed job is removed after a while; a read of an item's body would then have been answered 503 for as long as the record is kept, instead of 404.

Cause: only a job that was ended was answered without the payload; of one whose items are all listed, the payload was read to find the item.

Change: the record alone answers for both kinds of closed jobs. test_forgotten_record guards against a node that lists a job whose record was removed.

Why it works: an item of a closed job is listed or will never be run.

--- a/src/gateway/job_read.c
+++ b/src/gateway/job_read.c
@@ -466,7 +466,8 @@
 	const GPtrArray *items =
 		job_owner_items(query->reader->owner, query->id);
 
-	if (query->record->ended)
+	/* All items are listed, or nobody waits for them. */
+	if (job_record_is_closed(query->record))
 		finish_body(query, JOB_MISSING);
 	else if (items)
 		find_body(query, items);
--- a/tests/test_job_read.c
+++ b/tests/test_job_read.c
@@ -5,6 +5,8 @@
 #include "object/object_memory.h"
 #include "unit.h"
 
+#define RECORD_VERSION 1 /* of the first object */
+
 /* Tests reads of results at a node that does not own the job. */
 #define STEP_MS 10
 #define SEGMENT_KEY JOB_SEGMENT_PREFIX "j.1.0.n1"
@@ -122,6 +124,7 @@
 	record->instance = g_strdup("n1-1");
 	record->epoch = JOB_RECORD_FIRST_EPOCH;
 	record->items = G_N_ELEMENTS(items);
+	record->payload_parts = 1;
 	job_record_add_segment(record, SEGMENT_KEY, digest, items,
 			       G_N_ELEMENTS(items));
 	store(world, JOB_RECORD_PREFIX "j", job_record_encode(record));
@@ -241,6 +244,52 @@
 	g_free(digest);
 }
 
+static void on_removed(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	CU_ASSERT_PTR_NULL(error);
+	((world_t *)user_data)->done = true;
+}
+
+static void on_body(job_found_t found, GBytes *body, void *user_data)
+{
+	world_t *world = user_data;
+
+	world->done = true;
+	world->found = found;
+}
+
+/* The payload of a closed job is removed after a while. Guards against reading it
+ * for the body of an item that is listed: readers were told to come back for ever. */
+static void test_body_of_closed_job(void)
+{
+	GPtrArray *results = results_new("a");
+	world_t *world = read_segment(NULL, results);
+
+	world->done = false;
+	job_read_body(world->reader, "j", "i1", on_body, world);
+	while (!world->done)
+		step(world);
+	CU_ASSERT_EQUAL(world->found, JOB_MISSING);
+}
+
+/* A node keeps closed records that it has read. Guards against one that still lists
+ * a job whose record was removed, while the others do not. */
+static void test_forgotten_record(void)
+{
+	world_t *world = read_segment(NULL, results_new("a"));
+
+	CU_ASSERT_EQUAL(world->found, JOB_FOUND);
+	world->done = false;
+	object_remove(world->store, JOB_RECORD_PREFIX "j", RECORD_VERSION,
+		      on_removed, world);
+	while (!world->done)
+		step(world);
+	job_reader_forget(world->reader, "j");
+	read_from(world, 0);
+	CU_ASSERT_EQUAL(world->found, JOB_MISSING);
+}
+
 int main(void)
 {
 	static const unit_test_t tests[] = {
@@ -249,6 +298,8 @@
 		{ "other items", test_other_items },
 		{ "other run", test_other_run },
 		{ "other run in cache", test_other_run_in_cache },
+		{ "body of closed job", test_body_of_closed_job },
+		{ "forgotten record", test_forgotten_record },
 		{ NULL, NULL },
 	};
 
