Notice what was removed while the store was not watched

What callers saw: nothing yet. An entry of a node or a record of a job that was removed while a gateway had lost the store, or after the store had dropped its history, stayed in that gateway's memory for ever: the node counted as one that may live, and the gateway tried to remove the record again every 10 s.

Cause: the views of nodes and of jobs learned of removals from watches alone. After a loss the objects are listed anew, and what is missing there was not looked for; only the view of the runners did.

Evidence: found by a test of another fault. test_removal_not_watched: the table still had the record after the new listing.

Change: both views compare what they have with each complete listing. A node whose own entry is missing registers again, if it had been written.

Why it works: a listing may be stale, but the watch goes on from its revision, so what is created later comes again.

--- a/src/gateway/job_table.c
+++ b/src/gateway/job_table.c
@@ -150,6 +150,28 @@
 		forget(table, job);
 }
 
+/* Records that were removed while the store was not watched. */
+static void on_listed(GHashTable *keys, void *user_data)
+{
+	job_table_t *table = user_data;
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	void *id;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, &id, NULL)) {
+		char *key = g_strconcat(JOB_RECORD_PREFIX, id, NULL);
+
+		if (g_hash_table_contains(keys, key))
+			g_free(key);
+		else
+			g_ptr_array_add(gone, key);
+	}
+	for (guint i = 0; i < gone->len; i++)
+		on_removed(gone->pdata[i], table);
+	g_ptr_array_free(gone, TRUE);
+}
+
 job_table_t *job_table_new(job_context_t *context, job_owner_t *owner)
 {
 	job_table_t *table = g_new0(job_table_t, 1);
@@ -163,6 +185,7 @@
 		.pause_ms = WATCH_PAUSE_MS,
 		.changed = on_changed,
 		.removed = on_removed,
+		.listed = on_listed,
 		.user_data = table,
 	};
 
--- a/src/gateway/node_registration.c
+++ b/src/gateway/node_registration.c
@@ -15,12 +15,19 @@
 	char *writer;
 	struct event *retry;
 	uint64_t version; /* of the entry; OBJECT_ABSENT: not known */
+	bool written; /* at least once */
 	bool withdrawn;
 	int64_t *withdrawn_total;
 };
 
 static void write_entry(node_registration_t *registration, uint64_t version);
 
+static void set_written(node_registration_t *registration, uint64_t version)
+{
+	registration->version = version;
+	registration->written = true;
+}
+
 static void retry_later(node_registration_t *registration, const GError *error)
 {
 	const struct timeval pause = { RETRY_MS / 1000, 0 };
@@ -44,7 +51,7 @@
 	if (registration->withdrawn)
 		return;
 	if (!error) {
-		registration->version = value->version;
+		set_written(registration, value->version);
 		return;
 	}
 	if (error->code != WL_ERROR_CONFLICT || !value || !value->data) {
@@ -52,7 +59,7 @@
 		return;
 	}
 	if (is_own_entry(registration, value))
-		registration->version = value->version;
+		set_written(registration, value->version);
 	else
 		write_entry(registration, value->version);
 }
@@ -67,7 +74,7 @@
 	if (registration->withdrawn)
 		return;
 	if (!error && is_own_entry(registration, value))
-		registration->version = value->version;
+		set_written(registration, value->version);
 	else
 		write_entry(registration,
 			    error ? OBJECT_ABSENT : value->version);
@@ -118,7 +125,8 @@
 void node_registration_removed(node_registration_t *registration)
 {
 	registration->version = OBJECT_ABSENT;
-	if (!registration->withdrawn)
+	/* Otherwise a write is in progress or will be repeated. */
+	if (registration->written && !registration->withdrawn)
 		write_entry(registration, OBJECT_ABSENT);
 }
 
--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -199,6 +199,28 @@
 		g_hash_table_remove(load->addresses, node);
 }
 
+static gboolean is_unlisted(void *node, void *value, void *keys)
+{
+	const node_address_t *address = value;
+	char *key = g_strconcat(NODE_PREFIX, node, NULL);
+	bool listed = g_hash_table_contains(keys, key);
+
+	g_free(key);
+	return address->version && !listed;
+}
+
+/* Entries that were removed while the store was not watched. */
+static void on_nodes_listed(GHashTable *keys, void *user_data)
+{
+	peer_load_t *load = user_data;
+	char *own = g_strconcat(NODE_PREFIX, load->options.node, NULL);
+
+	g_hash_table_foreach_remove(load->addresses, is_unlisted, keys);
+	if (!g_hash_table_contains(keys, own))
+		node_registration_removed(load->registration);
+	g_free(own);
+}
+
 static void add_news(const char *prefix, const view_news_t *news,
 		     void *user_data)
 {
@@ -598,6 +620,7 @@
 		.pause_ms = NODE_WATCH_PAUSE_MS,
 		.changed = on_node_changed,
 		.removed = on_node_removed,
+		.listed = on_nodes_listed,
 		.user_data = load,
 	};
 
--- a/tests/test_job_removal.c
+++ b/tests/test_job_removal.c
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include "base/counter.h"
+#include "base/error.h"
 #include "gateway/job_owner.h"
 #include "gateway/job_progress.h"
 #include "gateway/job_removal.h"
@@ -33,6 +34,7 @@
 	const clock_source_t *clock;
 	GHashTable *seen; /* keys of the watched objects */
 	bool silent; /* watches get no answer */
+	bool forgets; /* the history of the next watch is gone */
 	bool watching;
 	int64_t watch_due_ms;
 	object_list_done_t watch_done;
@@ -161,6 +163,15 @@
 	    clock_now_ms(store->clock) < store->watch_due_ms)
 		return;
 	store->watching = false;
+	if (store->forgets) {
+		const GError gone = { WL_ERROR, WL_ERROR_NOT_FOUND,
+				      (char *)"history is gone" };
+
+		store->forgets = false;
+		g_hash_table_remove_all(store->seen);
+		store->watch_done(NULL, &gone, store->watch_data);
+		return;
+	}
 	object_list(store->direct, JOB_RECORD_PREFIX, NULL, ALL_ENTRIES,
 		    on_watch_listed, store);
 }
@@ -442,6 +453,34 @@
 	CU_ASSERT(has(node, JOB_PAYLOAD_PREFIX "late.0"));
 }
 
+static void on_removed(const object_value_t *value, const GError *error,
+		       void *user_data)
+{
+	CU_ASSERT_PTR_NULL(error);
+}
+
+/* A record is removed while the store is not watched and has dropped its history.
+ * The table kept it for ever, as only the watch told of removals. */
+static void test_removal_not_watched(void)
+{
+	node_t *node = node_new();
+
+	put_record(node, "j", true, 0);
+	run_s(node, 2);
+	start_node(node);
+	see_changes(node);
+	CU_ASSERT(job_table_has(node->table, "j"));
+	node->store.silent = true;
+	object_remove(node->observer, JOB_RECORD_PREFIX "j", 1, on_removed,
+		      NULL);
+	run_s(node, 5);
+	CU_ASSERT(job_table_has(node->table, "j"));
+	node->store.forgets = true;
+	node->store.silent = false;
+	see_changes(node);
+	CU_ASSERT_FALSE(job_table_has(node->table, "j"));
+}
+
 /* Ids may have dots, so that the names of one job's objects look like those of
  * another one's. */
 static void test_ids_with_dots(void)
@@ -469,6 +508,7 @@
 		{ "many closed jobs", test_many_closed_jobs },
 		{ "objects without record", test_objects_without_record },
 		{ "record not seen", test_record_not_seen },
+		{ "removal not watched", test_removal_not_watched },
 		{ "ids with dots", test_ids_with_dots },
 		{ NULL, NULL },
 	};
