Give the last node the whole of the limits

When all other nodes were stopped for good, the last one kept to the share of a runner's limit that it had beside them, for ever.

Cause: a node that hears no other may be cut off, and shares the limits with those that it heard last. One that has stopped, and has no entry any more, cannot be told from one that is cut off, unless it said so.

Evidence: test_limit_share_after_stop: the share was still a half after 100 s.

The number of nodes that share the limits is no larger than that of the known ones.

Why it works: the entry is removed by the node itself, in the store that all share.

--- a/src/gateway/peer_load.c
+++ b/src/gateway/peer_load.c
@@ -68,6 +68,7 @@
 	int64_t heard_us; /* its last report, or when it was added */
 	int64_t sent_us; /* last report to it while it is silent for long */
 	int64_t removal_ms; /* silence after which its entry is removed */
+	bool stopping; /* by its last report */
 } node_address_t;
 
 struct peer_load {
@@ -549,6 +550,7 @@
 	if (is_silent(load, address))
 		peer_load_changed(load);
 	address->heard_us = clock_now_us(load->options.clock);
+	address->stopping = !load_view_is_staying(load->view, node);
 	correct_address(load, node, address, from);
 }
 
@@ -904,6 +906,9 @@
 	uint32_t nodes = nodes_in_use(load);
 
 	load->limit_nodes = alone ? MAX(load->limit_nodes, nodes) : nodes;
+	/* Those that have left for good need none. */
+	load->limit_nodes =
+		MIN(load->limit_nodes, g_hash_table_size(load->addresses));
 	fleet_set_limit_share(load->options.fleet,
 			      alone ? 1.0 / (load->limit_nodes + 1) : 1.0);
 }
@@ -943,6 +948,9 @@
 
 static bool is_gone(const peer_load_t *load, const node_address_t *address)
 {
+	/* It has withdrawn its entry, and said that it stops. */
+	if (!address->version && address->stopping)
+		return true;
 	return MIN(silent_for_ms(load, address), contact_ms(load)) >
 	       address->removal_ms;
 }
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -243,6 +243,26 @@
 	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 0.5, 0.001);
 }
 
+/* The other node stops and withdraws its entry. The last node must get the whole of
+ * the limits after a while, not share them with the other for ever. */
+static void test_limit_share_after_stop(void)
+{
+	const peer_load_relay_t stopping = { .draining = true };
+	fixture_t *fixture = fixture_new();
+
+	run_s(fixture, 5);
+	object_remove(fixture->observer, GONE_KEY, 1, on_put, NULL);
+	peer_load_set_relay(fixture->nodes[1], &stopping);
+	peer_load_withdraw(fixture->nodes[1]);
+	run_machine_s(fixture, WATCH_S);
+	CU_ASSERT_FALSE(has_entry(fixture, "gateway-nodes/b"));
+	fixture->hears = false;
+	run_s(fixture, 5);
+	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 0.5, 0.001);
+	run_s(fixture, 100);
+	CU_ASSERT_DOUBLE_EQUAL(fixture->fleets[0]->limit_share, 1.0, 0.001);
+}
+
 static bool knows_other(const fixture_t *fixture)
 {
 	const struct in_addr address = { htonl(INADDR_LOOPBACK) };
@@ -301,6 +321,7 @@
 		{ "gone nodes and size", test_gone_nodes_and_size },
 		{ "limit share beside gone node",
 		  test_limit_share_beside_gone_node },
+		{ "limit share after stop", test_limit_share_after_stop },
 		{ "gone node without entry", test_gone_node_without_entry },
 		{ NULL, NULL },
 	};
