Fail, not crash, in two tests when the change that they guard is missing

With the sizes of refusals taken out of fleet_size.c, test_batch_after_large_request and test_refused_size ended the test program with a segmentation fault, after their checks had failed. They now stop at the failed check. Run that way: both fail, and pass with the code as it is. The checks are the same.

--- a/tests/test_execution.c
+++ b/tests/test_execution.c
@@ -326,6 +326,7 @@
 static void test_batch_after_large_request(void)
 {
 	fixture_t *fixture = fixture_new();
+	execution_t *small;
 
 	for (int round = 0; round < 5; round++) {
 		int first = fixture->count;
@@ -339,9 +340,10 @@
 		CU_ASSERT(fixture->count > first);
 	}
 	CU_ASSERT_EQUAL(fixture->end, EXECUTION_NOT_RUN);
-	CU_ASSERT_PTR_NOT_NULL(start_batch(fixture, 100, 0));
+	small = start_batch(fixture, 100, 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(small);
 	CU_ASSERT_PTR_NULL(start_batch(fixture, 110000, 0));
-	execution_cancel(fixture->context.active.head->data);
+	execution_cancel(small);
 	fixture_free(fixture);
 }
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -197,12 +197,12 @@
 	CU_ASSERT_EQUAL(free_slots(fleet), 8);
 	/* An online request has no other runner to wait for. */
 	runner = acquire_size(fleet, 1000, false);
-	CU_ASSERT_PTR_NOT_NULL(runner);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(runner);
 	fleet_release(fleet, runner, false);
 	/* After a while one request finds out whether it fits now. */
 	clock_manual_advance_ms(&manual, 3300);
 	runner = acquire_size(fleet, 1000, true);
-	CU_ASSERT_PTR_NOT_NULL(runner);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(runner);
 	CU_ASSERT_FALSE(takes(fleet, 1000));
 	fleet_served(runner, 1000);
 	CU_ASSERT(takes(fleet, 2000));
