--- a/review/standin3.py
+++ b/review/standin3.py
@@ -439,6 +439,9 @@
     if the case could not run."""
     record = Record(folder)
     record(f"TROUBLE={'1' if TROUBLE else '0'}")
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: (end_all(),
+                                          os._exit(COULD_NOT_RUN)))
     status = COULD_NOT_RUN
     try:
         status = BROKEN if case(record) else HELD
