--- a/review/standin3.py
+++ b/review/standin3.py
@@ -406,12 +406,12 @@
         return None
 
 
-def batch_job(items, path=b"/pule252/3/91c4", tokens=940):
+def batch_job(items, path=b"/pule252/3/91c4", written=400):
     return json.dumps({"items": [
         {"id": item, "path": path.decode(),
-         "headers": {"Model": "m", "Token-Usage": "540,400",
+         "headers": {"Model": "m", "Token-Usage": f"540,{written}",
                      "Prompt-Prefix": f"9c2e41:300,{number + 16:x}:240"},
-         "body": base64.b64encode(item.encode()).decode(), "tokens": tokens}
+         "body": base64.b64encode(item.encode()).decode(), "tokens": 540 + written}
         for number, item in enumerate(items)]}).encode()
 
 
