--- a/review/more-3/long_header_line.py
+++ b/review/more-3/long_header_line.py
@@ -39,4 +39,5 @@
     return denied > DENIED_MAX
 
 
-s.play(os.path.dirname(os.path.abspath(__file__)), case)
+s.play(os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                    "record.txt"), case)
--- a/review/more-3/quota_race.py
+++ b/review/more-3/quota_race.py
@@ -58,4 +58,5 @@
     return tokens > ALLOWED
 
 
-s.play(os.path.dirname(os.path.abspath(__file__)), case)
+s.play(os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                    "record.txt"), case)
--- a/review/standin3.py
+++ b/review/standin3.py
@@ -32,12 +32,11 @@
 
 
 class Record:
-    """What was sent, answered and run: record.txt in the folder of the case."""
+    """What was sent, answered and run, in record.txt of the case's folder."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.lock = threading.Lock()
-        self.out = open(os.path.join(folder, "record.txt"), "w",
-                        encoding="utf-8")
+        self.out = open(path, "w", encoding="utf-8")
 
     def __call__(self, text):
         with self.lock:
@@ -434,10 +433,10 @@
     return answer[0], json.loads(answer[1]) if answer[0] == 200 else None
 
 
-def play(folder, case):
+def play(path, case):
     """Runs a case and exits with 0 if the rule held, 1 if it was broken, and 2
     if the case could not run."""
-    record = Record(folder)
+    record = Record(path)
     record(f"TROUBLE={'1' if TROUBLE else '0'}")
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: (end_all(),
